--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+READY := $(VENV)/.ready
+
+.PHONY: setup test check demo bench capacity faults fuzz
+
+$(READY): requirements.lock pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.lock
+	$(BIN)/pip install --quiet --no-deps --editable .
+	touch $(READY)
+
+setup: $(READY)
+
+test: $(READY)
+	$(BIN)/python -m pytest -q
+
+check: $(READY)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+demo: $(READY)
+	$(BIN)/python -m demo.run
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration of the whole system, with stand-ins around it."""
--- /dev/null
+++ b/lycheeglade/address.py
@@ -0,0 +1,61 @@
+"""Network addresses and places."""
+
+from dataclasses import dataclass
+from ipaddress import ip_address
+from typing import NamedTuple
+
+MAX_PORT = 65535
+
+
+class Address(NamedTuple):
+    """IP address and port, in the form that sockets take."""
+
+    ip: str
+    port: int
+
+    def __str__(self):
+        host = f"[{self.ip}]" if ":" in self.ip else self.ip
+        return f"{host}:{self.port}"
+
+
+def parse_address(text: str) -> Address:
+    """Parse ``IP:PORT`` or ``[IP]:PORT``.
+
+    Raises
+    ------
+    ValueError
+        If `text` is not an IP address and a port from 1 to 65535.
+    """
+    ip, separator, port = text.strip().rpartition(":")
+    if not separator or not port.isascii() or not port.isdigit():
+        raise ValueError(f"{text!r} is not IP:PORT")
+    if not 1 <= int(port) <= MAX_PORT:
+        raise ValueError(f"port {port} is not in 1..{MAX_PORT}")
+    if ip.startswith("[") and ip.endswith("]"):
+        ip = ip[1:-1]
+    return Address(str(ip_address(ip)), int(port))
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Zone:
+    """Availability zone within a region."""
+
+    region: str
+    name: str
+
+    def __str__(self):
+        return f"{self.region}/{self.name}"
+
+
+def parse_zone(text: str) -> Zone:
+    """Parse ``REGION/ZONE``.
+
+    Raises
+    ------
+    ValueError
+        If `text` does not have exactly two non-empty parts.
+    """
+    region, separator, name = text.strip().partition("/")
+    if not separator or not region or not name or "/" in name:
+        raise ValueError(f"{text!r} is not REGION/ZONE")
+    return Zone(region, name)
--- /dev/null
+++ b/lycheeglade/blackboard.py
@@ -0,0 +1,46 @@
+"""What one process knows, in one place that its controllers share."""
+
+from collections.abc import Callable
+from typing import Generic, TypeVar
+
+from reactivex import Observable
+from reactivex.abc import DisposableBase
+from reactivex.subject import BehaviorSubject
+
+from lycheeglade.view import View
+
+Entry = TypeVar("Entry")
+
+
+class Topic(Generic[Entry]):
+    """One typed entry of the blackboard. Each topic has a single writer."""
+
+    def __init__(self, initial: Entry):
+        self._subject = BehaviorSubject(initial)
+
+    @property
+    def value(self) -> Entry:
+        """The entry as it was last written."""
+        return self._subject.value
+
+    @property
+    def changes(self) -> Observable[Entry]:
+        """The present entry and all later ones."""
+        return self._subject
+
+    def write(self, entry: Entry) -> None:
+        """Replace the entry and tell all subscribers."""
+        self._subject.on_next(entry)
+
+    def subscribe(self, on_change: Callable[[Entry], None]) -> DisposableBase:
+        """Call `on_change` with the present entry and with all later ones."""
+        return self._subject.subscribe(on_change)
+
+
+class Blackboard:
+    """Entries that the controllers of one process read and write."""
+
+    def __init__(self):
+        self.view: Topic[View] = Topic(View())
+        self.suspects: Topic[frozenset[str]] = Topic(frozenset())
+        self.draining: Topic[bool] = Topic(False)
