Add routing and membership

Balancers have to choose the same target for a flow without sharing state, and have to leave out agents that stopped to answer.

- routing: weighted rendezvous over the live targets in permitted zones.
A flow's bucket is what is ranked, so that the bounded cache agrees with the plain function.
Suspects go to the end; a suspected first target stays in the list, since the flow probably lives there.
- membership: a peer is suspected after two unanswered pings while another peer answers.
Pings go out only on silence, at 200 a second at most.
After a pause of the process all clocks start anew.
A flapping peer has to answer for longer each time.
More than half of a service's targets are suspected only after 10 s.

--- /dev/null
+++ b/lycheeglade/membership.py
@@ -0,0 +1,274 @@
+"""Which peers are alive, as the traffic of this process shows.
+
+A peer is suspected when packets and pings to it stay unanswered while other
+peers answer. Nobody is suspected for silence that this process may have caused
+itself: by a pause, or by a cut that silences all of its peers.
+"""
+
+from collections.abc import Collection, Hashable, Set
+from dataclasses import dataclass
+from random import Random
+
+from lycheeglade.view import Service
+
+SILENCE = 0.5  # seconds without an answer before the first ping
+PING_INTERVAL = 0.3  # seconds between pings to a peer that may be dead
+SUSPECT_PING_INTERVAL = 2.0  # seconds between pings to a suspect
+MIN_PINGS = 2  # unanswered pings that make a suspect
+PING_TIMEOUT = 0.3  # seconds that the last of them has for its answer
+PAUSE = 2.0  # seconds between two calls after which this process slept
+WITNESSES = 3  # other peers that are pinged when all are silent
+CONFIRM_AFTER = 10.0  # seconds of suspicion that the floor can't ignore
+FLAP_MEMORY = 60.0  # seconds after which an earlier suspicion is forgotten
+MAX_HOLD = 30.0  # seconds that a flapping peer must answer, at most
+MAX_PEERS = 100_000
+PINGS_PER_SECOND = 200
+MAX_PING_BURST = 400
+
+
+@dataclass(slots=True)
+class _Peer:
+    """What is known of one peer.
+
+    Attributes
+    ----------
+    waiting_since : float or None
+        When the oldest packet was sent that is still unanswered.
+    pings : int
+        Pings since then.
+    deadline : float
+        When the peer is given up, once it has got enough pings.
+    suspected_since, answering_since : float or None
+        When the suspicion began, and since when a suspect answers again.
+    flaps : int
+        Suspicions within the flap memory.
+    """
+
+    waiting_since: float | None = None
+    pings: int = 0
+    deadline: float = 0.0
+    next_ping: float = 0.0
+    suspected_since: float | None = None
+    answering_since: float | None = None
+    flaps: int = 0
+    last_flap: float = 0.0
+
+
+class Membership:
+    """Peers that this process sends to, and those that it suspects.
+
+    `collect_pings` and `suspects` have to be called a few times a second, so
+    that a gap between calls tells that the process slept.
+
+    Parameters
+    ----------
+    generator : random.Random
+        Seeded source of the jitter of pings and the choice of witnesses.
+    """
+
+    def __init__(self, generator: Random):
+        self._generator = generator
+        self._peers: dict[Hashable, _Peer] = {}
+        self._waiting: dict[Hashable, _Peer] = {}
+        self._suspected: dict[Hashable, _Peer] = {}
+        self._answered_at = float("-inf")
+        self._called_at: float | None = None
+        self._next_witnesses = float("-inf")
+        self._ping_budget = float(MAX_PING_BURST)
+
+    def note_sent(self, peer: Hashable, now: float) -> None:
+        """Note a packet to `peer`, answered by it or not.
+
+        At `MAX_PEERS` a peer that isn't known is never suspected.
+        """
+        self._note_call(now)
+        record = self._peers.get(peer)
+        if record is None:
+            if len(self._peers) >= MAX_PEERS:
+                return
+            record = self._peers[peer] = _Peer()
+        if record.waiting_since is None:
+            self._await(peer, record, now, SILENCE)
+
+    def note_heard(self, peer: Hashable, now: float, *, answers: bool = True) -> None:
+        """Note a packet from `peer`.
+
+        Parameters
+        ----------
+        answers : bool
+            Whether the packet shows that `peer` got one of ours. A peer whose
+            own requests arrive may still miss all that is sent to it.
+        """
+        self._note_call(now)
+        record = self._peers.get(peer)
+        if record is None:
+            return
+        if not answers:
+            if record.suspected_since is not None:
+                record.next_ping = min(record.next_ping, now)
+            return
+        self._answered_at = now
+        record.pings = 0
+        if record.suspected_since is None:
+            record.waiting_since = None
+            self._waiting.pop(peer, None)
+            return
+        self._note_suspect_heard(peer, record, now)
+
+    def watch(self, peers: Collection[Hashable]) -> None:
+        """Make `peers` all the peers there are; the others are forgotten."""
+        watched = frozenset(peers)
+        self.forget([peer for peer in self._peers if peer not in watched])
+        for peer in watched:
+            if peer not in self._peers:
+                self._peers[peer] = _Peer()
+
+    def forget(self, peers: Collection[Hashable]) -> None:
+        """Drop all that is known of `peers`."""
+        for peer in peers:
+            self._peers.pop(peer, None)
+            self._waiting.pop(peer, None)
+            self._suspected.pop(peer, None)
+
+    def collect_pings(self, now: float) -> list[Hashable]:
+        """Return the peers to ping now, those that wait longest first."""
+        self._note_call(now)
+        due = [item for item in self._waiting.items() if item[1].next_ping <= now]
+        if due:
+            due += self._choose_witnesses(now)
+        # A peer that isn't suspected yet comes before the known suspects.
+        due.sort(
+            key=lambda item: (item[1].suspected_since is not None, item[1].next_ping)
+        )
+        del due[int(self._ping_budget) :]
+        self._ping_budget -= len(due)
+        for _, record in due:
+            self._note_ping(record, now)
+        return [peer for peer, _ in due]
+
+    def suspects(self, now: float) -> frozenset[Hashable]:
+        """Return the peers that don't answer while others do."""
+        self._note_call(now)
+        for peer, record in list(self._waiting.items()):
+            if self._is_silent(record, now):
+                self._suspect(peer, record, now)
+        return frozenset(self._suspected)
+
+    def confirmed(self, now: float) -> frozenset[Hashable]:
+        """Return the suspects of long standing, see `suspected_targets`."""
+        return frozenset(
+            peer
+            for peer, record in self._suspected.items()
+            if now - record.suspected_since >= CONFIRM_AFTER
+        )
+
+    def _note_call(self, now):
+        if self._called_at is not None:
+            elapsed = now - self._called_at
+            if elapsed > PAUSE:
+                self._reset_clocks(now)
+            self._ping_budget = min(
+                MAX_PING_BURST, self._ping_budget + elapsed * PINGS_PER_SECOND
+            )
+        self._called_at = now
+
+    def _reset_clocks(self, now):
+        """Start all waits anew after a pause of this process."""
+        self._suspected.clear()
+        for peer, record in list(self._waiting.items()):
+            record.suspected_since = None
+            record.answering_since = None
+            self._await(peer, record, now, SILENCE)
+
+    def _await(self, peer, record, now, delay):
+        record.waiting_since = now
+        record.pings = 0
+        record.next_ping = now + delay
+        self._waiting[peer] = record
+
+    def _note_ping(self, record, now):
+        record.pings += 1
+        if record.pings == MIN_PINGS:
+            record.deadline = now + PING_TIMEOUT
+        interval = PING_INTERVAL
+        if record.suspected_since is not None and record.answering_since is None:
+            interval = SUSPECT_PING_INTERVAL
+        record.next_ping = now + interval * self._generator.uniform(0.8, 1.2)
+
+    def _choose_witnesses(self, now):
+        """Return a few other peers, if no peer answers at present."""
+        if now - self._answered_at < SILENCE or now < self._next_witnesses:
+            return []
+        self._next_witnesses = now + 2 * SILENCE
+        idle = [peer for peer in self._peers if peer not in self._waiting]
+        chosen = self._generator.sample(idle, min(WITNESSES, len(idle)))
+        for peer in chosen:
+            self._await(peer, self._peers[peer], now, 0.0)
+        return [(peer, self._peers[peer]) for peer in chosen]
+
+    def _is_silent(self, record, now):
+        """Tell whether a peer misses its answers while another one answers."""
+        if record.suspected_since is not None and record.answering_since is None:
+            return False
+        return (
+            record.pings >= MIN_PINGS
+            and now >= record.deadline
+            and self._answered_at - record.waiting_since >= SILENCE
+        )
+
+    def _suspect(self, peer, record, now):
+        if now - record.last_flap > FLAP_MEMORY:
+            record.flaps = 0
+        record.flaps += 1
+        record.last_flap = now
+        record.answering_since = None
+        if record.suspected_since is None:
+            record.suspected_since = now
+        self._suspected[peer] = record
+
+    def _note_suspect_heard(self, peer, record, now):
+        """End a suspicion once the peer has answered for long enough."""
+        if record.answering_since is None:
+            record.answering_since = now
+        hold = min(MAX_HOLD, 2.0 ** (record.flaps - 1)) if record.flaps > 1 else 0.0
+        if now - record.answering_since < hold:
+            self._await(peer, record, now, PING_INTERVAL)
+            return
+        record.suspected_since = None
+        record.answering_since = None
+        record.waiting_since = None
+        self._waiting.pop(peer, None)
+        self._suspected.pop(peer, None)
+
+
+def suspected_targets(
+    service: Service,
+    suspects: Set[Hashable],
+    confirmed: Set[Hashable] = frozenset(),
+) -> frozenset[str]:
+    """Return the ids of a service's targets whose agents are suspected.
+
+    None is if more than half of the targets would be, since so many at once
+    are more likely to be late than dead, and the rest couldn't carry the load.
+    Long-standing suspects count all the same, unless that leaves no target.
+
+    Parameters
+    ----------
+    suspects, confirmed : set of Address
+        What `Membership.suspects` and `Membership.confirmed` return.
+    """
+    suspected = _targets_of(service, suspects)
+    if 2 * len(suspected) <= len(service.targets_by_id):
+        return suspected
+    long_suspected = _targets_of(service, confirmed)
+    if len(long_suspected) < len(service.targets_by_id):
+        return long_suspected
+    return frozenset()
+
+
+def _targets_of(service, agents):
+    return frozenset(
+        target_id
+        for target_id, target in service.targets_by_id.items()
+        if target.agent in agents
+    )
--- /dev/null
+++ b/lycheeglade/routing.py
@@ -0,0 +1,227 @@
+"""Choice of the targets that may serve a flow.
+
+Every balancer ranks the targets of a flow by weighted rendezvous hashing, a
+pure function of the flow's bucket, the service and the suspected targets. Two
+balancers with the same view therefore choose alike, wherever they stand.
+"""
+
+from collections.abc import Set
+from dataclasses import dataclass
+from enum import StrEnum
+from heapq import nsmallest
+from math import log
+
+from xxhash import xxh3_64_intdigest
+
+from lycheeglade.view import Service, State, Target
+
+BUCKETS_PER_SERVICE = 16384
+CANDIDATES = 4
+HASH_RANGE = 2.0**64
+NO_SUSPECTS: frozenset[str] = frozenset()
+
+
+class Exclusion(StrEnum):
+    """Why a target isn't a candidate, or isn't among the first ones."""
+
+    FORBIDDEN = "its zone is not among the service's places"
+    LEAVING = "it is leaving"
+    WEIGHTLESS = "its weight is not above zero"
+    SUSPECTED = "its agent is suspected to be dead"
+    OUTRANKED = "other targets rank higher for this flow"
+
+
+@dataclass(frozen=True, slots=True)
+class ExcludedTarget:
+    """A target that isn't a candidate of a flow."""
+
+    target: Target
+    exclusion: Exclusion
+
+
+def bucket_of(flow_hash: int) -> int:
+    """Return the bucket of a flow, which is what the ranking depends on."""
+    return flow_hash % BUCKETS_PER_SERVICE
+
+
+def exclusion_of(service: Service, target: Target) -> Exclusion | None:
+    """Return why `target` takes no flow of `service`, or None if it may."""
+    if not service.permits(target.zone):
+        return Exclusion.FORBIDDEN
+    if target.state is not State.LIVE:
+        return Exclusion.LEAVING
+    if not target.weight > 0:
+        return Exclusion.WEIGHTLESS
+    return None
+
+
+def eligible_targets(service: Service) -> tuple[Target, ...]:
+    """Return the live targets in permitted zones, in order of their ids."""
+    return tuple(
+        target
+        for _, target in sorted(service.targets_by_id.items())
+        if exclusion_of(service, target) is None
+    )
+
+
+def rank_targets(
+    service: Service,
+    flow_hash: int,
+    *,
+    suspects: Set[str] = NO_SUSPECTS,
+    limit: int = CANDIDATES,
+) -> tuple[Target, ...]:
+    """Return the targets that may serve a flow, best first.
+
+    Suspected targets follow the others. The one that would be first without
+    suspicion is kept in the list, since the flow probably lives there.
+
+    Parameters
+    ----------
+    flow_hash : int
+        Hash of the flow, see `lycheeglade.flow.hash_flow`.
+    suspects : set of str
+        Ids of targets whose agents are suspected.
+    limit : int
+        Length of the list at most.
+
+    Returns
+    -------
+    tuple of Target
+        Empty if no target is live and permitted.
+
+    Notes
+    -----
+    Weighted rendezvous hashing after Schindelhauer and Schomaker, "Weighted
+    distributed hash tables" (SPAA 2005): the target with the least
+    ``-ln(u) / weight`` wins, where ``u`` is a uniform hash in (0, 1).
+    """
+    return _rank(service, eligible_targets(service), flow_hash, suspects, limit)
+
+
+def explain_targets(
+    service: Service,
+    flow_hash: int,
+    *,
+    suspects: Set[str] = NO_SUSPECTS,
+    limit: int = CANDIDATES,
+) -> tuple[ExcludedTarget, ...]:
+    """Return the targets that `rank_targets` leaves out, with the reason."""
+    ranked = rank_targets(service, flow_hash, suspects=suspects, limit=limit)
+    ranked_ids = {target.target_id for target in ranked}
+    return tuple(
+        ExcludedTarget(target, _explain(service, target, suspects))
+        for target_id, target in sorted(service.targets_by_id.items())
+        if target_id not in ranked_ids
+    )
+
+
+class CandidateCache:
+    """Bounded cache of ranked candidates by service and bucket.
+
+    Entries live in two generations. A full young generation becomes the old
+    one, whose entries are dropped unless they are used again. Entries of past
+    revisions and suspicions leave in the same way.
+
+    Parameters
+    ----------
+    max_entries : int
+        Entries held at most, over both generations.
+    """
+
+    def __init__(self, max_entries: int):
+        self._max_young = max(1, max_entries // 2)
+        self._young: dict[tuple, tuple[Target, ...]] = {}
+        self._old: dict[tuple, tuple[Target, ...]] = {}
+        self._eligible: dict[str, tuple[int, tuple[Target, ...]]] = {}
+        self._suspects = NO_SUSPECTS
+        self._suspects_by_service: dict[tuple[str, int], frozenset[str]] = {}
+
+    def __len__(self):
+        return len(self._young) + len(self._old)
+
+    def rank(
+        self,
+        service: Service,
+        flow_hash: int,
+        suspects: frozenset[str] = NO_SUSPECTS,
+    ) -> tuple[Target, ...]:
+        """Return what `rank_targets` does for the default limit."""
+        if suspects:
+            suspects = self._suspects_of(service, suspects)
+        bucket = flow_hash % BUCKETS_PER_SERVICE
+        key = (service.name, service.revision, bucket, suspects)
+        candidates = self._young.get(key)
+        if candidates is None:
+            candidates = self._promote(key, service, flow_hash, suspects)
+        return candidates
+
+    def _promote(self, key, service, flow_hash, suspects):
+        candidates = self._old.pop(key, None)
+        if candidates is None:
+            eligible = self._eligible_of(service)
+            candidates = _rank(service, eligible, flow_hash, suspects, CANDIDATES)
+        if len(self._young) >= self._max_young:
+            self._old = self._young
+            self._young = {}
+        self._young[key] = candidates
+        return candidates
+
+    def _eligible_of(self, service):
+        revision, eligible = self._eligible.get(service.name, (None, ()))
+        if revision != service.revision:
+            eligible = eligible_targets(service)
+            if len(self._eligible) >= self._max_young:
+                self._eligible.clear()
+            self._eligible[service.name] = (service.revision, eligible)
+        return eligible
+
+    def _suspects_of(self, service, suspects):
+        """Return the suspects among the service's own targets."""
+        if suspects is not self._suspects:
+            self._suspects = suspects
+            self._suspects_by_service.clear()
+        key = (service.name, service.revision)
+        own = self._suspects_by_service.get(key)
+        if own is None:
+            if len(self._suspects_by_service) >= self._max_young:
+                self._suspects_by_service.clear()
+            own = suspects.intersection(service.targets_by_id)
+            self._suspects_by_service[key] = own
+        return own
+
+
+def _rank(service, eligible, flow_hash, suspects, limit):
+    seed = xxh3_64_intdigest(f"{service.name}\0{bucket_of(flow_hash)}".encode())
+    costs = [
+        (-log((xxh3_64_intdigest(target.target_id.encode(), seed) + 0.5) / HASH_RANGE))
+        / target.weight
+        for target in eligible
+    ]
+    order = range(len(eligible))
+    # Ties go to the lower id, since `eligible` is sorted by id.
+    if not suspects:
+        best = nsmallest(limit, order, key=costs.__getitem__)
+        return tuple(eligible[index] for index in best)
+    ranked = [eligible[index] for index in sorted(order, key=costs.__getitem__)]
+    return _put_suspects_last(ranked, suspects, limit)
+
+
+def _put_suspects_last(ranked, suspects, limit):
+    trusted = [target for target in ranked if target.target_id not in suspects]
+    suspected = [target for target in ranked if target.target_id in suspects]
+    kept = limit
+    if ranked and ranked[0].target_id in suspects:
+        kept = max(1, limit - 1)
+    candidates = trusted[:kept]
+    candidates += suspected[: limit - len(candidates)]
+    return tuple(candidates)
+
+
+def _explain(service, target, suspects):
+    exclusion = exclusion_of(service, target)
+    if exclusion is not None:
+        return exclusion
+    if target.target_id in suspects:
+        return Exclusion.SUSPECTED
+    return Exclusion.OUTRANKED
