Test membership with a state machine of faults

Single cases don't show how cuts of one way, flapping, pauses, late answers and the loss of a zone combine. The machine checks after each round of 0.1 s that no peer that answers becomes a suspect, that none does while all are silent, that an unreachable one is suspected within 4 s while another answers, and that all are trusted, and none pinged, 35 s after the last fault.

Broken variants that it catches: no evidence of an answering peer needed, no reset after a pause.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,10 +2,19 @@
 from random import Random
 
 import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from lycheeglade.address import Address
-from lycheeglade.membership import Membership, suspected_targets
-from tests.test_routing import make_service, make_target
+from lycheeglade.membership import (
+    MAX_HOLD,
+    PAUSE,
+    SILENCE,
+    Membership,
+    suspected_targets,
+)
+from tests.test_routing import ZONES, make_service, make_target
 
 TICK = 0.1  # seconds between two rounds
 PEERS = tuple(f"agent-{number}" for number in range(7))
@@ -110,3 +119,210 @@
     assert suspected_targets(service, set(agents[:3])) == frozenset()
     assert suspected_targets(service, set(agents[:3]), {agents[0]}) == {"t0"}
     assert suspected_targets(service, set(agents), set(agents)) == frozenset()
+
+
+PROMPT = 2.0  # seconds after which a reachable peer can't become a suspect
+DETECTION = 4.0  # seconds within which an unreachable peer is suspected
+RECOVERY = MAX_HOLD + 5.0  # seconds within which a reachable one is trusted
+PEER = st.sampled_from(PEERS)
+SERVICE = make_service(
+    *(
+        replace(make_target(peer), agent=peer, zone=ZONES[number % 2])
+        for number, peer in enumerate(PEERS)
+    )
+)
+
+
+class Link:
+    """The two ways between this process and one peer."""
+
+    def __init__(self, now):
+        self.cut_out = False
+        self.cut_in = False
+        self.paused = False
+        self.is_mute = False
+        self.delay = 0.0
+        self.answers = []
+        self.withheld = 0
+        self.reachable_since = now
+        self.unreachable_since = None
+        self.answered_at = now
+
+    @property
+    def is_reachable(self):
+        return not (self.cut_out or self.cut_in or self.paused or self.delay)
+
+    def note_state(self, now):
+        if not self.is_reachable:
+            self.reachable_since = None
+        elif self.reachable_since is None:
+            self.reachable_since = now
+        if not (self.cut_out or self.cut_in or self.paused):
+            self.unreachable_since = None
+        elif self.unreachable_since is None:
+            self.unreachable_since = now
+
+    def carry(self, now, ping=False):
+        if self.cut_out or (self.is_mute and not ping):
+            return
+        if self.paused:
+            self.withheld += 1
+            return
+        self.answers.append(now + self.delay)
+
+    def wake(self, now):
+        self.paused = False
+        self.answers += [now] * self.withheld
+        self.withheld = 0
+
+
+class MembershipMachine(RuleBasedStateMachine):
+    """Faults on the links of one process that sends to all of its peers."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 100.0
+        self.awake_since = self.now
+        self.membership = Membership(Random(1))
+        self.membership.watch(PEERS)
+        self.links = {peer: Link(self.now) for peer in PEERS}
+        self.sends_to = PEERS
+        self.sends_since = self.now
+        self.suspects = frozenset()
+
+    @rule(peer=PEER, way=st.sampled_from(["cut_out", "cut_in", "paused"]))
+    def cut(self, peer, way):
+        setattr(self.links[peer], way, True)
+        self.links[peer].note_state(self.now)
+
+    @rule(number=st.integers(0, 1))
+    def lose_zone(self, number):
+        for link in list(self.links.values())[number::2]:
+            link.cut_out = link.cut_in = True
+            link.note_state(self.now)
+
+    @rule(delay=st.sampled_from([0.0, 1.0, 3.0, 20.0]))
+    def delay_all(self, delay):
+        for link in self.links.values():
+            link.delay = delay
+            link.note_state(self.now)
+
+    @rule(peer=PEER, delay=st.sampled_from([0.3, 0.9, 5.0]))
+    def delay(self, peer, delay):
+        self.links[peer].delay = delay
+        self.links[peer].note_state(self.now)
+
+    @rule(peers=st.one_of(st.just(PEERS), st.lists(PEER, min_size=1)))
+    def heal(self, peers):
+        for link in (self.links[peer] for peer in peers):
+            link.wake(self.now)
+            link.cut_out = link.cut_in = False
+            link.delay = 0.0
+            link.note_state(self.now)
+
+    @rule(peer=PEER, is_mute=st.booleans())
+    def answer_only_pings(self, peer, is_mute):
+        self.links[peer].is_mute = is_mute
+
+    @rule()
+    def settle(self):
+        for peer in PEERS:
+            self.answer_only_pings(peer, False)
+        self.heal(PEERS)
+        self.advance(RECOVERY + 1.0)
+
+    @rule(peer=PEER, times=st.integers(1, 4))
+    def flap(self, peer, times):
+        for _ in range(times):
+            self.cut(peer, "cut_out")
+            self.advance(3.0)
+            self.heal([peer])
+            self.advance(1.0)
+
+    @rule(pause=st.sampled_from([0.5, 1.9, 2.1, 60.0]))
+    def sleep(self, pause):
+        self.now += pause
+        self.awake_since = self.now
+        if pause > PAUSE:
+            self.suspects = self.membership.suspects(self.now)
+            assert self.suspects == frozenset()
+
+    @rule(peers=st.one_of(st.just(PEERS), st.tuples(PEER)))
+    def send_to(self, peers):
+        self.sends_to = peers
+        self.sends_since = self.now
+
+    @rule(seconds=st.sampled_from([0.1, 0.7, 1.5, 5.0, 40.0]))
+    def advance(self, seconds):
+        for _ in range(round(seconds / TICK)):
+            self.now += TICK
+            self._run_round()
+
+    @invariant()
+    def floor_holds(self):
+        confirmed = self.membership.confirmed(self.now)
+        assert confirmed <= self.suspects
+        suspected = suspected_targets(SERVICE, self.suspects, confirmed)
+        assert len(suspected) <= len(PEERS) // 2 or suspected <= confirmed
+        assert len(suspected) < len(PEERS)
+
+    def _run_round(self):
+        for peer, link in self.links.items():
+            due = [moment for moment in link.answers if moment <= self.now]
+            link.answers = [moment for moment in link.answers if moment > self.now]
+            if link.cut_in or link.paused:
+                continue
+            if due:
+                link.answered_at = self.now
+                self.membership.note_heard(peer, self.now)
+            self.membership.note_heard(peer, self.now, answers=False)
+        for peer in self.sends_to:
+            self.membership.note_sent(peer, self.now)
+            self.links[peer].carry(self.now)
+        pings = self.membership.collect_pings(self.now)
+        for peer in pings:
+            self.links[peer].carry(self.now, ping=True)
+        before = self.suspects
+        self.suspects = self.membership.suspects(self.now)
+        self._check_safety(self.suspects - before)
+        self._check_detection()
+        self._check_rest(pings)
+
+    def _check_safety(self, added):
+        for peer in added:
+            since = self.links[peer].reachable_since
+            assert since is None or self.now - since < PROMPT
+            others = [link for name, link in self.links.items() if name != peer]
+            witnessed = max(link.answered_at for link in others)
+            assert witnessed - self.links[peer].answered_at >= SILENCE - TICK
+
+    def _check_detection(self):
+        for peer in self.sends_to:
+            link = self.links[peer]
+            if link.unreachable_since is None:
+                continue
+            doubted_since = max(
+                link.unreachable_since,
+                link.answered_at,
+                self.sends_since,
+                self.awake_since,
+            )
+            witnessed = any(
+                other.reachable_since is not None
+                and other.reachable_since <= doubted_since
+                for other in self.links.values()
+            )
+            if witnessed and self.now - doubted_since > DETECTION:
+                assert peer in self.suspects
+
+    def _check_rest(self, pings):
+        since = [link.reachable_since for link in self.links.values()]
+        if None not in since and self.now - max(since) > RECOVERY:
+            assert self.suspects == frozenset()
+            assert pings == []
+
+
+TestMembershipMachine = MembershipMachine.TestCase
+TestMembershipMachine.settings = settings(
+    derandomize=True, max_examples=60, stateful_step_count=20, deadline=None
+)
