--- /dev/null
+++ b/lycheeglade/difference.py
@@ -0,0 +1,255 @@
+"""What a change of the published configuration does to the flows."""
+
+from dataclasses import dataclass, fields, replace
+from enum import StrEnum
+
+from lycheeglade.routing import (
+    BUCKETS_PER_SERVICE,
+    CandidateCache,
+    eligible_targets,
+)
+from lycheeglade.view import Service, View
+
+COMPARED_APART = ("name", "revision", "places", "targets_by_id")
+
+
+class Presence(StrEnum):
+    """Whether a service exists before and after a change."""
+
+    ADDED = "added"
+    REMOVED = "removed"
+    CHANGED = "changed"
+
+
+@dataclass(frozen=True, slots=True)
+class Capacity:
+    """Sums over the targets of a service that take new flows."""
+
+    targets: int = 0
+    slots: int = 0
+    connections: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceDifference:
+    """What a change does to one service.
+
+    Attributes
+    ----------
+    moved_share : float
+        Share of the buckets that get another first candidate, from 0 to 1.
+        Flows that are already open stay at their homes.
+    places_allowed, places_forbidden : tuple of str
+        Places where the traffic may newly, or no longer, be handled.
+    targets_allowed, targets_forbidden : tuple of str
+        Ids of the targets that newly, or no longer, take new flows.
+    targets_moved : tuple of str
+        Ids of the targets with another host, agent or upstream address.
+    targets_without_capacity : tuple of str
+        Ids of the targets that take new flows, but have no slot or no
+        connection to serve them.
+    options_changed : tuple of str
+        Names of other options of the service that have another value.
+    """
+
+    name: str
+    presence: Presence
+    moved_share: float
+    places_allowed: tuple[str, ...]
+    places_forbidden: tuple[str, ...]
+    targets_allowed: tuple[str, ...]
+    targets_forbidden: tuple[str, ...]
+    targets_moved: tuple[str, ...]
+    targets_without_capacity: tuple[str, ...]
+    options_changed: tuple[str, ...]
+    capacity_before: Capacity
+    capacity_after: Capacity
+
+
+@dataclass(frozen=True, slots=True)
+class Difference:
+    """What a change does.
+
+    Attributes
+    ----------
+    services : tuple of ServiceDifference
+        The services that the change touches, in order of their names.
+    upstreams_reused : tuple of tuple of str
+        Address, service before and service after, of each upstream that
+        another service takes over.
+    """
+
+    services: tuple[ServiceDifference, ...]
+    upstreams_reused: tuple[tuple[str, str, str], ...]
+
+
+def compare_views(old: View, new: View) -> Difference:
+    """Return what the change from `old` to `new` does to the flows.
+
+    The revisions of the services are ignored.
+    """
+    names = sorted({*old.services_by_name, *new.services_by_name})
+    pairs = [
+        (old.services_by_name.get(name), new.services_by_name.get(name))
+        for name in names
+    ]
+    return Difference(
+        tuple(_compare(before, after) for before, after in pairs if before != after),
+        _find_reused(old, new),
+    )
+
+
+def format_difference(difference: Difference) -> tuple[str, ...]:
+    """Return the lines that tell a difference to an operator."""
+    if not difference.services:
+        return ("nothing changes",)
+    lines = []
+    for service in difference.services:
+        lines += _format_service(service)
+    lines += [
+        f"upstream {address} moves from {before} to {after}"
+        for address, before, after in difference.upstreams_reused
+    ]
+    return tuple(lines)
+
+
+def _compare(before, after):
+    presence = Presence.CHANGED
+    if before is None:
+        presence = Presence.ADDED
+        before = replace(after, places=(), targets_by_id={})
+    elif after is None:
+        presence = Presence.REMOVED
+        after = replace(before, places=(), targets_by_id={})
+    old_targets = {target.target_id: target for target in eligible_targets(before)}
+    new_targets = {target.target_id: target for target in eligible_targets(after)}
+    return ServiceDifference(
+        before.name,
+        presence,
+        _moved_share(before, after),
+        _uncovered(after.places, before.places),
+        _uncovered(before.places, after.places),
+        _missing(new_targets, old_targets),
+        _missing(old_targets, new_targets),
+        _find_moved(before, after),
+        tuple(
+            target_id
+            for target_id, target in new_targets.items()
+            if target.slots < 1 or target.connections < 1
+        ),
+        tuple(
+            field.name
+            for field in fields(Service)
+            if field.name not in COMPARED_APART
+            and getattr(before, field.name) != getattr(after, field.name)
+        ),
+        _sum_capacity(old_targets.values()),
+        _sum_capacity(new_targets.values()),
+    )
+
+
+def _missing(names, other_names):
+    """Return the names that aren't among the others."""
+    return tuple(sorted(set(names) - set(other_names)))
+
+
+def _uncovered(places, other_places):
+    """Return the places that neither the others nor their regions hold."""
+    return tuple(
+        place
+        for place in _missing(places, other_places)
+        if place.partition("/")[0] not in other_places
+    )
+
+
+def _moved_share(before, after):
+    if eligible_targets(before) == eligible_targets(after):
+        return 0.0
+    ranks = CandidateCache(2).rank, CandidateCache(2).rank
+    moved = 0
+    for bucket in range(BUCKETS_PER_SERVICE):
+        old_ids, new_ids = (
+            [target.target_id for target in rank(service, bucket)[:1]]
+            for rank, service in zip(ranks, (before, after), strict=True)
+        )
+        moved += old_ids != new_ids
+    return moved / BUCKETS_PER_SERVICE
+
+
+def _find_moved(before, after):
+    moved = []
+    for target_id, old in sorted(before.targets_by_id.items()):
+        new = after.targets_by_id.get(target_id, old)
+        if (old.host_id, old.agent, old.upstream) != (
+            new.host_id,
+            new.agent,
+            new.upstream,
+        ):
+            moved.append(target_id)
+    return tuple(moved)
+
+
+def _sum_capacity(targets):
+    return Capacity(
+        len(targets),
+        sum(target.slots for target in targets),
+        sum(target.connections for target in targets),
+    )
+
+
+def _find_reused(old, new):
+    names_before = _names_by_upstream(old)
+    return tuple(
+        (str(upstream), names_before[upstream], name)
+        for upstream, name in sorted(_names_by_upstream(new).items())
+        if names_before.get(upstream, name) != name
+    )
+
+
+def _names_by_upstream(view):
+    return {
+        target.upstream: service.name
+        for service in view.services_by_name.values()
+        for target in service.targets_by_id.values()
+    }
+
+
+def _format_service(service):
+    lines = [f"service {service.name} is {service.presence}"]
+    if service.presence is Presence.CHANGED:
+        lines.append(
+            f"  {service.moved_share:.1%} of new flows get another first candidate;"
+            " open flows stay where they are"
+        )
+    lines += _format_names("place {} is newly allowed", service.places_allowed)
+    lines += _format_names(
+        "place {} is no longer allowed as a whole", service.places_forbidden
+    )
+    lines += _format_names("target {} takes new flows", service.targets_allowed)
+    lines += _format_names(
+        "target {} takes no new flows any more", service.targets_forbidden
+    )
+    lines += _format_names("target {} has another address", service.targets_moved)
+    lines += _format_names("option {} has another value", service.options_changed)
+    return lines + _format_capacity(service)
+
+
+def _format_names(template, names):
+    return ["  " + template.format(name) for name in names]
+
+
+def _format_capacity(service):
+    lines = _format_names(
+        "WARNING: target {} has no slot or no connection",
+        service.targets_without_capacity,
+    )
+    before, after = service.capacity_before, service.capacity_after
+    if service.presence is Presence.REMOVED:
+        return lines
+    if not after.targets:
+        return [*lines, "  WARNING: no target takes new flows"]
+    for unit in ("slots", "connections"):
+        had, has = getattr(before, unit), getattr(after, unit)
+        if has < had:
+            lines.append(f"  WARNING: {has} {unit} in all, {had} before")
+    return lines
