Rank faster, in four times as many buckets

With 16384 buckets the most loaded of 500 targets of weights 1:5 got 2.16 times its share of 100000 flows, since a bucket moves as a whole. Ranking a bucket anew cost 21 us for 7 targets and 791 us for 500, so that more buckets would have made a changed service too dear.

The hashed keys and the inverse weights are now prepared once a revision and the first four are found by four minima. 65536 buckets: the greatest share is 1.62 for 500 targets, 1.07 for 36 and 1.013 for 7; part of it is the chance of 82 flows a target. Ranking costs 8.6, 21 and 206 us (0.40 us a target, fit within 0.7% of the mean), on a busy machine. The difference of two views samples 16384 of the buckets.

--- a/lycheeglade/difference.py
+++ b/lycheeglade/difference.py
@@ -4,12 +4,12 @@
 from enum import StrEnum
 
 from lycheeglade.routing import (
-    BUCKETS_PER_SERVICE,
     CandidateCache,
     eligible_targets,
 )
 from lycheeglade.view import Service, View
 
+SAMPLED_BUCKETS = 16384
 COMPARED_APART = ("name", "revision", "places", "targets_by_id")
 
 
@@ -37,7 +37,8 @@
     Attributes
     ----------
     moved_share : float
-        Share of the buckets that get another first candidate, from 0 to 1.
+        Share of the flows that get another first candidate, from 0 to 1, as
+        a sample of the buckets shows.
         Flows that are already open stay at their homes.
     places_allowed, places_forbidden : tuple of str
         Places where the traffic may newly, or no longer, be handled.
@@ -167,13 +168,13 @@
         return 0.0
     ranks = CandidateCache(2).rank, CandidateCache(2).rank
     moved = 0
-    for bucket in range(BUCKETS_PER_SERVICE):
+    for bucket in range(SAMPLED_BUCKETS):
         old_ids, new_ids = (
             [target.target_id for target in rank(service, bucket)[:1]]
             for rank, service in zip(ranks, (before, after), strict=True)
         )
         moved += old_ids != new_ids
-    return moved / BUCKETS_PER_SERVICE
+    return moved / SAMPLED_BUCKETS
 
 
 def _find_moved(before, after):
--- a/lycheeglade/routing.py
+++ b/lycheeglade/routing.py
@@ -8,16 +8,15 @@
 from collections.abc import Set
 from dataclasses import dataclass
 from enum import StrEnum
-from heapq import nsmallest
-from math import log
+from math import inf, log
 
 from xxhash import xxh3_64_intdigest
 
 from lycheeglade.view import Service, State, Target
 
-BUCKETS_PER_SERVICE = 16384
+BUCKETS_PER_SERVICE = 65536
 CANDIDATES = 4
-HASH_RANGE = 2.0**64
+HASH_SCALE = 2.0**-64
 NO_SUSPECTS: frozenset[str] = frozenset()
 
 
@@ -96,7 +95,7 @@
     distributed hash tables" (SPAA 2005): the target with the least
     ``-ln(u) / weight`` wins, where ``u`` is a uniform hash in (0, 1).
     """
-    return _rank(service, eligible_targets(service), flow_hash, suspects, limit)
+    return _rank(_prepare(service), service.name, flow_hash, suspects, limit)
 
 
 def explain_targets(
@@ -133,7 +132,7 @@
         self._max_young = max(1, max_entries // 2)
         self._young: dict[tuple, tuple[Target, ...]] = {}
         self._old: dict[tuple, tuple[Target, ...]] = {}
-        self._eligible: dict[str, tuple[int, tuple[Target, ...]]] = {}
+        self._contests: dict[str, tuple[int, _Contest]] = {}
         self._suspects = NO_SUSPECTS
         self._suspects_by_service: dict[tuple[str, int], frozenset[str]] = {}
 
@@ -159,22 +158,22 @@
     def _promote(self, key, service, flow_hash, suspects):
         candidates = self._old.pop(key, None)
         if candidates is None:
-            eligible = self._eligible_of(service)
-            candidates = _rank(service, eligible, flow_hash, suspects, CANDIDATES)
+            contest = self._contest_of(service)
+            candidates = _rank(contest, service.name, flow_hash, suspects, CANDIDATES)
         if len(self._young) >= self._max_young:
             self._old = self._young
             self._young = {}
         self._young[key] = candidates
         return candidates
 
-    def _eligible_of(self, service):
-        revision, eligible = self._eligible.get(service.name, (None, ()))
+    def _contest_of(self, service):
+        revision, contest = self._contests.get(service.name, (None, None))
         if revision != service.revision:
-            eligible = eligible_targets(service)
-            if len(self._eligible) >= self._max_young:
-                self._eligible.clear()
-            self._eligible[service.name] = (service.revision, eligible)
-        return eligible
+            contest = _prepare(service)
+            if len(self._contests) >= self._max_young:
+                self._contests.clear()
+            self._contests[service.name] = (service.revision, contest)
+        return contest
 
     def _suspects_of(self, service, suspects):
         """Return the suspects among the service's own targets."""
@@ -191,20 +190,40 @@
         return own
 
 
-def _rank(service, eligible, flow_hash, suspects, limit):
-    seed = xxh3_64_intdigest(f"{service.name}\0{bucket_of(flow_hash)}".encode())
+@dataclass(frozen=True, slots=True)
+class _Contest:
+    """The targets that contend for the flows of a service.
+
+    `entries` holds each target's hashed key and ``-1 / weight``.
+    """
+
+    targets: tuple[Target, ...]
+    entries: tuple[tuple[bytes, float], ...]
+
+
+def _prepare(service):
+    targets = eligible_targets(service)
+    entries = ((item.target_id.encode(), -1 / item.weight) for item in targets)
+    return _Contest(targets, tuple(entries))
+
+
+def _rank(contest, service_name, flow_hash, suspects, limit):
+    seed = xxh3_64_intdigest(f"{service_name}\0{bucket_of(flow_hash)}".encode())
     costs = [
-        (-log((xxh3_64_intdigest(target.target_id.encode(), seed) + 0.5) / HASH_RANGE))
-        / target.weight
-        for target in eligible
+        log((xxh3_64_intdigest(key, seed) + 0.5) * HASH_SCALE) * factor
+        for key, factor in contest.entries
     ]
-    order = range(len(eligible))
-    # Ties go to the lower id, since `eligible` is sorted by id.
-    if not suspects:
-        best = nsmallest(limit, order, key=costs.__getitem__)
-        return tuple(eligible[index] for index in best)
-    ranked = [eligible[index] for index in sorted(order, key=costs.__getitem__)]
-    return _put_suspects_last(ranked, suspects, limit)
+    if suspects:
+        # Ties go to the lower id, since the targets are sorted by id.
+        order = sorted(range(len(costs)), key=costs.__getitem__)
+        ranked = [contest.targets[index] for index in order]
+        return _put_suspects_last(ranked, suspects, limit)
+    ranked = []
+    for _ in range(min(limit, len(costs))):
+        index = costs.index(min(costs))
+        costs[index] = inf
+        ranked.append(contest.targets[index])
+    return tuple(ranked)
 
 
 def _put_suspects_last(ranked, suspects, limit):
