--- a/lycheeglade/errors.py
+++ b/lycheeglade/errors.py
@@ -48,3 +48,7 @@
     def __init__(self, cause: str):
         super().__init__(f"malformed packet: {cause}")
         self.cause = cause
+
+
+class TicketError(LycheegladeError):
+    """A ticket or a flow's exported tickets can't be used."""
