--- /dev/null
+++ b/lycheeglade/agent.py
@@ -0,0 +1,321 @@
+"""Decisions of an agent, the process beside the upstreams of one host.
+
+An agent is the last check of every packet: it serves only its own targets,
+and only where their services may be handled. All functions take the present
+time and act only through `AgentActions`.
+"""
+
+from collections.abc import Callable
+from itertools import count
+from random import Random
+
+from lycheeglade.address import Address, Zone
+from lycheeglade.admission import Admission, AdmissionLimits
+from lycheeglade.agent_state import Agent, AgentActions, update_known_addresses
+from lycheeglade.coap import ADAPTER as COAP_ADAPTER
+from lycheeglade.errors import PacketError
+from lycheeglade.exchange import (
+    expire_queued,
+    fail_upstream,
+    receive_delegate,
+    receive_delegate_reply,
+    start_queued,
+)
+from lycheeglade.flow import FlowKey
+from lycheeglade.handoff import (
+    receive_commit,
+    receive_done,
+    receive_offer,
+    receive_ready,
+    start_drain,
+    stop_drain,
+)
+from lycheeglade.home import (
+    announce_home,
+    receive_forward,
+    receive_home_notice,
+    receive_probe,
+    receive_probe_reply,
+)
+from lycheeglade.membership import Membership
+from lycheeglade.message import Adapter
+from lycheeglade.packet import (
+    Delegate,
+    DelegateReply,
+    Forward,
+    HandoffCommit,
+    HandoffDone,
+    HandoffOffer,
+    HandoffReady,
+    HomeNotice,
+    Packet,
+    Ping,
+    Pong,
+    Probe,
+    ProbeReply,
+    decode_packet,
+)
+from lycheeglade.served_target import ServedTarget, TargetKey
+from lycheeglade.session import receive_upstream
+from lycheeglade.ticket import TicketBook
+from lycheeglade.view import Protocol, Service, State, Target, View
+
+KEY_BYTES = 32
+MAX_NUMBER = 1 << 48
+ADAPTERS_BY_PROTOCOL: dict[Protocol, Adapter | None] = {
+    Protocol.COAP: COAP_ADAPTER,
+    Protocol.DATAGRAM: None,
+}
+
+
+def make_agent(
+    host_id: str,
+    zone: Zone,
+    actions: AgentActions,
+    generator: Random,
+    max_flows: int,
+    now: float,
+) -> Agent:
+    """Return the state of an agent that has just started.
+
+    Parameters
+    ----------
+    generator : Random
+        Source of the incarnation and the ticket key. It must not be
+        predictable outside of tests.
+    """
+    return Agent(
+        host_id=host_id,
+        zone=zone,
+        incarnation=generator.getrandbits(64),
+        key=generator.randbytes(KEY_BYTES),
+        actions=actions,
+        generator=generator,
+        membership=Membership(generator),
+        numbers=count(generator.randrange(MAX_NUMBER)),
+        started_at=now,
+        max_flows=max_flows,
+    )
+
+
+def update_view(agent: Agent, view: View, now: float) -> None:
+    """Put a newer view in force."""
+    agent.view = view
+    update_known_addresses(agent, view)
+    peers = set()
+    wanted = {}
+    for service in view.services_by_name.values():
+        own = [
+            target
+            for target in service.targets_by_id.values()
+            if target.host_id == agent.host_id
+        ]
+        for target in own:
+            wanted[TargetKey(service.name, target.target_id)] = (service, target)
+        if own:
+            peers.update(target.agent for target in service.targets_by_id.values())
+    agent.membership.watch(peers)
+    for key, (service, target) in wanted.items():
+        _update_target(agent, key, service, target, now)
+    for key in list(agent.served_by_key):
+        if key not in wanted:
+            _remove_target(agent, key, view, now)
+
+
+def _update_target(
+    agent: Agent, key: TargetKey, service: Service, target: Target, now: float
+) -> None:
+    served = agent.served_by_key.get(key)
+    if served is None:
+        served = _make_served(agent, service, target, now)
+        agent.served_by_key[key] = served
+        agent.actions.count("target", service.name, "added")
+    elif served.service is not service:
+        served.service = service
+        served.target = target
+        served.settled_at = now + service.flow_idle
+        announce_home(agent, served, list(served.records_by_flow), now)
+    may_serve = target.state is State.LIVE and service.permits(agent.zone)
+    if agent.stopping or not may_serve:
+        start_drain(agent, served, now)
+    elif served.draining:
+        stop_drain(served, now)
+
+
+def _make_served(
+    agent: Agent, service: Service, target: Target, now: float
+) -> ServedTarget:
+    minter = f"{service.name}/{target.target_id}/{agent.host_id}"
+    limits = AdmissionLimits(target.slots, target.connections, service.cold_start)
+    return ServedTarget(
+        service=service,
+        target=target,
+        adapter=ADAPTERS_BY_PROTOCOL[service.protocol],
+        book=TicketBook(
+            agent.key,
+            minter,
+            agent.incarnation,
+            lifetime=_ticket_lifetime(service),
+        ),
+        admission=Admission(limits, now, agent.generator),
+        settled_at=now + service.flow_idle,
+    )
+
+
+def _ticket_lifetime(service: Service) -> float:
+    """Return how long outcomes are remembered, in seconds.
+
+    RFC 7252 lets a copy of a message arrive up to 247 s after the first one.
+    """
+    return max(300.0, 2 * service.request_timeout)
+
+
+def _remove_target(agent: Agent, key: TargetKey, view: View, now: float) -> None:
+    """Drain a target that is no longer published, then forget it."""
+    served = agent.served_by_key[key]
+    service = view.services_by_name.get(key.service)
+    if service is not None:
+        served.service = service
+    start_drain(agent, served, now)
+    if not served.records_by_flow and not served.outgoing_by_id:
+        del agent.served_by_key[key]
+        agent.actions.count("target", key.service, "removed")
+        return
+    agent.timers.call_at(now + 1.0, lambda now: _retry_remove(agent, key, now))
+
+
+def _retry_remove(agent: Agent, key: TargetKey, now: float) -> None:
+    service = agent.view.services_by_name.get(key.service)
+    if key in agent.served_by_key and (
+        service is None or key.target_id not in service.targets_by_id
+    ):
+        _remove_target(agent, key, agent.view, now)
+
+
+def receive_datagram(
+    agent: Agent, datagram: bytes, source: Address, now: float
+) -> None:
+    """Take a datagram from a process of the system, or drop it."""
+    if source not in agent.known_addresses:
+        agent.actions.count("dropped", "", "unknown-source")
+        return
+    try:
+        packet = decode_packet(datagram)
+    except PacketError as error:
+        agent.actions.count("malformed", "", error.cause)
+        return
+    receive_packet(agent, packet, source, now)
+
+
+def receive_packet(agent: Agent, packet: Packet, source: Address, now: float) -> None:
+    """Act on a packet from a process of the system."""
+    if source in agent.balancer_zones_by_address:
+        agent.balancers_heard_at[source] = now
+        agent.balancers_heard_at.move_to_end(source)
+    is_reply = isinstance(packet, (Pong, ProbeReply, DelegateReply))
+    agent.membership.note_heard(source, now, answers=is_reply)
+    if isinstance(packet, Ping):
+        agent.actions.send(source, Pong(packet.nonce))
+        return
+    if isinstance(packet, Pong):
+        return
+    if isinstance(packet, ProbeReply):
+        _receive_probe_reply(agent, packet, now)
+        return
+    handler = HANDLERS_BY_KIND.get(type(packet))
+    if handler is None:
+        agent.actions.count("dropped", "", "wrong-kind")
+        return
+    served = agent.served_by_key.get(TargetKey(packet.service, packet.target_id))
+    if served is None:
+        agent.actions.count("dropped", "", "not-served-here")
+        return
+    if not _may_handle(agent, served):
+        agent.actions.count("dropped", served.service.name, "forbidden-place")
+        return
+    handler(agent, served, packet, source, now)
+
+
+def _may_handle(agent: Agent, served: ServedTarget) -> bool:
+    """Tell whether this host may handle the service's traffic at all."""
+    return served.service.permits(agent.zone)
+
+
+def _receive_probe_reply(agent: Agent, packet: ProbeReply, now: float) -> None:
+    for served in list(agent.served_by_key.values()):
+        if served.service.name == packet.service:
+            receive_probe_reply(agent, served, packet, now)
+
+
+Handler = Callable[[Agent, ServedTarget, Packet, Address, float], None]
+
+
+def _without_source(function: Callable) -> Handler:
+    return lambda agent, served, packet, source, now: function(
+        agent, served, packet, now
+    )
+
+
+HANDLERS_BY_KIND: dict[type, Handler] = {
+    Forward: _without_source(receive_forward),
+    Probe: receive_probe,
+    HomeNotice: _without_source(receive_home_notice),
+    Delegate: receive_delegate,
+    DelegateReply: _without_source(receive_delegate_reply),
+    HandoffOffer: receive_offer,
+    HandoffReady: _without_source(receive_ready),
+    HandoffCommit: receive_commit,
+    HandoffDone: lambda agent, served, packet, source, now: receive_done(
+        served, packet
+    ),
+}
+
+
+def receive_from_upstream(
+    agent: Agent, key: TargetKey, flow: FlowKey | None, datagram: bytes, now: float
+) -> None:
+    """Take a datagram from an upstream."""
+    served = agent.served_by_key.get(key)
+    if served is not None:
+        receive_upstream(agent, served, flow, datagram, now)
+
+
+def receive_upstream_failure(agent: Agent, key: TargetKey, now: float) -> None:
+    """Note that an upstream's port is closed."""
+    served = agent.served_by_key.get(key)
+    if served is not None:
+        agent.actions.count("upstream", served.service.name, "refused")
+        fail_upstream(agent, served, now)
+
+
+def tick(agent: Agent, now: float) -> None:
+    """Run what is due. Has to be called a few times a second."""
+    agent.last_tick_at = now
+    agent.timers.run_due(now)
+    for address in agent.membership.collect_pings(now):
+        agent.actions.send(address, Ping(agent.next_number()))
+    agent.suspects = agent.membership.suspects(now)
+    agent.confirmed = agent.membership.confirmed(now)
+    for served in agent.served_by_key.values():
+        if served.requests_by_id:
+            expire_queued(agent, served, now)
+            start_queued(agent, served, now)
+
+
+def begin_stop(agent: Agent, now: float) -> None:
+    """Drain all targets before the process ends."""
+    agent.stopping = True
+    for served in agent.served_by_key.values():
+        start_drain(agent, served, now)
+
+
+def work_left(agent: Agent) -> int:
+    """Return how many flows with work are still here."""
+    return sum(
+        len(served.outgoing_by_id)
+        + sum(
+            bool(record.feeds_by_token or record.requests_by_message_id)
+            for record in served.records_by_flow.values()
+        )
+        for served in agent.served_by_key.values()
+    )
--- /dev/null
+++ b/lycheeglade/agent_state.py
@@ -0,0 +1,165 @@
+"""State of an agent and the means by which its decisions act."""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from itertools import count
+from random import Random
+
+from lycheeglade.address import Address, Zone
+from lycheeglade.flow import FlowKey, hash_flow
+from lycheeglade.membership import Membership
+from lycheeglade.membership import suspected_targets as suspected_among
+from lycheeglade.packet import Answer, Packet
+from lycheeglade.routing import CandidateCache
+from lycheeglade.served_target import FlowRecord, ServedTarget, TargetKey
+from lycheeglade.timer import TimerQueue
+from lycheeglade.view import Role, Service, Target, View
+
+MAX_CACHED_BUCKETS = 4096
+MAX_BALANCERS = 4096
+BALANCER_FRESH_S = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class AgentActions:
+    """What an agent's decisions can do.
+
+    Attributes
+    ----------
+    send : callable
+        Send a packet to a process of the system.
+    send_upstream : callable
+        Send a datagram to a target's upstream. The flow is given only for
+        protocols that need a socket for each flow.
+    close_upstream : callable
+        Close the socket of a flow.
+    count : callable
+        Count an event by name, service and cause.
+    record : callable
+        Record seconds by service, class of work and stage.
+    """
+
+    send: Callable[[Address, Packet], None]
+    send_upstream: Callable[[TargetKey, FlowKey | None, bytes], None]
+    close_upstream: Callable[[TargetKey, FlowKey], None]
+    count: Callable[[str, str, str], None]
+    record: Callable[[str, str, str, float], None]
+
+
+@dataclass(slots=True)
+class Agent:
+    """All that one agent knows.
+
+    Attributes
+    ----------
+    incarnation : int
+        Random number of this start of the process.
+    numbers : iterator of int
+        Identifiers of requests and handoffs, from a random start.
+    suspects, confirmed : frozenset of Address
+        Agents that don't answer, and those that haven't for long.
+    balancers_heard_at : OrderedDict
+        Balancers by the time of their latest packet, latest last.
+    """
+
+    host_id: str
+    zone: Zone
+    incarnation: int
+    key: bytes
+    actions: AgentActions
+    generator: Random
+    membership: Membership
+    numbers: count
+    started_at: float
+    max_flows: int
+    view: View = field(default_factory=View)
+    timers: TimerQueue = field(default_factory=TimerQueue)
+    candidates: CandidateCache = field(
+        default_factory=lambda: CandidateCache(MAX_CACHED_BUCKETS)
+    )
+    served_by_key: dict[TargetKey, ServedTarget] = field(default_factory=dict)
+    balancers_heard_at: OrderedDict[Address, float] = field(default_factory=OrderedDict)
+    balancer_zones_by_address: dict[Address, Zone] = field(default_factory=dict)
+    known_addresses: frozenset[Address] = frozenset()
+    suspects: frozenset[Address] = frozenset()
+    confirmed: frozenset[Address] = frozenset()
+    stopping: bool = False
+    last_tick_at: float | None = None
+
+    def next_number(self) -> int:
+        """Return a number that this process has not used yet."""
+        return next(self.numbers)
+
+
+def suspected_targets(agent: Agent, service: Service) -> frozenset[str]:
+    """Return the targets of `service` whose agents are suspected."""
+    if not agent.suspects:
+        return frozenset()
+    return suspected_among(service, agent.suspects, agent.confirmed)
+
+
+def rank_flow(agent: Agent, served: ServedTarget, flow: FlowKey) -> tuple[Target, ...]:
+    """Return the candidates of `flow` in this agent's own view."""
+    return agent.candidates.rank(
+        served.service, hash_flow(flow), suspected_targets(agent, served.service)
+    )
+
+
+def send_packet(agent: Agent, address: Address, packet: Packet, now: float) -> None:
+    """Send `packet` and watch for a sign of life of its receiver."""
+    agent.membership.note_sent(address, now)
+    agent.actions.send(address, packet)
+
+
+def usable_balancers(agent: Agent, service: Service, now: float) -> list[Address]:
+    """Return balancers that may carry the service's answers, best first.
+
+    Those heard from lately come first; the published ones follow.
+    """
+    zones = agent.balancer_zones_by_address
+    fresh = [
+        address
+        for address in reversed(agent.balancers_heard_at)
+        if now - agent.balancers_heard_at[address] < BALANCER_FRESH_S
+        and address in zones
+        and service.permits(zones[address])
+    ]
+    others = [
+        address
+        for address, zone in zones.items()
+        if service.permits(zone) and address not in fresh
+    ]
+    agent.generator.shuffle(others)
+    return fresh + others
+
+
+def answer_caller(
+    agent: Agent, served: ServedTarget, record: FlowRecord, datagram: bytes
+) -> None:
+    """Send a datagram to the flow's caller by the balancer heard last."""
+    agent.actions.send(record.balancer, make_answer(served, record.flow, datagram))
+
+
+def make_answer(served: ServedTarget, flow: FlowKey, datagram: bytes) -> Answer:
+    """Return the packet that carries `datagram` to the flow's caller."""
+    return Answer(
+        served.service.name,
+        served.target.target_id,
+        flow.caller_ip,
+        flow.caller_port,
+        datagram,
+    )
+
+
+def update_known_addresses(agent: Agent, view: View) -> None:
+    """Take the addresses of the processes of the system from `view`."""
+    agent.balancer_zones_by_address = {
+        host.packets: host.zone
+        for host in view.hosts_by_id.values()
+        if host.role is Role.BALANCER
+    }
+    addresses = {host.packets for host in view.hosts_by_id.values()}
+    for service in view.services_by_name.values():
+        addresses.update(target.agent for target in service.targets_by_id.values())
+    agent.known_addresses = frozenset(addresses)
--- /dev/null
+++ b/lycheeglade/balancer.py
@@ -0,0 +1,200 @@
+"""Decisions of a balancer, the process on an entry host.
+
+A balancer keeps no state that a flow depends on: any of them can carry any
+packet, since the candidates of a flow follow from the view alone.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from lycheeglade.address import Address, Zone
+from lycheeglade.errors import PacketError
+from lycheeglade.flow import FlowKey, hash_flow
+from lycheeglade.membership import Membership, suspected_targets
+from lycheeglade.packet import (
+    MAX_DATAGRAM_BYTES,
+    Answer,
+    Forward,
+    Packet,
+    Ping,
+    Pong,
+    decode_packet,
+    encode_packet,
+)
+from lycheeglade.routing import CandidateCache
+from lycheeglade.view import Service, View
+
+MAX_CACHED_BUCKETS = 65536
+MAX_PAYLOAD_BYTES = MAX_DATAGRAM_BYTES - 2048
+
+
+@dataclass(frozen=True, slots=True)
+class BalancerActions:
+    """What a balancer's decisions can do.
+
+    Attributes
+    ----------
+    send : callable
+        Send a datagram to a process of the system.
+    answer : callable
+        Send a datagram from a service's address to a caller.
+    count : callable
+        Count an event by name, service and cause.
+    """
+
+    send: Callable[[Address, bytes], None]
+    answer: Callable[[str, Address, bytes], None]
+    count: Callable[[str, str, str], None]
+
+
+@dataclass(slots=True)
+class Balancer:
+    """All that one balancer knows."""
+
+    host_id: str
+    zone: Zone
+    packets: Address
+    actions: BalancerActions
+    generator: Random
+    membership: Membership
+    view: View = field(default_factory=View)
+    candidates: CandidateCache = field(
+        default_factory=lambda: CandidateCache(MAX_CACHED_BUCKETS)
+    )
+    suspects: frozenset[Address] = frozenset()
+    confirmed: frozenset[Address] = frozenset()
+    suspects_by_service: dict[str, frozenset[str]] = field(default_factory=dict)
+    agents_by_service: dict[str, frozenset[Address]] = field(default_factory=dict)
+    known_addresses: frozenset[Address] = frozenset()
+
+
+def make_balancer(
+    host_id: str,
+    zone: Zone,
+    packets: Address,
+    actions: BalancerActions,
+    generator: Random,
+) -> Balancer:
+    """Return the state of a balancer that has just started."""
+    return Balancer(host_id, zone, packets, actions, generator, Membership(generator))
+
+
+def update_view(balancer: Balancer, view: View) -> None:
+    """Put a newer view in force."""
+    balancer.view = view
+    balancer.agents_by_service = {
+        name: frozenset(target.agent for target in service.targets_by_id.values())
+        for name, service in view.services_by_name.items()
+    }
+    agents = frozenset().union(*balancer.agents_by_service.values())
+    hosts = {host.packets for host in view.hosts_by_id.values()}
+    balancer.known_addresses = agents | hosts
+    balancer.membership.watch(agents)
+    _update_suspects(balancer)
+
+
+def _update_suspects(balancer: Balancer) -> None:
+    balancer.suspects_by_service = {}
+    if balancer.suspects:
+        for name, service in balancer.view.services_by_name.items():
+            suspected = suspected_targets(
+                service, balancer.suspects, balancer.confirmed
+            )
+            if suspected:
+                balancer.suspects_by_service[name] = suspected
+
+
+def may_carry(balancer: Balancer, service: Service) -> bool:
+    """Tell whether the service's traffic may pass this balancer's place."""
+    return service.permits(balancer.zone)
+
+
+def receive_from_caller(
+    balancer: Balancer, service_name: str, caller: Address, datagram: bytes, now: float
+) -> None:
+    """Pass a caller's datagram to the flow's first candidate."""
+    service = balancer.view.services_by_name.get(service_name)
+    if service is None:
+        balancer.actions.count("dropped", service_name, "no-service")
+        return
+    if not service.permits(balancer.zone):
+        balancer.actions.count("dropped", service_name, "forbidden-place")
+        return
+    if len(datagram) > MAX_PAYLOAD_BYTES:
+        balancer.actions.count("malformed", service_name, "oversized")
+        return
+    flow = FlowKey(service_name, caller[0], caller[1])
+    suspected = balancer.suspects_by_service.get(service_name, frozenset())
+    candidates = balancer.candidates.rank(service, hash_flow(flow), suspected)
+    if not candidates:
+        balancer.actions.count("dropped", service_name, "no-candidate")
+        return
+    first = candidates[0]
+    packet = Forward(
+        service_name,
+        first.target_id,
+        service.revision,
+        caller[0],
+        caller[1],
+        tuple([target.target_id for target in candidates]),
+        0,
+        balancer.packets.ip,
+        balancer.packets.port,
+        datagram,
+    )
+    balancer.membership.note_sent(first.agent, now)
+    balancer.actions.send(first.agent, encode_packet(packet))
+
+
+def receive_datagram(
+    balancer: Balancer, datagram: bytes, source: Address, now: float
+) -> None:
+    """Take a datagram from a process of the system, or drop it."""
+    if source not in balancer.known_addresses:
+        balancer.actions.count("dropped", "", "unknown-source")
+        return
+    try:
+        packet = decode_packet(datagram)
+    except PacketError as error:
+        balancer.actions.count("malformed", "", error.cause)
+        return
+    receive_packet(balancer, packet, source, now)
+
+
+def receive_packet(
+    balancer: Balancer, packet: Packet, source: Address, now: float
+) -> None:
+    """Act on a packet from a process of the system."""
+    balancer.membership.note_heard(source, now)
+    if isinstance(packet, Answer):
+        _answer_caller(balancer, packet, source)
+    elif isinstance(packet, Ping):
+        balancer.actions.send(source, encode_packet(Pong(packet.nonce)))
+    elif not isinstance(packet, Pong):
+        balancer.actions.count("dropped", "", "wrong-kind")
+
+
+def _answer_caller(balancer: Balancer, packet: Answer, source: Address) -> None:
+    if source not in balancer.agents_by_service.get(packet.service, ()):
+        balancer.actions.count("dropped", packet.service, "not-its-agent")
+        return
+    service = balancer.view.services_by_name[packet.service]
+    if not service.permits(balancer.zone):
+        balancer.actions.count("dropped", packet.service, "forbidden-place")
+        return
+    caller = Address(packet.caller_ip, packet.caller_port)
+    balancer.actions.answer(packet.service, caller, packet.payload)
+
+
+def tick(balancer: Balancer, now: float) -> None:
+    """Run what is due. Has to be called a few times a second."""
+    for address in balancer.membership.collect_pings(now):
+        nonce = balancer.generator.getrandbits(32)
+        balancer.actions.send(address, encode_packet(Ping(nonce)))
+    suspects = balancer.membership.suspects(now)
+    confirmed = balancer.membership.confirmed(now)
+    if suspects != balancer.suspects or confirmed != balancer.confirmed:
+        balancer.suspects = suspects
+        balancer.confirmed = confirmed
+        _update_suspects(balancer)
--- /dev/null
+++ b/lycheeglade/feed.py
@@ -0,0 +1,326 @@
+"""Standing feeds: ordered, acknowledged, with heartbeats."""
+
+from lycheeglade.agent_state import (
+    Agent,
+    answer_caller,
+    make_answer,
+    usable_balancers,
+)
+from lycheeglade.exchange import reply_to, take_upstream_token
+from lycheeglade.message import CallerMessage, UpstreamMessage
+from lycheeglade.served_target import (
+    MESSAGE_ID_MODULUS,
+    Feed,
+    FlowRecord,
+    Notification,
+    ServedTarget,
+)
+
+MAX_FEEDS_PER_FLOW = 8
+MAX_WAITING_ITEMS = 64
+MAX_NOTIFICATION_ATTEMPTS = 5
+RETRY_BASE_S = 1.0
+RETRY_JITTER = 0.25
+MAX_REFRESHES = 3
+REGISTRATION_TIMEOUT_S = 5.0
+
+
+def open_feed(
+    agent: Agent,
+    served: ServedTarget,
+    record: FlowRecord,
+    message: CallerMessage,
+    now: float,
+) -> None:
+    """Register a caller's feed, or answer a repeated registration."""
+    feed = record.feeds_by_token.get(message.token)
+    if feed is not None:
+        feed.reply_to = reply_to(message)
+        if feed.latest:
+            _answer_registration(agent, served, record, feed, feed.latest, now)
+        return
+    if len(record.feeds_by_token) >= MAX_FEEDS_PER_FLOW:
+        agent.actions.count("refused", served.service.name, "feed-limit")
+        datagram = served.adapter.write_refusal(reply_to(message), 1, None)
+        answer_caller(agent, served, record, datagram)
+        return
+    feed = make_feed(agent, record, message.token, message.datagram, now)
+    feed.reply_to = reply_to(message)
+    record.feeds_by_token[feed.token] = feed
+    register_upstream(agent, served, feed, now)
+    agent.timers.call_at(
+        now + REGISTRATION_TIMEOUT_S,
+        lambda now: _check_registration(agent, served, feed, now),
+    )
+    schedule_check(agent, served, feed, now + served.service.heartbeat)
+
+
+def make_feed(
+    agent: Agent, record: FlowRecord, token: bytes, registration: bytes, now: float
+) -> Feed:
+    """Return a new feed of the flow."""
+    return Feed(
+        flow=record.flow,
+        token=token,
+        registration=registration,
+        upstream_token=take_upstream_token(agent),
+        opened_at=now,
+        last_sent_at=now,
+        last_upstream_at=now,
+    )
+
+
+def register_upstream(
+    agent: Agent, served: ServedTarget, feed: Feed, now: float
+) -> None:
+    """Register a feed at the upstream, also to refresh it."""
+    served.feeds_by_upstream_token[feed.upstream_token] = feed
+    datagram = served.adapter.write_request(
+        feed.registration,
+        agent.next_number() % MESSAGE_ID_MODULUS,
+        feed.upstream_token,
+    )
+    agent.actions.send_upstream(served.key, None, datagram)
+
+
+def _check_registration(
+    agent: Agent, served: ServedTarget, feed: Feed, now: float
+) -> None:
+    """Give up a registration that the upstream did not answer."""
+    if feed.latest or not is_live(served, feed):
+        return
+    record = served.records_by_flow[feed.flow]
+    if feed.reply_to is not None:
+        datagram = served.adapter.write_unknown(feed.reply_to)
+        answer_caller(agent, served, record, datagram)
+    agent.actions.count("feed", served.service.name, "registration-late")
+    drop_feed(agent, served, feed)
+
+
+def is_live(served: ServedTarget, feed: Feed) -> bool:
+    """Tell whether `feed` is still kept here."""
+    record = served.records_by_flow.get(feed.flow)
+    return record is not None and record.feeds_by_token.get(feed.token) is feed
+
+
+def drop_feed(agent: Agent, served: ServedTarget, feed: Feed) -> None:
+    """Forget a feed and end its registration at the upstream."""
+    served.feeds_by_upstream_token.pop(feed.upstream_token, None)
+    record = served.records_by_flow.get(feed.flow)
+    if record is not None and record.feeds_by_token.get(feed.token) is feed:
+        del record.feeds_by_token[feed.token]
+
+
+def close_feed(
+    agent: Agent, served: ServedTarget, record: FlowRecord, token: bytes
+) -> None:
+    """End a feed at its caller's wish."""
+    feed = record.feeds_by_token.get(token)
+    if feed is not None:
+        agent.actions.count("feed", served.service.name, "closed")
+        drop_feed(agent, served, feed)
+
+
+def receive_notification(
+    agent: Agent, served: ServedTarget, message: UpstreamMessage, now: float
+) -> bool:
+    """Take a message of the upstream for a feed.
+
+    Returns
+    -------
+    bool
+        False if it belongs to no feed.
+    """
+    feed = served.feeds_by_upstream_token.get(message.token)
+    if feed is None:
+        return False
+    feed.last_upstream_at = now
+    feed.refreshes = 0
+    if not message.is_notification:
+        _end_by_upstream(agent, served, feed, message)
+        return True
+    if message.item in feed.recent_items:
+        return True
+    feed.recent_items.append(message.item)
+    feed.items.append(message.datagram)
+    if len(feed.items) > MAX_WAITING_ITEMS:
+        agent.actions.count("feed", served.service.name, "overflow")
+        _end_feed(agent, served, feed)
+    else:
+        pump_feed(agent, served, feed, now)
+    return True
+
+
+def _end_by_upstream(
+    agent: Agent, served: ServedTarget, feed: Feed, message: UpstreamMessage
+) -> None:
+    """Pass on an upstream's response that ends or refuses a feed."""
+    record = served.records_by_flow.get(feed.flow)
+    agent.actions.count("feed", served.service.name, "ended-by-upstream")
+    if record is not None and feed.reply_to is not None:
+        datagram = served.adapter.write_response(message.datagram, feed.reply_to, None)
+        answer_caller(agent, served, record, datagram)
+        drop_feed(agent, served, feed)
+    else:
+        _end_feed(agent, served, feed)
+
+
+def _end_feed(agent: Agent, served: ServedTarget, feed: Feed) -> None:
+    """Tell the caller that the feed has ended."""
+    record = served.records_by_flow.get(feed.flow)
+    if record is not None:
+        datagram = served.adapter.write_closing(record.take_message_id(), feed.token)
+        answer_caller(agent, served, record, datagram)
+    drop_feed(agent, served, feed)
+
+
+def pump_feed(agent: Agent, served: ServedTarget, feed: Feed, now: float) -> None:
+    """Send the next item if none waits for its acknowledgement."""
+    record = served.records_by_flow.get(feed.flow)
+    if record is None or feed.suspended or feed.in_flight or not feed.items:
+        return
+    item = feed.items.popleft()
+    feed.latest = item
+    if feed.reply_to is not None:
+        _answer_registration(agent, served, record, feed, item, now)
+        pump_feed(agent, served, feed, now)
+        return
+    _notify(agent, served, record, feed, item, now)
+
+
+def _answer_registration(
+    agent: Agent,
+    served: ServedTarget,
+    record: FlowRecord,
+    feed: Feed,
+    item: bytes,
+    now: float,
+) -> None:
+    feed.sequence += 1
+    datagram = served.adapter.write_notification(
+        item, feed.reply_to, feed.token, feed.sequence
+    )
+    feed.reply_to = None
+    feed.last_sent_at = now
+    answer_caller(agent, served, record, datagram)
+
+
+def _notify(
+    agent: Agent,
+    served: ServedTarget,
+    record: FlowRecord,
+    feed: Feed,
+    item: bytes,
+    now: float,
+) -> None:
+    feed.sequence += 1
+    message_id = record.take_message_id()
+    datagram = served.adapter.write_notification(
+        item, message_id, feed.token, feed.sequence
+    )
+    feed.in_flight = Notification(feed.sequence, message_id, datagram)
+    send_in_flight(agent, served, record, feed, now)
+
+
+def send_in_flight(
+    agent: Agent,
+    served: ServedTarget,
+    record: FlowRecord,
+    feed: Feed,
+    now: float,
+) -> None:
+    """Send the notification in flight, each time by another balancer."""
+    notification = feed.in_flight
+    balancer = record.balancer
+    if notification.attempts:
+        others = [
+            address
+            for address in usable_balancers(agent, served.service, now)
+            if address != record.balancer
+        ]
+        if others:
+            balancer = others[(notification.attempts - 1) % len(others)]
+    packet = make_answer(served, feed.flow, notification.datagram)
+    agent.actions.send(balancer, packet)
+    backoff = RETRY_BASE_S * 2**notification.attempts
+    notification.attempts += 1
+    notification.retry_at = now + backoff * (
+        1 + RETRY_JITTER * agent.generator.random()
+    )
+    feed.last_sent_at = now
+    schedule_check(agent, served, feed, notification.retry_at)
+
+
+def schedule_check(agent: Agent, served: ServedTarget, feed: Feed, due: float) -> None:
+    """Check the feed for silence at `due` or earlier."""
+    if feed.next_check_at is None or due < feed.next_check_at:
+        feed.next_check_at = due
+        agent.timers.call_at(
+            due, lambda now: _check_feed(agent, served, feed, due, now)
+        )
+
+
+def _check_feed(
+    agent: Agent, served: ServedTarget, feed: Feed, due: float, now: float
+) -> None:
+    if feed.next_check_at != due or not is_live(served, feed) or feed.suspended:
+        return
+    feed.next_check_at = None
+    record = served.records_by_flow[feed.flow]
+    if feed.in_flight is not None:
+        if now >= feed.in_flight.retry_at:
+            _retry(agent, served, record, feed, now)
+        else:
+            schedule_check(agent, served, feed, feed.in_flight.retry_at)
+        return
+    heartbeat = served.service.heartbeat
+    heartbeat_due = feed.last_sent_at + heartbeat
+    if now < heartbeat_due:
+        schedule_check(agent, served, feed, heartbeat_due)
+        return
+    if now - feed.last_upstream_at >= heartbeat:
+        if feed.refreshes >= MAX_REFRESHES:
+            agent.actions.count("feed", served.service.name, "upstream-silent")
+            _end_feed(agent, served, feed)
+            return
+        feed.refreshes += 1
+        register_upstream(agent, served, feed, now)
+    if feed.latest:
+        _notify(agent, served, record, feed, feed.latest, now)
+    else:
+        schedule_check(agent, served, feed, now + heartbeat)
+
+
+def _retry(
+    agent: Agent, served: ServedTarget, record: FlowRecord, feed: Feed, now: float
+) -> None:
+    if feed.in_flight.attempts >= MAX_NOTIFICATION_ATTEMPTS:
+        agent.actions.count("feed", served.service.name, "caller-silent")
+        drop_feed(agent, served, feed)
+        return
+    send_in_flight(agent, served, record, feed, now)
+
+
+def receive_acknowledgement(
+    agent: Agent, served: ServedTarget, record: FlowRecord, message_id: int, now: float
+) -> None:
+    """Go on with the feed whose notification was acknowledged."""
+    for feed in record.feeds_by_token.values():
+        if feed.in_flight and feed.in_flight.message_id == message_id:
+            feed.in_flight = None
+            pump_feed(agent, served, feed, now)
+            if feed.in_flight is None:
+                due = feed.last_sent_at + served.service.heartbeat
+                schedule_check(agent, served, feed, due)
+            return
+
+
+def receive_reset(
+    agent: Agent, served: ServedTarget, record: FlowRecord, message_id: int
+) -> None:
+    """Drop the feed whose notification the caller rejects."""
+    for feed in list(record.feeds_by_token.values()):
+        if feed.in_flight and feed.in_flight.message_id == message_id:
+            agent.actions.count("feed", served.service.name, "rejected")
+            drop_feed(agent, served, feed)
+            return
--- /dev/null
+++ b/lycheeglade/home.py
@@ -0,0 +1,355 @@
+"""Finds the home of a flow: here, at another agent, or nowhere yet.
+
+A flow stays at the agent that opened it while its rank changes. The home
+tells the flow's new first candidate where the flow lives, and an agent that
+is asked for an unknown flow asks the other candidates before it opens it.
+"""
+
+from collections.abc import Iterable
+
+from lycheeglade.address import Address
+from lycheeglade.agent_state import (
+    Agent,
+    rank_flow,
+    send_packet,
+    suspected_targets,
+)
+from lycheeglade.errors import PacketError
+from lycheeglade.exchange import reply_to
+from lycheeglade.flow import FlowKey
+from lycheeglade.message import Kind
+from lycheeglade.packet import (
+    Answer,
+    Forward,
+    HomeNotice,
+    Probe,
+    ProbeReply,
+)
+from lycheeglade.served_target import HomePointer, Opening, ServedTarget
+from lycheeglade.session import flow_of, hold_packet, open_record, serve_packet
+from lycheeglade.view import State, Target
+
+MAX_HOPS = 4
+MAX_PROBES = 6
+PROBE_TIMEOUT_S = 0.05
+MAX_NOTICE_CALLERS = 500
+REFUSED_FLOW_RETRY_AFTER_S = 2
+
+
+def receive_forward(
+    agent: Agent, served: ServedTarget, packet: Forward, now: float
+) -> None:
+    """Serve a caller's datagram, pass it to the flow's home, or open it."""
+    flow = flow_of(packet)
+    record = served.records_by_flow.get(flow)
+    if record is not None:
+        serve_packet(agent, served, record, packet, now)
+        return
+    incoming = served.incoming_by_flow.get(flow)
+    if incoming is not None:
+        hold_packet(agent, served, incoming.held, packet)
+        return
+    opening = served.openings_by_flow.get(flow)
+    if opening is not None:
+        hold_packet(agent, served, opening.held, packet)
+        return
+    home = find_home(agent, served, flow, now)
+    if home is not None and pass_on(agent, served, packet, home, now):
+        return
+    _look_for_home(agent, served, flow, packet, now)
+
+
+def find_home(
+    agent: Agent, served: ServedTarget, flow: FlowKey, now: float
+) -> Target | None:
+    """Return the other target that `flow` is known to live at."""
+    pointer = served.homes_by_flow.get(flow)
+    if pointer is None:
+        return None
+    home = served.service.targets_by_id.get(pointer.target_id)
+    if (
+        home is None
+        or now >= pointer.expires_at
+        or home.target_id in suspected_targets(agent, served.service)
+    ):
+        del served.homes_by_flow[flow]
+        return None
+    pointer.expires_at = now + served.service.flow_idle
+    served.homes_by_flow.move_to_end(flow)
+    return home
+
+
+def point_to(
+    agent: Agent, served: ServedTarget, flow: FlowKey, target_id: str, now: float
+) -> None:
+    """Remember that `flow` lives at another target."""
+    served.homes_by_flow[flow] = HomePointer(target_id, now + served.service.flow_idle)
+    served.homes_by_flow.move_to_end(flow)
+    if len(served.homes_by_flow) > agent.max_flows:
+        served.homes_by_flow.popitem(last=False)
+        agent.actions.count("pointer", served.service.name, "evicted")
+
+
+def pass_on(
+    agent: Agent, served: ServedTarget, packet: Forward, home: Target, now: float
+) -> bool:
+    """Pass a datagram to another agent, unless it has passed too many."""
+    if packet.hops >= MAX_HOPS:
+        agent.actions.count("dropped", served.service.name, "hop-limit")
+        return False
+    passed = Forward(
+        packet.service,
+        home.target_id,
+        packet.revision,
+        packet.caller_ip,
+        packet.caller_port,
+        packet.candidates,
+        packet.hops + 1,
+        packet.balancer_ip,
+        packet.balancer_port,
+        packet.payload,
+    )
+    agent.actions.count("passed-on", served.service.name, "home")
+    send_packet(agent, home.agent, passed, now)
+    return True
+
+
+def _look_for_home(
+    agent: Agent, served: ServedTarget, flow: FlowKey, packet: Forward, now: float
+) -> None:
+    if len(served.openings_by_flow) >= agent.max_flows:
+        agent.actions.count("dropped", served.service.name, "opening-limit")
+        return
+    if packet.hops > 0 or now >= served.settled_at:
+        place_flow_of(agent, served, flow, packet, now)
+        return
+    others = _probe_targets(agent, served, flow, packet)
+    if not others:
+        place_flow_of(agent, served, flow, packet, now)
+        return
+    opening = Opening(now, {target.target_id for target in others})
+    opening.held.append(packet)
+    served.openings_by_flow[flow] = opening
+    for target in others:
+        probe = Probe(
+            served.service.name, target.target_id, flow.caller_ip, flow.caller_port
+        )
+        agent.actions.count("probe", served.service.name, "sent")
+        send_packet(agent, target.agent, probe, now)
+    agent.timers.call_at(
+        now + PROBE_TIMEOUT_S,
+        lambda now: _finish_opening(agent, served, flow, opening, now),
+    )
+
+
+def _probe_targets(
+    agent: Agent, served: ServedTarget, flow: FlowKey, packet: Forward
+) -> list[Target]:
+    """Return the targets that the flow may live at already."""
+    targets_by_id = served.service.targets_by_id
+    suspected = suspected_targets(agent, served.service)
+    ranked = [target.target_id for target in rank_flow(agent, served, flow)]
+    leaving = [
+        target.target_id
+        for target in targets_by_id.values()
+        if target.state is State.LEAVING
+    ]
+    names = dict.fromkeys([*packet.candidates, *ranked, *leaving])
+    return [
+        targets_by_id[name]
+        for name in names
+        if name in targets_by_id
+        and name != served.target.target_id
+        and name not in suspected
+    ][:MAX_PROBES]
+
+
+def receive_probe(
+    agent: Agent, served: ServedTarget, packet: Probe, source: Address, now: float
+) -> None:
+    """Tell another agent whether a flow lives here or where it went."""
+    flow = FlowKey(packet.service, packet.caller_ip, packet.caller_port)
+    home_target_id = ""
+    if flow in served.records_by_flow:
+        home_target_id = served.target.target_id
+    else:
+        home = find_home(agent, served, flow, now)
+        if home is not None:
+            home_target_id = home.target_id
+    reply = ProbeReply(
+        packet.service,
+        served.target.target_id,
+        packet.caller_ip,
+        packet.caller_port,
+        home_target_id,
+    )
+    agent.actions.send(source, reply)
+
+
+def receive_probe_reply(
+    agent: Agent, served: ServedTarget, packet: ProbeReply, now: float
+) -> None:
+    """Take another agent's word on the home of a flow that is being opened.
+
+    `served` is any of this host's targets of the service: the reply names the
+    target that answers, not the one that asked.
+    """
+    flow = FlowKey(packet.service, packet.caller_ip, packet.caller_port)
+    opening = served.openings_by_flow.get(flow)
+    if opening is None:
+        return
+    home = served.service.targets_by_id.get(packet.home_target_id)
+    if home is not None and home.target_id != served.target.target_id:
+        agent.actions.count("probe", served.service.name, "found")
+        point_to(agent, served, flow, home.target_id, now)
+        _finish_opening(agent, served, flow, opening, now)
+        return
+    opening.waiting_for.discard(packet.target_id)
+    if not opening.waiting_for:
+        _finish_opening(agent, served, flow, opening, now)
+
+
+def _finish_opening(
+    agent: Agent, served: ServedTarget, flow: FlowKey, opening: Opening, now: float
+) -> None:
+    if served.openings_by_flow.get(flow) is not opening:
+        return
+    del served.openings_by_flow[flow]
+    agent.actions.record(
+        served.service.name, "flow", "opening", now - opening.started_at
+    )
+    for packet in opening.held:
+        record = served.records_by_flow.get(flow)
+        home = find_home(agent, served, flow, now)
+        if record is not None:
+            serve_packet(agent, served, record, packet, now)
+        elif home is not None:
+            pass_on(agent, served, packet, home, now)
+        else:
+            place_flow_of(agent, served, flow, packet, now)
+
+
+def place_flow_of(
+    agent: Agent, served: ServedTarget, flow: FlowKey, packet: Forward, now: float
+) -> None:
+    """Open a new flow here, or hand it to the next candidate."""
+    if not opens_flow(served, packet):
+        agent.actions.count("dropped", served.service.name, "stray")
+        return
+    may_accept = (
+        not served.draining
+        and not agent.stopping
+        and len(served.records_by_flow) < agent.max_flows
+    )
+    if may_accept and served.admission.admit_flow(now):
+        record = open_record(
+            agent,
+            served,
+            flow,
+            Address(packet.balancer_ip, packet.balancer_port),
+            now,
+        )
+        announce_home(agent, served, [flow], now)
+        serve_packet(agent, served, record, packet, now)
+        return
+    successor = _next_candidate(agent, served, flow, packet)
+    if successor is not None and pass_on(agent, served, packet, successor, now):
+        point_to(agent, served, flow, successor.target_id, now)
+    else:
+        refuse_flow(agent, served, packet)
+
+
+def opens_flow(served: ServedTarget, packet: Forward) -> bool:
+    """Tell whether a datagram of an unknown flow may open it.
+
+    An acknowledgement or a reset belongs to a flow that has gone.
+    """
+    if served.adapter is None:
+        return True
+    try:
+        message = served.adapter.read_caller(packet.payload)
+    except PacketError:
+        return False
+    return message.kind in (Kind.REQUEST, Kind.PING)
+
+
+def _next_candidate(
+    agent: Agent, served: ServedTarget, flow: FlowKey, packet: Forward
+) -> Target | None:
+    """Return the candidate after this target, in the packet's order."""
+    names = list(packet.candidates) or [
+        target.target_id for target in rank_flow(agent, served, flow)
+    ]
+    own = served.target.target_id
+    later = names[names.index(own) + 1 :] if own in names else names
+    suspected = suspected_targets(agent, served.service)
+    for name in later:
+        target = served.service.targets_by_id.get(name)
+        if (
+            target is not None
+            and name != own
+            and target.state is State.LIVE
+            and name not in suspected
+        ):
+            return target
+    return None
+
+
+def refuse_flow(agent: Agent, served: ServedTarget, packet: Forward) -> None:
+    """Refuse a new flow's request, which was not run."""
+    agent.actions.count("refused", served.service.name, "no-room")
+    if served.adapter is None:
+        return
+    message = served.adapter.read_caller(packet.payload)
+    if message.kind is not Kind.REQUEST:
+        return
+    seconds = REFUSED_FLOW_RETRY_AFTER_S + agent.generator.randrange(
+        REFUSED_FLOW_RETRY_AFTER_S
+    )
+    datagram = served.adapter.write_refusal(reply_to(message), seconds, None)
+    answer = Answer(
+        served.service.name,
+        served.target.target_id,
+        packet.caller_ip,
+        packet.caller_port,
+        datagram,
+    )
+    agent.actions.send(Address(packet.balancer_ip, packet.balancer_port), answer)
+
+
+def announce_home(
+    agent: Agent, served: ServedTarget, flows: Iterable[FlowKey], now: float
+) -> None:
+    """Tell each flow's first candidate that the flow lives here."""
+    callers_by_target: dict[str, list[tuple[str, int]]] = {}
+    for flow in flows:
+        ranked = rank_flow(agent, served, flow)
+        if ranked and ranked[0].target_id != served.target.target_id:
+            callers = callers_by_target.setdefault(ranked[0].target_id, [])
+            callers.append((flow.caller_ip, flow.caller_port))
+    for target_id, callers in callers_by_target.items():
+        address = served.service.targets_by_id[target_id].agent
+        for start in range(0, len(callers), MAX_NOTICE_CALLERS):
+            notice = HomeNotice(
+                served.service.name,
+                target_id,
+                served.target.target_id,
+                tuple(callers[start : start + MAX_NOTICE_CALLERS]),
+            )
+            agent.actions.count("home-notice", served.service.name, "sent")
+            send_packet(agent, address, notice, now)
+
+
+def receive_home_notice(
+    agent: Agent, served: ServedTarget, packet: HomeNotice, now: float
+) -> None:
+    """Remember where flows live that this target is now first for."""
+    if packet.home_target_id not in served.service.targets_by_id:
+        return
+    for caller_ip, caller_port in packet.callers:
+        flow = FlowKey(packet.service, caller_ip, caller_port)
+        if flow not in served.records_by_flow:
+            point_to(agent, served, flow, packet.home_target_id, now)
+            opening = served.openings_by_flow.get(flow)
+            if opening is not None:
+                _finish_opening(agent, served, flow, opening, now)
--- /dev/null
+++ b/lycheeglade/served_target.py
@@ -0,0 +1,222 @@
+"""State that an agent keeps for one target on its host."""
+
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import NamedTuple
+
+from lycheeglade.address import Address
+from lycheeglade.admission import Admission
+from lycheeglade.flow import FlowKey
+from lycheeglade.message import Adapter, CallerMessage, ReplyTo
+from lycheeglade.packet import Delegate, Forward
+from lycheeglade.ticket import TicketBook
+from lycheeglade.view import Service, Target
+
+MAX_RECENT_ITEMS = 64
+MAX_HELD_PACKETS = 32
+MAX_COMMITTED = 4096
+MESSAGE_ID_MODULUS = 1 << 16
+
+
+class TargetKey(NamedTuple):
+    """Names a target across services."""
+
+    service: str
+    target_id: str
+
+
+class RequestState(StrEnum):
+    """Where a request is."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    DELEGATED = "delegated"
+
+
+@dataclass(slots=True)
+class Request:
+    """A request in progress.
+
+    Attributes
+    ----------
+    reply_tos : list of ReplyTo
+        The copies of the request that wait for its answer.
+    flow : FlowKey or None
+        None if a peer has delegated the request.
+    delegated_by : tuple or None
+        The peer's address and its packet.
+    """
+
+    request_id: int
+    flow: FlowKey | None
+    message: CallerMessage
+    reply_tos: list[ReplyTo]
+    received_at: float
+    deadline: float
+    state: RequestState = RequestState.QUEUED
+    started_at: float = 0.0
+    ticket: bytes | None = None
+    delegated_by: tuple[Address, Delegate] | None = None
+
+
+@dataclass(slots=True)
+class Notification:
+    """A notification on its way to the caller."""
+
+    sequence: int
+    message_id: int
+    datagram: bytes
+    attempts: int = 0
+    retry_at: float = 0.0
+
+
+@dataclass(slots=True)
+class Feed:
+    """A standing feed of one flow.
+
+    Attributes
+    ----------
+    token : bytes
+        The caller's token.
+    registration : bytes
+        The caller's request, to register again with.
+    reply_to : ReplyTo or None
+        The registration that waits for its first answer.
+    items : deque of bytes
+        Notifications of the upstream that were not yet sent.
+    recent_items : deque of bytes
+        Identities of the latest items, to drop copies.
+    in_flight : Notification or None
+        The notification that waits for its acknowledgement.
+    """
+
+    flow: FlowKey
+    token: bytes
+    registration: bytes
+    upstream_token: bytes
+    opened_at: float
+    reply_to: ReplyTo | None = None
+    sequence: int = 1
+    items: deque[bytes] = field(default_factory=deque)
+    recent_items: deque[bytes] = field(
+        default_factory=lambda: deque(maxlen=MAX_RECENT_ITEMS)
+    )
+    in_flight: Notification | None = None
+    latest: bytes = b""
+    last_sent_at: float = 0.0
+    last_upstream_at: float = 0.0
+    refreshes: int = 0
+    suspended: bool = False
+    next_check_at: float | None = None
+
+
+@dataclass(slots=True)
+class FlowRecord:
+    """A flow that lives at this target.
+
+    Attributes
+    ----------
+    balancer : Address
+        Balancer through which the flow's latest packet came.
+    held : deque of Forward
+        Packets that wait for the end of a handoff.
+    """
+
+    flow: FlowKey
+    balancer: Address
+    opened_at: float
+    last_heard_at: float
+    next_message_id: int
+    feeds_by_token: dict[bytes, Feed] = field(default_factory=dict)
+    requests_by_message_id: dict[int, Request] = field(default_factory=dict)
+    held: deque[Forward] = field(default_factory=deque)
+    leaving: bool = False
+    failed_offers: int = 0
+
+    def take_message_id(self) -> int:
+        """Return a message id that was not used lately."""
+        message_id = self.next_message_id
+        self.next_message_id = (message_id + 1) % MESSAGE_ID_MODULUS
+        return message_id
+
+
+@dataclass(slots=True)
+class HomePointer:
+    """Where a flow lives that this agent was asked for."""
+
+    target_id: str
+    expires_at: float
+
+
+@dataclass(slots=True)
+class Opening:
+    """A new flow whose home is being looked for."""
+
+    started_at: float
+    waiting_for: set[str]
+    held: deque[Forward] = field(default_factory=deque)
+
+
+@dataclass(slots=True)
+class IncomingHandoff:
+    """A flow that a leaving agent has offered."""
+
+    handoff_id: int
+    home_target_id: str
+    expires_at: float
+    feeds: list[Feed]
+    ready_sent: bool = False
+    held: deque[Forward] = field(default_factory=deque)
+
+
+@dataclass(slots=True)
+class OutgoingHandoff:
+    """A flow that this agent is handing to a successor."""
+
+    handoff_id: int
+    flow: FlowKey
+    successor: Target
+    attempts: int = 0
+    state: bytes | None = None
+
+
+@dataclass(slots=True)
+class ServedTarget:
+    """All that an agent knows about one target on its host.
+
+    Attributes
+    ----------
+    homes_by_flow : OrderedDict
+        Flows that live elsewhere, least recently used first.
+    settled_at : float
+        Time from which unknown flows need not be looked for at other
+        agents.
+    """
+
+    service: Service
+    target: Target
+    adapter: Adapter | None
+    book: TicketBook
+    admission: Admission
+    settled_at: float
+    draining: bool = False
+    drained_at: float | None = None
+    records_by_flow: dict[FlowKey, FlowRecord] = field(default_factory=dict)
+    homes_by_flow: OrderedDict[FlowKey, HomePointer] = field(
+        default_factory=OrderedDict
+    )
+    openings_by_flow: dict[FlowKey, Opening] = field(default_factory=dict)
+    requests_by_id: dict[int, Request] = field(default_factory=dict)
+    requests_by_upstream_token: dict[bytes, Request] = field(default_factory=dict)
+    feeds_by_upstream_token: dict[bytes, Feed] = field(default_factory=dict)
+    incoming_by_flow: dict[FlowKey, IncomingHandoff] = field(default_factory=dict)
+    outgoing_by_id: dict[int, OutgoingHandoff] = field(default_factory=dict)
+    committed: deque[tuple[str, int]] = field(
+        default_factory=lambda: deque(maxlen=MAX_COMMITTED)
+    )
+
+    @property
+    def key(self) -> TargetKey:
+        """Name of the target."""
+        return TargetKey(self.service.name, self.target.target_id)
--- /dev/null
+++ b/lycheeglade/transport.py
@@ -0,0 +1,97 @@
+"""Non-blocking UDP sockets, read in batches."""
+
+from asyncio import AbstractEventLoop
+from collections.abc import Callable
+from socket import AF_INET, AF_INET6, SO_RCVBUF, SO_SNDBUF, SOCK_DGRAM, SOL_SOCKET
+from socket import socket as Socket  # noqa: N812
+
+from lycheeglade.address import Address
+
+MAX_DATAGRAM_BYTES = 65535
+BATCH_PACKETS = 128
+SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
+
+Receiver = Callable[[bytes, tuple], None]
+Counter = Callable[[str], None]
+
+
+class DatagramSocket:
+    """A bound or connected UDP socket on an event loop.
+
+    Parameters
+    ----------
+    on_datagram : callable
+        Called with each datagram and its source.
+    on_refused : callable
+        Called if the peer of a connected socket reports a closed port.
+    """
+
+    def __init__(
+        self,
+        loop: AbstractEventLoop,
+        on_datagram: Receiver,
+        *,
+        local: Address | None = None,
+        remote: Address | None = None,
+        on_refused: Callable[[], None] | None = None,
+        buffer_bytes: int = SOCKET_BUFFER_BYTES,
+    ):
+        ip = (local or remote).ip
+        family = AF_INET6 if ":" in ip else AF_INET
+        self._loop = loop
+        self._on_datagram = on_datagram
+        self._on_refused = on_refused
+        self._socket = Socket(family, SOCK_DGRAM)
+        self.dropped = 0
+        try:
+            self._socket.setblocking(False)
+            self._socket.setsockopt(SOL_SOCKET, SO_RCVBUF, buffer_bytes)
+            self._socket.setsockopt(SOL_SOCKET, SO_SNDBUF, buffer_bytes)
+            if local is not None:
+                self._socket.bind(tuple(local))
+            if remote is not None:
+                self._socket.connect(tuple(remote))
+        except OSError:
+            self._socket.close()
+            raise
+        loop.add_reader(self._socket.fileno(), self._read_batch)
+
+    @property
+    def address(self) -> Address:
+        """Local address of the socket."""
+        return Address(*self._socket.getsockname()[:2])
+
+    def send(self, datagram: bytes, address: tuple | None = None) -> None:
+        """Send a datagram, or count it as dropped if the buffer is full."""
+        try:
+            if address is None:
+                self._socket.send(datagram)
+            else:
+                self._socket.sendto(datagram, address)
+        except ConnectionRefusedError:
+            if self._on_refused is not None:
+                self._on_refused()
+        except OSError:
+            self.dropped += 1
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._loop.remove_reader(self._socket.fileno())
+        self._socket.close()
+
+    def _read_batch(self) -> None:
+        receive = self._socket.recvfrom
+        for _ in range(BATCH_PACKETS):
+            try:
+                datagram, source = receive(MAX_DATAGRAM_BYTES)
+            except (BlockingIOError, InterruptedError):
+                return
+            except ConnectionRefusedError:
+                if self._on_refused is not None:
+                    self._on_refused()
+                return
+            except OSError:
+                return
+            self._on_datagram(datagram, source)
+            if self._socket.fileno() < 0:
+                return
