Add admission, service time estimates and retry budgets

Cause: an upstream's own health and load answers lag or mislead, so its agent must decide what starts, waits and is refused. Change: Admission holds slots, connections, a cold-start ramp, a limit that falls when responses slow down, a deadline check at the door and in the queue, and a bounded queue. Refusals book consecutive shares of the upstream's time, so that the refused don't come back together. RetryBudget bounds retries to a share of the first attempts; backoff draws with full jitter.

--- /dev/null
+++ b/lycheeglade/admission.py
@@ -0,0 +1,313 @@
+"""Decides which requests a target starts, queues and refuses.
+
+One `Admission` stands beside each upstream and knows its true load. It learns
+how long requests take, lowers its limit when the upstream slows down, and
+refuses at once what can't finish by its deadline.
+"""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from random import Random
+
+from lycheeglade.service_time import BusyShare, ServiceTime
+
+DEFAULT_MAX_QUEUE = 64
+MIN_RETRY_AFTER_S = 1.0
+MAX_RETRY_AFTER_S = 60.0
+UNKNOWN_SERVICE_TIME_S = 0.1
+MIN_COLD_FRACTION = 0.1
+SLOWDOWN_TOLERANCE = 2.0
+SLOWDOWN_FACTOR = 0.9
+FAILURE_FACTOR = 0.7
+MAX_CALL_GAP_S = 5.0
+
+
+class Cause(StrEnum):
+    """Why a request is refused."""
+
+    DRAINING = "draining"
+    DEADLINE = "deadline"
+    QUEUE_FULL = "queue full"
+    DUPLICATE = "duplicate"
+
+
+@dataclass(frozen=True, slots=True)
+class AdmissionLimits:
+    """Limits of one upstream.
+
+    Attributes
+    ----------
+    slots : int
+        Requests that it runs at once.
+    connections : int
+        Flows that it holds at once.
+    cold_start : float
+        Seconds over which a process that just started ramps up.
+    max_queue : int
+        Requests that may wait.
+    """
+
+    slots: int = 1
+    connections: int = 2000
+    cold_start: float = 0.0
+    max_queue: int = DEFAULT_MAX_QUEUE
+
+
+@dataclass(frozen=True, slots=True)
+class Start:
+    """The request starts now."""
+
+
+@dataclass(frozen=True, slots=True)
+class Queued:
+    """The request waits; `wait` is the estimate in seconds."""
+
+    wait: float
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The request isn't run and may come back after `retry_after` seconds."""
+
+    retry_after: float
+    cause: Cause
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """True load of one target.
+
+    Attributes
+    ----------
+    running, queued, flows : int
+        Requests that run and wait, and flows that are open.
+    limit : int
+        Requests that may run at once now.
+    service_time : float
+        Seconds that a request takes at the upstream.
+    wait_estimate : float
+        Seconds that a new request would wait.
+    busy : float
+        Share of the slots' time that was lately spent on requests, 0 to 1.
+    connections : int
+        Flows that may be open now.
+    """
+
+    running: int
+    limit: int
+    queued: int
+    service_time: float
+    wait_estimate: float
+    busy: float = 0.0
+    flows: int = 0
+    connections: int = 2000
+    draining: bool = False
+
+    @property
+    def free_slots(self) -> int:
+        """Slots that a new request could take at once."""
+        if self.draining or self.queued:
+            return 0
+        return max(0, self.limit - self.running)
+
+
+START = Start()
+
+
+class Admission:
+    """Load and limits of one target, on one agent.
+
+    Parameters
+    ----------
+    limits : AdmissionLimits
+        What the target's configuration allows.
+    started_at : float
+        When the upstream started, in monotonic seconds.
+    generator : Random
+        Spreads the times at which refused requests come back.
+    """
+
+    def __init__(
+        self,
+        limits: AdmissionLimits,
+        started_at: float,
+        generator: Random | None = None,
+    ):
+        self.limits = limits
+        self._started_at = started_at
+        self._generator = generator or Random(0)
+        self._learnt_limit = float(limits.slots)
+        self._service_time = ServiceTime(UNKNOWN_SERVICE_TIME_S)
+        self._busy = BusyShare(started_at)
+        self._started_by_id: dict[int, float] = {}
+        self._deadlines_by_id: dict[int, float] = {}
+        self._flows = 0
+        self._draining = False
+        self._return_at = started_at
+        self._last_call = started_at
+        self._woke_at = started_at
+
+    def admit_flow(self, now: float) -> bool:
+        """Count a new flow, unless there are too many."""
+        if self._draining or self._flows >= self._connections(now):
+            return False
+        self._flows += 1
+        return True
+
+    def release_flow(self) -> None:
+        """Count a flow that has ended."""
+        self._flows = max(0, self._flows - 1)
+
+    def offer(
+        self, request_id: int, now: float, deadline: float
+    ) -> Start | Queued | Refused:
+        """Decide on a new request that must be answered by `deadline`."""
+        self._note_call(now)
+        if self._draining:
+            return self._refuse(now, Cause.DRAINING)
+        if request_id in self._started_by_id or request_id in self._deadlines_by_id:
+            return self._refuse(now, Cause.DUPLICATE)
+        wait = self._wait(now, len(self._deadlines_by_id))
+        if now + wait + self._service_time.mean > deadline:
+            return self._refuse(now, Cause.DEADLINE)
+        if not self._deadlines_by_id and self._has_free_slot(now):
+            self._start(request_id, now)
+            return START
+        if len(self._deadlines_by_id) >= self.limits.max_queue:
+            return self._refuse(now, Cause.QUEUE_FULL)
+        self._deadlines_by_id[request_id] = deadline
+        return Queued(wait)
+
+    def start_next(self, now: float) -> list[int]:
+        """Start what may run now and return its ids, oldest first.
+
+        Call `expire` first: this doesn't look at deadlines.
+        """
+        self._note_call(now)
+        started = []
+        while self._deadlines_by_id and self._has_free_slot(now):
+            request_id = next(iter(self._deadlines_by_id))
+            del self._deadlines_by_id[request_id]
+            self._start(request_id, now)
+            started.append(request_id)
+        return started
+
+    def finish(self, request_id: int, now: float, failed: bool = False) -> None:
+        """Free the slot of a request that was answered or has failed."""
+        self._note_call(now)
+        started_at = self._started_by_id.pop(request_id, None)
+        if started_at is None:
+            return
+        self._busy.add(now, -1)
+        if failed:
+            self._lower_limit(FAILURE_FACTOR)
+        elif started_at >= self._woke_at:
+            self._learn(now - started_at)
+
+    def cancel(self, request_id: int, now: float) -> None:
+        """Forget a request that was given up, whether it ran or waited."""
+        self._note_call(now)
+        self._deadlines_by_id.pop(request_id, None)
+        started_at = self._started_by_id.pop(request_id, None)
+        if started_at is None:
+            return
+        self._busy.add(now, -1)
+        if started_at >= self._woke_at:
+            self._service_time.observe_at_least(now - started_at)
+
+    def expire(self, now: float) -> list[int]:
+        """Remove what waits and can't meet its deadline, and return the ids.
+
+        Call it at least once a second, so that each of these requests gets its
+        final answer at once and a pause of the process is noticed.
+        """
+        self._note_call(now)
+        expired = []
+        ahead = 0
+        for request_id, deadline in list(self._deadlines_by_id.items()):
+            if now + self._wait(now, ahead) + self._service_time.mean > deadline:
+                del self._deadlines_by_id[request_id]
+                expired.append(request_id)
+            else:
+                ahead += 1
+        return expired
+
+    def load(self, now: float) -> Load:
+        """Return the present load."""
+        return Load(
+            running=len(self._started_by_id),
+            limit=self._limit(now),
+            queued=len(self._deadlines_by_id),
+            service_time=self._service_time.mean,
+            wait_estimate=self._wait(now, len(self._deadlines_by_id)),
+            busy=self._busy.average(now) / self.limits.slots,
+            flows=self._flows,
+            connections=self._connections(now),
+            draining=self._draining,
+        )
+
+    def drain(self, now: float) -> None:
+        """Refuse all new flows and requests; those admitted go on."""
+        self._note_call(now)
+        self._draining = True
+
+    def _note_call(self, now: float) -> None:
+        # Time that passed while this process was paused says nothing about
+        # the upstream.
+        if now - self._last_call > MAX_CALL_GAP_S:
+            self._woke_at = now
+        self._last_call = now
+
+    def _cold_fraction(self, now: float) -> float:
+        age = now - self._started_at
+        if age >= self.limits.cold_start:
+            return 1.0
+        return max(MIN_COLD_FRACTION, age / self.limits.cold_start)
+
+    def _limit(self, now: float) -> int:
+        ramp = self.limits.slots * self._cold_fraction(now)
+        return max(1, int(min(ramp, self._learnt_limit) + 0.5))
+
+    def _connections(self, now: float) -> int:
+        return max(1, int(self.limits.connections * self._cold_fraction(now)))
+
+    def _has_free_slot(self, now: float) -> bool:
+        return len(self._started_by_id) < self._limit(now)
+
+    def _start(self, request_id: int, now: float) -> None:
+        self._started_by_id[request_id] = now
+        self._busy.add(now, 1)
+
+    def _wait(self, now: float, ahead: int) -> float:
+        limit = self._limit(now)
+        if len(self._started_by_id) + ahead < limit:
+            return 0.0
+        mean = self._service_time.mean
+        left = sum(
+            self._service_time.left(now - started_at)
+            for started_at in self._started_by_id.values()
+        )
+        return (left + ahead * mean) / limit
+
+    def _refuse(self, now: float, cause: Cause) -> Refused:
+        # Each refusal books the next share of the upstream's time, so that
+        # the refused come back one after the other.
+        share = self._service_time.mean / self._limit(now)
+        backlog = now + self._wait(now, len(self._deadlines_by_id))
+        self._return_at = max(self._return_at, backlog) + share
+        wait = max(self._return_at - now, MIN_RETRY_AFTER_S)
+        if wait > MAX_RETRY_AFTER_S / 2:
+            self._return_at = now + MAX_RETRY_AFTER_S / 2
+            wait = MAX_RETRY_AFTER_S / 2
+        return Refused(wait * self._generator.uniform(1.0, 2.0), cause)
+
+    def _learn(self, elapsed: float) -> None:
+        self._service_time.observe(elapsed)
+        if self._service_time.slowdown > SLOWDOWN_TOLERANCE:
+            self._lower_limit(SLOWDOWN_FACTOR)
+            return
+        raised = self._learnt_limit + 1 / self._learnt_limit / self.limits.slots
+        self._learnt_limit = min(float(self.limits.slots), raised)
+
+    def _lower_limit(self, factor: float) -> None:
+        self._learnt_limit = max(1.0, self._learnt_limit * factor)
--- /dev/null
+++ b/lycheeglade/retry.py
@@ -0,0 +1,57 @@
+"""Budget and backoff of retries."""
+
+from random import Random
+
+DEFAULT_RATIO = 0.1
+DEFAULT_BURST = 10.0
+
+
+class RetryBudget:
+    """Token bucket that bounds retries to a share of the first attempts.
+
+    Each first attempt adds `ratio` tokens up to `burst`; each retry takes one
+    whole token. When every target fails at once, retries thus add no more than
+    that share to the load.
+
+    Parameters
+    ----------
+    ratio : float
+        Retries allowed for each first attempt.
+    burst : float
+        Retries allowed at once after a calm time.
+    """
+
+    __slots__ = ("_burst", "_ratio", "_tokens")
+
+    def __init__(self, ratio: float = DEFAULT_RATIO, burst: float = DEFAULT_BURST):
+        self._ratio = ratio
+        self._burst = burst
+        self._tokens = burst
+
+    def note_attempt(self) -> None:
+        """Count a first attempt."""
+        self._tokens = min(self._burst, self._tokens + self._ratio)
+
+    def take(self) -> bool:
+        """Take the token of one retry; false if there is none."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+def backoff(attempt: int, base: float, maximum: float, generator: Random) -> float:
+    """Return the seconds to wait before a retry.
+
+    Drawn from the whole range up to an exponentially growing ceiling ("full
+    jitter"), so that those who failed together don't retry together.
+
+    Parameters
+    ----------
+    attempt : int
+        Retries made so far, from 0.
+    base, maximum : float
+        First and highest ceiling in seconds.
+    """
+    ceiling = min(maximum, base * 2.0 ** min(attempt, 32))
+    return generator.uniform(0.0, ceiling)
--- /dev/null
+++ b/lycheeglade/service_time.py
@@ -0,0 +1,78 @@
+"""Running estimates of a target's service time and busy share."""
+
+from math import exp
+
+MEAN_GAIN = 0.1
+BASELINE_GAIN = 0.01
+BUSY_WINDOW_S = 20.0
+
+
+class ServiceTime:
+    """Moving averages of the time that requests take at one upstream.
+
+    Parameters
+    ----------
+    initial : float
+        Estimate in seconds until the first request is done.
+    """
+
+    __slots__ = ("_baseline", "_count", "mean")
+
+    def __init__(self, initial: float):
+        self.mean = initial
+        self._baseline = initial
+        self._count = 0
+
+    @property
+    def slowdown(self) -> float:
+        """Ratio of the recent mean to the long-term mean."""
+        return self.mean / self._baseline if self._baseline > 0.0 else 1.0
+
+    def observe(self, elapsed: float) -> None:
+        """Take in the time in seconds that a request took."""
+        self._count += 1
+        self.mean += (elapsed - self.mean) * max(MEAN_GAIN, 1 / self._count)
+        gain = max(BASELINE_GAIN, 1 / self._count)
+        self._baseline += (elapsed - self._baseline) * gain
+
+    def observe_at_least(self, elapsed: float) -> None:
+        """Take in a request that was given up after `elapsed` seconds."""
+        if elapsed > self.mean:
+            self.observe(elapsed)
+
+    def left(self, elapsed: float) -> float:
+        """Return the seconds that a running request is expected to need yet.
+
+        A request that overran the mean is expected to need half as long
+        again as the mean.
+        """
+        return self.mean - elapsed if elapsed < self.mean else self.mean / 2
+
+
+class BusyShare:
+    """Number of running requests, averaged over a sliding window.
+
+    Parameters
+    ----------
+    now : float
+        Time of the first observation, in monotonic seconds.
+    """
+
+    __slots__ = ("_average", "_running", "_updated_at")
+
+    def __init__(self, now: float):
+        self._running = 0
+        self._average = 0.0
+        self._updated_at = now
+
+    def add(self, now: float, change: int) -> None:
+        """Note that `change` more requests run from `now` on."""
+        self._average = self.average(now)
+        self._updated_at = max(now, self._updated_at)
+        self._running += change
+
+    def average(self, now: float) -> float:
+        """Return the mean number of running requests over the window."""
+        elapsed = max(0.0, now - self._updated_at)
+        kept = exp(-elapsed / BUSY_WINDOW_S)
+        return self._average * kept + self._running * (1 - kept)
