--- /dev/null
+++ b/demo/fabric.py
@@ -0,0 +1,319 @@
+"""Network fabric: sprays each packet of each flow over the balancers.
+
+    python -m demo.fabric --map 127.10.0.1:5683=127.1.0.1:5683,127.1.0.2:5683 \
+        --control 127.0.0.3:9000 --seed 7
+
+Each caller flow gets a socket of its own towards the balancers. The control
+socket takes JSON commands, see `Fabric.run_command`.
+"""
+
+from argparse import ArgumentParser
+from asyncio import CancelledError, DatagramProtocol, get_running_loop, run
+from collections import Counter
+from contextlib import suppress
+from dataclasses import asdict, dataclass
+from json import dumps, loads
+from random import Random
+from signal import SIGINT, SIGTERM
+
+from uvloop import install
+
+from lycheeglade.address import Address, parse_address
+
+SOCKET_BUFFER_BYTES = 1 << 20
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """What happens to the packets between the fabric and one balancer.
+
+    `drop`, `duplicate` and `reorder` are probabilities; `delay` is in seconds.
+    A reordered packet is held back for `reorder_delay` seconds.
+    """
+
+    drop: float = 0.0
+    delay: float = 0.0
+    duplicate: float = 0.0
+    reorder: float = 0.0
+    reorder_delay: float = 0.02
+
+
+NO_FAULT = Fault()
+
+
+class CallerSide(DatagramProtocol):
+    """Socket on a service's address."""
+
+    def __init__(self, fabric, service: Address):
+        self._fabric = fabric
+        self._service = service
+        self.transport = None
+
+    def connection_made(self, transport):
+        """Keep the socket."""
+        self.transport = transport
+
+    def error_received(self, exc):
+        """Ignore an ICMP error."""
+
+    def datagram_received(self, datagram, remote):
+        """Pass a caller's packet on to a balancer."""
+        self._fabric.take_from_caller(self._service, remote, datagram)
+
+
+class Flow(DatagramProtocol):
+    """One caller's socket towards the balancers."""
+
+    def __init__(self, fabric, service: Address, caller):
+        self._fabric = fabric
+        self.service = service
+        self.caller = caller
+        self.transport = None
+        self.opening = None
+        self.forgotten = False
+        self.waiting = []
+
+    def connection_made(self, transport):
+        """Keep the socket and send what waited for it."""
+        self.transport = transport
+        for datagram in self.waiting:
+            self._fabric.spray(self, datagram)
+        self.waiting.clear()
+
+    def error_received(self, exc):
+        """Ignore an ICMP error: a dead balancer stays in the spray."""
+        self._fabric.counters["refused"] += 1
+
+    def datagram_received(self, datagram, remote):
+        """Pass a balancer's packet on to the caller."""
+        self._fabric.take_from_balancer(self, remote, datagram)
+
+
+class Fabric:
+    """All flows, balancers and faults.
+
+    Parameters
+    ----------
+    balancers_by_service : dict
+        Addresses that the packets of a service's address are sprayed over.
+    generator : Random
+        Source of every random choice.
+    alternate : bool
+        Take the balancers in turn instead of at random.
+    """
+
+    def __init__(self, balancers_by_service, generator: Random, local_ip, alternate):
+        self.balancers_by_service = balancers_by_service
+        self.counters = Counter()
+        self._generator = generator
+        self._local_ip = local_ip
+        self._alternate = alternate
+        self._turn = 0
+        self._flows_by_key: dict[tuple, Flow] = {}
+        self._caller_sides_by_service: dict[Address, CallerSide] = {}
+        self._faults_by_key: dict[tuple[str, str], Fault] = {}
+        self._out_ips: set[str] = set()
+
+    async def start(self):
+        """Bind every service's address."""
+        loop = get_running_loop()
+        for service in self.balancers_by_service:
+            side = CallerSide(self, service)
+            await loop.create_datagram_endpoint(
+                lambda side=side: side, local_addr=service
+            )
+            self._caller_sides_by_service[service] = side
+
+    def take_from_caller(self, service: Address, caller, datagram: bytes):
+        """Spray a caller's packet, through its flow's own socket."""
+        self.counters["from callers"] += 1
+        key = (service, caller)
+        flow = self._flows_by_key.get(key)
+        if flow is None:
+            flow = self._open_flow(key)
+        if flow.forgotten:
+            self.counters["forgotten"] += 1
+        elif flow.transport is None:
+            flow.waiting.append(datagram)
+        else:
+            self.spray(flow, datagram)
+
+    def spray(self, flow: Flow, datagram: bytes):
+        """Send one packet to one balancer."""
+        balancers = [
+            address
+            for address in self.balancers_by_service[flow.service]
+            if address.ip not in self._out_ips
+        ]
+        if not balancers:
+            self.counters["no balancer"] += 1
+            return
+        balancer = self._choose(balancers)
+        self.counters[f"to {balancer.ip}"] += 1
+        self._apply(
+            ("to", balancer.ip), lambda: flow.transport.sendto(datagram, balancer)
+        )
+
+    def take_from_balancer(self, flow: Flow, balancer, datagram: bytes):
+        """Hand a balancer's packet to the flow's caller."""
+        if balancer not in self.balancers_by_service[flow.service]:
+            self.counters["stranger"] += 1
+            return
+        if flow.forgotten:
+            self.counters["forgotten"] += 1
+            return
+        self.counters[f"from {balancer[0]}"] += 1
+        transport = self._caller_sides_by_service[flow.service].transport
+        self._apply(
+            ("from", balancer[0]), lambda: transport.sendto(datagram, flow.caller)
+        )
+
+    def run_command(self, command: dict) -> dict:
+        """Run a control command.
+
+        ``{"command": "remove"|"add", "ip": IP}`` takes a balancer out of the
+        spray or back in; ``"fault"`` with ``ip`` (or ``*``), ``direction``
+        (``to`` or ``from`` the balancers) and the fields of `Fault` sets a
+        fault, ``"heal"`` removes all; ``"forget"`` makes every open flow
+        silent for good; ``"alternate"`` with ``on``; ``"counters"``.
+        """
+        match command:
+            case {"command": "remove", "ip": ip}:
+                self._out_ips.add(ip)
+            case {"command": "add", "ip": ip}:
+                self._out_ips.discard(ip)
+            case {"command": "fault", "ip": ip, "direction": direction, **fields}:
+                self._faults_by_key[(direction, ip)] = Fault(**fields)
+            case {"command": "heal"}:
+                self._faults_by_key.clear()
+            case {"command": "forget"}:
+                self._forget_flows()
+            case {"command": "alternate", "on": on}:
+                self._alternate = on
+            case {"command": "counters"}:
+                pass
+            case _:
+                return {"error": f"unknown command {command!r}"}
+        return {
+            "counters": dict(self.counters),
+            "flows": len(self._flows_by_key),
+            "faults": {
+                " ".join(key): asdict(fault)
+                for key, fault in self._faults_by_key.items()
+            },
+        }
+
+    def _open_flow(self, key):
+        flow = Flow(self, *key)
+        self._flows_by_key[key] = flow
+        loop = get_running_loop()
+        opening = loop.create_datagram_endpoint(
+            lambda: flow, local_addr=(self._local_ip, 0)
+        )
+        flow.opening = loop.create_task(opening)
+        return flow
+
+    def _forget_flows(self):
+        for flow in self._flows_by_key.values():
+            flow.forgotten = True
+
+    def _choose(self, balancers):
+        if self._alternate:
+            self._turn += 1
+            return balancers[self._turn % len(balancers)]
+        return balancers[self._generator.randrange(len(balancers))]
+
+    def _apply(self, key, deliver):
+        direction, _ip = key
+        fault = self._faults_by_key.get(key)
+        fault = fault or self._faults_by_key.get((direction, "*"), NO_FAULT)
+        if fault is NO_FAULT:
+            deliver()
+            return
+        chance = self._generator.random
+        if chance() < fault.drop:
+            self.counters["dropped"] += 1
+            return
+        copies = 1
+        if chance() < fault.duplicate:
+            self.counters["duplicated"] += 1
+            copies = 2
+        for _copy in range(copies):
+            delay = fault.delay
+            if chance() < fault.reorder:
+                self.counters["reordered"] += 1
+                delay += fault.reorder_delay
+            if delay:
+                get_running_loop().call_later(delay, deliver)
+            else:
+                deliver()
+
+
+class Control(DatagramProtocol):
+    """Socket that takes JSON commands."""
+
+    def __init__(self, fabric: Fabric):
+        self._fabric = fabric
+        self._transport = None
+
+    def connection_made(self, transport):
+        """Keep the socket."""
+        self._transport = transport
+
+    def datagram_received(self, datagram, remote):
+        """Run one command and answer with the counters."""
+        try:
+            answer = self._fabric.run_command(loads(datagram))
+        except (ValueError, TypeError) as error:
+            answer = {"error": str(error)}
+        self._transport.sendto(dumps(answer).encode(), remote)
+
+
+def parse_map(text: str) -> tuple[Address, list[Address]]:
+    """Parse ``SERVICE_IP:PORT=BALANCER_IP:PORT,...``."""
+    service, _, balancers = text.partition("=")
+    return parse_address(service), [
+        parse_address(item) for item in balancers.split(",")
+    ]
+
+
+async def run_fabric(arguments):
+    """Run until a signal ends the process."""
+    loop = get_running_loop()
+    stopped = loop.create_future()
+    for signal in (SIGINT, SIGTERM):
+        loop.add_signal_handler(signal, stopped.cancel)
+    fabric = Fabric(
+        dict(parse_map(item) for item in arguments.map),
+        Random(arguments.seed),
+        arguments.local_ip,
+        arguments.alternate,
+    )
+    await fabric.start()
+    if arguments.control:
+        await loop.create_datagram_endpoint(
+            lambda: Control(fabric), local_addr=parse_address(arguments.control)
+        )
+    print("ready", flush=True)
+    try:
+        await stopped
+    finally:
+        print(dumps(dict(fabric.counters)), flush=True)
+
+
+def main():
+    """Run the program."""
+    parser = ArgumentParser(prog="demo.fabric")
+    parser.add_argument("--map", action="append", required=True)
+    parser.add_argument("--control", help="IP:PORT of the control socket")
+    parser.add_argument("--local-ip", default="127.0.0.3")
+    parser.add_argument("--alternate", action="store_true")
+    parser.add_argument("--seed", type=int, default=1)
+    arguments = parser.parse_args()
+    install()
+    with suppress(CancelledError):
+        run(run_fabric(arguments))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/demo/feed.py
@@ -0,0 +1,120 @@
+"""A caller's standing feed (RFC 7641) and the checks on its items."""
+
+from asyncio import Event, get_running_loop, sleep, wait_for
+from contextlib import suppress
+
+from aiocoap import CONTENT, SERVICE_UNAVAILABLE, Message
+
+from demo.account import FeedRecord
+
+SILENT_HEARTBEATS = 2.5
+REGISTRATION_PAUSE_S = 0.2
+POLL_S = 0.1
+OBSERVE_HALF = 1 << 23
+OBSERVE_MODULUS = 1 << 24
+
+
+def is_newer(first: int, second: int) -> bool:
+    """Compare Observe numbers (RFC 7641, section 3.4): is `second` newer."""
+    return 0 < (second - first) % OBSERVE_MODULUS < OBSERVE_HALF
+
+
+class Feed:
+    """One standing feed and the checks on its items."""
+
+    def __init__(self, caller, record: FeedRecord):
+        self._caller = caller
+        self._record = record
+        self._token = b""
+        self._changed = Event()
+        self._failed = ""
+        self._refused_for = 0.0
+        self._last_item = None
+        self._last_observe = None
+        self._heard_at = None
+        self._missing: set[int] = set()
+        self._broken_since = None
+        self._clock = get_running_loop().time
+
+    async def run(self, stopped: Event):
+        """Register, watch for silence, and register again."""
+        silence = self._caller.options.heartbeat * SILENT_HEARTBEATS
+        while not stopped.is_set():
+            self._register()
+            while not self._failed:
+                self._changed.clear()
+                with suppress(TimeoutError):
+                    await wait_for(self._changed.wait(), POLL_S)
+                if stopped.is_set():
+                    break
+                if self._clock() - self._heard_at > silence:
+                    self._fail("silent")
+            self._caller.close_feed(self._token)
+            if not stopped.is_set():
+                await sleep(self._refused_for or REGISTRATION_PAUSE_S)
+
+    def settle(self) -> None:
+        """Count the items that never came."""
+        self._record.gaps += len(self._missing)
+        self._missing.clear()
+
+    def _register(self):
+        self._record.registrations += 1
+        self._failed = ""
+        self._refused_for = 0.0
+        self._heard_at = self._clock()
+        self._last_observe = None
+        self._token = self._caller.make_token()
+        self._caller.open_feed(
+            self._token, self._take_item, lambda: self._fail("lost or reset")
+        )
+
+    def _fail(self, cause: str):
+        if self._failed:
+            return
+        self._failed = cause
+        self._changed.set()
+        if self._last_item is None or self._broken_since is not None:
+            return
+        now = self._clock()
+        self._record.causes[cause] += 1
+        self._record.broken_at.append(now)
+        self._broken_since = (now, self._heard_at)
+
+    def _take_item(self, message: Message):
+        if message.code == SERVICE_UNAVAILABLE:
+            self._record.refusals += 1
+            self._refused_for = float(message.opt.max_age or 1)
+            self._fail("refused")
+            return
+        if message.code != CONTENT or message.opt.observe is None:
+            self._fail(f"error {message.code}")
+            return
+        now = self._clock()
+        self._heard_at = now
+        self._record.items += 1
+        if self._broken_since is not None:
+            noticed_at, heard_at = self._broken_since
+            self._record.recoveries.append(now - noticed_at)
+            self._record.silences.append(now - heard_at)
+            self._broken_since = None
+            self._last_item = None
+        self._check_order(int.from_bytes(message.opt.etag, "big"), message.opt.observe)
+
+    def _check_order(self, item: int, observe: int):
+        last, last_observe = self._last_item, self._last_observe
+        stale = last_observe is not None and not is_newer(last_observe, observe)
+        if stale or last is None:
+            self._missing.discard(item)
+            if last is None:
+                self._last_item = item
+                self._last_observe = observe
+            return
+        self._last_observe = observe
+        if item == last:
+            self._record.repeats += 1
+        elif item < last:
+            self._record.steps_back += 1
+        else:
+            self._missing.update(range(last + 1, item))
+            self._last_item = item
