--- /dev/null
+++ b/lycheeglade/cmdline.py
@@ -0,0 +1,295 @@
+"""Command line of lycheeglade, over the functions of the package.
+
+Exit codes: 0 if all went well, 1 if the input or the outcome is wrong, 2 if
+the command line is wrong.
+"""
+
+import sys
+from asyncio import run as run_async
+from collections.abc import Callable, Coroutine, Iterator, Sequence
+from pathlib import Path
+
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.exceptions import CleoError
+from cleo.helpers import argument, option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.argv_input import ArgvInput
+from cleo.io.inputs.option import Option
+
+from lycheeglade import __version__
+from lycheeglade.address import parse_address
+from lycheeglade.errors import LycheegladeError
+
+EXIT_OK = 0
+EXIT_WRONG = 1
+EXIT_USAGE = 2
+EXIT_CODES_HELP = """
+Exit codes: 0 all went well, 1 the input or the outcome is wrong, 2 the command
+line is wrong."""
+
+
+class UsageError(LycheegladeError):
+    """The command line is wrong."""
+
+
+class _FunctionCommand(Command):
+    """A command that calls a function and exits with the code it returns."""
+
+    def __init__(
+        self,
+        name: str,
+        handler: Callable[[Command], int | None],
+        description: str,
+        example: str,
+        arguments: Sequence[Argument] = (),
+        options: Sequence[Option] = (),
+    ):
+        self.name = name
+        self.description = description
+        self.help = f"{description}\n\nExample:\n  {example}\n{EXIT_CODES_HELP}"
+        self.arguments = list(arguments)
+        self.options = list(options)
+        self._handler = handler
+        super().__init__()
+
+    def handle(self) -> int:
+        return self._handler(self) or EXIT_OK
+
+
+def _run_balancer(command: Command) -> int | None:
+    from lycheeglade.balancer_daemon import run_balancer
+
+    return _run_daemon(command, run_balancer)
+
+
+def _run_agent(command: Command) -> int | None:
+    from lycheeglade.agent_daemon import run_agent
+
+    return _run_daemon(command, run_agent)
+
+
+def _run_daemon(
+    command: Command, run: Callable[..., Coroutine[None, None, int | None]]
+) -> int | None:
+    import uvloop
+
+    from lycheeglade.logs import configure_logging
+    from lycheeglade.settings import load_settings
+
+    settings = load_settings(_required_option(command, "config"))
+    level = settings.log_level
+    if command.io.is_verbose():
+        level = "debug"
+    elif command.io.is_quiet():
+        level = "warning"
+    configure_logging(level)
+    return uvloop.run(run(settings))
+
+
+def _check(command: Command) -> int:
+    from lycheeglade.checker import check_files
+
+    errors = check_files([Path(name) for name in command.argument("files")])
+    _print_errors(errors)
+    return EXIT_WRONG if errors else EXIT_OK
+
+
+def _explain(command: Command) -> None:
+    from lycheeglade.explain import explain_files
+
+    names = [*command.option("config"), *command.argument("files")]
+    if not names:
+        raise UsageError("--config: at least one file is needed")
+    flow = _parse_usage(parse_address, "--flow", _required_option(command, "flow"))
+    service = _required_option(command, "service")
+    print(explain_files([Path(name) for name in names], service, flow))
+
+
+def _status(command: Command) -> None:
+    from msgspec.json import encode
+    from msgspec.json import format as format_json
+
+    from lycheeglade.status import fetch_status, format_status
+
+    address = _parse_usage(parse_address, "address", command.argument("address"))
+    status = run_async(fetch_status(address))
+    if command.option("json"):
+        print(format_json(encode(status), indent=2).decode())
+    else:
+        print(format_status(status))
+
+
+def _replay(command: Command) -> int:
+    from lycheeglade.replay import replay_files
+
+    names = command.argument("traces")
+    failures = replay_files([Path(name) for name in names])
+    _print_errors(failures)
+    return EXIT_WRONG if failures else EXIT_OK
+
+
+def _questionnaire(command: Command) -> None:
+    from lycheeglade.questionnaire import ask_and_save
+
+    path = Path(command.option("output"))
+    ask_and_save(path, command.ask, print)
+
+
+def _generate(command: Command) -> None:
+    from lycheeglade.generator import generate_files
+
+    paths = generate_files(
+        Path(command.argument("answers")), Path(command.option("output"))
+    )
+    if not command.io.is_quiet():
+        print("\n".join(map(str, paths)))
+
+
+def _diff(command: Command) -> None:
+    from lycheeglade.difference import compare_files
+
+    print(compare_files(Path(command.argument("old")), Path(command.argument("new"))))
+
+
+def _required_option(command: Command, name: str) -> str:
+    value = command.option(name)
+    if not value:
+        raise UsageError(f"--{name} is needed")
+    return value
+
+
+def _parse_usage(parse: Callable[[str], object], name: str, text: str) -> object:
+    try:
+        return parse(text)
+    except ValueError as error:
+        raise UsageError(f"{name}: {error}") from error
+
+
+def build_application() -> Application:
+    """Return the application with all its commands."""
+    application = Application("lycheeglade", __version__)
+    application.catch_exceptions(False)
+    application.auto_exits(False)
+    for command in _build_commands():
+        application.add(command)
+    return application
+
+
+def _build_commands() -> Iterator[Command]:
+    settings = option("config", "c", "Settings of this process.", flag=False)
+    yield _FunctionCommand(
+        "balancer",
+        _run_balancer,
+        "Runs a balancer: receives any packet of any service's callers.",
+        "lycheeglade balancer -c settings/nadi-a-balancer-1.ini",
+        options=[settings],
+    )
+    yield _FunctionCommand(
+        "agent",
+        _run_agent,
+        "Runs the agent beside the upstreams of one host.",
+        "lycheeglade agent -c settings/nadi-a-host-1.ini",
+        options=[settings],
+    )
+    yield _FunctionCommand(
+        "check",
+        _check,
+        "Checks settings and published values; names every error.",
+        "lycheeglade check settings/*.ini services/booth-sync.ini",
+        arguments=[argument("files", "Files or folders to check.", multiple=True)],
+    )
+    yield _FunctionCommand(
+        "explain",
+        _explain,
+        "Ranks the targets of a flow and tells why the others are ruled out.",
+        "lycheeglade explain -c services/booth-sync.ini --service booth-sync "
+        "--flow 127.0.0.9:4000",
+        arguments=[argument("files", "More values.", optional=True, multiple=True)],
+        options=[
+            option("config", "c", "Published values.", flag=False, multiple=True),
+            option("service", "s", "Name of the service.", flag=False),
+            option("flow", "f", "Caller's IP:PORT.", flag=False),
+        ],
+    )
+    yield _FunctionCommand(
+        "status",
+        _status,
+        "Shows what a running process knows and does.",
+        "lycheeglade status 127.0.0.1:7300",
+        arguments=[argument("address", "Operators' IP:PORT of the process.")],
+        options=[option("json", None, "Print JSON instead of tables.")],
+    )
+    yield _FunctionCommand(
+        "replay",
+        _replay,
+        "Replays recorded traces and compares the outcomes with the stated ones.",
+        "lycheeglade replay tests/traces/*.trace",
+        arguments=[argument("traces", "Trace files.", multiple=True)],
+    )
+    output = "File or folder that is written."
+    yield _FunctionCommand(
+        "questionnaire",
+        _questionnaire,
+        "Asks a new team about its services, places, hosts and tolerances.",
+        "lycheeglade questionnaire -o answers.ini",
+        options=[option("output", "o", output, flag=False, default="answers.ini")],
+    )
+    yield _FunctionCommand(
+        "generate",
+        _generate,
+        "Writes the published values and all settings from a team's answers.",
+        "lycheeglade generate answers.ini -o generated",
+        arguments=[argument("answers", "Answers of the questionnaire.")],
+        options=[option("output", "o", output, flag=False, default="generated")],
+    )
+    yield _FunctionCommand(
+        "diff",
+        _diff,
+        "Tells in plain words what a change of configuration will do.",
+        "lycheeglade diff values-old values-new",
+        arguments=[
+            argument("old", "File or folder of values in force."),
+            argument("new", "File or folder of new values."),
+        ],
+    )
+
+
+def _flatten(error: BaseException) -> Iterator[BaseException]:
+    if isinstance(error, BaseExceptionGroup):
+        for inner in error.exceptions:
+            yield from _flatten(inner)
+    else:
+        yield error
+
+
+def _print_errors(errors: Sequence[object]) -> None:
+    for error in errors:
+        lines = map(str.strip, str(error).splitlines())
+        print(" ".join(filter(None, lines)), file=sys.stderr)
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the command line and return its exit code.
+
+    Parameters
+    ----------
+    arguments : sequence of str, optional
+        Arguments after the program's name; those of this process by default.
+    """
+    if arguments is None:
+        arguments = sys.argv[1:]
+    try:
+        return build_application().run(ArgvInput(["lycheeglade", *arguments]))
+    except (CleoError, UsageError) as error:
+        _print_errors([error])
+        return EXIT_USAGE
+    except (LycheegladeError, OSError) as error:
+        _print_errors([error])
+        return EXIT_WRONG
+    except ExceptionGroup as group:
+        expected, others = group.split((LycheegladeError, OSError))
+        if others is not None:
+            raise
+        _print_errors(list(_flatten(expected)))
+        return EXIT_WRONG
--- /dev/null
+++ b/lycheeglade/status.py
@@ -0,0 +1,118 @@
+"""Shows operators what a running process knows and does."""
+
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+
+from aiohttp import ClientError, ClientSession, ClientTimeout
+from msgspec import DecodeError
+from msgspec.json import decode
+
+from lycheeglade.address import Address
+from lycheeglade.errors import LycheegladeError
+
+REQUEST_TIMEOUT = 5.0
+COLUMN_GAP = "  "
+
+
+class StatusError(LycheegladeError):
+    """A process didn't answer a question about its status."""
+
+
+async def fetch_status(
+    address: Address, timeout: float = REQUEST_TIMEOUT
+) -> dict[str, object]:
+    """Return the status of the process whose operators' address is given.
+
+    Returns
+    -------
+    dict
+        What ``/status`` holds, and under ``histograms`` what
+        ``/histograms`` holds.
+
+    Raises
+    ------
+    StatusError
+        If the process can't be reached or answers anything but JSON.
+    """
+    try:
+        async with ClientSession(
+            f"http://{address}", timeout=ClientTimeout(total=timeout)
+        ) as session:
+            status = await _fetch_json(session, "/status")
+            histograms = await _fetch_json(session, "/histograms")
+    except (ClientError, TimeoutError, DecodeError) as error:
+        reason = str(error) or type(error).__name__
+        raise StatusError(f"no status from {address}: {reason}") from error
+    return {**status, "histograms": histograms}
+
+
+async def _fetch_json(session: ClientSession, path: str) -> object:
+    async with session.get(path) as response:
+        response.raise_for_status()
+        return decode(await response.read())
+
+
+def format_status(status: Mapping[str, object]) -> str:
+    """Return `status` as tables that a terminal shows.
+
+    Single values come first, one a line; then each list of like objects as
+    a table with a line an object.
+    """
+    blocks = []
+    singles = list(_single_values("", status))
+    if singles:
+        blocks.append(format_table(singles))
+    for name, rows in _object_lists("", status):
+        header = list(dict.fromkeys(key for row in rows for key in row))
+        lines = [[_show(row.get(key, "")) for key in header] for row in rows]
+        blocks.append(f"{name}\n{format_table([header, *lines])}")
+    return "\n\n".join(blocks)
+
+
+def format_table(rows: Sequence[Sequence[str]]) -> str:
+    """Return `rows` with their columns aligned."""
+    widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
+    return "\n".join(
+        COLUMN_GAP.join(map(str.ljust, row, widths)).rstrip() for row in rows
+    )
+
+
+def _is_object_list(value: object) -> bool:
+    return (
+        isinstance(value, list)
+        and bool(value)
+        and all(isinstance(item, dict) for item in value)
+    )
+
+
+def _single_values(
+    prefix: str, status: Mapping[str, object]
+) -> Iterator[tuple[str, str]]:
+    for key, value in status.items():
+        name = f"{prefix}{key}"
+        if isinstance(value, dict) and value:
+            yield from _single_values(f"{name}.", value)
+        elif not _is_object_list(value):
+            yield name, _show(value)
+
+
+def _object_lists(
+    prefix: str, status: Mapping[str, object]
+) -> Iterator[tuple[str, list[dict]]]:
+    for key, value in status.items():
+        name = f"{prefix}{key}"
+        if isinstance(value, dict):
+            yield from _object_lists(f"{name}.", value)
+        elif _is_object_list(value):
+            yield name, value
+
+
+def _show(value: object) -> str:
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, float):
+        return f"{value:.6g}"
+    if value is None:
+        return "-"
+    if isinstance(value, Iterable) and not isinstance(value, str):
+        return ", ".join(map(_show, value)) or "-"
+    return str(value)
--- /dev/null
+++ b/tests/test_cmdline.py
@@ -0,0 +1,37 @@
+import pytest
+
+from lycheeglade.cmdline import EXIT_USAGE, EXIT_WRONG, build_application, main
+
+NAMES = [
+    name
+    for name in build_application().all()
+    if name not in ("help", "list", "completions")
+]
+
+
+@pytest.mark.parametrize("name", NAMES)
+def test_help_shows_an_example_and_the_exit_codes(name, capsys):
+    assert main([name, "--help"]) == 0
+    text = capsys.readouterr().out
+    assert f"lycheeglade {name} " in text
+    assert "Exit codes: 0 " in text
+    assert "--quiet" in text
+
+
+@pytest.mark.parametrize(
+    ("arguments", "message"),
+    [
+        (["status", "nowhere"], "address: 'nowhere' is not IP:PORT"),
+        (["status"], 'Not enough arguments (missing: "address")'),
+        (["statsu"], 'The command "statsu" does not exist. Did you mean this? status'),
+        (["status", "--jsn", "127.0.0.1:9"], 'The option "--jsn" does not exist'),
+    ],
+)
+def test_wrong_usage_is_told_in_one_line(arguments, message, capsys):
+    assert main(arguments) == EXIT_USAGE
+    assert capsys.readouterr().err == f"{message}\n"
+
+
+def test_unreachable_process_is_told_in_one_line(capsys):
+    assert main(["status", "127.0.0.1:9"]) == EXIT_WRONG
+    assert capsys.readouterr().err.startswith("no status from 127.0.0.1:9: ")
