--- /dev/null
+++ b/lycheeglade/agent_daemon.py
@@ -0,0 +1,166 @@
+"""The agent's process: its sockets, clock and signals."""
+
+from asyncio import get_running_loop
+from collections.abc import Mapping
+from functools import partial
+from logging import getLogger
+from random import Random, SystemRandom
+from time import monotonic
+
+from lycheeglade.address import Address
+from lycheeglade.agent import (
+    begin_stop,
+    make_agent,
+    receive_datagram,
+    receive_from_upstream,
+    receive_upstream_failure,
+    tick,
+    update_view,
+    work_left,
+)
+from lycheeglade.agent_state import Agent, AgentActions
+from lycheeglade.blackboard import Blackboard
+from lycheeglade.daemon import ProcessParts, run_process
+from lycheeglade.flow import FlowKey
+from lycheeglade.histograms import Metrics
+from lycheeglade.packet import encode_packet
+from lycheeglade.served_target import TargetKey
+from lycheeglade.settings import Settings
+from lycheeglade.transport import DatagramSocket
+
+logger = getLogger(__name__)
+
+FLOW_SOCKET_BUFFER_BYTES = 64 * 1024
+
+
+class UpstreamSockets:
+    """Connected sockets towards the upstreams, one a target or a flow."""
+
+    def __init__(self):
+        self._sockets_by_key: dict[
+            tuple[TargetKey, FlowKey | None], tuple[Address, DatagramSocket]
+        ] = {}
+
+    def send(
+        self, agent: Agent, key: TargetKey, flow: FlowKey | None, datagram: bytes
+    ) -> None:
+        """Send a datagram to the target's upstream."""
+        served = agent.served_by_key.get(key)
+        if served is None:
+            return
+        upstream = served.target.upstream
+        address, socket = self._sockets_by_key.get((key, flow), (None, None))
+        if address != upstream:
+            if socket is not None:
+                socket.close()
+            socket = self._open(agent, key, flow, upstream)
+            if socket is None:
+                return
+        socket.send(datagram)
+
+    def close(self, key: TargetKey, flow: FlowKey | None) -> None:
+        """Close the socket of a flow."""
+        _, socket = self._sockets_by_key.pop((key, flow), (None, None))
+        if socket is not None:
+            socket.close()
+
+    def _open(
+        self, agent: Agent, key: TargetKey, flow: FlowKey | None, upstream: Address
+    ) -> DatagramSocket | None:
+        loop = get_running_loop()
+        options = {} if flow is None else {"buffer_bytes": FLOW_SOCKET_BUFFER_BYTES}
+        try:
+            socket = DatagramSocket(
+                loop,
+                lambda datagram, source: receive_from_upstream(
+                    agent, key, flow, datagram, monotonic()
+                ),
+                remote=upstream,
+                # The failure of one send must not cut another in progress.
+                on_refused=lambda: loop.call_soon(
+                    lambda: receive_upstream_failure(agent, key, monotonic())
+                ),
+                **options,
+            )
+        except OSError:
+            agent.actions.count("socket", key.service, "connect-failed")
+            return None
+        self._sockets_by_key[key, flow] = (upstream, socket)
+        return socket
+
+
+async def run_agent(settings: Settings) -> int:
+    """Run an agent until it is asked to stop; return its exit code."""
+    blackboard = Blackboard()
+    metrics = Metrics()
+    upstreams = UpstreamSockets()
+    peers = DatagramSocket(
+        get_running_loop(),
+        lambda datagram, source: receive_datagram(
+            agent, datagram, Address(source[0], source[1]), monotonic()
+        ),
+        local=settings.packets,
+    )
+    actions = AgentActions(
+        send=lambda address, packet: peers.send(encode_packet(packet), address),
+        send_upstream=lambda key, flow, datagram: upstreams.send(
+            agent, key, flow, datagram
+        ),
+        close_upstream=upstreams.close,
+        count=metrics.count,
+        record=metrics.record,
+    )
+    agent = make_agent(
+        settings.host_id,
+        settings.zone,
+        actions,
+        Random(SystemRandom().getrandbits(64)),
+        settings.max_flows,
+        monotonic(),
+    )
+    blackboard.view.subscribe(lambda view: update_view(agent, view, monotonic()))
+    parts = ProcessParts(
+        tick=partial(tick, agent),
+        begin_stop=partial(begin_stop, agent),
+        work_left=lambda now: work_left(agent),
+        describe=lambda: describe(agent, settings),
+    )
+    try:
+        return await run_process(settings, blackboard, metrics, parts, logger)
+    finally:
+        peers.close()
+
+
+def describe(agent: Agent, settings: Settings) -> Mapping[str, object]:
+    """Return what the process knows, for ``/status``."""
+    now = monotonic()
+    return {
+        "role": "agent",
+        "host": settings.host_id,
+        "zone": str(settings.zone),
+        "revision": agent.view.revision,
+        "incarnation": f"{agent.incarnation:016x}",
+        "suspects": sorted(map(str, agent.suspects)),
+        "timers": len(agent.timers),
+        "targets": {
+            f"{key.service}/{key.target_id}": _describe_target(served, now)
+            for key, served in agent.served_by_key.items()
+        },
+    }
+
+
+def _describe_target(served, now: float) -> Mapping[str, object]:
+    load = served.admission.load(now)
+    return {
+        "draining": served.draining,
+        "flows": len(served.records_by_flow),
+        "feeds": len(served.feeds_by_upstream_token),
+        "pointers": len(served.homes_by_flow),
+        "openings": len(served.openings_by_flow),
+        "handoffs": len(served.outgoing_by_id),
+        "running": load.running,
+        "queued": load.queued,
+        "limit": load.limit,
+        "service_time_s": load.service_time,
+        "tickets": len(served.book),
+    }
--- /dev/null
+++ b/lycheeglade/balancer_daemon.py
@@ -0,0 +1,156 @@
+"""The balancer's process: its sockets, clock and signals."""
+
+from asyncio import get_running_loop
+from collections.abc import Mapping
+from functools import partial
+from logging import ERROR, INFO, getLogger
+from random import Random, SystemRandom
+from time import monotonic
+
+from lycheeglade.address import Address
+from lycheeglade.balancer import (
+    Balancer,
+    BalancerActions,
+    make_balancer,
+    may_carry,
+    receive_datagram,
+    receive_from_caller,
+    tick,
+    update_view,
+)
+from lycheeglade.blackboard import Blackboard
+from lycheeglade.daemon import ProcessParts, run_process
+from lycheeglade.histograms import Metrics
+from lycheeglade.logs import log_event
+from lycheeglade.settings import Settings
+from lycheeglade.transport import DatagramSocket
+from lycheeglade.view import Service, View
+
+logger = getLogger(__name__)
+
+QUIET_S = 1.0
+
+
+class ServiceSockets:
+    """Sockets on the addresses of the services, by service name."""
+
+    def __init__(self, settings: Settings):
+        self._settings = settings
+        self._sockets_by_address: dict[tuple[str, Address], DatagramSocket] = {}
+        self.heard_at = float("-inf")
+
+    def answer(self, service: str, caller: Address, datagram: bytes) -> None:
+        """Send `datagram` from the service's address."""
+        for (name, _), socket in self._sockets_by_address.items():
+            if name == service:
+                socket.send(datagram, caller)
+                return
+
+    def update(self, balancer: Balancer, view: View) -> None:
+        """Open and close sockets so that they match the view."""
+        wanted = {
+            (service.name, address)
+            for service in view.services_by_name.values()
+            if may_carry(balancer, service)
+            for address in self._addresses(service)
+        }
+        for key in self._sockets_by_address.keys() - wanted:
+            self._sockets_by_address.pop(key).close()
+        for key in wanted - self._sockets_by_address.keys():
+            self._open(balancer, *key)
+
+    def describe(self) -> list[str]:
+        """Return the addresses that are listened on."""
+        return sorted(f"{name} {at}" for name, at in self._sockets_by_address)
+
+    def _addresses(self, service: Service) -> tuple[Address, ...]:
+        return self._settings.listen_by_service.get(service.name, service.addresses)
+
+    def _open(self, balancer: Balancer, service: str, address: Address) -> None:
+        receive = partial(self._receive, balancer, service)
+        try:
+            socket = DatagramSocket(get_running_loop(), receive, local=address)
+        except OSError as error:
+            balancer.actions.count("socket", service, "bind-failed")
+            log_event(
+                logger,
+                ERROR,
+                "bind-failed",
+                service=service,
+                address=address,
+                reason=error,
+            )
+            return
+        self._sockets_by_address[service, address] = socket
+        log_event(logger, INFO, "listening", service=service, address=address)
+
+    def _receive(
+        self, balancer: Balancer, service: str, datagram: bytes, source: tuple
+    ) -> None:
+        self.heard_at = monotonic()
+        receive_from_caller(balancer, service, source, datagram, self.heard_at)
+
+
+async def run_balancer(settings: Settings) -> int:
+    """Run a balancer until it is asked to stop; return its exit code."""
+    blackboard = Blackboard()
+    metrics = Metrics()
+    services = ServiceSockets(settings)
+    peers = DatagramSocket(
+        get_running_loop(),
+        lambda datagram, source: receive_datagram(
+            balancer, datagram, Address(source[0], source[1]), monotonic()
+        ),
+        local=settings.packets,
+    )
+    actions = BalancerActions(
+        send=lambda address, datagram: peers.send(datagram, address),
+        answer=services.answer,
+        count=metrics.count,
+    )
+    balancer = make_balancer(
+        settings.host_id,
+        settings.zone,
+        settings.packets,
+        actions,
+        Random(SystemRandom().getrandbits(64)),
+    )
+
+    def on_view(view: View) -> None:
+        update_view(balancer, view)
+        services.update(balancer, view)
+
+    blackboard.view.subscribe(on_view)
+    parts = ProcessParts(
+        tick=partial(tick, balancer),
+        begin_stop=lambda now: blackboard.draining.write(True),
+        work_left=lambda now: int(now - services.heard_at < QUIET_S),
+        describe=lambda: describe(balancer, services, settings),
+    )
+    try:
+        return await run_process(settings, blackboard, metrics, parts, logger)
+    finally:
+        peers.close()
+
+
+def describe(
+    balancer: Balancer, services: ServiceSockets, settings: Settings
+) -> Mapping[str, object]:
+    """Return what the process knows, for ``/status``."""
+    return {
+        "role": "balancer",
+        "host": settings.host_id,
+        "zone": str(settings.zone),
+        "revision": balancer.view.revision,
+        "listening": services.describe(),
+        "suspects": sorted(map(str, balancer.suspects)),
+        "cached_buckets": len(balancer.candidates),
+        "services": {
+            name: {
+                "revision": service.revision,
+                "targets": len(service.targets_by_id),
+                "carried_here": may_carry(balancer, service),
+            }
+            for name, service in balancer.view.services_by_name.items()
+        },
+    }
--- /dev/null
+++ b/lycheeglade/daemon.py
@@ -0,0 +1,123 @@
+"""What the balancer's and the agent's processes have in common."""
+
+from asyncio import CancelledError, Event, create_task, get_running_loop, sleep
+from asyncio import wait_for as wait_for_async
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from logging import INFO, WARNING, Logger
+from random import Random, SystemRandom
+from signal import SIGINT, SIGTERM
+from time import monotonic
+
+from lycheeglade.blackboard import Blackboard
+from lycheeglade.gossip import follow_configuration
+from lycheeglade.histograms import Metrics
+from lycheeglade.logs import log_event
+from lycheeglade.operations import serve_operations
+from lycheeglade.settings import Settings
+
+TICK_S = 0.02
+STOP_POLL_S = 0.05
+EXIT_OK = 0
+EXIT_CUT = 1
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessParts:
+    """What a process adds to the common frame.
+
+    Attributes
+    ----------
+    tick : callable
+        Called with the present time a few times a second.
+    begin_stop : callable
+        Called with the present time when a graceful shutdown begins.
+    work_left : callable
+        Returns how many pieces of work a shutdown would cut now.
+    describe : callable
+        Returns what ``/status`` shows of the process.
+    """
+
+    tick: Callable[[float], None]
+    begin_stop: Callable[[float], None]
+    work_left: Callable[[float], int]
+    describe: Callable[[], Mapping[str, object]]
+
+
+async def run_process(
+    settings: Settings,
+    blackboard: Blackboard,
+    metrics: Metrics,
+    parts: ProcessParts,
+    logger: Logger,
+) -> int:
+    """Run until a signal asks to stop.
+
+    Returns
+    -------
+    int
+        Exit code: 0 if no work was cut, else 1.
+    """
+    stop_requests = _count_signals()
+    generator = Random(SystemRandom().getrandbits(64))
+    follower = create_task(follow_configuration(settings, blackboard, generator))
+    ticker = create_task(_tick_forever(parts.tick))
+    log_event(logger, INFO, "started", host=settings.host_id, zone=settings.zone)
+    try:
+        async with serve_operations(settings.operators, metrics, parts.describe):
+            await _wait_for_stop(stop_requests[0], follower, ticker)
+            return await _stop(settings, parts, stop_requests[1], logger)
+    finally:
+        for task in (follower, ticker):
+            task.cancel()
+
+
+def _count_signals() -> tuple[Event, Event]:
+    """Return events for the first and the second request to stop."""
+    events = (Event(), Event())
+
+    def on_signal():
+        (events[1] if events[0].is_set() else events[0]).set()
+
+    loop = get_running_loop()
+    for number in (SIGTERM, SIGINT):
+        loop.add_signal_handler(number, on_signal)
+    return events
+
+
+async def _wait_for_stop(stop: Event, *tasks) -> None:
+    """Wait for `stop`; a background task that fails ends the process."""
+    while not stop.is_set():
+        for task in tasks:
+            if task.done():
+                await task
+        try:
+            await wait_for_async(stop.wait(), timeout=1.0)
+        except TimeoutError:
+            continue
+
+
+async def _tick_forever(tick: Callable[[float], None]) -> None:
+    while True:
+        await sleep(TICK_S)
+        tick(monotonic())
+
+
+async def _stop(
+    settings: Settings, parts: ProcessParts, stop_at_once: Event, logger: Logger
+) -> int:
+    """Finish the work in progress, for as long as the grace period lasts."""
+    started_at = monotonic()
+    parts.begin_stop(started_at)
+    log_event(logger, INFO, "stopping", grace_s=settings.grace)
+    while not stop_at_once.is_set() and monotonic() - started_at < settings.grace:
+        if not parts.work_left(monotonic()):
+            log_event(logger, INFO, "stopped", cut=0)
+            return EXIT_OK
+        try:
+            await sleep(STOP_POLL_S)
+        except CancelledError:
+            break
+    cut = parts.work_left(monotonic())
+    log_event(logger, WARNING if cut else INFO, "stopped", cut=cut)
+    return EXIT_CUT if cut else EXIT_OK
