Add typed options, settings, published values and their checker

INI texts are read by getters that name source, section, option and wrong value, collect all errors of a text and suggest the nearest known name for an unknown one. The checker compares valid files with each other: names, addresses and upstreams claimed twice, targets and settings that differ from the list of hosts.

--- /dev/null
+++ b/lycheeglade/checker.py
@@ -0,0 +1,206 @@
+"""Checks settings and published values before they are used."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import NamedTuple
+
+from lycheeglade.address import Address
+from lycheeglade.configuration import parse_hosts, parse_service
+from lycheeglade.errors import ConfigurationError, OptionError
+from lycheeglade.options import OptionReader, suggest_name
+from lycheeglade.settings import Settings, parse_settings, read_text
+from lycheeglade.view import Host, Role, Service
+
+
+class Place(NamedTuple):
+    """Where in the checked files something stands."""
+
+    source: str
+    section: str
+
+    def __str__(self):
+        return f"{self.source} [{self.section}]"
+
+
+@dataclass(frozen=True, slots=True)
+class Checked:
+    """Valid files by kind, and the errors of the others."""
+
+    settings_by_source: dict[str, Settings] = field(default_factory=dict)
+    services_by_source: dict[str, Service] = field(default_factory=dict)
+    hosts_by_source: dict[str, tuple[Host, ...]] = field(default_factory=dict)
+    errors: list[OptionError] = field(default_factory=list)
+
+
+def check_files(paths: Iterable[str | Path]) -> list[OptionError]:
+    """Return everything that is wrong with the files at `paths`.
+
+    The kind of a file follows from its sections: ``[process]`` makes it
+    settings, ``[service]`` a service, ``[host NAME]`` a list of hosts. Files
+    that are valid by themselves are compared with each other.
+    """
+    checked = Checked()
+    for path in paths:
+        try:
+            _read_file(str(path), checked)
+        except ConfigurationError as error:
+            checked.errors.extend(error.exceptions)
+    checked.errors.extend(compare_services(checked.services_by_source))
+    checked.errors.extend(compare_hosts(checked.hosts_by_source))
+    checked.errors.extend(compare_settings(checked.settings_by_source))
+    checked.errors.extend(_compare_targets_with_hosts(checked))
+    checked.errors.extend(_compare_settings_with_hosts(checked))
+    checked.errors.extend(_compare_settings_with_services(checked))
+    return checked.errors
+
+
+def compare_services(services_by_source: dict[str, Service]) -> list[OptionError]:
+    """Return the conflicts between services.
+
+    Two services may share neither a name, nor an address, nor an upstream.
+    """
+    names, addresses, upstreams = _Owners(), _Owners(), _Owners()
+    for source, service in services_by_source.items():
+        place = Place(source, "service")
+        names.claim(service.name, place, "name")
+        for address in service.addresses:
+            addresses.claim(address, place, "addresses")
+        for target in service.targets_by_id.values():
+            target_place = Place(source, f"target {target.target_id}")
+            upstreams.claim(target.upstream, target_place, "upstream")
+    return names.errors + addresses.errors + upstreams.errors
+
+
+def compare_hosts(
+    hosts_by_source: dict[str, tuple[Host, ...]],
+) -> list[OptionError]:
+    """Return the names and addresses that belong to several hosts."""
+    names, packets, controls = _Owners(), _Owners(), _Owners()
+    for source, hosts in hosts_by_source.items():
+        for host in hosts:
+            place = Place(source, f"host {host.host_id}")
+            names.claim(host.host_id, place, "name")
+            packets.claim(host.packets, place, "packets")
+            controls.claim(host.control, place, "control")
+    return names.errors + packets.errors + controls.errors
+
+
+def compare_settings(settings_by_source: dict[str, Settings]) -> list[OptionError]:
+    """Return the names and addresses that several processes would take."""
+    names, datagrams, streams = _Owners(), _Owners(), _Owners()
+    for source, settings in settings_by_source.items():
+        place = Place(source, "process")
+        names.claim(settings.host_id, place, "host")
+        datagrams.claim(settings.packets, place, "packets")
+        streams.claim(settings.control, place, "control")
+        streams.claim(settings.operators, place, "operators")
+        listen_place = Place(source, "listen")
+        for service, addresses in settings.listen_by_service.items():
+            for address in addresses:
+                datagrams.claim(address, listen_place, service)
+    return names.errors + datagrams.errors + streams.errors
+
+
+class _Owners:
+    """Who claimed which value first, and the conflicts."""
+
+    def __init__(self):
+        self.errors: list[OptionError] = []
+        self._place_by_value: dict[str | Address, Place] = {}
+
+    def claim(self, value: str | Address, place: Place, option: str) -> None:
+        """Note an error if `value` was claimed from another place before."""
+        first = self._place_by_value.setdefault(value, place)
+        if first != place:
+            reason = f"{value} stands in {first} too"
+            self.errors.append(OptionError(*place, option, reason))
+
+
+def _read_file(source: str, checked: Checked) -> None:
+    text = read_text(source)
+    sections = OptionReader(text, source).section_names
+    if "process" in sections:
+        checked.settings_by_source[source] = parse_settings(text, source)
+    elif "service" in sections:
+        checked.services_by_source[source] = parse_service(text, source, 0)
+    elif any(section.startswith("host ") for section in sections):
+        checked.hosts_by_source[source] = parse_hosts(text, source)
+    else:
+        reason = "has neither [process] nor [service] nor [host NAME]"
+        checked.errors.append(OptionError(source, "-", "file", reason))
+
+
+def _hosts_by_id(checked: Checked) -> dict[str, Host]:
+    return {
+        host.host_id: host
+        for hosts in checked.hosts_by_source.values()
+        for host in hosts
+    }
+
+
+def _compare_targets_with_hosts(checked: Checked) -> list[OptionError]:
+    hosts_by_id = _hosts_by_id(checked)
+    errors = []
+    for source, service in checked.services_by_source.items():
+        for target in service.targets_by_id.values():
+            place = Place(source, f"target {target.target_id}")
+            expected = {
+                "role": (Role.AGENT, "host"),
+                "zone": (target.zone, "zone"),
+                "packets": (target.agent, "agent"),
+            }
+            errors += _compare_with_host(hosts_by_id, target.host_id, place, expected)
+    return errors
+
+
+def _compare_settings_with_hosts(checked: Checked) -> list[OptionError]:
+    hosts_by_id = _hosts_by_id(checked)
+    errors = []
+    for source, settings in checked.settings_by_source.items():
+        expected = {
+            attribute: (getattr(settings, attribute), attribute)
+            for attribute in ("role", "zone", "packets", "control")
+        }
+        place = Place(source, "process")
+        errors += _compare_with_host(hosts_by_id, settings.host_id, place, expected)
+    return errors
+
+
+def _compare_with_host(
+    hosts_by_id: dict[str, Host],
+    host_id: str,
+    place: Place,
+    expected: dict[str, tuple[object, str]],
+) -> list[OptionError]:
+    """Return how the listed host differs from what `place` says of it.
+
+    `expected` maps an attribute of the host to the value expected there and
+    to the option that the error names.
+    """
+    if not hosts_by_id:
+        return []
+    host = hosts_by_id.get(host_id)
+    if host is None:
+        hint = suggest_name(host_id, sorted(hosts_by_id))
+        return [OptionError(*place, "host", f"{host_id!r} is not listed; {hint}")]
+    errors = []
+    for attribute, (value, option) in expected.items():
+        listed = getattr(host, attribute)
+        if listed != value:
+            reason = f"{value} differs from {listed} in the list of hosts"
+            errors.append(OptionError(*place, option, reason))
+    return errors
+
+
+def _compare_settings_with_services(checked: Checked) -> list[OptionError]:
+    names = sorted(service.name for service in checked.services_by_source.values())
+    if not names:
+        return []
+    errors = []
+    for source, settings in checked.settings_by_source.items():
+        for service in settings.listen_by_service:
+            if service not in names:
+                reason = f"no such service; {suggest_name(service, names)}"
+                errors.append(OptionError(source, "listen", service, reason))
+    return errors
--- /dev/null
+++ b/lycheeglade/options.py
@@ -0,0 +1,309 @@
+"""Typed getters over INI texts that collect every error."""
+
+from collections.abc import Callable, Iterable, Mapping
+from configparser import (
+    ConfigParser,
+    DuplicateOptionError,
+    DuplicateSectionError,
+    Error,
+    MissingSectionHeaderError,
+    ParsingError,
+)
+from difflib import get_close_matches
+from enum import StrEnum
+from math import isfinite
+from re import compile as compile_pattern
+from typing import Any, TypeVar
+
+from lycheeglade.address import Address, Zone, parse_address, parse_zone
+from lycheeglade.errors import ConfigurationError, OptionError
+
+MAX_NAME_LENGTH = 64
+MAX_KNOWN_NAMES = 12
+_NAME = compile_pattern(rf"[A-Za-z0-9][A-Za-z0-9._-]{{0,{MAX_NAME_LENGTH - 1}}}")
+_NO_SECTION = "-"
+_NO_DEFAULTS = "\0"
+
+Choice = TypeVar("Choice", bound=StrEnum)
+Parsed = TypeVar("Parsed")
+
+
+def suggest_name(name: str, known: Iterable[str]) -> str:
+    """Return a hint that names the nearest of the `known` names."""
+    known = list(known)
+    nearest = get_close_matches(name, known, n=1)
+    if nearest:
+        return f"did you mean {nearest[0]!r}?"
+    if known and len(known) <= MAX_KNOWN_NAMES:
+        return f"known are {', '.join(known)}"
+    if known:
+        return f"{len(known)} others are known"
+    return "none is known"
+
+
+def parse_name(text: str) -> str:
+    """Return `text` if it can name a host, service, target or tenant.
+
+    Raises
+    ------
+    ValueError
+        If `text` is empty, too long or has other than letters, digits,
+        dots, hyphens and underscores, or begins with one of these signs.
+    """
+    if not _NAME.fullmatch(text):
+        raise ValueError(
+            f"{text!r} is not a name of 1 to {MAX_NAME_LENGTH} letters, digits, "
+            "dots, hyphens and underscores"
+        )
+    return text
+
+
+def parse_named_zone(text: str) -> Zone:
+    """Parse ``REGION/ZONE``, both of them names.
+
+    Raises
+    ------
+    ValueError
+        If `text` is something else.
+    """
+    zone = parse_zone(text)
+    return Zone(parse_name(zone.region), parse_name(zone.name))
+
+
+class Section:
+    """One section; its getters note errors in the reader and go on.
+
+    A getter that notes an error returns its default, so that one pass finds
+    all errors. `OptionReader.finish` raises them.
+    """
+
+    def __init__(
+        self, reader: "OptionReader", name: str, values: Mapping[str, str] | None
+    ):
+        self.name = name
+        self._reader = reader
+        self._absent = values is None
+        self._values = values or {}
+        self._known: set[str] = set()
+
+    def __iter__(self):
+        return iter(self._values)
+
+    def add_error(self, option: str, reason: str) -> None:
+        """Note that `option` is wrong."""
+        self._reader.add_error(self.name, option, reason)
+
+    def get(
+        self,
+        option: str,
+        parse: Callable[[str], Parsed],
+        default: Parsed | None = None,
+        *,
+        required: bool = True,
+    ) -> Any:
+        """Return the parsed option.
+
+        Parameters
+        ----------
+        option : str
+            Name of the option.
+        parse : callable
+            Returns the value of a text or raises ``ValueError``.
+        default : optional
+            Returned if the option is absent or wrong.
+        required : bool
+            Whether absence is an error.
+        """
+        self._known.add(option)
+        text = self._values.get(option)
+        if text is None:
+            if required and not self._absent:
+                self.add_error(option, "is missing")
+            return default
+        try:
+            return parse(text)
+        except ValueError as error:
+            self.add_error(option, str(error))
+            return default
+
+    def get_name(self, option: str) -> str:
+        """Return a name."""
+        return self.get(option, parse_name, "")
+
+    def get_zone(self, option: str) -> Zone:
+        """Return ``REGION/ZONE``."""
+        return self.get(option, parse_named_zone, Zone("", ""))
+
+    def get_address(self, option: str) -> Address:
+        """Return ``IP:PORT``."""
+        return self.get(option, parse_address, Address("", 0))
+
+    def get_addresses(self, option: str, *, required: bool) -> tuple[Address, ...]:
+        """Return a list of ``IP:PORT``, at least one if `required`."""
+        return self.get_list(option, parse_address, required=required)
+
+    def get_list(
+        self, option: str, parse: Callable[[str], Parsed], *, required: bool
+    ) -> tuple[Parsed, ...]:
+        """Return a comma-separated list without repeated entries."""
+
+        def parse_list(text: str) -> tuple[Parsed, ...]:
+            parts = [part.strip() for part in text.split(",") if part.strip()]
+            if required and not parts:
+                raise ValueError("the list is empty")
+            entries = tuple(map(parse, parts))
+            seen = set()
+            for entry in entries:
+                if entry in seen:
+                    raise ValueError(f"{entry} is listed twice")
+                seen.add(entry)
+            return entries
+
+        return self.get(option, parse_list, (), required=required)
+
+    def get_choice(
+        self, option: str, choices: type[Choice], default: Choice | None = None
+    ) -> Choice:
+        """Return a member of `choices`; it is required without `default`."""
+
+        def parse_choice(text: str) -> Choice:
+            names = [str(choice) for choice in choices]
+            if text not in names:
+                raise ValueError(f"{text!r} is unknown; {suggest_name(text, names)}")
+            return choices(text)
+
+        fallback = next(iter(choices)) if default is None else default
+        return self.get(option, parse_choice, fallback, required=default is None)
+
+    def get_int(self, option: str, default: int, low: int, high: int) -> int:
+        """Return a whole number from `low` to `high`."""
+
+        def parse_int(text: str) -> int:
+            if not text.isascii() or not text.lstrip("-").isdigit():
+                raise ValueError(f"{text!r} is not a whole number")
+            if not low <= int(text) <= high:
+                raise ValueError(f"{text} is not in {low}..{high}")
+            return int(text)
+
+        return self.get(option, parse_int, default, required=False)
+
+    def get_float(self, option: str, default: float, low: float, high: float) -> float:
+        """Return a number from `low` to `high`."""
+
+        def parse_float(text: str) -> float:
+            try:
+                number = float(text)
+            except ValueError:
+                raise ValueError(f"{text!r} is not a number") from None
+            if not isfinite(number) or not low <= number <= high:
+                raise ValueError(f"{text} is not in {low:g}..{high:g}")
+            return number
+
+        return self.get(option, parse_float, default, required=False)
+
+    def refuse_unknown(self) -> None:
+        """Note an error for each option that no getter asked for."""
+        for option in self._values:
+            if option not in self._known:
+                hint = suggest_name(option, sorted(self._known))
+                self.add_error(option, f"is unknown; {hint}")
+
+
+class OptionReader:
+    """The sections of one INI text and the errors found so far.
+
+    Parameters
+    ----------
+    text : str
+        The INI text.
+    source : str
+        File or published value that the text comes from, for the errors.
+    """
+
+    def __init__(self, text: str, source: str):
+        self.source = source
+        self.errors: list[OptionError] = []
+        self._parser = ConfigParser(
+            interpolation=None,
+            delimiters=("=",),
+            comment_prefixes=("#", ";"),
+            inline_comment_prefixes=(";",),
+            empty_lines_in_values=False,
+            default_section=_NO_DEFAULTS,
+        )
+        self._parser.optionxform = str
+        self._read(text)
+        self._known: set[str] = set()
+
+    @property
+    def section_names(self) -> list[str]:
+        """Names of the sections, in their order."""
+        return self._parser.sections()
+
+    def add_error(self, section: str, option: str, reason: str) -> None:
+        """Note an error."""
+        self.errors.append(OptionError(self.source, section, option, reason))
+
+    def get_section(self, name: str, *, required: bool = True) -> Section:
+        """Return a section; all options of an absent one are absent."""
+        self._known.add(name)
+        if not self._parser.has_section(name):
+            if required:
+                self.add_error(name, "section", "is missing")
+            return Section(self, name, None)
+        return Section(self, name, dict(self._parser.items(name)))
+
+    def get_named_sections(self, prefix: str) -> dict[str, Section]:
+        """Return the sections ``PREFIX NAME`` by name."""
+        self._known.add(f"{prefix} NAME")
+        sections_by_name = {}
+        for section in self.section_names:
+            head, _, name = section.partition(" ")
+            if head != prefix:
+                continue
+            self._known.add(section)
+            try:
+                sections_by_name[parse_name(name)] = self.get_section(section)
+            except ValueError as error:
+                self.add_error(section, "section", str(error))
+        return sections_by_name
+
+    def finish(self) -> None:
+        """Raise all errors, those for unknown sections among them.
+
+        Raises
+        ------
+        ConfigurationError
+            If there is any error.
+        """
+        for section in self.section_names:
+            if section not in self._known:
+                hint = suggest_name(section, sorted(self._known))
+                self.add_error(section, "section", f"is unknown; {hint}")
+        self.raise_errors()
+
+    def raise_errors(self) -> None:
+        """Raise the errors found so far, if any."""
+        if self.errors:
+            raise ConfigurationError(f"{self.source} is invalid", self.errors)
+
+    def _read(self, text: str) -> None:
+        try:
+            self._parser.read_string(text, self.source)
+        except DuplicateSectionError as error:
+            self.add_error(
+                error.section, "section", f"stands twice, line {error.lineno}"
+            )
+        except DuplicateOptionError as error:
+            reason = f"stands twice, line {error.lineno}"
+            self.add_error(error.section, error.option, reason)
+        except MissingSectionHeaderError as error:
+            reason = f"{error.line.strip()!r} stands before the first section"
+            self.add_error(_NO_SECTION, f"line {error.lineno}", reason)
+        except ParsingError as error:
+            for line, content in error.errors:
+                reason = f"{content} is neither a section nor an option"
+                self.add_error(_NO_SECTION, f"line {line}", reason)
+        except Error as error:
+            self.add_error(_NO_SECTION, "text", str(error))
+        self.raise_errors()
