--- a/demo/account.py
+++ b/demo/account.py
@@ -6,6 +6,8 @@
 
 from hdrh.histogram import HdrHistogram
 
+from demo.journal import read_journal
+
 MAX_LATENCY_US = 120_000_000
 SIGNIFICANT_DIGITS = 2
 
@@ -111,19 +113,12 @@
 
 def read_journals(paths) -> RunAccount:
     """Add up the journals of all upstreams."""
-    runs_by_id = Counter()
-    done_ids = set()
-    wrong = 0
-    for path in paths:
-        for line in path.read_text().splitlines():
-            kind, _, rest = line.partition(" ")
-            if kind == "run":
-                runs_by_id[rest] += 1
-            elif kind == "done":
-                done_ids.add(rest)
-            elif kind == "wrong":
-                wrong += 1
-    return RunAccount(runs_by_id, frozenset(done_ids), wrong)
+    entries = [entry for path in paths for entry in read_journal(path)]
+    return RunAccount(
+        Counter(entry.request_id for entry in entries if entry.kind == "run"),
+        frozenset(entry.request_id for entry in entries if entry.kind == "done"),
+        sum(entry.kind == "wrong" for entry in entries),
+    )
 
 
 def find_double_runs(account: Account, runs: RunAccount) -> list[str]:
--- /dev/null
+++ b/demo/cluster.py
@@ -0,0 +1,286 @@
+"""A whole deployment as processes of this machine."""
+
+from asyncio import get_running_loop, sleep, to_thread
+from json import dumps, loads
+from pathlib import Path
+from random import Random
+from socket import AF_INET, SOCK_DGRAM, socket
+from time import time
+from urllib.request import Request, urlopen
+
+from aiocoap import CONTENT, GET, Message
+
+from demo.coap import Endpoint, build_message, open_endpoint
+from demo.deployment import (
+    DEFAULT_NETWORK,
+    OPERATORS_PORT,
+    Deployment,
+    ServicePlan,
+    TargetPlan,
+    format_hosts_value,
+    format_service_value,
+    write_settings,
+    write_values,
+)
+from demo.journal import read_journal
+from demo.processes import Processes
+from lycheeglade.address import Address
+
+COMMAND_TIMEOUT_S = 2.0
+PLATFORM_TIMEOUT_S = 5.0
+LAST_NETWORK = 120
+FABRIC = "fabric"
+PLATFORM = "platform"
+
+
+def find_free_network() -> int:
+    """Return a network whose fabric control address nobody has bound."""
+    for network in range(DEFAULT_NETWORK, LAST_NETWORK):
+        with socket(AF_INET, SOCK_DGRAM) as trial:
+            try:
+                trial.bind((f"127.{network}.0.3", 9000))
+            except OSError:
+                continue
+            return network
+    raise OSError("every network is in use")
+
+
+def upstream_name(target: TargetPlan) -> str:
+    """Return the name of a target's upstream process."""
+    return f"upstream-{target.target_id}"
+
+
+class Cluster:
+    """Starts, changes and ends the processes of one deployment.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        What to start.
+    folder : Path
+        Settings, values, logs and journals go here.
+    seed : int
+        Seed of the fabric and the upstreams.
+    alternate : bool
+        The fabric takes the balancers in turn.
+    """
+
+    def __init__(self, deployment: Deployment, folder: Path, seed=1, alternate=False):
+        self.deployment = deployment
+        self.folder = folder
+        self.seed = seed
+        self.processes = Processes(folder / "logs")
+        self.leaving_targets: set[str] = set()
+        self.leaving_hosts: set[str] = set()
+        self._alternate = alternate
+        self._settings_by_host: dict[str, Path] = {}
+
+    async def start(self) -> None:
+        """Start everything and wait until it is ready."""
+        write_values(self.deployment, self.folder / "values")
+        self._settings_by_host = write_settings(
+            self.deployment, self.folder / "settings"
+        )
+        self.start_platform()
+        self._start_fabric()
+        for service in self.deployment.services:
+            for target in service.targets:
+                self.start_upstream(service, target)
+        for name in (PLATFORM, FABRIC):
+            await to_thread(self.processes.wait_ready, name)
+        for target in self.deployment.targets:
+            await to_thread(self.processes.wait_ready, upstream_name(target))
+            self.start_agent(target)
+        for balancer in self.deployment.balancers:
+            self.start_balancer(balancer)
+        for target in self.deployment.targets:
+            await self.wait_listening(target.host_id, target.ip)
+        for balancer in self.deployment.balancers:
+            await self.wait_listening(balancer.host_id, balancer.ip)
+
+    def stop(self) -> None:
+        """End all processes."""
+        self.processes.stop_all()
+
+    def start_platform(self) -> None:
+        """Start the platform."""
+        self.processes.start(
+            PLATFORM,
+            "demo.platform",
+            "--listen",
+            str(self.deployment.platform),
+            "--values",
+            str(self.folder / "values"),
+        )
+
+    def start_upstream(self, service: ServicePlan, target: TargetPlan) -> None:
+        """Start the upstream of one target."""
+        self.processes.start(
+            upstream_name(target),
+            "demo.upstream",
+            *("--listen", str(target.upstream)),
+            *("--service", service.name),
+            *("--protocol", service.protocol),
+            *("--slots", str(target.slots)),
+            *("--speed", f"{target.speed:g}"),
+            *("--work-ms", f"{service.work_ms:g}"),
+            *("--period", f"{service.period:g}"),
+            *("--cold-start", f"{service.cold_start:g}"),
+            *("--journal", str(self.journal(target))),
+            *("--seed", str(self.seed)),
+        )
+
+    def start_agent(self, target: TargetPlan) -> None:
+        """Start the agent on a target's host."""
+        self._start_product("agent", target.host_id)
+
+    def start_balancer(self, balancer) -> None:
+        """Start a balancer."""
+        self._start_product("balancer", balancer.host_id)
+
+    async def wait_listening(self, name: str, ip: str) -> None:
+        """Wait until a balancer or agent answers its operators."""
+        address = Address(ip, OPERATORS_PORT)
+        await to_thread(self.processes.wait_listening, name, address)
+
+    def journal(self, target: TargetPlan) -> Path:
+        """Return the path of a target's journal."""
+        return self.folder / f"{upstream_name(target)}.journal"
+
+    @property
+    def journals(self) -> list[Path]:
+        """Paths of all journals."""
+        return [self.journal(target) for target in self.deployment.targets]
+
+    async def publish(self, name: str, text: str) -> None:
+        """Put a value on the platform."""
+        await self._call_platform("PUT", f"/v1/values/{name}", text.encode())
+
+    async def set_platform_fault(self, mode: str) -> None:
+        """Set the platform's mode, see `demo.platform`."""
+        await self._call_platform("POST", "/fault", dumps({"mode": mode}).encode())
+
+    async def publish_service(self, service: ServicePlan) -> None:
+        """Publish a service as it is now known here."""
+        text = format_service_value(self.deployment, service, self.leaving_targets)
+        await self.publish(f"services/{service.name}", text)
+
+    async def publish_hosts(self, zone: str) -> None:
+        """Publish a zone's hosts list as it is now known here."""
+        text = format_hosts_value(self.deployment, zone, self.leaving_hosts)
+        await self.publish(f"hosts/{self.deployment.region}/{zone}", text)
+
+    async def drain_target(self, service: ServicePlan, target: TargetPlan) -> float:
+        """Declare a target and its host leaving; return the wall time."""
+        self.leaving_targets.add(target.target_id)
+        self.leaving_hosts.add(target.host_id)
+        await self.publish_service(service)
+        await self.publish_hosts(target.zone)
+        return time()
+
+    def command_fabric(self, command: str, **fields) -> dict:
+        """Run a command of the fabric's control socket."""
+        with socket(AF_INET, SOCK_DGRAM) as control:
+            control.settimeout(COMMAND_TIMEOUT_S)
+            control.sendto(
+                dumps({"command": command, **fields}).encode(),
+                self.deployment.fabric_control,
+            )
+            answer = loads(control.recv(65535))
+        if "error" in answer:
+            raise ValueError(answer["error"])
+        return answer
+
+    async def fetch_upstream_account(self, target: TargetPlan) -> dict:
+        """Ask an upstream for its account, without the runs.
+
+        Raises
+        ------
+        TimeoutError
+            If it does not answer.
+        """
+        loop = get_running_loop()
+        future = loop.create_future()
+
+        def take(message: Message, remote):
+            if not future.done():
+                future.set_result(message)
+
+        endpoint = Endpoint(Random(self.seed), on_response=take)
+        await open_endpoint(endpoint, (self.deployment.ip(0, 9), 0))
+        request = build_message(
+            GET, token=b"account", uri_path=("account",), uri_query=("brief",)
+        )
+        endpoint.send(request, target.upstream)
+        timer = loop.call_later(COMMAND_TIMEOUT_S, future.cancel)
+        try:
+            message = await future
+        finally:
+            timer.cancel()
+            endpoint.close()
+        if message.code != CONTENT:
+            raise ValueError(f"{target.target_id} answered {message.code}")
+        return loads(message.payload)
+
+    async def measure_busy_times(self, service: ServicePlan) -> dict[str, float]:
+        """Return the busy seconds per slot by target id."""
+        busy_by_target = {}
+        for target in service.targets:
+            if self.processes.is_running(upstream_name(target)):
+                account = await self.fetch_upstream_account(target)
+                busy_by_target[target.target_id] = (
+                    account["busy_time"] / account["slots"]
+                )
+        return busy_by_target
+
+    def count_late_work(self, target: TargetPlan, after: float) -> int:
+        """Return the runs and feeds begun at a target after wall `after`."""
+        return sum(
+            entry.at > after and entry.kind in ("run", "feed")
+            for entry in read_journal(self.journal(target))
+        )
+
+    def _start_fabric(self):
+        deployment = self.deployment
+        maps = []
+        for service in deployment.services:
+            balancers = ",".join(
+                str(deployment.listen_address(balancer, service))
+                for balancer in deployment.balancers
+            )
+            maps += ["--map", f"{service.address}={balancers}"]
+        self.processes.start(
+            FABRIC,
+            "demo.fabric",
+            *maps,
+            *("--control", str(deployment.fabric_control)),
+            *("--local-ip", deployment.ip(0, 3)),
+            *("--seed", str(self.seed)),
+            *(("--alternate",) if self._alternate else ()),
+        )
+
+    def _start_product(self, role: str, host_id: str):
+        path = self._settings_by_host[host_id]
+        self.processes.start(host_id, "lycheeglade", role, "-c", str(path))
+
+    async def _call_platform(self, method: str, path: str, body: bytes):
+        request = Request(
+            f"http://{self.deployment.platform}{path}", data=body, method=method
+        )
+
+        def call():
+            with urlopen(request, timeout=PLATFORM_TIMEOUT_S) as response:
+                response.read()
+
+        await to_thread(call)
+
+
+async def wait_until(condition, timeout: float, interval: float = 0.05) -> bool:
+    """Poll `condition`; tell whether it became true within `timeout`."""
+    loop = get_running_loop()
+    stop_at = loop.time() + timeout
+    while not condition():
+        if loop.time() > stop_at:
+            return False
+        await sleep(interval)
+    return True
--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -55,7 +55,7 @@
     targets: tuple[TargetPlan, ...]
     work_ms: float
     period: float = 0.5
-    heartbeat: float = 1.0
+    heartbeat: float = 2.0
     cold_start: float = 2.0
     grace: float = 10.0
     request_timeout: float = 10.0
--- /dev/null
+++ b/demo/echo.py
@@ -0,0 +1,27 @@
+"""Upstream of a service whose datagrams are carried unread."""
+
+from asyncio import DatagramProtocol
+
+from demo.journal import Journal
+
+
+class Echo(DatagramProtocol):
+    """Returns every datagram to its sender."""
+
+    def __init__(self, service: str, journal_path: str | None):
+        self._service = service.encode()
+        self._journal = Journal(journal_path)
+        self._transport = None
+
+    def connection_made(self, transport):
+        """Keep the socket."""
+        self._transport = transport
+
+    def datagram_received(self, datagram, remote):
+        """Return one datagram; note it if it names another service."""
+        name, separator, _rest = datagram.partition(b" ")
+        if separator and name.startswith(b"service="):
+            wanted = name.removeprefix(b"service=")
+            if wanted != self._service:
+                self._journal.add("wrong", wanted.decode(errors="replace"))
+        self._transport.sendto(datagram, remote)
--- a/demo/upstream.py
+++ b/demo/upstream.py
@@ -12,19 +12,18 @@
 
 Queries: ``service`` (compared with the own name), ``id`` (for the account),
 ``deadline`` (milliseconds left), ``size`` and ``work`` (milliseconds at speed
-1). The journal gets a line ``run ID``, ``wrong SERVICE ID`` or ``done ID`` a
-request, so that the account outlives the process.
+1). The journal gets a line ``run TIME ID``, ``done TIME ID``, ``feed TIME ID``
+or ``wrong TIME ID`` (wall clock) an event, so that the account outlives the
+process.
 """
 
 from argparse import ArgumentParser
-from asyncio import CancelledError, DatagramProtocol, get_running_loop, run
+from asyncio import CancelledError, get_running_loop, run
 from collections import Counter, deque
 from contextlib import suppress
 from functools import lru_cache
 from hashlib import sha256
 from json import dumps
-from os import O_APPEND, O_CREAT, O_WRONLY, write
-from os import open as open_descriptor
 from random import Random
 from signal import SIGINT, SIGTERM
 
@@ -44,6 +43,8 @@
 from uvloop import install
 
 from demo.coap import Endpoint, Remote, build_message, open_endpoint, query_of
+from demo.echo import Echo
+from demo.journal import Journal
 from demo.observers import Feeds
 from demo.slots import Job, Slots
 from lycheeglade.address import parse_address
@@ -70,20 +71,6 @@
     return query.get("id") or (words[0] if words else "-")
 
 
-class Journal:
-    """Append-only account of what the upstream ran."""
-
-    def __init__(self, path: str | None):
-        self._descriptor = None
-        if path:
-            self._descriptor = open_descriptor(path, O_WRONLY | O_CREAT | O_APPEND)
-
-    def add(self, *words: str) -> None:
-        """Write one line."""
-        if self._descriptor is not None:
-            write(self._descriptor, (" ".join(words) + "\n").encode())
-
-
 class Upstream:
     """State of one upstream process."""
 
@@ -125,7 +112,7 @@
         wanted = query.get("service", self.arguments.service)
         if wanted != self.arguments.service:
             self.counters["wrong service"] += 1
-            self.journal.add("wrong", wanted, query.get("id", "-"))
+            self.journal.add("wrong", query.get("id", wanted))
         path = "/".join(request.opt.uri_path)
         handler = self._handlers.get((request.code, path))
         if handler is None:
@@ -258,7 +245,10 @@
     def _serve_account(self, request: Message, remote: Remote, query):
         block = request.opt.block2
         if block is None or block.block_number == 0:
-            self._account = dumps(self.describe()).encode()
+            account = self.describe()
+            if "brief" in query:
+                del account["runs_by_id"]
+            self._account = dumps(account).encode()
         etag = sha256(self._account).digest()[:ETAG_BYTES]
         self._send_block(request, remote, self._account, etag)
 
@@ -290,28 +280,6 @@
         self.endpoint.reply(request, remote, build_message(code))
 
 
-class Echo(DatagramProtocol):
-    """Upstream of a ``datagram`` service: returns every datagram."""
-
-    def __init__(self, arguments):
-        self._service = arguments.service.encode()
-        self._journal = Journal(arguments.journal)
-        self._transport = None
-
-    def connection_made(self, transport):
-        """Keep the socket."""
-        self._transport = transport
-
-    def datagram_received(self, datagram, remote):
-        """Return one datagram; note it if it names another service."""
-        name, separator, _rest = datagram.partition(b" ")
-        if separator and name.startswith(b"service="):
-            wanted = name.removeprefix(b"service=")
-            if wanted != self._service:
-                self._journal.add("wrong", wanted.decode(errors="replace"), "-")
-        self._transport.sendto(datagram, remote)
-
-
 async def run_upstream(arguments):
     """Run until a signal ends the process."""
     loop = get_running_loop()
@@ -320,7 +288,9 @@
         loop.add_signal_handler(signal, stopped.cancel)
     listen = parse_address(arguments.listen)
     if arguments.protocol == "datagram":
-        await loop.create_datagram_endpoint(lambda: Echo(arguments), local_addr=listen)
+        await loop.create_datagram_endpoint(
+            lambda: Echo(arguments.service, arguments.journal), local_addr=listen
+        )
     else:
         upstream = Upstream(arguments, loop)
         upstream.sample_load()
--- /dev/null
+++ b/demo/workload.py
@@ -0,0 +1,118 @@
+"""Callers of a whole deployment, in one process."""
+
+from asyncio import Event, gather, get_running_loop, sleep, wait
+from dataclasses import dataclass
+from hashlib import sha256
+from random import Random
+
+from demo.account import Account
+from demo.caller import Caller, CallerOptions
+from demo.deployment import Deployment, ServicePlan
+from demo.upstream import build_reel
+
+CALLER_ACK_TIMEOUT_S = 1.0
+SETTLE_S = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """How much the callers do.
+
+    Attributes
+    ----------
+    feed_callers, reel_callers : int
+        Callers of the first service (feed, confirmations, small requests)
+        and of the second one (downloads, small requests).
+    pause, reel_pause : float
+        Mean seconds between two requests of a caller.
+    reel_bytes : int
+        Size of a download.
+    """
+
+    feed_callers: int = 200
+    reel_callers: int = 6
+    pause: float = 1.0
+    reel_pause: float = 1.0
+    reel_bytes: int = 2 << 20
+
+
+class Workload:
+    """Runs the callers and keeps their account."""
+
+    def __init__(self, deployment: Deployment, load: Load, generator: Random):
+        self.account = Account()
+        self._deployment = deployment
+        self._load = load
+        self._generator = generator
+        self._stopped = Event()
+        self._callers: list[Caller] = []
+        self._tasks = []
+
+    async def start(self) -> None:
+        """Open all callers' flows, over a short time."""
+        feed_service, reel_service = self._deployment.services[:2]
+        loop = get_running_loop()
+        for number in range(self._load.feed_callers):
+            caller = await self._open_caller(f"f{number}", feed_service)
+            self._tasks.append(loop.create_task(caller.keep_feed(self._stopped)))
+            self._tasks.append(loop.create_task(self._confirm_often(caller)))
+        for number in range(self._load.reel_callers):
+            caller = await self._open_caller(f"r{number}", reel_service)
+            self._tasks.append(loop.create_task(self._download_often(caller)))
+
+    async def stop(self) -> None:
+        """Let the requests in progress end, then close all flows."""
+        self._stopped.set()
+        _done, pending = await wait(self._tasks, timeout=SETTLE_S)
+        for task in pending:
+            task.cancel()
+        results = await gather(*self._tasks, return_exceptions=True)
+        for caller in self._callers:
+            caller.close()
+        errors = [
+            result
+            for result, task in zip(results, self._tasks, strict=True)
+            if isinstance(result, Exception) and task not in pending
+        ]
+        if errors:
+            raise ExceptionGroup("callers failed", errors)
+
+    async def open_caller(self, name: str, service: ServicePlan) -> Caller:
+        """Open one more flow; `stop` closes it."""
+        return await self._open_caller(name, service)
+
+    async def _open_caller(self, name: str, service: ServicePlan) -> Caller:
+        options = CallerOptions(
+            service.name,
+            tuple(service.address),
+            self._deployment.ip(0, 9),
+            service.heartbeat,
+            CALLER_ACK_TIMEOUT_S,
+        )
+        generator = Random(self._generator.getrandbits(64))
+        caller = Caller(name, options, self.account, generator)
+        self._callers.append(caller)
+        return await caller.open()
+
+    async def _pause(self, mean: float):
+        await sleep(min(self._generator.expovariate(1 / mean), 4 * mean))
+
+    async def _confirm_often(self, caller: Caller):
+        await self._pause(self._load.pause)
+        while not self._stopped.is_set():
+            choice = self._generator.random()
+            if choice < 0.6:
+                await caller.confirm()
+            elif choice < 0.8:
+                await caller.get_status()
+            else:
+                await caller.put_item()
+            await self._pause(self._load.pause)
+
+    async def _download_often(self, caller: Caller):
+        reel, _etag = build_reel(self._load.reel_bytes)
+        digest = sha256(reel).digest()
+        while not self._stopped.is_set():
+            await caller.download_reel(self._load.reel_bytes, digest)
+            await caller.get_status()
+            await self._pause(self._load.reel_pause)
