--- a/lycheeglade/errors.py
+++ b/lycheeglade/errors.py
@@ -52,3 +52,11 @@
 
 class TicketError(LycheegladeError):
     """A ticket or a flow's exported tickets can't be used."""
+
+
+class TraceError(LycheegladeError):
+    """A line of a trace is invalid."""
+
+    def __init__(self, source: str, line: int, reason: str):
+        super().__init__(f"{source}:{line}: {reason}")
+        self.line = line
--- /dev/null
+++ b/lycheeglade/outcome.py
@@ -0,0 +1,315 @@
+"""Checks of the outcomes that a trace states."""
+
+from collections import Counter
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from lycheeglade.errors import TraceError
+from lycheeglade.replay import World, run_trace
+from lycheeglade.replay_caller import Caller, CallerRequest, Result
+from lycheeglade.trace import Expect, Trace
+
+MAX_SHOWN_FAULTS = 5
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """Whether a stated outcome held.
+
+    Attributes
+    ----------
+    line : int
+        Line of the trace that states it.
+    faults : tuple of str
+        What broke it, with the line of the event at fault where there is
+        one.
+    """
+
+    line: int
+    name: str
+    is_held: bool
+    measured: float
+    limit: float
+    faults: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Measurement:
+    """What a check found: the figure held against the limit, and why."""
+
+    value: float
+    faults: tuple[str, ...] = ()
+
+
+Check = Callable[[World, Expect], Measurement]
+
+
+def replay_trace(trace: Trace) -> list[Outcome]:
+    """Replay a trace and check the outcomes that it states.
+
+    Raises
+    ------
+    ExceptionGroup
+        Of a `TraceError` for each stated outcome that isn't known.
+    """
+    _check_names(trace)
+    world = run_trace(trace)
+    outcomes = []
+    for line in trace.lines:
+        if isinstance(line.event, Expect):
+            found = CHECKS_BY_NAME[line.event.outcome](world, line.event)
+            is_held = found.value <= line.event.limit
+            faults = () if is_held else found.faults[:MAX_SHOWN_FAULTS]
+            outcomes.append(
+                Outcome(
+                    line.number,
+                    line.event.outcome,
+                    is_held,
+                    found.value,
+                    line.event.limit,
+                    faults,
+                )
+            )
+    return outcomes
+
+
+def _check_names(trace: Trace) -> None:
+    known = ", ".join(sorted(CHECKS_BY_NAME))
+    errors = [
+        TraceError(
+            trace.source,
+            line.number,
+            f"outcome: {line.event.outcome!r} is not one of {known}",
+        )
+        for line in trace.lines
+        if isinstance(line.event, Expect) and line.event.outcome not in CHECKS_BY_NAME
+    ]
+    if errors:
+        raise ExceptionGroup(f"{trace.source}: invalid trace", errors)
+
+
+def format_outcome(trace: Trace, outcome: Outcome) -> list[str]:
+    """Return lines that tell a reader how a stated outcome fared."""
+    verdict = "held" if outcome.is_held else "BROKEN"
+    text = (
+        f"{trace.source}:{outcome.line}: {outcome.name} {verdict}"
+        f" ({outcome.measured:g}, limit {outcome.limit:g})"
+    )
+    return [text, *(f"    {fault}" for fault in outcome.faults)]
+
+
+def _callers(world: World, expect: Expect) -> Iterator[Caller]:
+    for flow, caller in world.callers_by_flow.items():
+        if not expect.services or flow.service in expect.services:
+            yield caller
+
+
+def _requests(world: World, expect: Expect) -> Iterator[tuple[Caller, CallerRequest]]:
+    for caller in _callers(world, expect):
+        for request in caller.requests:
+            if request.sent_at >= expect.since:
+                yield caller, request
+
+
+def _feed_faults(world: World, expect: Expect) -> Measurement:
+    """Count breaks that callers saw in their feeds."""
+    faults = [
+        f"line {caller.feed.line}: {caller.flow} {reason} at {at:.3f} s"
+        for caller in _callers(world, expect)
+        if caller.feed is not None
+        for at, reason in caller.feed.faults
+        if at >= expect.since
+    ]
+    return Measurement(len(faults), tuple(faults))
+
+
+def _feed_recovery(world: World, expect: Expect) -> Measurement:
+    """Measure the longest time from a break to the next item, in seconds."""
+    worst = 0.0
+    faults = []
+    for caller in _callers(world, expect):
+        if caller.feed is None:
+            continue
+        for index, (at, reason) in enumerate(caller.feed.faults):
+            recovered = caller.feed.recovered_at[index : index + 1]
+            seconds = (recovered[0] if recovered else world.now) - at
+            worst = max(worst, seconds)
+            faults.append(
+                f"line {caller.feed.line}: {caller.flow} {reason}, {seconds:.3f} s"
+            )
+    return Measurement(worst, tuple(faults))
+
+
+def _feeds_stale(world: World, expect: Expect) -> Measurement:
+    """Count open feeds whose latest item is more than two periods old."""
+    faults = []
+    for caller in _callers(world, expect):
+        feed = caller.feed
+        if feed is None or feed.closed:
+            continue
+        if world.now - feed.heard_at > 3 * caller.heartbeat:
+            faults.append(f"line {feed.line}: {caller.flow} heard {feed.heard_at:.3f}")
+    return Measurement(len(faults), tuple(faults))
+
+
+def _misdelivered(world: World, expect: Expect) -> Measurement:
+    """Count datagrams that reached another service or another caller."""
+    faults = [
+        f"{upstream.service}/{upstream.target_id} got {what} at {at:.3f} s"
+        for upstream in world.upstreams_by_key.values()
+        for at, what in upstream.misdelivered
+    ]
+    faults += [
+        f"{caller.flow} got {what} at {at:.3f} s"
+        for caller in world.callers_by_flow.values()
+        for at, what in caller.misdelivered
+    ]
+    return Measurement(len(faults), tuple(faults))
+
+
+def _count_results(world: World, expect: Expect, *results) -> Measurement:
+    faults = [
+        f"line {request.line}: {request.request_id} {request.result}"
+        for _, request in _requests(world, expect)
+        if request.result in results
+    ]
+    return Measurement(len(faults), tuple(faults))
+
+
+def _unanswered(world: World, expect: Expect) -> Measurement:
+    """Count requests that got no whole answer of their own."""
+    results = (Result.WRONG, Result.GIVEN_UP, Result.UNKNOWN, Result.NOT_RUN, None)
+    return _count_results(world, expect, *results)
+
+
+def _unfinished(world: World, expect: Expect) -> Measurement:
+    """Count requests without any final answer."""
+    return _count_results(world, expect, Result.WRONG, Result.GIVEN_UP, None)
+
+
+def _unknown(world: World, expect: Expect) -> Measurement:
+    """Count requests whose outcome is unknown to the caller."""
+    return _count_results(world, expect, Result.UNKNOWN)
+
+
+def _runs_by_id(world: World) -> dict[str, list[float]]:
+    runs: dict[str, list[float]] = {}
+    for upstream in world.upstreams_by_key.values():
+        for run in upstream.runs:
+            runs.setdefault(run.request_id, []).append(run.at)
+    return runs
+
+
+def _double_runs(world: World, expect: Expect) -> Measurement:
+    """Count requests that may not be repeated and ran more than once."""
+    runs = _runs_by_id(world)
+    faults = [
+        f"line {request.line}: {request.request_id} ran at {runs[request.request_id]}"
+        for _, request in _requests(world, expect)
+        if not request.repeatable and len(runs.get(request.request_id, ())) > 1
+    ]
+    return Measurement(len(faults), tuple(faults))
+
+
+def _false_refusals(world: World, expect: Expect) -> Measurement:
+    """Count refusals as not run of requests that had run."""
+    runs = _runs_by_id(world)
+    faults = [
+        f"line {request.line}: {request.request_id} refused at {at:.3f} s after a run"
+        for _, request in _requests(world, expect)
+        if not request.repeatable
+        for at in request.refusals
+        if any(run < at for run in runs.get(request.request_id, ()))
+    ]
+    return Measurement(len(faults), tuple(faults))
+
+
+def _answered_without_run(world: World, expect: Expect) -> Measurement:
+    """Count requests that were answered though they never ran."""
+    runs = _runs_by_id(world)
+    faults = [
+        f"line {request.line}: {request.request_id} answered, not run"
+        for _, request in _requests(world, expect)
+        if request.result is Result.ANSWERED and request.request_id not in runs
+    ]
+    return Measurement(len(faults), tuple(faults))
+
+
+def _work_at_leaving(world: World, expect: Expect) -> Measurement:
+    """Measure the latest new work after a target's leaving, in seconds."""
+    worst = 0.0
+    faults = []
+    for key, since in world.leaving_since.items():
+        upstream = world.upstreams_by_key[key]
+        times = [run.at for run in upstream.runs] + upstream.registered_at
+        late = max((at - since for at in times), default=0.0)
+        worst = max(worst, late)
+        faults.append(f"{key.service}/{key.target_id}: {late:.3f} s after the word")
+    return Measurement(worst, tuple(faults))
+
+
+def _configuration_lag(world: World, expect: Expect) -> Measurement:
+    """Measure the longest time from a change to its being in force."""
+    worst = 0.0
+    faults = []
+    for at, name, revision in world.published:
+        for process_name, process in world.processes_by_name.items():
+            if not process.is_alive:
+                continue
+            taken = [
+                when
+                for when, taken_name, taken_revision in process.revisions
+                if taken_name == name and taken_revision >= revision
+            ]
+            lag = (min(taken) if taken else world.now) - at
+            worst = max(worst, lag)
+            if lag > expect.limit:
+                faults.append(
+                    f"{process_name}: {name} revision {revision}: {lag:.3f} s"
+                )
+    return Measurement(worst, tuple(faults))
+
+
+def _reverted(world: World, expect: Expect) -> Measurement:
+    """Count steps back to an older revision of a value."""
+    faults = []
+    for process_name, process in world.processes_by_name.items():
+        latest: dict[str, int] = {}
+        for at, name, revision in process.revisions:
+            if revision < latest.get(name, 0):
+                faults.append(f"{process_name}: {name} went back at {at:.3f} s")
+            latest[name] = revision
+    return Measurement(len(faults), tuple(faults))
+
+
+def _imbalance(world: World, expect: Expect) -> Measurement:
+    """Measure busy time per slot: the maximum over the mean."""
+    busy = Counter()
+    for key, upstream in world.upstreams_by_key.items():
+        if not expect.services or key.service in expect.services:
+            busy[key] = upstream.busy / upstream.slots
+    mean = sum(busy.values()) / len(busy) if busy else 0.0
+    worst = max(busy.values(), default=0.0) / mean if mean else 0.0
+    faults = (
+        f"{key.service}/{key.target_id}: {seconds:.3f} s a slot"
+        for key, seconds in busy.most_common()
+    )
+    return Measurement(worst, tuple(faults))
+
+
+CHECKS_BY_NAME: dict[str, Check] = {
+    "feed-breaks": _feed_faults,
+    "feed-recovery-seconds": _feed_recovery,
+    "stale-feeds": _feeds_stale,
+    "misdeliveries": _misdelivered,
+    "unanswered": _unanswered,
+    "unfinished": _unfinished,
+    "unknown-outcomes": _unknown,
+    "double-runs": _double_runs,
+    "false-refusals": _false_refusals,
+    "answered-without-run": _answered_without_run,
+    "leaving-work-seconds": _work_at_leaving,
+    "configuration-lag-seconds": _configuration_lag,
+    "reverted-values": _reverted,
+    "imbalance": _imbalance,
+}
