Retry notifications through balancers heard from lately

Cause: after a balancer's death the retries of a notification alternated with the dead one, and the backoff outlasted the caller's patience. Change: at most 2 s between tries, only balancers heard within 3 s while there are two of them, and a repeated handoff offer renews the first one.

--- a/lycheeglade/agent_state.py
+++ b/lycheeglade/agent_state.py
@@ -18,7 +18,8 @@
 
 MAX_CACHED_BUCKETS = 4096
 MAX_BALANCERS = 4096
-BALANCER_FRESH_S = 10.0
+BALANCER_FRESH_S = 3.0
+MIN_BALANCER_CHOICE = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,7 +116,8 @@
 def usable_balancers(agent: Agent, service: Service, now: float) -> list[Address]:
     """Return balancers that may carry the service's answers, best first.
 
-    Those heard from lately come first; the published ones follow.
+    Those heard from lately come first; the published ones follow only if
+    they are needed for a choice.
     """
     zones = agent.balancer_zones_by_address
     fresh = [
@@ -125,6 +127,8 @@
         and address in zones
         and service.permits(zones[address])
     ]
+    if len(fresh) >= MIN_BALANCER_CHOICE:
+        return fresh
     others = [
         address
         for address, zone in zones.items()
--- a/lycheeglade/feed.py
+++ b/lycheeglade/feed.py
@@ -18,8 +18,9 @@
 
 MAX_FEEDS_PER_FLOW = 8
 MAX_WAITING_ITEMS = 64
-MAX_NOTIFICATION_ATTEMPTS = 5
-RETRY_BASE_S = 1.0
+MAX_NOTIFICATION_ATTEMPTS = 10
+RETRY_BASE_S = 0.5
+MAX_RETRY_S = 2.0
 RETRY_JITTER = 0.25
 MAX_REFRESHES = 3
 REGISTRATION_TIMEOUT_S = 5.0
@@ -233,16 +234,19 @@
     notification = feed.in_flight
     balancer = record.balancer
     if notification.attempts:
-        others = [
+        untried = [
             address
             for address in usable_balancers(agent, served.service, now)
-            if address != record.balancer
+            if address not in notification.tried
         ]
-        if others:
-            balancer = others[(notification.attempts - 1) % len(others)]
+        if untried:
+            balancer = untried[0]
+        else:
+            notification.tried.clear()
+    notification.tried.add(balancer)
     packet = make_answer(served, feed.flow, notification.datagram)
     agent.actions.send(balancer, packet)
-    backoff = RETRY_BASE_S * 2**notification.attempts
+    backoff = min(MAX_RETRY_S, RETRY_BASE_S * 2**notification.attempts)
     notification.attempts += 1
     notification.retry_at = now + backoff * (
         1 + RETRY_JITTER * agent.generator.random()
--- a/lycheeglade/handoff.py
+++ b/lycheeglade/handoff.py
@@ -201,7 +201,11 @@
 ) -> None:
     """Prepare to take a flow: register its feeds at the own upstream."""
     flow = FlowKey(packet.service, packet.caller_ip, packet.caller_port)
-    if flow in served.incoming_by_flow:
+    incoming = served.incoming_by_flow.get(flow)
+    if incoming is not None:
+        if incoming.home_target_id == packet.home_target_id:
+            incoming.handoff_id = packet.handoff_id
+            _watch_registrations(agent, served, flow, incoming, source, now, now)
         return
     taken = (
         not served.draining
--- a/lycheeglade/served_target.py
+++ b/lycheeglade/served_target.py
@@ -62,13 +62,20 @@
 
 @dataclass(slots=True)
 class Notification:
-    """A notification on its way to the caller."""
+    """A notification on its way to the caller.
+
+    Attributes
+    ----------
+    tried : set of Address
+        Balancers that it was sent through.
+    """
 
     sequence: int
     message_id: int
     datagram: bytes
     attempts: int = 0
     retry_at: float = 0.0
+    tried: set[Address] = field(default_factory=set)
 
 
 @dataclass(slots=True)
