--- a/demo/account.py
+++ b/demo/account.py
@@ -53,6 +53,11 @@
         """Tell whether the feed was ever broken."""
         return bool(self.broken_at or self.gaps or self.repeats or self.steps_back)
 
+    @property
+    def back(self) -> bool:
+        """Tell whether items came again after the latest break."""
+        return len(self.recoveries) == len(self.broken_at)
+
 
 class Account:
     """Outcomes, latencies and feeds of all the callers of one process."""
--- a/demo/caller.py
+++ b/demo/caller.py
@@ -62,11 +62,8 @@
         self.account = account
         self.echo = b""
         self._generator = generator
-        self._endpoint = Endpoint(
-            generator,
-            on_response=self._take_response,
-            ack_timeout=options.ack_timeout,
-        )
+        self._endpoint = self._make_endpoint()
+        self._old_endpoints: list[Endpoint] = []
         self._futures_by_token: dict[bytes, Future] = {}
         self._feed_tokens: dict[bytes, Callable[[Message], None]] = {}
         self._sent = 0
@@ -77,8 +74,16 @@
         return self
 
     def close(self) -> None:
-        """Close the flow's socket."""
-        self._endpoint.close()
+        """Close the flow's socket and those of earlier flows."""
+        for endpoint in (self._endpoint, *self._old_endpoints):
+            endpoint.close()
+
+    async def reopen(self) -> None:
+        """Go on with a new flow; the old one ends its requests."""
+        self._old_endpoints.append(self._endpoint)
+        self._endpoint = self._make_endpoint()
+        self.echo = b""
+        await self.open()
 
     async def request(self, message: Message, deadline: float) -> Message:
         """Send a confirmable request and return the answer.
@@ -97,14 +102,15 @@
             if not future.done():
                 future.set_exception(LostError())
 
-        mid = self._endpoint.send(message, self.options.remote, lose, lose)
+        endpoint = self._endpoint
+        mid = endpoint.send(message, self.options.remote, lose, lose)
         try:
             return await wait_for(future, deadline)
         except TimeoutError:
             raise LostError from None
         finally:
             self._futures_by_token.pop(message.token, None)
-            self._endpoint.abandon(self.options.remote, mid)
+            endpoint.abandon(self.options.remote, mid)
 
     async def get_status(self, work_ms: float | None = None) -> Outcome:
         """Send a small repeatable request."""
@@ -226,23 +232,34 @@
         """Forget a feed; later notifications are reset."""
         self._feed_tokens.pop(token, None)
 
+    def _make_endpoint(self) -> Endpoint:
+        def take_response(message: Message, remote: Remote):
+            self._take_response(endpoint, message, remote)
+
+        endpoint = Endpoint(
+            self._generator,
+            on_response=take_response,
+            ack_timeout=self.options.ack_timeout,
+        )
+        return endpoint
+
     def make_token(self) -> bytes:
         """Return a fresh token."""
         return self._generator.randbytes(TOKEN_BYTES)
 
-    def _take_response(self, message: Message, remote: Remote):
+    def _take_response(self, endpoint: Endpoint, message: Message, remote: Remote):
         on_item = self._feed_tokens.get(message.token)
         future = self._futures_by_token.get(message.token)
         if on_item is not None:
             if message.mtype == CON:
-                self._endpoint.acknowledge(message, remote)
+                endpoint.acknowledge(message, remote)
             on_item(message)
         elif future is not None:
             if message.mtype == CON:
-                self._endpoint.acknowledge(message, remote)
+                endpoint.acknowledge(message, remote)
             if not future.done():
                 future.set_result(message)
         else:
             self.account.counters["unexpected answers"] += 1
             if message.mtype == CON:
-                self._endpoint.send_reset(message, remote)
+                endpoint.send_reset(message, remote)
--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -102,6 +102,29 @@
         """End all processes."""
         self.processes.stop_all()
 
+    @property
+    def product_ips_by_host(self) -> dict[str, str]:
+        """Addresses of the hosts of all balancers and agents."""
+        hosts = (*self.deployment.balancers, *self.deployment.targets)
+        return {host.host_id: host.ip for host in hosts}
+
+    async def fetch_status(self, host_id: str) -> dict:
+        """Return the status of a balancer or an agent.
+
+        Raises
+        ------
+        OSError
+            If it does not answer.
+        """
+        ip = self.product_ips_by_host[host_id]
+
+        def call():
+            url = f"http://{ip}:{OPERATORS_PORT}/status"
+            with urlopen(url, timeout=COMMAND_TIMEOUT_S) as response:
+                return loads(response.read())
+
+        return await to_thread(call)
+
     def start_platform(self) -> None:
         """Start the platform."""
         self.processes.start(
@@ -152,18 +175,19 @@
         """Paths of all journals."""
         return [self.journal(target) for target in self.deployment.targets]
 
-    async def publish(self, name: str, text: str) -> None:
-        """Put a value on the platform."""
+    async def publish(self, name: str, text: str) -> int:
+        """Put a value on the platform; return the platform's revision."""
         await self._call_platform("PUT", f"/v1/values/{name}", text.encode())
+        return loads(await self._call_platform("GET", "/v1/index"))["revision"]
 
     async def set_platform_fault(self, mode: str) -> None:
         """Set the platform's mode, see `demo.platform`."""
         await self._call_platform("POST", "/fault", dumps({"mode": mode}).encode())
 
-    async def publish_service(self, service: ServicePlan) -> None:
+    async def publish_service(self, service: ServicePlan) -> int:
         """Publish a service as it is now known here."""
         text = format_service_value(self.deployment, service, self.leaving_targets)
-        await self.publish(f"services/{service.name}", text)
+        return await self.publish(f"services/{service.name}", text)
 
     async def publish_hosts(self, zone: str) -> None:
         """Publish a zone's hosts list as it is now known here."""
@@ -263,16 +287,16 @@
         path = self._settings_by_host[host_id]
         self.processes.start(host_id, "lycheeglade", role, "-c", str(path))
 
-    async def _call_platform(self, method: str, path: str, body: bytes):
+    async def _call_platform(self, method: str, path: str, body: bytes | None = None):
         request = Request(
             f"http://{self.deployment.platform}{path}", data=body, method=method
         )
 
         def call():
             with urlopen(request, timeout=PLATFORM_TIMEOUT_S) as response:
-                response.read()
+                return response.read()
 
-        await to_thread(call)
+        return await to_thread(call)
 
 
 async def wait_until(condition, timeout: float, interval: float = 0.05) -> bool:
--- a/demo/feed.py
+++ b/demo/feed.py
@@ -10,6 +10,8 @@
 SILENT_HEARTBEATS = 2.5
 REGISTRATION_PAUSE_S = 0.2
 POLL_S = 0.1
+SILENT = "silent"
+LOST = "lost or reset"
 OBSERVE_HALF = 1 << 23
 OBSERVE_MODULUS = 1 << 24
 
@@ -37,7 +39,11 @@
         self._clock = get_running_loop().time
 
     async def run(self, stopped: Event):
-        """Register, watch for silence, and register again."""
+        """Register, watch for silence, and register again.
+
+        After a silence the caller goes on with a new flow, since something
+        between the two ends may have forgotten the old one.
+        """
         silence = self._caller.options.heartbeat * SILENT_HEARTBEATS
         while not stopped.is_set():
             self._register()
@@ -48,8 +54,10 @@
                 if stopped.is_set():
                     break
                 if self._clock() - self._heard_at > silence:
-                    self._fail("silent")
+                    self._fail(SILENT)
             self._caller.close_feed(self._token)
+            if self._failed in (SILENT, LOST):
+                await self._caller.reopen()
             if not stopped.is_set():
                 await sleep(self._refused_for or REGISTRATION_PAUSE_S)
 
@@ -65,9 +73,7 @@
         self._heard_at = self._clock()
         self._last_observe = None
         self._token = self._caller.make_token()
-        self._caller.open_feed(
-            self._token, self._take_item, lambda: self._fail("lost or reset")
-        )
+        self._caller.open_feed(self._token, self._take_item, lambda: self._fail(LOST))
 
     def _fail(self, cause: str):
         if self._failed:
--- a/demo/workload.py
+++ b/demo/workload.py
@@ -53,11 +53,11 @@
         feed_service, reel_service = self._deployment.services[:2]
         loop = get_running_loop()
         for number in range(self._load.feed_callers):
-            caller = await self._open_caller(f"f{number}", feed_service)
+            caller = await self.open_caller(f"f{number}", feed_service)
             self._tasks.append(loop.create_task(caller.keep_feed(self._stopped)))
             self._tasks.append(loop.create_task(self._confirm_often(caller)))
         for number in range(self._load.reel_callers):
-            caller = await self._open_caller(f"r{number}", reel_service)
+            caller = await self.open_caller(f"r{number}", reel_service)
             self._tasks.append(loop.create_task(self._download_often(caller)))
 
     async def stop(self) -> None:
@@ -77,11 +77,16 @@
         if errors:
             raise ExceptionGroup("callers failed", errors)
 
+    async def abort(self) -> None:
+        """Close all flows at once."""
+        for task in self._tasks:
+            task.cancel()
+        await gather(*self._tasks, return_exceptions=True)
+        for caller in self._callers:
+            caller.close()
+
     async def open_caller(self, name: str, service: ServicePlan) -> Caller:
         """Open one more flow; `stop` closes it."""
-        return await self._open_caller(name, service)
-
-    async def _open_caller(self, name: str, service: ServicePlan) -> Caller:
         options = CallerOptions(
             service.name,
             tuple(service.address),
--- /dev/null
+++ b/tests/faults.py
@@ -0,0 +1,142 @@
+"""Runs a whole deployment under callers' load while faults are injected."""
+
+from asyncio import get_running_loop, sleep
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from os import environ
+from pathlib import Path
+from random import Random
+
+from demo.account import Outcome, read_journals
+from demo.cluster import Cluster, find_free_network, wait_until
+from demo.deployment import Deployment, plan_reelbure
+from demo.report import Report, build_report, find_broken_promises
+from demo.workload import Load, Workload
+
+SEED = int(environ.get("FAULTS_SEED", "1"))
+LONG = environ.get("FAULTS_LONG") == "1"
+CI_LOAD = Load(60, 2, pause=0.5, reel_pause=0.5, reel_bytes=256 << 10)
+LONG_LOAD = Load(300, 6, pause=0.5, reel_pause=0.5)
+WARM_UP_S = 3.0
+RECOVERY_LIMIT_S = 5.0
+IN_FORCE_LIMIT_S = 6.0
+LEAVING_LIMIT_S = 3.0
+UNFINISHED = (Outcome.UNKNOWN, Outcome.GIVEN_UP, Outcome.FAILED, "open")
+
+
+@dataclass(slots=True)
+class FaultRun:
+    """One cluster with its callers, and what the test saw of it."""
+
+    cluster: Cluster
+    workload: Workload
+    silent_hosts: set[str] = field(default_factory=set)
+
+    @property
+    def processes(self):
+        """The processes, to be signalled by name."""
+        return self.cluster.processes
+
+    @property
+    def deployment(self) -> Deployment:
+        """What runs."""
+        return self.cluster.deployment
+
+    @property
+    def recovery_limit(self) -> float:
+        """Seconds from a feed's last item to the first one after a break."""
+        return self.deployment.services[0].heartbeat + RECOVERY_LIMIT_S
+
+    async def finish(self) -> Report:
+        """Stop the callers and bring both accounts together."""
+        await self.workload.stop()
+        runs = read_journals(self.cluster.journals)
+        return build_report(self.workload.account, runs, {})
+
+    async def wait_in_force(self, revision: int, hosts=None) -> float:
+        """Return the seconds until all hosts know `revision`.
+
+        Raises
+        ------
+        AssertionError
+            If one doesn't know it within 6 s.
+        """
+        loop = get_running_loop()
+        started_at = loop.time()
+        waiting = set(hosts or self.cluster.product_ips_by_host) - self.silent_hosts
+        while waiting:
+            for host_id in sorted(waiting):
+                status = await self.cluster.fetch_status(host_id)
+                if status["revision"] >= revision:
+                    waiting.discard(host_id)
+            elapsed = loop.time() - started_at
+            assert elapsed < IN_FORCE_LIMIT_S, (revision, waiting)
+            await sleep(0.05)
+        return loop.time() - started_at
+
+    def live_feeds(self) -> int:
+        """Return the number of feeds that have had an item."""
+        feeds = self.workload.account.feeds_by_id.values()
+        return sum(feed.items > 0 for feed in feeds)
+
+    def errors_in_logs(self) -> list[str]:
+        """Return the product's log lines that tell of a failure inside it."""
+        lines = []
+        for host_id in self.cluster.product_ips_by_host:
+            for line in self.processes.read_log(host_id).splitlines():
+                if "Traceback" in line or "Error:" in line or "level=error" in line:
+                    lines.append(f"{host_id}: {line}")
+        return lines
+
+
+@asynccontextmanager
+async def run_faults(folder: Path, plan=plan_reelbure, load=None):
+    """Start a deployment with callers whose feeds all stand."""
+    cluster = Cluster(plan(find_free_network()), folder, SEED)
+    load = load or (LONG_LOAD if LONG else CI_LOAD)
+    workload = Workload(cluster.deployment, load, Random(SEED))
+    run = FaultRun(cluster, workload)
+    try:
+        await cluster.start()
+        await workload.start()
+        await wait_until(lambda: run.live_feeds() == load.feed_callers, 10.0)
+        assert run.live_feeds() == load.feed_callers, "not all feeds stand"
+        await sleep(WARM_UP_S)
+        yield run
+    finally:
+        await workload.abort()
+        cluster.stop()
+
+
+def check_always(run: FaultRun, report: Report) -> None:
+    """Check what must hold whatever happens."""
+    anything = report.feeds
+    assert find_broken_promises(report, broken_feeds_allowed=anything) == []
+    assert report.repeats == 0
+    assert report.steps_back == 0
+    assert run.errors_in_logs() == []
+
+
+def check_planned(run: FaultRun, report: Report) -> None:
+    """Check a planned change: nothing is broken, cut or left open."""
+    check_always(run, report)
+    assert report.broken_feeds == 0, (report.feed_causes, report.gaps)
+    assert find_unfinished(report) == {}
+
+
+def check_unplanned(run: FaultRun, report: Report, broken_feeds: int) -> None:
+    """Check an unplanned death: few feeds break, and all are soon back."""
+    check_always(run, report)
+    assert report.broken_feeds <= broken_feeds, report.feed_causes
+    assert report.longest_silence <= run.recovery_limit
+    assert [feed for feed in run.workload.account.broken_feeds() if not feed.back] == []
+
+
+def find_unfinished(report: Report) -> dict[str, dict[str, int]]:
+    """Return the requests that were neither answered nor refused."""
+    unfinished = {}
+    for kind, counts in report.outcomes_by_kind.items():
+        found = {name: counts[name] for name in UNFINISHED if name in counts}
+        if found:
+            unfinished[kind] = found
+    return unfinished
--- /dev/null
+++ b/tests/test_datagram.py
@@ -0,0 +1,66 @@
+"""A service whose datagrams are carried unread."""
+
+from asyncio import DatagramProtocol, Queue, get_running_loop, run, wait_for
+from dataclasses import replace
+
+import pytest
+
+from demo.account import read_journals
+from demo.cluster import Cluster, find_free_network
+from demo.deployment import plan_reelbure
+
+FLOWS = 12
+DATAGRAMS = 20
+TIMEOUT_S = 10.0
+
+
+class Client(DatagramProtocol):
+    def __init__(self):
+        self.answers = Queue()
+
+    def datagram_received(self, datagram, remote):
+        self.answers.put_nowait(datagram)
+
+
+@pytest.fixture(scope="module")
+def cluster(tmp_path_factory):
+    plan = plan_reelbure(find_free_network(), balancers=2)
+    targets = plan.services[0].targets[:3]
+    service = replace(plan.services[0], protocol="datagram", targets=targets)
+    deployment = replace(plan, services=(service,))
+    cluster = Cluster(deployment, tmp_path_factory.mktemp("datagram"), alternate=True)
+    try:
+        run(cluster.start())
+        yield cluster
+    finally:
+        cluster.stop()
+
+
+async def open_client(cluster):
+    service = cluster.deployment.services[0]
+    return await get_running_loop().create_datagram_endpoint(
+        Client,
+        local_addr=(cluster.deployment.ip(0, 9), 0),
+        remote_addr=tuple(service.address),
+    )
+
+
+async def test_each_flow_gets_its_own_datagrams_back(cluster):
+    clients = [await open_client(cluster) for _flow in range(FLOWS)]
+    for flow, (transport, client) in enumerate(clients):
+        for number in range(DATAGRAMS):
+            text = b"service=booth-sync \xff%d %d" % (flow, number)
+            transport.sendto(text)
+            assert await wait_for(client.answers.get(), TIMEOUT_S) == text
+    for transport, client in clients:
+        assert client.answers.empty()
+        transport.close()
+    assert read_journals(cluster.journals).wrong_deliveries == 0
+
+
+async def test_datagram_of_full_size(cluster):
+    transport, client = await open_client(cluster)
+    datagram = bytes(range(256)) * 32
+    transport.sendto(datagram)
+    assert await wait_for(client.answers.get(), TIMEOUT_S) == datagram
+    transport.close()
