Ask cleo's output, not its input, whether it is quiet

The daemons ended at their start with an AttributeError, since cleo's IO object has no is_quiet of its own. Found by the first start of the whole deployment; the tests of the command line never reach this line.

--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -86,8 +86,10 @@
         for service in self.deployment.services:
             for target in service.targets:
                 self.start_upstream(service, target)
-        for name in (PLATFORM, FABRIC):
-            await to_thread(self.processes.wait_ready, name)
+        await to_thread(
+            self.processes.wait_listening, PLATFORM, self.deployment.platform
+        )
+        await to_thread(self.processes.wait_ready, FABRIC)
         for target in self.deployment.targets:
             await to_thread(self.processes.wait_ready, upstream_name(target))
             self.start_agent(target)
@@ -177,8 +179,8 @@
 
     async def publish(self, name: str, text: str) -> int:
         """Put a value on the platform; return the platform's revision."""
-        await self._call_platform("PUT", f"/v1/values/{name}", text.encode())
-        return loads(await self._call_platform("GET", "/v1/index"))["revision"]
+        answer = await self._call_platform("PUT", f"/v1/values/{name}", text.encode())
+        return loads(answer)["revision"]
 
     async def set_platform_fault(self, mode: str) -> None:
         """Set the platform's mode, see `demo.platform`."""
--- a/lycheeglade/cmdline.py
+++ b/lycheeglade/cmdline.py
@@ -81,7 +81,7 @@
     level = settings.log_level
     if command.io.is_verbose():
         level = "debug"
-    elif command.io.is_quiet():
+    elif command.io.output.is_quiet():
         level = "warning"
     configure_logging(level)
     return uvloop.run(run(settings))
@@ -142,7 +142,7 @@
     paths = generate_files(
         Path(command.argument("answers")), Path(command.option("output"))
     )
-    if not command.io.is_quiet():
+    if not command.io.output.is_quiet():
         print("\n".join(map(str, paths)))
 
 
