Fix the quiet switch of the command line

Cause: the quiet state belongs to the output of cleo, not to its IO, so that every daemon and generate ended with an AttributeError.

Change: ask the output.

--- a/lycheeglade/cmdline.py
+++ b/lycheeglade/cmdline.py
@@ -79,9 +79,9 @@
 
     settings = load_settings(_required_option(command, "config"))
     level = settings.log_level
-    if command.io.is_verbose():
+    if command.io.output.is_verbose():
         level = "debug"
-    elif command.io.is_quiet():
+    elif command.io.output.is_quiet():
         level = "warning"
     configure_logging(level)
     return uvloop.run(run(settings))
@@ -142,7 +142,7 @@
     paths = generate_files(
         Path(command.argument("answers")), Path(command.option("output"))
     )
-    if not command.io.is_quiet():
+    if not command.io.output.is_quiet():
         print("\n".join(map(str, paths)))
 
 
--- /dev/null
+++ b/lycheeglade/contradictions.py
@@ -0,0 +1,152 @@
+"""Finds answers of a team that can't all hold."""
+
+from collections.abc import Iterator
+from itertools import chain
+
+from lycheeglade.address import Zone
+from lycheeglade.answers import Answers, HostAnswers, ServiceAnswers
+from lycheeglade.errors import OptionError
+
+
+def find_contradictions(answers: Answers, source: str) -> list[OptionError]:
+    """Return every reason why nothing can be generated from `answers`.
+
+    Parameters
+    ----------
+    source : str
+        File that the answers were read from, for the errors.
+    """
+    findings = chain(
+        _check_balancers(answers),
+        _check_hosts(answers),
+        _check_services(answers),
+        _check_addresses(answers),
+    )
+    return [OptionError(source, *finding) for finding in findings]
+
+
+Findings = Iterator[tuple[str, str, str]]
+
+
+def _check_balancers(answers: Answers) -> Findings:
+    if not answers.balancers_by_name:
+        yield "balancer NAME", "zone", "there is no balancer; at least one is needed"
+    for balancer in answers.balancers_by_name.values():
+        section = f"balancer {balancer.name}"
+        yield from _check_zone(answers, section, balancer.zone)
+        if balancer.name in answers.hosts_by_name:
+            yield section, "name", f"{balancer.name!r} is also an upstream host"
+
+
+def _check_hosts(answers: Answers) -> Findings:
+    for host in answers.hosts_by_name.values():
+        section = f"host {host.name}"
+        yield from _check_zone(answers, section, host.zone)
+        if not host.services:
+            yield section, "services", "the host serves nothing"
+        for name in host.services:
+            service = answers.services_by_name.get(name)
+            if service is None:
+                known = _join(answers.services_by_name)
+                yield section, "services", f"unknown service {name!r}; known: {known}"
+            elif service.places and not _permits(service, host.zone):
+                yield (
+                    section,
+                    "services",
+                    f"{name} may not be handled in {host.zone}, "
+                    f"only in {_join(service.places)}",
+                )
+
+
+def _check_zone(answers: Answers, section: str, zone: Zone) -> Findings:
+    if zone not in answers.zones:
+        known = _join(map(str, answers.zones))
+        yield section, "zone", f"unknown zone {str(zone)!r}; known: {known}"
+
+
+def _check_services(answers: Answers) -> Findings:
+    if not answers.services_by_name:
+        yield "service NAME", "places", "there is no service; at least one is needed"
+    for service in answers.services_by_name.values():
+        section = f"service {service.name}"
+        for option, reason in chain(
+            _check_places(answers, service),
+            _check_capacity(answers, service),
+            _check_times(service),
+        ):
+            yield section, option, reason
+
+
+def _check_places(answers: Answers, service: ServiceAnswers) -> Iterator:
+    if not service.places:
+        yield "places", "the service may be handled nowhere"
+    known = {*answers.zones_by_region, *map(str, answers.zones)}
+    for place in service.places:
+        if place not in known:
+            yield "places", f"unknown place {place!r}; known: {_join(sorted(known))}"
+
+
+def _check_capacity(answers: Answers, service: ServiceAnswers) -> Iterator:
+    targets = _permitted_hosts(answers, service)
+    if service.places and not targets:
+        yield "places", f"no host in {_join(service.places)} serves {service.name}"
+        return
+    connections = service.connections * len(targets)
+    if service.feeds > connections:
+        yield (
+            "feeds",
+            f"{service.feeds} feeds are more than the {connections} connections "
+            f"of {len(targets)} targets ({service.connections} each)",
+        )
+
+
+def _check_times(service: ServiceAnswers) -> Iterator:
+    longest = service.longest_request
+    if service.grace < longest:
+        yield (
+            "grace_s",
+            f"a grace period of {service.grace:g} s is shorter than "
+            f"the longest request ({longest:g} s), which would be cut",
+        )
+    if service.late_after < longest:
+        yield (
+            "late_after_s",
+            f"answers are useless after {service.late_after:g} s, but the "
+            f"longest request takes {longest:g} s",
+        )
+
+
+def _check_addresses(answers: Answers) -> Findings:
+    section_by_ip: dict[str, str] = {}
+    for kind, machines in (
+        ("balancer", answers.balancers_by_name),
+        ("host", answers.hosts_by_name),
+    ):
+        for machine in machines.values():
+            section = f"{kind} {machine.name}"
+            other = section_by_ip.setdefault(machine.ip, section)
+            if other != section:
+                yield section, "ip", f"{machine.ip} is already the IP of [{other}]"
+    section_by_address: dict[tuple[str, int], str] = {}
+    for service in answers.services_by_name.values():
+        section = f"service {service.name}"
+        other = section_by_address.setdefault((service.ip, service.port), section)
+        if other != section:
+            address = f"{service.ip}:{service.port}"
+            yield section, "port", f"{address} is already the address of [{other}]"
+
+
+def _permitted_hosts(answers: Answers, service: ServiceAnswers) -> list[HostAnswers]:
+    return [
+        host
+        for host in answers.hosts_by_name.values()
+        if service.name in host.services and _permits(service, host.zone)
+    ]
+
+
+def _permits(service: ServiceAnswers, zone: Zone) -> bool:
+    return zone.region in service.places or str(zone) in service.places
+
+
+def _join(names) -> str:
+    return ", ".join(names) or "none"
