--- a/lycheeglade/checker.py
+++ b/lycheeglade/checker.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from ipaddress import ip_address
 from pathlib import Path
 from typing import NamedTuple
 
@@ -94,7 +95,8 @@
         names.claim(settings.host_id, place, "host")
         datagrams.claim(settings.packets, place, "packets")
         streams.claim(settings.control, place, "control")
-        streams.claim(settings.operators, place, "operators")
+        if not _is_own_loopback(settings):
+            streams.claim(settings.operators, place, "operators")
         listen_place = Place(source, "listen")
         for service, addresses in settings.listen_by_service.items():
             for address in addresses:
@@ -102,6 +104,15 @@
     return names.errors + datagrams.errors + streams.errors
 
 
+def _is_own_loopback(settings: Settings) -> bool:
+    """Tell whether operators' loopback is that of a host with its own IP.
+
+    Processes on other hosts may then use the same loopback address.
+    """
+    operators, packets = settings.operators.ip, settings.packets.ip
+    return ip_address(operators).is_loopback and not ip_address(packets).is_loopback
+
+
 class _Owners:
     """Who claimed which value first, and the conflicts."""
 
--- a/lycheeglade/configuration.py
+++ b/lycheeglade/configuration.py
@@ -33,7 +33,7 @@
         revision=revision,
         protocol=section.get_choice("protocol", Protocol),
         addresses=section.get_addresses("addresses", required=True),
-        places=section.get_list("places", _parse_place, required=True),
+        places=section.get_list("places", parse_place, required=True),
         targets_by_id=_read_targets(reader),
         request_timeout=_get_seconds(section, "request_timeout_s", 10.0),
         heartbeat=_get_seconds(section, "heartbeat_s", 10.0),
@@ -137,7 +137,14 @@
     return ", ".join(map(str, entries))
 
 
-def _parse_place(text: str) -> str:
+def parse_place(text: str) -> str:
+    """Return the usual form of ``REGION`` or ``REGION/ZONE``.
+
+    Raises
+    ------
+    ValueError
+        If `text` is neither.
+    """
     return str(parse_named_zone(text)) if "/" in text else parse_name(text)
 
 
--- a/lycheeglade/contradictions.py
+++ b/lycheeglade/contradictions.py
@@ -1,12 +1,23 @@
 """Finds answers of a team that can't all hold."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
+from ipaddress import ip_address
 from itertools import chain
 
 from lycheeglade.address import Zone
-from lycheeglade.answers import Answers, HostAnswers, ServiceAnswers
+from lycheeglade.answers import (
+    FIRST_LISTEN_PORT,
+    PACKETS_PORT,
+    Answers,
+    Fabric,
+    HostAnswers,
+    Operators,
+    ServiceAnswers,
+)
 from lycheeglade.errors import OptionError
 
+MAX_LISTEN_PORTS = PACKETS_PORT - FIRST_LISTEN_PORT
+
 
 def find_contradictions(answers: Answers, source: str) -> list[OptionError]:
     """Return every reason why nothing can be generated from `answers`.
@@ -21,6 +32,9 @@
         _check_hosts(answers),
         _check_services(answers),
         _check_addresses(answers),
+        _check_ports(answers),
+        _check_fabric(answers),
+        _check_operators(answers),
     )
     return [OptionError(source, *finding) for finding in findings]
 
@@ -88,8 +102,10 @@
 
 def _check_capacity(answers: Answers, service: ServiceAnswers) -> Iterator:
     targets = _permitted_hosts(answers, service)
-    if service.places and not targets:
-        yield "places", f"no host in {_join(service.places)} serves {service.name}"
+    if not targets:
+        if service.places:
+            places = _join(service.places)
+            yield "places", f"no host in {places} serves {service.name}"
         return
     connections = service.connections * len(targets)
     if service.feeds > connections:
@@ -128,14 +144,58 @@
             if other != section:
                 yield section, "ip", f"{machine.ip} is already the IP of [{other}]"
     section_by_address: dict[tuple[str, int], str] = {}
+    section_by_upstream_ip = {
+        host.ip: f"host {host.name}" for host in answers.hosts_by_name.values()
+    }
     for service in answers.services_by_name.values():
         section = f"service {service.name}"
+        if service.ip in section_by_upstream_ip:
+            other = section_by_upstream_ip[service.ip]
+            yield section, "ip", f"{service.ip} is already the IP of [{other}]"
         other = section_by_address.setdefault((service.ip, service.port), section)
         if other != section:
             address = f"{service.ip}:{service.port}"
             yield section, "port", f"{address} is already the address of [{other}]"
 
 
+def _check_ports(answers: Answers) -> Findings:
+    for host in answers.hosts_by_name.values():
+        service_by_port = {PACKETS_PORT: "the agent"}
+        for name in host.services:
+            service = answers.services_by_name.get(name)
+            if service is None:
+                continue
+            other = service_by_port.setdefault(service.port, name)
+            if other != name:
+                reason = f"{name} and {other} both take port {service.port}"
+                yield f"host {host.name}", "services", reason
+
+
+def _check_fabric(answers: Answers) -> Findings:
+    count = len(answers.services_by_name)
+    if answers.team.fabric is Fabric.BALANCER_ADDRESS and count > MAX_LISTEN_PORTS:
+        yield (
+            "team",
+            "fabric",
+            f"{count} services need a port each on the balancers; "
+            f"at most {MAX_LISTEN_PORTS} are possible",
+        )
+
+
+def _check_operators(answers: Answers) -> Findings:
+    if answers.team.operators is Operators.HOST_ADDRESS:
+        return
+    machines = [*answers.balancers_by_name.values(), *answers.hosts_by_name.values()]
+    names = [machine.name for machine in machines if ip_address(machine.ip).is_loopback]
+    if names:
+        yield (
+            "team",
+            "operators",
+            f"{_join(names[:3])} have loopback addresses, so that processes "
+            f"on one machine would share an address; use {Operators.HOST_ADDRESS}",
+        )
+
+
 def _permitted_hosts(answers: Answers, service: ServiceAnswers) -> list[HostAnswers]:
     return [
         host
@@ -148,5 +208,5 @@
     return zone.region in service.places or str(zone) in service.places
 
 
-def _join(names) -> str:
+def _join(names: Iterable[str]) -> str:
     return ", ".join(names) or "none"
--- /dev/null
+++ b/lycheeglade/generator.py
@@ -0,0 +1,201 @@
+"""Writes the published values and settings that a team's answers ask for."""
+
+from collections.abc import Iterator, Mapping, Sequence
+from pathlib import Path
+
+from lycheeglade.address import Address, Zone
+from lycheeglade.answers import (
+    CONTROL_PORT,
+    FIRST_LISTEN_PORT,
+    OPERATORS_PORT,
+    PACKETS_PORT,
+    Answers,
+    BalancerAnswers,
+    Fabric,
+    HostAnswers,
+    Operators,
+    ServiceAnswers,
+    Worse,
+    parse_answers,
+)
+from lycheeglade.configuration import (
+    HOSTS_PREFIX,
+    SERVICE_PREFIX,
+    format_hosts,
+    format_sections,
+    format_service,
+)
+from lycheeglade.contradictions import find_contradictions
+from lycheeglade.errors import ConfigurationError
+from lycheeglade.settings import LogLevel, read_text
+from lycheeglade.view import Host, Role, Service, Target
+
+LOOPBACK_IP = "127.0.0.1"
+MAX_SEEDS = 3
+HEARTBEATS_UNTIL_SILENT = 3
+SETTINGS_PREFIX = "settings/"
+
+# A team that fears broken flows keeps silent ones longer; one that fears
+# imbalance lets a fresh upstream take up load more slowly.
+FLOW_IDLE_S_BY_WORSE = {Worse.BROKEN_FLOWS: 900.0, Worse.IMBALANCE: 300.0}
+COLD_START_S_BY_WORSE = {Worse.BROKEN_FLOWS: 10.0, Worse.IMBALANCE: 30.0}
+
+Machine = BalancerAnswers | HostAnswers
+
+
+def generate_files(answers_path: Path, folder: Path) -> list[Path]:
+    """Write all files for the answers at `answers_path` below `folder`.
+
+    Returns
+    -------
+    list of Path
+        The files, sorted. Files of an earlier run that the answers no
+        longer ask for are left alone.
+
+    Raises
+    ------
+    ConfigurationError
+        If the answers can't be read or contradict each other; nothing is
+        written then.
+    """
+    source = str(answers_path)
+    answers = parse_answers(read_text(answers_path), source)
+    text_by_name = generate_texts(answers, source)
+    paths = []
+    for name, text in sorted(text_by_name.items()):
+        path = folder / f"{name}.ini"
+        path.parent.mkdir(parents=True, exist_ok=True)
+        path.write_text(text, encoding="utf-8")
+        paths.append(path)
+    return paths
+
+
+def generate_texts(answers: Answers, source: str) -> dict[str, str]:
+    """Return the texts of all values and settings by name.
+
+    Parameters
+    ----------
+    source : str
+        File that the answers were read from, for the errors.
+
+    Raises
+    ------
+    ConfigurationError
+        With one `OptionError` for each contradiction.
+    """
+    contradictions = find_contradictions(answers, source)
+    if contradictions:
+        raise ConfigurationError(f"{source} contradicts itself", contradictions)
+    text_by_name = {}
+    for service in answers.services_by_name.values():
+        name = f"{SERVICE_PREFIX}{service.name}"
+        text_by_name[name] = format_service(_build_service(answers, service))
+    for zone in answers.zones:
+        hosts = list(_build_hosts(answers, zone))
+        if hosts:
+            text_by_name[f"{HOSTS_PREFIX}{zone}"] = format_hosts(hosts)
+    for role, machine in _machines(answers):
+        name = f"{SETTINGS_PREFIX}{machine.name}"
+        text_by_name[name] = _format_settings(answers, role, machine)
+    return text_by_name
+
+
+def _machines(answers: Answers) -> Iterator[tuple[Role, Machine]]:
+    for balancer in answers.balancers_by_name.values():
+        yield Role.BALANCER, balancer
+    for host in answers.hosts_by_name.values():
+        yield Role.AGENT, host
+
+
+def _build_service(answers: Answers, service: ServiceAnswers) -> Service:
+    return Service(
+        name=service.name,
+        tenant=answers.team.name,
+        revision=0,
+        protocol=service.protocol,
+        addresses=(Address(service.ip, service.port),),
+        places=service.places,
+        targets_by_id={
+            host.name: _build_target(service, host)
+            for host in answers.hosts_by_name.values()
+            if service.name in host.services
+        },
+        request_timeout=service.late_after,
+        heartbeat=service.silence / HEARTBEATS_UNTIL_SILENT,
+        flow_idle=max(FLOW_IDLE_S_BY_WORSE[service.worse], service.silence),
+        cold_start=COLD_START_S_BY_WORSE[service.worse],
+        grace=service.grace,
+    )
+
+
+def _build_target(service: ServiceAnswers, host: HostAnswers) -> Target:
+    return Target(
+        target_id=host.name,
+        host_id=host.name,
+        zone=host.zone,
+        agent=Address(host.ip, PACKETS_PORT),
+        upstream=Address(host.ip, service.port),
+        weight=host.strength,
+        slots=service.slots,
+        connections=service.connections,
+    )
+
+
+def _build_hosts(answers: Answers, zone: Zone) -> Iterator[Host]:
+    for role, machine in _machines(answers):
+        if machine.zone == zone:
+            packets = Address(machine.ip, PACKETS_PORT)
+            control = Address(machine.ip, CONTROL_PORT)
+            yield Host(machine.name, role, zone, packets, control)
+
+
+def _format_settings(answers: Answers, role: Role, machine: Machine) -> str:
+    team = answers.team
+    operators_ip = LOOPBACK_IP
+    if team.operators is Operators.HOST_ADDRESS:
+        operators_ip = machine.ip
+    options_by_section: dict[str, Mapping[str, object]] = {
+        "process": {
+            "role": role,
+            "host": machine.name,
+            "zone": machine.zone,
+            "packets": Address(machine.ip, PACKETS_PORT),
+            "control": Address(machine.ip, CONTROL_PORT),
+            "operators": Address(operators_ip, OPERATORS_PORT),
+        },
+        "platform": {"url": team.platform},
+    }
+    seeds = _choose_seeds(answers, machine)
+    if seeds:
+        options_by_section["seeds"] = {"control": ", ".join(map(str, seeds))}
+    options_by_section["limits"] = {"grace_s": _grace(answers, role, machine)}
+    options_by_section["log"] = {"level": LogLevel.INFO}
+    if role is Role.BALANCER and team.fabric is Fabric.BALANCER_ADDRESS:
+        options_by_section["listen"] = _listen_options(answers, machine.ip)
+    return format_sections(options_by_section)
+
+
+def _choose_seeds(answers: Answers, machine: Machine) -> Sequence[Address]:
+    """Return control addresses of balancers, those of other zones first."""
+    others = [
+        balancer
+        for balancer in answers.balancers_by_name.values()
+        if balancer.name != machine.name
+    ]
+    others.sort(key=lambda balancer: balancer.zone == machine.zone)
+    return [Address(balancer.ip, CONTROL_PORT) for balancer in others[:MAX_SEEDS]]
+
+
+def _grace(answers: Answers, role: Role, machine: Machine) -> float:
+    """Return the grace period of a process: the longest of its services."""
+    services = answers.services_by_name.values()
+    if role is Role.AGENT:
+        services = [answers.services_by_name[name] for name in machine.services]
+    return max(service.grace for service in services)
+
+
+def _listen_options(answers: Answers, ip: str) -> dict[str, object]:
+    return {
+        name: Address(ip, FIRST_LISTEN_PORT + index)
+        for index, name in enumerate(answers.services_by_name)
+    }
--- a/lycheeglade/settings.py
+++ b/lycheeglade/settings.py
@@ -129,7 +129,14 @@
     return settings
 
 
-def _parse_url(text: str) -> str:
+def parse_url(text: str) -> str:
+    """Return the URL of a platform without a last slash.
+
+    Raises
+    ------
+    ValueError
+        If `text` is anything but an http or https URL of a host and a path.
+    """
     url = urlsplit(text)
     if url.scheme not in ("http", "https") or not url.hostname:
         raise ValueError(f"{text!r} is not an http or https URL")
@@ -140,7 +147,7 @@
 
 def _read_platform_url(reader: OptionReader) -> str:
     section = reader.get_section("platform")
-    url = section.get("url", _parse_url, "")
+    url = section.get("url", parse_url, "")
     section.refuse_unknown()
     return url
 
