Split the ticket book into format, store and judgement

Change: ticket_format (layout and MAC), ticket_store (bounded records), used_counters (one bit a counter); TicketBook keeps the judgement.

--- /dev/null
+++ b/lycheeglade/ticket_format.py
@@ -0,0 +1,55 @@
+"""Format of tickets: book, counter, checksum and MAC.
+
+The checksum tells a ticket of another book, whose MAC can't be verified here,
+from bytes that were never a ticket.
+"""
+
+from hashlib import blake2b
+
+from xxhash import xxh32_digest
+
+TICKET_FORMAT = 1
+BOOK_ID_BYTES = 8
+COUNTER_BYTES = 8
+CHECKSUM_BYTES = 4
+MAC_BYTES = 16
+TICKET_BYTES = 1 + BOOK_ID_BYTES + COUNTER_BYTES + CHECKSUM_BYTES + MAC_BYTES
+
+_NAME_END = 1 + BOOK_ID_BYTES + COUNTER_BYTES
+_MAC_START = _NAME_END + CHECKSUM_BYTES
+
+
+def make_book_id(minter: str, incarnation: int) -> bytes:
+    """Return the identity of the book of one incarnation of `minter`.
+
+    Parameters
+    ----------
+    incarnation : int
+        Random number below ``2 ** 64``.
+    """
+    salt = incarnation.to_bytes(8, "big")
+    return blake2b(minter.encode(), digest_size=BOOK_ID_BYTES, salt=salt).digest()
+
+
+def make_ticket(key: bytes, book_id: bytes, counter: int) -> bytes:
+    """Return the ticket with number `counter`."""
+    name = book_id + counter.to_bytes(COUNTER_BYTES, "big")
+    mac = blake2b(name, key=key, digest_size=MAC_BYTES).digest()
+    return bytes([TICKET_FORMAT]) + name + xxh32_digest(name) + mac
+
+
+def is_well_formed(ticket: bytes) -> bool:
+    """Tell whether some book may have minted `ticket`."""
+    if len(ticket) != TICKET_BYTES or ticket[0] != TICKET_FORMAT:
+        return False
+    return ticket[_NAME_END:_MAC_START] == xxh32_digest(ticket_name(ticket))
+
+
+def ticket_name(ticket: bytes) -> bytes:
+    """Return the part of `ticket` that no other ticket has."""
+    return ticket[1:_NAME_END]
+
+
+def counter_of(name: bytes) -> int:
+    """Return the counter in a ticket's name."""
+    return int.from_bytes(name[BOOK_ID_BYTES:], "big")
--- /dev/null
+++ b/lycheeglade/used_counters.py
@@ -0,0 +1,35 @@
+"""Which counters were used, at one bit each."""
+
+BITS_PER_PAGE = 1024
+MAX_PAGES = 4096
+
+
+class UsedCounters:
+    """Set of counters, bounded to the latest pages.
+
+    At the bound the oldest page is dropped, and every counter on it or before
+    it counts as used.
+    """
+
+    __slots__ = ("_bits_by_page", "_first_known")
+
+    def __init__(self):
+        self._bits_by_page: dict[int, int] = {}
+        self._first_known = 0
+
+    def __contains__(self, counter: int) -> bool:
+        if counter < self._first_known:
+            return True
+        page, bit = divmod(counter, BITS_PER_PAGE)
+        return bool(self._bits_by_page.get(page, 0) >> bit & 1)
+
+    def add(self, counter: int) -> None:
+        """Note that `counter` was used."""
+        if counter < self._first_known:
+            return
+        page, bit = divmod(counter, BITS_PER_PAGE)
+        self._bits_by_page[page] = self._bits_by_page.get(page, 0) | 1 << bit
+        if len(self._bits_by_page) > MAX_PAGES:
+            oldest = min(self._bits_by_page)
+            del self._bits_by_page[oldest]
+            self._first_known = (oldest + 1) * BITS_PER_PAGE
--- a/tests/test_ticket.py
+++ b/tests/test_ticket.py
@@ -3,11 +3,11 @@
 from lycheeglade.errors import TicketError
 from lycheeglade.flow import FlowKey
 from lycheeglade.ticket import (
-    MAX_UNUSED_PER_FLOW,
-    TICKET_BYTES,
     Judgement,
     TicketBook,
 )
+from lycheeglade.ticket_format import TICKET_BYTES
+from lycheeglade.ticket_store import MAX_UNUSED_PER_FLOW
 
 FLOW = FlowKey("phrasebook", "127.0.0.9", 4000)
 OTHER_FLOW = FlowKey("phrasebook", "127.0.0.9", 4001)
