Prove tickets by a state machine of callers, agents and a lossy network

Cause: at most once must hold over retransmission, crossing, late duplicates, restarts, pauses, handoff with lost or repeated commits, and a full memory. Change: hypothesis rules for all of these with four records a book. Checked: no request runs twice, 'not run' is told only of what never ran and never runs later, a fresh ticket is never unknown. A judgement that takes any book's ticket is caught.

--- /dev/null
+++ b/tests/test_ticket_machine.py
@@ -0,0 +1,282 @@
+"""State machine of callers, agents and a network that reorders and repeats.
+
+The callers follow the protocol: after "not run" they send the same request
+with a new ticket, after any other final answer they stop. Copies of each
+message stay in the network and may arrive at any agent at any later time.
+"""
+
+from contextlib import suppress
+from dataclasses import dataclass, field
+from os import environ
+
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    Bundle,
+    RuleBasedStateMachine,
+    consumes,
+    invariant,
+    multiple,
+    rule,
+    run_state_machine_as_test,
+)
+
+from lycheeglade.errors import TicketError
+from lycheeglade.flow import FlowKey
+from lycheeglade.ticket import Judgement, TicketBook, Verdict
+from lycheeglade.ticket_format import is_well_formed
+
+FLOWS = [FlowKey("phrasebook", "127.0.0.9", port) for port in (4000, 4001)]
+AGENTS = ("a", "b", "c")
+MAX_OUTCOMES = 4
+LIFETIME_S = 60.0
+
+
+@dataclass(eq=False)
+class Request:
+    number: int
+    runs: int = 0
+    stopped: bool = False
+
+
+@dataclass(eq=False)
+class Attempt:
+    """One request with one ticket; all its copies are alike."""
+
+    request: Request
+    ticket: bytes | None
+    flow: FlowKey
+    runs: int = 0
+    told_not_run: bool = False
+    refused: bool = False
+
+    @property
+    def digest(self):
+        return self.request.number.to_bytes(4, "big")
+
+
+@dataclass
+class Agent:
+    name: str
+    incarnation: int = 0
+    running: list[Attempt] = field(default_factory=list)
+    ready: set[int] = field(default_factory=set)
+
+    def __post_init__(self):
+        self.start()
+
+    def start(self):
+        self.incarnation += 1
+        self.running = []
+        self.ready = set()
+        self.book = TicketBook(
+            f"{self.name}{self.incarnation}".encode(),
+            self.name,
+            self.incarnation,
+            MAX_OUTCOMES,
+            LIFETIME_S,
+        )
+
+
+class TicketMachine(RuleBasedStateMachine):
+    judge = staticmethod(TicketBook.judge)
+    begin = staticmethod(TicketBook.begin)
+
+    attempts = Bundle("attempts")
+    tickets = Bundle("tickets")
+    commits = Bundle("commits")
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.requests = []
+        self.sent = []
+        self.handoffs = 0
+        self.minters = {}
+        self.touched = set()
+        self.agents = {name: Agent(name) for name in AGENTS}
+
+    def new_attempt(self, request, ticket, flow):
+        attempt = Attempt(request, ticket, flow)
+        self.sent.append(attempt)
+        return attempt
+
+    def tell_not_run(self, attempt):
+        assert attempt.runs == 0, "told 'not run' of what ran"
+        attempt.told_not_run = True
+
+    @rule(target=tickets, agent=st.sampled_from(AGENTS), flow=st.sampled_from(FLOWS))
+    def mint(self, agent, flow):
+        agent = self.agents[agent]
+        ticket = agent.book.mint(flow, self.now)
+        if ticket is None:
+            return multiple()
+        self.minters[ticket] = agent.book
+        return ticket, flow
+
+    @rule(target=attempts, ticket=tickets)
+    def send(self, ticket):
+        request = Request(len(self.requests))
+        self.requests.append(request)
+        return self.new_attempt(request, *ticket)
+
+    @rule(target=attempts, old=attempts, ticket=tickets)
+    def send_again_after_not_run(self, old, ticket):
+        request = old.request
+        if not old.told_not_run or request.stopped:
+            return multiple()
+        if any(a.request is request and a.ticket == ticket[0] for a in self.sent):
+            return multiple()
+        return self.new_attempt(request, *ticket)
+
+    @rule(
+        attempt=attempts,
+        agent=st.sampled_from(AGENTS),
+        flow=st.none() | st.sampled_from(FLOWS),
+        admitted=st.booleans(),
+    )
+    def deliver(self, attempt, agent, flow, admitted):
+        agent = self.agents[agent]
+        flow = flow or attempt.flow
+        verdict = self.judge(agent.book, attempt.ticket, flow, attempt.digest, self.now)
+        match verdict.judgement:
+            case Judgement.CHALLENGE:
+                self.tell_not_run(attempt)
+            case Judgement.RUN:
+                self.run_or_refuse(agent, attempt, admitted)
+            case Judgement.RUNNING:
+                assert attempt in agent.running
+            case Judgement.REPLAY:
+                self.replay(attempt, verdict.outcome)
+            case Judgement.UNKNOWN:
+                assert not self.is_fresh(agent, attempt)
+                attempt.request.stopped = True
+
+    def run_or_refuse(self, agent, attempt, admitted):
+        self.touched.add(attempt.ticket)
+        self.begin(agent.book, attempt.ticket, attempt.digest, self.now)
+        if admitted:
+            attempt.runs += 1
+            attempt.request.runs += 1
+            agent.running.append(attempt)
+            return
+        attempt.refused = True
+        agent.book.finish(attempt.ticket, self.outcome_of(attempt), self.now)
+        self.tell_not_run(attempt)
+
+    def replay(self, attempt, outcome):
+        assert outcome == self.outcome_of(attempt)
+        if attempt.refused:
+            self.tell_not_run(attempt)
+        else:
+            attempt.request.stopped = True
+
+    def is_fresh(self, agent, attempt):
+        """Tell whether only this book can have run the attempt, and hasn't."""
+        minter = self.minters[attempt.ticket]
+        return minter is agent.book and attempt.ticket not in self.touched
+
+    def outcome_of(self, attempt):
+        return b"not run" if attempt.refused else b"done" + attempt.digest
+
+    @rule(agent=st.sampled_from(AGENTS))
+    def finish(self, agent):
+        agent = self.agents[agent]
+        if agent.running:
+            attempt = agent.running.pop(0)
+            agent.book.finish(attempt.ticket, self.outcome_of(attempt), self.now)
+
+    @rule(agent=st.sampled_from(AGENTS))
+    def restart(self, agent):
+        self.agents[agent].start()
+
+    @rule(seconds=st.sampled_from([1.0, 50.0, 600.0]))
+    def pause(self, seconds):
+        self.now += seconds
+
+    @rule(
+        target=commits,
+        agent=st.sampled_from(AGENTS),
+        successor=st.sampled_from(AGENTS),
+        flow=st.sampled_from(FLOWS),
+    )
+    def hand_off(self, agent, successor, flow):
+        if agent == successor:
+            return multiple()
+        self.handoffs += 1
+        self.agents[successor].ready.add(self.handoffs)
+        self.touched.update(a.ticket for a in self.sent if a.flow == flow)
+        state = self.agents[agent].book.export_flow(flow, self.now)
+        return self.handoffs, successor, flow, state
+
+    @rule(commit=commits)
+    def deliver_commit(self, commit):
+        handoff, successor, flow, state = commit
+        successor = self.agents[successor]
+        # An incarnation takes only the handoffs that it has agreed to.
+        if handoff in successor.ready:
+            successor.book.import_flow(flow, state, self.now)
+
+    @rule(commit=consumes(commits))
+    def lose_commit(self, commit):
+        pass
+
+    @invariant()
+    def runs_at_most_once(self):
+        assert all(request.runs <= 1 for request in self.requests), "ran twice"
+
+    @invariant()
+    def not_run_is_true(self):
+        assert not any(a.told_not_run and a.runs for a in self.sent), (
+            "told 'not run' of what ran"
+        )
+
+    @invariant()
+    def memory_is_bounded(self):
+        for agent in self.agents.values():
+            assert len(agent.book) <= MAX_OUTCOMES
+
+
+def accept_any_book(book, ticket, flow, digest, now):
+    """Broken on purpose: takes any ticket that some book may have minted."""
+    verdict = book.judge(ticket, flow, digest, now)
+    if verdict.judgement is Judgement.UNKNOWN and is_well_formed(ticket):
+        return Verdict(Judgement.RUN)
+    return verdict
+
+
+def begin_any(book, ticket, digest, now):
+    with suppress(TicketError):
+        book.begin(ticket, digest, now)
+
+
+class BrokenMachine(TicketMachine):
+    judge = staticmethod(accept_any_book)
+    begin = staticmethod(begin_any)
+
+
+def seeded_settings(**options):
+    """Settings of CI, or of a longer run if LYCHEEGLADE_EXAMPLES is set."""
+    examples = environ.get("LYCHEEGLADE_EXAMPLES")
+    return settings(
+        max_examples=int(examples or 100),
+        report_multiple_bugs=False,
+        **options,
+        derandomize=not examples,
+        stateful_step_count=40,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+    )
+
+
+def test_no_request_runs_twice():
+    run_state_machine_as_test(TicketMachine, settings=seeded_settings())
+
+
+def test_machine_catches_a_broken_judgement():
+    with pytest.raises(AssertionError, match=r"ran twice|what ran"):
+        run_state_machine_as_test(
+            BrokenMachine, settings=seeded_settings(phases=[Phase.generate])
+        )
