Find a flow's home again after a handoff that went elsewhere

Cause: a successor whose acceptance was lost held the flow's packets, and when its offer expired it opened the flow itself, while another successor had taken it. Change: an offer is repeated to the same successor before the next one is asked; an expired offer is followed by probes, the leaving home included; a home whose notifications stay unacknowledged tells the candidates where the flow lives; an idle copy of a flow yields to such a notice.

--- a/lycheeglade/agent.py
+++ b/lycheeglade/agent.py
@@ -31,7 +31,6 @@
     stop_drain,
 )
 from lycheeglade.home import (
-    announce_home,
     receive_forward,
     receive_home_notice,
     receive_probe,
@@ -39,6 +38,7 @@
 )
 from lycheeglade.membership import Membership
 from lycheeglade.message import Adapter
+from lycheeglade.notice import announce_home
 from lycheeglade.packet import (
     Delegate,
     DelegateReply,
--- a/lycheeglade/feed.py
+++ b/lycheeglade/feed.py
@@ -8,6 +8,8 @@
 )
 from lycheeglade.exchange import reply_to, take_upstream_token
 from lycheeglade.message import CallerMessage, UpstreamMessage
+from lycheeglade.notice import announce_home
+from lycheeglade.routing import CANDIDATES
 from lycheeglade.served_target import (
     MESSAGE_ID_MODULUS,
     Feed,
@@ -23,6 +25,7 @@
 MAX_RETRY_S = 2.0
 RETRY_JITTER = 0.25
 MAX_REFRESHES = 3
+ATTEMPTS_PER_NOTICE = 2
 REGISTRATION_TIMEOUT_S = 5.0
 
 
@@ -302,6 +305,9 @@
         agent.actions.count("feed", served.service.name, "caller-silent")
         drop_feed(agent, served, feed)
         return
+    if feed.in_flight.attempts % ATTEMPTS_PER_NOTICE == 0:
+        # The acknowledgement may have gone to an agent that isn't the home.
+        announce_home(agent, served, [feed.flow], now, receivers=CANDIDATES)
     send_in_flight(agent, served, record, feed, now)
 
 
--- a/lycheeglade/handoff.py
+++ b/lycheeglade/handoff.py
@@ -22,13 +22,8 @@
     send_in_flight,
 )
 from lycheeglade.flow import FlowKey
-from lycheeglade.home import (
-    announce_home,
-    find_home,
-    pass_on,
-    place_flow_of,
-    point_to,
-)
+from lycheeglade.home import point_to, probe_homes, serve_held
+from lycheeglade.notice import announce_home
 from lycheeglade.packet import (
     HandoffCommit,
     HandoffDone,
@@ -44,13 +39,14 @@
     OutgoingHandoff,
     ServedTarget,
 )
-from lycheeglade.session import close_record, open_record, serve_packet
+from lycheeglade.session import close_record, open_record
 
 MAX_HANDOFFS_AT_ONCE = 64
-OFFER_TIMEOUT_S = 1.0
+OFFER_TIMEOUT_S = 0.75
+OFFERS_PER_SUCCESSOR = 3
 COMMIT_RETRY_S = 0.25
 MAX_COMMIT_ATTEMPTS = 8
-INCOMING_TIMEOUT_S = 5.0
+INCOMING_TIMEOUT_S = 3.0
 DRAIN_POLL_S = 0.1
 READY_TIMEOUT_S = 0.5
 
@@ -138,7 +134,8 @@
     ]
     if not successors:
         return
-    successor = successors[record.failed_offers % len(successors)]
+    turn = record.failed_offers // OFFERS_PER_SUCCESSOR
+    successor = successors[turn % len(successors)]
     handoff = OutgoingHandoff(agent.next_number(), record.flow, successor)
     served.outgoing_by_id[handoff.handoff_id] = handoff
     record.leaving = True
@@ -172,24 +169,7 @@
     record.leaving = False
     record.failed_offers += 1
     agent.actions.count("handoff", served.service.name, "not-taken")
-    _serve_held(agent, served, handoff.flow, record.held, now)
-
-
-def _serve_held(
-    agent: Agent, served: ServedTarget, flow: FlowKey, held: deque, now: float
-) -> None:
-    """Serve packets that waited, or pass them to the flow's home."""
-    packets = list(held)
-    held.clear()
-    for packet in packets:
-        record = served.records_by_flow.get(flow)
-        home = find_home(agent, served, flow, now)
-        if record is not None:
-            serve_packet(agent, served, record, packet, now)
-        elif home is not None:
-            pass_on(agent, served, packet, home, now)
-        else:
-            place_flow_of(agent, served, flow, packet, now)
+    serve_held(agent, served, handoff.flow, record.held, now)
 
 
 def receive_offer(
@@ -284,7 +264,7 @@
     )
     send_packet(agent, source, ready, now)
     if not registered:
-        _serve_held(agent, served, flow, incoming.held, now)
+        _find_home_again(agent, served, flow, incoming, now)
 
 
 def _cancel_incoming(
@@ -306,7 +286,19 @@
 ) -> None:
     if served.incoming_by_flow.get(flow) is incoming:
         _cancel_incoming(agent, served, flow, incoming)
-        _serve_held(agent, served, flow, incoming.held, now)
+        _find_home_again(agent, served, flow, incoming, now)
+
+
+def _find_home_again(
+    agent: Agent,
+    served: ServedTarget,
+    flow: FlowKey,
+    incoming: IncomingHandoff,
+    now: float,
+) -> None:
+    """Serve what waited for a flow that went elsewhere or stayed at home."""
+    likely = (incoming.home_target_id,)
+    probe_homes(agent, served, flow, list(incoming.held), now, likely)
 
 
 def receive_ready(
@@ -324,7 +316,7 @@
     close_record(agent, served, record, now)
     point_to(agent, served, handoff.flow, handoff.successor.target_id, now)
     _send_commit(agent, served, handoff, now)
-    _serve_held(agent, served, handoff.flow, record.held, now)
+    serve_held(agent, served, handoff.flow, record.held, now)
 
 
 def _export_flow(served: ServedTarget, record: FlowRecord, now: float) -> FlowState:
@@ -404,7 +396,7 @@
     _import_flow(agent, served, flow, incoming, state, now)
     agent.actions.count("handoff", served.service.name, "taken")
     announce_home(agent, served, [flow], now)
-    _serve_held(agent, served, flow, incoming.held, now)
+    serve_held(agent, served, flow, incoming.held, now)
 
 
 def _acknowledge_commit(agent: Agent, packet: HandoffCommit, source: Address) -> None:
--- a/lycheeglade/home.py
+++ b/lycheeglade/home.py
@@ -5,7 +5,8 @@
 is asked for an unknown flow asks the other candidates before it opens it.
 """
 
-from collections.abc import Iterable
+from collections import deque
+from collections.abc import Sequence
 
 from lycheeglade.address import Address
 from lycheeglade.agent_state import (
@@ -18,6 +19,7 @@
 from lycheeglade.exchange import reply_to
 from lycheeglade.flow import FlowKey
 from lycheeglade.message import Kind
+from lycheeglade.notice import announce_home
 from lycheeglade.packet import (
     Answer,
     Forward,
@@ -26,13 +28,18 @@
     ProbeReply,
 )
 from lycheeglade.served_target import HomePointer, Opening, ServedTarget
-from lycheeglade.session import flow_of, hold_packet, open_record, serve_packet
+from lycheeglade.session import (
+    close_record,
+    flow_of,
+    hold_packet,
+    open_record,
+    serve_packet,
+)
 from lycheeglade.view import State, Target
 
 MAX_HOPS = 4
 MAX_PROBES = 6
 PROBE_TIMEOUT_S = 0.05
-MAX_NOTICE_CALLERS = 500
 REFUSED_FLOW_RETRY_AFTER_S = 2
 
 
@@ -123,12 +130,34 @@
     if packet.hops > 0 or now >= served.settled_at:
         place_flow_of(agent, served, flow, packet, now)
         return
-    others = _probe_targets(agent, served, flow, packet)
+    probe_homes(agent, served, flow, [packet], now)
+
+
+def probe_homes(
+    agent: Agent,
+    served: ServedTarget,
+    flow: FlowKey,
+    packets: Sequence[Forward],
+    now: float,
+    likely: tuple[str, ...] = (),
+) -> None:
+    """Ask other agents for a flow's home, then serve `packets`.
+
+    Parameters
+    ----------
+    likely : tuple of str
+        Targets to ask besides the candidates.
+    """
+    if not packets:
+        return
+    packet = packets[0]
+    others = _probe_targets(agent, served, flow, packet, likely)
     if not others:
-        place_flow_of(agent, served, flow, packet, now)
+        for packet in packets:
+            _serve_or_place(agent, served, flow, packet, now)
         return
     opening = Opening(now, {target.target_id for target in others})
-    opening.held.append(packet)
+    opening.held.extend(packets)
     served.openings_by_flow[flow] = opening
     for target in others:
         probe = Probe(
@@ -143,7 +172,11 @@
 
 
 def _probe_targets(
-    agent: Agent, served: ServedTarget, flow: FlowKey, packet: Forward
+    agent: Agent,
+    served: ServedTarget,
+    flow: FlowKey,
+    packet: Forward,
+    likely: tuple[str, ...],
 ) -> list[Target]:
     """Return the targets that the flow may live at already."""
     targets_by_id = served.service.targets_by_id
@@ -154,7 +187,7 @@
         for target in targets_by_id.values()
         if target.state is State.LEAVING
     ]
-    names = dict.fromkeys([*packet.candidates, *ranked, *leaving])
+    names = dict.fromkeys([*likely, *packet.candidates, *ranked, *leaving])
     return [
         targets_by_id[name]
         for name in names
@@ -219,14 +252,34 @@
         served.service.name, "flow", "opening", now - opening.started_at
     )
     for packet in opening.held:
-        record = served.records_by_flow.get(flow)
-        home = find_home(agent, served, flow, now)
-        if record is not None:
-            serve_packet(agent, served, record, packet, now)
-        elif home is not None:
-            pass_on(agent, served, packet, home, now)
-        else:
-            place_flow_of(agent, served, flow, packet, now)
+        _serve_or_place(agent, served, flow, packet, now)
+
+
+def serve_held(
+    agent: Agent,
+    served: ServedTarget,
+    flow: FlowKey,
+    held: deque[Forward],
+    now: float,
+) -> None:
+    """Serve packets that waited, or pass them to the flow's home."""
+    packets = list(held)
+    held.clear()
+    for packet in packets:
+        _serve_or_place(agent, served, flow, packet, now)
+
+
+def _serve_or_place(
+    agent: Agent, served: ServedTarget, flow: FlowKey, packet: Forward, now: float
+) -> None:
+    record = served.records_by_flow.get(flow)
+    home = find_home(agent, served, flow, now)
+    if record is not None:
+        serve_packet(agent, served, record, packet, now)
+    elif home is not None:
+        pass_on(agent, served, packet, home, now)
+    else:
+        place_flow_of(agent, served, flow, packet, now)
 
 
 def place_flow_of(
@@ -317,29 +370,6 @@
     agent.actions.send(Address(packet.balancer_ip, packet.balancer_port), answer)
 
 
-def announce_home(
-    agent: Agent, served: ServedTarget, flows: Iterable[FlowKey], now: float
-) -> None:
-    """Tell each flow's first candidate that the flow lives here."""
-    callers_by_target: dict[str, list[tuple[str, int]]] = {}
-    for flow in flows:
-        ranked = rank_flow(agent, served, flow)
-        if ranked and ranked[0].target_id != served.target.target_id:
-            callers = callers_by_target.setdefault(ranked[0].target_id, [])
-            callers.append((flow.caller_ip, flow.caller_port))
-    for target_id, callers in callers_by_target.items():
-        address = served.service.targets_by_id[target_id].agent
-        for start in range(0, len(callers), MAX_NOTICE_CALLERS):
-            notice = HomeNotice(
-                served.service.name,
-                target_id,
-                served.target.target_id,
-                tuple(callers[start : start + MAX_NOTICE_CALLERS]),
-            )
-            agent.actions.count("home-notice", served.service.name, "sent")
-            send_packet(agent, address, notice, now)
-
-
 def receive_home_notice(
     agent: Agent, served: ServedTarget, packet: HomeNotice, now: float
 ) -> None:
@@ -348,8 +378,14 @@
         return
     for caller_ip, caller_port in packet.callers:
         flow = FlowKey(packet.service, caller_ip, caller_port)
-        if flow not in served.records_by_flow:
-            point_to(agent, served, flow, packet.home_target_id, now)
-            opening = served.openings_by_flow.get(flow)
-            if opening is not None:
-                _finish_opening(agent, served, flow, opening, now)
+        record = served.records_by_flow.get(flow)
+        if record is not None:
+            if record.feeds_by_token or record.requests_by_message_id:
+                continue
+            # The flow was opened here while its home was out of reach.
+            agent.actions.count("flow", served.service.name, "yielded")
+            close_record(agent, served, record, now)
+        point_to(agent, served, flow, packet.home_target_id, now)
+        opening = served.openings_by_flow.get(flow)
+        if opening is not None:
+            _finish_opening(agent, served, flow, opening, now)
