Spread the configuration by watches and gossip

A few processes a zone, chosen by rendezvous, watch the platform; the others hear of a change by pushes and by an exchange with a random peer about every two seconds, and take over when the platform has not confirmed the view for long. A fresh process loads from seeds or zone peers.

The blackboard tells when others were last asked and heard, so that a process that wakes from a pause can wait for a newer view.

--- a/lycheeglade/blackboard.py
+++ b/lycheeglade/blackboard.py
@@ -11,6 +11,8 @@
 
 Entry = TypeVar("Entry")
 
+NEVER = float("-inf")
+
 
 class Topic(Generic[Entry]):
     """One typed entry of the blackboard. Each topic has a single writer."""
@@ -38,9 +40,22 @@
 
 
 class Blackboard:
-    """Entries that the controllers of one process read and write."""
+    """Entries that the controllers of one process read and write.
+
+    Attributes
+    ----------
+    view : Topic of View
+        The published configuration; revision 0 until a whole one is known.
+    checked_at : Topic of float
+        When this process last asked others for a newer view, whether anyone
+        answered or not; `lycheeglade.watch.view_is_fresh` judges it.
+    heard_at : Topic of float
+        When the platform or a peer last answered.
+    """
 
     def __init__(self):
         self.view: Topic[View] = Topic(View())
+        self.checked_at: Topic[float] = Topic(NEVER)
+        self.heard_at: Topic[float] = Topic(NEVER)
         self.suspects: Topic[frozenset[str]] = Topic(frozenset())
         self.draining: Topic[bool] = Topic(False)
--- /dev/null
+++ b/lycheeglade/gossip.py
@@ -0,0 +1,351 @@
+"""Keeps the view current: watches the platform and talks to peers.
+
+Requests and replies between peers go over ``pynng`` (Req0 to Rep0, TCP). Only
+replies of peers that this process dialled are believed; a request from
+elsewhere can at most make it ask a peer that it knows already.
+"""
+
+from asyncio import Event, TaskGroup, gather, sleep, timeout
+from collections.abc import Iterable
+from logging import getLogger
+from random import Random
+from time import monotonic
+
+from aiohttp import ClientSession
+from pynng import NNGException, Rep0, Req0
+
+from lycheeglade.address import Address
+from lycheeglade.blackboard import Blackboard
+from lycheeglade.errors import OptionError, PacketError
+from lycheeglade.knowledge import Knowledge
+from lycheeglade.message import (
+    MAX_MESSAGE_BYTES,
+    Compare,
+    Exchange,
+    Message,
+    Reply,
+    decode_message,
+    encode_message,
+)
+from lycheeglade.platform_client import IndexEntry, PlatformClient, PlatformError
+from lycheeglade.settings import Settings
+from lycheeglade.spread import build_view
+from lycheeglade.value import Value
+from lycheeglade.view import View
+from lycheeglade.watch import (
+    FRESH_S,
+    ReadBudget,
+    choose_peers,
+    is_watcher,
+    list_peers,
+    rank_watcher,
+    retry_delay,
+    view_is_fresh,
+)
+
+logger = getLogger(__name__)
+
+REQUEST_TIMEOUT_S = 1.0
+SEND_TIMEOUT_MS = 500
+ROUND_S = 2.0
+ROUND_JITTER_S = 0.5
+ATTEMPTS_PER_ROUND = 2
+ATTEMPTS_AFTER_PAUSE = 3
+PUSH_FANOUT = 4
+PUSH_PAUSE_S = 0.2
+MAX_REPLIES_PER_PULL = 512
+MAX_PULLS_WAITING = 8
+WATCH_S = 10.0
+WATCH_PAUSE_S = 0.2
+PARALLEL_READS = 8
+
+
+async def follow_configuration(
+    settings: Settings, blackboard: Blackboard, generator: Random
+) -> None:
+    """Keep the blackboard's view current until cancelled.
+
+    Writes ``view``, ``checked_at`` and ``heard_at``.
+
+    Raises
+    ------
+    pynng.NNGException
+        If the control address can't be bound.
+    """
+    async with ClientSession() as session:
+        platform = PlatformClient(settings.platform_url, session)
+        follower = Follower(settings, blackboard, generator, platform)
+        with Rep0(
+            recv_max_size=MAX_MESSAGE_BYTES, send_timeout=SEND_TIMEOUT_MS
+        ) as listener:
+            listener.listen(f"tcp://{settings.control}")
+            async with TaskGroup() as tasks:
+                tasks.create_task(follower.serve(listener))
+                tasks.create_task(follower.exchange_in_rounds())
+                tasks.create_task(follower.pull_when_behind())
+                tasks.create_task(follower.push_news())
+                tasks.create_task(follower.watch_platform())
+
+
+class Follower:
+    """One process that follows the configuration."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        blackboard: Blackboard,
+        generator: Random,
+        platform: PlatformClient,
+    ):
+        self._settings = settings
+        self._blackboard = blackboard
+        self._random = generator
+        self._platform = platform
+        self._knowledge = Knowledge(monotonic())
+        self._budget = ReadBudget()
+        self._peers = list_peers(settings, blackboard.view.value)
+        self._rank = (0, 1)
+        self._published = (0, 0)
+        self._news = Event()
+        self._behind = Event()
+        self._revision_by_sender: dict[Address, int] = {}
+
+    async def serve(self, listener: Rep0) -> None:
+        """Answer the requests of peers."""
+        while True:
+            try:
+                message = decode_message(await listener.arecv())
+                reply = self._answer(message, monotonic())
+                if reply is not None:
+                    await listener.asend(encode_message(reply))
+            except PacketError as error:
+                logger.warning("control_message_refused cause=%s", error.cause)
+            except NNGException as error:
+                logger.debug("control_reply_lost cause=%s", type(error).__name__)
+
+    async def exchange_in_rounds(self) -> None:
+        """Compare notes with a random peer every two seconds."""
+        while True:
+            started_at = monotonic()
+            await self._exchange_once(started_at)
+            if monotonic() - started_at < FRESH_S:
+                self._blackboard.checked_at.write(started_at)
+            low, high = ROUND_S - ROUND_JITTER_S, ROUND_S + ROUND_JITTER_S
+            await sleep(self._random.uniform(low, high))
+
+    async def pull_when_behind(self) -> None:
+        """Ask peers that told of a newer revision."""
+        while True:
+            await self._behind.wait()
+            self._behind.clear()
+            while self._revision_by_sender:
+                sender, revision = self._revision_by_sender.popitem()
+                if self._knowledge.is_behind(revision):
+                    await self._talk_to(sender)
+
+    async def push_news(self) -> None:
+        """Tell a few random peers of each new revision at once."""
+        while True:
+            await self._news.wait()
+            self._news.clear()
+            peers = choose_peers(self._peers, PUSH_FANOUT, self._random)
+            await gather(*map(self._talk_to, peers))
+            await sleep(self._random.uniform(0.5, 1.0) * PUSH_PAUSE_S)
+
+    async def watch_platform(self) -> None:
+        """Watch the platform while this process is one of its watchers."""
+        failures = 0
+        await self._learn_peers()
+        while True:
+            silence = self._knowledge.silence(monotonic())
+            if not is_watcher(*self._rank, silence):
+                await sleep(self._random.uniform(0.5, 1.5))
+                continue
+            try:
+                confirmed = await self._read_changes(WATCH_S)
+            except PlatformError as error:
+                logger.info("platform_unread cause=%s", error)
+                confirmed = False
+            failures = 0 if confirmed else failures + 1
+            await sleep(self._watch_pause(failures))
+
+    def _watch_pause(self, failures: int) -> float:
+        if not failures:
+            return self._random.uniform(0.5, 1.0) * WATCH_PAUSE_S
+        hosts = len(self._blackboard.view.value.hosts_by_id)
+        return retry_delay(failures, *self._rank, hosts, self._random)
+
+    def _answer(self, message: Message, now: float) -> Reply | None:
+        fresh = view_is_fresh(self._blackboard.checked_at.value, now)
+        if isinstance(message, Exchange):
+            self._note_sender(message)
+            return self._knowledge.answer(message, fresh, now)
+        if isinstance(message, Compare):
+            return self._knowledge.answer_compare(message, fresh, now)
+        raise PacketError("kind")
+
+    def _note_sender(self, exchange: Exchange) -> None:
+        sender = Address(exchange.sender_ip, exchange.sender_port)
+        if not self._knowledge.is_behind(exchange.revision):
+            return
+        if len(self._revision_by_sender) >= MAX_PULLS_WAITING:
+            return
+        if self._peers.knows(sender):
+            self._revision_by_sender[sender] = exchange.revision
+            self._behind.set()
+
+    async def _exchange_once(self, now: float) -> None:
+        """Ask one peer, or several at once after a pause of the process."""
+        if view_is_fresh(self._blackboard.checked_at.value, now):
+            for peer in choose_peers(self._peers, ATTEMPTS_PER_ROUND, self._random):
+                if await self._talk_to(peer):
+                    return
+            return
+        peers = choose_peers(self._peers, ATTEMPTS_AFTER_PAUSE, self._random)
+        if any(await gather(*map(self._talk_to, peers))):
+            return
+        try:
+            async with timeout(REQUEST_TIMEOUT_S):
+                await self._read_changes(0.0)
+        except (PlatformError, TimeoutError) as error:
+            logger.info("nobody_heard cause=%r", error)
+
+    async def _talk_to(self, peer: Address) -> bool:
+        """Learn what `peer` knows and tell whether it could be trusted."""
+        for _ in range(MAX_REPLIES_PER_PULL):
+            started_at = monotonic()
+            asked_revision = self._knowledge.asked_revision
+            request = self._knowledge.ask(*self._settings.control)
+            reply = await _request(peer, request)
+            if reply is None:
+                return False
+            errors = self._knowledge.take_reply(reply, asked_revision, monotonic())
+            self._publish(errors)
+            if not self._knowledge.is_behind(reply.revision):
+                break
+        if self._knowledge.needs_compare(reply, monotonic()):
+            await self._compare_with(peer)
+        if reply.fresh:
+            self._note_heard(started_at)
+        return reply.fresh
+
+    async def _compare_with(self, peer: Address) -> None:
+        reply = await _request(peer, self._knowledge.compare())
+        if reply is not None:
+            self._publish(self._knowledge.take_compared(reply, monotonic()))
+
+    async def _learn_peers(self) -> None:
+        """Read the hosts of the own zone first, to find peers to load from."""
+        if self._settings.seeds:
+            return
+        try:
+            value = await self._read_value(f"hosts/{self._settings.zone}")
+        except PlatformError as error:
+            logger.info("peers_unknown cause=%s", error)
+            return
+        self._knowledge.take_values([value])
+        known = self._knowledge.snapshot.values_by_name.get(value.name)
+        if known is not None and known.content is not None:
+            hosts_by_id = {host.host_id: host for host in known.content}
+            self._set_peers(View(hosts_by_id=hosts_by_id))
+
+    async def _read_changes(self, wait: float) -> bool:
+        """Take the platform's changes; tell whether they confirm the view."""
+        started_at = monotonic()
+        after = self._knowledge.snapshot.revision
+        index = await self._platform.read_index(after, wait)
+        missing = [entry for entry in index.changes if self._lacks(entry)]
+        complete = await self._read_values(missing)
+        now = monotonic()
+        confirmed = complete and self._knowledge.take_index(index.revision, after, now)
+        self._publish(())
+        if confirmed:
+            self._note_heard(started_at)
+        return confirmed
+
+    async def _read_values(self, missing: list[IndexEntry]) -> bool:
+        """Read the listed values; tell whether all of them were current."""
+        self._random.shuffle(missing)
+        complete = True
+        for start in range(0, len(missing), PARALLEL_READS):
+            batch = missing[start : start + PARALLEL_READS]
+            values = await gather(*map(self._read_entry, batch))
+            self._log_refused(
+                self._knowledge.take_values([v for v in values if v is not None])
+            )
+            complete = complete and None not in values
+        return complete
+
+    async def _read_entry(self, entry: IndexEntry) -> Value | None:
+        """Return the listed value, None if it isn't served as listed."""
+        if entry.deleted:
+            return Value(entry.name, entry.revision, None)
+        if not self._lacks(entry):
+            return self._knowledge.snapshot.values_by_name.get(entry.name)
+        try:
+            value = await self._read_value(entry.name)
+        except PlatformError as error:
+            logger.info("value_unread name=%s cause=%s", entry.name, error)
+            return None
+        return value if value.revision >= entry.revision else None
+
+    async def _read_value(self, name: str) -> Value:
+        await sleep(self._budget.take(monotonic()))
+        return await self._platform.read_value(name)
+
+    def _lacks(self, entry: IndexEntry) -> bool:
+        snapshot = self._knowledge.snapshot
+        known = snapshot.values_by_name.get(entry.name)
+        known_revision = known.revision if known is not None else 0
+        refused = snapshot.refused_by_name.get(entry.name, 0)
+        return max(known_revision, refused) < entry.revision
+
+    def _publish(self, errors: Iterable[OptionError]) -> None:
+        """Write the view if the snapshot is complete and has changed."""
+        self._log_refused(errors)
+        snapshot = self._knowledge.snapshot
+        state = (snapshot.revision, snapshot.digest)
+        if not snapshot.revision or state == self._published:
+            return
+        self._published = state
+        previous = self._blackboard.view.value
+        view, conflicts = build_view(snapshot, previous)
+        for conflict in conflicts:
+            logger.error("address_conflict %s", conflict)
+        self._blackboard.view.write(view)
+        if view.hosts_by_id != previous.hosts_by_id:
+            self._set_peers(view)
+        self._news.set()
+        logger.info(
+            "view revision=%d services=%d hosts=%d",
+            view.revision,
+            len(view.services_by_name),
+            len(view.hosts_by_id),
+        )
+
+    def _set_peers(self, view: View) -> None:
+        settings = self._settings
+        self._peers = list_peers(settings, view)
+        self._rank = rank_watcher(settings.host_id, settings.zone, view.hosts_by_id)
+
+    def _note_heard(self, asked_at: float) -> None:
+        heard_at = max(asked_at, self._blackboard.heard_at.value)
+        self._blackboard.heard_at.write(heard_at)
+
+    def _log_refused(self, errors: Iterable[OptionError]) -> None:
+        for error in errors:
+            logger.error("value_refused %s", error)
+
+
+async def _request(peer: Address, message: Message) -> Reply | None:
+    """Return the reply of `peer`, None if there is none in time."""
+    try:
+        async with timeout(REQUEST_TIMEOUT_S):
+            with Req0(recv_max_size=MAX_MESSAGE_BYTES) as socket:
+                socket.dial(f"tcp://{peer}", block=False)
+                await socket.asend(encode_message(message))
+                reply = decode_message(await socket.arecv())
+    except (TimeoutError, NNGException, PacketError) as error:
+        logger.debug("peer_silent peer=%s cause=%r", peer, error)
+        return None
+    return reply if isinstance(reply, Reply) else None
--- /dev/null
+++ b/lycheeglade/watch.py
@@ -0,0 +1,179 @@
+"""Which processes read the platform, how often, and which peers to ask."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from random import Random
+
+from xxhash import xxh3_64_intdigest
+
+from lycheeglade.address import Address, Zone
+from lycheeglade.settings import Settings
+from lycheeglade.view import Host, Role, State, View
+
+# Processes that wait in a watch, in all zones together.
+WATCHERS = 50
+MIN_WATCHERS_PER_ZONE = 2
+# The number of watchers doubles each time the platform is silent that long.
+TAKEOVER_S = 20.0
+MAX_DOUBLINGS = 20
+# Share of the platform's reads that retries of all processes may take.
+RETRIES_PER_S = 500.0
+FIRST_RETRY_S = 0.5
+LAST_RETRY_S = 3.0
+# A process that has asked nobody for that long has been paused.
+FRESH_S = 6.0
+READS_PER_S = 20.0
+READ_BURST = 40.0
+
+
+def view_is_fresh(checked_at: float, now: float) -> bool:
+    """Tell whether this process has lately asked others for news.
+
+    After a pause of the process it is false until peers or the platform were
+    asked again; until then nothing should be decided that a newer view may
+    forbid.
+
+    Parameters
+    ----------
+    checked_at : float
+        The blackboard's ``checked_at``, in monotonic seconds.
+    now : float
+        Monotonic seconds, read after waking.
+    """
+    return now - checked_at < FRESH_S
+
+
+class ReadBudget:
+    """Token bucket that bounds the reads of one process.
+
+    Parameters
+    ----------
+    rate : float
+        Reads a second.
+    burst : float
+        Reads that may follow a silence at once.
+    """
+
+    def __init__(self, rate: float = READS_PER_S, burst: float = READ_BURST):
+        self._rate = rate
+        self._burst = burst
+        self._tokens = burst
+        self._filled_at: float | None = None
+
+    def take(self, now: float) -> float:
+        """Take one read and return the seconds to wait before it."""
+        if self._filled_at is not None:
+            gained = max(0.0, now - self._filled_at) * self._rate
+            self._tokens = min(self._burst, self._tokens + gained)
+        self._filled_at = now
+        self._tokens -= 1.0
+        return max(0.0, -self._tokens / self._rate)
+
+
+def rank_watcher(
+    host_id: str, zone: Zone, hosts_by_id: Mapping[str, Host]
+) -> tuple[int, int]:
+    """Return the rank of a host among the live ones of its zone.
+
+    Ranks are the order of a hash of the host's name (rendezvous hashing), the
+    same in each process that knows the same list.
+
+    Returns
+    -------
+    rank : int
+        From zero; a host that is not listed gets the rank it would have.
+    zones : int
+        Zones that have hosts.
+    """
+    own = _hash_watcher(host_id)
+    rank = sum(
+        host.zone == zone
+        and host.state is State.LIVE
+        and _hash_watcher(host.host_id) < own
+        for host in hosts_by_id.values()
+    )
+    return rank, max(1, len({host.zone for host in hosts_by_id.values()}))
+
+
+def is_watcher(rank: int, zones: int, silence: float) -> bool:
+    """Tell whether the host of that rank watches the platform.
+
+    Parameters
+    ----------
+    silence : float
+        Seconds since what is known was last confirmed by the platform, here
+        or at a peer.
+    """
+    per_zone = max(MIN_WATCHERS_PER_ZONE, WATCHERS // zones)
+    doublings = min(MAX_DOUBLINGS, max(0, int(silence / TAKEOVER_S)))
+    return rank < per_zone * 2**doublings
+
+
+def retry_delay(
+    failures: int, rank: int, hosts: int, zones: int, random: Random
+) -> float:
+    """Return the seconds to wait after a failed read, with full jitter.
+
+    The usual watchers come back within seconds. Others share `RETRIES_PER_S`
+    between them, however many they are.
+
+    Parameters
+    ----------
+    failures : int
+        Failed reads in a row.
+    rank, zones : int
+        As `rank_watcher` returns them.
+    hosts : int
+        Processes that are known.
+    """
+    ceiling = min(LAST_RETRY_S, FIRST_RETRY_S * 2 ** min(failures, 10))
+    if not is_watcher(rank, zones, 0.0):
+        ceiling = max(LAST_RETRY_S, 2 * hosts / RETRIES_PER_S)
+    return random.uniform(0.1 * ceiling, ceiling)
+
+
+@dataclass(frozen=True, slots=True)
+class Peers:
+    """Control addresses of the processes that this one talks to.
+
+    Attributes
+    ----------
+    near : tuple of Address
+        All processes of the own zone.
+    far : tuple of Address
+        Balancers of the other zones, and the seeds.
+    """
+
+    near: tuple[Address, ...]
+    far: tuple[Address, ...]
+
+    def knows(self, address: Address) -> bool:
+        """Tell whether `address` is one of the peers."""
+        return address in self.near or address in self.far
+
+
+def list_peers(settings: Settings, view: View) -> Peers:
+    """Return the peers of a process."""
+    near, far = set(), set(settings.seeds)
+    for host in view.hosts_by_id.values():
+        if host.zone == settings.zone:
+            near.add(host.control)
+        elif host.role is Role.BALANCER:
+            far.add(host.control)
+    own = {settings.control}
+    return Peers(tuple(sorted(near - own)), tuple(sorted(far - near - own)))
+
+
+def choose_peers(peers: Peers, count: int, random: Random) -> list[Address]:
+    """Return up to `count` random peers, about half of them near ones."""
+    wanted = count // 2 + random.randint(0, count % 2)
+    from_near = min(len(peers.near), max(wanted, count - len(peers.far)))
+    from_far = min(len(peers.far), count - from_near)
+    chosen = random.sample(peers.near, from_near)
+    chosen += random.sample(peers.far, from_far)
+    random.shuffle(chosen)
+    return chosen
+
+
+def _hash_watcher(host_id: str) -> int:
+    return xxh3_64_intdigest(f"watch\0{host_id}".encode())
