--- a/lycheeglade/checker.py
+++ b/lycheeglade/checker.py
@@ -128,6 +128,9 @@
         checked.hosts_by_source[source] = parse_hosts(text, source)
     else:
         reason = "has neither [process] nor [service] nor [host NAME]"
+        if sections:
+            hint = suggest_name(sections[0], ("process", "service", "host NAME"))
+            reason = f"{reason}; [{sections[0]}] is unknown, {hint}"
         checked.errors.append(OptionError(source, "-", "file", reason))
 
 
--- a/lycheeglade/options.py
+++ b/lycheeglade/options.py
@@ -1,5 +1,6 @@
 """Typed getters over INI texts that collect every error."""
 
+from ast import literal_eval
 from collections.abc import Callable, Iterable, Mapping
 from configparser import (
     ConfigParser,
@@ -151,13 +152,19 @@
             parts = [part.strip() for part in text.split(",") if part.strip()]
             if required and not parts:
                 raise ValueError("the list is empty")
-            entries = tuple(map(parse, parts))
-            seen = set()
-            for entry in entries:
-                if entry in seen:
-                    raise ValueError(f"{entry} is listed twice")
-                seen.add(entry)
-            return entries
+            entries, reasons = {}, []
+            for part in parts:
+                try:
+                    entry = parse(part)
+                except ValueError as error:
+                    reasons.append(str(error))
+                    continue
+                if entry in entries:
+                    reasons.append(f"{entry} is listed twice")
+                entries[entry] = None
+            if reasons:
+                raise ValueError("; ".join(reasons))
+            return tuple(entries)
 
         return self.get(option, parse_list, (), required=required)
 
@@ -234,6 +241,7 @@
         self._parser.optionxform = str
         self._read(text)
         self._known: set[str] = set()
+        self._hints: set[str] = set()
 
     @property
     def section_names(self) -> list[str]:
@@ -247,6 +255,7 @@
     def get_section(self, name: str, *, required: bool = True) -> Section:
         """Return a section; all options of an absent one are absent."""
         self._known.add(name)
+        self._hints.add(name)
         if not self._parser.has_section(name):
             if required:
                 self.add_error(name, "section", "is missing")
@@ -255,7 +264,7 @@
 
     def get_named_sections(self, prefix: str) -> dict[str, Section]:
         """Return the sections ``PREFIX NAME`` by name."""
-        self._known.add(f"{prefix} NAME")
+        self._hints.add(f"{prefix} NAME")
         sections_by_name = {}
         for section in self.section_names:
             head, _, name = section.partition(" ")
@@ -263,7 +272,8 @@
                 continue
             self._known.add(section)
             try:
-                sections_by_name[parse_name(name)] = self.get_section(section)
+                values = dict(self._parser.items(section))
+                sections_by_name[parse_name(name)] = Section(self, section, values)
             except ValueError as error:
                 self.add_error(section, "section", str(error))
         return sections_by_name
@@ -278,7 +288,7 @@
         """
         for section in self.section_names:
             if section not in self._known:
-                hint = suggest_name(section, sorted(self._known))
+                hint = suggest_name(section, sorted(self._hints))
                 self.add_error(section, "section", f"is unknown; {hint}")
         self.raise_errors()
 
@@ -302,7 +312,8 @@
             self.add_error(_NO_SECTION, f"line {error.lineno}", reason)
         except ParsingError as error:
             for line, content in error.errors:
-                reason = f"{content} is neither a section nor an option"
+                content = literal_eval(content).strip()
+                reason = f"{content!r} is neither a section nor an option"
                 self.add_error(_NO_SECTION, f"line {line}", reason)
         except Error as error:
             self.add_error(_NO_SECTION, "text", str(error))
