--- a/lycheeglade/agent.py
+++ b/lycheeglade/agent.py
@@ -130,7 +130,7 @@
         served = _make_served(agent, service, target, now)
         agent.served_by_key[key] = served
         agent.actions.count("target", service.name, "added")
-    elif served.service is not service:
+    elif served.service != service:
         served.service = service
         served.target = target
         served.settled_at = now + service.flow_idle
--- a/lycheeglade/replay.py
+++ b/lycheeglade/replay.py
@@ -16,7 +16,7 @@
 from lycheeglade.replay_caller import Caller
 from lycheeglade.replay_upstream import UpstreamModel
 from lycheeglade.served_target import TargetKey
-from lycheeglade.spread import Snapshot, Value, advance, build_view
+from lycheeglade.spread import Snapshot, advance, build_view
 from lycheeglade.timer import TimerQueue
 from lycheeglade.trace import (
     CloseFeed,
@@ -37,6 +37,7 @@
     Trace,
     Upstream,
 )
+from lycheeglade.value import Value
 from lycheeglade.view import Host, Role, View
 
 MAX_AGENT_FLOWS = 10_000
@@ -161,7 +162,7 @@
     revision = max(
         (value.revision for value in world.values_by_name.values()), default=0
     )
-    return advance(Snapshot(), list(world.values_by_name.values()), revision)
+    return advance(Snapshot(), world.values_by_name.values(), revision).snapshot
 
 
 def _note_leaving(world: World, now: float) -> None:
@@ -206,9 +207,10 @@
 
 def _take_value(world: World, process: Process, value: Value, now: float) -> None:
     revision = max(process.snapshot.revision, value.revision)
-    process.snapshot = advance(process.snapshot, [value], revision)
-    view, errors = build_view(process.snapshot, process.view)
-    process.refused_values += [str(error) for error in errors]
+    advanced = advance(process.snapshot, [value], revision)
+    process.snapshot = advanced.snapshot
+    view, conflicts = build_view(process.snapshot, process.view)
+    process.refused_values += map(str, advanced.errors + conflicts)
     known = process.snapshot.values_by_name.get(value.name)
     process.revisions.append((now, value.name, known.revision if known else 0))
     process.view = view
