Wait for the view before the callers start; tell a stall from a silence

A service of unread datagrams has no retransmission, so the first datagrams were lost while the processes had not read the configuration yet. The cluster now waits until every process knows the published revision.

A caller counted a repeated notification as silence, although it shows that the path is alive; it is now a sign of life, and the longest time without a new item is reported on its own.

--- a/demo/account.py
+++ b/demo/account.py
@@ -28,6 +28,8 @@
 
     Attributes
     ----------
+    longest_stall : float
+        Longest time between two items, in seconds.
     broken_at : list of float
         Times (monotonic) at which the feed broke.
     recoveries : list of float
@@ -38,6 +40,7 @@
 
     feed_id: str
     items: int = 0
+    longest_stall: float = 0.0
     gaps: int = 0
     repeats: int = 0
     steps_back: int = 0
--- a/demo/caller.py
+++ b/demo/caller.py
@@ -5,7 +5,6 @@
 """
 
 from asyncio import Event, Future, get_running_loop, sleep, wait_for
-from collections.abc import Callable
 from dataclasses import dataclass
 from hashlib import sha256
 from random import Random
@@ -65,7 +64,7 @@
         self._endpoint = self._make_endpoint()
         self._old_endpoints: list[Endpoint] = []
         self._futures_by_token: dict[bytes, Future] = {}
-        self._feed_tokens: dict[bytes, Callable[[Message], None]] = {}
+        self._feeds_by_token: dict[bytes, Feed] = {}
         self._sent = 0
 
     async def open(self):
@@ -215,9 +214,9 @@
             feed.settle()
         return record
 
-    def open_feed(self, token: bytes, on_item, on_lost) -> None:
-        """Register for the feed; `on_item` gets each notification."""
-        self._feed_tokens[token] = on_item
+    def open_feed(self, token: bytes, feed: Feed, on_lost) -> None:
+        """Register for the feed, which takes each notification."""
+        self._feeds_by_token[token] = feed
         message = build_message(
             GET,
             token=token,
@@ -230,7 +229,7 @@
 
     def close_feed(self, token: bytes) -> None:
         """Forget a feed; later notifications are reset."""
-        self._feed_tokens.pop(token, None)
+        self._feeds_by_token.pop(token, None)
 
     def _make_endpoint(self) -> Endpoint:
         def take_response(message: Message, remote: Remote):
@@ -239,21 +238,27 @@
         endpoint = Endpoint(
             self._generator,
             on_response=take_response,
+            on_duplicate=self._note_duplicate,
             ack_timeout=self.options.ack_timeout,
         )
         return endpoint
 
+    def _note_duplicate(self, message: Message):
+        feed = self._feeds_by_token.get(message.token)
+        if feed is not None:
+            feed.note_alive()
+
     def make_token(self) -> bytes:
         """Return a fresh token."""
         return self._generator.randbytes(TOKEN_BYTES)
 
     def _take_response(self, endpoint: Endpoint, message: Message, remote: Remote):
-        on_item = self._feed_tokens.get(message.token)
+        feed = self._feeds_by_token.get(message.token)
         future = self._futures_by_token.get(message.token)
-        if on_item is not None:
+        if feed is not None:
             if message.mtype == CON:
                 endpoint.acknowledge(message, remote)
-            on_item(message)
+            feed.take_item(message)
         elif future is not None:
             if message.mtype == CON:
                 endpoint.acknowledge(message, remote)
--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -28,6 +28,8 @@
 
 COMMAND_TIMEOUT_S = 2.0
 PLATFORM_TIMEOUT_S = 5.0
+READY_TIMEOUT_S = 10.0
+POLL_S = 0.05
 LAST_NETWORK = 120
 FABRIC = "fabric"
 PLATFORM = "platform"
@@ -99,6 +101,26 @@
             await self.wait_listening(target.host_id, target.ip)
         for balancer in self.deployment.balancers:
             await self.wait_listening(balancer.host_id, balancer.ip)
+        values = len(self.deployment.services) + len(self.deployment.zones)
+        for host_id in self.product_ips_by_host:
+            await self.wait_revision(host_id, values)
+
+    async def wait_revision(
+        self, host_id: str, revision: int, timeout: float = READY_TIMEOUT_S
+    ) -> None:
+        """Wait until a balancer or agent knows `revision`.
+
+        Raises
+        ------
+        TimeoutError
+            If it does not in time.
+        """
+        loop = get_running_loop()
+        stop_at = loop.time() + timeout
+        while (await self.fetch_status(host_id))["revision"] < revision:
+            if loop.time() > stop_at:
+                raise TimeoutError(f"{host_id} does not know revision {revision}")
+            await sleep(POLL_S)
 
     def stop(self) -> None:
         """End all processes."""
@@ -301,7 +323,7 @@
         return await to_thread(call)
 
 
-async def wait_until(condition, timeout: float, interval: float = 0.05) -> bool:
+async def wait_until(condition, timeout: float, interval: float = POLL_S) -> bool:
     """Poll `condition`; tell whether it became true within `timeout`."""
     loop = get_running_loop()
     stop_at = loop.time() + timeout
--- a/demo/coap.py
+++ b/demo/coap.py
@@ -64,6 +64,8 @@
         Source of message ids and time-out jitter.
     on_request, on_response : callable
         Called with each new message and its sender.
+    on_duplicate : callable
+        Called with each message that came before.
     ack_timeout : float
         Seconds until the first retransmission.
     """
@@ -73,11 +75,13 @@
         generator: Random,
         on_request: Callable[[Message, Remote], None] | None = None,
         on_response: Callable[[Message, Remote], None] | None = None,
+        on_duplicate: Callable[[Message], None] | None = None,
         ack_timeout: float = ACK_TIMEOUT_S,
         max_retransmit: int = MAX_RETRANSMIT,
     ):
         self.on_request = on_request
         self.on_response = on_response
+        self.on_duplicate = on_duplicate
         self.malformed = 0
         self.retransmitted = 0
         self._generator = generator
@@ -219,6 +223,8 @@
             datagram = self._reply_by_key[key]
             if datagram is not None:
                 self._transport.sendto(datagram, remote)
+            if self.on_duplicate is not None:
+                self.on_duplicate(message)
             return
         self._reply_by_key[key] = None
         if len(self._reply_by_key) > MAX_REMEMBERED_MESSAGES:
--- a/demo/report.py
+++ b/demo/report.py
@@ -27,6 +27,7 @@
     repeats: int
     steps_back: int
     longest_silence: float
+    longest_stall: float
     double_runs: tuple[str, ...]
     false_refusals: tuple[str, ...]
     unrun_answers: tuple[str, ...]
@@ -82,6 +83,7 @@
         repeats=sum(feed.repeats for feed in feeds),
         steps_back=sum(feed.steps_back for feed in feeds),
         longest_silence=max(silences, default=0.0),
+        longest_stall=max((feed.longest_stall for feed in feeds), default=0.0),
         double_runs=tuple(find_double_runs(account, runs)),
         false_refusals=tuple(find_false_refusals(account, runs)),
         unrun_answers=tuple(find_unrun_answers(account, runs)),
@@ -133,6 +135,7 @@
         ("  gaps", report.gaps),
         ("  repeats", report.repeats),
         ("  steps back", report.steps_back),
+        ("  longest stall (s)", f"{report.longest_stall:.1f}"),
         ("  longest silence (s)", f"{report.longest_silence:.1f}"),
         ("double runs", len(report.double_runs)),
         ("ran after refusal", len(report.false_refusals)),
