Show groups of like objects as tables in the status command

Cause: an agent's status names its targets in a mapping, which came out as one line for each field of each target.

Change: a mapping of objects is a table too; the order of the fields is that in which the process gives them.

Conclusion: an agent's status is one table with a line a target.

--- a/lycheeglade/operations.py
+++ b/lycheeglade/operations.py
@@ -124,7 +124,7 @@
 
 
 def _json_response(value: object) -> Response:
-    body = format_json(encode(value, order="deterministic"), indent=2) + b"\n"
+    body = format_json(encode(value), indent=2) + b"\n"
     return Response(body=body, content_type="application/json")
 
 
--- a/lycheeglade/status.py
+++ b/lycheeglade/status.py
@@ -54,14 +54,14 @@
 def format_status(status: Mapping[str, object]) -> str:
     """Return `status` as tables that a terminal shows.
 
-    Single values come first, one a line; then each list of like objects as
+    Single values come first, one a line; then each group of like objects as
     a table with a line an object.
     """
     blocks = []
     singles = list(_single_values("", status))
     if singles:
         blocks.append(format_table(singles))
-    for name, rows in _object_lists("", status):
+    for name, rows in _tables("", status):
         header = list(dict.fromkeys(key for row in rows for key in row))
         lines = [[_show(row.get(key, "")) for key in header] for row in rows]
         blocks.append(f"{name}\n{format_table([header, *lines])}")
@@ -76,12 +76,15 @@
     )
 
 
-def _is_object_list(value: object) -> bool:
-    return (
-        isinstance(value, list)
-        and bool(value)
-        and all(isinstance(item, dict) for item in value)
-    )
+def _rows_of(name: str, value: object) -> list[dict[str, object]]:
+    """Return the lines of a table, if `value` holds like objects."""
+    if isinstance(value, list) and all(isinstance(item, dict) for item in value):
+        return value
+    if isinstance(value, dict) and all(
+        isinstance(item, dict) for item in value.values()
+    ):
+        return [{name: key, **item} for key, item in value.items()]
+    return []
 
 
 def _single_values(
@@ -89,21 +92,24 @@
 ) -> Iterator[tuple[str, str]]:
     for key, value in status.items():
         name = f"{prefix}{key}"
+        if _rows_of(key, value):
+            continue
         if isinstance(value, dict) and value:
             yield from _single_values(f"{name}.", value)
-        elif not _is_object_list(value):
+        else:
             yield name, _show(value)
 
 
-def _object_lists(
+def _tables(
     prefix: str, status: Mapping[str, object]
-) -> Iterator[tuple[str, list[dict]]]:
+) -> Iterator[tuple[str, list[dict[str, object]]]]:
     for key, value in status.items():
         name = f"{prefix}{key}"
-        if isinstance(value, dict):
-            yield from _object_lists(f"{name}.", value)
-        elif _is_object_list(value):
-            yield name, value
+        rows = _rows_of(key, value)
+        if rows:
+            yield name, rows
+        elif isinstance(value, dict):
+            yield from _tables(f"{name}.", value)
 
 
 def _show(value: object) -> str:
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -30,7 +30,11 @@
 
 
 def describe():
-    return {"host": "a-1", "peers": [{"host": "b", "silent": False}]}
+    return {
+        "host": "a-1",
+        "peers": [{"host": "b", "silent": False}],
+        "limits": {"flows": 7, "targets": {"booth-sync/1": {"limit": 2.5}}},
+    }
 
 
 async def test_everything_but_reads_is_refused(metrics):
@@ -68,8 +72,18 @@
     async with serve_operations(address, metrics, describe):
         status = await fetch_status(address)
     assert status["histograms"][0]["p50_s"] == pytest.approx(0.05, rel=0.02)
-    assert format_status({key: status[key] for key in ("host", "peers")}) == (
-        "host  a-1\n\npeers\nhost  silent\nb     no"
+    del status["histograms"]
+    assert format_status(status) == (
+        "host          a-1\n"
+        "limits.flows  7\n"
+        "\n"
+        "peers\n"
+        "host  silent\n"
+        "b     no\n"
+        "\n"
+        "limits.targets\n"
+        "targets       limit\n"
+        "booth-sync/1  2.5"
     )
 
 
