--- a/lycheeglade/agent.py
+++ b/lycheeglade/agent.py
@@ -31,7 +31,6 @@
     stop_drain,
 )
 from lycheeglade.home import (
-    announce_home,
     receive_forward,
     receive_home_notice,
     receive_probe,
@@ -39,6 +38,7 @@
 )
 from lycheeglade.membership import Membership
 from lycheeglade.message import Adapter
+from lycheeglade.notice import announce_home
 from lycheeglade.packet import (
     Delegate,
     DelegateReply,
@@ -130,7 +130,7 @@
         served = _make_served(agent, service, target, now)
         agent.served_by_key[key] = served
         agent.actions.count("target", service.name, "added")
-    elif served.service is not service:
+    elif served.service != service:
         served.service = service
         served.target = target
         served.settled_at = now + service.flow_idle
