Log the spread of configuration as structured events

Cause: the lines of the gossip were free text inside of the field "text", so that operators couldn't select them; a process that couldn't bind an address didn't say which one.

Change: each line is an event with fields; the error of a socket names its address; tests that the daemons tell what is wrong with their settings in one line and exit with 1, and that generate and check do so too.

--- a/lycheeglade/gossip.py
+++ b/lycheeglade/gossip.py
@@ -7,7 +7,7 @@
 
 from asyncio import Event, TaskGroup, gather, sleep, timeout
 from collections.abc import Iterable
-from logging import getLogger
+from logging import DEBUG, ERROR, INFO, WARNING, getLogger
 from random import Random
 from time import monotonic
 
@@ -27,6 +27,7 @@
     encode_message,
 )
 from lycheeglade.knowledge import Knowledge
+from lycheeglade.logs import log_event
 from lycheeglade.platform_client import IndexEntry, PlatformClient, PlatformError
 from lycheeglade.settings import Settings
 from lycheeglade.spread import build_view
@@ -119,9 +120,9 @@
                 if reply is not None:
                     await listener.asend(encode_message(reply))
             except PacketError as error:
-                logger.warning("control_message_refused cause=%s", error.cause)
+                log_event(logger, WARNING, "control-refused", cause=error.cause)
             except NNGException as error:
-                logger.debug("control_reply_lost cause=%s", type(error).__name__)
+                log_event(logger, DEBUG, "control-reply-lost", cause=error)
 
     async def exchange_in_rounds(self) -> None:
         """Compare notes with a random peer every two seconds."""
@@ -164,7 +165,7 @@
             try:
                 confirmed = await self._read_changes(WATCH_S)
             except PlatformError as error:
-                logger.info("platform_unread cause=%s", error)
+                log_event(logger, INFO, "platform-unread", cause=error)
                 confirmed = False
             failures = 0 if confirmed else failures + 1
             await sleep(self._watch_pause(failures))
@@ -208,7 +209,7 @@
             async with timeout(REQUEST_TIMEOUT_S):
                 await self._read_changes(0.0)
         except (PlatformError, TimeoutError) as error:
-            logger.info("nobody_heard cause=%r", error)
+            log_event(logger, INFO, "nobody-heard", cause=repr(error))
 
     async def _talk_to(self, peer: Address) -> bool:
         """Learn what `peer` knows and tell whether it could be trusted."""
@@ -241,7 +242,7 @@
         try:
             value = await self._read_value(f"hosts/{self._settings.zone}")
         except PlatformError as error:
-            logger.info("peers_unknown cause=%s", error)
+            log_event(logger, INFO, "peers-unknown", cause=error)
             return
         self._knowledge.take_values([value])
         known = self._knowledge.snapshot.values_by_name.get(value.name)
@@ -285,7 +286,7 @@
         try:
             value = await self._read_value(entry.name)
         except PlatformError as error:
-            logger.info("value_unread name=%s cause=%s", entry.name, error)
+            log_event(logger, INFO, "value-unread", name=entry.name, cause=error)
             return None
         return value if value.revision >= entry.revision else None
 
@@ -311,16 +312,18 @@
         previous = self._blackboard.view.value
         view, conflicts = build_view(snapshot, previous)
         for conflict in conflicts:
-            logger.error("address_conflict %s", conflict)
+            log_event(logger, ERROR, "address-conflict", cause=conflict)
         self._blackboard.view.write(view)
         if view.hosts_by_id != previous.hosts_by_id:
             self._set_peers(view)
         self._news.set()
-        logger.info(
-            "view revision=%d services=%d hosts=%d",
-            view.revision,
-            len(view.services_by_name),
-            len(view.hosts_by_id),
+        log_event(
+            logger,
+            INFO,
+            "view",
+            revision=view.revision,
+            services=len(view.services_by_name),
+            hosts=len(view.hosts_by_id),
         )
 
     def _set_peers(self, view: View) -> None:
@@ -334,7 +337,7 @@
 
     def _log_refused(self, errors: Iterable[OptionError]) -> None:
         for error in errors:
-            logger.error("value_refused %s", error)
+            log_event(logger, ERROR, "value-refused", cause=error)
 
 
 async def _request(peer: Address, message: Message) -> Reply | None:
@@ -346,6 +349,6 @@
                 await socket.asend(encode_message(message))
                 reply = decode_message(await socket.arecv())
     except (TimeoutError, NNGException, PacketError) as error:
-        logger.debug("peer_silent peer=%s cause=%r", peer, error)
+        log_event(logger, DEBUG, "peer-silent", peer=peer, cause=repr(error))
         return None
     return reply if isinstance(reply, Reply) else None
--- a/lycheeglade/transport.py
+++ b/lycheeglade/transport.py
@@ -51,9 +51,10 @@
                 self._socket.bind(tuple(local))
             if remote is not None:
                 self._socket.connect(tuple(remote))
-        except OSError:
+        except OSError as error:
             self._socket.close()
-            raise
+            reason = f"{local or remote}: {error.strerror}"
+            raise OSError(error.errno, reason) from error
         loop.add_reader(self._socket.fileno(), self._read_batch)
 
     @property
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -1,7 +1,10 @@
+from pathlib import Path
+
 import pytest
 
 from lycheeglade.cmdline import EXIT_USAGE, EXIT_WRONG, build_application, main
 
+DATA = Path(__file__).parent / "data" / "answers"
 NAMES = [
     name
     for name in build_application().all()
@@ -35,3 +38,27 @@
 def test_unreachable_process_is_told_in_one_line(capsys):
     assert main(["status", "127.0.0.1:9"]) == EXIT_WRONG
     assert capsys.readouterr().err.startswith("no status from 127.0.0.1:9: ")
+
+
+def test_generate_check_and_contradictions(tmp_path, capsys):
+    out = tmp_path / "out"
+    assert main(["generate", str(DATA / "small.ini"), "-o", str(out)]) == 0
+    written = capsys.readouterr().out.splitlines()
+    assert len(written) == 8
+    assert main(["check", *written]) == 0
+    assert main(["generate", "-q", str(DATA / "small.ini"), "-o", str(out)]) == 0
+    assert capsys.readouterr() == ("", "")
+    bad = str(DATA / "contradictory.ini")
+    assert main(["generate", bad, "-o", str(tmp_path / "none")]) == EXIT_WRONG
+    told = capsys.readouterr().err.replace(bad, "it.ini")
+    assert told == (DATA / "contradictory.expected").read_text()
+    assert not (tmp_path / "none").exists()
+
+
+@pytest.mark.parametrize("command", ["balancer", "agent"])
+def test_daemon_without_readable_settings_tells_why(command, capsys):
+    assert main([command, "-c", "/nonexistent.ini"]) == EXIT_WRONG
+    message = "/nonexistent.ini: [-] file: No such file or directory\n"
+    assert capsys.readouterr().err == message
+    assert main([command]) == EXIT_USAGE
+    assert capsys.readouterr().err == "--config is needed\n"
