--- a/lycheeglade/cmdline.py
+++ b/lycheeglade/cmdline.py
@@ -121,7 +121,7 @@
 
 
 def _replay(command: Command) -> int:
-    from lycheeglade.replay import replay_files
+    from lycheeglade.outcome import replay_files
 
     names = command.argument("traces")
     failures = replay_files([Path(name) for name in names])
--- a/lycheeglade/outcome.py
+++ b/lycheeglade/outcome.py
@@ -1,13 +1,14 @@
 """Checks of the outcomes that a trace states."""
 
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
+from pathlib import Path
 
 from lycheeglade.errors import TraceError
 from lycheeglade.replay import World, run_trace
 from lycheeglade.replay_caller import Caller, CallerRequest, Result
-from lycheeglade.trace import Expect, Trace
+from lycheeglade.trace import Expect, Trace, load_trace
 
 MAX_SHOWN_FAULTS = 5
 
@@ -313,3 +314,20 @@
     "reverted-values": _reverted,
     "imbalance": _imbalance,
 }
+
+
+def replay_files(paths: Iterable[Path]) -> int:
+    """Replay trace files and print how each stated outcome fared.
+
+    Returns
+    -------
+    int
+        How many outcomes were broken.
+    """
+    broken = 0
+    for path in paths:
+        trace = load_trace(path)
+        for outcome in replay_trace(trace):
+            broken += not outcome.is_held
+            print("\n".join(format_outcome(trace, outcome)))
+    return broken
