Move flows away from an upstream that is down

Change: an upstream that answers neither requests nor three pings, or whose port is closed, is down; what waits is given back as not run, repeatable requests go to peers, and flows are handed to successors until it answers.

--- a/lycheeglade/admission.py
+++ b/lycheeglade/admission.py
@@ -251,6 +251,11 @@
         self._note_call(now)
         self._draining = True
 
+    def resume(self, now: float) -> None:
+        """Admit flows and requests again after a drain was taken back."""
+        self._note_call(now)
+        self._draining = False
+
     def _note_call(self, now: float) -> None:
         # Time that passed while this process was paused says nothing about
         # the upstream.
--- a/lycheeglade/agent.py
+++ b/lycheeglade/agent.py
@@ -19,10 +19,13 @@
     fail_upstream,
     receive_delegate,
     receive_delegate_reply,
+    refuse_queued,
     start_queued,
 )
+from lycheeglade.feed import renew_registrations
 from lycheeglade.flow import FlowKey
 from lycheeglade.handoff import (
+    move_flows,
     receive_commit,
     receive_done,
     receive_offer,
@@ -58,6 +61,11 @@
 from lycheeglade.served_target import ServedTarget, TargetKey
 from lycheeglade.session import receive_upstream
 from lycheeglade.ticket import TicketBook
+from lycheeglade.upstream_health import (
+    check_upstream,
+    note_port_closed,
+    note_upstream_heard,
+)
 from lycheeglade.view import Protocol, Service, State, Target, View
 
 KEY_BYTES = 32
@@ -276,16 +284,30 @@
 ) -> None:
     """Take a datagram from an upstream."""
     served = agent.served_by_key.get(key)
-    if served is not None:
-        receive_upstream(agent, served, flow, datagram, now)
+    if served is None:
+        return
+    if note_upstream_heard(served):
+        agent.actions.count("upstream", served.service.name, "back")
+        renew_registrations(agent, served, now)
+    receive_upstream(agent, served, flow, datagram, now)
 
 
 def receive_upstream_failure(agent: Agent, key: TargetKey, now: float) -> None:
     """Note that an upstream's port is closed."""
     served = agent.served_by_key.get(key)
-    if served is not None:
-        agent.actions.count("upstream", served.service.name, "refused")
-        fail_upstream(agent, served, now)
+    if served is None:
+        return
+    agent.actions.count("upstream", served.service.name, "port-closed")
+    fail_upstream(agent, served, now)
+    if note_port_closed(served, now):
+        _start_moving(agent, served, now)
+
+
+def _start_moving(agent: Agent, served: ServedTarget, now: float) -> None:
+    """Give back what waits for a dead upstream, and move its flows."""
+    agent.actions.count("upstream", served.service.name, "down")
+    refuse_queued(agent, served, now)
+    move_flows(agent, served, now)
 
 
 def tick(agent: Agent, now: float) -> None:
@@ -300,6 +322,8 @@
         if served.requests_by_id:
             expire_queued(agent, served, now)
             start_queued(agent, served, now)
+        if check_upstream(agent, served, now):
+            _start_moving(agent, served, now)
 
 
 def begin_stop(agent: Agent, now: float) -> None:
--- a/lycheeglade/cmdline.py
+++ b/lycheeglade/cmdline.py
@@ -123,10 +123,8 @@
 def _replay(command: Command) -> int:
     from lycheeglade.outcome import replay_files
 
-    names = command.argument("traces")
-    failures = replay_files([Path(name) for name in names])
-    _print_errors(failures)
-    return EXIT_WRONG if failures else EXIT_OK
+    broken = replay_files([Path(name) for name in command.argument("traces")])
+    return EXIT_WRONG if broken else EXIT_OK
 
 
 def _questionnaire(command: Command) -> None:
--- a/lycheeglade/exchange.py
+++ b/lycheeglade/exchange.py
@@ -19,12 +19,15 @@
     ServedTarget,
 )
 from lycheeglade.ticket import Judgement
+from lycheeglade.upstream_health import send_upstream
 from lycheeglade.view import State, Target
 
 UPSTREAM_TOKEN_BYTES = 8
 MAX_REQUESTS_PER_FLOW = 64
 MIN_RETRY_AFTER_S = 1
 FULL_BOOK_RETRY_AFTER_S = 5.0
+MIN_DELEGATE_PATIENCE_S = 0.5
+DELEGATE_PATIENCE = 10.0
 
 
 def reply_to(message: CallerMessage) -> ReplyTo:
@@ -135,6 +138,9 @@
         _admit(served, record, request, now)
         _delegate(agent, served, request, peer, now)
         return
+    if served.is_down:
+        _refuse(agent, served, record, request.reply_tos, "upstream-down", 1.0, now)
+        return
     result = served.admission.offer(request.request_id, now, request.deadline)
     if isinstance(result, Refused):
         _refuse(
@@ -180,7 +186,7 @@
     datagram = served.adapter.write_request(
         request.message.datagram, agent.next_number() % (1 << 16), token
     )
-    agent.actions.send_upstream(served.key, None, datagram)
+    send_upstream(agent, served, datagram, now)
     agent.timers.call_at(
         request.deadline,
         lambda now: _expire_running(agent, served, token, request, now),
@@ -283,9 +289,11 @@
 ) -> None:
     """Refuse a request that was entered and certainly did not run."""
     _forget(served, request)
+    refusal = served.adapter.write_refusal(
+        reply_to(request.message), _whole_seconds(retry_after), None
+    )
+    _burn_ticket(served, request, refusal, now)
     record = served.records_by_flow.get(request.flow)
-    if request.ticket is not None:
-        served.book.release(request.ticket, now)
     if record is not None:
         _refuse(agent, served, record, request.reply_tos, cause, retry_after, now)
 
@@ -301,7 +309,7 @@
 ) -> None:
     """Tell the caller that the request was not run."""
     agent.actions.count("refused", served.service.name, cause)
-    seconds = max(MIN_RETRY_AFTER_S, ceil(retry_after))
+    seconds = _whole_seconds(retry_after)
     ticket = served.book.mint(record.flow, now)
     for reply in replies:
         datagram = served.adapter.write_refusal(reply, seconds, ticket)
@@ -332,6 +340,14 @@
             _refuse_admitted(agent, served, request, "deadline", 1.0, now)
 
 
+def refuse_queued(agent: Agent, served: ServedTarget, now: float) -> None:
+    """Give back all requests that wait for an upstream that is down."""
+    for request in list(served.requests_by_id.values()):
+        if request.state is RequestState.QUEUED:
+            served.admission.cancel(request.request_id, now)
+            _refuse_admitted(agent, served, request, "upstream-down", 1.0, now)
+
+
 def fail_upstream(agent: Agent, served: ServedTarget, now: float) -> None:
     """Give up all running requests after the upstream has gone."""
     running = list(served.requests_by_upstream_token.items())
@@ -344,6 +360,10 @@
             finish_request(agent, served, request, b"", now)
 
 
+def _whole_seconds(retry_after: float) -> int:
+    return max(MIN_RETRY_AFTER_S, ceil(retry_after))
+
+
 def _work(request: Request) -> str:
     return "repeatable" if request.message.repeatable else "not-repeatable"
 
@@ -355,7 +375,8 @@
 
     A datagram may arrive twice, so only repeatable requests are delegated.
     """
-    if not request.message.repeatable or load.running < load.limit:
+    is_free = load.running < load.limit and not served.is_down
+    if not request.message.repeatable or is_free:
         return None
     suspected = suspected_targets(agent, served.service)
     peers = [
@@ -383,19 +404,29 @@
         request.message.datagram,
     )
     send_packet(agent, peer.agent, packet, now)
+    patience = max(
+        MIN_DELEGATE_PATIENCE_S,
+        DELEGATE_PATIENCE * served.admission.load(now).service_time,
+    )
     agent.timers.call_at(
-        request.deadline, lambda now: _expire_delegated(agent, served, request, now)
+        min(request.deadline, now + patience),
+        lambda now: _expire_delegated(agent, served, request, now),
     )
 
 
 def _expire_delegated(
     agent: Agent, served: ServedTarget, request: Request, now: float
 ) -> None:
+    """Run a request here whose peer stays silent; it may run twice."""
     if (
-        request.state is RequestState.DELEGATED
-        and served.requests_by_id.get(request.request_id) is request
+        request.state is not RequestState.DELEGATED
+        or served.requests_by_id.get(request.request_id) is not request
     ):
+        return
+    if now >= request.deadline or served.is_down:
         finish_request(agent, served, request, b"", now)
+    else:
+        _offer_returned(agent, served, request, now)
 
 
 def receive_delegate(
@@ -404,7 +435,7 @@
     """Run a peer's request if a slot is free, else give it back untouched."""
     load = served.admission.load(now)
     message = served.adapter.read_caller(packet.payload)
-    is_free = load.running < load.limit and not load.queued and not served.draining
+    is_free = load.free_slots > 0 and not served.must_move
     if not is_free or message.kind is not Kind.REQUEST:
         _reply_delegate(agent, packet.service, packet, source, ran=False)
         return
--- a/lycheeglade/feed.py
+++ b/lycheeglade/feed.py
@@ -17,6 +17,7 @@
     Notification,
     ServedTarget,
 )
+from lycheeglade.upstream_health import send_upstream
 
 MAX_FEEDS_PER_FLOW = 8
 MAX_WAITING_ITEMS = 64
@@ -84,7 +85,7 @@
         agent.next_number() % MESSAGE_ID_MODULUS,
         feed.upstream_token,
     )
-    agent.actions.send_upstream(served.key, None, datagram)
+    send_upstream(agent, served, datagram, now)
 
 
 def _check_registration(
@@ -101,6 +102,12 @@
     drop_feed(agent, served, feed)
 
 
+def renew_registrations(agent: Agent, served: ServedTarget, now: float) -> None:
+    """Register all feeds again at an upstream that has come back."""
+    for feed in list(served.feeds_by_upstream_token.values()):
+        register_upstream(agent, served, feed, now)
+
+
 def is_live(served: ServedTarget, feed: Feed) -> bool:
     """Tell whether `feed` is still kept here."""
     record = served.records_by_flow.get(feed.flow)
--- a/lycheeglade/handoff.py
+++ b/lycheeglade/handoff.py
@@ -84,27 +84,38 @@
     served.draining = True
     served.admission.drain(now)
     agent.actions.count("drain", served.service.name, "started")
-    continue_drain(agent, served, now)
+    move_flows(agent, served, now)
+
+
+def move_flows(agent: Agent, served: ServedTarget, now: float) -> None:
+    """Begin to hand the flows away, unless that is going on."""
+    if not served.is_moving:
+        continue_drain(agent, served, now)
 
 
 def stop_drain(served: ServedTarget, now: float) -> None:
     """Take new work again after a leaving target was declared live."""
     served.draining = False
     served.admission.resume(now)
+    moving = {handoff.flow for handoff in served.outgoing_by_id.values()}
     for record in served.records_by_flow.values():
-        record.leaving = False
+        record.leaving = record.flow in moving
 
 
 def continue_drain(agent: Agent, served: ServedTarget, now: float) -> None:
     """Begin handoffs for idle flows, and look again soon."""
-    if not served.draining:
+    if not served.must_move:
+        served.is_moving = False
         return
+    served.is_moving = True
     if served.adapter is not None:
         _begin_handoffs(agent, served, now)
-    if served.records_by_flow or served.outgoing_by_id:
+    if served.is_down or served.records_by_flow or served.outgoing_by_id:
         agent.timers.call_at(
             now + DRAIN_POLL_S, lambda now: continue_drain(agent, served, now)
         )
+    else:
+        served.is_moving = False
 
 
 def _begin_handoffs(agent: Agent, served: ServedTarget, now: float) -> None:
@@ -188,7 +199,7 @@
             _watch_registrations(agent, served, flow, incoming, source, now, now)
         return
     taken = (
-        not served.draining
+        not served.must_move
         and not agent.stopping
         and flow not in served.records_by_flow
         and served.admission.admit_flow(now)
@@ -309,7 +320,7 @@
     if handoff is None or handoff.state is not None:
         return
     record = served.records_by_flow.get(handoff.flow)
-    if record is None or not packet.accepted or not served.draining:
+    if record is None or not packet.accepted or not served.must_move:
         _withdraw_offer(agent, served, handoff, now)
         return
     handoff.state = _encoder.encode(_export_flow(served, record, now))
--- a/lycheeglade/home.py
+++ b/lycheeglade/home.py
@@ -290,7 +290,7 @@
         agent.actions.count("dropped", served.service.name, "stray")
         return
     may_accept = (
-        not served.draining
+        not served.must_move
         and not agent.stopping
         and len(served.records_by_flow) < agent.max_flows
     )
--- a/lycheeglade/replay.py
+++ b/lycheeglade/replay.py
@@ -81,6 +81,7 @@
     processes_by_name: dict[str, Process] = field(default_factory=dict)
     names_by_address: dict[Address, str] = field(default_factory=dict)
     callers_by_flow: dict[FlowKey, Caller] = field(default_factory=dict)
+    callers_by_name: dict[tuple[str, str], Caller] = field(default_factory=dict)
     upstreams_by_key: dict[TargetKey, UpstreamModel] = field(default_factory=dict)
     behaviours_by_key: dict[TargetKey, Upstream] = field(default_factory=dict)
     cuts: set[tuple[str, str]] = field(default_factory=set)
@@ -415,7 +416,7 @@
 def _caller_of(world: World, service: str, caller: str) -> Caller:
     ip, _, port = caller.rpartition(":")
     flow = FlowKey(service, ip, int(port))
-    if flow not in world.callers_by_flow:
+    if (service, caller) not in world.callers_by_name:
         view, _ = build_view(_whole_snapshot(world), View())
         known = view.services_by_name.get(service)
         world.callers_by_flow[flow] = Caller(
@@ -424,8 +425,18 @@
             Random(world.generator.getrandbits(64)),
             partial(_send_to_fabric, world),
             world.timers.call_at,
+            partial(_renew_caller, world),
         )
-    return world.callers_by_flow[flow]
+        world.callers_by_name[service, caller] = world.callers_by_flow[flow]
+    return world.callers_by_name[service, caller]
+
+
+def _renew_caller(world: World, caller: Caller) -> None:
+    """Give a caller the next port; its old flow gets no more datagrams."""
+    del world.callers_by_flow[caller.flow]
+    flow = caller.flow
+    caller.flow = FlowKey(flow.service, flow.caller_ip, flow.caller_port + 1)
+    world.callers_by_flow[caller.flow] = caller
 
 
 def _open_feed(world: World, event: OpenFeed, line: int, now: float) -> None:
--- a/lycheeglade/replay_caller.py
+++ b/lycheeglade/replay_caller.py
@@ -1,4 +1,8 @@
-"""Model of a caller for replays: one flow, its feed and its requests."""
+"""Model of a caller for replays: its flow, its feed and its requests.
+
+A caller that hears nothing for long takes a new address, since something on
+the way may have forgotten its flow.
+"""
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -15,6 +19,7 @@
 MAX_RETRANSMIT = 4
 SILENT_HEARTBEATS = 2.5
 MAX_RETURNS = 20
+ATTEMPTS_PER_ADDRESS = 3
 
 
 class Result(StrEnum):
@@ -87,6 +92,8 @@
         Sends a datagram into the fabric.
     call_at : callable
         Runs a callback at a time.
+    renew : callable
+        Gives the caller a new address, as a new socket does.
     """
 
     flow: FlowKey
@@ -94,6 +101,7 @@
     generator: Random
     send: Callable[["Caller", bytes], None]
     call_at: Callable[[float, Callable[[float], None]], None]
+    renew: Callable[["Caller"], None]
     next_message_id: int = 0
     next_token: int = 1
     ticket: bytes | None = None
@@ -168,6 +176,7 @@
         return
     due = feed.heard_at + SILENT_HEARTBEATS * caller.heartbeat
     if now >= due:
+        caller.renew(caller)
         _break_feed(caller, feed, "silent", now)
         return
     caller.call_at(due, lambda now: _watch_feed(caller, feed, registration, now))
@@ -223,6 +232,8 @@
     if request.attempts > MAX_RETRANSMIT:
         _finish(caller, request, Result.GIVEN_UP, now)
         return
+    if request.attempts == ATTEMPTS_PER_ADDRESS:
+        caller.renew(caller)
     delay = _backoff(caller, request.attempts)
     request.attempts += 1
     caller.send(caller, request.datagram)
@@ -291,12 +302,18 @@
     previous = feed.last_item
     feed.last_sequence = sequence
     if previous is not None and item < previous:
-        feed.faults.append((now, "step-back"))
+        _note_fault(feed, "step-back", now)
     elif previous is not None and item > previous + 1 and feed.registrations == 1:
-        feed.faults.append((now, "gap"))
+        _note_fault(feed, "gap", now)
     feed.last_item = item
 
 
+def _note_fault(feed: CallerFeed, reason: str, now: float) -> None:
+    """Note a fault that the item which shows it also ends."""
+    feed.faults.append((now, reason))
+    feed.recovered_at.append(now)
+
+
 def _receive_answer(
     caller: Caller, request: CallerRequest, message: Message, now: float
 ) -> None:
--- a/lycheeglade/replay_upstream.py
+++ b/lycheeglade/replay_upstream.py
@@ -6,6 +6,8 @@
 
 from aiocoap import Code, Message, Type
 
+from lycheeglade.coap import ADAPTER
+
 ETAG_BYTES = 8
 
 
@@ -72,7 +74,9 @@
 
 
 def _receive_empty(upstream: UpstreamModel, message: Message) -> None:
-    if message.mtype is Type.RST:
+    if message.mtype is Type.CON:
+        upstream.send(ADAPTER.write_reset(message.mid))
+    elif message.mtype is Type.RST:
         for token, registration in list(upstream.feeds_by_token.items()):
             if registration.mid == message.mid:
                 del upstream.feeds_by_token[token]
--- a/lycheeglade/served_target.py
+++ b/lycheeglade/served_target.py
@@ -194,6 +194,10 @@
 
     Attributes
     ----------
+    is_down : bool
+        Whether the upstream answers nothing at present.
+    unanswered_since : float or None
+        When the oldest datagram was sent that the upstream did not answer.
     homes_by_flow : OrderedDict
         Flows that live elsewhere, least recently used first.
     settled_at : float
@@ -208,7 +212,11 @@
     admission: Admission
     settled_at: float
     draining: bool = False
-    drained_at: float | None = None
+    is_down: bool = False
+    is_moving: bool = False
+    unanswered_since: float | None = None
+    upstream_pings: int = 0
+    next_ping_at: float = 0.0
     records_by_flow: dict[FlowKey, FlowRecord] = field(default_factory=dict)
     homes_by_flow: OrderedDict[FlowKey, HomePointer] = field(
         default_factory=OrderedDict
@@ -223,6 +231,11 @@
         default_factory=lambda: deque(maxlen=MAX_COMMITTED)
     )
 
+    @property
+    def must_move(self) -> bool:
+        """Whether the flows have to move to other targets."""
+        return self.draining or self.is_down
+
     @property
     def key(self) -> TargetKey:
         """Name of the target."""
