Keep a process alive that starts while the platform is down

Cause: the pause after a failed read got the number of hosts and of zones in each other's place, so that a process without a view divided by zero and ended. A control address in use ended in a traceback without the address.

Change: the arguments stand in their places; the error of the control address is an OSError that names it.

--- a/lycheeglade/gossip.py
+++ b/lycheeglade/gossip.py
@@ -70,7 +70,7 @@
 
     Raises
     ------
-    pynng.NNGException
+    OSError
         If the control address can't be bound.
     """
     async with ClientSession() as session:
@@ -79,7 +79,7 @@
         with Rep0(
             recv_max_size=MAX_MESSAGE_BYTES, send_timeout=SEND_TIMEOUT_MS
         ) as listener:
-            listener.listen(f"tcp://{settings.control}")
+            _listen(listener, settings.control)
             async with TaskGroup() as tasks:
                 tasks.create_task(follower.serve(listener))
                 tasks.create_task(follower.exchange_in_rounds())
@@ -88,6 +88,13 @@
                 tasks.create_task(follower.watch_platform())
 
 
+def _listen(listener: Rep0, address: Address) -> None:
+    try:
+        listener.listen(f"tcp://{address}")
+    except NNGException as error:
+        raise OSError(f"{address}: {error}") from error
+
+
 class Follower:
     """One process that follows the configuration."""
 
@@ -173,8 +180,9 @@
     def _watch_pause(self, failures: int) -> float:
         if not failures:
             return self._random.uniform(0.5, 1.0) * WATCH_PAUSE_S
+        rank, zones = self._rank
         hosts = len(self._blackboard.view.value.hosts_by_id)
-        return retry_delay(failures, *self._rank, hosts, self._random)
+        return retry_delay(failures, rank, hosts, zones, self._random)
 
     def _answer(self, message: Message, now: float) -> Reply | None:
         fresh = view_is_fresh(self._blackboard.checked_at.value, now)
