Add the public face of the package; check folders and answers

Cause: the commands each composed the parts themselves, and a program that uses the library would have to do the same; replay failed with a TypeError after its last trace, since it took the count of broken outcomes for a list; check took no folder, though its help says so, and no answers.

Change: a few functions in the package compose the parts, the commands call them; check lists the .ini files of a folder and knows a team's answers.

Conclusion: rank a flow in three lines: import, load_service, rank_flow.

--- a/lycheeglade/__init__.py
+++ b/lycheeglade/__init__.py
@@ -1,3 +1,137 @@
-"""Layer-4 load balancer that serves each connection in a permitted place."""
+"""Layer-4 load balancer that serves each connection in a permitted place.
+
+The functions of this module compose the parts of the package. The modules
+that they need are imported when they are called.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from lycheeglade.address import Address
+    from lycheeglade.errors import OptionError
+    from lycheeglade.view import Service, Target
 
 __version__ = "0.1.0"
+
+
+def load_service(path: str | Path) -> Service:
+    """Return the service that the published value at `path` declares.
+
+    Raises
+    ------
+    ConfigurationError
+        If the file can't be read or anything in it is wrong.
+    """
+    from lycheeglade.configuration import parse_service
+    from lycheeglade.settings import read_text
+
+    return parse_service(read_text(path), str(path), revision=0)
+
+
+def rank_flow(service: Service, caller: Address | str) -> tuple[Target, ...]:
+    """Return the permitted targets of a caller's flow, best first.
+
+    Parameters
+    ----------
+    caller : Address or str
+        The caller's ``IP:PORT``.
+
+    Raises
+    ------
+    ValueError
+        If `caller` is not an address.
+    """
+    from lycheeglade.address import parse_address
+    from lycheeglade.flow import FlowKey, hash_flow
+    from lycheeglade.routing import rank_targets
+
+    ip, port = parse_address(str(caller))
+    return rank_targets(service, hash_flow(FlowKey(service.name, ip, port)))
+
+
+def check_files(paths: Iterable[str | Path]) -> list[OptionError]:
+    """Return everything that is wrong with settings and published values."""
+    from lycheeglade.checker import check_files as check
+
+    return check(paths)
+
+
+def generate_files(answers_path: str | Path, folder: str | Path) -> list[Path]:
+    """Write all configuration for a team's answers; return the files.
+
+    Raises
+    ------
+    ConfigurationError
+        If the answers can't be read or contradict each other.
+    """
+    from lycheeglade.generator import generate_files as generate
+
+    return generate(Path(answers_path), Path(folder))
+
+
+def replay_files(paths: Iterable[str | Path]) -> int:
+    """Replay traces, print their outcomes, and count those not held.
+
+    Raises
+    ------
+    ExceptionGroup
+        Of a `TraceError` for each thing that is wrong in a trace.
+    """
+    from lycheeglade.outcome import replay_files as replay
+
+    return replay(map(Path, paths))
+
+
+def run_balancer(path: str | Path, log_level: str | None = None) -> int:
+    """Run a balancer with the settings at `path`; return its exit code.
+
+    Parameters
+    ----------
+    log_level : str, optional
+        Stands in for the one of the settings.
+
+    Raises
+    ------
+    ConfigurationError
+        If the settings can't be read or anything in them is wrong.
+    OSError
+        If an address can't be bound.
+    """
+    from lycheeglade.balancer_daemon import run_balancer as run
+
+    return _run_daemon(run, path, log_level)
+
+
+def run_agent(path: str | Path, log_level: str | None = None) -> int:
+    """Run an agent with the settings at `path`; return its exit code.
+
+    Parameters
+    ----------
+    log_level : str, optional
+        Stands in for the one of the settings.
+
+    Raises
+    ------
+    ConfigurationError
+        If the settings can't be read or anything in them is wrong.
+    OSError
+        If an address can't be bound.
+    """
+    from lycheeglade.agent_daemon import run_agent as run
+
+    return _run_daemon(run, path, log_level)
+
+
+def _run_daemon(run, path: str | Path, log_level: str | None) -> int:
+    import uvloop
+
+    from lycheeglade.logs import configure_logging
+    from lycheeglade.settings import load_settings
+
+    settings = load_settings(path)
+    configure_logging(log_level or settings.log_level)
+    return uvloop.run(run(settings))
--- a/lycheeglade/checker.py
+++ b/lycheeglade/checker.py
@@ -1,13 +1,15 @@
 """Checks settings and published values before they are used."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from ipaddress import ip_address
 from pathlib import Path
 from typing import NamedTuple
 
 from lycheeglade.address import Address
+from lycheeglade.answers import parse_answers
 from lycheeglade.configuration import parse_hosts, parse_service
+from lycheeglade.contradictions import find_contradictions
 from lycheeglade.errors import ConfigurationError, OptionError
 from lycheeglade.options import OptionReader, suggest_name
 from lycheeglade.settings import Settings, parse_settings, read_text
@@ -37,12 +39,13 @@
 def check_files(paths: Iterable[str | Path]) -> list[OptionError]:
     """Return everything that is wrong with the files at `paths`.
 
-    The kind of a file follows from its sections: ``[process]`` makes it
-    settings, ``[service]`` a service, ``[host NAME]`` a list of hosts. Files
-    that are valid by themselves are compared with each other.
+    A folder stands for all its ``.ini`` files. The kind of a file follows
+    from its sections: ``[process]`` makes it settings, ``[service]`` a
+    service, ``[team]`` a team's answers, ``[host NAME]`` a list of hosts.
+    Files that are valid by themselves are compared with each other.
     """
     checked = Checked()
-    for path in paths:
+    for path in _list_files(paths):
         try:
             _read_file(str(path), checked)
         except ConfigurationError as error:
@@ -128,17 +131,28 @@
             self.errors.append(OptionError(*place, option, reason))
 
 
+def _list_files(paths: Iterable[str | Path]) -> Iterator[Path]:
+    for path in map(Path, paths):
+        if path.is_dir():
+            yield from sorted(path.rglob("*.ini"))
+        else:
+            yield path
+
+
 def _read_file(source: str, checked: Checked) -> None:
     text = read_text(source)
     sections = OptionReader(text, source).section_names
     if "process" in sections:
         checked.settings_by_source[source] = parse_settings(text, source)
+    elif "team" in sections:
+        answers = parse_answers(text, source)
+        checked.errors.extend(find_contradictions(answers, source))
     elif "service" in sections:
         checked.services_by_source[source] = parse_service(text, source, 0)
     elif any(section.startswith("host ") for section in sections):
         checked.hosts_by_source[source] = parse_hosts(text, source)
     else:
-        reason = "has neither [process] nor [service] nor [host NAME]"
+        reason = "has none of [process], [service], [team] and [host NAME]"
         if sections:
             hint = suggest_name(sections[0], ("process", "service", "host NAME"))
             reason = f"{reason}; [{sections[0]}] is unknown, {hint}"
--- a/lycheeglade/cmdline.py
+++ b/lycheeglade/cmdline.py
@@ -6,7 +6,7 @@
 
 import sys
 from asyncio import run as run_async
-from collections.abc import Callable, Coroutine, Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from pathlib import Path
 
 from cleo.application import Application
@@ -17,7 +17,14 @@
 from cleo.io.inputs.argv_input import ArgvInput
 from cleo.io.inputs.option import Option
 
-from lycheeglade import __version__
+from lycheeglade import (
+    __version__,
+    check_files,
+    generate_files,
+    replay_files,
+    run_agent,
+    run_balancer,
+)
 from lycheeglade.address import parse_address
 from lycheeglade.errors import LycheegladeError
 
@@ -57,40 +64,22 @@
         return self._handler(self) or EXIT_OK
 
 
-def _run_balancer(command: Command) -> int | None:
-    from lycheeglade.balancer_daemon import run_balancer
+def _run_balancer(command: Command) -> int:
+    return run_balancer(_required_option(command, "config"), _log_level(command))
 
-    return _run_daemon(command, run_balancer)
 
+def _run_agent(command: Command) -> int:
+    return run_agent(_required_option(command, "config"), _log_level(command))
 
-def _run_agent(command: Command) -> int | None:
-    from lycheeglade.agent_daemon import run_agent
 
-    return _run_daemon(command, run_agent)
-
-
-def _run_daemon(
-    command: Command, run: Callable[..., Coroutine[None, None, int | None]]
-) -> int | None:
-    import uvloop
-
-    from lycheeglade.logs import configure_logging
-    from lycheeglade.settings import load_settings
-
-    settings = load_settings(_required_option(command, "config"))
-    level = settings.log_level
+def _log_level(command: Command) -> str | None:
     if command.io.output.is_verbose():
-        level = "debug"
-    elif command.io.output.is_quiet():
-        level = "warning"
-    configure_logging(level)
-    return uvloop.run(run(settings))
+        return "debug"
+    return "warning" if command.io.output.is_quiet() else None
 
 
 def _check(command: Command) -> int:
-    from lycheeglade.checker import check_files
-
-    errors = check_files([Path(name) for name in command.argument("files")])
+    errors = check_files(command.argument("files"))
     _print_errors(errors)
     return EXIT_WRONG if errors else EXIT_OK
 
@@ -121,12 +110,7 @@
 
 
 def _replay(command: Command) -> int:
-    from lycheeglade.outcome import replay_files
-
-    names = command.argument("traces")
-    failures = replay_files([Path(name) for name in names])
-    _print_errors(failures)
-    return EXIT_WRONG if failures else EXIT_OK
+    return EXIT_WRONG if replay_files(command.argument("traces")) else EXIT_OK
 
 
 def _questionnaire(command: Command) -> None:
@@ -137,11 +121,7 @@
 
 
 def _generate(command: Command) -> None:
-    from lycheeglade.generator import generate_files
-
-    paths = generate_files(
-        Path(command.argument("answers")), Path(command.option("output"))
-    )
+    paths = generate_files(command.argument("answers"), command.option("output"))
     if not command.io.output.is_quiet():
         print("\n".join(map(str, paths)))
 
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -46,6 +46,7 @@
     written = capsys.readouterr().out.splitlines()
     assert len(written) == 8
     assert main(["check", *written]) == 0
+    assert main(["check", str(out), str(DATA / "small.ini")]) == 0
     assert main(["generate", "-q", str(DATA / "small.ini"), "-o", str(out)]) == 0
     assert capsys.readouterr() == ("", "")
     bad = str(DATA / "contradictory.ini")
@@ -53,6 +54,8 @@
     told = capsys.readouterr().err.replace(bad, "it.ini")
     assert told == (DATA / "contradictory.expected").read_text()
     assert not (tmp_path / "none").exists()
+    assert main(["check", bad]) == EXIT_WRONG
+    assert capsys.readouterr().err.replace(bad, "it.ini") == told
 
 
 @pytest.mark.parametrize("command", ["balancer", "agent"])
