Record the time at the balancer and show datagrams that weren't sent

Cause: the histograms had no stage of the balancer, and datagrams dropped at a full send buffer were counted where nobody could read them.

Change: one packet of 64 has its time in the balancer recorded; both daemons show unsent datagrams in their status.

Conclusion: the way of a request can be followed stage by stage.

--- a/lycheeglade/agent_daemon.py
+++ b/lycheeglade/agent_daemon.py
@@ -58,6 +58,11 @@
                 return
         socket.send(datagram)
 
+    @property
+    def dropped(self) -> int:
+        """Datagrams to upstreams that the open sockets could not send."""
+        return sum(socket.dropped for _, socket in self._sockets_by_key.values())
+
     def close(self, key: TargetKey, flow: FlowKey | None) -> None:
         """Close the socket of a flow."""
         _, socket = self._sockets_by_key.pop((key, flow), (None, None))
@@ -123,7 +128,10 @@
         tick=partial(tick, agent),
         begin_stop=partial(begin_stop, agent),
         work_left=lambda now: work_left(agent),
-        describe=lambda: describe(agent, settings),
+        describe=lambda: {
+            **describe(agent, settings),
+            "unsent_datagrams": peers.dropped + upstreams.dropped,
+        },
     )
     try:
         return await run_process(settings, blackboard, metrics, parts, logger)
--- a/lycheeglade/balancer_daemon.py
+++ b/lycheeglade/balancer_daemon.py
@@ -20,7 +20,7 @@
 )
 from lycheeglade.blackboard import Blackboard
 from lycheeglade.daemon import ProcessParts, run_process
-from lycheeglade.histograms import Metrics
+from lycheeglade.histograms import Metrics, Stage, Work
 from lycheeglade.logs import log_event
 from lycheeglade.settings import Settings
 from lycheeglade.transport import DatagramSocket
@@ -29,13 +29,19 @@
 logger = getLogger(__name__)
 
 QUIET_S = 1.0
+PACKETS_PER_SAMPLE = 64
 
 
 class ServiceSockets:
-    """Sockets on the addresses of the services, by service name."""
+    """Sockets on the addresses of the services, by service name.
 
-    def __init__(self, settings: Settings):
+    One packet of `PACKETS_PER_SAMPLE` has its time in the balancer recorded.
+    """
+
+    def __init__(self, settings: Settings, metrics: Metrics):
         self._settings = settings
+        self._metrics = metrics
+        self._packets_until_sample = 1
         self._sockets_by_address: dict[tuple[str, Address], DatagramSocket] = {}
         self.heard_at = float("-inf")
 
@@ -59,6 +65,11 @@
         for key in wanted - self._sockets_by_address.keys():
             self._open(balancer, *key)
 
+    @property
+    def dropped(self) -> int:
+        """Datagrams to callers that the open sockets could not send."""
+        return sum(socket.dropped for socket in self._sockets_by_address.values())
+
     def describe(self) -> list[str]:
         """Return the addresses that are listened on."""
         return sorted(f"{name} {at}" for name, at in self._sockets_by_address)
@@ -89,13 +100,18 @@
     ) -> None:
         self.heard_at = monotonic()
         receive_from_caller(balancer, service, source, datagram, self.heard_at)
+        self._packets_until_sample -= 1
+        if not self._packets_until_sample:
+            self._packets_until_sample = PACKETS_PER_SAMPLE
+            seconds = monotonic() - self.heard_at
+            self._metrics.record(service, Work.ANY, Stage.BALANCER, seconds)
 
 
 async def run_balancer(settings: Settings) -> int:
     """Run a balancer until it is asked to stop; return its exit code."""
     blackboard = Blackboard()
     metrics = Metrics()
-    services = ServiceSockets(settings)
+    services = ServiceSockets(settings, metrics)
     peers = DatagramSocket(
         get_running_loop(),
         lambda datagram, source: receive_datagram(
@@ -125,7 +141,10 @@
         tick=partial(tick, balancer),
         begin_stop=lambda now: blackboard.draining.write(True),
         work_left=lambda now: int(now - services.heard_at < QUIET_S),
-        describe=lambda: describe(balancer, services, settings),
+        describe=lambda: {
+            **describe(balancer, services, settings),
+            "unsent_datagrams": peers.dropped + services.dropped,
+        },
     )
     try:
         return await run_process(settings, blackboard, metrics, parts, logger)
--- a/lycheeglade/histograms.py
+++ b/lycheeglade/histograms.py
@@ -22,8 +22,14 @@
 
 
 class Work(StrEnum):
-    """Class of work that a latency belongs to."""
+    """Class of work that a latency belongs to.
 
+    A balancer doesn't read what it carries and records `ANY`. `FLOW` stands
+    for the flow itself, before its first request.
+    """
+
+    ANY = "any"
+    FLOW = "flow"
     FEED = "feed"
     REPEATABLE = "repeatable"
     NOT_REPEATABLE = "not-repeatable"
@@ -35,6 +41,7 @@
     BALANCER = "balancer"
     QUEUE = "queue"
     UPSTREAM = "upstream"
+    OPENING = "opening"
     WHOLE = "whole"
 
 
