Aim the ticket state machine at the flow's home

Change: rules prefer the flow's present home; handed-off tickets count as touched from the moment of the export.

--- a/tests/test_ticket_machine.py
+++ b/tests/test_ticket_machine.py
@@ -31,6 +31,7 @@
 AGENTS = ("a", "b", "c")
 MAX_OUTCOMES = 4
 LIFETIME_S = 60.0
+HOME_OR_ANY = st.none() | st.sampled_from(AGENTS)
 
 
 @dataclass(eq=False)
@@ -94,7 +95,9 @@
         self.sent = []
         self.handoffs = 0
         self.minters = {}
+        self.flows = {}
         self.touched = set()
+        self.homes = dict.fromkeys(FLOWS, AGENTS[0])
         self.agents = {name: Agent(name) for name in AGENTS}
 
     def new_attempt(self, request, ticket, flow):
@@ -106,13 +109,14 @@
         assert attempt.runs == 0, "told 'not run' of what ran"
         attempt.told_not_run = True
 
-    @rule(target=tickets, agent=st.sampled_from(AGENTS), flow=st.sampled_from(FLOWS))
+    @rule(target=tickets, agent=HOME_OR_ANY, flow=st.sampled_from(FLOWS))
     def mint(self, agent, flow):
-        agent = self.agents[agent]
+        agent = self.agents[agent or self.homes[flow]]
         ticket = agent.book.mint(flow, self.now)
         if ticket is None:
             return multiple()
         self.minters[ticket] = agent.book
+        self.flows[ticket] = flow
         return ticket, flow
 
     @rule(target=attempts, ticket=tickets)
@@ -132,12 +136,12 @@
 
     @rule(
         attempt=attempts,
-        agent=st.sampled_from(AGENTS),
+        agent=HOME_OR_ANY,
         flow=st.none() | st.sampled_from(FLOWS),
         admitted=st.booleans(),
     )
     def deliver(self, attempt, agent, flow, admitted):
-        agent = self.agents[agent]
+        agent = self.agents[agent or self.homes[attempt.flow]]
         flow = flow or attempt.flow
         verdict = self.judge(agent.book, attempt.ticket, flow, attempt.digest, self.now)
         match verdict.judgement:
@@ -180,9 +184,9 @@
     def outcome_of(self, attempt):
         return b"not run" if attempt.refused else b"done" + attempt.digest
 
-    @rule(agent=st.sampled_from(AGENTS))
-    def finish(self, agent):
-        agent = self.agents[agent]
+    @rule(agent=HOME_OR_ANY, flow=st.sampled_from(FLOWS))
+    def finish(self, agent, flow):
+        agent = self.agents[agent or self.homes[flow]]
         if agent.running:
             attempt = agent.running.pop(0)
             agent.book.finish(attempt.ticket, self.outcome_of(attempt), self.now)
@@ -197,21 +201,30 @@
 
     @rule(
         target=commits,
-        agent=st.sampled_from(AGENTS),
+        agent=HOME_OR_ANY,
         successor=st.sampled_from(AGENTS),
         flow=st.sampled_from(FLOWS),
+        arrives=st.booleans(),
     )
-    def hand_off(self, agent, successor, flow):
+    def hand_off(self, agent, successor, flow, arrives):
+        agent = agent or self.homes[flow]
         if agent == successor:
             return multiple()
         self.handoffs += 1
         self.agents[successor].ready.add(self.handoffs)
-        self.touched.update(a.ticket for a in self.sent if a.flow == flow)
+        self.touched.update(t for t, owner in self.flows.items() if owner == flow)
+        self.homes[flow] = successor
         state = self.agents[agent].book.export_flow(flow, self.now)
-        return self.handoffs, successor, flow, state
+        commit = self.handoffs, successor, flow, state
+        if arrives:
+            self.deliver_copy(commit)
+        return commit
 
     @rule(commit=commits)
     def deliver_commit(self, commit):
+        self.deliver_copy(commit)
+
+    def deliver_copy(self, commit):
         handoff, successor, flow, state = commit
         successor = self.agents[successor]
         # An incarnation takes only the handoffs that it has agreed to.
