Add placement of flows and requests, and the fairness bench

Cause: a flow placed well can still land its requests on a busy host all evening, and upstreams differ 1:5. Change: place_flow, place_request and accept_delegated decide on true local load and on the busy shares that peers tell with each delegation; the queue is ordered by deadline, so that a request offered to a peer and given back keeps its place. bench/fairness.py runs them against four baselines in virtual time.

--- /dev/null
+++ b/bench/fairness.py
@@ -0,0 +1,103 @@
+"""Fairness of the product's decisions against baselines, in virtual time.
+
+Usage: python -m bench.fairness [SEEDS [SECONDS]]
+"""
+
+from collections import defaultdict
+from random import Random
+from sys import argv
+
+import numpy as np
+
+from bench.fairness_model import SPEEDS, Callers, Clock, Mix, Upstream, make_service
+from bench.fairness_policies import (
+    FlowsOnly,
+    LeastOutstanding,
+    LeastReported,
+    Product,
+    Rendezvous,
+    RequestsOnly,
+    RoundRobin,
+)
+
+LOAD = 0.7
+WARM_UP_S = 60.0
+BOOTH_SYNC = Mix("booth-sync", 1, 0.25, 700, 3600.0, 0.5, 2.0)
+PHRASEBOOK = Mix("phrasebook", 3, 0.5, 1000, 600.0, 1.0, 2.0)
+POLICIES = (
+    RoundRobin,
+    Rendezvous,
+    LeastOutstanding,
+    LeastReported,
+    FlowsOnly,
+    RequestsOnly,
+    Product,
+)
+
+
+def run(policy_type, mix, weights, seed, seconds, load=LOAD):
+    """Return the measures of one run."""
+    clock = Clock()
+    upstreams = [
+        Upstream(clock, mix, speed, index >= len(SPEEDS) - 2, Random(seed + index))
+        for index, speed in enumerate(SPEEDS)
+    ]
+    service = make_service(mix, weights)
+    policy = policy_type(clock, service, upstreams, Random(seed))
+    Callers(clock, mix, load, Random(seed), policy.open_flow, policy.send)
+    clock.run(WARM_UP_S)
+    before = [upstream.busy_time for upstream in upstreams]
+    start = snapshot(policy)
+    policy.latencies.clear()
+    clock.run(WARM_UP_S + seconds)
+    busy = np.array([u.busy_time for u in upstreams]) - before
+    busy /= seconds * mix.slots
+    counts = {name: value - start[name] for name, value in snapshot(policy).items()}
+    total = max(1, counts["answered"] + counts["refused"])
+    return {
+        "max/mean": busy.max() / busy.mean(),
+        "p99/mean": np.percentile(busy, 99) / busy.mean(),
+        "busy": busy.mean(),
+        "late %": 100 * counts["late"] / total,
+        "refused %": 100 * counts["refused"] / total,
+        "free %": 100 * counts["refused_with_free_slot"] / total,
+        "p50 ms": 1000 * np.percentile(policy.latencies, 50),
+        "p99 ms": 1000 * np.percentile(policy.latencies, 99),
+        "deleg.": counts["delegations"] / total,
+    }
+
+
+def snapshot(policy):
+    """Return the counters of a policy."""
+    names = ("answered", "late", "refused", "refused_with_free_slot", "delegations")
+    return {name: getattr(policy, name) for name in names}
+
+
+def compare(title, mix, weights, seeds, seconds, policies=POLICIES):
+    """Print the means over all seeds of each policy."""
+    print(f"\n{title}")
+    for position, policy_type in enumerate(policies):
+        values = defaultdict(list)
+        for seed in seeds:
+            result = run(policy_type, mix, weights, seed, seconds)
+            for name, value in result.items():
+                values[name].append(value)
+        if position == 0:
+            print(f"{'':17}" + "".join(f"{name:>10}" for name in values))
+        cells = "".join(f"{np.mean(value):10.3f}" for value in values.values())
+        print(f"{policy_type.__name__:17}{cells}", flush=True)
+
+
+def main(seeds=3, seconds=300.0):
+    """Print all comparisons."""
+    seeds = range(1, int(seeds) + 1)
+    seconds = float(seconds)
+    equal = (1.0,) * len(SPEEDS)
+    for mix in (BOOTH_SYNC, PHRASEBOOK):
+        for name, weights in (("as strong", SPEEDS), ("equal", equal)):
+            title = f"{mix.name}, {mix.slots} slots, weights {name}"
+            compare(title, mix, weights, seeds, seconds)
+
+
+if __name__ == "__main__":
+    main(*argv[1:])
--- /dev/null
+++ b/bench/fairness_model.py
@@ -0,0 +1,200 @@
+"""Virtual-time model of upstreams, agents and callers for fairness runs."""
+
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+
+from lycheeglade.address import Address, Zone
+from lycheeglade.admission import Admission, AdmissionLimits
+from lycheeglade.placement import PeerLoads
+from lycheeglade.view import Protocol, Service, Target
+
+HOP_S = 0.001
+SPEEDS = (5.0, 4.0, 3.0, 2.5, 2.0, 1.5, 1.0)
+
+
+@dataclass(frozen=True, slots=True)
+class Mix:
+    """Workload of one service.
+
+    Attributes
+    ----------
+    solo : float
+        Seconds of a mean request at an upstream of speed 1.
+    flows : int
+        Flows that are open at once.
+    flow_lifetime : float
+        Mean seconds that a flow stays open.
+    rate_spread : float
+        Sigma of the lognormal request rate of flows.
+    timeout : float
+        Seconds until an answer is late.
+    interference : float
+        Slowdown by each other request that runs on the same upstream.
+    weak_interference : float
+        The same for the two slowest upstreams.
+    """
+
+    name: str
+    slots: int
+    solo: float
+    flows: int
+    flow_lifetime: float
+    rate_spread: float
+    timeout: float
+    interference: float = 0.1
+    weak_interference: float = 0.1
+
+
+@dataclass(slots=True)
+class Flow:
+    """An open flow and the target that is its home."""
+
+    number: int
+    rate: float
+    closes_at: float
+    home: int = -1
+
+
+@dataclass(slots=True)
+class Request:
+    """A request on its way."""
+
+    number: int
+    flow: Flow
+    work: float
+    sent_at: float
+    deadline: float
+    tried: list[int] = field(default_factory=list)
+    on_done: object = None
+
+
+class Clock:
+    """Queue of events in virtual time."""
+
+    def __init__(self):
+        self.now = 0.0
+        self._events = []
+        self._numbers = count()
+
+    def after(self, delay, action):
+        """Run `action` in `delay` seconds."""
+        heappush(self._events, (self.now + delay, next(self._numbers), action))
+
+    def run(self, until):
+        """Run all events up to a time."""
+        while self._events and self._events[0][0] <= until:
+            self.now, _, action = heappop(self._events)
+            action()
+        self.now = until
+
+
+class Upstream:
+    """A small upstream behind the product's own admission."""
+
+    def __init__(self, clock, mix, speed, weak, generator, admission_type=Admission):
+        self.clock = clock
+        self.mix = mix
+        self.speed = speed
+        self.interference = mix.weak_interference if weak else mix.interference
+        limits = AdmissionLimits(slots=mix.slots)
+        self.admission = admission_type(limits, 0.0, generator)
+        self.peer_loads = PeerLoads()
+        self.waiting = {}
+        self.running = 0
+        self.busy_time = 0.0
+        self.shed = 0
+
+    def start(self, request):
+        """Run a request that has a slot."""
+        slowdown = 1 + self.interference * self.running
+        duration = request.work * self.mix.solo / self.speed * slowdown
+        self.running += 1
+        self.clock.after(duration, lambda: self.finish(request, duration))
+
+    def finish(self, request, duration):
+        """End a request and start what may run now."""
+        self.running -= 1
+        self.busy_time += duration
+        now = self.clock.now
+        self.admission.finish(request.number, now)
+        request.on_done(request)
+        self.start_next()
+
+    def start_next(self):
+        """Start waiting requests."""
+        for number in self.admission.start_next(self.clock.now):
+            self.start(self.waiting.pop(number))
+
+    def expire(self):
+        """Return waiting requests that can't be answered in time."""
+        numbers = self.admission.expire(self.clock.now)
+        return [self.waiting.pop(number) for number in numbers]
+
+
+def make_service(mix, weights):
+    """Return a service with one target for each weight."""
+    zones = ("a", "b", "c")
+    targets = {}
+    for index, weight in enumerate(weights):
+        address = Address("127.0.0.1", 1000 + index)
+        targets[str(index)] = Target(
+            target_id=str(index),
+            host_id=str(index),
+            zone=Zone("wa-south", zones[index % 3]),
+            agent=address,
+            upstream=address,
+            weight=weight,
+            slots=mix.slots,
+        )
+    return Service(
+        name=mix.name,
+        tenant="bench",
+        revision=1,
+        protocol=Protocol.COAP,
+        addresses=(),
+        places=("wa-south",),
+        targets_by_id=targets,
+    )
+
+
+class Callers:
+    """Opens flows and sends their requests at a share of the capacity."""
+
+    def __init__(self, clock, mix, load, generator: Random, open_flow, send):
+        self.clock = clock
+        self.mix = mix
+        self.generator = generator
+        self.open_flow = open_flow
+        self.send = send
+        self.numbers = count()
+        self.flow_numbers = count()
+        capacity = mix.slots * sum(SPEEDS) / mix.solo
+        self.mean_rate = load * capacity / mix.flows
+        for _ in range(mix.flows):
+            self.open()
+
+    def open(self):
+        """Open a flow; another one follows when it closes."""
+        spread = self.mix.rate_spread
+        rate = self.mean_rate * self.generator.lognormvariate(-(spread**2) / 2, spread)
+        lifetime = self.generator.expovariate(1 / self.mix.flow_lifetime)
+        flow = Flow(next(self.flow_numbers), rate, self.clock.now + lifetime)
+        self.open_flow(flow)
+        self.clock.after(lifetime, self.open)
+        self.schedule(flow)
+
+    def schedule(self, flow):
+        """Send the flow's next request, unless it closes before."""
+        delay = self.generator.expovariate(flow.rate)
+        if self.clock.now + delay < flow.closes_at:
+            self.clock.after(delay, lambda: self.request(flow))
+
+    def request(self, flow):
+        """Send one request."""
+        now = self.clock.now
+        work = self.generator.lognormvariate(-0.125, 0.5)
+        request = Request(next(self.numbers), flow, work, now, now + self.mix.timeout)
+        self.send(request)
+        self.schedule(flow)
--- /dev/null
+++ b/bench/fairness_policies.py
@@ -0,0 +1,279 @@
+"""Ways to spread requests over upstreams: the product's and the baselines."""
+
+from bench.fairness_model import HOP_S
+from lycheeglade.admission import Queued, Start
+from lycheeglade.flow import FlowKey, hash_flow
+from lycheeglade.placement import (
+    ACCEPT,
+    MAX_DELEGATIONS,
+    DelegateTo,
+    accept_delegated,
+    place_flow,
+    place_request,
+)
+from lycheeglade.retry import RetryBudget
+from lycheeglade.routing import rank_targets
+
+BALANCER_SHARES = (0.5, 0.3, 0.2)
+REPORT_LAG_S = 5.0
+LIARS = (1, 6)
+REOFFER_S = 0.05
+
+
+class Policy:
+    """Base of the policies: counts outcomes and offers to admission."""
+
+    deadline_check = True
+
+    def __init__(self, clock, service, upstreams, generator):
+        self.clock = clock
+        self.service = service
+        self.upstreams = upstreams
+        self.generator = generator
+        self.answered = 0
+        self.late = 0
+        self.refused = 0
+        self.refused_with_free_slot = 0
+        self.delegations = 0
+        self.latencies = []
+        clock.after(0.05, self.expire)
+
+    def open_flow(self, flow):
+        """Choose the flow's home."""
+
+    def rank(self, flow):
+        """Return the flow's candidates, best first, as indices."""
+        key = FlowKey(self.service.name, "127.0.0.9", flow.number)
+        return [int(t.target_id) for t in rank_targets(self.service, hash_flow(key))]
+
+    def offer(self, index, request):
+        """Offer a request to the admission of one upstream."""
+        upstream = self.upstreams[index]
+        now = self.clock.now
+        deadline = request.deadline if self.deadline_check else now + 1e9
+        answer = upstream.admission.offer(request.number, now, deadline)
+        request.on_done = request.on_done or self.done
+        if isinstance(answer, Start):
+            upstream.start(request)
+        elif isinstance(answer, Queued):
+            upstream.waiting[request.number] = request
+        else:
+            self.refuse()
+
+    def refuse(self):
+        """Count a refusal."""
+        self.refused += 1
+        now = self.clock.now
+        if any(u.admission.load(now).free_slots for u in self.upstreams):
+            self.refused_with_free_slot += 1
+
+    def done(self, request):
+        """Count an answer."""
+        self.answered += 1
+        self.latencies.append(self.clock.now - request.sent_at)
+        if self.clock.now > request.deadline:
+            self.late += 1
+
+    def expire(self):
+        """Refuse what waits in vain."""
+        for upstream in self.upstreams:
+            for _ in upstream.expire():
+                self.refuse()
+        self.clock.after(0.05, self.expire)
+
+
+class RoundRobin(Policy):
+    """Sends each request to the next upstream."""
+
+    deadline_check = False
+    next_index = 0
+
+    def send(self, request):
+        """Send a request."""
+        self.offer(self.next_index, request)
+        self.next_index = (self.next_index + 1) % len(self.upstreams)
+
+
+class Rendezvous(Policy):
+    """Keeps each flow at its first candidate."""
+
+    deadline_check = False
+
+    def open_flow(self, flow):
+        """Choose the flow's home."""
+        flow.home = self.rank(flow)[0]
+
+    def send(self, request):
+        """Send a request."""
+        self.offer(request.flow.home, request)
+
+
+class LeastOutstanding(Policy):
+    """Sends each request where one balancer has the fewest outstanding."""
+
+    deadline_check = False
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.outstanding = [[0] * len(self.upstreams) for _ in BALANCER_SHARES]
+
+    def send(self, request):
+        """Send a request through a random balancer."""
+        balancers = range(len(BALANCER_SHARES))
+        balancer = self.generator.choices(balancers, BALANCER_SHARES)[0]
+        counts = self.outstanding[balancer]
+        index = min(
+            range(len(counts)), key=lambda i: (counts[i], self.generator.random())
+        )
+        counts[index] += 1
+
+        def done(request):
+            counts[index] -= 1
+            self.done(request)
+
+        request.on_done = done
+        refused = self.refused
+        self.offer(index, request)
+        counts[index] -= self.refused - refused
+
+
+class LeastReported(Policy):
+    """Follows load endpoints that lag, two of which always report idle."""
+
+    deadline_check = False
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.reports = [0.0] * len(self.upstreams)
+        self.report()
+
+    def report(self):
+        """Read all load endpoints."""
+        now = self.clock.now
+        for index, upstream in enumerate(self.upstreams):
+            load = upstream.admission.load(now)
+            self.reports[index] = load.running + load.queued
+            if index in LIARS:
+                self.reports[index] = 0
+        self.clock.after(REPORT_LAG_S, self.report)
+
+    def send(self, request):
+        """Send a request to the better of two by their reports."""
+        pair = self.generator.sample(range(len(self.upstreams)), 2)
+        self.offer(min(pair, key=self.reports.__getitem__), request)
+
+
+class Product(Policy):
+    """The product's decisions, with its two parts separately."""
+
+    places_flows = True
+    delegates = True
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.budgets = [RetryBudget(4.0, 50.0) for _ in self.upstreams]
+        if self.delegates:
+            self.clock.after(REOFFER_S, self.reoffer)
+        self.ids = [str(index) for index in range(len(self.upstreams))]
+
+    def open_flow(self, flow):
+        """Choose the flow's home."""
+        candidates = self.rank(flow)
+        flow.home = candidates[0]
+        if not self.places_flows:
+            return
+        now = self.clock.now
+        upstream = self.upstreams[flow.home]
+        if not self.delegates:
+            self.tell_loads(upstream, candidates, now)
+        placed = place_flow(
+            upstream.admission.load(now),
+            0,
+            [str(index) for index in candidates],
+            upstream.peer_loads,
+            now,
+        )
+        if placed is not ACCEPT:
+            flow.home = candidates[placed.index]
+
+    def tell_loads(self, upstream, candidates, now):
+        """Tell an upstream the true loads, as hunting down the ranks would."""
+        for index in candidates:
+            busy = self.upstreams[index].admission.load(now).busy
+            upstream.peer_loads.note(str(index), busy, now)
+
+    def send(self, request):
+        """Send a request to its flow's home."""
+        self.budgets[request.flow.home].note_attempt()
+        self.place(request)
+
+    def place(self, request):
+        """Decide at the home where the request runs."""
+        now = self.clock.now
+        home = request.flow.home
+        upstream = self.upstreams[home]
+        load = upstream.admission.load(now)
+        if not self.delegates:
+            self.offer(home, request)
+            return
+        peers = [i for i in self.ids if int(i) != home and int(i) not in request.tried]
+        placed = place_request(
+            load,
+            peers,
+            upstream.peer_loads,
+            len(request.tried),
+            now,
+            self.generator,
+        )
+        if isinstance(placed, DelegateTo) and self.budgets[home].take():
+            self.delegations += 1
+            peer = int(placed.target_id)
+            full = load.free_slots == 0
+            self.clock.after(
+                HOP_S, lambda: self.delegate(request, peer, load.busy, full)
+            )
+            return
+        self.offer(home, request)
+
+    def reoffer(self):
+        """Offer each upstream's next waiting request to a peer again."""
+        for home, upstream in enumerate(self.upstreams):
+            number = upstream.admission.next_queued()
+            if number is None or upstream.waiting[number].flow.home != home:
+                continue
+            request = upstream.waiting.pop(number)
+            upstream.admission.cancel(number, self.clock.now)
+            request.tried = request.tried[-MAX_DELEGATIONS + 1 :]
+            self.place(request)
+        self.clock.after(REOFFER_S, self.reoffer)
+
+    def delegate(self, request, peer, home_busy, full):
+        """Run a request at a peer, or give it back."""
+        now = self.clock.now
+        home = request.flow.home
+        upstream = self.upstreams[peer]
+        upstream.peer_loads.note(str(home), home_busy, now)
+        load = upstream.admission.load(now)
+        self.clock.after(
+            HOP_S,
+            lambda: self.upstreams[home].peer_loads.note(
+                str(peer), load.busy, self.clock.now
+            ),
+        )
+        if accept_delegated(load, home_busy, full):
+            self.offer(peer, request)
+            return
+        request.tried.append(peer)
+        self.clock.after(HOP_S, lambda: self.place(request))
+
+
+class FlowsOnly(Product):
+    """Places flows by load, delegates no requests."""
+
+    delegates = False
+
+
+class RequestsOnly(Product):
+    """Delegates requests, places flows by rank alone."""
+
+    places_flows = False
--- a/lycheeglade/admission.py
+++ b/lycheeglade/admission.py
@@ -5,6 +5,7 @@
 refuses at once what can't finish by its deadline.
 """
 
+from bisect import insort
 from dataclasses import dataclass
 from enum import StrEnum
 from random import Random
@@ -141,6 +142,7 @@
         self._busy = BusyShare(started_at)
         self._started_by_id: dict[int, float] = {}
         self._deadlines_by_id: dict[int, float] = {}
+        self._queue: list[tuple[float, int]] = []
         self._flows = 0
         self._draining = False
         self._return_at = started_at
@@ -176,18 +178,19 @@
         if len(self._deadlines_by_id) >= self.limits.max_queue:
             return self._refuse(now, Cause.QUEUE_FULL)
         self._deadlines_by_id[request_id] = deadline
+        insort(self._queue, (deadline, request_id))
         return Queued(wait)
 
     def start_next(self, now: float) -> list[int]:
-        """Start what may run now and return its ids, oldest first.
+        """Start what may run now and return its ids, earliest deadline first.
 
         Call `expire` first: this doesn't look at deadlines.
         """
         self._note_call(now)
         started = []
-        while self._deadlines_by_id and self._has_free_slot(now):
-            request_id = next(iter(self._deadlines_by_id))
-            del self._deadlines_by_id[request_id]
+        while self._queue and self._has_free_slot(now):
+            _, request_id = self._queue[0]
+            self._leave_queue(request_id)
             self._start(request_id, now)
             started.append(request_id)
         return started
@@ -207,7 +210,7 @@
     def cancel(self, request_id: int, now: float) -> None:
         """Forget a request that was given up, whether it ran or waited."""
         self._note_call(now)
-        self._deadlines_by_id.pop(request_id, None)
+        self._leave_queue(request_id)
         started_at = self._started_by_id.pop(request_id, None)
         if started_at is None:
             return
@@ -224,14 +227,18 @@
         self._note_call(now)
         expired = []
         ahead = 0
-        for request_id, deadline in list(self._deadlines_by_id.items()):
+        for deadline, request_id in list(self._queue):
             if now + self._wait(now, ahead) + self._service_time.mean > deadline:
-                del self._deadlines_by_id[request_id]
+                self._leave_queue(request_id)
                 expired.append(request_id)
             else:
                 ahead += 1
         return expired
 
+    def next_queued(self) -> int | None:
+        """Return the waiting request with the earliest deadline."""
+        return self._queue[0][1] if self._queue else None
+
     def load(self, now: float) -> Load:
         """Return the present load."""
         return Load(
@@ -274,6 +281,11 @@
     def _has_free_slot(self, now: float) -> bool:
         return len(self._started_by_id) < self._limit(now)
 
+    def _leave_queue(self, request_id: int) -> None:
+        deadline = self._deadlines_by_id.pop(request_id, None)
+        if deadline is not None:
+            self._queue.remove((deadline, request_id))
+
     def _start(self, request_id: int, now: float) -> None:
         self._started_by_id[request_id] = now
         self._busy.add(now, 1)
--- /dev/null
+++ b/lycheeglade/placement.py
@@ -0,0 +1,169 @@
+"""Where new flows open and where single requests run.
+
+An agent knows its own target's true load. What it knows of its peers comes
+from the requests that agents hand one another: each delegation and each reply
+carries the sender's busy share, so it costs no messages of its own.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from random import Random
+
+from lycheeglade.admission import Load
+
+MAX_DELEGATIONS = 4
+BUSY_MARGIN = 0.02
+PEER_LOAD_LIFETIME_S = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class Accept:
+    """The flow opens here."""
+
+
+@dataclass(frozen=True, slots=True)
+class HandOn:
+    """The flow goes on to the candidate at `index`."""
+
+    index: int
+
+
+@dataclass(frozen=True, slots=True)
+class RunHere:
+    """The request takes a free slot of this target."""
+
+
+@dataclass(frozen=True, slots=True)
+class QueueHere:
+    """The request waits at this target, or is refused by its admission."""
+
+
+@dataclass(frozen=True, slots=True)
+class DelegateTo:
+    """The request is offered to a peer, which runs it or gives it back."""
+
+    target_id: str
+
+
+ACCEPT = Accept()
+RUN_HERE = RunHere()
+QUEUE_HERE = QueueHere()
+
+
+class PeerLoads:
+    """Busy shares that peers told lately, bounded by the number of peers.
+
+    Parameters
+    ----------
+    prior : float
+        Busy share assumed of a peer that told nothing lately.
+    """
+
+    def __init__(self, prior: float = 0.0):
+        self._prior = prior
+        self._busy_by_id: dict[str, tuple[float, float]] = {}
+
+    def note(self, target_id: str, busy: float, now: float) -> None:
+        """Note what a peer told."""
+        self._busy_by_id[target_id] = (busy, now)
+
+    def keep(self, target_ids: Sequence[str]) -> None:
+        """Forget all peers but the given ones."""
+        kept = set(target_ids)
+        for target_id in list(self._busy_by_id):
+            if target_id not in kept:
+                del self._busy_by_id[target_id]
+
+    def busy(self, target_id: str, now: float) -> float | None:
+        """Return the busy share of a peer, or None if it isn't known."""
+        busy, noted_at = self._busy_by_id.get(target_id, (self._prior, None))
+        if noted_at is None or now - noted_at > PEER_LOAD_LIFETIME_S:
+            return None
+        return busy
+
+    def mean(self, own_busy: float, now: float) -> float:
+        """Return the mean busy share over this target and known peers."""
+        known = [
+            busy
+            for busy, noted_at in self._busy_by_id.values()
+            if now - noted_at <= PEER_LOAD_LIFETIME_S
+        ]
+        return (own_busy + sum(known)) / (1 + len(known))
+
+
+def place_request(
+    load: Load,
+    peer_ids: Sequence[str],
+    peer_loads: PeerLoads,
+    delegations: int,
+    now: float,
+    generator: Random,
+) -> RunHere | QueueHere | DelegateTo:
+    """Decide where a request of a flow at home runs.
+
+    A request leaves its home if no slot is free there, or if the home was
+    busier than the mean of what it knows. After `MAX_DELEGATIONS` peers gave
+    it back it stays.
+
+    Parameters
+    ----------
+    peer_ids : sequence of str
+        Permitted live peers that haven't given the request back yet.
+    delegations : int
+        Peers that have given it back.
+    """
+    is_free = load.free_slots > 0
+    here = RUN_HERE if is_free else QUEUE_HERE
+    if not peer_ids or delegations >= MAX_DELEGATIONS:
+        return here
+    mean = peer_loads.mean(load.busy, now)
+    if is_free and load.busy <= mean + BUSY_MARGIN:
+        return here
+    return DelegateTo(_choose_peer(peer_ids, peer_loads, now, generator))
+
+
+def accept_delegated(load: Load, home_busy: float, home_is_full: bool) -> bool:
+    """Tell whether a peer's request runs here at once.
+
+    It does if a slot is free and this target was less busy than the request's
+    home, or if the home has no free slot.
+    """
+    if load.free_slots == 0:
+        return False
+    return home_is_full or load.busy + BUSY_MARGIN < home_busy
+
+
+def place_flow(
+    load: Load,
+    hops: int,
+    candidate_ids: Sequence[str],
+    peer_loads: PeerLoads,
+    now: float,
+) -> Accept | HandOn:
+    """Decide whether a new flow opens here or goes on to another candidate.
+
+    A flow is handed on once for load: to the candidate that is known to be
+    least busy. Whoever can't take it at all hands it to the next one, until
+    every candidate was asked.
+    """
+    following = candidate_ids[hops + 1 :]
+    if load.draining or load.flows >= load.connections:
+        return HandOn(hops + 1) if following else ACCEPT
+    if hops > 0 or not following:
+        return ACCEPT
+    known = [
+        (busy, index)
+        for index, target_id in enumerate(candidate_ids)
+        if index > hops and (busy := peer_loads.busy(target_id, now)) is not None
+    ]
+    if not known:
+        return ACCEPT
+    busy, index = min(known)
+    return HandOn(index) if busy + BUSY_MARGIN < load.busy else ACCEPT
+
+
+def _choose_peer(peer_ids, peer_loads, now, generator) -> str:
+    # The better of two random peers: always taking the least busy one would
+    # make all homes ask the same peer at once.
+    pair = generator.sample(peer_ids, min(2, len(peer_ids)))
+    return min(pair, key=lambda peer_id: peer_loads.busy(peer_id, now) or 0.0)
