Place flows and requests by the busy shares that peers tell

Cause: a flow placed well at its opening still lands its requests on a slow or busy host. Change: the home offers a request to a peer that was less busy, or when it has no free slot; the peer runs it at once or gives it back untouched. Busy shares ride on these packets.

--- a/lycheeglade/agent.py
+++ b/lycheeglade/agent.py
@@ -13,12 +13,15 @@
 from lycheeglade.admission import Admission, AdmissionLimits
 from lycheeglade.agent_state import Agent, AgentActions, update_known_addresses
 from lycheeglade.coap import ADAPTER as COAP_ADAPTER
+from lycheeglade.delegation import (
+    receive_delegate,
+    receive_delegate_reply,
+    reoffer_queued,
+)
 from lycheeglade.errors import PacketError
 from lycheeglade.exchange import (
     expire_queued,
     fail_upstream,
-    receive_delegate,
-    receive_delegate_reply,
     refuse_queued,
     start_queued,
 )
@@ -141,6 +144,7 @@
     elif served.service != service:
         served.service = service
         served.target = target
+        served.peer_loads.keep(list(service.targets_by_id))
         served.settled_at = now + service.flow_idle
         announce_home(agent, served, list(served.records_by_flow), now)
     may_serve = target.state is State.LIVE and service.permits(agent.zone)
@@ -322,6 +326,7 @@
         if served.requests_by_id:
             expire_queued(agent, served, now)
             start_queued(agent, served, now)
+            reoffer_queued(agent, served, now)
         if check_upstream(agent, served, now):
             _start_moving(agent, served, now)
 
--- /dev/null
+++ b/lycheeglade/delegation.py
@@ -0,0 +1,285 @@
+"""Places requests: here, in the queue, or at a peer with a free slot."""
+
+from dataclasses import replace
+
+from lycheeglade.address import Address
+from lycheeglade.admission import Load, Queued, Refused, Start
+from lycheeglade.agent_state import Agent, send_packet, suspected_targets
+from lycheeglade.exchange import (
+    admit_request,
+    finish_request,
+    forget_request,
+    refuse,
+    refuse_admitted,
+    reply_delegate,
+    start_request,
+    work_of,
+)
+from lycheeglade.message import Kind
+from lycheeglade.packet import Delegate, DelegateReply
+from lycheeglade.placement import (
+    MAX_DELEGATIONS,
+    DelegateTo,
+    accept_delegated,
+    place_request,
+)
+from lycheeglade.served_target import (
+    FlowRecord,
+    Request,
+    RequestState,
+    ServedTarget,
+)
+from lycheeglade.view import State, Target
+
+MIN_PATIENCE_S = 0.5
+PATIENCE_SERVICE_TIMES = 10.0
+MAX_DELEGATIONS_SEEN = 32_768
+DELEGATION_MEMORY_S = 600.0
+REOFFER_S = 0.05
+
+
+def offer_request(
+    agent: Agent,
+    served: ServedTarget,
+    record: FlowRecord,
+    request: Request,
+    now: float,
+) -> None:
+    """Start or queue a new request here, hand it to a peer, or refuse it."""
+    served.delegation_budget.note_attempt()
+    if _delegate_if_better(agent, served, record, request, now):
+        return
+    if served.is_down:
+        refuse(agent, served, record, request.reply_tos, "upstream-down", 1.0, now)
+        return
+    result = served.admission.offer(request.request_id, now, request.deadline)
+    if isinstance(result, Refused):
+        refuse(
+            agent,
+            served,
+            record,
+            request.reply_tos,
+            result.cause,
+            result.retry_after,
+            now,
+        )
+        return
+    admit_request(served, record, request, now)
+    if isinstance(result, Start):
+        start_request(agent, served, request, now)
+
+
+def _delegate_if_better(
+    agent: Agent,
+    served: ServedTarget,
+    record: FlowRecord,
+    request: Request,
+    now: float,
+) -> bool:
+    load = _own_load(served, now)
+    placed = place_request(
+        load,
+        _peer_ids(agent, served, request),
+        served.peer_loads,
+        len(request.asked),
+        now,
+        agent.generator,
+    )
+    if not isinstance(placed, DelegateTo) or not served.delegation_budget.take():
+        return False
+    admit_request(served, record, request, now)
+    peer = served.service.targets_by_id[placed.target_id]
+    _delegate(agent, served, request, peer, load, now)
+    return True
+
+
+def reoffer_queued(agent: Agent, served: ServedTarget, now: float) -> None:
+    """Ask peers again to run the request that waits here for longest."""
+    request_id = served.admission.next_queued()
+    request = served.requests_by_id.get(request_id)
+    if request is None or now < served.next_reoffer_at:
+        return
+    served.next_reoffer_at = now + REOFFER_S
+    record = served.records_by_flow.get(request.flow)
+    if record is None:
+        return
+    served.admission.cancel(request_id, now)
+    request.asked = request.asked[1 - MAX_DELEGATIONS :]
+    if not _delegate_if_better(agent, served, record, request, now):
+        _offer_returned(agent, served, request, now)
+
+
+def _own_load(served: ServedTarget, now: float) -> Load:
+    """Return the load, without free slots while the upstream is down."""
+    load = served.admission.load(now)
+    return replace(load, draining=True) if served.must_move else load
+
+
+def _peer_ids(agent: Agent, served: ServedTarget, request: Request) -> list[str]:
+    """Return the peers that may be asked to run a request.
+
+    One that may not be repeated goes only to a peer whose incarnation is
+    known, so that no copy of the packet can run it after a restart.
+    """
+    suspected = suspected_targets(agent, served.service)
+    return [
+        target.target_id
+        for target in served.service.targets_by_id.values()
+        if target.target_id != served.target.target_id
+        and target.state is State.LIVE
+        and served.service.permits(target.zone)
+        and target.target_id not in suspected
+        and target.target_id not in request.asked
+        and (
+            request.message.repeatable
+            or target.target_id in served.incarnations_by_peer
+        )
+    ]
+
+
+def _delegate(
+    agent: Agent,
+    served: ServedTarget,
+    request: Request,
+    peer: Target,
+    load: Load,
+    now: float,
+) -> None:
+    """Ask `peer` to run a request at once, or to give it back."""
+    request.asked.append(peer.target_id)
+    served.requests_by_delegation.pop(request.delegation_id, None)
+    request.delegation_id = agent.next_number()
+    delegation_id = request.delegation_id
+    served.requests_by_delegation[delegation_id] = request
+    request.state = RequestState.DELEGATED
+    agent.actions.count("delegated", served.service.name, work_of(request))
+    packet = Delegate(
+        served.service.name,
+        peer.target_id,
+        served.target.target_id,
+        request.delegation_id,
+        served.incarnations_by_peer.get(peer.target_id, 0),
+        load.busy,
+        load.free_slots == 0,
+        request.message.datagram,
+    )
+    send_packet(agent, peer.agent, packet, now)
+    patience = max(MIN_PATIENCE_S, PATIENCE_SERVICE_TIMES * load.service_time)
+    if not request.message.repeatable:
+        patience = served.service.request_timeout
+    agent.timers.call_at(
+        min(request.deadline, now + patience),
+        lambda now: _expire_delegated(agent, served, request, delegation_id, now),
+    )
+
+
+def _expire_delegated(
+    agent: Agent,
+    served: ServedTarget,
+    request: Request,
+    delegation_id: int,
+    now: float,
+) -> None:
+    """Give up a delegated request whose peer stays silent.
+
+    Only a repeatable one may run here instead, since it may run at the peer.
+    """
+    if served.requests_by_delegation.pop(delegation_id, None) is None:
+        return
+    if request.request_id not in served.requests_by_id:
+        return
+    may_run_here = request.message.repeatable and now < request.deadline
+    if may_run_here and not served.is_down:
+        _offer_returned(agent, served, request, now)
+    else:
+        finish_request(agent, served, request, b"", now)
+
+
+def receive_delegate(
+    agent: Agent, served: ServedTarget, packet: Delegate, source: Address, now: float
+) -> None:
+    """Run a peer's request if a slot is free, else give it back untouched."""
+    served.peer_loads.note(packet.home_target_id, packet.home_busy, now)
+    message = served.adapter.read_caller(packet.payload)
+    if message.kind is not Kind.REQUEST:
+        agent.actions.count("dropped", served.service.name, "wrong-kind")
+        return
+    if not message.repeatable and _is_copy(served, packet):
+        agent.actions.count("dropped", served.service.name, "delegate-copy")
+        return
+    may_run = message.repeatable or _may_run_once(agent, served, packet, now)
+    load = _own_load(served, now)
+    if may_run and accept_delegated(load, packet.home_busy, packet.home_is_full):
+        request = Request(
+            request_id=agent.next_number(),
+            flow=None,
+            message=message,
+            reply_tos=[],
+            received_at=now,
+            deadline=now + served.service.request_timeout,
+            delegated_by=(source, packet),
+        )
+        result = served.admission.offer(request.request_id, now, request.deadline)
+        if isinstance(result, Start):
+            served.requests_by_id[request.request_id] = request
+            start_request(agent, served, request, now)
+            return
+        if isinstance(result, Queued):
+            served.admission.cancel(request.request_id, now)
+    reply_delegate(agent, served, packet, source, now, ran=False)
+
+
+def _is_copy(served: ServedTarget, packet: Delegate) -> bool:
+    return (packet.home_target_id, packet.delegation_id) in served.delegations_seen
+
+
+def _may_run_once(
+    agent: Agent, served: ServedTarget, packet: Delegate, now: float
+) -> bool:
+    """Remember the delegation of a request that may not be repeated.
+
+    It may run only if it is remembered for as long as a network may hold a
+    copy of the datagram, and if it was meant for this start of the process.
+    """
+    seen = served.delegations_seen
+    while seen and now - next(iter(seen.values())) > DELEGATION_MEMORY_S:
+        seen.popitem(last=False)
+    if packet.incarnation != agent.incarnation or len(seen) >= MAX_DELEGATIONS_SEEN:
+        return False
+    seen[packet.home_target_id, packet.delegation_id] = now
+    return True
+
+
+def receive_delegate_reply(
+    agent: Agent, served: ServedTarget, packet: DelegateReply, now: float
+) -> None:
+    """Finish a delegated request, or place one that came back untouched."""
+    served.peer_loads.note(packet.peer_target_id, packet.busy, now)
+    served.incarnations_by_peer[packet.peer_target_id] = packet.incarnation
+    request = served.requests_by_delegation.pop(packet.delegation_id, None)
+    if request is None or request.request_id not in served.requests_by_id:
+        agent.actions.count("answer-dropped", served.service.name, "late-delegate")
+        return
+    record = served.records_by_flow.get(request.flow)
+    if packet.ran:
+        finish_request(agent, served, request, packet.payload, now)
+    elif record is None:
+        forget_request(served, request)
+    elif not _delegate_if_better(agent, served, record, request, now):
+        _offer_returned(agent, served, request, now)
+
+
+def _offer_returned(
+    agent: Agent, served: ServedTarget, request: Request, now: float
+) -> None:
+    """Run or queue a request here that no peer has run."""
+    if served.is_down:
+        refuse_admitted(agent, served, request, "upstream-down", 1.0, now)
+        return
+    result = served.admission.offer(request.request_id, now, request.deadline)
+    if isinstance(result, Start):
+        start_request(agent, served, request, now)
+    elif isinstance(result, Queued):
+        request.state = RequestState.QUEUED
+    else:
+        refuse_admitted(agent, served, request, result.cause, result.retry_after, now)
--- a/lycheeglade/home.py
+++ b/lycheeglade/home.py
@@ -27,6 +27,7 @@
     Probe,
     ProbeReply,
 )
+from lycheeglade.placement import HandOn, place_flow
 from lycheeglade.served_target import HomePointer, Opening, ServedTarget
 from lycheeglade.session import (
     close_record,
@@ -289,27 +290,35 @@
     if not opens_flow(served, packet):
         agent.actions.count("dropped", served.service.name, "stray")
         return
-    may_accept = (
+    if _goes_on(agent, served, packet, now):
+        successor = _next_candidate(agent, served, flow, packet, now)
+        if successor is not None and pass_on(agent, served, packet, successor, now):
+            point_to(agent, served, flow, successor.target_id, now)
+            return
+    if not _can_accept(agent, served) or not served.admission.admit_flow(now):
+        refuse_flow(agent, served, packet)
+        return
+    balancer = Address(packet.balancer_ip, packet.balancer_port)
+    record = open_record(agent, served, flow, balancer, now)
+    announce_home(agent, served, [flow], now)
+    serve_packet(agent, served, record, packet, now)
+
+
+def _can_accept(agent: Agent, served: ServedTarget) -> bool:
+    return (
         not served.must_move
         and not agent.stopping
         and len(served.records_by_flow) < agent.max_flows
     )
-    if may_accept and served.admission.admit_flow(now):
-        record = open_record(
-            agent,
-            served,
-            flow,
-            Address(packet.balancer_ip, packet.balancer_port),
-            now,
-        )
-        announce_home(agent, served, [flow], now)
-        serve_packet(agent, served, record, packet, now)
-        return
-    successor = _next_candidate(agent, served, flow, packet)
-    if successor is not None and pass_on(agent, served, packet, successor, now):
-        point_to(agent, served, flow, successor.target_id, now)
-    else:
-        refuse_flow(agent, served, packet)
+
+
+def _goes_on(agent: Agent, served: ServedTarget, packet: Forward, now: float) -> bool:
+    """Tell whether another candidate is to be asked to open a new flow."""
+    load = served.admission.load(now)
+    if not _can_accept(agent, served) or load.flows >= load.connections:
+        return True
+    placed = place_flow(load, packet.hops, packet.candidates, served.peer_loads, now)
+    return isinstance(placed, HandOn)
 
 
 def opens_flow(served: ServedTarget, packet: Forward) -> bool:
@@ -327,14 +336,23 @@
 
 
 def _next_candidate(
-    agent: Agent, served: ServedTarget, flow: FlowKey, packet: Forward
+    agent: Agent, served: ServedTarget, flow: FlowKey, packet: Forward, now: float
 ) -> Target | None:
-    """Return the candidate after this target, in the packet's order."""
+    """Return the candidate that a new flow goes on to.
+
+    It is the least busy one for a flow that could open here, and the next in
+    the packet's order for one that can't.
+    """
     names = list(packet.candidates) or [
         target.target_id for target in rank_flow(agent, served, flow)
     ]
     own = served.target.target_id
     later = names[names.index(own) + 1 :] if own in names else names
+    if _can_accept(agent, served) and packet.hops < len(names):
+        load = served.admission.load(now)
+        placed = place_flow(load, packet.hops, names, served.peer_loads, now)
+        if isinstance(placed, HandOn):
+            later = [names[placed.index], *later]
     suspected = suspected_targets(agent, served.service)
     for name in later:
         target = served.service.targets_by_id.get(name)
--- /dev/null
+++ b/lycheeglade/intake.py
@@ -0,0 +1,95 @@
+"""Takes in requests: copies, tickets and bounds come before placement."""
+
+from lycheeglade.agent_state import Agent, answer_caller
+from lycheeglade.delegation import offer_request
+from lycheeglade.exchange import refuse, reply_to
+from lycheeglade.message import CallerMessage
+from lycheeglade.served_target import FlowRecord, Request, ServedTarget
+from lycheeglade.ticket import Judgement
+
+MAX_REQUESTS_PER_FLOW = 64
+FULL_BOOK_RETRY_AFTER_S = 5.0
+
+
+def serve_request(
+    agent: Agent,
+    served: ServedTarget,
+    record: FlowRecord,
+    message: CallerMessage,
+    now: float,
+) -> None:
+    """Run, queue, delegate, refuse or answer a request of a flow."""
+    running = record.requests_by_message_id.get(message.message_id)
+    if running is not None and running.message.token == message.token:
+        agent.actions.count("duplicate", served.service.name, "in-progress")
+        return
+    if len(record.requests_by_message_id) >= MAX_REQUESTS_PER_FLOW:
+        refuse(agent, served, record, [reply_to(message)], "flow-limit", 1.0, now)
+        return
+    if not message.repeatable and not _may_run(agent, served, record, message, now):
+        return
+    request = Request(
+        request_id=agent.next_number(),
+        flow=record.flow,
+        message=message,
+        reply_tos=[reply_to(message)],
+        received_at=now,
+        deadline=now + served.service.request_timeout,
+        ticket=None if message.repeatable else message.ticket,
+    )
+    offer_request(agent, served, record, request, now)
+
+
+def _may_run(
+    agent: Agent,
+    served: ServedTarget,
+    record: FlowRecord,
+    message: CallerMessage,
+    now: float,
+) -> bool:
+    """Judge the ticket of a request; answer it unless it may run now."""
+    adapter = served.adapter
+    verdict = served.book.judge(message.ticket, record.flow, message.digest, now)
+    reply = reply_to(message)
+    if verdict.judgement is Judgement.RUN:
+        return True
+    agent.actions.count("ticket", served.service.name, verdict.judgement.value)
+    if verdict.judgement is Judgement.REPLAY:
+        if verdict.outcome:
+            datagram = adapter.write_response(
+                verdict.outcome, reply, served.book.mint(record.flow, now)
+            )
+        else:
+            datagram = adapter.write_unknown(reply)
+        answer_caller(agent, served, record, datagram)
+    elif verdict.judgement is Judgement.UNKNOWN:
+        answer_caller(agent, served, record, adapter.write_unknown(reply))
+    elif verdict.judgement is Judgement.RUNNING:
+        _join_running(served, record, message)
+    else:
+        ticket = served.book.mint(record.flow, now)
+        if ticket is None:
+            refuse(
+                agent,
+                served,
+                record,
+                [reply],
+                "ticket-memory",
+                FULL_BOOK_RETRY_AFTER_S,
+                now,
+            )
+        else:
+            answer_caller(agent, served, record, adapter.write_challenge(reply, ticket))
+    return False
+
+
+def _join_running(
+    served: ServedTarget, record: FlowRecord, message: CallerMessage
+) -> None:
+    """Let another copy of a running request wait for its answer."""
+    for request in record.requests_by_message_id.values():
+        if request.ticket == message.ticket:
+            reply = reply_to(message)
+            if reply not in request.reply_tos:
+                request.reply_tos = [*request.reply_tos[-3:], reply]
+            return
--- a/lycheeglade/packet.py
+++ b/lycheeglade/packet.py
@@ -95,28 +95,53 @@
 
 
 class Delegate(Struct, frozen=True, array_like=True, tag="D"):
-    """Asks a peer agent to run one request at once, or to give it back."""
+    """Asks a peer agent to run one request at once, or to give it back.
+
+    Attributes
+    ----------
+    delegation_id : int
+        Differs between two tries of the same request.
+    incarnation : int
+        The peer's incarnation as the home knows it; 0 if it doesn't.
+    home_busy : float
+        Share of the home's slots that was lately in use, 0 to 1.
+    home_is_full : bool
+        Whether the home has no free slot.
+    """
 
     service: str
     target_id: str
     home_target_id: str
-    request_id: int
-    repeatable: bool
+    delegation_id: int
+    incarnation: int
+    home_busy: float
+    home_is_full: bool
     payload: bytes
 
 
 class DelegateReply(Struct, frozen=True, array_like=True, tag="d"):
     """Returns the answer to a delegated request.
 
-    `ran` is false if the peer never handed the request to its upstream;
-    `payload` is empty if the peer has no answer.
+    Attributes
+    ----------
+    ran : bool
+        False if the peer never handed the request to its upstream.
+    payload : bytes
+        Empty if the peer has no answer.
+    busy : float
+        Share of the peer's slots that was lately in use, 0 to 1.
+    incarnation : int
+        The peer's incarnation.
     """
 
     service: str
     target_id: str
-    request_id: int
+    peer_target_id: str
+    delegation_id: int
     ran: bool
     payload: bytes
+    busy: float
+    incarnation: int
 
 
 class HandoffOffer(Struct, frozen=True, array_like=True, tag="O"):
--- a/lycheeglade/placement.py
+++ b/lycheeglade/placement.py
@@ -13,6 +13,7 @@
 
 MAX_DELEGATIONS = 4
 BUSY_MARGIN = 0.02
+DELEGATION_COST_S = 0.005
 PEER_LOAD_LIFETIME_S = 30.0
 
 
@@ -102,8 +103,9 @@
     """Decide where a request of a flow at home runs.
 
     A request leaves its home if no slot is free there, or if the home was
-    busier than the mean of what it knows. After `MAX_DELEGATIONS` peers gave
-    it back it stays.
+    busier than the mean of what it knows, unless both the service time and
+    the wait are shorter than the way to a peer and back. After
+    `MAX_DELEGATIONS` peers gave it back it stays.
 
     Parameters
     ----------
@@ -116,6 +118,8 @@
     here = RUN_HERE if is_free else QUEUE_HERE
     if not peer_ids or delegations >= MAX_DELEGATIONS:
         return here
+    if max(load.service_time, load.wait_estimate) < DELEGATION_COST_S:
+        return here
     mean = peer_loads.mean(load.busy, now)
     if is_free and load.busy <= mean + BUSY_MARGIN:
         return here
--- a/lycheeglade/replay_caller.py
+++ b/lycheeglade/replay_caller.py
@@ -104,6 +104,7 @@
     renew: Callable[["Caller"], None]
     next_message_id: int = 0
     next_token: int = 1
+    heard_at: float = float("-inf")
     ticket: bytes | None = None
     feed: CallerFeed | None = None
     requests: list[CallerRequest] = field(default_factory=list)
@@ -232,7 +233,8 @@
     if request.attempts > MAX_RETRANSMIT:
         _finish(caller, request, Result.GIVEN_UP, now)
         return
-    if request.attempts == ATTEMPTS_PER_ADDRESS:
+    is_silent = caller.heard_at < request.sent_at
+    if request.attempts == ATTEMPTS_PER_ADDRESS and is_silent:
         caller.renew(caller)
     delay = _backoff(caller, request.attempts)
     request.attempts += 1
@@ -248,6 +250,7 @@
 
 def receive(caller: Caller, datagram: bytes, now: float) -> None:
     """Take a datagram from the fabric."""
+    caller.heard_at = now
     message = Message.decode(datagram)
     if message.code is Code.EMPTY:
         return
--- a/lycheeglade/served_target.py
+++ b/lycheeglade/served_target.py
@@ -10,12 +10,16 @@
 from lycheeglade.flow import FlowKey
 from lycheeglade.message import Adapter, CallerMessage, ReplyTo
 from lycheeglade.packet import Delegate, Forward
+from lycheeglade.placement import PeerLoads
+from lycheeglade.retry import RetryBudget
 from lycheeglade.ticket import TicketBook
 from lycheeglade.view import Service, Target
 
 MAX_RECENT_ITEMS = 64
 MAX_HELD_PACKETS = 32
 MAX_COMMITTED = 4096
+DELEGATIONS_PER_REQUEST = 4.0
+DELEGATION_BURST = 50.0
 MESSAGE_ID_MODULUS = 1 << 16
 
 
@@ -46,6 +50,10 @@
         None if a peer has delegated the request.
     delegated_by : tuple or None
         The peer's address and its packet.
+    delegation_id : int
+        Names the latest try to have a peer run the request.
+    asked : list of str
+        Peers that had it, latest last.
     """
 
     request_id: int
@@ -58,6 +66,8 @@
     started_at: float = 0.0
     ticket: bytes | None = None
     delegated_by: tuple[Address, Delegate] | None = None
+    delegation_id: int = 0
+    asked: list[str] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -227,6 +237,16 @@
     feeds_by_upstream_token: dict[bytes, Feed] = field(default_factory=dict)
     incoming_by_flow: dict[FlowKey, IncomingHandoff] = field(default_factory=dict)
     outgoing_by_id: dict[int, OutgoingHandoff] = field(default_factory=dict)
+    delegation_budget: RetryBudget = field(
+        default_factory=lambda: RetryBudget(DELEGATIONS_PER_REQUEST, DELEGATION_BURST)
+    )
+    next_reoffer_at: float = 0.0
+    requests_by_delegation: dict[int, Request] = field(default_factory=dict)
+    peer_loads: PeerLoads = field(default_factory=PeerLoads)
+    incarnations_by_peer: dict[str, int] = field(default_factory=dict)
+    delegations_seen: OrderedDict[tuple[str, int], float] = field(
+        default_factory=OrderedDict
+    )
     committed: deque[tuple[str, int]] = field(
         default_factory=lambda: deque(maxlen=MAX_COMMITTED)
     )
--- a/lycheeglade/session.py
+++ b/lycheeglade/session.py
@@ -5,7 +5,7 @@
 from lycheeglade.address import Address
 from lycheeglade.agent_state import Agent, answer_caller
 from lycheeglade.errors import PacketError
-from lycheeglade.exchange import receive_response, serve_request
+from lycheeglade.exchange import receive_response
 from lycheeglade.feed import (
     close_feed,
     drop_feed,
@@ -15,6 +15,7 @@
     receive_reset,
 )
 from lycheeglade.flow import FlowKey
+from lycheeglade.intake import serve_request
 from lycheeglade.message import FeedAction, Kind
 from lycheeglade.packet import Forward
 from lycheeglade.served_target import (
