--- a/lycheeglade/gossip.py
+++ b/lycheeglade/gossip.py
@@ -214,12 +214,11 @@
         """Learn what `peer` knows and tell whether it could be trusted."""
         for _ in range(MAX_REPLIES_PER_PULL):
             started_at = monotonic()
-            asked_revision = self._knowledge.asked_revision
             request = self._knowledge.ask(*self._settings.control)
             reply = await _request(peer, request)
             if reply is None:
                 return False
-            errors = self._knowledge.take_reply(reply, asked_revision, monotonic())
+            errors = self._knowledge.take_reply(reply, request.revision, monotonic())
             self._publish(errors)
             if not self._knowledge.is_behind(reply.revision):
                 break
@@ -305,7 +304,7 @@
         self._log_refused(errors)
         snapshot = self._knowledge.snapshot
         state = (snapshot.revision, snapshot.digest)
-        if not snapshot.revision or state == self._published:
+        if not self._knowledge.complete or state == self._published:
             return
         self._published = state
         previous = self._blackboard.view.value
--- a/lycheeglade/knowledge.py
+++ b/lycheeglade/knowledge.py
@@ -6,11 +6,11 @@
 from lycheeglade.errors import OptionError
 from lycheeglade.message import Compare, Exchange, PublishedValue, Reply
 from lycheeglade.spread import (
+    Changes,
     Snapshot,
     advance,
     bucket_digests,
     changes_after,
-    replace_all,
     values_that_differ,
 )
 from lycheeglade.value import Value
@@ -18,16 +18,17 @@
 MAX_REPLY_BYTES = 128 * 1024
 # Seconds between two comparisons that brought nothing new.
 COMPARE_S = 30.0
+# Seconds after which a pull from a peer that was lost starts over.
+RESTART_PULL_S = 5.0
 
 Errors = tuple[OptionError, ...]
 
 
 class Knowledge:
-    """The snapshot of one process and the load that may replace it.
+    """The snapshot of one process, and how current it is.
 
-    A process that knows nothing, or that missed deletions which its peers have
-    forgotten, loads a whole snapshot beside the present one. What it loads
-    comes into force when it is complete.
+    A pull from peers may take several replies. Their values count at once,
+    but the snapshot's revision advances with the last of them.
 
     Parameters
     ----------
@@ -37,16 +38,17 @@
 
     def __init__(self, now: float):
         self.snapshot = Snapshot()
-        self._loading: Snapshot | None = Snapshot()
-        self._loading_floor = 0
         self._started_at = now
         self._confirmed_at = NEVER
         self._compare_at = NEVER
+        self._pulled_up_to = 0
+        self._goal = 0
+        self._goal_at = now
 
     @property
-    def asked_revision(self) -> int:
-        """Revision after which this process asks for changes."""
-        return self._base.revision
+    def complete(self) -> bool:
+        """Whether a whole snapshot was read; until then it isn't shown."""
+        return self.snapshot.revision > 0
 
     def silence(self, now: float) -> float:
         """Return the seconds since the platform confirmed what is known.
@@ -61,54 +63,51 @@
 
     def ask(self, sender_ip: str, sender_port: int) -> Exchange:
         """Return the request for changes that this process lacks."""
-        return Exchange(
-            self.asked_revision, self.snapshot.digest, sender_ip, sender_port
-        )
+        after = max(self._pulled_up_to, self.snapshot.revision)
+        return Exchange(after, self.snapshot.digest, sender_ip, sender_port)
 
     def answer(self, exchange: Exchange, fresh: bool, now: float) -> Reply:
         """Return the reply to a peer's request for changes."""
-        snapshot = self.snapshot
-        if exchange.revision >= snapshot.revision:
-            return self._reply((), snapshot.revision, fresh, now)
-        changes = changes_after(snapshot, exchange.revision, MAX_REPLY_BYTES)
-        return self._reply(changes.values, changes.revision, fresh, now)
+        if not self.complete or exchange.revision >= self.snapshot.revision:
+            return self._reply(Changes(self.snapshot.revision), fresh, now)
+        changes = changes_after(self.snapshot, exchange.revision, MAX_REPLY_BYTES)
+        return self._reply(changes, fresh, now)
 
     def answer_compare(self, compare: Compare, fresh: bool, now: float) -> Reply:
         """Return the reply to a peer whose digest differs."""
-        values = values_that_differ(self.snapshot, compare.digests)
-        return self._reply(_bound(values), self.snapshot.revision, fresh, now)
-
-    def take_reply(self, reply: Reply, asked_revision: int, now: float) -> Errors:
+        if not self.complete:
+            return self._reply(Changes(0), fresh, now)
+        values = _bound(values_that_differ(self.snapshot, compare.digests))
+        refused = tuple(self.snapshot.refused_by_name.items())
+        changes = Changes(self.snapshot.revision, tuple(values), refused)
+        return self._reply(changes, fresh, now)
+
+    def take_reply(self, reply: Reply, after: int, now: float) -> Errors:
         """Learn from a peer's reply.
 
         Parameters
         ----------
-        asked_revision : int
-            `asked_revision` when the request was sent.
+        after : int
+            The request's revision.
 
         Returns
         -------
         tuple of OptionError
             Why values were refused.
         """
-        if self._must_start_over(reply, asked_revision):
-            self._loading = Snapshot()
-            self._loading_floor = reply.floor
-            return ()
-        base = self._base
-        up_to = reply.up_to if asked_revision <= base.revision else base.revision
-        step = advance(base, _values_of(reply), up_to)
-        if self._loading is None:
-            self.snapshot = step.snapshot
-        else:
-            self._continue_loading(step.snapshot, reply, asked_revision)
+        revision, refused = self.snapshot.revision, dict(reply.refused)
+        step = advance(self.snapshot, _values_of(reply), revision, refused)
+        self.snapshot = step.snapshot
+        if reply.revision > revision:
+            self._continue_pull(reply, after, now)
         self._confirm_by_peer(reply, now)
         return step.errors
 
     def needs_compare(self, reply: Reply, now: float) -> bool:
         """Tell whether a peer of the same revision knows other values."""
         return (
-            reply.revision == self.snapshot.revision
+            self.complete
+            and reply.revision == self.snapshot.revision
             and reply.digest != self.snapshot.digest
             and now >= self._compare_at
         )
@@ -119,7 +118,8 @@
 
     def take_compared(self, reply: Reply, now: float) -> Errors:
         """Learn from a peer's reply to a comparison."""
-        step = advance(self.snapshot, _values_of(reply), self.snapshot.revision)
+        revision, refused = self.snapshot.revision, dict(reply.refused)
+        step = advance(self.snapshot, _values_of(reply), revision, refused)
         if step.snapshot.digest == self.snapshot.digest:
             self._compare_at = now + COMPARE_S
         self.snapshot = step.snapshot
@@ -149,44 +149,39 @@
         if revision < self.snapshot.revision or after > self.snapshot.revision:
             return False
         self.snapshot = advance(self.snapshot, (), revision).snapshot
-        if revision:
-            self._loading = None
         self._confirmed_at = max(self._confirmed_at, now)
         return True
 
-    @property
-    def _base(self) -> Snapshot:
-        return self.snapshot if self._loading is None else self._loading
-
-    def _reply(
-        self, values: Iterable[Value], up_to: int, fresh: bool, now: float
-    ) -> Reply:
+    def _reply(self, changes: Changes, fresh: bool, now: float) -> Reply:
         return Reply(
             revision=self.snapshot.revision,
             digest=self.snapshot.digest,
             fresh=fresh,
             age=now - self._confirmed_at,
-            up_to=up_to,
-            floor=self.snapshot.floor,
-            values=tuple(PublishedValue(v.name, v.revision, v.text) for v in values),
+            up_to=changes.revision,
+            values=tuple(
+                PublishedValue(value.name, value.revision, value.text)
+                for value in changes.values
+            ),
+            refused=changes.refused,
         )
 
-    def _must_start_over(self, reply: Reply, asked_revision: int) -> bool:
-        """Tell whether the peer may have forgotten deletions not seen here."""
-        known = max(asked_revision, self._loading_floor if self._loading else 0)
-        return asked_revision > 0 and reply.floor > known
-
-    def _continue_loading(
-        self, loaded: Snapshot, reply: Reply, asked_revision: int
-    ) -> None:
-        if not asked_revision:
-            self._loading_floor = max(self._loading_floor, reply.floor)
-        self._loading = loaded
-        if not loaded.revision or loaded.revision < reply.revision:
+    def _continue_pull(self, reply: Reply, after: int, now: float) -> None:
+        """Note up to which revision all replies together are complete.
+
+        What came from one peer can't be completed by a peer that knows less.
+        If none that knows as much is heard, the pull starts over.
+        """
+        if reply.revision < self._goal:
+            if now - self._goal_at > RESTART_PULL_S:
+                self._goal = self._pulled_up_to = 0
             return
-        self._loading = None
-        if loaded.revision > self.snapshot.revision:
-            self.snapshot = replace_all(self.snapshot, loaded)
+        self._goal = reply.revision
+        self._goal_at = now
+        if after <= max(self._pulled_up_to, self.snapshot.revision):
+            self._pulled_up_to = max(self._pulled_up_to, reply.up_to)
+        if self._pulled_up_to >= self._goal:
+            self.snapshot = advance(self.snapshot, (), self._goal).snapshot
 
     def _confirm_by_peer(self, reply: Reply, now: float) -> None:
         if reply.revision == self.snapshot.revision and reply.age >= 0.0:
--- a/lycheeglade/message.py
+++ b/lycheeglade/message.py
@@ -56,8 +56,8 @@
         Seconds since what the peer knows was confirmed by the platform.
     up_to : int
         Revision up to which `values` complete the asking process.
-    floor : int
-        An asking process with a lower revision must start over.
+    refused : tuple of (str, int)
+        Names and revisions of values that were refused.
     """
 
     revision: int
@@ -65,8 +65,8 @@
     fresh: bool
     age: float
     up_to: int
-    floor: int
     values: tuple[PublishedValue, ...]
+    refused: tuple[tuple[str, int], ...] = ()
 
 
 Message = Exchange | Compare | Reply
--- a/lycheeglade/spread.py
+++ b/lycheeglade/spread.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
-from heapq import nlargest
+from heapq import nsmallest
 
 from xxhash import xxh3_64_intdigest
 
@@ -19,7 +19,6 @@
 from lycheeglade.view import Host, Service, View
 
 MAX_VALUES = 65_536
-MAX_DELETIONS = 4096
 BUCKETS = 64
 
 
@@ -33,11 +32,11 @@
         Each change up to it is held here or was refused; 0 if nothing was
         completely read yet.
     values_by_name : Mapping
-        Last valid value of each name, deletions included.
+        Last valid value of each name, deletions included. The oldest
+        deletions are forgotten above `MAX_VALUES` names.
     refused_by_name : Mapping
-        Revision of the invalid value that was refused after the valid one.
-    floor : int
-        Deletions up to this revision may be forgotten.
+        Revision of an invalid value that was refused, here or at a peer. An
+        older valid one of that name may be missing here.
     digest : int
         64-bit hash over names and revisions, independent of their order.
     """
@@ -45,7 +44,6 @@
     revision: int = 0
     values_by_name: Mapping[str, Value] = field(default_factory=dict)
     refused_by_name: Mapping[str, int] = field(default_factory=dict)
-    floor: int = 0
     digest: int = 0
 
 
@@ -65,16 +63,21 @@
     ----------
     revision : int
         The peer is complete up to it once it holds `values`.
-    floor : int
-        A peer whose revision is lower must start from an empty snapshot.
+    refused : tuple of (str, int)
+        Names and revisions of values that were refused.
     """
 
     revision: int
-    floor: int
-    values: tuple[Value, ...]
+    values: tuple[Value, ...] = ()
+    refused: tuple[tuple[str, int], ...] = ()
 
 
-def advance(snapshot: Snapshot, values: Iterable[Value], revision: int) -> Advance:
+def advance(
+    snapshot: Snapshot,
+    values: Iterable[Value],
+    revision: int,
+    refused: Mapping[str, int] | None = None,
+) -> Advance:
     """Return a snapshot that holds newer ones of `values`.
 
     An invalid value is refused whole and the last valid one stays. Nothing
@@ -84,9 +87,11 @@
     ----------
     revision : int
         Revision up to which `values` complete the snapshot.
+    refused : Mapping, optional
+        Revisions by name that the sender of `values` has refused.
     """
     accepted: dict[str, Value] = {}
-    refused: dict[str, int] = {}
+    refused = dict(refused or {})
     errors: list[OptionError] = []
     for value in values:
         known = accepted.get(value.name) or snapshot.values_by_name.get(value.name)
@@ -98,8 +103,9 @@
         except ConfigurationError as error:
             refused[value.name] = max(value.revision, refused.get(value.name, 0))
             errors.extend(error.exceptions)
-    merged = _merge(snapshot, accepted, refused, max(revision, snapshot.revision))
-    return Advance(merged, tuple(errors))
+    merged = _merge(snapshot, accepted, refused)
+    merged = replace(merged, revision=max(revision, merged.revision))
+    return Advance(_forget_deletions(merged), tuple(errors))
 
 
 def changes_after(
@@ -115,39 +121,16 @@
     """
     newer = [v for v in snapshot.values_by_name.values() if v.revision > revision]
     newer.sort(key=lambda value: value.revision)
+    refused = tuple(
+        (name, at) for name, at in snapshot.refused_by_name.items() if at > revision
+    )
     sent_bytes = 0
     for count, value in enumerate(newer):
         sent_bytes += len(value.name) + len(value.text or "")
         if count and max_bytes is not None and sent_bytes > max_bytes:
             up_to = min(newer[count - 1].revision, snapshot.revision)
-            return Changes(up_to, snapshot.floor, tuple(newer[:count]))
-    return Changes(snapshot.revision, snapshot.floor, tuple(newer))
-
-
-def replace_all(snapshot: Snapshot, loaded: Snapshot) -> Snapshot:
-    """Return `loaded` with what `snapshot` knows better.
-
-    Used when deletions may have been forgotten since `snapshot`'s revision: a
-    name that `loaded` lacks is deleted unless it is newer than `loaded`.
-    """
-    kept = [
-        value
-        for name, value in snapshot.values_by_name.items()
-        if value.revision > loaded.revision
-        or name in loaded.values_by_name
-        or name in loaded.refused_by_name
-    ]
-    values_by_name = dict(loaded.values_by_name)
-    for value in kept:
-        known = values_by_name.get(value.name)
-        if known is None or known.revision < value.revision:
-            values_by_name[value.name] = value
-    return replace(
-        loaded,
-        values_by_name=values_by_name,
-        digest=_digest_of(values_by_name.values()),
-        floor=max(snapshot.floor, loaded.floor),
-    )
+            return Changes(up_to, tuple(newer[:count]), refused)
+    return Changes(snapshot.revision, tuple(newer), refused)
 
 
 def bucket_digests(snapshot: Snapshot) -> tuple[int, ...]:
@@ -220,57 +203,69 @@
 
 
 def _is_news(snapshot: Snapshot, known: Value | None, value: Value) -> bool:
-    refused = snapshot.refused_by_name.get(value.name)
-    if refused == value.revision:
-        return False
     if known is not None:
         return value.revision > known.revision
-    return refused is not None or value.revision > snapshot.floor
+    return value.revision > snapshot.revision or value.name in snapshot.refused_by_name
 
 
 def _check_bound(snapshot: Snapshot, accepted: dict[str, Value], value: Value) -> None:
-    known = value.name in snapshot.values_by_name or value.name in accepted
-    count = len(snapshot.values_by_name) + len(accepted)
-    if not known and count >= MAX_VALUES:
-        refuse_value(
-            value, "-", "value", f"more than {MAX_VALUES} values are published"
-        )
+    if value.text is None or value.name in snapshot.values_by_name:
+        return
+    if len(snapshot.values_by_name) + len(accepted) < MAX_VALUES:
+        return
+    values = {**snapshot.values_by_name, **accepted}.values()
+    if sum(each.text is not None for each in values) >= MAX_VALUES:
+        reason = f"more than {MAX_VALUES} values are published"
+        refuse_value(value, "-", "value", reason)
 
 
 def _merge(
     snapshot: Snapshot,
     accepted: dict[str, Value],
     refused: dict[str, int],
-    revision: int,
 ) -> Snapshot:
     if not accepted and not refused:
-        return replace(snapshot, revision=revision)
+        return snapshot
     digest = snapshot.digest
     for name, value in accepted.items():
         digest ^= _hash_value(snapshot.values_by_name.get(name))
         digest ^= _hash_value(value)
     values_by_name = {**snapshot.values_by_name, **accepted}
+    for name, at in snapshot.refused_by_name.items():
+        refused[name] = max(at, refused.get(name, 0))
     refused_by_name = {
         name: at
-        for name, at in {**snapshot.refused_by_name, **refused}.items()
+        for name, at in refused.items()
         if name not in values_by_name or values_by_name[name].revision < at
     }
-    floor = _forget_deletions(values_by_name, snapshot.floor)
-    return Snapshot(revision, values_by_name, refused_by_name, floor, digest)
+    return replace(
+        snapshot,
+        values_by_name=values_by_name,
+        refused_by_name=refused_by_name,
+        digest=digest,
+    )
 
 
-def _forget_deletions(values_by_name: dict[str, Value], floor: int) -> int:
-    """Forget the oldest deletions above the bound and return the floor."""
-    deletions = [value for value in values_by_name.values() if value.text is None]
-    if len(deletions) <= MAX_DELETIONS:
-        return floor
-    kept = nlargest(MAX_DELETIONS // 2, deletions, key=_by_revision)
-    kept_names = {value.name for value in kept}
-    for value in deletions:
-        if value.name not in kept_names:
-            del values_by_name[value.name]
-            floor = max(floor, value.revision)
-    return floor
+def _forget_deletions(snapshot: Snapshot) -> Snapshot:
+    """Forget the oldest deletions of a snapshot that is above the bound."""
+    excess = len(snapshot.values_by_name) - MAX_VALUES
+    if excess <= 0:
+        return snapshot
+    deletions = [
+        value
+        for value in snapshot.values_by_name.values()
+        if value.text is None
+        and value.revision <= snapshot.revision
+        and value.name not in snapshot.refused_by_name
+    ]
+    forgotten = nsmallest(excess, deletions, key=_by_revision)
+    names = {value.name for value in forgotten}
+    values_by_name = {
+        name: value
+        for name, value in snapshot.values_by_name.items()
+        if name not in names
+    }
+    return replace(snapshot, values_by_name=values_by_name)
 
 
 def _bucket_of(name: str) -> int:
@@ -282,10 +277,3 @@
     if value is None or value.text is None:
         return 0
     return xxh3_64_intdigest(f"{value.name}\0{value.revision}".encode())
-
-
-def _digest_of(values: Iterable[Value]) -> int:
-    digest = 0
-    for value in values:
-        digest ^= _hash_value(value)
-    return digest
