--- a/demo/account.py
+++ b/demo/account.py
@@ -40,6 +40,7 @@
 
     feed_id: str
     items: int = 0
+    heartbeats: int = 0
     longest_stall: float = 0.0
     gaps: int = 0
     repeats: int = 0
@@ -57,7 +58,7 @@
         return bool(self.broken_at or self.gaps or self.repeats or self.steps_back)
 
     @property
-    def back(self) -> bool:
+    def is_back(self) -> bool:
         """Tell whether items came again after the latest break."""
         return len(self.recoveries) == len(self.broken_at)
 
--- a/demo/feed.py
+++ b/demo/feed.py
@@ -8,6 +8,7 @@
 from demo.account import FeedRecord
 
 SILENT_HEARTBEATS = 2.5
+HEARTBEAT_TOLERANCE = 0.9
 REGISTRATION_PAUSE_S = 0.2
 POLL_S = 0.1
 SILENT = "silent"
@@ -22,7 +23,11 @@
 
 
 class Feed:
-    """One standing feed and the checks on its items."""
+    """One standing feed and the checks on its items.
+
+    After a silence of a heartbeat the latest item may come again as a sign of
+    life; at any other time that is a repeat.
+    """
 
     def __init__(self, caller, record: FeedRecord):
         self._caller = caller
@@ -38,6 +43,7 @@
         self._missing: set[int] = set()
         self._broken_since = None
         self._clock = get_running_loop().time
+        self._least_idle = caller.options.heartbeat * HEARTBEAT_TOLERANCE
 
     async def run(self, stopped: Event):
         """Register, watch for silence, and register again.
@@ -86,7 +92,7 @@
         now = self._clock()
         self._record.causes[cause] += 1
         self._record.broken_at.append(now)
-        self._broken_since = (now, self._heard_at)
+        self._broken_since = (now, self._item_at)
 
     def note_alive(self) -> None:
         """Note a repeated message of the feed."""
@@ -103,16 +109,22 @@
             self._fail(f"error {message.code}")
             return
         now = self._clock()
-        self._note_stall(now)
+        item = int.from_bytes(message.opt.etag, "big")
+        idle = now - self._heard_at
         self._heard_at = now
+        if item == self._last_item and idle >= self._least_idle:
+            self._record.heartbeats += 1
+            self._last_observe = message.opt.observe
+            return
+        self._note_stall(now)
         self._record.items += 1
         if self._broken_since is not None:
-            noticed_at, heard_at = self._broken_since
+            noticed_at, item_at = self._broken_since
             self._record.recoveries.append(now - noticed_at)
-            self._record.silences.append(now - heard_at)
+            self._record.silences.append(now - item_at)
             self._broken_since = None
             self._last_item = None
-        self._check_order(int.from_bytes(message.opt.etag, "big"), message.opt.observe)
+        self._check_order(item, message.opt.observe)
 
     def _note_stall(self, now: float):
         if self._item_at is not None:
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -148,6 +148,13 @@
                 popen.kill()
                 popen.wait()
 
+    def kill_all(self) -> None:
+        """End all processes at once."""
+        for running in self._running_by_name.values():
+            running.popen.kill()
+        for running in self._running_by_name.values():
+            running.popen.wait()
+
     def _wait(self, running: Running, timeout: float, is_ready):
         stop_at = monotonic() + timeout
         while not is_ready():
--- a/demo/workload.py
+++ b/demo/workload.py
@@ -60,10 +60,13 @@
             caller = await self.open_caller(f"r{number}", reel_service)
             self._tasks.append(loop.create_task(self._download_often(caller)))
 
-    async def stop(self) -> None:
-        """Let the requests in progress end, then close all flows."""
+    async def stop(self, settle: float = SETTLE_S) -> None:
+        """Let the requests in progress end, then close all flows.
+
+        Requests that don't end within `settle` seconds stay open.
+        """
         self._stopped.set()
-        _done, pending = await wait(self._tasks, timeout=SETTLE_S)
+        _done, pending = await wait(self._tasks, timeout=settle)
         for task in pending:
             task.cancel()
         results = await gather(*self._tasks, return_exceptions=True)
