Try an idle upstream whatever its past response times

Cause: after a slow spell the estimate alone refused every request, so that no response time could ever correct it; and a delegated request that the peer's admission refused was refused to the caller. Change: with nothing running, a request starts unless its deadline has passed; the bench gives refused delegations back, as an agent must.

--- a/bench/fairness.py
+++ b/bench/fairness.py
@@ -4,6 +4,7 @@
 """
 
 from collections import defaultdict
+from dataclasses import replace
 from random import Random
 from sys import argv
 
@@ -19,9 +20,11 @@
     RequestsOnly,
     RoundRobin,
 )
+from lycheeglade.concurrency import FixedLimit, SharingLimit, SlowdownLimit
 
 LOAD = 0.7
 WARM_UP_S = 60.0
+WEAK_UPSTREAMS = 2
 BOOTH_SYNC = Mix("booth-sync", 1, 0.25, 700, 3600.0, 0.5, 2.0)
 PHRASEBOOK = Mix("phrasebook", 3, 0.5, 1000, 600.0, 1.0, 2.0)
 POLICIES = (
@@ -35,16 +38,23 @@
 )
 
 
-def run(policy_type, mix, weights, seed, seconds, load=LOAD):
+def run(policy_type, mix, weights, seed, seconds, make_limit=SlowdownLimit):
     """Return the measures of one run."""
     clock = Clock()
     upstreams = [
-        Upstream(clock, mix, speed, index >= len(SPEEDS) - 2, Random(seed + index))
+        Upstream(
+            clock,
+            mix,
+            speed,
+            index >= len(SPEEDS) - WEAK_UPSTREAMS,
+            Random(seed + index),
+            make_limit,
+        )
         for index, speed in enumerate(SPEEDS)
     ]
     service = make_service(mix, weights)
     policy = policy_type(clock, service, upstreams, Random(seed))
-    Callers(clock, mix, load, Random(seed), policy.open_flow, policy.send)
+    Callers(clock, mix, LOAD, Random(seed), policy.open_flow, policy.send)
     clock.run(WARM_UP_S)
     before = [upstream.busy_time for upstream in upstreams]
     start = snapshot(policy)
@@ -73,13 +83,21 @@
     return {name: getattr(policy, name) for name in names}
 
 
-def compare(title, mix, weights, seeds, seconds, policies=POLICIES):
+def compare(
+    title,
+    mix,
+    weights,
+    seeds,
+    seconds,
+    policies=POLICIES,
+    make_limit=SlowdownLimit,
+):
     """Print the means over all seeds of each policy."""
     print(f"\n{title}")
     for position, policy_type in enumerate(policies):
         values = defaultdict(list)
         for seed in seeds:
-            result = run(policy_type, mix, weights, seed, seconds)
+            result = run(policy_type, mix, weights, seed, seconds, make_limit)
             for name, value in result.items():
                 values[name].append(value)
         if position == 0:
@@ -88,6 +106,14 @@
         print(f"{policy_type.__name__:17}{cells}", flush=True)
 
 
+def compare_limits(seeds, seconds):
+    """Compare limits of concurrency where two upstreams suffer from it."""
+    mix = replace(PHRASEBOOK, name="phrasebook-weak", weak_interference=1.3)
+    for make_limit in (FixedLimit, SlowdownLimit, SharingLimit):
+        title = f"{mix.name}, {make_limit.__name__}, weights as strong"
+        compare(title, mix, SPEEDS, seeds, seconds, (Rendezvous, Product), make_limit)
+
+
 def main(seeds=3, seconds=300.0):
     """Print all comparisons."""
     seeds = range(1, int(seeds) + 1)
@@ -97,6 +123,7 @@
         for name, weights in (("as strong", SPEEDS), ("equal", equal)):
             title = f"{mix.name}, {mix.slots} slots, weights {name}"
             compare(title, mix, weights, seeds, seconds)
+    compare_limits(seeds, seconds)
 
 
 if __name__ == "__main__":
--- a/bench/fairness_model.py
+++ b/bench/fairness_model.py
@@ -7,6 +7,7 @@
 
 from lycheeglade.address import Address, Zone
 from lycheeglade.admission import Admission, AdmissionLimits
+from lycheeglade.concurrency import SlowdownLimit
 from lycheeglade.placement import PeerLoads
 from lycheeglade.view import Protocol, Service, Target
 
@@ -93,13 +94,13 @@
 class Upstream:
     """A small upstream behind the product's own admission."""
 
-    def __init__(self, clock, mix, speed, weak, generator, admission_type=Admission):
+    def __init__(self, clock, mix, speed, weak, generator, make_limit=SlowdownLimit):
         self.clock = clock
         self.mix = mix
         self.speed = speed
         self.interference = mix.weak_interference if weak else mix.interference
         limits = AdmissionLimits(slots=mix.slots)
-        self.admission = admission_type(limits, 0.0, generator)
+        self.admission = Admission(limits, 0.0, generator, make_limit)
         self.peer_loads = PeerLoads()
         self.waiting = {}
         self.running = 0
--- a/bench/fairness_policies.py
+++ b/bench/fairness_policies.py
@@ -1,7 +1,7 @@
 """Ways to spread requests over upstreams: the product's and the baselines."""
 
 from bench.fairness_model import HOP_S
-from lycheeglade.admission import Queued, Start
+from lycheeglade.admission import START, Queued, Start
 from lycheeglade.flow import FlowKey, hash_flow
 from lycheeglade.placement import (
     ACCEPT,
@@ -261,8 +261,12 @@
             ),
         )
         if accept_delegated(load, home_busy, full):
-            self.offer(peer, request)
-            return
+            answer = upstream.admission.offer(request.number, now, request.deadline)
+            if answer == START:
+                request.on_done = self.done
+                upstream.start(request)
+                return
+            upstream.admission.cancel(request.number, now)
         request.tried.append(peer)
         self.clock.after(HOP_S, lambda: self.place(request))
 
--- a/lycheeglade/admission.py
+++ b/lycheeglade/admission.py
@@ -6,10 +6,12 @@
 """
 
 from bisect import insort
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 from random import Random
 
+from lycheeglade.concurrency import SlowdownLimit
 from lycheeglade.service_time import BusyShare, ServiceTime
 
 DEFAULT_MAX_QUEUE = 64
@@ -17,9 +19,6 @@
 MAX_RETRY_AFTER_S = 60.0
 UNKNOWN_SERVICE_TIME_S = 0.1
 MIN_COLD_FRACTION = 0.1
-SLOWDOWN_TOLERANCE = 2.0
-SLOWDOWN_FACTOR = 0.9
-FAILURE_FACTOR = 0.7
 MAX_CALL_GAP_S = 5.0
 
 
@@ -126,6 +125,8 @@
         When the upstream started, in monotonic seconds.
     generator : Random
         Spreads the times at which refused requests come back.
+    make_limit : callable
+        Makes the learnt limit for a number of slots.
     """
 
     def __init__(
@@ -133,14 +134,15 @@
         limits: AdmissionLimits,
         started_at: float,
         generator: Random | None = None,
+        make_limit: Callable[[int], SlowdownLimit] = SlowdownLimit,
     ):
         self.limits = limits
         self._started_at = started_at
         self._generator = generator or Random(0)
-        self._learnt_limit = float(limits.slots)
+        self._learnt_limit = make_limit(limits.slots)
         self._service_time = ServiceTime(UNKNOWN_SERVICE_TIME_S)
         self._busy = BusyShare(started_at)
-        self._started_by_id: dict[int, float] = {}
+        self._started_by_id: dict[int, tuple[float, int]] = {}
         self._deadlines_by_id: dict[int, float] = {}
         self._queue: list[tuple[float, int]] = []
         self._flows = 0
@@ -170,7 +172,7 @@
         if request_id in self._started_by_id or request_id in self._deadlines_by_id:
             return self._refuse(now, Cause.DUPLICATE)
         wait = self._wait(now, len(self._deadlines_by_id))
-        if now + wait + self._service_time.mean > deadline:
+        if self._is_hopeless(now, wait, deadline):
             return self._refuse(now, Cause.DEADLINE)
         if not self._deadlines_by_id and self._has_free_slot(now):
             self._start(request_id, now)
@@ -198,22 +200,22 @@
     def finish(self, request_id: int, now: float, failed: bool = False) -> None:
         """Free the slot of a request that was answered or has failed."""
         self._note_call(now)
-        started_at = self._started_by_id.pop(request_id, None)
-        if started_at is None:
+        if request_id not in self._started_by_id:
             return
+        started_at, together = self._started_by_id.pop(request_id)
         self._busy.add(now, -1)
         if failed:
-            self._lower_limit(FAILURE_FACTOR)
+            self._learnt_limit.fail()
         elif started_at >= self._woke_at:
-            self._learn(now - started_at)
+            self._learn(now - started_at, together)
 
     def cancel(self, request_id: int, now: float) -> None:
         """Forget a request that was given up, whether it ran or waited."""
         self._note_call(now)
         self._leave_queue(request_id)
-        started_at = self._started_by_id.pop(request_id, None)
-        if started_at is None:
+        if request_id not in self._started_by_id:
             return
+        started_at, _ = self._started_by_id.pop(request_id)
         self._busy.add(now, -1)
         if started_at >= self._woke_at:
             self._service_time.observe_at_least(now - started_at)
@@ -228,7 +230,7 @@
         expired = []
         ahead = 0
         for deadline, request_id in list(self._queue):
-            if now + self._wait(now, ahead) + self._service_time.mean > deadline:
+            if self._is_hopeless(now, self._wait(now, ahead), deadline):
                 self._leave_queue(request_id)
                 expired.append(request_id)
             else:
@@ -273,7 +275,7 @@
 
     def _limit(self, now: float) -> int:
         ramp = self.limits.slots * self._cold_fraction(now)
-        return max(1, int(min(ramp, self._learnt_limit) + 0.5))
+        return max(1, int(min(ramp, self._learnt_limit.current) + 0.5))
 
     def _connections(self, now: float) -> int:
         return max(1, int(self.limits.connections * self._cold_fraction(now)))
@@ -281,13 +283,22 @@
     def _has_free_slot(self, now: float) -> bool:
         return len(self._started_by_id) < self._limit(now)
 
+    def _is_hopeless(self, now: float, wait: float, deadline: float) -> bool:
+        if now >= deadline:
+            return True
+        # An idle upstream is tried whatever it was like, or else a slow spell
+        # would never be seen to end.
+        if not self._started_by_id:
+            return False
+        return now + wait + self._service_time.mean > deadline
+
     def _leave_queue(self, request_id: int) -> None:
         deadline = self._deadlines_by_id.pop(request_id, None)
         if deadline is not None:
             self._queue.remove((deadline, request_id))
 
     def _start(self, request_id: int, now: float) -> None:
-        self._started_by_id[request_id] = now
+        self._started_by_id[request_id] = (now, len(self._started_by_id) + 1)
         self._busy.add(now, 1)
 
     def _wait(self, now: float, ahead: int) -> float:
@@ -297,7 +308,7 @@
         mean = self._service_time.mean
         left = sum(
             self._service_time.left(now - started_at)
-            for started_at in self._started_by_id.values()
+            for started_at, _ in self._started_by_id.values()
         )
         return (left + ahead * mean) / limit
 
@@ -313,13 +324,7 @@
             wait = MAX_RETRY_AFTER_S / 2
         return Refused(wait * self._generator.uniform(1.0, 2.0), cause)
 
-    def _learn(self, elapsed: float) -> None:
+    def _learn(self, elapsed: float, together: int) -> None:
         self._service_time.observe(elapsed)
-        if self._service_time.slowdown > SLOWDOWN_TOLERANCE:
-            self._lower_limit(SLOWDOWN_FACTOR)
-            return
-        raised = self._learnt_limit + 1 / self._learnt_limit / self.limits.slots
-        self._learnt_limit = min(float(self.limits.slots), raised)
-
-    def _lower_limit(self, factor: float) -> None:
-        self._learnt_limit = max(1.0, self._learnt_limit * factor)
+        slowdown = self._service_time.slowdown
+        self._learnt_limit.observe(elapsed, together, slowdown)
--- /dev/null
+++ b/lycheeglade/concurrency.py
@@ -0,0 +1,115 @@
+"""Limits on concurrent requests, learnt from response times."""
+
+FAILURE_FACTOR = 0.7
+SLOWDOWN_FACTOR = 0.9
+SLOWDOWN_TOLERANCE = 2.0
+SHARING_GAIN = 0.1
+MIN_SAMPLES = 10
+PROBE_INTERVAL = 50
+
+
+class FixedLimit:
+    """Limit that stays at the slots."""
+
+    def __init__(self, slots: int):
+        self.current = float(slots)
+
+    def observe(self, elapsed: float, together: int, slowdown: float) -> None:
+        """Ignore a response time."""
+
+    def fail(self) -> None:
+        """Ignore a failure."""
+
+
+class SlowdownLimit:
+    """Limit that falls while responses are slower than they used to be.
+
+    Parameters
+    ----------
+    slots : int
+        Upper bound of the limit.
+    """
+
+    def __init__(self, slots: int):
+        self._slots = slots
+        self.value = float(slots)
+
+    def observe(self, elapsed: float, together: int, slowdown: float) -> None:
+        """Take in one response time.
+
+        Parameters
+        ----------
+        elapsed : float
+            Seconds that the request took.
+        together : int
+            Requests that ran when it started, itself included.
+        slowdown : float
+            Ratio of the recent mean response time to the long-term mean.
+        """
+        if slowdown > SLOWDOWN_TOLERANCE:
+            self._lower(SLOWDOWN_FACTOR)
+            return
+        raised = self.value + 1 / self.value / self._slots
+        self.value = min(float(self._slots), raised)
+
+    @property
+    def current(self) -> float:
+        """Requests that may run at once."""
+        return self.value
+
+    def fail(self) -> None:
+        """Take in a request that failed."""
+        self._lower(FAILURE_FACTOR)
+
+    def _lower(self, factor: float) -> None:
+        self.value = max(1.0, self.value * factor)
+
+
+class SharingLimit(SlowdownLimit):
+    """Limit up to which running side by side beats waiting.
+
+    Compares the time for each request at every concurrency, and runs no more
+    side by side than where it is least. A higher concurrency is tried again
+    now and then.
+
+    Notes
+    -----
+    Equation 1 of "PALDIA: Enabling SLO-Compliant and Cost-Effective Serverless
+    Computing on Heterogeneous Hardware" with a batch of one: of N requests, y
+    wait for ``solo * y`` and the others run side by side for
+    ``solo * (N - y) * FBR``, with the FBR measured as
+    ``time(n) / (n * time(1))``.
+    """
+
+    def __init__(self, slots: int):
+        super().__init__(slots)
+        self._times = [0.0] * (slots + 1)
+        self._samples = [0] * (slots + 1)
+        self._observed = 0
+        self._best = slots
+
+    def observe(self, elapsed: float, together: int, slowdown: float) -> None:
+        """Take in one response time."""
+        super().observe(elapsed, together, slowdown)
+        together = min(together, self._slots)
+        self._samples[together] += 1
+        gain = max(SHARING_GAIN, 1 / self._samples[together])
+        self._times[together] += (elapsed - self._times[together]) * gain
+        self._observed += 1
+        self._best = self._find_best()
+
+    @property
+    def current(self) -> float:
+        """The limit, raised by one while a higher concurrency is tried."""
+        probing = self._observed % PROBE_INTERVAL < self._slots
+        return min(self.value, float(self._best + probing))
+
+    def _find_best(self) -> int:
+        best = 1
+        for together in range(2, self._slots + 1):
+            if min(self._samples[best], self._samples[together]) < MIN_SAMPLES:
+                return self._slots
+            share = self._times[together] / together
+            if share < self._times[best] / best:
+                best = together
+        return best
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -127,3 +127,16 @@
     admission.offer(1, 0.0, 10.0)
     assert admission.offer(1, 0.0, 10.0).cause is Cause.DUPLICATE
     assert admission.load(0.0).running == 1
+
+
+def test_slow_spell_does_not_refuse_forever():
+    admission = make_admission()
+    now = teach(admission, 4.0)
+    answers = []
+    for request_id in range(40):
+        answer = admission.offer(request_id, now, now + 3.0)
+        answers.append(answer)
+        now += 0.1
+        admission.finish(request_id, now)
+    assert answers[-1] == START
+    assert admission.load(now).service_time < 1.0
