Limit concurrency where running side by side costs more than waiting

Cause: weak upstreams that slow down when requests share them answer late. Change: SharingLimit compares the time for each request at every concurrency (equation 1 of the PALDIA paper with a batch of one); the busy share counts the slots that may be used.

--- a/bench/fairness.py
+++ b/bench/fairness.py
@@ -5,12 +5,22 @@
 
 from collections import defaultdict
 from dataclasses import replace
+from functools import partial
+from multiprocessing import Pool
 from random import Random
 from sys import argv
 
 import numpy as np
 
-from bench.fairness_model import SPEEDS, Callers, Clock, Mix, Upstream, make_service
+from bench.fairness_model import (
+    SPEEDS,
+    Callers,
+    Clock,
+    FixedLimit,
+    Mix,
+    Upstream,
+    make_service,
+)
 from bench.fairness_policies import (
     FlowsOnly,
     LeastOutstanding,
@@ -20,11 +30,12 @@
     RequestsOnly,
     RoundRobin,
 )
-from lycheeglade.concurrency import FixedLimit, SharingLimit, SlowdownLimit
+from lycheeglade.concurrency import SharingLimit, SlowdownLimit
 
 LOAD = 0.7
 WARM_UP_S = 60.0
 WEAK_UPSTREAMS = 2
+WORKERS = 4
 BOOTH_SYNC = Mix("booth-sync", 1, 0.25, 700, 3600.0, 0.5, 2.0)
 PHRASEBOOK = Mix("phrasebook", 3, 0.5, 1000, 600.0, 1.0, 2.0)
 POLICIES = (
@@ -38,7 +49,7 @@
 )
 
 
-def run(policy_type, mix, weights, seed, seconds, make_limit=SlowdownLimit):
+def run(policy_type, mix, weights, seconds, make_limit, seed):
     """Return the measures of one run."""
     clock = Clock()
     upstreams = [
@@ -84,20 +95,21 @@
 
 
 def compare(
+    pool,
     title,
     mix,
     weights,
     seeds,
     seconds,
     policies=POLICIES,
-    make_limit=SlowdownLimit,
+    make_limit=SharingLimit,
 ):
     """Print the means over all seeds of each policy."""
     print(f"\n{title}")
     for position, policy_type in enumerate(policies):
         values = defaultdict(list)
-        for seed in seeds:
-            result = run(policy_type, mix, weights, seed, seconds, make_limit)
+        runs = partial(run, policy_type, mix, weights, seconds, make_limit)
+        for result in pool.map(runs, seeds):
             for name, value in result.items():
                 values[name].append(value)
         if position == 0:
@@ -106,12 +118,13 @@
         print(f"{policy_type.__name__:17}{cells}", flush=True)
 
 
-def compare_limits(seeds, seconds):
+def compare_limits(pool, seeds, seconds):
     """Compare limits of concurrency where two upstreams suffer from it."""
     mix = replace(PHRASEBOOK, name="phrasebook-weak", weak_interference=1.3)
+    policies = (Rendezvous, Product)
     for make_limit in (FixedLimit, SlowdownLimit, SharingLimit):
         title = f"{mix.name}, {make_limit.__name__}, weights as strong"
-        compare(title, mix, SPEEDS, seeds, seconds, (Rendezvous, Product), make_limit)
+        compare(pool, title, mix, SPEEDS, seeds, seconds, policies, make_limit)
 
 
 def main(seeds=3, seconds=300.0):
@@ -119,11 +132,12 @@
     seeds = range(1, int(seeds) + 1)
     seconds = float(seconds)
     equal = (1.0,) * len(SPEEDS)
-    for mix in (BOOTH_SYNC, PHRASEBOOK):
-        for name, weights in (("as strong", SPEEDS), ("equal", equal)):
-            title = f"{mix.name}, {mix.slots} slots, weights {name}"
-            compare(title, mix, weights, seeds, seconds)
-    compare_limits(seeds, seconds)
+    with Pool(WORKERS) as pool:
+        for mix in (BOOTH_SYNC, PHRASEBOOK):
+            for name, weights in (("as strong", SPEEDS), ("equal", equal)):
+                title = f"{mix.name}, {mix.slots} slots, weights {name}"
+                compare(pool, title, mix, weights, seeds, seconds)
+        compare_limits(pool, seeds, seconds)
 
 
 if __name__ == "__main__":
--- a/bench/fairness_model.py
+++ b/bench/fairness_model.py
@@ -7,7 +7,7 @@
 
 from lycheeglade.address import Address, Zone
 from lycheeglade.admission import Admission, AdmissionLimits
-from lycheeglade.concurrency import SlowdownLimit
+from lycheeglade.concurrency import SharingLimit
 from lycheeglade.placement import PeerLoads
 from lycheeglade.view import Protocol, Service, Target
 
@@ -48,6 +48,19 @@
     weak_interference: float = 0.1
 
 
+class FixedLimit:
+    """Limit that stays at the slots."""
+
+    def __init__(self, slots):
+        self.current = float(slots)
+
+    def observe(self, elapsed, together, slowdown):
+        """Ignore a response time."""
+
+    def fail(self):
+        """Ignore a failure."""
+
+
 @dataclass(slots=True)
 class Flow:
     """An open flow and the target that is its home."""
@@ -94,7 +107,7 @@
 class Upstream:
     """A small upstream behind the product's own admission."""
 
-    def __init__(self, clock, mix, speed, weak, generator, make_limit=SlowdownLimit):
+    def __init__(self, clock, mix, speed, weak, generator, make_limit=SharingLimit):
         self.clock = clock
         self.mix = mix
         self.speed = speed
--- a/lycheeglade/admission.py
+++ b/lycheeglade/admission.py
@@ -11,7 +11,7 @@
 from enum import StrEnum
 from random import Random
 
-from lycheeglade.concurrency import SlowdownLimit
+from lycheeglade.concurrency import SharingLimit, SlowdownLimit
 from lycheeglade.service_time import BusyShare, ServiceTime
 
 DEFAULT_MAX_QUEUE = 64
@@ -134,7 +134,7 @@
         limits: AdmissionLimits,
         started_at: float,
         generator: Random | None = None,
-        make_limit: Callable[[int], SlowdownLimit] = SlowdownLimit,
+        make_limit: Callable[[int], SlowdownLimit] = SharingLimit,
     ):
         self.limits = limits
         self._started_at = started_at
@@ -249,7 +249,7 @@
             queued=len(self._deadlines_by_id),
             service_time=self._service_time.mean,
             wait_estimate=self._wait(now, len(self._deadlines_by_id)),
-            busy=self._busy.average(now) / self.limits.slots,
+            busy=min(1.0, self._busy.average(now) / self._limit(now)),
             flows=self._flows,
             connections=self._connections(now),
             draining=self._draining,
--- a/lycheeglade/concurrency.py
+++ b/lycheeglade/concurrency.py
@@ -3,24 +3,12 @@
 FAILURE_FACTOR = 0.7
 SLOWDOWN_FACTOR = 0.9
 SLOWDOWN_TOLERANCE = 2.0
-SHARING_GAIN = 0.1
+SHARING_GAIN = 0.03
+SHARING_TOLERANCE = 1.05
 MIN_SAMPLES = 10
 PROBE_INTERVAL = 50
 
 
-class FixedLimit:
-    """Limit that stays at the slots."""
-
-    def __init__(self, slots: int):
-        self.current = float(slots)
-
-    def observe(self, elapsed: float, together: int, slowdown: float) -> None:
-        """Ignore a response time."""
-
-    def fail(self) -> None:
-        """Ignore a failure."""
-
-
 class SlowdownLimit:
     """Limit that falls while responses are slower than they used to be.
 
@@ -105,11 +93,8 @@
         return min(self.value, float(self._best + probing))
 
     def _find_best(self) -> int:
-        best = 1
-        for together in range(2, self._slots + 1):
-            if min(self._samples[best], self._samples[together]) < MIN_SAMPLES:
-                return self._slots
-            share = self._times[together] / together
-            if share < self._times[best] / best:
-                best = together
-        return best
+        if min(self._samples[1:]) < MIN_SAMPLES:
+            return self._slots
+        shares = [self._times[n] / n for n in range(1, self._slots + 1)]
+        good = min(shares) * SHARING_TOLERANCE
+        return max(n for n, share in enumerate(shares, 1) if share <= good)
