--- a/bench/fairness.py
+++ b/bench/fairness.py
@@ -27,6 +27,7 @@
     LeastReported,
     Product,
     Rendezvous,
+    RepeatableOnly,
     RequestsOnly,
     RoundRobin,
 )
@@ -46,6 +47,7 @@
     FlowsOnly,
     RequestsOnly,
     Product,
+    RepeatableOnly,
 )
 
 
--- a/bench/fairness_policies.py
+++ b/bench/fairness_policies.py
@@ -241,12 +241,18 @@
             number = upstream.admission.next_queued()
             if number is None or upstream.waiting[number].flow.home != home:
                 continue
+            if not self.may_reoffer(upstream.waiting[number]):
+                continue
             request = upstream.waiting.pop(number)
             upstream.admission.cancel(number, self.clock.now)
             request.tried = request.tried[-MAX_DELEGATIONS + 1 :]
             self.place(request)
         self.clock.after(REOFFER_S, self.reoffer)
 
+    def may_reoffer(self, request):
+        """Tell whether a waiting request may be offered to a peer."""
+        return True
+
     def delegate(self, request, peer, home_busy, full):
         """Run a request at a peer, or give it back."""
         now = self.clock.now
@@ -281,3 +287,18 @@
     """Delegates requests, places flows by rank alone."""
 
     places_flows = False
+
+
+class RepeatableOnly(Product):
+    """The product, if only the repeatable half may be delegated."""
+
+    def place(self, request):
+        """Keep every second request at its home."""
+        if request.number % 2:
+            self.offer(request.flow.home, request)
+        else:
+            super().place(request)
+
+    def may_reoffer(self, request):
+        """Tell whether a waiting request may be offered to a peer."""
+        return request.number % 2 == 0
