--- a/tests/test_delegation.py
+++ b/tests/test_delegation_log.py
@@ -1,4 +1,4 @@
-from lycheeglade.delegation import (
+from lycheeglade.delegation_log import (
     MAX_IDS_PER_HOME,
     MAX_INCARNATIONS_PER_HOME,
     Delegation,
