Read the questionnaire's answers line by line

Change: questions are printed and a line of standard input is read; the end of the input is an error that names the question; without interaction the defaults stand.

Conclusion: the questionnaire can be fed from a pipe and ends in every case.

--- a/lycheeglade/cmdline.py
+++ b/lycheeglade/cmdline.py
@@ -7,6 +7,7 @@
 import sys
 from asyncio import run as run_async
 from collections.abc import Callable, Iterator, Sequence
+from functools import partial
 from pathlib import Path
 
 from cleo.application import Application
@@ -114,10 +115,11 @@
 
 
 def _questionnaire(command: Command) -> None:
+    from lycheeglade.prompter import ask_at_terminal
     from lycheeglade.questionnaire import ask_and_save
 
-    path = Path(command.option("output"))
-    ask_and_save(path, command.ask, print)
+    ask = partial(ask_at_terminal, interactive=command.io.is_interactive())
+    ask_and_save(Path(command.option("output")), ask, print)
 
 
 def _generate(command: Command) -> None:
--- a/lycheeglade/prompter.py
+++ b/lycheeglade/prompter.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
+from sys import stdin
 from typing import TypeVar
 
 from lycheeglade.errors import LycheegladeError
@@ -20,6 +21,29 @@
     """A question was not answered."""
 
 
+def ask_at_terminal(
+    question: str, default: str | None, *, interactive: bool = True
+) -> str | None:
+    """Ask on standard output and return a line of standard input.
+
+    An empty line means the default, as everything does if the process is not
+    `interactive`.
+
+    Raises
+    ------
+    QuestionnaireError
+        If the input has ended.
+    """
+    hint = "" if default is None else f" [{default}]"
+    print(f"{question}{hint}")
+    if not interactive:
+        return default
+    line = stdin.readline()
+    if not line:
+        raise QuestionnaireError(f"the input ended at: {question}")
+    return line.strip() or default
+
+
 @dataclass(frozen=True, slots=True)
 class Prompter:
     """Asks one question after the other.
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -1,3 +1,4 @@
+from io import StringIO
 from pathlib import Path
 
 import pytest
@@ -65,3 +66,24 @@
     assert capsys.readouterr().err == message
     assert main([command]) == EXIT_USAGE
     assert capsys.readouterr().err == "--config is needed\n"
+
+
+def test_questionnaire_reads_lines_and_tells_when_they_end(
+    tmp_path, capsys, monkeypatch
+):
+    path = tmp_path / "answers.ini"
+    lines = [
+        f"{line.split('|')[1]}\n"
+        for line in (DATA / "first.dialogue").read_text().splitlines()
+    ]
+    monkeypatch.setattr("lycheeglade.prompter.stdin", StringIO("".join(lines)))
+    assert main(["questionnaire", "-o", str(path)]) == 0
+    assert path.read_text() == (DATA / "first.expected").read_text()
+    assert main(["questionnaire", "-n", "-o", str(path)]) == 0
+    assert path.read_text() == (DATA / "first.expected").read_text()
+    monkeypatch.setattr("lycheeglade.prompter.stdin", StringIO(lines[0]))
+    capsys.readouterr()
+    other = tmp_path / "other.ini"
+    assert main(["questionnaire", "-o", str(other)]) == EXIT_WRONG
+    assert capsys.readouterr().err.startswith("the input ended at: At which URL")
+    assert not other.exists()
