--- /dev/null
+++ b/lycheeglade/exchange.py
@@ -0,0 +1,279 @@
+"""Requests in progress: one run at most, and one final answer each."""
+
+from math import ceil
+
+from lycheeglade.address import Address
+from lycheeglade.agent_state import Agent, answer_caller
+from lycheeglade.message import CallerMessage, ReplyTo, UpstreamMessage
+from lycheeglade.packet import Delegate, DelegateReply
+from lycheeglade.served_target import (
+    FlowRecord,
+    Request,
+    RequestState,
+    ServedTarget,
+)
+from lycheeglade.upstream_health import send_upstream
+
+UPSTREAM_TOKEN_BYTES = 8
+MIN_RETRY_AFTER_S = 1
+
+
+def reply_to(message: CallerMessage) -> ReplyTo:
+    """Return where the response to `message` belongs."""
+    return ReplyTo(message.message_id, message.token, message.reliable)
+
+
+def take_upstream_token(agent: Agent) -> bytes:
+    """Return a token that this process has not used towards upstreams."""
+    return agent.next_number().to_bytes(UPSTREAM_TOKEN_BYTES, "big")
+
+
+def admit_request(
+    served: ServedTarget, record: FlowRecord, request: Request, now: float
+) -> None:
+    """Enter a request into the tables. Its ticket counts as used."""
+    if request.request_id in served.requests_by_id:
+        return
+    served.requests_by_id[request.request_id] = request
+    record.requests_by_message_id[request.message.message_id] = request
+    if request.ticket is not None:
+        served.book.begin(request.ticket, request.message.digest, now)
+
+
+def start_request(
+    agent: Agent, served: ServedTarget, request: Request, now: float
+) -> None:
+    """Hand a request to the upstream, once."""
+    request.state = RequestState.RUNNING
+    request.started_at = now
+    token = take_upstream_token(agent)
+    served.requests_by_upstream_token[token] = request
+    agent.actions.record(
+        served.service.name, work_of(request), "queue", now - request.received_at
+    )
+    datagram = served.adapter.write_request(
+        request.message.datagram, agent.next_number() % (1 << 16), token
+    )
+    send_upstream(agent, served, datagram, now)
+    agent.timers.call_at(
+        request.deadline,
+        lambda now: _expire_running(agent, served, token, request, now),
+    )
+
+
+def start_queued(agent: Agent, served: ServedTarget, now: float) -> None:
+    """Start the queued requests that there is room for."""
+    for request_id in served.admission.start_next(now):
+        request = served.requests_by_id.get(request_id)
+        if request is None:
+            served.admission.cancel(request_id, now)
+        else:
+            start_request(agent, served, request, now)
+
+
+def receive_response(
+    agent: Agent, served: ServedTarget, message: UpstreamMessage, now: float
+) -> bool:
+    """Finish the request that an upstream's response belongs to.
+
+    Returns
+    -------
+    bool
+        False if no request waits for the response.
+    """
+    request = served.requests_by_upstream_token.pop(message.token, None)
+    if request is None:
+        return False
+    served.admission.finish(
+        request.request_id, now, failed=message.failed and not message.refused
+    )
+    agent.actions.record(
+        served.service.name, work_of(request), "upstream", now - request.started_at
+    )
+    if request.flow is None:
+        _return_delegated(agent, served, request, message, now)
+    elif message.refused:
+        _hand_back(agent, served, request, now)
+    else:
+        finish_request(agent, served, request, message.datagram, now)
+    start_queued(agent, served, now)
+    return True
+
+
+def finish_request(
+    agent: Agent, served: ServedTarget, request: Request, response: bytes, now: float
+) -> None:
+    """Send the final answer; an empty `response` means an unknown outcome."""
+    forget_request(served, request)
+    _burn_ticket(served, request, response, now)
+    record = served.records_by_flow.get(request.flow)
+    if record is None:
+        agent.actions.count("answer-dropped", served.service.name, "flow-gone")
+        return
+    outcome = "answered" if response else "unknown"
+    agent.actions.count("request", served.service.name, outcome)
+    agent.actions.record(
+        served.service.name, work_of(request), "whole", now - request.received_at
+    )
+    for reply in request.reply_tos:
+        if response:
+            ticket = served.book.mint(record.flow, now)
+            datagram = served.adapter.write_response(response, reply, ticket)
+        else:
+            datagram = served.adapter.write_unknown(reply)
+        answer_caller(agent, served, record, datagram)
+
+
+def _burn_ticket(
+    served: ServedTarget, request: Request, outcome: bytes, now: float
+) -> None:
+    if request.ticket is not None:
+        served.book.finish(request.ticket, outcome, now)
+
+
+def forget_request(served: ServedTarget, request: Request) -> None:
+    """Take a request out of the tables."""
+    served.requests_by_id.pop(request.request_id, None)
+    served.requests_by_delegation.pop(request.delegation_id, None)
+    record = served.records_by_flow.get(request.flow)
+    if record is not None:
+        known = record.requests_by_message_id.get(request.message.message_id)
+        if known is request:
+            del record.requests_by_message_id[request.message.message_id]
+
+
+def _hand_back(
+    agent: Agent, served: ServedTarget, request: Request, now: float
+) -> None:
+    """Answer a request that the upstream refused to run."""
+    refuse_admitted(agent, served, request, "upstream-shed", 1.0, now)
+
+
+def refuse_admitted(
+    agent: Agent,
+    served: ServedTarget,
+    request: Request,
+    cause: str,
+    retry_after: float,
+    now: float,
+) -> None:
+    """Refuse a request that was entered and certainly did not run."""
+    forget_request(served, request)
+    refusal = served.adapter.write_refusal(
+        reply_to(request.message), _whole_seconds(retry_after), None
+    )
+    _burn_ticket(served, request, refusal, now)
+    record = served.records_by_flow.get(request.flow)
+    if record is not None:
+        refuse(agent, served, record, request.reply_tos, cause, retry_after, now)
+
+
+def refuse(
+    agent: Agent,
+    served: ServedTarget,
+    record: FlowRecord,
+    replies: list[ReplyTo],
+    cause: str,
+    retry_after: float,
+    now: float,
+) -> None:
+    """Tell the caller that the request was not run."""
+    agent.actions.count("refused", served.service.name, cause)
+    seconds = _whole_seconds(retry_after)
+    ticket = served.book.mint(record.flow, now)
+    for reply in replies:
+        datagram = served.adapter.write_refusal(reply, seconds, ticket)
+        answer_caller(agent, served, record, datagram)
+
+
+def _expire_running(
+    agent: Agent, served: ServedTarget, token: bytes, request: Request, now: float
+) -> None:
+    """Give up a request that the upstream did not answer by its deadline."""
+    if served.requests_by_upstream_token.get(token) is not request:
+        return
+    del served.requests_by_upstream_token[token]
+    served.admission.finish(request.request_id, now, failed=True)
+    agent.actions.count("upstream-late", served.service.name, work_of(request))
+    if request.flow is None:
+        forget_request(served, request)
+    else:
+        finish_request(agent, served, request, b"", now)
+    start_queued(agent, served, now)
+
+
+def expire_queued(agent: Agent, served: ServedTarget, now: float) -> None:
+    """Refuse the queued requests that can't be served by their deadline."""
+    for request_id in served.admission.expire(now):
+        request = served.requests_by_id.get(request_id)
+        if request is not None:
+            refuse_admitted(agent, served, request, "deadline", 1.0, now)
+
+
+def refuse_queued(agent: Agent, served: ServedTarget, now: float) -> None:
+    """Give back all requests that wait for an upstream that is down."""
+    for request in list(served.requests_by_id.values()):
+        if request.state is RequestState.QUEUED:
+            served.admission.cancel(request.request_id, now)
+            refuse_admitted(agent, served, request, "upstream-down", 1.0, now)
+
+
+def fail_upstream(agent: Agent, served: ServedTarget, now: float) -> None:
+    """Give up all running requests after the upstream has gone."""
+    running = list(served.requests_by_upstream_token.items())
+    served.requests_by_upstream_token.clear()
+    for _, request in running:
+        served.admission.finish(request.request_id, now, failed=True)
+        if request.flow is None:
+            forget_request(served, request)
+        else:
+            finish_request(agent, served, request, b"", now)
+
+
+def _whole_seconds(retry_after: float) -> int:
+    return max(MIN_RETRY_AFTER_S, ceil(retry_after))
+
+
+def work_of(request: Request) -> str:
+    """Return the request's class of work, a label of metrics."""
+    return "repeatable" if request.message.repeatable else "not-repeatable"
+
+
+def reply_delegate(
+    agent: Agent,
+    served: ServedTarget,
+    packet: Delegate,
+    source: Address,
+    now: float,
+    *,
+    ran: bool,
+    payload: bytes = b"",
+) -> None:
+    """Return a delegated request, with its answer if it ran."""
+    reply = DelegateReply(
+        served.service.name,
+        packet.home_target_id,
+        served.target.target_id,
+        packet.delegation_id,
+        ran,
+        payload,
+        served.admission.load(now).busy,
+        agent.incarnation,
+    )
+    agent.actions.send(source, reply)
+
+
+def _return_delegated(
+    agent: Agent,
+    served: ServedTarget,
+    request: Request,
+    message: UpstreamMessage,
+    now: float,
+) -> None:
+    """Send the upstream's response to the request's home."""
+    forget_request(served, request)
+    source, packet = request.delegated_by
+    payload = b"" if message.refused else message.datagram
+    reply_delegate(
+        agent, served, packet, source, now, ran=not message.refused, payload=payload
+    )
--- /dev/null
+++ b/lycheeglade/knowledge.py
@@ -0,0 +1,203 @@
+"""What one process has learnt from the platform and from its peers."""
+
+from collections.abc import Iterable
+
+from lycheeglade.blackboard import NEVER
+from lycheeglade.errors import OptionError
+from lycheeglade.gossip_message import Compare, Exchange, PublishedValue, Reply
+from lycheeglade.spread import (
+    Changes,
+    Snapshot,
+    advance,
+    bucket_digests,
+    changes_after,
+    values_that_differ,
+)
+from lycheeglade.value import Value
+
+MAX_REPLY_BYTES = 128 * 1024
+# Seconds between two comparisons that brought nothing new.
+COMPARE_S = 30.0
+# Seconds after which a pull from a peer that was lost starts over.
+RESTART_PULL_S = 5.0
+
+Errors = tuple[OptionError, ...]
+
+
+class Knowledge:
+    """The snapshot of one process, and how current it is.
+
+    A pull from peers may take several replies. Their values count at once,
+    but the snapshot's revision advances with the last of them.
+
+    Parameters
+    ----------
+    now : float
+        Monotonic seconds.
+    """
+
+    def __init__(self, now: float):
+        self.snapshot = Snapshot()
+        self._started_at = now
+        self._confirmed_at = NEVER
+        self._compare_at = NEVER
+        self._pulled_up_to = 0
+        self._goal = 0
+        self._goal_at = now
+
+    @property
+    def complete(self) -> bool:
+        """Whether a whole snapshot was read; until then it isn't shown."""
+        return self.snapshot.revision > 0
+
+    def silence(self, now: float) -> float:
+        """Return the seconds since the platform confirmed what is known.
+
+        Before any confirmation they count from the start of the process.
+        """
+        return max(0.0, now - max(self._started_at, self._confirmed_at))
+
+    def is_behind(self, revision: int) -> bool:
+        """Tell whether a peer with that revision knows more."""
+        return revision > self.snapshot.revision
+
+    def ask(self, sender_ip: str, sender_port: int) -> Exchange:
+        """Return the request for changes that this process lacks."""
+        after = max(self._pulled_up_to, self.snapshot.revision)
+        return Exchange(after, self.snapshot.digest, sender_ip, sender_port)
+
+    def answer(self, exchange: Exchange, fresh: bool, now: float) -> Reply:
+        """Return the reply to a peer's request for changes."""
+        if not self.complete or exchange.revision >= self.snapshot.revision:
+            return self._reply(Changes(self.snapshot.revision), fresh, now)
+        changes = changes_after(self.snapshot, exchange.revision, MAX_REPLY_BYTES)
+        return self._reply(changes, fresh, now)
+
+    def answer_compare(self, compare: Compare, fresh: bool, now: float) -> Reply:
+        """Return the reply to a peer whose digest differs."""
+        if not self.complete:
+            return self._reply(Changes(0), fresh, now)
+        values = _bound(values_that_differ(self.snapshot, compare.digests))
+        refused = tuple(self.snapshot.refused_by_name.items())
+        changes = Changes(self.snapshot.revision, tuple(values), refused)
+        return self._reply(changes, fresh, now)
+
+    def take_reply(self, reply: Reply, after: int, now: float) -> Errors:
+        """Learn from a peer's reply.
+
+        Parameters
+        ----------
+        after : int
+            The request's revision.
+
+        Returns
+        -------
+        tuple of OptionError
+            Why values were refused.
+        """
+        revision, refused = self.snapshot.revision, dict(reply.refused)
+        step = advance(self.snapshot, _values_of(reply), revision, refused)
+        self.snapshot = step.snapshot
+        if reply.revision > revision:
+            self._continue_pull(reply, after, now)
+        self._confirm_by_peer(reply, now)
+        return step.errors
+
+    def needs_compare(self, reply: Reply, now: float) -> bool:
+        """Tell whether a peer of the same revision knows other values."""
+        return (
+            self.complete
+            and reply.revision == self.snapshot.revision
+            and reply.digest != self.snapshot.digest
+            and now >= self._compare_at
+        )
+
+    def compare(self) -> Compare:
+        """Return the request for the values that differ."""
+        return Compare(bucket_digests(self.snapshot))
+
+    def take_compared(self, reply: Reply, now: float) -> Errors:
+        """Learn from a peer's reply to a comparison."""
+        revision, refused = self.snapshot.revision, dict(reply.refused)
+        step = advance(self.snapshot, _values_of(reply), revision, refused)
+        if step.snapshot.digest == self.snapshot.digest:
+            self._compare_at = now + COMPARE_S
+        self.snapshot = step.snapshot
+        return step.errors
+
+    def take_values(self, values: Iterable[Value]) -> Errors:
+        """Learn some values of the platform before all are read."""
+        step = advance(self.snapshot, values, self.snapshot.revision)
+        self.snapshot = step.snapshot
+        return step.errors
+
+    def take_index(self, revision: int, after: int, now: float) -> bool:
+        """Note that all changes of an index of the platform were taken.
+
+        Parameters
+        ----------
+        revision : int
+            Last change that the platform knows.
+        after : int
+            Revision after which the index was asked for.
+
+        Returns
+        -------
+        bool
+            False if the platform is behind, so that nothing was confirmed.
+        """
+        if revision < self.snapshot.revision or after > self.snapshot.revision:
+            return False
+        self.snapshot = advance(self.snapshot, (), revision).snapshot
+        self._confirmed_at = max(self._confirmed_at, now)
+        return True
+
+    def _reply(self, changes: Changes, fresh: bool, now: float) -> Reply:
+        return Reply(
+            revision=self.snapshot.revision,
+            digest=self.snapshot.digest,
+            fresh=fresh,
+            age=now - self._confirmed_at,
+            up_to=changes.revision,
+            values=tuple(
+                PublishedValue(value.name, value.revision, value.text)
+                for value in changes.values
+            ),
+            refused=changes.refused,
+        )
+
+    def _continue_pull(self, reply: Reply, after: int, now: float) -> None:
+        """Note up to which revision all replies together are complete.
+
+        What came from one peer can't be completed by a peer that knows less.
+        If none that knows as much is heard, the pull starts over.
+        """
+        if reply.revision < self._goal:
+            if now - self._goal_at > RESTART_PULL_S:
+                self._goal = self._pulled_up_to = 0
+            return
+        self._goal = reply.revision
+        self._goal_at = now
+        if after <= max(self._pulled_up_to, self.snapshot.revision):
+            self._pulled_up_to = max(self._pulled_up_to, reply.up_to)
+        if self._pulled_up_to >= self._goal:
+            self.snapshot = advance(self.snapshot, (), self._goal).snapshot
+
+    def _confirm_by_peer(self, reply: Reply, now: float) -> None:
+        if reply.revision == self.snapshot.revision and reply.age >= 0.0:
+            self._confirmed_at = max(self._confirmed_at, now - reply.age)
+
+
+def _values_of(reply: Reply) -> list[Value]:
+    return [Value(each.name, each.revision, each.text) for each in reply.values]
+
+
+def _bound(values: list[Value]) -> list[Value]:
+    """Return the first of `values` that fit into a reply."""
+    bounded, size = [], 0
+    for value in values:
+        size += len(value.name) + len(value.text or "")
+        if bounded and size > MAX_REPLY_BYTES:
+            break
+        bounded.append(value)
+    return bounded
--- /dev/null
+++ b/lycheeglade/spread.py
@@ -0,0 +1,279 @@
+"""What a process knows of the published values, and how it only grows.
+
+A snapshot is a join semilattice: the newer revision of each name wins, so
+peers that exchange snapshots in any order end with the same one [1]_.
+
+.. [1] M. Shapiro et al., Conflict-free Replicated Data Types, SSS 2011.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field, replace
+from heapq import nsmallest
+
+from xxhash import xxh3_64_intdigest
+
+from lycheeglade.address import Address
+from lycheeglade.configuration import SERVICE_PREFIX
+from lycheeglade.errors import ConfigurationError, OptionError
+from lycheeglade.value import Value, read_value, refuse_value
+from lycheeglade.view import Host, Service, View
+
+MAX_VALUES = 65_536
+BUCKETS = 64
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """The last valid values, complete up to a revision.
+
+    Attributes
+    ----------
+    revision : int
+        Each change up to it is held here or was refused; 0 if nothing was
+        completely read yet.
+    values_by_name : Mapping
+        Last valid value of each name, deletions included. The oldest
+        deletions are forgotten above `MAX_VALUES` names.
+    refused_by_name : Mapping
+        Revision of an invalid value that was refused, here or at a peer. An
+        older valid one of that name may be missing here.
+    digest : int
+        64-bit hash over names and revisions, independent of their order.
+    """
+
+    revision: int = 0
+    values_by_name: Mapping[str, Value] = field(default_factory=dict)
+    refused_by_name: Mapping[str, int] = field(default_factory=dict)
+    digest: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Advance:
+    """A newer snapshot, and the errors of the values that it refuses."""
+
+    snapshot: Snapshot
+    errors: tuple[OptionError, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Changes:
+    """Values for a peer that knows less.
+
+    Attributes
+    ----------
+    revision : int
+        The peer is complete up to it once it holds `values`.
+    refused : tuple of (str, int)
+        Names and revisions of values that were refused.
+    """
+
+    revision: int
+    values: tuple[Value, ...] = ()
+    refused: tuple[tuple[str, int], ...] = ()
+
+
+def advance(
+    snapshot: Snapshot,
+    values: Iterable[Value],
+    revision: int,
+    refused: Mapping[str, int] | None = None,
+) -> Advance:
+    """Return a snapshot that holds newer ones of `values`.
+
+    An invalid value is refused whole and the last valid one stays. Nothing
+    goes back to an older revision.
+
+    Parameters
+    ----------
+    revision : int
+        Revision up to which `values` complete the snapshot.
+    refused : Mapping, optional
+        Revisions by name that the sender of `values` has refused.
+    """
+    accepted: dict[str, Value] = {}
+    refused = dict(refused or {})
+    errors: list[OptionError] = []
+    for value in values:
+        known = accepted.get(value.name) or snapshot.values_by_name.get(value.name)
+        if not _is_news(snapshot, known, value):
+            continue
+        try:
+            _check_bound(snapshot, accepted, value)
+            accepted[value.name] = read_value(value)
+        except ConfigurationError as error:
+            refused[value.name] = max(value.revision, refused.get(value.name, 0))
+            errors.extend(error.exceptions)
+    merged = _merge(snapshot, accepted, refused)
+    merged = replace(merged, revision=max(revision, merged.revision))
+    return Advance(_forget_deletions(merged), tuple(errors))
+
+
+def changes_after(
+    snapshot: Snapshot, revision: int, max_bytes: int | None = None
+) -> Changes:
+    """Return what a peer that is complete up to `revision` must learn.
+
+    Parameters
+    ----------
+    max_bytes : int, optional
+        Size of the texts after which the rest is left for a next call; at
+        least one value is returned.
+    """
+    newer = [v for v in snapshot.values_by_name.values() if v.revision > revision]
+    newer.sort(key=lambda value: value.revision)
+    refused = tuple(
+        (name, at) for name, at in snapshot.refused_by_name.items() if at > revision
+    )
+    sent_bytes = 0
+    for count, value in enumerate(newer):
+        sent_bytes += len(value.name) + len(value.text or "")
+        if count and max_bytes is not None and sent_bytes > max_bytes:
+            up_to = min(newer[count - 1].revision, snapshot.revision)
+            return Changes(up_to, tuple(newer[:count]), refused)
+    return Changes(snapshot.revision, tuple(newer), refused)
+
+
+def bucket_digests(snapshot: Snapshot) -> tuple[int, ...]:
+    """Return a digest for each of `BUCKETS` parts of the names."""
+    digests = [0] * BUCKETS
+    for value in snapshot.values_by_name.values():
+        digests[_bucket_of(value.name)] ^= _hash_value(value)
+    return tuple(digests)
+
+
+def values_that_differ(snapshot: Snapshot, digests: tuple[int, ...]) -> list[Value]:
+    """Return the values in the buckets whose digests are not `digests`."""
+    own = bucket_digests(snapshot)
+    if len(digests) != len(own):
+        return []
+    differing = {bucket for bucket in range(BUCKETS) if own[bucket] != digests[bucket]}
+    return [
+        value
+        for value in snapshot.values_by_name.values()
+        if _bucket_of(value.name) in differing
+    ]
+
+
+def build_view(
+    snapshot: Snapshot, previous: View | None = None
+) -> tuple[View, tuple[OptionError, ...]]:
+    """Return what `snapshot` declares, and the conflicts between its values.
+
+    An address that several services publish belongs to the one whose value is
+    the oldest, in every process; the others do without it. A view that is
+    newer than `snapshot` is returned as it is.
+    """
+    if previous is not None and previous.revision > snapshot.revision:
+        return previous, ()
+    errors: list[OptionError] = []
+    service_by_address: dict[Address, Service] = {}
+    services_by_name: dict[str, Service] = {}
+    hosts_by_id: dict[str, Host] = {}
+    for value in sorted(snapshot.values_by_name.values(), key=_by_revision):
+        if isinstance(value.content, Service):
+            service = _claim_addresses(value.content, service_by_address, errors)
+            services_by_name[service.name] = service
+        elif value.content is not None:
+            hosts_by_id.update({host.host_id: host for host in value.content})
+    view = View(snapshot.revision, services_by_name, hosts_by_id)
+    return view, tuple(errors)
+
+
+def _by_revision(value: Value) -> tuple[int, str]:
+    return value.revision, value.name
+
+
+def _claim_addresses(
+    service: Service,
+    service_by_address: dict[Address, Service],
+    errors: list[OptionError],
+) -> Service:
+    own = []
+    for address in service.addresses:
+        owner = service_by_address.setdefault(address, service)
+        if owner is service:
+            own.append(address)
+            continue
+        source = SERVICE_PREFIX + service.name
+        reason = f"{address} belongs to service {owner.name}"
+        errors.append(OptionError(source, "service", "addresses", reason))
+    if len(own) == len(service.addresses):
+        return service
+    return replace(service, addresses=tuple(own))
+
+
+def _is_news(snapshot: Snapshot, known: Value | None, value: Value) -> bool:
+    if known is not None:
+        return value.revision > known.revision
+    return value.revision > snapshot.revision or value.name in snapshot.refused_by_name
+
+
+def _check_bound(snapshot: Snapshot, accepted: dict[str, Value], value: Value) -> None:
+    if value.text is None or value.name in snapshot.values_by_name:
+        return
+    if len(snapshot.values_by_name) + len(accepted) < MAX_VALUES:
+        return
+    values = {**snapshot.values_by_name, **accepted}.values()
+    if sum(each.text is not None for each in values) >= MAX_VALUES:
+        reason = f"more than {MAX_VALUES} values are published"
+        refuse_value(value, "-", "value", reason)
+
+
+def _merge(
+    snapshot: Snapshot,
+    accepted: dict[str, Value],
+    refused: dict[str, int],
+) -> Snapshot:
+    if not accepted and not refused:
+        return snapshot
+    digest = snapshot.digest
+    for name, value in accepted.items():
+        digest ^= _hash_value(snapshot.values_by_name.get(name))
+        digest ^= _hash_value(value)
+    values_by_name = {**snapshot.values_by_name, **accepted}
+    for name, at in snapshot.refused_by_name.items():
+        refused[name] = max(at, refused.get(name, 0))
+    refused_by_name = {
+        name: at
+        for name, at in refused.items()
+        if name not in values_by_name or values_by_name[name].revision < at
+    }
+    return replace(
+        snapshot,
+        values_by_name=values_by_name,
+        refused_by_name=refused_by_name,
+        digest=digest,
+    )
+
+
+def _forget_deletions(snapshot: Snapshot) -> Snapshot:
+    """Forget the oldest deletions of a snapshot that is above the bound."""
+    excess = len(snapshot.values_by_name) - MAX_VALUES
+    if excess <= 0:
+        return snapshot
+    deletions = [
+        value
+        for value in snapshot.values_by_name.values()
+        if value.text is None
+        and value.revision <= snapshot.revision
+        and value.name not in snapshot.refused_by_name
+    ]
+    forgotten = nsmallest(excess, deletions, key=_by_revision)
+    names = {value.name for value in forgotten}
+    values_by_name = {
+        name: value
+        for name, value in snapshot.values_by_name.items()
+        if name not in names
+    }
+    return replace(snapshot, values_by_name=values_by_name)
+
+
+def _bucket_of(name: str) -> int:
+    return xxh3_64_intdigest(name.encode()) % BUCKETS
+
+
+def _hash_value(value: Value | None) -> int:
+    """Return a hash of name and revision; 0 for a deletion."""
+    if value is None or value.text is None:
+        return 0
+    return xxh3_64_intdigest(f"{value.name}\0{value.revision}".encode())
