--- /dev/null
+++ b/bench/membership.py
@@ -0,0 +1,195 @@
+"""Costs of membership, and how soon it finds what is gone.
+
+Run ``python -m bench.membership`` for the table.
+"""
+
+from random import Random
+from time import perf_counter
+from tracemalloc import get_traced_memory, start, stop
+
+from bench.routing import print_fit
+from lycheeglade.membership import Membership
+
+PEERS = (1000, 4000, 16000, 36000)
+CALLS = 200_000
+ROUND = 0.1  # seconds of virtual time between two rounds
+TRIALS = 200
+PING_BYTES = 60  # one ping with its UDP and IPv4 headers
+
+
+def measure_memory():
+    """Print the memory of the peers that are known."""
+    print("memory, kilobytes")
+    sizes = []
+    for count in PEERS:
+        peers = list(range(count))
+        start()
+        membership = Membership(Random(1))
+        membership.watch(peers)
+        sizes.append(get_traced_memory()[0] / 1000)
+        stop()
+        print(f"  {count:6d} peers {sizes[-1]:9.0f}")
+    print_fit("fit", PEERS, sizes, "kB a peer")
+
+
+def measure_calls():
+    """Print the cost of the calls on the data path and of an idle round."""
+    membership = Membership(Random(1))
+    membership.watch(range(36000))
+    began = perf_counter()
+    for number in range(CALLS):
+        peer = number % 7
+        membership.note_sent(peer, number * 1e-6)
+        membership.note_heard(peer, number * 1e-6)
+    cost = (perf_counter() - began) / CALLS * 1e6
+    print(f"note_sent and note_heard: {cost:.2f} us together")
+    began = perf_counter()
+    for _ in range(1000):
+        membership.collect_pings(0.2)
+        membership.suspects(0.2)
+    cost = (perf_counter() - began) * 1e3
+    print(f"a round with 36000 idle peers: {cost:.2f} us")
+
+
+def run_loss(peers, lost, seconds, seed, phase=0.0):
+    """Return when each lost peer was suspected, and all pings by second."""
+    membership = Membership(Random(seed))
+    membership.watch(peers)
+    found, pings = {}, []
+    spent = 0.0
+    for number in range(round(seconds / ROUND)):
+        now = phase + number * ROUND
+        if number % round(1 / ROUND) == 0:
+            pings.append(0)
+        for peer in peers:
+            membership.note_sent(peer, now)
+            if peer not in lost:
+                membership.note_heard(peer, now)
+        middle = perf_counter()
+        due = membership.collect_pings(now)
+        for peer in due:
+            if peer not in lost:
+                membership.note_heard(peer, now)
+        for peer in membership.suspects(now):
+            found.setdefault(peer, now - phase)
+        spent += perf_counter() - middle
+        pings[-1] += len(due)
+    return found, pings, spent / seconds
+
+
+def measure_one_loss():
+    """Print the time until one lost peer of seven is suspected."""
+    times = sorted(
+        run_loss(range(7), {3}, 4, seed, phase=seed * 0.013)[0][3]
+        for seed in range(TRIALS)
+    )
+    print(
+        f"one of 7 peers lost, {TRIALS} trials: suspected after "
+        f"{times[0]:.1f} to {times[-1]:.1f} s, half within {times[TRIALS // 2]:.1f} s"
+    )
+
+
+def measure_zone_loss():
+    """Print the time until a lost zone of many peers is suspected."""
+    print("1/25 of the peers lost, all of them in use")
+    for count in PEERS:
+        lost = frozenset(range(0, count, 25))
+        found, pings, spent = run_loss(range(count), lost, 30, 1)
+        times = sorted(found.values())
+        print(
+            f"  {count:6d} peers, {len(lost):5d} lost, {len(found):5d} suspected: "
+            f"half within {times[len(times) // 2]:5.1f} s, all within "
+            f"{times[-1]:5.1f} s; pings {max(pings)} in the busiest second, "
+            f"{sum(pings) / len(pings):.0f} a second on average "
+            f"({sum(pings) / len(pings) * PING_BYTES / 1000:.1f} kB/s), "
+            f"{spent:.2%} of a core for rounds"
+        )
+
+
+class Timeout:
+    """Baseline: a peer is suspected after a fixed time without an answer."""
+
+    def __init__(self):
+        self._waiting = {}
+
+    def watch(self, peers):
+        """Do nothing: the baseline knows the peers it sends to."""
+
+    def note_sent(self, peer, now):
+        """Start the wait for `peer`."""
+        self._waiting.setdefault(peer, now)
+
+    def note_heard(self, peer, now):
+        """End the wait for `peer`."""
+        self._waiting.pop(peer, None)
+
+    def collect_pings(self, now):
+        """Return no peers."""
+        return []
+
+    def suspects(self, now):
+        """Return the peers that are late."""
+        return frozenset(
+            peer for peer, since in self._waiting.items() if now - since >= 1.2
+        )
+
+
+def run_fault(detector, pause=0.0, delay=0.0, flaps=False):
+    """Return wrong peer-seconds and changes of the suspects in a minute."""
+    detector.watch(range(7))
+    arrivals, before, wrong, changes, now = [], frozenset(), 0.0, 0, 0.0
+    for number in range(600):
+        now += ROUND
+        if number == 100:
+            now += pause
+        fault = 100 <= number < 400
+        gone = {3} if flaps and fault and number % 40 < 20 else set()
+        late = delay if fault else 0.0
+        for peer in (peer for at, peer in arrivals if at < now):
+            detector.note_heard(peer, now)
+        arrivals = [item for item in arrivals if item[0] >= now]
+        if number == 100 and pause:
+            # The clock is read before the packets that came meanwhile.
+            arrivals += [(now, peer) for peer in range(7)]
+        for peer in range(7):
+            detector.note_sent(peer, now)
+        for peer in (*range(7), *detector.collect_pings(now)):
+            if peer in gone:
+                continue
+            if late:
+                arrivals.append((now + late, peer))
+            elif not (pause and number in (99, 100)):
+                detector.note_heard(peer, now)
+        suspects = detector.suspects(now)
+        changes += len(before ^ suspects)
+        wrong += len(suspects - gone) * ROUND
+        before = suspects
+    return wrong, changes
+
+
+def measure_faults():
+    """Print how often live peers are suspected, beside a fixed timeout."""
+    print("one minute, 7 peers: peer-seconds of wrong suspicion, changes")
+    faults = {
+        "pause of 10 s": {"pause": 10.0},
+        "all answers 3 s late for 30 s": {"delay": 3.0},
+        "one peer 2 s off, 2 s on for 30 s": {"flaps": True},
+    }
+    for name, fault in faults.items():
+        for detector in (Membership(Random(1)), Timeout()):
+            wrong, changes = run_fault(detector, **fault)
+            label = type(detector).__name__
+            print(f"  {name:34} {label:10} {wrong:6.1f} s, {changes:3d} changes")
+
+
+def main():
+    """Print all tables."""
+    measure_memory()
+    measure_calls()
+    measure_one_loss()
+    measure_faults()
+    measure_zone_loss()
+
+
+if __name__ == "__main__":
+    main()
