--- a/lycheeglade/gossip.py
+++ b/lycheeglade/gossip.py
@@ -5,14 +5,20 @@
 elsewhere can at most make it ask a peer that it knows already.
 """
 
-from asyncio import Event, TaskGroup, gather, sleep, timeout
+from asyncio import (
+    Event,
+    TaskGroup,
+    gather,
+    sleep,
+    timeout,
+)
 from collections.abc import Iterable
-from logging import getLogger
+from logging import DEBUG, WARNING, getLogger
 from random import Random
 from time import monotonic
 
 from aiohttp import ClientSession
-from pynng import NNGException, Rep0, Req0
+from pynng import NNGException, Rep0
 
 from lycheeglade.address import Address
 from lycheeglade.blackboard import Blackboard
@@ -27,6 +33,7 @@
     decode_message,
     encode_message,
 )
+from lycheeglade.peer import REQUEST_TIMEOUT_S, ask_peer, raise_if_cancelled
 from lycheeglade.platform_client import IndexEntry, PlatformClient, PlatformError
 from lycheeglade.settings import Settings
 from lycheeglade.spread import build_view
@@ -34,6 +41,7 @@
 from lycheeglade.view import View
 from lycheeglade.watch import (
     FRESH_S,
+    Rank,
     ReadBudget,
     choose_peers,
     is_watcher,
@@ -45,8 +53,8 @@
 
 logger = getLogger(__name__)
 
-REQUEST_TIMEOUT_S = 1.0
 SEND_TIMEOUT_MS = 500
+SERVE_RETRY_S = 0.01
 ROUND_S = 2.0
 ROUND_JITTER_S = 0.5
 ATTEMPTS_PER_ROUND = 2
@@ -104,7 +112,7 @@
         self._knowledge = Knowledge(monotonic())
         self._budget = ReadBudget()
         self._peers = list_peers(settings, blackboard.view.value)
-        self._rank = (0, 1)
+        self._rank = Rank()
         self._published = (0, 0)
         self._news = Event()
         self._behind = Event()
@@ -122,6 +130,8 @@
                 logger.warning("control_message_refused cause=%s", error.cause)
             except NNGException as error:
                 logger.debug("control_reply_lost cause=%s", type(error).__name__)
+                await sleep(SERVE_RETRY_S)
+            raise_if_cancelled()
 
     async def exchange_in_rounds(self) -> None:
         """Compare notes with a random peer every two seconds."""
@@ -158,13 +168,14 @@
         await self._learn_peers()
         while True:
             silence = self._knowledge.silence(monotonic())
-            if not is_watcher(*self._rank, silence):
+            if not is_watcher(self._rank, silence):
                 await sleep(self._random.uniform(0.5, 1.5))
                 continue
             try:
                 confirmed = await self._read_changes(WATCH_S)
             except PlatformError as error:
-                logger.info("platform_unread cause=%s", error)
+                level = DEBUG if failures else WARNING
+                logger.log(level, "platform_unread cause=%s", error)
                 confirmed = False
             failures = 0 if confirmed else failures + 1
             await sleep(self._watch_pause(failures))
@@ -172,8 +183,7 @@
     def _watch_pause(self, failures: int) -> float:
         if not failures:
             return self._random.uniform(0.5, 1.0) * WATCH_PAUSE_S
-        hosts = len(self._blackboard.view.value.hosts_by_id)
-        return retry_delay(failures, *self._rank, hosts, self._random)
+        return retry_delay(failures, self._rank, self._random)
 
     def _answer(self, message: Message, now: float) -> Reply | None:
         fresh = view_is_fresh(self._blackboard.checked_at.value, now)
@@ -215,7 +225,7 @@
         for _ in range(MAX_REPLIES_PER_PULL):
             started_at = monotonic()
             request = self._knowledge.ask(*self._settings.control)
-            reply = await _request(peer, request)
+            reply = await ask_peer(peer, request)
             if reply is None:
                 return False
             errors = self._knowledge.take_reply(reply, request.revision, monotonic())
@@ -229,7 +239,7 @@
         return reply.fresh
 
     async def _compare_with(self, peer: Address) -> None:
-        reply = await _request(peer, self._knowledge.compare())
+        reply = await ask_peer(peer, self._knowledge.compare())
         if reply is not None:
             self._publish(self._knowledge.take_compared(reply, monotonic()))
 
@@ -334,17 +344,3 @@
     def _log_refused(self, errors: Iterable[OptionError]) -> None:
         for error in errors:
             logger.error("value_refused %s", error)
-
-
-async def _request(peer: Address, message: Message) -> Reply | None:
-    """Return the reply of `peer`, None if there is none in time."""
-    try:
-        async with timeout(REQUEST_TIMEOUT_S):
-            with Req0(recv_max_size=MAX_MESSAGE_BYTES) as socket:
-                socket.dial(f"tcp://{peer}", block=False)
-                await socket.asend(encode_message(message))
-                reply = decode_message(await socket.arecv())
-    except (TimeoutError, NNGException, PacketError) as error:
-        logger.debug("peer_silent peer=%s cause=%r", peer, error)
-        return None
-    return reply if isinstance(reply, Reply) else None
--- a/lycheeglade/watch.py
+++ b/lycheeglade/watch.py
@@ -70,32 +70,44 @@
         return max(0.0, -self._tokens / self._rate)
 
 
-def rank_watcher(
-    host_id: str, zone: Zone, hosts_by_id: Mapping[str, Host]
-) -> tuple[int, int]:
-    """Return the rank of a host among the live ones of its zone.
-
-    Ranks are the order of a hash of the host's name (rendezvous hashing), the
-    same in each process that knows the same list.
-
-    Returns
-    -------
-    rank : int
-        From zero; a host that is not listed gets the rank it would have.
+@dataclass(frozen=True, slots=True)
+class Rank:
+    """Order of a host among those that may watch the platform.
+
+    Attributes
+    ----------
+    place : int
+        From zero, among the live hosts of the zone.
     zones : int
         Zones that have hosts.
+    hosts : int
+        Hosts of all zones.
+    """
+
+    place: int = 0
+    zones: int = 1
+    hosts: int = 1
+
+
+def rank_watcher(host_id: str, zone: Zone, hosts_by_id: Mapping[str, Host]) -> Rank:
+    """Return the rank of a host.
+
+    Places are the order of a hash of the host's name (rendezvous hashing), the
+    same in each process that knows the same list. A host that is not listed
+    gets the place that it would have.
     """
     own = _hash_watcher(host_id)
-    rank = sum(
+    place = sum(
         host.zone == zone
         and host.state is State.LIVE
         and _hash_watcher(host.host_id) < own
         for host in hosts_by_id.values()
     )
-    return rank, max(1, len({host.zone for host in hosts_by_id.values()}))
+    zones = {zone, *(host.zone for host in hosts_by_id.values())}
+    return Rank(place, len(zones), max(1, len(hosts_by_id)))
 
 
-def is_watcher(rank: int, zones: int, silence: float) -> bool:
+def is_watcher(rank: Rank, silence: float) -> bool:
     """Tell whether the host of that rank watches the platform.
 
     Parameters
@@ -104,14 +116,12 @@
         Seconds since what is known was last confirmed by the platform, here
         or at a peer.
     """
-    per_zone = max(MIN_WATCHERS_PER_ZONE, WATCHERS // zones)
+    per_zone = max(MIN_WATCHERS_PER_ZONE, WATCHERS // rank.zones)
     doublings = min(MAX_DOUBLINGS, max(0, int(silence / TAKEOVER_S)))
-    return rank < per_zone * 2**doublings
+    return rank.place < per_zone * 2**doublings
 
 
-def retry_delay(
-    failures: int, rank: int, hosts: int, zones: int, random: Random
-) -> float:
+def retry_delay(failures: int, rank: Rank, random: Random) -> float:
     """Return the seconds to wait after a failed read, with full jitter.
 
     The usual watchers come back within seconds. Others share `RETRIES_PER_S`
@@ -121,14 +131,10 @@
     ----------
     failures : int
         Failed reads in a row.
-    rank, zones : int
-        As `rank_watcher` returns them.
-    hosts : int
-        Processes that are known.
     """
     ceiling = min(LAST_RETRY_S, FIRST_RETRY_S * 2 ** min(failures, 10))
-    if not is_watcher(rank, zones, 0.0):
-        ceiling = max(LAST_RETRY_S, 2 * hosts / RETRIES_PER_S)
+    if not is_watcher(rank, 0.0):
+        ceiling = max(LAST_RETRY_S, 2 * rank.hosts / RETRIES_PER_S)
     return random.uniform(0.1 * ceiling, ceiling)
 
 
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -122,6 +122,13 @@
         if complete:
             self.knowledge[process].take_index(revision, after, self.now)
 
+    @precondition(lambda self: not self.platform.down)
+    @rule(process=processes, name=names, kind=st.sampled_from(["invalid", "deleted"]))
+    def read_while_changed(self, process, name, kind):
+        self.start_read(process)
+        self.publish(name, kind)
+        self.finish_read(process)
+
     @rule(asker=processes, peer=processes, late=st.booleans())
     def exchange(self, asker, peer, late):
         if asker == peer or self.sides[asker] != self.sides[peer]:
@@ -227,6 +234,8 @@
 
 def test_processes_never_go_back_and_converge(monkeypatch):
     monkeypatch.setattr(lycheeglade.knowledge, "MAX_REPLY_BYTES", 50)
+    monkeypatch.setattr(lycheeglade.knowledge, "RESTART_PULL_S", 1.0)
+    monkeypatch.setattr(lycheeglade.knowledge, "RESTART_PULL_S", 1.0)
     run_state_machine_as_test(SpreadMachine, settings=settings(max_examples=400))
 
 
--- /dev/null
+++ b/tests/test_watch.py
@@ -0,0 +1,90 @@
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lycheeglade.address import Address, Zone
+from lycheeglade.settings import Settings
+from lycheeglade.view import Host, Role, View
+from lycheeglade.watch import (
+    FRESH_S,
+    RETRIES_PER_S,
+    TAKEOVER_S,
+    WATCHERS,
+    Rank,
+    ReadBudget,
+    choose_peers,
+    is_watcher,
+    list_peers,
+    rank_watcher,
+    retry_delay,
+    view_is_fresh,
+)
+
+
+def make_hosts(zones: int, per_zone: int) -> dict[str, Host]:
+    hosts = {}
+    for number in range(zones * per_zone):
+        name = f"host-{number}"
+        ip = f"127.0.{number // 250}.{number % 250 + 1}"
+        zone = Zone("fiji", f"z{number % zones}")
+        role = Role.BALANCER if number // zones % 4 == 0 else Role.AGENT
+        hosts[name] = Host(name, role, zone, Address(ip, 1), Address(ip, 2))
+    return hosts
+
+
+@given(st.integers(1, 30), st.integers(1, 20))
+def test_each_zone_has_watchers_and_all_together_are_few(zones, per_zone):
+    hosts = make_hosts(zones, per_zone)
+    ranks = [rank_watcher(h.host_id, h.zone, hosts) for h in hosts.values()]
+    watching = [
+        h for h, r in zip(hosts.values(), ranks, strict=True) if is_watcher(r, 0)
+    ]
+    assert {host.zone for host in watching} == {host.zone for host in hosts.values()}
+    assert len(watching) <= max(WATCHERS, 2 * zones)
+    silence = TAKEOVER_S * 20
+    assert all(is_watcher(rank, silence) for rank in ranks)
+
+
+@given(st.integers(1, 40_000), st.integers(0, 100), st.integers(0, 2**32))
+def test_retries_stay_within_their_share(hosts, failures, seed):
+    rank = Rank(place=10_000, zones=25, hosts=hosts)
+    random = Random(seed)
+    delays = [retry_delay(failures, rank, random) for _ in range(300)]
+    assert hosts / (sum(delays) / len(delays)) < 1.2 * RETRIES_PER_S
+    usual = [retry_delay(failures, Rank(0, 25, hosts), random) for _ in range(50)]
+    assert 0.0 < min(usual) <= max(usual) <= 3.0
+
+
+@given(st.lists(st.floats(0.0, 5.0), max_size=300))
+def test_reads_never_exceed_the_budget(gaps):
+    budget, now, reads = ReadBudget(rate=2.0, burst=4.0), 0.0, []
+    for gap in gaps:
+        now += gap
+        reads.append(now + budget.take(now))
+    for index, at in enumerate(reads):
+        within = sum(at <= later < at + 10.0 for later in reads[index:])
+        assert within <= 4 + 2 * 10 + 1
+
+
+def test_peers_are_the_own_zone_and_all_balancers():
+    hosts = make_hosts(4, 8)
+    own = hosts["host-1"]
+    seed = Address("127.9.9.9", 2)
+    addresses = (own.packets, own.control, own.control)
+    settings = Settings(own.role, own.host_id, own.zone, *addresses, "", (seed,))
+    peers = list_peers(settings, View(hosts_by_id=hosts))
+    zone_mates = {host.control for host in hosts.values() if host.zone == own.zone}
+    zone_mates -= {own.control}
+    balancers = {host.control for host in hosts.values() if host.role is Role.BALANCER}
+    assert set(peers.near) == zone_mates
+    assert set(peers.far) == (balancers | {seed}) - zone_mates - {own.control}
+    chosen = choose_peers(peers, 4, Random(1))
+    assert len(set(chosen) & zone_mates) == 2
+    assert len(set(chosen)) == 4
+
+
+def test_view_is_not_fresh_after_a_pause():
+    assert view_is_fresh(100.0, 100.0 + FRESH_S / 2)
+    assert not view_is_fresh(100.0, 100.0 + FRESH_S)
+    assert not view_is_fresh(float("-inf"), 0.0)
