Stop the callers' tasks surely and end child processes with their parent

After a failed test the callers' feeds went on: wait_for of Python 3.11 may swallow a cancellation if its future ends at the same time, and the abort waited for them without a limit. The abort now sets the stop event and waits at most 2 s. A test run that is ended by a signal no longer leaves its child processes behind.

--- a/demo/processes.py
+++ b/demo/processes.py
@@ -1,5 +1,6 @@
 """Starts, signals and ends named processes, each with its log file."""
 
+from ctypes import CDLL
 from dataclasses import dataclass
 from pathlib import Path
 from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
@@ -15,6 +16,15 @@
 STOP_TIMEOUT_S = 5.0
 
 
+LIBC = CDLL(None)
+PR_SET_PDEATHSIG = 1
+
+
+def _end_with_parent():
+    """Let the kernel end this process when its parent's thread ends."""
+    LIBC.prctl(PR_SET_PDEATHSIG, SIGKILL)
+
+
 class NotReadyError(Exception):
     """A process ended or did not become ready in time."""
 
@@ -50,7 +60,13 @@
         offset = log.stat().st_size if log.exists() else 0
         command = (executable, "-m", module, *map(str, arguments))
         with log.open("ab") as output:
-            popen = Popen(command, cwd=ROOT, stdout=output, stderr=STDOUT)
+            popen = Popen(
+                command,
+                cwd=ROOT,
+                stdout=output,
+                stderr=STDOUT,
+                preexec_fn=_end_with_parent,
+            )
         running = Running(name, (module, *arguments), popen, log, offset)
         self._running_by_name[name] = running
         return running
--- a/demo/workload.py
+++ b/demo/workload.py
@@ -1,6 +1,6 @@
 """Callers of a whole deployment, in one process."""
 
-from asyncio import Event, gather, get_running_loop, sleep, wait
+from asyncio import Event, get_running_loop, sleep, wait
 from dataclasses import dataclass
 from hashlib import sha256
 from random import Random
@@ -12,6 +12,7 @@
 
 CALLER_ACK_TIMEOUT_S = 1.0
 SETTLE_S = 15.0
+ABORT_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +37,10 @@
     reel_bytes: int = 2 << 20
 
 
+def _error_of(task) -> BaseException | None:
+    return None if task.cancelled() else task.exception()
+
+
 class Workload:
     """Runs the callers and keeps their account."""
 
@@ -69,22 +74,22 @@
         _done, pending = await wait(self._tasks, timeout=settle)
         for task in pending:
             task.cancel()
-        results = await gather(*self._tasks, return_exceptions=True)
+        if pending:
+            await wait(pending, timeout=ABORT_S)
+        results = [_error_of(task) for task in self._tasks if task not in pending]
         for caller in self._callers:
             caller.close()
-        errors = [
-            result
-            for result, task in zip(results, self._tasks, strict=True)
-            if isinstance(result, Exception) and task not in pending
-        ]
+        errors = [error for error in results if error is not None]
         if errors:
             raise ExceptionGroup("callers failed", errors)
 
     async def abort(self) -> None:
         """Close all flows at once."""
+        self._stopped.set()
         for task in self._tasks:
             task.cancel()
-        await gather(*self._tasks, return_exceptions=True)
+        if self._tasks:
+            await wait(self._tasks, timeout=ABORT_S)
         for caller in self._callers:
             caller.close()
 
