Add the commands that explain a flow and compare values

Cause: explain and diff had no functions that read files into a view.

Change: load_view reads values from files and folders with all the checks; explain_flow and compare_views join the package's public functions; explain can judge a balancer's zone; an unknown service names the nearest known one.

Conclusion: a change can be looked at before it is published.

--- a/lycheeglade/__init__.py
+++ b/lycheeglade/__init__.py
@@ -12,8 +12,10 @@
 
 if TYPE_CHECKING:
     from lycheeglade.address import Address
+    from lycheeglade.difference import Difference
     from lycheeglade.errors import OptionError
-    from lycheeglade.view import Service, Target
+    from lycheeglade.explain import Explanation
+    from lycheeglade.view import Service, Target, View
 
 __version__ = "0.1.0"
 
@@ -53,6 +55,47 @@
     return rank_targets(service, hash_flow(FlowKey(service.name, ip, port)))
 
 
+def load_view(paths: Iterable[str | Path]) -> View:
+    """Return what published values declare; a folder is read whole.
+
+    Raises
+    ------
+    ConfigurationError
+        If a file can't be read or anything in the files is wrong.
+    """
+    from lycheeglade.checker import load_view as load
+
+    return load(paths)
+
+
+def explain_flow(view: View, service_name: str, caller: Address | str) -> Explanation:
+    """Rank the targets of a caller's flow and tell why others are ruled out.
+
+    Raises
+    ------
+    UnknownServiceError
+        If the view has no such service.
+    ValueError
+        If `caller` is not an address.
+    """
+    from lycheeglade.address import parse_address
+    from lycheeglade.errors import UnknownServiceError
+    from lycheeglade.explain import explain_flow as explain
+    from lycheeglade.options import suggest_name
+
+    if service_name not in view.services_by_name:
+        hint = suggest_name(service_name, sorted(view.services_by_name))
+        raise UnknownServiceError(f"no service {service_name!r}; {hint}")
+    return explain(view, service_name, parse_address(str(caller)))
+
+
+def compare_views(old: View, new: View) -> Difference:
+    """Return what the change from `old` to `new` does to the flows."""
+    from lycheeglade.difference import compare_views as compare
+
+    return compare(old, new)
+
+
 def check_files(paths: Iterable[str | Path]) -> list[OptionError]:
     """Return everything that is wrong with settings and published values."""
     from lycheeglade.checker import check_files as check
--- a/lycheeglade/checker.py
+++ b/lycheeglade/checker.py
@@ -13,7 +13,7 @@
 from lycheeglade.errors import ConfigurationError, OptionError
 from lycheeglade.options import OptionReader, suggest_name
 from lycheeglade.settings import Settings, parse_settings, read_text
-from lycheeglade.view import Host, Role, Service
+from lycheeglade.view import Host, Role, Service, View
 
 
 class Place(NamedTuple):
@@ -44,6 +44,29 @@
     service, ``[team]`` a team's answers, ``[host NAME]`` a list of hosts.
     Files that are valid by themselves are compared with each other.
     """
+    return _check(paths).errors
+
+
+def load_view(paths: Iterable[str | Path]) -> View:
+    """Return the view that the published values at `paths` make up.
+
+    Settings and answers among the files are checked and left out.
+
+    Raises
+    ------
+    ConfigurationError
+        With one `OptionError` for each thing that is wrong.
+    """
+    checked = _check(paths)
+    if checked.errors:
+        raise ConfigurationError("the values are invalid", checked.errors)
+    services = checked.services_by_source.values()
+    return View(
+        0, {service.name: service for service in services}, _hosts_by_id(checked)
+    )
+
+
+def _check(paths: Iterable[str | Path]) -> Checked:
     checked = Checked()
     for path in _list_files(paths):
         try:
@@ -56,7 +79,7 @@
     checked.errors.extend(_compare_targets_with_hosts(checked))
     checked.errors.extend(_compare_settings_with_hosts(checked))
     checked.errors.extend(_compare_settings_with_services(checked))
-    return checked.errors
+    return checked
 
 
 def compare_services(services_by_source: dict[str, Service]) -> list[OptionError]:
--- a/lycheeglade/cmdline.py
+++ b/lycheeglade/cmdline.py
@@ -21,12 +21,15 @@
 from lycheeglade import (
     __version__,
     check_files,
+    compare_views,
+    explain_flow,
     generate_files,
+    load_view,
     replay_files,
     run_agent,
     run_balancer,
 )
-from lycheeglade.address import parse_address
+from lycheeglade.address import parse_address, parse_zone
 from lycheeglade.errors import LycheegladeError
 
 EXIT_OK = 0
@@ -86,14 +89,18 @@
 
 
 def _explain(command: Command) -> None:
-    from lycheeglade.explain import explain_files
+    from lycheeglade.explain import format_explanation
 
     names = [*command.option("config"), *command.argument("files")]
     if not names:
         raise UsageError("--config: at least one file is needed")
     flow = _parse_usage(parse_address, "--flow", _required_option(command, "flow"))
     service = _required_option(command, "service")
-    print(explain_files([Path(name) for name in names], service, flow))
+    zone = command.option("zone")
+    if zone is not None:
+        zone = _parse_usage(parse_zone, "--zone", zone)
+    explanation = explain_flow(load_view(names), service, flow)
+    print("\n".join(format_explanation(explanation, zone)))
 
 
 def _status(command: Command) -> None:
@@ -129,9 +136,10 @@
 
 
 def _diff(command: Command) -> None:
-    from lycheeglade.difference import compare_files
+    from lycheeglade.difference import format_difference
 
-    print(compare_files(Path(command.argument("old")), Path(command.argument("new"))))
+    old, new = (load_view([command.argument(name)]) for name in ("old", "new"))
+    print("\n".join(format_difference(compare_views(old, new))))
 
 
 def _required_option(command: Command, name: str) -> str:
@@ -192,6 +200,7 @@
             option("config", "c", "Published values.", flag=False, multiple=True),
             option("service", "s", "Name of the service.", flag=False),
             option("flow", "f", "Caller's IP:PORT.", flag=False),
+            option("zone", "z", "REGION/ZONE of a balancer to judge.", flag=False),
         ],
     )
     yield _FunctionCommand(
--- a/lycheeglade/errors.py
+++ b/lycheeglade/errors.py
@@ -36,6 +36,10 @@
         return ConfigurationError(self.message, excs)
 
 
+class UnknownServiceError(LycheegladeError):
+    """A service was named that no published value declares."""
+
+
 class PacketError(LycheegladeError):
     """A datagram can't be decoded.
 
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -87,3 +87,24 @@
     assert main(["questionnaire", "-o", str(other)]) == EXIT_WRONG
     assert capsys.readouterr().err.startswith("the input ended at: At which URL")
     assert not other.exists()
+
+
+def test_explain_and_diff_tell_what_a_change_does(tmp_path, capsys):
+    old, new = tmp_path / "old", tmp_path / "new"
+    for folder in (old, new):
+        assert main(["generate", "-q", str(DATA / "small.ini"), "-o", str(folder)]) == 0
+    value = new / "services" / "booth-sync.ini"
+    value.write_text(value.read_text().replace("state = live", "state = leaving", 1))
+    explain = ["--service", "booth-sync", "--flow", "127.0.0.9:4000"]
+    assert main(["explain", "-c", str(value), *explain]) == 0
+    lines = capsys.readouterr().out.splitlines()
+    assert any(line.startswith("1. nadi-b-1 ") for line in lines)
+    assert any(line.startswith("not nadi-a-1 ") for line in lines)
+    assert main(["diff", str(old), str(new)]) == 0
+    assert "target nadi-a-1 takes no new flows any more" in capsys.readouterr().out
+    assert main(["diff", str(old), str(old)]) == 0
+    assert capsys.readouterr().out == "nothing changes\n"
+    explain[1] = "booth-snc"
+    assert main(["explain", "-c", str(old), *explain]) == EXIT_WRONG
+    message = "no service 'booth-snc'; did you mean 'booth-sync'?\n"
+    assert capsys.readouterr().err == message
