--- a/bench/fairness.py
+++ b/bench/fairness.py
@@ -4,24 +4,39 @@
 """
 
 from collections import defaultdict
+from dataclasses import replace
+from functools import partial
+from multiprocessing import Pool
 from random import Random
 from sys import argv
 
 import numpy as np
 
-from bench.fairness_model import SPEEDS, Callers, Clock, Mix, Upstream, make_service
+from bench.fairness_model import (
+    SPEEDS,
+    Callers,
+    Clock,
+    FixedLimit,
+    Mix,
+    Upstream,
+    make_service,
+)
 from bench.fairness_policies import (
     FlowsOnly,
     LeastOutstanding,
     LeastReported,
     Product,
     Rendezvous,
+    RepeatableOnly,
     RequestsOnly,
     RoundRobin,
 )
+from lycheeglade.concurrency import SharingLimit, SlowdownLimit
 
 LOAD = 0.7
 WARM_UP_S = 60.0
+WEAK_UPSTREAMS = 2
+WORKERS = 4
 BOOTH_SYNC = Mix("booth-sync", 1, 0.25, 700, 3600.0, 0.5, 2.0)
 PHRASEBOOK = Mix("phrasebook", 3, 0.5, 1000, 600.0, 1.0, 2.0)
 POLICIES = (
@@ -32,19 +47,27 @@
     FlowsOnly,
     RequestsOnly,
     Product,
+    RepeatableOnly,
 )
 
 
-def run(policy_type, mix, weights, seed, seconds, load=LOAD):
+def run(policy_type, mix, weights, seconds, make_limit, seed):
     """Return the measures of one run."""
     clock = Clock()
     upstreams = [
-        Upstream(clock, mix, speed, index >= len(SPEEDS) - 2, Random(seed + index))
+        Upstream(
+            clock,
+            mix,
+            speed,
+            index >= len(SPEEDS) - WEAK_UPSTREAMS,
+            Random(seed + index),
+            make_limit,
+        )
         for index, speed in enumerate(SPEEDS)
     ]
     service = make_service(mix, weights)
     policy = policy_type(clock, service, upstreams, Random(seed))
-    Callers(clock, mix, load, Random(seed), policy.open_flow, policy.send)
+    Callers(clock, mix, LOAD, Random(seed), policy.open_flow, policy.send)
     clock.run(WARM_UP_S)
     before = [upstream.busy_time for upstream in upstreams]
     start = snapshot(policy)
@@ -73,13 +96,22 @@
     return {name: getattr(policy, name) for name in names}
 
 
-def compare(title, mix, weights, seeds, seconds, policies=POLICIES):
+def compare(
+    pool,
+    title,
+    mix,
+    weights,
+    seeds,
+    seconds,
+    policies=POLICIES,
+    make_limit=SharingLimit,
+):
     """Print the means over all seeds of each policy."""
     print(f"\n{title}")
     for position, policy_type in enumerate(policies):
         values = defaultdict(list)
-        for seed in seeds:
-            result = run(policy_type, mix, weights, seed, seconds)
+        runs = partial(run, policy_type, mix, weights, seconds, make_limit)
+        for result in pool.map(runs, seeds):
             for name, value in result.items():
                 values[name].append(value)
         if position == 0:
@@ -88,15 +120,26 @@
         print(f"{policy_type.__name__:17}{cells}", flush=True)
 
 
+def compare_limits(pool, seeds, seconds):
+    """Compare limits of concurrency where two upstreams suffer from it."""
+    mix = replace(PHRASEBOOK, name="phrasebook-weak", weak_interference=1.3)
+    policies = (Rendezvous, Product)
+    for make_limit in (FixedLimit, SlowdownLimit, SharingLimit):
+        title = f"{mix.name}, {make_limit.__name__}, weights as strong"
+        compare(pool, title, mix, SPEEDS, seeds, seconds, policies, make_limit)
+
+
 def main(seeds=3, seconds=300.0):
     """Print all comparisons."""
     seeds = range(1, int(seeds) + 1)
     seconds = float(seconds)
     equal = (1.0,) * len(SPEEDS)
-    for mix in (BOOTH_SYNC, PHRASEBOOK):
-        for name, weights in (("as strong", SPEEDS), ("equal", equal)):
-            title = f"{mix.name}, {mix.slots} slots, weights {name}"
-            compare(title, mix, weights, seeds, seconds)
+    with Pool(WORKERS) as pool:
+        for mix in (BOOTH_SYNC, PHRASEBOOK):
+            for name, weights in (("as strong", SPEEDS), ("equal", equal)):
+                title = f"{mix.name}, {mix.slots} slots, weights {name}"
+                compare(pool, title, mix, weights, seeds, seconds)
+        compare_limits(pool, seeds, seconds)
 
 
 if __name__ == "__main__":
--- a/bench/fairness_model.py
+++ b/bench/fairness_model.py
@@ -7,6 +7,7 @@
 
 from lycheeglade.address import Address, Zone
 from lycheeglade.admission import Admission, AdmissionLimits
+from lycheeglade.concurrency import SharingLimit
 from lycheeglade.placement import PeerLoads
 from lycheeglade.view import Protocol, Service, Target
 
@@ -47,6 +48,19 @@
     weak_interference: float = 0.1
 
 
+class FixedLimit:
+    """Limit that stays at the slots."""
+
+    def __init__(self, slots):
+        self.current = float(slots)
+
+    def observe(self, elapsed, together, slowdown):
+        """Ignore a response time."""
+
+    def fail(self):
+        """Ignore a failure."""
+
+
 @dataclass(slots=True)
 class Flow:
     """An open flow and the target that is its home."""
@@ -93,13 +107,13 @@
 class Upstream:
     """A small upstream behind the product's own admission."""
 
-    def __init__(self, clock, mix, speed, weak, generator, admission_type=Admission):
+    def __init__(self, clock, mix, speed, weak, generator, make_limit=SharingLimit):
         self.clock = clock
         self.mix = mix
         self.speed = speed
         self.interference = mix.weak_interference if weak else mix.interference
         limits = AdmissionLimits(slots=mix.slots)
-        self.admission = admission_type(limits, 0.0, generator)
+        self.admission = Admission(limits, 0.0, generator, make_limit)
         self.peer_loads = PeerLoads()
         self.waiting = {}
         self.running = 0
