--- a/bench/fairness_policies.py
+++ b/bench/fairness_policies.py
@@ -6,6 +6,9 @@
 from lycheeglade.placement import (
     ACCEPT,
     MAX_DELEGATIONS,
+    OFFER_BURST,
+    OFFERS_PER_REQUEST,
+    REOFFER_INTERVAL_S,
     DelegateTo,
     accept_delegated,
     place_flow,
@@ -17,7 +20,6 @@
 BALANCER_SHARES = (0.5, 0.3, 0.2)
 REPORT_LAG_S = 5.0
 LIARS = (1, 6)
-REOFFER_S = 0.05
 
 
 class Policy:
@@ -171,9 +173,11 @@
 
     def __init__(self, *args):
         super().__init__(*args)
-        self.budgets = [RetryBudget(4.0, 50.0) for _ in self.upstreams]
+        self.budgets = [
+            RetryBudget(OFFERS_PER_REQUEST, OFFER_BURST) for _ in self.upstreams
+        ]
         if self.delegates:
-            self.clock.after(REOFFER_S, self.reoffer)
+            self.clock.after(REOFFER_INTERVAL_S, self.reoffer)
         self.ids = [str(index) for index in range(len(self.upstreams))]
 
     def open_flow(self, flow):
@@ -247,7 +251,7 @@
             upstream.admission.cancel(number, self.clock.now)
             request.tried = request.tried[-MAX_DELEGATIONS + 1 :]
             self.place(request)
-        self.clock.after(REOFFER_S, self.reoffer)
+        self.clock.after(REOFFER_INTERVAL_S, self.reoffer)
 
     def may_reoffer(self, request):
         """Tell whether a waiting request may be offered to a peer."""
