Call a request not run only if no copy of it can run

Cause: a request with a valid ticket that admission, the flow's limit or a down upstream refused left its ticket unused, so that a late copy ran after the caller was told 'not run'. The flow's limit was checked before the ticket was judged, and a flow that found no room wasn't judged at all: copies of requests that had run, here or elsewhere, were called not run. Change: judge first; a refused request uses its ticket up, with the refusal as its outcome; a flow without room is refused by its ticket's judgement.

--- a/lycheeglade/delegation.py
+++ b/lycheeglade/delegation.py
@@ -9,7 +9,6 @@
     admit_request,
     finish_request,
     forget_request,
-    refuse,
     refuse_admitted,
     reply_delegate,
     start_request,
@@ -49,23 +48,17 @@
     served.delegation_budget.note_attempt()
     if _delegate_if_better(agent, served, record, request, now):
         return
+    # A ticket counts as used before its request is refused, so that no late
+    # copy runs after the caller was told "not run".
     if served.is_down:
-        refuse(agent, served, record, request.reply_tos, "upstream-down", 1.0, now)
+        admit_request(served, record, request, now)
+        refuse_admitted(agent, served, request, "upstream-down", 1.0, now)
         return
     result = served.admission.offer(request.request_id, now, request.deadline)
-    if isinstance(result, Refused):
-        refuse(
-            agent,
-            served,
-            record,
-            request.reply_tos,
-            result.cause,
-            result.retry_after,
-            now,
-        )
-        return
     admit_request(served, record, request, now)
-    if isinstance(result, Start):
+    if isinstance(result, Refused):
+        refuse_admitted(agent, served, request, result.cause, result.retry_after, now)
+    elif isinstance(result, Start):
         start_request(agent, served, request, now)
 
 
--- a/lycheeglade/home.py
+++ b/lycheeglade/home.py
@@ -11,6 +11,7 @@
 from lycheeglade.address import Address
 from lycheeglade.agent_state import (
     Agent,
+    make_answer,
     rank_flow,
     send_packet,
     suspected_targets,
@@ -18,10 +19,9 @@
 from lycheeglade.errors import PacketError
 from lycheeglade.exchange import reply_to
 from lycheeglade.flow import FlowKey
-from lycheeglade.message import Kind
+from lycheeglade.message import CallerMessage, Kind
 from lycheeglade.notice import announce_home
 from lycheeglade.packet import (
-    Answer,
     Forward,
     HomeNotice,
     Probe,
@@ -36,6 +36,7 @@
     open_record,
     serve_packet,
 )
+from lycheeglade.ticket import Judgement
 from lycheeglade.view import State, Target
 
 MAX_HOPS = 4
@@ -296,7 +297,7 @@
             point_to(agent, served, flow, successor.target_id, now)
             return
     if not _can_accept(agent, served) or not served.admission.admit_flow(now):
-        refuse_flow(agent, served, packet)
+        refuse_flow(agent, served, packet, now)
         return
     balancer = Address(packet.balancer_ip, packet.balancer_port)
     record = open_record(agent, served, flow, balancer, now)
@@ -366,8 +367,10 @@
     return None
 
 
-def refuse_flow(agent: Agent, served: ServedTarget, packet: Forward) -> None:
-    """Refuse a new flow's request, which was not run."""
+def refuse_flow(
+    agent: Agent, served: ServedTarget, packet: Forward, now: float
+) -> None:
+    """Answer the request of a new flow that finds no room."""
     agent.actions.count("refused", served.service.name, "no-room")
     if served.adapter is None:
         return
@@ -377,17 +380,38 @@
     seconds = REFUSED_FLOW_RETRY_AFTER_S + agent.generator.randrange(
         REFUSED_FLOW_RETRY_AFTER_S
     )
-    datagram = served.adapter.write_refusal(reply_to(message), seconds, None)
-    answer = Answer(
-        served.service.name,
-        served.target.target_id,
-        packet.caller_ip,
-        packet.caller_port,
-        datagram,
-    )
+    refusal = served.adapter.write_refusal(reply_to(message), seconds, None)
+    flow = flow_of(packet)
+    datagram = _judge_refused(served, flow, message, refusal, now)
+    answer = make_answer(served, flow, datagram)
     agent.actions.send(Address(packet.balancer_ip, packet.balancer_port), answer)
 
 
+def _judge_refused(
+    served: ServedTarget,
+    flow: FlowKey,
+    message: CallerMessage,
+    refusal: bytes,
+    now: float,
+) -> bytes:
+    """Return `refusal` if the request has not run and never will.
+
+    A copy of it may have run against the ticket that it brings.
+    """
+    if message.repeatable or message.ticket is None:
+        return refusal
+    verdict = served.book.judge(message.ticket, flow, message.digest, now)
+    if verdict.judgement is Judgement.RUN:
+        served.book.begin(message.ticket, message.digest, now)
+        served.book.finish(message.ticket, refusal, now)
+        return refusal
+    if verdict.judgement is Judgement.CHALLENGE:
+        return refusal
+    if verdict.outcome:
+        return served.adapter.write_response(verdict.outcome, reply_to(message), None)
+    return served.adapter.write_unknown(reply_to(message))
+
+
 def receive_home_notice(
     agent: Agent, served: ServedTarget, packet: HomeNotice, now: float
 ) -> None:
--- a/lycheeglade/intake.py
+++ b/lycheeglade/intake.py
@@ -2,7 +2,7 @@
 
 from lycheeglade.agent_state import Agent, answer_caller
 from lycheeglade.delegation import offer_request
-from lycheeglade.exchange import refuse, reply_to
+from lycheeglade.exchange import admit_request, refuse, refuse_admitted, reply_to
 from lycheeglade.message import CallerMessage
 from lycheeglade.served_target import FlowRecord, Request, ServedTarget
 from lycheeglade.ticket import Judgement
@@ -23,9 +23,6 @@
     if running is not None and running.message.token == message.token:
         agent.actions.count("duplicate", served.service.name, "in-progress")
         return
-    if len(record.requests_by_message_id) >= MAX_REQUESTS_PER_FLOW:
-        refuse(agent, served, record, [reply_to(message)], "flow-limit", 1.0, now)
-        return
     if not message.repeatable and not _may_run(agent, served, record, message, now):
         return
     request = Request(
@@ -37,6 +34,10 @@
         deadline=now + served.service.request_timeout,
         ticket=None if message.repeatable else message.ticket,
     )
+    if len(record.requests_by_message_id) >= MAX_REQUESTS_PER_FLOW:
+        admit_request(served, record, request, now)
+        refuse_admitted(agent, served, request, "flow-limit", 1.0, now)
+        return
     offer_request(agent, served, record, request, now)
 
 
