Remember delegated requests through a pause of the process

Cause: ids of delegated requests were forgotten by age alone. After a pause longer than that, the first packet cleared the memory and a copy that waited in the socket ran a second time. Change: the latest 8,192 ids are kept whatever their age.

--- a/lycheeglade/delegation.py
+++ b/lycheeglade/delegation.py
@@ -32,6 +32,7 @@
 
 MIN_PATIENCE_S = 0.5
 PATIENCE_SERVICE_TIMES = 10.0
+MIN_DELEGATIONS_SEEN = 8_192
 MAX_DELEGATIONS_SEEN = 32_768
 DELEGATION_MEMORY_S = 600.0
 REOFFER_S = 0.05
@@ -235,7 +236,12 @@
     copy of the datagram, and if it was meant for this start of the process.
     """
     seen = served.delegations_seen
-    while seen and now - next(iter(seen.values())) > DELEGATION_MEMORY_S:
+    # Those kept whatever their age outnumber what the socket's buffer holds:
+    # a copy that waited there while this process was paused is recognised.
+    while (
+        len(seen) > MIN_DELEGATIONS_SEEN
+        and now - next(iter(seen.values())) > DELEGATION_MEMORY_S
+    ):
         seen.popitem(last=False)
     if packet.incarnation != agent.incarnation or len(seen) >= MAX_DELEGATIONS_SEEN:
         return False
--- a/lycheeglade/home.py
+++ b/lycheeglade/home.py
@@ -11,15 +11,13 @@
 from lycheeglade.address import Address
 from lycheeglade.agent_state import (
     Agent,
-    make_answer,
     rank_flow,
     send_packet,
     suspected_targets,
 )
 from lycheeglade.errors import PacketError
-from lycheeglade.exchange import reply_to
 from lycheeglade.flow import FlowKey
-from lycheeglade.message import CallerMessage, Kind
+from lycheeglade.message import Kind
 from lycheeglade.notice import announce_home
 from lycheeglade.packet import (
     Forward,
@@ -28,6 +26,7 @@
     ProbeReply,
 )
 from lycheeglade.placement import HandOn, place_flow
+from lycheeglade.refusal import refuse_flow
 from lycheeglade.served_target import HomePointer, Opening, ServedTarget
 from lycheeglade.session import (
     close_record,
@@ -36,13 +35,11 @@
     open_record,
     serve_packet,
 )
-from lycheeglade.ticket import Judgement
 from lycheeglade.view import State, Target
 
 MAX_HOPS = 4
 MAX_PROBES = 6
 PROBE_TIMEOUT_S = 0.05
-REFUSED_FLOW_RETRY_AFTER_S = 2
 
 
 def receive_forward(
@@ -367,51 +364,6 @@
     return None
 
 
-def refuse_flow(
-    agent: Agent, served: ServedTarget, packet: Forward, now: float
-) -> None:
-    """Answer the request of a new flow that finds no room."""
-    agent.actions.count("refused", served.service.name, "no-room")
-    if served.adapter is None:
-        return
-    message = served.adapter.read_caller(packet.payload)
-    if message.kind is not Kind.REQUEST:
-        return
-    seconds = REFUSED_FLOW_RETRY_AFTER_S + agent.generator.randrange(
-        REFUSED_FLOW_RETRY_AFTER_S
-    )
-    refusal = served.adapter.write_refusal(reply_to(message), seconds, None)
-    flow = flow_of(packet)
-    datagram = _judge_refused(served, flow, message, refusal, now)
-    answer = make_answer(served, flow, datagram)
-    agent.actions.send(Address(packet.balancer_ip, packet.balancer_port), answer)
-
-
-def _judge_refused(
-    served: ServedTarget,
-    flow: FlowKey,
-    message: CallerMessage,
-    refusal: bytes,
-    now: float,
-) -> bytes:
-    """Return `refusal` if the request has not run and never will.
-
-    A copy of it may have run against the ticket that it brings.
-    """
-    if message.repeatable or message.ticket is None:
-        return refusal
-    verdict = served.book.judge(message.ticket, flow, message.digest, now)
-    if verdict.judgement is Judgement.RUN:
-        served.book.begin(message.ticket, message.digest, now)
-        served.book.finish(message.ticket, refusal, now)
-        return refusal
-    if verdict.judgement is Judgement.CHALLENGE:
-        return refusal
-    if verdict.outcome:
-        return served.adapter.write_response(verdict.outcome, reply_to(message), None)
-    return served.adapter.write_unknown(reply_to(message))
-
-
 def receive_home_notice(
     agent: Agent, served: ServedTarget, packet: HomeNotice, now: float
 ) -> None:
--- /dev/null
+++ b/lycheeglade/refusal.py
@@ -0,0 +1,58 @@
+"""Answers requests of flows that find no room."""
+
+from lycheeglade.address import Address
+from lycheeglade.agent_state import Agent, make_answer
+from lycheeglade.exchange import reply_to
+from lycheeglade.flow import FlowKey
+from lycheeglade.message import CallerMessage, Kind
+from lycheeglade.packet import Forward
+from lycheeglade.served_target import ServedTarget
+from lycheeglade.session import flow_of
+from lycheeglade.ticket import Judgement
+
+REFUSED_FLOW_RETRY_AFTER_S = 2
+
+
+def refuse_flow(
+    agent: Agent, served: ServedTarget, packet: Forward, now: float
+) -> None:
+    """Answer the request of a new flow that finds no room."""
+    agent.actions.count("refused", served.service.name, "no-room")
+    if served.adapter is None:
+        return
+    message = served.adapter.read_caller(packet.payload)
+    if message.kind is not Kind.REQUEST:
+        return
+    seconds = REFUSED_FLOW_RETRY_AFTER_S + agent.generator.randrange(
+        REFUSED_FLOW_RETRY_AFTER_S
+    )
+    refusal = served.adapter.write_refusal(reply_to(message), seconds, None)
+    flow = flow_of(packet)
+    datagram = _judge_refused(served, flow, message, refusal, now)
+    answer = make_answer(served, flow, datagram)
+    agent.actions.send(Address(packet.balancer_ip, packet.balancer_port), answer)
+
+
+def _judge_refused(
+    served: ServedTarget,
+    flow: FlowKey,
+    message: CallerMessage,
+    refusal: bytes,
+    now: float,
+) -> bytes:
+    """Return `refusal` if the request has not run and never will.
+
+    A copy of it may have run against the ticket that it brings.
+    """
+    if message.repeatable or message.ticket is None:
+        return refusal
+    verdict = served.book.judge(message.ticket, flow, message.digest, now)
+    if verdict.judgement is Judgement.RUN:
+        served.book.begin(message.ticket, message.digest, now)
+        served.book.finish(message.ticket, refusal, now)
+        return refusal
+    if verdict.judgement is Judgement.CHALLENGE:
+        return refusal
+    if verdict.outcome:
+        return served.adapter.write_response(verdict.outcome, reply_to(message), None)
+    return served.adapter.write_unknown(reply_to(message))
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -5,13 +5,14 @@
 import pytest
 from aiocoap import POST, Message
 from aiocoap.numbers.codes import Code
+from msgspec.structs import replace
 
 from lycheeglade.address import Address, Zone
 from lycheeglade.admission import Admission, AdmissionLimits
 from lycheeglade.agent import make_agent, receive_packet, update_view
 from lycheeglade.agent_state import AgentActions
 from lycheeglade.flow import FlowKey
-from lycheeglade.packet import Forward
+from lycheeglade.packet import Delegate, Forward
 from lycheeglade.ticket import TicketBook
 from lycheeglade.view import Host, Protocol, Role, Service, Target, View
 
@@ -117,3 +118,24 @@
     harness.served.admission = Admission(AdmissionLimits(), 0.0)
     assert harness.post(2, ticket) == [expected]
     assert harness.runs == []
+
+
+def test_delegated_copy_does_not_run_after_a_long_pause():
+    harness = Harness()
+    message = Message(code=POST, payload=b"spot 7 aired")
+    message.mtype, message.mid, message.token = 0, 1, b"t"
+    packet = Delegate(
+        service=FLOW.service,
+        target_id="a",
+        home_target_id="b",
+        delegation_id=7,
+        incarnation=harness.agent.incarnation,
+        home_busy=1.0,
+        home_is_full=True,
+        payload=message.encode(),
+    )
+    other = replace(packet, delegation_id=8)
+    for arrived, now in ((packet, 1.0), (packet, 2.0), (other, 4e3), (packet, 4e3)):
+        receive_packet(harness.agent, arrived, AGENT, now)
+        harness.agent.timers.run_due(now + 60.0)
+    assert len(harness.runs) == 2
