--- a/lycheeglade/handoff.py
+++ b/lycheeglade/handoff.py
@@ -13,7 +13,7 @@
 
 from lycheeglade.address import Address
 from lycheeglade.agent_state import Agent, rank_flow, send_packet
-from lycheeglade.errors import PacketError
+from lycheeglade.errors import PacketError, TicketError
 from lycheeglade.feed import (
     make_feed,
     pump_feed,
@@ -426,7 +426,10 @@
     balancer = Address(state.balancer_ip, state.balancer_port)
     record = open_record(agent, served, flow, balancer, now)
     record.next_message_id = state.next_message_id
-    served.book.import_flow(flow, state.tickets, now)
+    try:
+        served.book.import_flow(flow, state.tickets, now)
+    except TicketError:
+        agent.actions.count("malformed", served.service.name, "handoff-state")
     states_by_token = {feed.token: feed for feed in state.feeds}
     for feed in incoming.feeds:
         feed_state = states_by_token.get(feed.token)
