--- a/lycheeglade/delegation.py
+++ b/lycheeglade/delegation.py
@@ -9,7 +9,6 @@
     admit_request,
     finish_request,
     forget_request,
-    refuse,
     refuse_admitted,
     reply_delegate,
     start_request,
@@ -33,6 +32,7 @@
 
 MIN_PATIENCE_S = 0.5
 PATIENCE_SERVICE_TIMES = 10.0
+MIN_DELEGATIONS_SEEN = 8_192
 MAX_DELEGATIONS_SEEN = 32_768
 DELEGATION_MEMORY_S = 600.0
 REOFFER_S = 0.05
@@ -49,23 +49,17 @@
     served.delegation_budget.note_attempt()
     if _delegate_if_better(agent, served, record, request, now):
         return
+    # A ticket counts as used before its request is refused, so that no late
+    # copy runs after the caller was told "not run".
     if served.is_down:
-        refuse(agent, served, record, request.reply_tos, "upstream-down", 1.0, now)
+        admit_request(served, record, request, now)
+        refuse_admitted(agent, served, request, "upstream-down", 1.0, now)
         return
     result = served.admission.offer(request.request_id, now, request.deadline)
-    if isinstance(result, Refused):
-        refuse(
-            agent,
-            served,
-            record,
-            request.reply_tos,
-            result.cause,
-            result.retry_after,
-            now,
-        )
-        return
     admit_request(served, record, request, now)
-    if isinstance(result, Start):
+    if isinstance(result, Refused):
+        refuse_admitted(agent, served, request, result.cause, result.retry_after, now)
+    elif isinstance(result, Start):
         start_request(agent, served, request, now)
 
 
@@ -242,7 +236,12 @@
     copy of the datagram, and if it was meant for this start of the process.
     """
     seen = served.delegations_seen
-    while seen and now - next(iter(seen.values())) > DELEGATION_MEMORY_S:
+    # Those kept whatever their age outnumber what the socket's buffer holds:
+    # a copy that waited there while this process was paused is recognised.
+    while (
+        len(seen) > MIN_DELEGATIONS_SEEN
+        and now - next(iter(seen.values())) > DELEGATION_MEMORY_S
+    ):
         seen.popitem(last=False)
     if packet.incarnation != agent.incarnation or len(seen) >= MAX_DELEGATIONS_SEEN:
         return False
