Hold everything after a pause until the view was read again

An agent that was paused decides nothing before it has asked for a newer view: what arrived meanwhile waits, bounded. A balancer that can't drain its sockets refuses new flows at once and carries established ones; it claims nothing of whether a request ran, since a copy may have passed another balancer.

--- a/lycheeglade/agent.py
+++ b/lycheeglade/agent.py
@@ -9,10 +9,10 @@
 from itertools import count
 from random import Random
 
+from lycheeglade.adapters import find_adapter
 from lycheeglade.address import Address, Zone
 from lycheeglade.admission import Admission, AdmissionLimits
 from lycheeglade.agent_state import Agent, AgentActions, update_known_addresses
-from lycheeglade.coap import ADAPTER as COAP_ADAPTER
 from lycheeglade.delegation import (
     receive_delegate,
     receive_delegate_reply,
@@ -43,7 +43,6 @@
     receive_probe_reply,
 )
 from lycheeglade.membership import Membership
-from lycheeglade.message import Adapter
 from lycheeglade.notice import announce_home
 from lycheeglade.packet import (
     Delegate,
@@ -69,14 +68,12 @@
     note_port_closed,
     note_upstream_heard,
 )
-from lycheeglade.view import Protocol, Service, State, Target, View
+from lycheeglade.view import Service, State, Target, View
 
 KEY_BYTES = 32
+PAUSE_S = 2.0
+MAX_HELD_DATAGRAMS = 4096
 MAX_NUMBER = 1 << 48
-ADAPTERS_BY_PROTOCOL: dict[Protocol, Adapter | None] = {
-    Protocol.COAP: COAP_ADAPTER,
-    Protocol.DATAGRAM: None,
-}
 
 
 def make_agent(
@@ -162,7 +159,7 @@
     return ServedTarget(
         service=service,
         target=target,
-        adapter=ADAPTERS_BY_PROTOCOL[service.protocol],
+        adapter=find_adapter(service.protocol),
         book=TicketBook(
             agent.key,
             minter,
@@ -208,6 +205,9 @@
     agent: Agent, datagram: bytes, source: Address, now: float
 ) -> None:
     """Take a datagram from a process of the system, or drop it."""
+    if _must_wait(agent, now):
+        _hold(agent, lambda now: receive_datagram(agent, datagram, source, now))
+        return
     if source not in agent.known_addresses:
         agent.actions.count("dropped", "", "unknown-source")
         return
@@ -219,6 +219,35 @@
     receive_packet(agent, packet, source, now)
 
 
+def _must_wait(agent: Agent, now: float) -> bool:
+    """Tell whether the view has to be read again before anything is decided.
+
+    A gap since the last tick means that this process was paused. What it
+    knew may be forbidden by now.
+    """
+    if agent.last_tick_at is not None and now - agent.last_tick_at > PAUSE_S:
+        agent.is_stale = True
+    return agent.is_stale
+
+
+def _hold(agent: Agent, action: Callable[[float], None]) -> None:
+    if len(agent.held) < MAX_HELD_DATAGRAMS:
+        agent.held.append(action)
+    else:
+        agent.actions.count("dropped", "", "stale-view")
+
+
+def note_view_age(agent: Agent, is_fresh: bool, now: float) -> None:
+    """Note whether this process has lately asked for a newer view."""
+    if _must_wait(agent, now) and is_fresh:
+        agent.is_stale = False
+        agent.last_tick_at = now
+        held = list(agent.held)
+        agent.held.clear()
+        for action in held:
+            action(now)
+
+
 def receive_packet(agent: Agent, packet: Packet, source: Address, now: float) -> None:
     """Act on a packet from a process of the system."""
     if source in agent.balancer_zones_by_address:
@@ -287,6 +316,9 @@
     agent: Agent, key: TargetKey, flow: FlowKey | None, datagram: bytes, now: float
 ) -> None:
     """Take a datagram from an upstream."""
+    if _must_wait(agent, now):
+        _hold(agent, lambda now: receive_from_upstream(agent, key, flow, datagram, now))
+        return
     served = agent.served_by_key.get(key)
     if served is None:
         return
@@ -316,6 +348,8 @@
 
 def tick(agent: Agent, now: float) -> None:
     """Run what is due. Has to be called a few times a second."""
+    if agent.is_stale:
+        return
     agent.last_tick_at = now
     agent.timers.run_due(now)
     for address in agent.membership.collect_pings(now):
--- a/lycheeglade/agent_daemon.py
+++ b/lycheeglade/agent_daemon.py
@@ -11,6 +11,7 @@
 from lycheeglade.agent import (
     begin_stop,
     make_agent,
+    note_view_age,
     receive_datagram,
     receive_from_upstream,
     receive_upstream_failure,
@@ -27,6 +28,7 @@
 from lycheeglade.served_target import TargetKey
 from lycheeglade.settings import Settings
 from lycheeglade.transport import DatagramSocket
+from lycheeglade.watch import view_is_fresh
 
 logger = getLogger(__name__)
 
@@ -124,8 +126,14 @@
         monotonic(),
     )
     blackboard.view.subscribe(lambda view: update_view(agent, view, monotonic()))
+
+    def run_tick(now: float) -> None:
+        is_fresh = view_is_fresh(blackboard.checked_at.value, now)
+        note_view_age(agent, is_fresh, now)
+        tick(agent, now)
+
     parts = ProcessParts(
-        tick=partial(tick, agent),
+        tick=run_tick,
         begin_stop=partial(begin_stop, agent),
         work_left=lambda now: work_left(agent),
         describe=lambda: {
--- a/lycheeglade/agent_state.py
+++ b/lycheeglade/agent_state.py
@@ -1,6 +1,6 @@
 """State of an agent and the means by which its decisions act."""
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from itertools import count
@@ -60,6 +60,10 @@
         Identifiers of requests and handoffs, from a random start.
     suspects, confirmed : frozenset of Address
         Agents that don't answer, and those that haven't for long.
+    is_stale : bool
+        Whether this process was paused and has not read its view since.
+    held : deque of callable
+        What arrived since then.
     balancers_heard_at : OrderedDict
         Balancers by the time of their latest packet, latest last.
     """
@@ -87,6 +91,8 @@
     confirmed: frozenset[Address] = frozenset()
     stopping: bool = False
     last_tick_at: float | None = None
+    is_stale: bool = False
+    held: deque[Callable[[float], None]] = field(default_factory=deque)
 
     def next_number(self) -> int:
         """Return a number that this process has not used yet."""
--- a/lycheeglade/balancer.py
+++ b/lycheeglade/balancer.py
@@ -6,12 +6,15 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from math import ceil
 from random import Random
 
+from lycheeglade.adapters import find_adapter
 from lycheeglade.address import Address, Zone
 from lycheeglade.errors import PacketError
 from lycheeglade.flow import FlowKey, hash_flow
 from lycheeglade.membership import Membership, suspected_targets
+from lycheeglade.overload import Overload
 from lycheeglade.packet import (
     MAX_DATAGRAM_BYTES,
     Answer,
@@ -26,6 +29,7 @@
 from lycheeglade.view import Service, View
 
 MAX_CACHED_BUCKETS = 65536
+MAX_ESTABLISHED_FLOWS = 65536
 MAX_PAYLOAD_BYTES = MAX_DATAGRAM_BYTES - 2048
 
 
@@ -58,6 +62,7 @@
     actions: BalancerActions
     generator: Random
     membership: Membership
+    overload: Overload
     view: View = field(default_factory=View)
     candidates: CandidateCache = field(
         default_factory=lambda: CandidateCache(MAX_CACHED_BUCKETS)
@@ -77,7 +82,15 @@
     generator: Random,
 ) -> Balancer:
     """Return the state of a balancer that has just started."""
-    return Balancer(host_id, zone, packets, actions, generator, Membership(generator))
+    return Balancer(
+        host_id,
+        zone,
+        packets,
+        actions,
+        generator,
+        Membership(generator),
+        Overload(MAX_ESTABLISHED_FLOWS, generator),
+    )
 
 
 def update_view(balancer: Balancer, view: View) -> None:
@@ -125,6 +138,9 @@
         balancer.actions.count("malformed", service_name, "oversized")
         return
     flow = FlowKey(service_name, caller[0], caller[1])
+    if not balancer.overload.admits(flow, now):
+        _refuse_flow(balancer, service, caller, datagram, now)
+        return
     suspected = balancer.suspects_by_service.get(service_name, frozenset())
     candidates = balancer.candidates.rank(service, hash_flow(flow), suspected)
     if not candidates:
@@ -147,6 +163,23 @@
     balancer.actions.send(first.agent, encode_packet(packet))
 
 
+def _refuse_flow(
+    balancer: Balancer, service: Service, caller: Address, datagram: bytes, now: float
+) -> None:
+    """Tell a new flow to come back; say nothing of whether it has run.
+
+    A copy of the request may have passed another balancer.
+    """
+    balancer.actions.count("refused", service.name, "overload")
+    adapter = find_adapter(service.protocol)
+    if adapter is None:
+        return
+    retry_after = ceil(balancer.overload.retry_after(now))
+    answer = adapter.write_overload(datagram, retry_after)
+    if answer is not None:
+        balancer.actions.answer(service.name, caller, answer)
+
+
 def receive_datagram(
     balancer: Balancer, datagram: bytes, source: Address, now: float
 ) -> None:
@@ -168,14 +201,16 @@
     """Act on a packet from a process of the system."""
     balancer.membership.note_heard(source, now)
     if isinstance(packet, Answer):
-        _answer_caller(balancer, packet, source)
+        _answer_caller(balancer, packet, source, now)
     elif isinstance(packet, Ping):
         balancer.actions.send(source, encode_packet(Pong(packet.nonce)))
     elif not isinstance(packet, Pong):
         balancer.actions.count("dropped", "", "wrong-kind")
 
 
-def _answer_caller(balancer: Balancer, packet: Answer, source: Address) -> None:
+def _answer_caller(
+    balancer: Balancer, packet: Answer, source: Address, now: float
+) -> None:
     if source not in balancer.agents_by_service.get(packet.service, ()):
         balancer.actions.count("dropped", packet.service, "not-its-agent")
         return
@@ -184,6 +219,8 @@
         balancer.actions.count("dropped", packet.service, "forbidden-place")
         return
     caller = Address(packet.caller_ip, packet.caller_port)
+    flow = FlowKey(packet.service, packet.caller_ip, packet.caller_port)
+    balancer.overload.established.note_answer(flow, now)
     balancer.actions.answer(packet.service, caller, packet.payload)
 
 
--- a/lycheeglade/balancer_daemon.py
+++ b/lycheeglade/balancer_daemon.py
@@ -80,7 +80,14 @@
     def _open(self, balancer: Balancer, service: str, address: Address) -> None:
         receive = partial(self._receive, balancer, service)
         try:
-            socket = DatagramSocket(get_running_loop(), receive, local=address)
+            socket = DatagramSocket(
+                get_running_loop(),
+                receive,
+                local=address,
+                on_batch=lambda packets, drained: balancer.overload.note_batch(
+                    packets, drained, monotonic()
+                ),
+            )
         except OSError as error:
             balancer.actions.count("socket", service, "bind-failed")
             log_event(
--- a/lycheeglade/coap.py
+++ b/lycheeglade/coap.py
@@ -193,6 +193,22 @@
     return _reply(message, reply_to)
 
 
+def write_overload(datagram: bytes, retry_after: int) -> bytes | None:
+    """Answer a request with 4.29 (RFC 8516), without a word on its outcome.
+
+    A request with a ticket gets no answer, so that its caller goes on asking
+    for its outcome.
+    """
+    try:
+        message = read_caller(datagram)
+    except PacketError:
+        return None
+    if message.kind is not Kind.REQUEST or message.ticket is not None:
+        return None
+    reply_to = ReplyTo(message.message_id, message.token, message.reliable)
+    return _reply(Message(code=Code.TOO_MANY_REQUESTS, max_age=retry_after), reply_to)
+
+
 def write_unknown(reply_to: ReplyTo) -> bytes:
     """Tell that it isn't known whether the request ran."""
     return _reply(
@@ -234,6 +250,7 @@
     write_notification=write_notification,
     write_challenge=write_challenge,
     write_refusal=write_refusal,
+    write_overload=write_overload,
     write_unknown=write_unknown,
     write_invalid=write_invalid,
     write_closing=write_closing,
--- a/lycheeglade/message.py
+++ b/lycheeglade/message.py
@@ -122,6 +122,9 @@
     write_refusal : callable
         Tell that a request was not run, and after how many seconds to come
         back.
+    write_overload : callable
+        Tell the sender of a datagram to come back after some seconds, saying
+        nothing of whether it ran. None if only silence is true.
     write_unknown : callable
         Tell that it isn't known whether a request ran. It is final.
     write_invalid : callable
@@ -139,6 +142,7 @@
     write_notification: Callable[[bytes, ReplyTo | int, bytes, int], bytes]
     write_challenge: Callable[[ReplyTo, bytes], bytes]
     write_refusal: Callable[[ReplyTo, int, bytes | None], bytes]
+    write_overload: Callable[[bytes, int], bytes | None]
     write_unknown: Callable[[ReplyTo], bytes]
     write_invalid: Callable[[ReplyTo, str], bytes]
     write_closing: Callable[[int, bytes], bytes]
--- a/lycheeglade/replay.py
+++ b/lycheeglade/replay.py
@@ -226,6 +226,8 @@
         return
     if not process.is_paused:
         core = agent_core if isinstance(process.state, Agent) else balancer_core
+        if isinstance(process.state, Agent):
+            agent_core.note_view_age(process.state, True, now)
         core.tick(process.state, now)
         if process.is_stopping:
             _end_if_idle(world, process, now)
--- a/lycheeglade/transport.py
+++ b/lycheeglade/transport.py
@@ -22,6 +22,8 @@
     ----------
     on_datagram : callable
         Called with each datagram and its source.
+    on_batch : callable
+        Called after each batch with its size and whether nothing was left.
     on_refused : callable
         Called if the peer of a connected socket reports a closed port.
     """
@@ -34,6 +36,7 @@
         local: Address | None = None,
         remote: Address | None = None,
         on_refused: Callable[[], None] | None = None,
+        on_batch: Callable[[int, bool], None] | None = None,
         buffer_bytes: int = SOCKET_BUFFER_BYTES,
     ):
         ip = (local or remote).ip
@@ -41,6 +44,7 @@
         self._loop = loop
         self._on_datagram = on_datagram
         self._on_refused = on_refused
+        self._on_batch = on_batch
         self._socket = Socket(family, SOCK_DGRAM)
         self.dropped = 0
         try:
@@ -81,18 +85,25 @@
         self._socket.close()
 
     def _read_batch(self) -> None:
+        read = self._read_some()
+        if self._on_batch is not None:
+            self._on_batch(read, read < BATCH_PACKETS)
+
+    def _read_some(self) -> int:
+        """Read up to a batch; return the number of datagrams."""
         receive = self._socket.recvfrom
-        for _ in range(BATCH_PACKETS):
+        for read in range(BATCH_PACKETS):
             try:
                 datagram, source = receive(MAX_DATAGRAM_BYTES)
             except (BlockingIOError, InterruptedError):
-                return
+                return read
             except ConnectionRefusedError:
                 if self._on_refused is not None:
                     self._on_refused()
-                return
+                return read
             except OSError:
-                return
+                return read
             self._on_datagram(datagram, source)
             if self._socket.fileno() < 0:
-                return
+                return read
+        return BATCH_PACKETS
