--- /dev/null
+++ b/bench/datapath.py
@@ -0,0 +1,263 @@
+"""Packets a second of a balancer beside those of a bare relay.
+
+Usage: ``python -m bench.datapath [--packets N] [--json]``. Relay and balancer
+run one after the other, each in a process of its own on the same event loop,
+between the same driver and the same far end. A round trip is two packets.
+"""
+
+from argparse import ArgumentParser
+from asyncio import Event, get_running_loop, sleep
+from collections import deque
+from itertools import cycle
+from json import dumps
+from multiprocessing import get_context
+from os import environ, getpid
+from random import Random
+from select import select
+from socket import AF_INET, SO_RCVBUF, SOCK_DGRAM, SOL_SOCKET, socket
+from time import monotonic, perf_counter
+
+import uvloop
+from psutil import Process
+
+from lycheeglade.address import Address, Zone
+from lycheeglade.balancer import (
+    BalancerActions,
+    make_balancer,
+    receive_datagram,
+    receive_from_caller,
+    update_view,
+)
+from lycheeglade.packet import Answer, decode_packet, encode_packet
+from lycheeglade.transport import DatagramSocket
+from lycheeglade.view import Host, Protocol, Role, Service, Target, View
+
+PAYLOAD = bytes(120)
+WINDOW = 192
+CALLERS = 32
+HERE = Zone("viti-west", "nadi-a")
+BUFFER_BYTES = 4 * 1024 * 1024
+IDLE_S = 1.0
+KNOWN_FLOWS = 100_000
+GOAL_RATIO = 0.4
+# The children take the network of the process that started them.
+NETWORK = int(environ.setdefault("BENCH_NETWORK", str(200 + getpid() % 50)))
+CALLER_SIDE = Address(f"127.{NETWORK}.1.1", 5683)
+AGENT_SIDE = Address(f"127.{NETWORK}.1.1", 7100)
+FAR_ENDS = [Address(f"127.{NETWORK}.2.{number}", 7100) for number in (1, 2, 3)]
+
+
+def make_view(targets: int = 7) -> View:
+    """Return a view of one service whose agents are all the far end."""
+    targets_by_id = {
+        f"t{number}": Target(
+            f"t{number}",
+            f"h{number}",
+            HERE,
+            FAR_ENDS[number % len(FAR_ENDS)],
+            FAR_ENDS[number % len(FAR_ENDS)],
+        )
+        for number in range(targets)
+    }
+    service = Service(
+        "booth-sync",
+        "reelbure",
+        1,
+        Protocol.DATAGRAM,
+        (CALLER_SIDE,),
+        ("viti-west",),
+        targets_by_id,
+    )
+    host = Host("b1", Role.BALANCER, HERE, AGENT_SIDE, AGENT_SIDE)
+    return View(1, {"booth-sync": service}, {"b1": host})
+
+
+async def run_relay() -> None:
+    """Pass datagrams on and back without reading them."""
+    loop = get_running_loop()
+    # A queue of callers for each far end suffices: it answers in order.
+    callers_by_end = {tuple(end): deque() for end in FAR_ENDS}
+    ends = cycle(callers_by_end)
+
+    def from_caller(datagram, source):
+        end = next(ends)
+        callers_by_end[end].append(source)
+        agents.send(datagram, end)
+
+    def from_agent(datagram, source):
+        caller_side.send(datagram, callers_by_end[source].popleft())
+
+    caller_side = DatagramSocket(loop, from_caller, local=CALLER_SIDE)
+    agents = DatagramSocket(loop, from_agent, local=AGENT_SIDE)
+    await Event().wait()
+
+
+async def run_balancer() -> None:
+    """Run the balancer's decisions on the same sockets."""
+    loop = get_running_loop()
+    actions = BalancerActions(
+        send=lambda address, datagram: agents.send(datagram, address),
+        answer=lambda service, caller, datagram: callers.send(datagram, caller),
+        count=lambda name, service, cause: None,
+    )
+    balancer = make_balancer("b1", HERE, AGENT_SIDE, actions, Random(1))
+    update_view(balancer, make_view())
+    callers = DatagramSocket(
+        loop,
+        lambda datagram, source: receive_from_caller(
+            balancer, "booth-sync", source, datagram, monotonic()
+        ),
+        local=CALLER_SIDE,
+    )
+    agents = DatagramSocket(
+        loop,
+        lambda datagram, source: receive_datagram(
+            balancer, datagram, Address(source[0], source[1]), monotonic()
+        ),
+        local=AGENT_SIDE,
+    )
+    await Event().wait()
+
+
+def run_subject(name: str) -> None:
+    """Run the relay or the balancer until the process is ended."""
+    uvloop.run({"relay": run_relay, "balancer": run_balancer}[name]())
+
+
+def run_far_end(address: Address, is_packet: bool) -> None:
+    """Answer each datagram, as an agent would or as an echo."""
+    server = socket(AF_INET, SOCK_DGRAM)
+    server.setsockopt(SOL_SOCKET, SO_RCVBUF, BUFFER_BYTES)
+    server.bind(address)
+    while True:
+        datagram, source = server.recvfrom(65535)
+        if is_packet:
+            packet = decode_packet(datagram)
+            answer = Answer(
+                packet.service,
+                packet.target_id,
+                packet.caller_ip,
+                packet.caller_port,
+                packet.payload,
+            )
+            datagram = encode_packet(answer)
+        server.sendto(datagram, source)
+
+
+def drive(packets: int) -> tuple[int, float]:
+    """Keep a window of datagrams under way; return answers and seconds."""
+    sockets = []
+    for number in range(CALLERS):
+        caller = socket(AF_INET, SOCK_DGRAM)
+        caller.setblocking(False)
+        caller.bind((f"127.{NETWORK}.9.{number + 1}", 0))
+        caller.connect(CALLER_SIDE)
+        sockets.append(caller)
+    sent = answered = 0
+    started_at = perf_counter()
+    while answered < packets:
+        while sent < packets and sent - answered < WINDOW:
+            sockets[sent % CALLERS].send(PAYLOAD)
+            sent += 1
+        ready, _, _ = select(sockets, [], [], IDLE_S)
+        if not ready:
+            break
+        for caller in ready:
+            try:
+                while True:
+                    caller.recv(2048)
+                    answered += 1
+            except BlockingIOError:
+                continue
+    return answered, perf_counter() - started_at
+
+
+def measure(name: str, packets: int) -> dict[str, float]:
+    """Measure one subject; a packet counts on each of its two ways."""
+    context = get_context("spawn")
+    is_packet = name == "balancer"
+    subject = context.Process(target=run_subject, args=(name,))
+    children = [subject] + [
+        context.Process(target=run_far_end, args=(address, is_packet))
+        for address in FAR_ENDS
+    ]
+    for child in children:
+        child.start()
+    try:
+        uvloop.run(sleep(1.5))
+        drive(packets // 10)
+        process = Process(subject.pid)
+        before = sum(process.cpu_times()[:2])
+        answered, seconds = drive(packets)
+        cpu = sum(process.cpu_times()[:2]) - before
+    finally:
+        for child in children:
+            child.terminate()
+            child.join()
+    return {
+        "answered": answered / packets,
+        "packets_per_second": 2 * answered / seconds,
+        "packets_per_cpu_second": 2 * answered / cpu,
+    }
+
+
+def measure_known_flows() -> dict[str, float]:
+    """Measure the memory that 100,000 known flows cost a balancer."""
+    actions = BalancerActions(
+        send=lambda address, datagram: None,
+        answer=lambda service, caller, datagram: None,
+        count=lambda name, service, cause: None,
+    )
+    balancer = make_balancer("b1", HERE, AGENT_SIDE, actions, Random(1))
+    update_view(balancer, make_view())
+    sizes = []
+    for start in range(0, 3 * KNOWN_FLOWS, KNOWN_FLOWS):
+        for number in range(start, start + KNOWN_FLOWS):
+            caller = Address(f"10.{number >> 16}.{number >> 8 & 255}.1", number & 255)
+            receive_from_caller(balancer, "booth-sync", caller, PAYLOAD, 1.0)
+            answer = Answer("booth-sync", "t0", *caller, PAYLOAD)
+            receive_datagram(balancer, encode_packet(answer), FAR_ENDS[0], 1.0)
+        sizes.append(Process().memory_info().rss / 1e6)
+    return {
+        "rss_mb_by_100k_flows": sizes,
+        "cached_buckets": len(balancer.candidates),
+        "established_flows": len(balancer.overload.established),
+    }
+
+
+def main() -> None:
+    """Print the figures and the ratios."""
+    parser = ArgumentParser(description=__doc__)
+    parser.add_argument("--packets", type=int, default=100_000)
+    parser.add_argument("--json", action="store_true")
+    options = parser.parse_args()
+    relay = measure("relay", options.packets)
+    balancer = measure("balancer", options.packets)
+    flows = measure_known_flows()
+    figures = {
+        "relay": relay,
+        "balancer": balancer,
+        "ratio_by_time": balancer["packets_per_second"] / relay["packets_per_second"],
+        "ratio_by_cpu": balancer["packets_per_cpu_second"]
+        / relay["packets_per_cpu_second"],
+        "goal_ratio": GOAL_RATIO,
+        "known_flows": flows,
+    }
+    if options.json:
+        print(dumps(figures, indent=2))
+        return
+    for name in ("relay", "balancer"):
+        row = figures[name]
+        print(
+            f"{name:10}{row['packets_per_second']:12,.0f} packets/s"
+            f"{row['packets_per_cpu_second']:12,.0f} packets/CPU s"
+            f"{row['answered']:8.1%} answered"
+        )
+    print(f"ratio by time {figures['ratio_by_time']:.2f}, goal {GOAL_RATIO}")
+    print(f"ratio by CPU {figures['ratio_by_cpu']:.2f}")
+    sizes = ", ".join(f"{size:.0f}" for size in flows["rss_mb_by_100k_flows"])
+    print(f"balancer's memory at 100k, 200k, 300k known flows: {sizes} MB")
+
+
+if __name__ == "__main__":
+    main()
