--- /dev/null
+++ b/bench/agent.py
@@ -0,0 +1,226 @@
+"""Memory and CPU time of an agent by its flows, and the cost of its messages.
+
+Usage: ``python -m bench.agent``. The decisions run in this process, against an
+upstream that answers at once.
+"""
+
+from gc import collect
+from random import Random
+from time import perf_counter
+from tracemalloc import get_traced_memory, start, stop
+
+from aiocoap import Code, Message, Type
+from psutil import Process
+
+from bench.fit import report
+from lycheeglade.address import Address, Zone
+from lycheeglade.agent import make_agent, receive_packet, tick, update_view
+from lycheeglade.agent import receive_from_upstream as from_upstream
+from lycheeglade.agent_state import Agent, AgentActions
+from lycheeglade.coap import write_acknowledgement
+from lycheeglade.packet import Answer, Forward, HomeNotice, encode_packet
+from lycheeglade.served_target import TargetKey
+from lycheeglade.view import Host, Protocol, Role, Service, State, Target, View
+
+HERE = Zone("viti-west", "nadi-a")
+BALANCER = Address("127.1.0.1", 7100)
+KEY = TargetKey("booth-sync", "t0")
+SIZES = (500, 1000, 2000, 4000)
+TARGETS = 7
+GOAL_MB = 128
+
+
+class Upstream:
+    """Answers requests at once and remembers feeds by their token."""
+
+    def __init__(self):
+        self.tokens: list[bytes] = []
+        self.answers: list[bytes] = []
+        self.packets: list[object] = []
+
+    def actions(self) -> AgentActions:
+        """Return actions that keep what the agent sends."""
+        return AgentActions(
+            send=lambda address, packet: self.packets.append(packet),
+            send_upstream=self._receive,
+            close_upstream=lambda key, flow: None,
+            count=lambda name, service, cause: None,
+            record=lambda service, work, stage, seconds: None,
+        )
+
+    def _receive(self, key, flow, datagram):
+        request = Message.decode(datagram)
+        if not request.code.is_request():
+            return
+        if request.opt.observe == 0:
+            self.tokens.append(request.token)
+            self.answers.append(make_item(request.token, 1, Type.ACK, request.mid))
+        else:
+            answer = Message(code=Code.CONTENT, payload=bytes(64))
+            answer.mtype, answer.mid = Type.ACK, request.mid
+            answer.token = request.token
+            self.answers.append(answer.encode())
+
+
+def make_item(token: bytes, number: int, mtype: Type, message_id: int) -> bytes:
+    """Return the upstream's notification with an item."""
+    message = Message(
+        code=Code.CONTENT,
+        payload=bytes(64),
+        observe=number,
+        etag=number.to_bytes(8, "big"),
+    )
+    message.mtype, message.mid, message.token = mtype, message_id, token
+    return message.encode()
+
+
+def make_view(revision: int = 1, leaving: str = "") -> View:
+    """Return a view of one service with seven targets."""
+    targets_by_id = {}
+    hosts = {"b1": Host("b1", Role.BALANCER, HERE, BALANCER, BALANCER)}
+    for number in range(TARGETS):
+        address = Address(f"127.2.0.{number + 1}", 7100)
+        name = f"t{number}"
+        state = State.LEAVING if name == leaving else State.LIVE
+        targets_by_id[name] = Target(
+            name, f"h{number}", HERE, address, address, connections=10_000, state=state
+        )
+        hosts[f"h{number}"] = Host(f"h{number}", Role.AGENT, HERE, address, address)
+    service = Service(
+        "booth-sync",
+        "reelbure",
+        revision,
+        Protocol.COAP,
+        (Address("127.10.0.1", 5683),),
+        ("viti-west",),
+        targets_by_id,
+        flow_idle=1e6,
+        cold_start=0.0,
+    )
+    return View(revision, {"booth-sync": service}, hosts)
+
+
+def make_forward(number: int, payload: bytes) -> Forward:
+    """Return a caller's datagram as a balancer passes it on."""
+    caller_ip = f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}"
+    candidates = ("t0", "t1", "t2", "t3")
+    return Forward(
+        "booth-sync", "t0", 1, caller_ip, 4000, candidates, 1, *BALANCER, payload
+    )
+
+
+def make_request(message_id: int, *, feed: bool) -> bytes:
+    """Return a caller's GET, which opens a feed or not."""
+    message = Message(code=Code.GET, uri_path=("status",))
+    if feed:
+        message.opt.observe = 0
+    message.mtype, message.mid = Type.CON, message_id
+    message.token = message_id.to_bytes(2, "big")
+    return message.encode()
+
+
+def drain_answers(agent: Agent, upstream: Upstream, now: float) -> None:
+    """Hand the upstream's answers to the agent."""
+    answers, upstream.answers = upstream.answers, []
+    for answer in answers:
+        from_upstream(agent, KEY, None, answer, now)
+
+
+def open_flows(flows: int, *, feeds: bool) -> tuple[Agent, Upstream]:
+    """Return an agent that holds so many flows."""
+    upstream = Upstream()
+    agent = make_agent("h0", HERE, upstream.actions(), Random(1), 100_000, 0.0)
+    update_view(agent, make_view(), 0.0)
+    request = make_request(1, feed=feeds)
+    for number in range(flows):
+        receive_packet(agent, make_forward(number, request), BALANCER, 0.01)
+        drain_answers(agent, upstream, 0.01)
+    upstream.packets.clear()
+    return agent, upstream
+
+
+def measure_memory(flows: int, *, feeds: bool) -> float:
+    """Return the kilobytes that an agent allocates for so many flows."""
+    collect()
+    start()
+    kept = open_flows(flows, feeds=feeds)
+    collect()
+    size, _ = get_traced_memory()
+    stop()
+    del kept
+    return size / 1000
+
+
+def time_requests(flows: int) -> float:
+    """Return microseconds of one request and its answer."""
+    agent, upstream = open_flows(flows, feeds=False)
+    started_at = perf_counter()
+    for number in range(flows):
+        request = make_request(2, feed=False)
+        receive_packet(agent, make_forward(number, request), BALANCER, 0.02)
+        drain_answers(agent, upstream, 0.02)
+    return (perf_counter() - started_at) / flows * 1e6
+
+
+def time_notifications(flows: int) -> float:
+    """Return microseconds of one item and its acknowledgement."""
+    agent, upstream = open_flows(flows, feeds=True)
+    items = [
+        make_item(token, 2, Type.CON, number)
+        for number, token in enumerate(upstream.tokens)
+    ]
+    started_at = perf_counter()
+    for number, item in enumerate(items):
+        from_upstream(agent, KEY, None, item, 0.02)
+        answer = upstream.packets.pop()
+        acknowledgement = write_acknowledgement(Message.decode(answer.payload).mid)
+        packet = make_forward(number, acknowledgement)
+        receive_packet(agent, packet, BALANCER, 0.02)
+    return (perf_counter() - started_at) / flows * 1e6
+
+
+def time_view_change(flows: int) -> tuple[float, float]:
+    """Return microseconds and notice bytes a flow of a target's removal."""
+    agent, upstream = open_flows(flows, feeds=True)
+    view = make_view(2, leaving="t3")
+    started_at = perf_counter()
+    update_view(agent, view, 0.02)
+    seconds = perf_counter() - started_at
+    notices = [packet for packet in upstream.packets if isinstance(packet, HomeNotice)]
+    return seconds / flows * 1e6, sum(map(len, map(encode_packet, notices))) / flows
+
+
+def time_idle_tick(flows: int) -> float:
+    """Return microseconds of a tick with so many quiet feeds."""
+    agent, _ = open_flows(flows, feeds=True)
+    rounds = 200
+    started_at = perf_counter()
+    for number in range(rounds):
+        tick(agent, 0.02 + number * 0.001)
+    return (perf_counter() - started_at) / rounds * 1e6
+
+
+def main() -> None:
+    """Print the slopes."""
+    flows_kb = [measure_memory(size, feeds=False) for size in SIZES]
+    feeds_kb = [measure_memory(size, feeds=True) for size in SIZES]
+    report("agent memory by flows (kB)", SIZES, flows_kb)
+    report("agent memory by flows with a feed (kB)", SIZES, feeds_kb)
+    report("one request (us)", SIZES, [time_requests(size) for size in SIZES])
+    report("one feed item (us)", SIZES, [time_notifications(size) for size in SIZES])
+    changes = [time_view_change(size) for size in SIZES]
+    report("view change, a flow (us)", SIZES, [change[0] for change in changes])
+    report("view change, notice bytes a flow", SIZES, [c[1] for c in changes])
+    report("tick with quiet feeds (us)", SIZES, [time_idle_tick(s) for s in SIZES])
+    collect()
+    kept = open_flows(2000, feeds=True)
+    rss_mb = Process().memory_info().rss / 1e6
+    print(f"whole process with 2,000 feeds: {rss_mb:.0f} MB, bound {GOAL_MB} MB")
+    del kept
+    answer = encode_packet(Answer("booth-sync", "t0", "10.0.0.1", 4000, bytes(64)))
+    forward = encode_packet(make_forward(1, bytes(64)))
+    print(f"overhead of a forward {len(forward) - 64}, of an answer {len(answer) - 64}")
+
+
+if __name__ == "__main__":
+    main()
