Add the traces of both deployments and state their outcomes in time

Stated outcomes are checked at their own time. The traces found two faults: registrations at a target whose upstream had just died were given up after 5 s each, and a running request kept its flow there to its deadline: 105 s from a break to the next item.

--- /dev/null
+++ b/demo/traces.py
@@ -0,0 +1,298 @@
+"""Writes the traces of both deployments: ``python -m demo.traces FOLDER``.
+
+Each trace covers every outcome that must always hold, under planned changes
+and faults. The stated limits come from the promises, not from a run.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+from json import dumps
+from pathlib import Path
+from random import Random
+from sys import argv
+
+from lycheeglade.address import Address, Zone
+from lycheeglade.configuration import format_hosts, format_service
+from lycheeglade.view import Host, Protocol, Role, Service, State, Target
+
+END_S = 600.0
+FEED_PERIOD_S = 5.0
+IN_FORCE_S = 6.0
+NEW_WORK_S = 3.0
+RECOVERY_S = 30.0
+SETTLE_S = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """One deployment and the load on it."""
+
+    name: str
+    region: str
+    zones: tuple[str, ...]
+    tenant: str
+    feeds: str
+    other: str
+    targets: int
+    other_targets: int
+    slots: int
+    callers: int
+    requests: int
+    seed: int
+
+
+PLANS = (
+    Plan(
+        "reelbure-evening",
+        "viti-west",
+        ("nadi-a", "nadi-b", "lautoka-a", "lautoka-b"),
+        "reelbure",
+        "booth-sync",
+        "reel-depot",
+        7,
+        4,
+        1,
+        28,
+        600,
+        11,
+    ),
+    Plan(
+        "wayfarer-day",
+        "wa-south",
+        ("wa-south-a", "wa-south-b", "wa-south-c"),
+        "wayfarer",
+        "phrasebook",
+        "pronounce",
+        7,
+        3,
+        3,
+        28,
+        900,
+        12,
+    ),
+)
+
+
+def make_service(plan: Plan, name: str, targets: int, first: int) -> Service:
+    """Return a service with its targets spread over the zones."""
+    targets_by_id = {}
+    for number in range(first, first + targets):
+        zone = Zone(plan.region, plan.zones[number % len(plan.zones)])
+        target_id = f"t{number}"
+        targets_by_id[target_id] = Target(
+            target_id,
+            f"{zone.name}-host-{number}",
+            zone,
+            Address(f"127.2.0.{number}", 7100),
+            Address(f"127.2.0.{number}", 5683),
+            slots=plan.slots,
+        )
+    return Service(
+        name,
+        plan.tenant,
+        0,
+        Protocol.COAP,
+        (Address(f"127.10.0.{first}", 5683),),
+        (plan.region,),
+        targets_by_id,
+        cold_start=0.0,
+        request_timeout=10.0,
+        flow_idle=120.0,
+    )
+
+
+def make_hosts(
+    plan: Plan, services: tuple[Service, ...]
+) -> dict[str, tuple[Host, ...]]:
+    """Return the hosts by zone: three balancers, and an agent a target."""
+    hosts = []
+    for number in (1, 2, 3):
+        zone = Zone(plan.region, plan.zones[number % len(plan.zones)])
+        ip = f"127.1.0.{number}"
+        host_id = f"balancer-{number}"
+        hosts.append(
+            Host(host_id, Role.BALANCER, zone, Address(ip, 7100), Address(ip, 7200))
+        )
+    for service in services:
+        for target in service.targets_by_id.values():
+            control = Address(target.agent.ip, 7200)
+            hosts.append(
+                Host(target.host_id, Role.AGENT, target.zone, target.agent, control)
+            )
+    return {
+        str(Zone(plan.region, zone)): tuple(h for h in hosts if h.zone.name == zone)
+        for zone in plan.zones
+    }
+
+
+class TraceWriter:
+    """Collects the lines of a trace, in the order of their times."""
+
+    def __init__(self):
+        self._lines: list[tuple[float, int, dict]] = []
+        self._revision = 0
+
+    def add(self, at: float, kind: str, **fields: object) -> None:
+        """Add a line."""
+        line = {"at": round(at, 3), "kind": kind, **fields}
+        self._lines.append((at, len(self._lines), line))
+
+    def publish(self, at: float, name: str, text: str, **fields: object) -> None:
+        """Add a change of a value under the next revision."""
+        self._revision += 1
+        self.add(at, "publish", name=name, revision=self._revision, text=text, **fields)
+
+    def text(self) -> str:
+        """Return the trace."""
+        lines = sorted(self._lines, key=lambda line: line[:2])
+        return "".join(dumps(line) + "\n" for _, _, line in lines)
+
+
+def leave(service: Service, *target_ids: str) -> Service:
+    """Return the service with some targets leaving."""
+    targets = {
+        name: replace(target, state=State.LEAVING) if name in target_ids else target
+        for name, target in service.targets_by_id.items()
+    }
+    return replace(service, targets_by_id=targets)
+
+
+def without(service: Service, target_id: str) -> Service:
+    """Return the service without a target."""
+    targets = dict(service.targets_by_id)
+    del targets[target_id]
+    return replace(service, targets_by_id=targets)
+
+
+def write_load(writer: TraceWriter, plan: Plan, generator: Random) -> None:
+    """Add feeds, requests of both kinds and downloads."""
+    for number in range(plan.callers):
+        caller = f"127.9.0.{number + 1}:4000"
+        writer.add(1 + number * 0.2, "feed", service=plan.feeds, caller=caller)
+    for number in range(plan.requests):
+        at = 20 + (END_S - 80) * number / plan.requests
+        caller = f"127.9.0.{generator.randrange(plan.callers) + 1}:4000"
+        is_other = number % 4 == 3
+        writer.add(
+            at + generator.random(),
+            "request",
+            service=plan.other if is_other else plan.feeds,
+            caller=caller,
+            id=f"r{number}",
+            repeatable=is_other or number % 4 == 1,
+        )
+
+
+def write_planned_changes(
+    writer: TraceWriter, plan: Plan, services: tuple[Service, Service]
+) -> None:
+    """Add drains, removals, an invalid value, a stale one and restarts."""
+    feeds, other = services
+    name = f"services/{plan.feeds}"
+    hosts = [target.host_id for target in feeds.targets_by_id.values()]
+    writer.publish(60, name, format_service(leave(feeds, "t1")))
+    writer.publish(75, name, format_service(without(feeds, "t1")))
+    writer.publish(90, name, "[service]\nname = nonsense\n")
+    writer.add(
+        95, "publish", name=name, revision=1, text=format_service(leave(feeds, "t2"))
+    )
+    writer.publish(100, name, format_service(feeds))
+    early = [hosts[1], hosts[2], "balancer-1"]
+    two = format_service(leave(feeds, "t2", "t3"))
+    writer.publish(130, name, two, to=early)
+    writer.add(132, "publish", name=name, revision=writer._revision, text=two)
+    writer.publish(145, name, format_service(feeds))
+    # The address of a target goes to the other service and comes back.
+    moved = replace(
+        feeds.targets_by_id["t4"],
+        target_id="t99",
+        upstream=Address("127.2.0.4", 5685),
+    )
+    lent = replace(other, targets_by_id={**other.targets_by_id, "t99": moved})
+    writer.publish(160, name, format_service(without(feeds, "t4")))
+    writer.publish(175, f"services/{plan.other}", format_service(lent))
+    writer.publish(190, f"services/{plan.other}", format_service(other))
+    writer.publish(205, name, format_service(feeds))
+    for number, host in enumerate(hosts[:3]):
+        writer.add(225 + 15 * number, "stop", process=host)
+        writer.add(235 + 15 * number, "start", process=host)
+    for number in (1, 2, 3):
+        writer.add(280 + 12 * number, "stop", process=f"balancer-{number}")
+        writer.add(286 + 12 * number, "start", process=f"balancer-{number}")
+
+
+def write_faults(writer: TraceWriter, feeds: Service) -> None:
+    """Add deaths, pauses, cuts and a forgotten flow."""
+    hosts = [target.host_id for target in feeds.targets_by_id.values()]
+    writer.add(350, "kill", process="balancer-2")
+    writer.add(360, "start", process="balancer-2")
+    writer.add(370, "kill", process=hosts[5])
+    writer.add(375, "start", process=hosts[5])
+    writer.add(400, "pause", process=hosts[2])
+    writer.add(460, "resume", process=hosts[2])
+    writer.add(420, "cut", source="balancer-1", destination=hosts[4])
+    writer.add(450, "heal", source="balancer-1", destination=hosts[4])
+    writer.add(470, "forget", service=feeds.name, caller="127.9.0.3:4000")
+    key = {"service": feeds.name, "target": "t7", "feed_period_s": FEED_PERIOD_S}
+    writer.add(490, "upstream", **key, is_down=True)
+    writer.add(505, "upstream", **key)
+
+
+def expectations(plan: Plan) -> Iterator[tuple[float, dict]]:
+    """Yield the stated outcomes: planned changes first, then faults."""
+    planned = 345.0
+    yield planned, {"outcome": "feed-breaks"}
+    yield planned, {"outcome": "unanswered", "until": planned - SETTLE_S}
+    for outcome in (
+        "misdeliveries",
+        "unfinished",
+        "double-runs",
+        "false-refusals",
+        "answered-without-run",
+        "reverted-values",
+        "stale-feeds",
+    ):
+        yield END_S, {"outcome": outcome, "until": END_S - SETTLE_S}
+    yield END_S, {"outcome": "leaving-work-seconds", "limit": NEW_WORK_S}
+    yield END_S, {"outcome": "configuration-lag-seconds", "limit": IN_FORCE_S}
+    yield END_S, {"outcome": "feed-recovery-seconds", "limit": RECOVERY_S}
+
+
+def write_trace(plan: Plan) -> str:
+    """Return the trace of a deployment."""
+    writer = TraceWriter()
+    feeds = make_service(plan, plan.feeds, plan.targets, 1)
+    other = make_service(plan, plan.other, plan.other_targets, 11)
+    writer.add(0, "options", seed=plan.seed, tick_s=0.1)
+    for service in (feeds, other):
+        writer.publish(0, f"services/{service.name}", format_service(service))
+        for target_id in service.targets_by_id:
+            writer.add(
+                0,
+                "upstream",
+                service=service.name,
+                target=target_id,
+                service_time_s=0.02 * (1 + int(target_id[1:]) % 5),
+                slots=plan.slots,
+                feed_period_s=FEED_PERIOD_S,
+            )
+    for zone, hosts in make_hosts(plan, (feeds, other)).items():
+        writer.publish(0, f"hosts/{zone}", format_hosts(hosts))
+    write_load(writer, plan, Random(plan.seed))
+    write_planned_changes(writer, plan, (feeds, other))
+    write_faults(writer, feeds)
+    for at, fields in expectations(plan):
+        writer.add(at, "expect", **fields)
+    return writer.text()
+
+
+def main() -> None:
+    """Write all traces into the folder that the command line names."""
+    folder = Path(argv[1])
+    folder.mkdir(parents=True, exist_ok=True)
+    for plan in PLANS:
+        (folder / f"{plan.name}.trace").write_text(write_trace(plan))
+
+
+if __name__ == "__main__":
+    main()
--- a/lycheeglade/agent.py
+++ b/lycheeglade/agent.py
@@ -17,6 +17,7 @@
     receive_delegate,
     receive_delegate_reply,
     reoffer_queued,
+    rescue_running,
 )
 from lycheeglade.errors import PacketError
 from lycheeglade.exchange import (
@@ -25,7 +26,7 @@
     refuse_queued,
     start_queued,
 )
-from lycheeglade.feed import renew_registrations
+from lycheeglade.feed import refuse_registrations, renew_registrations
 from lycheeglade.flow import FlowKey
 from lycheeglade.handoff import (
     move_flows,
@@ -343,6 +344,8 @@
     """Give back what waits for a dead upstream, and move its flows."""
     agent.actions.count("upstream", served.service.name, "down")
     refuse_queued(agent, served, now)
+    refuse_registrations(agent, served)
+    rescue_running(agent, served, now)
     move_flows(agent, served, now)
 
 
--- a/lycheeglade/delegation.py
+++ b/lycheeglade/delegation.py
@@ -103,6 +103,21 @@
         _offer_returned(agent, served, request, now)
 
 
+def rescue_running(agent: Agent, served: ServedTarget, now: float) -> None:
+    """Have peers run the repeatable requests that a dead upstream holds.
+
+    The others wait for their deadline, since the upstream may only be slow.
+    """
+    for token, request in list(served.requests_by_upstream_token.items()):
+        record = served.records_by_flow.get(request.flow)
+        if record is None or not request.message.repeatable:
+            continue
+        del served.requests_by_upstream_token[token]
+        served.admission.finish(request.request_id, now, failed=True)
+        if not _delegate_if_better(agent, served, record, request, now):
+            finish_request(agent, served, request, b"", now)
+
+
 def _own_load(served: ServedTarget, now: float) -> Load:
     """Return the load, without free slots while the upstream is down."""
     load = served.admission.load(now)
--- a/lycheeglade/feed.py
+++ b/lycheeglade/feed.py
@@ -7,7 +7,7 @@
     usable_balancers,
 )
 from lycheeglade.exchange import reply_to, take_upstream_token
-from lycheeglade.message import CallerMessage, UpstreamMessage
+from lycheeglade.message import CallerMessage, ReplyTo, UpstreamMessage
 from lycheeglade.notice import announce_home
 from lycheeglade.routing import CANDIDATES
 from lycheeglade.served_target import (
@@ -28,6 +28,7 @@
 MAX_REFRESHES = 3
 ATTEMPTS_PER_NOTICE = 2
 REGISTRATION_TIMEOUT_S = 5.0
+FEED_RETRY_AFTER_S = 1
 
 
 def open_feed(
@@ -44,10 +45,11 @@
         if feed.latest:
             _answer_registration(agent, served, record, feed, feed.latest, now)
         return
+    if served.is_down:
+        _refuse_feed(agent, served, record, reply_to(message), "upstream-down")
+        return
     if len(record.feeds_by_token) >= MAX_FEEDS_PER_FLOW:
-        agent.actions.count("refused", served.service.name, "feed-limit")
-        datagram = served.adapter.write_refusal(reply_to(message), 1, None)
-        answer_caller(agent, served, record, datagram)
+        _refuse_feed(agent, served, record, reply_to(message), "feed-limit")
         return
     feed = make_feed(agent, record, message.token, message.datagram, now)
     feed.reply_to = reply_to(message)
@@ -60,6 +62,28 @@
     schedule_check(agent, served, feed, now + served.service.heartbeat)
 
 
+def _refuse_feed(
+    agent: Agent,
+    served: ServedTarget,
+    record: FlowRecord,
+    registration: ReplyTo,
+    cause: str,
+) -> None:
+    agent.actions.count("refused", served.service.name, cause)
+    datagram = served.adapter.write_refusal(registration, FEED_RETRY_AFTER_S, None)
+    answer_caller(agent, served, record, datagram)
+
+
+def refuse_registrations(agent: Agent, served: ServedTarget) -> None:
+    """Give back the registrations that a dead upstream has not answered."""
+    for feed in list(served.feeds_by_upstream_token.values()):
+        record = served.records_by_flow.get(feed.flow)
+        if record is None or feed.latest or feed.reply_to is None:
+            continue
+        _refuse_feed(agent, served, record, feed.reply_to, "upstream-down")
+        drop_feed(agent, served, feed)
+
+
 def make_feed(
     agent: Agent, record: FlowRecord, token: bytes, registration: bytes, now: float
 ) -> Feed:
--- a/lycheeglade/outcome.py
+++ b/lycheeglade/outcome.py
@@ -8,7 +8,7 @@
 from lycheeglade.errors import TraceError
 from lycheeglade.replay import World, run_trace
 from lycheeglade.replay_caller import Caller, CallerRequest, Result
-from lycheeglade.trace import Expect, Trace, load_trace
+from lycheeglade.trace import Expect, Trace, TraceLine, load_trace
 
 MAX_SHOWN_FAULTS = 5
 
@@ -54,26 +54,21 @@
         Of a `TraceError` for each stated outcome that isn't known.
     """
     _check_names(trace)
-    world = run_trace(trace)
     outcomes = []
-    for line in trace.lines:
-        if isinstance(line.event, Expect):
-            found = CHECKS_BY_NAME[line.event.outcome](world, line.event)
-            is_held = found.value <= line.event.limit
-            faults = () if is_held else found.faults[:MAX_SHOWN_FAULTS]
-            outcomes.append(
-                Outcome(
-                    line.number,
-                    line.event.outcome,
-                    is_held,
-                    found.value,
-                    line.event.limit,
-                    faults,
-                )
-            )
+    run_trace(trace, lambda world, line: outcomes.append(_check(world, line)))
     return outcomes
 
 
+def _check(world: World, line: TraceLine) -> Outcome:
+    expect = line.event
+    found = CHECKS_BY_NAME[expect.outcome](world, expect)
+    is_held = found.value <= expect.limit
+    faults = () if is_held else found.faults[:MAX_SHOWN_FAULTS]
+    return Outcome(
+        line.number, expect.outcome, is_held, found.value, expect.limit, faults
+    )
+
+
 def _check_names(trace: Trace) -> None:
     known = ", ".join(sorted(CHECKS_BY_NAME))
     errors = [
@@ -108,10 +103,14 @@
 def _requests(world: World, expect: Expect) -> Iterator[tuple[Caller, CallerRequest]]:
     for caller in _callers(world, expect):
         for request in caller.requests:
-            if request.sent_at >= expect.since:
+            if expect.since <= request.sent_at <= _until(expect):
                 yield caller, request
 
 
+def _until(expect: Expect) -> float:
+    return expect.at if expect.until is None else expect.until
+
+
 def _feed_faults(world: World, expect: Expect) -> Measurement:
     """Count breaks that callers saw in their feeds."""
     faults = [
@@ -131,9 +130,9 @@
     for caller in _callers(world, expect):
         if caller.feed is None:
             continue
-        for index, (at, reason) in enumerate(caller.feed.faults):
-            recovered = caller.feed.recovered_at[index : index + 1]
-            seconds = (recovered[0] if recovered else world.now) - at
+        for at, reason in caller.feed.faults:
+            later = [moment for moment in caller.feed.recovered_at if moment >= at]
+            seconds = min(later, default=world.now) - at
             worst = max(worst, seconds)
             faults.append(
                 f"line {caller.feed.line}: {caller.flow} {reason}, {seconds:.3f} s"
@@ -262,7 +261,7 @@
                 for when, taken_name, taken_revision in process.revisions
                 if taken_name == name and taken_revision >= revision
             ]
-            lag = (min(taken) if taken else world.now) - at
+            lag = (min(taken) if taken else world.now) - max(at, process.started_at)
             worst = max(worst, lag)
             if lag > expect.limit:
                 faults.append(
--- a/lycheeglade/replay.py
+++ b/lycheeglade/replay.py
@@ -11,6 +11,7 @@
 from lycheeglade.address import Address
 from lycheeglade.agent_state import Agent, AgentActions
 from lycheeglade.balancer import Balancer, BalancerActions
+from lycheeglade.errors import ConfigurationError
 from lycheeglade.flow import FlowKey
 from lycheeglade.packet import encode_packet
 from lycheeglade.replay_caller import Caller
@@ -35,9 +36,10 @@
     Start,
     Stop,
     Trace,
+    TraceLine,
     Upstream,
 )
-from lycheeglade.value import Value
+from lycheeglade.value import Value, read_value
 from lycheeglade.view import Host, Role, View
 
 MAX_AGENT_FLOWS = 10_000
@@ -59,6 +61,7 @@
     host: Host
     state: Agent | Balancer
     snapshot: Snapshot
+    started_at: float
     view: View = field(default_factory=View)
     is_alive: bool = True
     is_paused: bool = False
@@ -106,11 +109,25 @@
         )
 
 
-def run_trace(trace: Trace) -> World:
-    """Replay a trace up to the time of its last line."""
+def run_trace(
+    trace: Trace, on_expect: Callable[[World, TraceLine], None] | None = None
+) -> World:
+    """Replay a trace up to the time of its last line.
+
+    Parameters
+    ----------
+    on_expect : callable, optional
+        Called with each stated outcome at its time.
+    """
     world = World(trace.options, Random(trace.options.seed))
     for line in trace.lines:
-        if isinstance(line.event, Expect | Options):
+        if isinstance(line.event, Options):
+            continue
+        if isinstance(line.event, Expect):
+            if on_expect is not None:
+                world.timers.call_at(
+                    line.event.at, lambda now, line=line: on_expect(world, line)
+                )
             continue
         handler = partial(apply_event, world, line.event, line.number)
         world.timers.call_at(line.event.at, handler)
@@ -141,7 +158,8 @@
     known = world.values_by_name.get(event.name)
     if known is None or known.revision < event.revision:
         world.values_by_name[event.name] = value
-        world.published.append((now, event.name, event.revision))
+        if _is_valid(value):
+            world.published.append((now, event.name, event.revision))
     names = event.to or tuple(world.processes_by_name)
     for name in names:
         process = world.processes_by_name.get(name)
@@ -152,6 +170,14 @@
     _note_leaving(world, now)
 
 
+def _is_valid(value: Value) -> bool:
+    try:
+        read_value(value)
+    except ConfigurationError:
+        return False
+    return True
+
+
 def _start_new_hosts(world: World, now: float) -> None:
     view, _ = build_view(_whole_snapshot(world), View())
     for host in view.hosts_by_id.values():
@@ -198,7 +224,7 @@
         state = balancer_core.make_balancer(
             name, host.zone, host.packets, _balancer_actions(world, name), generator
         )
-    process = Process(host, state, Snapshot())
+    process = Process(host, state, Snapshot(), now)
     world.processes_by_name[name] = process
     world.names_by_address[host.packets] = name
     for value in list(world.values_by_name.values()):
@@ -207,8 +233,8 @@
 
 
 def _take_value(world: World, process: Process, value: Value, now: float) -> None:
-    revision = max(process.snapshot.revision, value.revision)
-    advanced = advance(process.snapshot, [value], revision)
+    # A single value makes no snapshot complete.
+    advanced = advance(process.snapshot, [value], process.snapshot.revision)
     process.snapshot = advanced.snapshot
     view, conflicts = build_view(process.snapshot, process.view)
     process.refused_values += map(str, advanced.errors + conflicts)
--- a/lycheeglade/trace.py
+++ b/lycheeglade/trace.py
@@ -147,13 +147,15 @@
         The services it is about, or all.
     since : float
         Start of the time that it is about.
+    until : float or None
+        Requests that were sent later don't count; `at` if it is left out.
     """
 
     outcome: str
     limit: float = 0.0
     services: tuple[str, ...] = ()
     since: float = 0.0
-    name: str = ""
+    until: float | None = None
 
 
 TraceEvent = (
