--- a/lycheeglade/configuration.py
+++ b/lycheeglade/configuration.py
@@ -107,6 +107,24 @@
     return tuple(hosts)
 
 
+def check_hosts(hosts: Iterable[Host], source: str) -> None:
+    """Check hosts that were read apart from each other.
+
+    Raises
+    ------
+    ConfigurationError
+        If two of them share a name or an address.
+    """
+    reader = OptionReader("", source)
+    _check_hosts_differ(reader, hosts)
+    host_ids = set()
+    for host in hosts:
+        if host.host_id in host_ids:
+            reader.add_error(f"host {host.host_id}", "section", "stands twice")
+        host_ids.add(host.host_id)
+    reader.finish()
+
+
 def format_hosts(hosts: Iterable[Host]) -> str:
     """Return the text that `parse_hosts` reads as `hosts`."""
     return format_sections(
@@ -205,6 +223,7 @@
 
 
 def _check_hosts_differ(reader: OptionReader, hosts: Iterable[Host]) -> None:
+    """Refuse hosts that share an address."""
     for option in ("packets", "control"):
         id_by_address: dict[Address, str] = {}
         for host in hosts:
--- a/lycheeglade/spread.py
+++ b/lycheeglade/spread.py
@@ -99,7 +99,7 @@
             continue
         try:
             _check_bound(snapshot, accepted, value)
-            accepted[value.name] = read_value(value)
+            accepted[value.name] = read_value(value, known)
         except ConfigurationError as error:
             refused[value.name] = max(value.revision, refused.get(value.name, 0))
             errors.extend(error.exceptions)
@@ -165,24 +165,39 @@
     """
     if previous is not None and previous.revision > snapshot.revision:
         return previous, ()
-    errors: list[OptionError] = []
-    service_by_address: dict[Address, Service] = {}
-    services_by_name: dict[str, Service] = {}
-    hosts_by_id: dict[str, Host] = {}
-    for value in sorted(snapshot.values_by_name.values(), key=_by_revision):
+    services, host_values = [], []
+    for value in snapshot.values_by_name.values():
         if isinstance(value.content, Service):
-            service = _claim_addresses(value.content, service_by_address, errors)
-            services_by_name[service.name] = service
+            services.append(value.content)
         elif value.content is not None:
-            hosts_by_id.update({host.host_id: host for host in value.content})
-    view = View(snapshot.revision, services_by_name, hosts_by_id)
-    return view, tuple(errors)
+            host_values.append(value)
+    services, errors = _settle_addresses(services)
+    hosts_by_id: dict[str, Host] = {}
+    for value in sorted(host_values, key=_by_revision):
+        hosts_by_id.update({host.host_id: host for host in value.content})
+    services_by_name = {service.name: service for service in services}
+    return View(snapshot.revision, services_by_name, hosts_by_id), errors
 
 
 def _by_revision(value: Value) -> tuple[int, str]:
     return value.revision, value.name
 
 
+def _settle_addresses(
+    services: list[Service],
+) -> tuple[list[Service], tuple[OptionError, ...]]:
+    addresses = [address for service in services for address in service.addresses]
+    if len(set(addresses)) == len(addresses):
+        return services, ()
+    errors: list[OptionError] = []
+    service_by_address: dict[Address, Service] = {}
+    services = sorted(services, key=lambda service: (service.revision, service.name))
+    settled = [
+        _claim_addresses(service, service_by_address, errors) for service in services
+    ]
+    return settled, tuple(errors)
+
+
 def _claim_addresses(
     service: Service,
     service_by_address: dict[Address, Service],
