--- /dev/null
+++ b/bench/spread.py
@@ -0,0 +1,262 @@
+"""Measures what the spread of configuration costs one process.
+
+Run ``python -m bench.spread``. Bytes on the wire are read from the counters
+of the loopback interface, so nothing else should use it meanwhile.
+"""
+
+from argparse import ArgumentParser
+from asyncio import create_task, gather, run
+from collections.abc import Callable, Iterable, Iterator, Sequence
+from gc import collect
+from pathlib import Path
+from time import process_time
+
+from numpy import abs as absolute
+from numpy import polyfit, polyval
+from psutil import Process
+from pynng import Rep0
+
+from bench.epidemic import Fleet, spread_times
+from lycheeglade.address import Address, Zone
+from lycheeglade.configuration import format_hosts, format_service
+from lycheeglade.gossip import PUSH_FANOUT
+from lycheeglade.knowledge import Knowledge
+from lycheeglade.message import Reply, decode_message, encode_message
+from lycheeglade.peer import ask_peer
+from lycheeglade.spread import Snapshot, advance, build_view
+from lycheeglade.value import Value
+from lycheeglade.view import Host, Protocol, Role, Service, Target
+
+PARTS = ("memory", "changes", "exchanges", "epidemic")
+ZONES = 25
+TARGETS_PER_SERVICE = 3
+CONTROL = Address("127.62.0.1", 7200)
+EXCHANGES = 300
+EXCHANGES_PER_S = 1.0
+
+
+def make_zone(number: int) -> Zone:
+    """Return one of the zones."""
+    return Zone(f"region-{number % 7}", f"zone-{number % ZONES}")
+
+
+def make_ip(number: int) -> str:
+    """Return the address of a numbered host."""
+    return f"10.{number // 65025}.{number // 255 % 255}.{number % 255 + 1}"
+
+
+def make_service(number: int) -> Value:
+    """Return the value of a service."""
+    zone = make_zone(number)
+    targets_by_id = {}
+    for place in range(TARGETS_PER_SERVICE):
+        host = number * TARGETS_PER_SERVICE + place
+        ip = make_ip(host)
+        target_id = f"{zone.name}-{place}"
+        targets_by_id[target_id] = Target(
+            target_id, f"host-{host}", zone, Address(ip, 7100), Address(ip, 5683)
+        )
+    name = f"service-{number}"
+    addresses = (Address(make_ip(200_000 + number), 5683),)
+    protocol = Protocol.COAP
+    service = Service(
+        name, "tenant", 0, protocol, addresses, (zone.region,), targets_by_id
+    )
+    return Value(f"services/{name}", number + 1, format_service(service))
+
+
+def make_hosts(zone_number: int, count: int, revision: int = 1) -> Value:
+    """Return the list of hosts of a zone, one in 12 of them a balancer."""
+    zone = make_zone(zone_number)
+    hosts = []
+    for number in range(count):
+        ip = make_ip(zone_number * 2000 + number)
+        role = Role.AGENT if number % 12 else Role.BALANCER
+        name = f"host-{zone_number}-{number}"
+        hosts.append(Host(name, role, zone, Address(ip, 7100), Address(ip, 7200)))
+    return Value(f"hosts/{zone}", revision, format_hosts(hosts))
+
+
+def print_fit(name: str, unit: str, sizes: Sequence[float], costs: Sequence[float]):
+    """Print the line through the measured points and its largest residual."""
+    slope, offset = polyfit(sizes, costs, 1)
+    residuals = absolute(polyval((slope, offset), sizes) - costs)
+    points = ", ".join(
+        f"{size:g}: {cost:.4g}" for size, cost in zip(sizes, costs, strict=True)
+    )
+    print(f"{name}: {slope:.4g} {unit} each + {offset:.4g} {unit}")
+    worst = residuals.max()
+    print(f"    points {points}; largest residual {worst:.2g} {unit}")
+
+
+def measure_cpu(action: Callable[[], object], repeats: int) -> float:
+    """Return the milliseconds of processor time that `action` takes."""
+    started = process_time()
+    for _ in range(repeats):
+        action()
+    return (process_time() - started) / repeats * 1000.0
+
+
+def measure_memory() -> None:
+    """Print the resident memory of services and hosts in force."""
+    base = Process().memory_info().rss / 2**20
+    print(f"memory before any configuration: {base:.0f} MiB")
+    measure_resident("memory of services", [1100, 3300, 11_000], make_services)
+    measure_resident("memory of hosts", [3930, 13_100, 39_300], make_host_values)
+
+
+def make_services(count: int) -> Iterator[Value]:
+    """Yield the values of `count` services."""
+    return (make_service(number) for number in range(count))
+
+
+def make_host_values(count: int) -> Iterator[Value]:
+    """Yield the lists of `count` hosts in all zones."""
+    return (make_hosts(zone, count // ZONES) for zone in range(ZONES))
+
+
+def measure_resident(
+    name: str, sizes: list[int], make: Callable[[int], Iterable[Value]]
+) -> None:
+    """Print the memory that a view of each size takes."""
+    costs = []
+    kept = []
+    for size in sizes:
+        collect()
+        before = Process().memory_info().rss
+        snapshot = Snapshot()
+        for value in make(size):
+            snapshot = advance(snapshot, [value], 0).snapshot
+        snapshot = advance(snapshot, [], size).snapshot
+        kept.append((snapshot, build_view(snapshot)))
+        collect()
+        costs.append((Process().memory_info().rss - before) / 1024)
+    print_fit(name, "KiB", sizes, costs)
+
+
+def measure_changes() -> None:
+    """Print the processor time and bytes of one change."""
+    sizes = [100, 400, 1572]
+    values = [make_hosts(0, size) for size in sizes]
+    costs = [measure_cpu(lambda v=v: advance(Snapshot(), [v], 1), 5) for v in values]
+    print_fit("CPU to read a whole list of hosts, by host", "ms", sizes, costs)
+    costs = [measure_host_change(value) for value in values]
+    print_fit("CPU to read a list with one host changed, by host", "ms", sizes, costs)
+    replies = [encode_message(_reply(value)) for value in values]
+    print_fit("bytes of a list of hosts, by host", "B", sizes, [*map(len, replies)])
+    costs = [measure_cpu(lambda v=v: encode_message(_reply(v)), 20) for v in values]
+    print_fit("CPU to send a list of hosts, by host", "ms", sizes, costs)
+    service = make_service(7)
+    print(f"bytes of a service: {len(encode_message(_reply(service)))} B")
+    cost = measure_cpu(lambda: advance(Snapshot(), [service], 1), 200)
+    print(f"CPU to read a service: {cost:.3g} ms")
+    sizes, advances, views, pulls = [100, 1000, 11_000], [], [], []
+    for size in sizes:
+        snapshot = advance(Snapshot(), make_services(size), size).snapshot
+        changed = Value(service.name, size + 1, service.text)
+        knowledge = Knowledge(0.0)
+        knowledge.snapshot = advance(snapshot, [changed], size + 1).snapshot
+        other = Knowledge(0.0)
+        other.snapshot = snapshot
+        request = other.ask("127.0.0.1", 1)
+        advances.append(
+            measure_cpu(lambda s=snapshot, c=changed: advance(s, [c], 0), 20)
+        )
+        views.append(measure_cpu(lambda s=snapshot: build_view(s), 10))
+        pulls.append(
+            measure_cpu(lambda k=knowledge, r=request: k.answer(r, True, 0.0), 20)
+        )
+    print_fit("CPU to take a change, by service", "ms", sizes, advances)
+    print_fit("CPU to build a view, by service", "ms", sizes, views)
+    print_fit("CPU to find what a peer lacks, by service", "ms", sizes, pulls)
+
+
+def measure_host_change(value: Value) -> float:
+    """Return the milliseconds to take a list in which one host changed."""
+    snapshot = advance(Snapshot(), [value], 1).snapshot
+    text = value.text.replace("state = live", "state = leaving", 1)
+    changed = Value(value.name, 2, text)
+    return measure_cpu(lambda: advance(snapshot, [changed], 2), 10)
+
+
+def _reply(value: Value) -> Reply:
+    knowledge = Knowledge(0.0)
+    knowledge.snapshot = Snapshot(value.revision, {value.name: value})
+    return knowledge.answer(Knowledge(0.0).ask("127.0.0.1", 1), True, 0.0)
+
+
+async def measure_exchanges() -> None:
+    """Print the cost of idle exchanges by size of the configuration."""
+    sizes, cpu, wire = [100, 1000, 11_000], [], []
+    for size in sizes:
+        knowledge = Knowledge(0.0)
+        knowledge.snapshot = advance(Snapshot(), make_services(size), size).snapshot
+        with Rep0() as listener:
+            listener.listen(f"tcp://{CONTROL}")
+            server = create_task(_serve(listener, knowledge))
+            request = knowledge.ask(*CONTROL)
+            await ask_peer(CONTROL, request)
+            bytes_before, started = _loopback_bytes(), process_time()
+            for _ in range(EXCHANGES):
+                assert await ask_peer(CONTROL, request) is not None
+            cpu.append((process_time() - started) / EXCHANGES * 1000.0)
+            wire.append((_loopback_bytes() - bytes_before) / EXCHANGES)
+        await gather(server, return_exceptions=True)
+    print_fit("CPU of an idle exchange, both ends, by service", "ms", sizes, cpu)
+    print_fit("bytes of an idle exchange, both ways, by service", "B", sizes, wire)
+    print(f"    at rest a process sends and gets {wire[-1] * EXCHANGES_PER_S:.0f} B/s")
+    share = cpu[-1] / 1000.0 * EXCHANGES_PER_S / 2 * 100.0
+    print(f"    at rest exchanges take {share:.3f}% of a core")
+
+
+async def _serve(listener: Rep0, knowledge: Knowledge) -> None:
+    while True:
+        request = decode_message(await listener.arecv())
+        await listener.asend(encode_message(knowledge.answer(request, True, 0.0)))
+
+
+def _loopback_bytes() -> int:
+    for line in Path("/proc/net/dev").read_text().splitlines():
+        if line.strip().startswith("lo:"):
+            return int(line.split()[1])
+    return 0
+
+
+def measure_epidemic(seed: int) -> None:
+    """Print how long a change takes to reach all, in virtual time."""
+    for processes in (300, 3300, 39_300):
+        for fanout, known, dead in (
+            (PUSH_FANOUT, 50, 0.02),
+            (PUSH_FANOUT, 1, 0.02),
+            (PUSH_FANOUT, 50, 0.3),
+            (4, 50, 0.02),
+            (2, 50, 0.02),
+            (0, 50, 0.02),
+        ):
+            fleet = Fleet(processes, ZONES, fanout, min(known, processes), dead)
+            result = spread_times(fleet, seed)
+            print(
+                f"{processes} processes, push to {fanout}, {known} know first, "
+                f"{dead:.0%} dead: half {result.half:.2f} s, 99% {result.most:.2f} s, "
+                f"all {result.all:.2f} s, {result.messages:.1f} messages a process"
+            )
+
+
+def main() -> None:
+    """Run all measurements."""
+    parser = ArgumentParser(prog="python -m bench.spread", description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("parts", nargs="*", default=PARTS, help=", ".join(PARTS))
+    arguments = parser.parse_args()
+    if "memory" in arguments.parts:
+        measure_memory()
+    if "changes" in arguments.parts:
+        measure_changes()
+    if "exchanges" in arguments.parts:
+        run(measure_exchanges())
+    if "epidemic" in arguments.parts:
+        measure_epidemic(arguments.seed)
+
+
+if __name__ == "__main__":
+    main()
--- a/lycheeglade/gossip.py
+++ b/lycheeglade/gossip.py
@@ -140,8 +140,8 @@
             await self._exchange_once(started_at)
             if monotonic() - started_at < FRESH_S:
                 self._blackboard.checked_at.write(started_at)
-            low, high = ROUND_S - ROUND_JITTER_S, ROUND_S + ROUND_JITTER_S
-            await sleep(self._random.uniform(low, high))
+            jitter = self._random.uniform(-ROUND_JITTER_S, ROUND_JITTER_S)
+            await sleep(ROUND_S + jitter)
 
     async def pull_when_behind(self) -> None:
         """Ask peers that told of a newer revision."""
@@ -155,12 +155,19 @@
 
     async def push_news(self) -> None:
         """Tell a few random peers of each new revision at once."""
-        while True:
-            await self._news.wait()
-            self._news.clear()
-            peers = choose_peers(self._peers, PUSH_FANOUT, self._random)
-            await gather(*map(self._talk_to, peers))
-            await sleep(self._random.uniform(0.5, 1.0) * PUSH_PAUSE_S)
+        async with TaskGroup() as pushes:
+            while True:
+                await self._news.wait()
+                self._news.clear()
+                for peer in choose_peers(self._peers, PUSH_FANOUT, self._random):
+                    pushes.create_task(self._push_to(peer))
+                await sleep(self._random.uniform(0.5, 1.0) * PUSH_PAUSE_S)
+
+    async def _push_to(self, peer: Address) -> None:
+        """Tell `peer`, or another one in its place if it is silent."""
+        if not await self._talk_to(peer):
+            for other in choose_peers(self._peers, 1, self._random):
+                await self._talk_to(other)
 
     async def watch_platform(self) -> None:
         """Watch the platform while this process is one of its watchers."""
@@ -228,8 +235,8 @@
             reply = await ask_peer(peer, request)
             if reply is None:
                 return False
-            errors = self._knowledge.take_reply(reply, request.revision, monotonic())
-            self._publish(errors)
+            now = monotonic()
+            self._publish(self._knowledge.take_reply(reply, request.revision, now))
             if not self._knowledge.is_behind(reply.revision):
                 break
         if self._knowledge.needs_compare(reply, monotonic()):
@@ -279,9 +286,8 @@
         for start in range(0, len(missing), PARALLEL_READS):
             batch = missing[start : start + PARALLEL_READS]
             values = await gather(*map(self._read_entry, batch))
-            self._log_refused(
-                self._knowledge.take_values([v for v in values if v is not None])
-            )
+            known = [value for value in values if value is not None]
+            self._log_refused(self._knowledge.take_values(known))
             complete = complete and None not in values
         return complete
 
