Reserve a loopback network for each cluster

Two runs on one machine could take the same network, since a network counted as free until the fabric had bound its socket: 5 of 16 fault tests could not set up while other runs went on. A network is now reserved by a bound socket from the choice on.

--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -12,7 +12,6 @@
 
 from demo.coap import Endpoint, build_message, open_endpoint
 from demo.deployment import (
-    DEFAULT_NETWORK,
     OPERATORS_PORT,
     Deployment,
     ServicePlan,
@@ -31,22 +30,37 @@
 READY_TIMEOUT_S = 10.0
 POLL_S = 0.05
 LAST_NETWORK = 120
+FIRST_NETWORK = 30
+RESERVATION_PORT = 9999
 FABRIC = "fabric"
 PLATFORM = "platform"
 
+_reservations_by_network: dict[int, socket] = {}
 
-def find_free_network() -> int:
-    """Return a network whose fabric control address nobody has bound."""
-    for network in range(DEFAULT_NETWORK, LAST_NETWORK):
-        with socket(AF_INET, SOCK_DGRAM) as trial:
-            try:
-                trial.bind((f"127.{network}.0.3", 9000))
-            except OSError:
-                continue
-            return network
+
+def reserve_network() -> tuple[int, socket]:
+    """Return a network that no other cluster of this machine uses.
+
+    The network is reserved until the socket is closed.
+    """
+    for network in range(FIRST_NETWORK, LAST_NETWORK):
+        reservation = socket(AF_INET, SOCK_DGRAM)
+        try:
+            reservation.bind((f"127.{network}.0.1", RESERVATION_PORT))
+        except OSError:
+            reservation.close()
+            continue
+        return network, reservation
     raise OSError("every network is in use")
 
 
+def find_free_network() -> int:
+    """Return a network that stays reserved until this process ends."""
+    network, reservation = reserve_network()
+    _reservations_by_network[network] = reservation
+    return network
+
+
 def upstream_name(target: TargetPlan) -> str:
     """Return the name of a target's upstream process."""
     return f"upstream-{target.target_id}"
