--- a/lycheeglade/home.py
+++ b/lycheeglade/home.py
@@ -16,18 +16,17 @@
     suspected_targets,
 )
 from lycheeglade.errors import PacketError
-from lycheeglade.exchange import reply_to
 from lycheeglade.flow import FlowKey
 from lycheeglade.message import Kind
 from lycheeglade.notice import announce_home
 from lycheeglade.packet import (
-    Answer,
     Forward,
     HomeNotice,
     Probe,
     ProbeReply,
 )
 from lycheeglade.placement import HandOn, place_flow
+from lycheeglade.refusal import refuse_flow
 from lycheeglade.served_target import HomePointer, Opening, ServedTarget
 from lycheeglade.session import (
     close_record,
@@ -41,7 +40,6 @@
 MAX_HOPS = 4
 MAX_PROBES = 6
 PROBE_TIMEOUT_S = 0.05
-REFUSED_FLOW_RETRY_AFTER_S = 2
 
 
 def receive_forward(
@@ -296,7 +294,7 @@
             point_to(agent, served, flow, successor.target_id, now)
             return
     if not _can_accept(agent, served) or not served.admission.admit_flow(now):
-        refuse_flow(agent, served, packet)
+        refuse_flow(agent, served, packet, now)
         return
     balancer = Address(packet.balancer_ip, packet.balancer_port)
     record = open_record(agent, served, flow, balancer, now)
@@ -366,28 +364,6 @@
     return None
 
 
-def refuse_flow(agent: Agent, served: ServedTarget, packet: Forward) -> None:
-    """Refuse a new flow's request, which was not run."""
-    agent.actions.count("refused", served.service.name, "no-room")
-    if served.adapter is None:
-        return
-    message = served.adapter.read_caller(packet.payload)
-    if message.kind is not Kind.REQUEST:
-        return
-    seconds = REFUSED_FLOW_RETRY_AFTER_S + agent.generator.randrange(
-        REFUSED_FLOW_RETRY_AFTER_S
-    )
-    datagram = served.adapter.write_refusal(reply_to(message), seconds, None)
-    answer = Answer(
-        served.service.name,
-        served.target.target_id,
-        packet.caller_ip,
-        packet.caller_port,
-        datagram,
-    )
-    agent.actions.send(Address(packet.balancer_ip, packet.balancer_port), answer)
-
-
 def receive_home_notice(
     agent: Agent, served: ServedTarget, packet: HomeNotice, now: float
 ) -> None:
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -1,3 +1,4 @@
+from os import getpid
 from pathlib import Path
 from signal import SIGTERM
 from socket import AF_INET, SOCK_DGRAM, SOCK_STREAM, socket
@@ -9,7 +10,8 @@
 from lycheeglade.generator import generate_files
 
 EXAMPLE = Path(__file__).parent.parent / "examples" / "reelbure.ini"
-BALANCER_IP = "127.64.1.1"
+NETWORK = 100 + getpid() % 100
+BALANCER_IP = f"127.{NETWORK}.1.1"
 TIMEOUT_S = 20
 
 
@@ -17,7 +19,7 @@
 def start(tmp_path):
     """Start a process of the example by role; no platform answers it."""
     answers = tmp_path / "answers.ini"
-    answers.write_text(EXAMPLE.read_text().replace("127.20.", "127.64."))
+    answers.write_text(EXAMPLE.read_text().replace("127.20.", f"127.{NETWORK}."))
     generate_files(answers, tmp_path)
     processes = []
 
