Vary the flows' placement with the seed in the fairness bench

Cause: every seed placed the same flows alike, so that rendezvous and flow placement were measured on one draw.

--- a/bench/fairness.py
+++ b/bench/fairness.py
@@ -36,7 +36,7 @@
 LOAD = 0.7
 WARM_UP_S = 60.0
 WEAK_UPSTREAMS = 2
-WORKERS = 4
+WORKERS = 5
 BOOTH_SYNC = Mix("booth-sync", 1, 0.25, 700, 3600.0, 0.5, 2.0)
 PHRASEBOOK = Mix("phrasebook", 3, 0.5, 1000, 600.0, 1.0, 2.0)
 POLICIES = (
--- a/bench/fairness_policies.py
+++ b/bench/fairness_policies.py
@@ -32,6 +32,7 @@
         self.service = service
         self.upstreams = upstreams
         self.generator = generator
+        self.caller_ip = f"127.0.0.{generator.randrange(1, 255)}"
         self.answered = 0
         self.late = 0
         self.refused = 0
@@ -45,7 +46,7 @@
 
     def rank(self, flow):
         """Return the flow's candidates, best first, as indices."""
-        key = FlowKey(self.service.name, "127.0.0.9", flow.number)
+        key = FlowKey(self.service.name, self.caller_ip, flow.number)
         return [int(t.target_id) for t in rank_targets(self.service, hash_flow(key))]
 
     def offer(self, index, request):
