--- a/bench/spread.py
+++ b/bench/spread.py
@@ -20,8 +20,8 @@
 from lycheeglade.address import Address, Zone
 from lycheeglade.configuration import format_hosts, format_service
 from lycheeglade.gossip import PUSH_FANOUT
+from lycheeglade.gossip_message import Reply, decode_message, encode_message
 from lycheeglade.knowledge import Knowledge
-from lycheeglade.message import Reply, decode_message, encode_message
 from lycheeglade.peer import ask_peer
 from lycheeglade.spread import Snapshot, advance, build_view
 from lycheeglade.value import Value
