--- a/demo/traces.py
+++ b/demo/traces.py
@@ -21,6 +21,7 @@
 NEW_WORK_S = 3.0
 RECOVERY_S = 30.0
 SETTLE_S = 30.0
+LATE_S = 12.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +37,7 @@
     targets: int
     other_targets: int
     slots: int
+    service_time_s: float
     callers: int
     requests: int
     seed: int
@@ -52,8 +54,9 @@
         7,
         4,
         1,
-        28,
-        600,
+        0.02,
+        21,
+        400,
         11,
     ),
     Plan(
@@ -66,8 +69,9 @@
         7,
         3,
         3,
-        28,
-        900,
+        0.1,
+        21,
+        600,
         12,
     ),
 )
@@ -130,7 +134,7 @@
 
     def __init__(self):
         self._lines: list[tuple[float, int, dict]] = []
-        self._revision = 0
+        self.revision = 0
 
     def add(self, at: float, kind: str, **fields: object) -> None:
         """Add a line."""
@@ -139,8 +143,8 @@
 
     def publish(self, at: float, name: str, text: str, **fields: object) -> None:
         """Add a change of a value under the next revision."""
-        self._revision += 1
-        self.add(at, "publish", name=name, revision=self._revision, text=text, **fields)
+        self.revision += 1
+        self.add(at, "publish", name=name, revision=self.revision, text=text, **fields)
 
     def text(self) -> str:
         """Return the trace."""
@@ -170,7 +174,7 @@
         caller = f"127.9.0.{number + 1}:4000"
         writer.add(1 + number * 0.2, "feed", service=plan.feeds, caller=caller)
     for number in range(plan.requests):
-        at = 20 + (END_S - 80) * number / plan.requests
+        at = 20 + (END_S - 60) * number / plan.requests
         caller = f"127.9.0.{generator.randrange(plan.callers) + 1}:4000"
         is_other = number % 4 == 3
         writer.add(
@@ -200,7 +204,7 @@
     early = [hosts[1], hosts[2], "balancer-1"]
     two = format_service(leave(feeds, "t2", "t3"))
     writer.publish(130, name, two, to=early)
-    writer.add(132, "publish", name=name, revision=writer._revision, text=two)
+    writer.add(132, "publish", name=name, revision=writer.revision, text=two)
     writer.publish(145, name, format_service(feeds))
     # The address of a target goes to the other service and comes back.
     moved = replace(
@@ -209,8 +213,12 @@
         upstream=Address("127.2.0.4", 5685),
     )
     lent = replace(other, targets_by_id={**other.targets_by_id, "t99": moved})
-    writer.publish(160, name, format_service(without(feeds, "t4")))
-    writer.publish(175, f"services/{plan.other}", format_service(lent))
+    rest = format_service(without(feeds, "t4"))
+    informed = [*hosts, "balancer-1", "balancer-2"]
+    writer.publish(160, name, rest, to=informed)
+    late = writer.revision
+    writer.publish(163, f"services/{plan.other}", format_service(lent))
+    writer.add(165.5, "publish", name=name, revision=late, text=rest)
     writer.publish(190, f"services/{plan.other}", format_service(other))
     writer.publish(205, name, format_service(feeds))
     for number, host in enumerate(hosts[:3]):
@@ -236,6 +244,12 @@
     key = {"service": feeds.name, "target": "t7", "feed_period_s": FEED_PERIOD_S}
     writer.add(490, "upstream", **key, is_down=True)
     writer.add(505, "upstream", **key)
+    late = {"service": feeds.name, "target": "t5", "feed_period_s": FEED_PERIOD_S}
+    writer.add(520, "upstream", **late, service_time_s=LATE_S)
+    writer.add(535, "upstream", **late)
+    # Answers through one balancer are lost, so that requests are repeated.
+    writer.add(540, "cut", source="balancer-1", destination="fabric")
+    writer.add(565, "heal", source="balancer-1", destination="fabric")
 
 
 def expectations(plan: Plan) -> Iterator[tuple[float, dict]]:
@@ -263,7 +277,7 @@
     writer = TraceWriter()
     feeds = make_service(plan, plan.feeds, plan.targets, 1)
     other = make_service(plan, plan.other, plan.other_targets, 11)
-    writer.add(0, "options", seed=plan.seed, tick_s=0.1)
+    writer.add(0, "options", seed=plan.seed, tick_s=0.2, duplication=0.01)
     for service in (feeds, other):
         writer.publish(0, f"services/{service.name}", format_service(service))
         for target_id in service.targets_by_id:
@@ -272,7 +286,7 @@
                 "upstream",
                 service=service.name,
                 target=target_id,
-                service_time_s=0.02 * (1 + int(target_id[1:]) % 5),
+                service_time_s=plan.service_time_s * (1 + int(target_id[1:]) % 5),
                 slots=plan.slots,
                 feed_period_s=FEED_PERIOD_S,
             )
--- a/lycheeglade/agent.py
+++ b/lycheeglade/agent.py
@@ -268,7 +268,7 @@
     if handler is None:
         agent.actions.count("dropped", "", "wrong-kind")
         return
-    served = agent.served_by_key.get(TargetKey(packet.service, packet.target_id))
+    served = _find_served(agent, packet)
     if served is None:
         agent.actions.count("dropped", "", "not-served-here")
         return
@@ -278,6 +278,11 @@
     handler(agent, served, packet, source, now)
 
 
+def _find_served(agent: Agent, packet: Packet) -> ServedTarget | None:
+    """Return the target that a packet names, if it is on this host."""
+    return agent.served_by_key.get(TargetKey(packet.service, packet.target_id))
+
+
 def _may_handle(agent: Agent, served: ServedTarget) -> bool:
     """Tell whether this host may handle the service's traffic at all."""
     return served.service.permits(agent.zone)
--- a/lycheeglade/balancer.py
+++ b/lycheeglade/balancer.py
@@ -199,7 +199,7 @@
     balancer: Balancer, packet: Packet, source: Address, now: float
 ) -> None:
     """Act on a packet from a process of the system."""
-    balancer.membership.note_heard(source, now)
+    balancer.membership.note_heard(source, now, answers=not isinstance(packet, Ping))
     if isinstance(packet, Answer):
         _answer_caller(balancer, packet, source, now)
     elif isinstance(packet, Ping):
--- a/lycheeglade/outcome.py
+++ b/lycheeglade/outcome.py
@@ -239,12 +239,15 @@
     """Measure the latest new work after a target's leaving, in seconds."""
     worst = 0.0
     faults = []
-    for key, since in world.leaving_since.items():
+    for key, spans in world.leaving_spans_by_key.items():
         upstream = world.upstreams_by_key[key]
         times = [run.at for run in upstream.runs] + upstream.registered_at
-        late = max((at - since for at in times), default=0.0)
-        worst = max(worst, late)
-        faults.append(f"{key.service}/{key.target_id}: {late:.3f} s after the word")
+        for span in spans:
+            end = world.now if span.end is None else span.end
+            within = [at - span.start for at in times if span.start < at <= end]
+            late = max(within, default=0.0)
+            worst = max(worst, late)
+            faults.append(f"{key.service}/{key.target_id}: {late:.3f} s")
     return Measurement(worst, tuple(faults))
 
 
--- a/lycheeglade/replay.py
+++ b/lycheeglade/replay.py
@@ -72,6 +72,14 @@
     refused_values: list[str] = field(default_factory=list)
 
 
+@dataclass(frozen=True, slots=True)
+class LeavingSpan:
+    """Time for which a target was to take no new work; open if no `end`."""
+
+    start: float
+    end: float | None = None
+
+
 @dataclass(slots=True)
 class World:
     """State of a replay."""
@@ -90,7 +98,9 @@
     cuts: set[tuple[str, str]] = field(default_factory=set)
     forgotten: set[FlowKey] = field(default_factory=set)
     counts: dict[tuple[str, str, str], int] = field(default_factory=dict)
-    leaving_since: dict[TargetKey, float] = field(default_factory=dict)
+    leaving_spans_by_key: dict[TargetKey, list[LeavingSpan]] = field(
+        default_factory=dict
+    )
     published: list[tuple[float, str, int]] = field(default_factory=list)
     cut_work: int = 0
     kills: list[float] = field(default_factory=list)
@@ -202,10 +212,12 @@
         if target.state.value == "live" and service.permits(target.zone)
     }
     for key in world.upstreams_by_key:
-        if key in live:
-            world.leaving_since.pop(key, None)
-        else:
-            world.leaving_since.setdefault(key, now)
+        spans = world.leaving_spans_by_key.setdefault(key, [])
+        is_leaving = bool(spans) and spans[-1].end is None
+        if key in live and is_leaving:
+            spans[-1] = LeavingSpan(spans[-1].start, now)
+        elif key not in live and not is_leaving:
+            spans.append(LeavingSpan(now))
 
 
 def _start_process(world: World, host: Host, now: float) -> None:
