Catch a broken variant of each decision by the traces

The traces now hold crossed answers, a burst at a stale balancer, doubled datagrams, late answers and lost ones.

--- a/demo/traces.py
+++ b/demo/traces.py
@@ -22,6 +22,7 @@
 RECOVERY_S = 30.0
 SETTLE_S = 30.0
 LATE_S = 12.0
+BURST_REQUESTS = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -187,6 +188,20 @@
         )
 
 
+def write_burst(writer: TraceWriter, plan: Plan, at: float) -> None:
+    """Add several requests of each caller at the same time."""
+    for number in range(plan.callers):
+        for part in range(BURST_REQUESTS):
+            writer.add(
+                at + part * 0.001,
+                "request",
+                service=plan.feeds,
+                caller=f"127.9.0.{number + 1}:4000",
+                id=f"burst{number}-{part}",
+                repeatable=True,
+            )
+
+
 def write_planned_changes(
     writer: TraceWriter, plan: Plan, services: tuple[Service, Service]
 ) -> None:
@@ -289,10 +304,12 @@
                 service_time_s=plan.service_time_s * (1 + int(target_id[1:]) % 5),
                 slots=plan.slots,
                 feed_period_s=FEED_PERIOD_S,
+                crossing_s=plan.service_time_s,
             )
     for zone, hosts in make_hosts(plan, (feeds, other)).items():
         writer.publish(0, f"hosts/{zone}", format_hosts(hosts))
     write_load(writer, plan, Random(plan.seed))
+    write_burst(writer, plan, 164)
     write_planned_changes(writer, plan, (feeds, other))
     write_faults(writer, feeds)
     for at, fields in expectations(plan):
--- a/lycheeglade/replay.py
+++ b/lycheeglade/replay.py
@@ -166,10 +166,10 @@
 def _publish(world: World, event: Publish, line: int, now: float) -> None:
     value = Value(event.name, event.revision, event.text)
     known = world.values_by_name.get(event.name)
-    if known is None or known.revision < event.revision:
+    is_newer = known is None or known.revision < event.revision
+    if is_newer and _is_valid(value):
         world.values_by_name[event.name] = value
-        if _is_valid(value):
-            world.published.append((now, event.name, event.revision))
+        world.published.append((now, event.name, event.revision))
     names = event.to or tuple(world.processes_by_name)
     for name in names:
         process = world.processes_by_name.get(name)
@@ -398,6 +398,7 @@
     upstream.service_time = behaviour.service_time_s
     upstream.slots = behaviour.slots
     upstream.feed_period = behaviour.feed_period_s
+    upstream.crossing = behaviour.crossing_s
     if behaviour.is_down and not upstream.is_down:
         upstream.feeds_by_token.clear()
         upstream.waiting.clear()
--- a/lycheeglade/replay_upstream.py
+++ b/lycheeglade/replay_upstream.py
@@ -41,6 +41,7 @@
     service_time: float = 0.02
     slots: int = 1
     feed_period: float = 1.0
+    crossing: float = 0.0
     is_down: bool = False
     message_id: int = 0
     running: int = 0
@@ -94,9 +95,10 @@
         upstream.running += 1
         request_id = message.payload.decode()
         upstream.runs.append(Run(now, request_id, upstream.target_id))
-        upstream.busy += upstream.service_time
+        seconds = upstream.service_time + upstream.crossing * (len(upstream.runs) % 2)
+        upstream.busy += seconds
         upstream.call_at(
-            now + upstream.service_time,
+            now + seconds,
             lambda now, message=message: _finish(upstream, message, now),
         )
 
--- a/lycheeglade/trace.py
+++ b/lycheeglade/trace.py
@@ -50,13 +50,20 @@
 
 
 class Upstream(Event, frozen=True, tag="upstream"):
-    """Behaviour of a target's upstream from now on."""
+    """Behaviour of a target's upstream from now on.
+
+    Attributes
+    ----------
+    crossing_s : float
+        What every other request takes longer, so that answers cross.
+    """
 
     service: str
     target: str
     service_time_s: float = 0.02
     slots: int = 1
     feed_period_s: float = 1.0
+    crossing_s: float = 0.0
     is_down: bool = False
 
 
