--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -1,5 +1,6 @@
 from asyncio import create_task, gather, sleep
 from contextlib import asynccontextmanager
+from os import getpid
 from random import Random
 from time import monotonic
 
@@ -15,14 +16,16 @@
 from lycheeglade.watch import view_is_fresh
 
 IN_FORCE_S = 6.0
-PLATFORM = Address("127.61.0.1", 8080)
+# Own loopback addresses, so that two runs at once don't meet.
+NETWORK = f"127.{100 + getpid() % 100}.{1 + getpid() // 100 % 250}"
+PLATFORM = Address(f"{NETWORK}.250", 8080)
 ZONE = Zone("viti-west", "nadi-a")
 SERVICE = "services/booth-sync"
 HOSTS = f"hosts/{ZONE}"
 
 
 def make_settings(number, seeds=()):
-    ip = f"127.61.1.{number}"
+    ip = f"{NETWORK}.{number}"
     ports = [Address(ip, port) for port in (7100, 7200, 7300)]
     url = f"http://{PLATFORM}"
     return Settings(Role.BALANCER, f"b{number}", ZONE, *ports, url, seeds)
