--- a/lycheeglade/checker.py
+++ b/lycheeglade/checker.py
@@ -1,16 +1,19 @@
 """Checks settings and published values before they are used."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
+from ipaddress import ip_address
 from pathlib import Path
 from typing import NamedTuple
 
 from lycheeglade.address import Address
+from lycheeglade.answers import parse_answers
 from lycheeglade.configuration import parse_hosts, parse_service
+from lycheeglade.contradictions import find_contradictions
 from lycheeglade.errors import ConfigurationError, OptionError
 from lycheeglade.options import OptionReader, suggest_name
 from lycheeglade.settings import Settings, parse_settings, read_text
-from lycheeglade.view import Host, Role, Service
+from lycheeglade.view import Host, Role, Service, View
 
 
 class Place(NamedTuple):
@@ -36,12 +39,36 @@
 def check_files(paths: Iterable[str | Path]) -> list[OptionError]:
     """Return everything that is wrong with the files at `paths`.
 
-    The kind of a file follows from its sections: ``[process]`` makes it
-    settings, ``[service]`` a service, ``[host NAME]`` a list of hosts. Files
-    that are valid by themselves are compared with each other.
+    A folder stands for all its ``.ini`` files. The kind of a file follows
+    from its sections: ``[process]`` makes it settings, ``[service]`` a
+    service, ``[team]`` a team's answers, ``[host NAME]`` a list of hosts.
+    Files that are valid by themselves are compared with each other.
     """
+    return _check(paths).errors
+
+
+def load_view(paths: Iterable[str | Path]) -> View:
+    """Return the view that the published values at `paths` make up.
+
+    Settings and answers among the files are checked and left out.
+
+    Raises
+    ------
+    ConfigurationError
+        With one `OptionError` for each thing that is wrong.
+    """
+    checked = _check(paths)
+    if checked.errors:
+        raise ConfigurationError("the values are invalid", checked.errors)
+    services = checked.services_by_source.values()
+    return View(
+        0, {service.name: service for service in services}, _hosts_by_id(checked)
+    )
+
+
+def _check(paths: Iterable[str | Path]) -> Checked:
     checked = Checked()
-    for path in paths:
+    for path in _list_files(paths):
         try:
             _read_file(str(path), checked)
         except ConfigurationError as error:
@@ -52,7 +79,7 @@
     checked.errors.extend(_compare_targets_with_hosts(checked))
     checked.errors.extend(_compare_settings_with_hosts(checked))
     checked.errors.extend(_compare_settings_with_services(checked))
-    return checked.errors
+    return checked
 
 
 def compare_services(services_by_source: dict[str, Service]) -> list[OptionError]:
@@ -94,7 +121,8 @@
         names.claim(settings.host_id, place, "host")
         datagrams.claim(settings.packets, place, "packets")
         streams.claim(settings.control, place, "control")
-        streams.claim(settings.operators, place, "operators")
+        if not _is_own_loopback(settings):
+            streams.claim(settings.operators, place, "operators")
         listen_place = Place(source, "listen")
         for service, addresses in settings.listen_by_service.items():
             for address in addresses:
@@ -102,6 +130,15 @@
     return names.errors + datagrams.errors + streams.errors
 
 
+def _is_own_loopback(settings: Settings) -> bool:
+    """Tell whether operators' loopback is that of a host with its own IP.
+
+    Processes on other hosts may then use the same loopback address.
+    """
+    operators, packets = settings.operators.ip, settings.packets.ip
+    return ip_address(operators).is_loopback and not ip_address(packets).is_loopback
+
+
 class _Owners:
     """Who claimed which value first, and the conflicts."""
 
@@ -117,17 +154,28 @@
             self.errors.append(OptionError(*place, option, reason))
 
 
+def _list_files(paths: Iterable[str | Path]) -> Iterator[Path]:
+    for path in map(Path, paths):
+        if path.is_dir():
+            yield from sorted(path.rglob("*.ini"))
+        else:
+            yield path
+
+
 def _read_file(source: str, checked: Checked) -> None:
     text = read_text(source)
     sections = OptionReader(text, source).section_names
     if "process" in sections:
         checked.settings_by_source[source] = parse_settings(text, source)
+    elif "team" in sections:
+        answers = parse_answers(text, source)
+        checked.errors.extend(find_contradictions(answers, source))
     elif "service" in sections:
         checked.services_by_source[source] = parse_service(text, source, 0)
     elif any(section.startswith("host ") for section in sections):
         checked.hosts_by_source[source] = parse_hosts(text, source)
     else:
-        reason = "has neither [process] nor [service] nor [host NAME]"
+        reason = "has none of [process], [service], [team] and [host NAME]"
         if sections:
             hint = suggest_name(sections[0], ("process", "service", "host NAME"))
             reason = f"{reason}; [{sections[0]}] is unknown, {hint}"
--- a/lycheeglade/errors.py
+++ b/lycheeglade/errors.py
@@ -36,6 +36,10 @@
         return ConfigurationError(self.message, excs)
 
 
+class UnknownServiceError(LycheegladeError):
+    """A service was named that no published value declares."""
+
+
 class PacketError(LycheegladeError):
     """A datagram can't be decoded.
 
@@ -48,3 +52,15 @@
     def __init__(self, cause: str):
         super().__init__(f"malformed packet: {cause}")
         self.cause = cause
+
+
+class TicketError(LycheegladeError):
+    """A ticket or a flow's exported tickets can't be used."""
+
+
+class TraceError(LycheegladeError):
+    """A line of a trace is invalid."""
+
+    def __init__(self, source: str, line: int, reason: str):
+        super().__init__(f"{source}:{line}: {reason}")
+        self.line = line
--- a/lycheeglade/gossip.py
+++ b/lycheeglade/gossip.py
@@ -13,7 +13,7 @@
     timeout,
 )
 from collections.abc import Iterable
-from logging import DEBUG, WARNING, getLogger
+from logging import DEBUG, ERROR, INFO, WARNING, getLogger
 from random import Random
 from time import monotonic
 
@@ -23,8 +23,7 @@
 from lycheeglade.address import Address
 from lycheeglade.blackboard import Blackboard
 from lycheeglade.errors import OptionError, PacketError
-from lycheeglade.knowledge import Knowledge
-from lycheeglade.message import (
+from lycheeglade.gossip_message import (
     MAX_MESSAGE_BYTES,
     Compare,
     Exchange,
@@ -33,6 +32,8 @@
     decode_message,
     encode_message,
 )
+from lycheeglade.knowledge import Knowledge
+from lycheeglade.logs import log_event
 from lycheeglade.peer import REQUEST_TIMEOUT_S, ask_peer, raise_if_cancelled
 from lycheeglade.platform_client import IndexEntry, PlatformClient, PlatformError
 from lycheeglade.settings import Settings
@@ -77,7 +78,7 @@
 
     Raises
     ------
-    pynng.NNGException
+    OSError
         If the control address can't be bound.
     """
     async with ClientSession() as session:
@@ -86,7 +87,7 @@
         with Rep0(
             recv_max_size=MAX_MESSAGE_BYTES, send_timeout=SEND_TIMEOUT_MS
         ) as listener:
-            listener.listen(f"tcp://{settings.control}")
+            _listen(listener, settings.control)
             async with TaskGroup() as tasks:
                 tasks.create_task(follower.serve(listener))
                 tasks.create_task(follower.exchange_in_rounds())
@@ -95,6 +96,13 @@
                 tasks.create_task(follower.watch_platform())
 
 
+def _listen(listener: Rep0, address: Address) -> None:
+    try:
+        listener.listen(f"tcp://{address}")
+    except NNGException as error:
+        raise OSError(f"{address}: {error}") from error
+
+
 class Follower:
     """One process that follows the configuration."""
 
@@ -127,9 +135,9 @@
                 if reply is not None:
                     await listener.asend(encode_message(reply))
             except PacketError as error:
-                logger.warning("control_message_refused cause=%s", error.cause)
+                log_event(logger, WARNING, "control-refused", cause=error.cause)
             except NNGException as error:
-                logger.debug("control_reply_lost cause=%s", type(error).__name__)
+                log_event(logger, DEBUG, "control-reply-lost", cause=error)
                 await sleep(SERVE_RETRY_S)
             raise_if_cancelled()
 
@@ -182,7 +190,7 @@
                 confirmed = await self._read_changes(WATCH_S)
             except PlatformError as error:
                 level = DEBUG if failures else WARNING
-                logger.log(level, "platform_unread cause=%s", error)
+                log_event(logger, level, "platform-unread", cause=error)
                 confirmed = False
             failures = 0 if confirmed else failures + 1
             await sleep(self._watch_pause(failures))
@@ -225,7 +233,7 @@
             async with timeout(REQUEST_TIMEOUT_S):
                 await self._read_changes(0.0)
         except (PlatformError, TimeoutError) as error:
-            logger.info("nobody_heard cause=%r", error)
+            log_event(logger, INFO, "nobody-heard", cause=repr(error))
 
     async def _talk_to(self, peer: Address) -> bool:
         """Learn what `peer` knows and tell whether it could be trusted."""
@@ -257,7 +265,7 @@
         try:
             value = await self._read_value(f"hosts/{self._settings.zone}")
         except PlatformError as error:
-            logger.info("peers_unknown cause=%s", error)
+            log_event(logger, INFO, "peers-unknown", cause=error)
             return
         self._knowledge.take_values([value])
         known = self._knowledge.snapshot.values_by_name.get(value.name)
@@ -300,7 +308,7 @@
         try:
             value = await self._read_value(entry.name)
         except PlatformError as error:
-            logger.info("value_unread name=%s cause=%s", entry.name, error)
+            log_event(logger, INFO, "value-unread", name=entry.name, cause=error)
             return None
         return value if value.revision >= entry.revision else None
 
@@ -326,16 +334,18 @@
         previous = self._blackboard.view.value
         view, conflicts = build_view(snapshot, previous)
         for conflict in conflicts:
-            logger.error("address_conflict %s", conflict)
+            log_event(logger, ERROR, "address-conflict", cause=conflict)
         self._blackboard.view.write(view)
         if view.hosts_by_id != previous.hosts_by_id:
             self._set_peers(view)
         self._news.set()
-        logger.info(
-            "view revision=%d services=%d hosts=%d",
-            view.revision,
-            len(view.services_by_name),
-            len(view.hosts_by_id),
+        log_event(
+            logger,
+            INFO,
+            "view",
+            revision=view.revision,
+            services=len(view.services_by_name),
+            hosts=len(view.hosts_by_id),
         )
 
     def _set_peers(self, view: View) -> None:
@@ -349,4 +359,4 @@
 
     def _log_refused(self, errors: Iterable[OptionError]) -> None:
         for error in errors:
-            logger.error("value_refused %s", error)
+            log_event(logger, ERROR, "value-refused", cause=error)
--- a/lycheeglade/knowledge.py
+++ b/lycheeglade/knowledge.py
@@ -4,7 +4,7 @@
 
 from lycheeglade.blackboard import NEVER
 from lycheeglade.errors import OptionError
-from lycheeglade.message import Compare, Exchange, PublishedValue, Reply
+from lycheeglade.gossip_message import Compare, Exchange, PublishedValue, Reply
 from lycheeglade.spread import (
     Changes,
     Snapshot,
--- a/lycheeglade/message.py
+++ b/lycheeglade/message.py
@@ -1,109 +1,151 @@
-"""Control messages between peers, on top of ``pynng``.
+"""What the agent's decisions see of a caller's protocol.
 
-Each message is one tagged MessagePack array behind two bytes: the version of
-the format, and whether the rest is compressed by zlib (RFC 1950).
+The decisions know requests, feeds and acknowledgements. An `Adapter` reads
+and writes the datagrams of one protocol, so that another protocol is another
+adapter.
 """
 
-from zlib import compress, decompressobj, error
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import StrEnum
 
-from msgspec import DecodeError, Struct
-from msgspec.msgpack import Decoder, Encoder
 
-from lycheeglade.errors import PacketError
+class Kind(StrEnum):
+    """What a datagram is."""
 
-MESSAGE_VERSION = 1
-MAX_MESSAGE_BYTES = 2 * 1024 * 1024
-COMPRESSED_FROM_BYTES = 512
-COMPRESSION_LEVEL = 1
+    REQUEST = "request"
+    RESPONSE = "response"
+    ACKNOWLEDGEMENT = "acknowledgement"
+    RESET = "reset"
+    PING = "ping"
 
 
-class PublishedValue(Struct, frozen=True, array_like=True):
-    """One revision of a published value; no text if it was deleted."""
+class FeedAction(StrEnum):
+    """What a request does to a standing feed."""
 
-    name: str
-    revision: int
-    text: str | None
+    NONE = "none"
+    OPEN = "open"
+    CLOSE = "close"
 
 
-class Exchange(Struct, frozen=True, array_like=True, tag="E"):
-    """Tells what the sender knows and asks for what it lacks.
+@dataclass(frozen=True, slots=True)
+class CallerMessage:
+    """A datagram from a caller.
 
-    `sender_ip` and `sender_port` are the sender's control address.
+    Attributes
+    ----------
+    message_id : int
+        Identifies the datagram among those of its flow.
+    token : bytes
+        Matches responses to requests, chosen by the caller.
+    reliable : bool
+        Whether the caller sends it again until it is acknowledged.
+    repeatable : bool
+        Whether the request may run more than once.
+    ticket : bytes or None
+        Ticket for a request that is not repeatable.
+    digest : bytes
+        Digest of the request without the fields that vary between copies.
+    datagram : bytes
+        The datagram as it was received.
     """
 
-    revision: int
-    digest: int
-    sender_ip: str
-    sender_port: int
-
-
-class Compare(Struct, frozen=True, array_like=True, tag="C"):
-    """Asks for the values in the buckets whose digests differ."""
-
-    digests: tuple[int, ...]
+    kind: Kind
+    message_id: int
+    token: bytes
+    reliable: bool = False
+    repeatable: bool = True
+    feed: FeedAction = FeedAction.NONE
+    ticket: bytes | None = None
+    digest: bytes = b""
+    datagram: bytes = b""
 
 
-class Reply(Struct, frozen=True, array_like=True, tag="R"):
-    """Answers an exchange or a comparison.
+@dataclass(frozen=True, slots=True)
+class UpstreamMessage:
+    """A datagram from an upstream.
 
     Attributes
     ----------
-    revision, digest : int
-        What the answering peer knows.
-    fresh : bool
-        Whether the peer itself has lately asked others.
-    age : float
-        Seconds since what the peer knows was confirmed by the platform.
-    up_to : int
-        Revision up to which `values` complete the asking process.
-    refused : tuple of (str, int)
-        Names and revisions of values that were refused.
+    failed : bool
+        Whether the upstream reports an error of its own.
+    refused : bool
+        Whether the upstream reports that it did not run the request.
+    is_notification : bool
+        Whether more responses to the same request will follow.
+    item : bytes
+        Identifies the content of a notification.
     """
 
-    revision: int
-    digest: int
-    fresh: bool
-    age: float
-    up_to: int
-    values: tuple[PublishedValue, ...]
-    refused: tuple[tuple[str, int], ...] = ()
+    kind: Kind
+    message_id: int
+    token: bytes
+    reliable: bool = False
+    failed: bool = False
+    refused: bool = False
+    is_notification: bool = False
+    item: bytes = b""
+    datagram: bytes = b""
 
 
-Message = Exchange | Compare | Reply
+@dataclass(frozen=True, slots=True)
+class ReplyTo:
+    """Where a response belongs: the request's identifiers."""
 
-_encoder = Encoder()
-_decoder = Decoder(Message)
+    message_id: int
+    token: bytes
+    reliable: bool
 
 
-def encode_message(message: Message) -> bytes:
-    """Return the bytes for `message`."""
-    body = _encoder.encode(message)
-    if len(body) < COMPRESSED_FROM_BYTES:
-        return bytes((MESSAGE_VERSION, 0)) + body
-    return bytes((MESSAGE_VERSION, 1)) + compress(body, COMPRESSION_LEVEL)
+@dataclass(frozen=True, slots=True)
+class Adapter:
+    """Functions that read and write the datagrams of one protocol.
 
+    The reading functions raise `PacketError` on a malformed datagram.
 
-def decode_message(data: bytes) -> Message:
-    """Return the message in `data`.
-
-    Raises
-    ------
-    PacketError
-        If the version is another one, the message too large or malformed.
+    Attributes
+    ----------
+    read_caller, read_upstream : callable
+        Decode a datagram.
+    write_request : callable
+        Turn a caller's request into one for the upstream, with a message id
+        and a token of the agent.
+    write_response : callable
+        Turn an upstream's response into one for the caller. A ticket, if not
+        None, is added for the caller's next request.
+    write_notification : callable
+        Turn an upstream's notification into one for the caller, with a
+        message id and a sequence number. With a `ReplyTo` in place of the
+        message id it answers the registration itself.
+    write_challenge : callable
+        Ask the caller to repeat a request with the ticket given.
+    write_refusal : callable
+        Tell that a request was not run, and after how many seconds to come
+        back.
+    write_overload : callable
+        Tell the sender of a datagram to come back after some seconds, saying
+        nothing of whether it ran. None if only silence is true.
+    write_unknown : callable
+        Tell that it isn't known whether a request ran. It is final.
+    write_invalid : callable
+        Tell that a request can't be served, with the reason.
+    write_closing : callable
+        End a feed.
+    write_acknowledgement, write_reset, write_ping : callable
+        Build a datagram without content.
     """
-    if len(data) < 2:
-        raise PacketError("truncated")
-    if data[0] != MESSAGE_VERSION:
-        raise PacketError("version")
-    try:
-        return _decoder.decode(_decompress(data[2:]) if data[1] else data[2:])
-    except (DecodeError, RecursionError, error) as cause:
-        raise PacketError("encoding") from cause
-
-
-def _decompress(data: bytes) -> bytes:
-    decompressor = decompressobj()
-    body = decompressor.decompress(data, MAX_MESSAGE_BYTES)
-    if decompressor.unconsumed_tail or not decompressor.eof:
-        raise PacketError("size")
-    return body
+
+    read_caller: Callable[[bytes], CallerMessage]
+    read_upstream: Callable[[bytes], UpstreamMessage]
+    write_request: Callable[[bytes, int, bytes], bytes]
+    write_response: Callable[[bytes, ReplyTo, bytes | None], bytes]
+    write_notification: Callable[[bytes, ReplyTo | int, bytes, int], bytes]
+    write_challenge: Callable[[ReplyTo, bytes], bytes]
+    write_refusal: Callable[[ReplyTo, int, bytes | None], bytes]
+    write_overload: Callable[[bytes, int], bytes | None]
+    write_unknown: Callable[[ReplyTo], bytes]
+    write_invalid: Callable[[ReplyTo, str], bytes]
+    write_closing: Callable[[int, bytes], bytes]
+    write_acknowledgement: Callable[[int], bytes]
+    write_reset: Callable[[int], bytes]
+    write_ping: Callable[[int], bytes]
--- a/lycheeglade/peer.py
+++ b/lycheeglade/peer.py
@@ -1,19 +1,20 @@
 """Requests to one peer over ``pynng``."""
 
 from asyncio import CancelledError, current_task, timeout
-from logging import getLogger
+from logging import DEBUG, getLogger
 
 from pynng import NNGException, Req0
 
 from lycheeglade.address import Address
 from lycheeglade.errors import PacketError
-from lycheeglade.message import (
+from lycheeglade.gossip_message import (
     MAX_MESSAGE_BYTES,
     Message,
     Reply,
     decode_message,
     encode_message,
 )
+from lycheeglade.logs import log_event
 
 logger = getLogger(__name__)
 
@@ -35,7 +36,7 @@
                 await socket.asend(encode_message(message))
                 reply = decode_message(await socket.arecv())
     except (TimeoutError, NNGException, PacketError) as error:
-        logger.debug("peer_silent peer=%s cause=%r", peer, error)
+        log_event(logger, DEBUG, "peer-silent", peer=peer, cause=repr(error))
         reply = None
     raise_if_cancelled()
     return reply if isinstance(reply, Reply) else None
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -13,8 +13,8 @@
 import lycheeglade.knowledge
 import lycheeglade.spread
 from lycheeglade.address import Address, Zone
+from lycheeglade.gossip_message import decode_message, encode_message
 from lycheeglade.knowledge import COMPARE_S, Knowledge
-from lycheeglade.message import decode_message, encode_message
 from lycheeglade.spread import Snapshot, advance, build_view
 from lycheeglade.value import Value
 from lycheeglade.view import Protocol, Service
