--- a/lycheeglade/feed.py
+++ b/lycheeglade/feed.py
@@ -253,7 +253,7 @@
     datagram = served.adapter.write_notification(
         item, message_id, feed.token, feed.sequence
     )
-    feed.in_flight = Notification(feed.sequence, message_id, datagram)
+    feed.in_flight = Notification(feed.sequence, message_id, datagram, now)
     send_in_flight(agent, served, record, feed, now)
 
 
@@ -348,6 +348,8 @@
     """Go on with the feed whose notification was acknowledged."""
     for feed in record.feeds_by_token.values():
         if feed.in_flight and feed.in_flight.message_id == message_id:
+            seconds = now - feed.in_flight.created_at
+            agent.actions.record(served.service.name, "feed", "whole", seconds)
             feed.in_flight = None
             pump_feed(agent, served, feed, now)
             if feed.in_flight is None:
--- a/lycheeglade/handoff.py
+++ b/lycheeglade/handoff.py
@@ -437,14 +437,14 @@
             served.feeds_by_upstream_token.pop(feed.upstream_token, None)
             continue
         record.feeds_by_token[feed.token] = feed
-        _import_feed(feed, feed_state)
+        _import_feed(feed, feed_state, now)
         if feed.in_flight is not None:
             send_in_flight(agent, served, record, feed, now)
         pump_feed(agent, served, feed, now)
         schedule_check(agent, served, feed, now + served.service.heartbeat)
 
 
-def _import_feed(feed: Feed, state: FeedState) -> None:
+def _import_feed(feed: Feed, state: FeedState, now: float) -> None:
     """Go on where the home stopped, without the items that it had seen."""
     delivered = set(state.recent_items)
     own_items = list(zip(feed.recent_items, feed.items, strict=False))
@@ -457,7 +457,7 @@
     feed.latest = state.latest
     feed.suspended = False
     if state.in_flight is not None:
-        feed.in_flight = Notification(*state.in_flight)
+        feed.in_flight = Notification(*state.in_flight, created_at=now)
 
 
 def receive_done(served: ServedTarget, packet: HandoffDone) -> None:
--- a/lycheeglade/served_target.py
+++ b/lycheeglade/served_target.py
@@ -83,6 +83,7 @@
     sequence: int
     message_id: int
     datagram: bytes
+    created_at: float
     attempts: int = 0
     retry_at: float = 0.0
     tried: set[Address] = field(default_factory=set)
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -22,7 +22,7 @@
 
 
 def lose_feed_state(monkeypatch):
-    def import_feed(feed, state):
+    def import_feed(feed, state, now):
         feed.suspended = False
 
     monkeypatch.setattr(handoff, "_import_feed", import_feed)
