--- a/bench/spread.py
+++ b/bench/spread.py
@@ -193,14 +193,14 @@
         knowledge.snapshot = advance(Snapshot(), make_services(size), size).snapshot
         with Rep0() as listener:
             listener.listen(f"tcp://{CONTROL}")
-            server = create_task(_serve(listener, knowledge))
+            server = create_task(serve(listener, knowledge))
             request = knowledge.ask(*CONTROL)
             await ask_peer(CONTROL, request)
-            bytes_before, started = _loopback_bytes(), process_time()
+            bytes_before, started = loopback_bytes(), process_time()
             for _ in range(EXCHANGES):
                 assert await ask_peer(CONTROL, request) is not None
             cpu.append((process_time() - started) / EXCHANGES * 1000.0)
-            wire.append((_loopback_bytes() - bytes_before) / EXCHANGES)
+            wire.append((loopback_bytes() - bytes_before) / EXCHANGES)
         await gather(server, return_exceptions=True)
     print_fit("CPU of an idle exchange, both ends, by service", "ms", sizes, cpu)
     print_fit("bytes of an idle exchange, both ways, by service", "B", sizes, wire)
@@ -209,13 +209,15 @@
     print(f"    at rest exchanges take {share:.3f}% of a core")
 
 
-async def _serve(listener: Rep0, knowledge: Knowledge) -> None:
+async def serve(listener: Rep0, knowledge: Knowledge) -> None:
+    """Answer all requests until the listener is closed."""
     while True:
         request = decode_message(await listener.arecv())
         await listener.asend(encode_message(knowledge.answer(request, True, 0.0)))
 
 
-def _loopback_bytes() -> int:
+def loopback_bytes() -> int:
+    """Return the bytes that the loopback interface has taken in."""
     for line in Path("/proc/net/dev").read_text().splitlines():
         if line.strip().startswith("lo:"):
             return int(line.split()[1])
