Work out capacity at the target size from the slopes

bench.capacity measures, works out and rewrites the tables of the page; make capacity runs it. The data path's bench now waits until its children answer, since a fixed wait was too short on a busy machine (connection refused).

--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,6 @@
 
 faults: $(READY)
 	FAULTS_LONG=1 FAULTS_SEED=$(or $(SEED),1) $(BIN)/python -m pytest -v --timeout 200 tests/test_faults.py
+
+capacity: $(READY)
+	$(BIN)/python -m bench.capacity
--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,89 @@
+"""Measures the slopes of the capacity page and rewrites its tables.
+
+Usage: ``python -m bench.capacity [--page docs/CAPACITY.md]``. Nothing else
+should load the machine meanwhile.
+"""
+
+from argparse import ArgumentParser
+from os import cpu_count, getloadavg
+from pathlib import Path
+from platform import python_version
+from time import perf_counter
+
+from bench.capacity_measures import base_mb, spread_seconds
+from bench.capacity_slopes import measure_slopes
+from bench.capacity_tables import (
+    Workings,
+    fault_table,
+    limit_table,
+    message_table,
+    role_table,
+    slope_table,
+)
+from bench.capacity_target import PROCESSES
+
+PAGE = Path("docs/CAPACITY.md")
+BEGIN = "<!-- measured -->"
+END = "<!-- end -->"
+DEAD = 0.3
+
+
+def replace_measured(page: str, measured: str) -> str:
+    """Return `page` with other text between its markers.
+
+    Raises
+    ------
+    ValueError
+        If a marker is missing, stands twice or in the wrong order.
+    """
+    if page.count(BEGIN) != 1 or page.count(END) != 1:
+        raise ValueError(f"the page needs {BEGIN} and {END}, once each")
+    head, rest = page.split(BEGIN)
+    if END not in rest:
+        raise ValueError(f"{END} stands before {BEGIN}")
+    tail = rest.split(END)[1]
+    return f"{head}{BEGIN}\n\n{measured}\n\n{END}{tail}"
+
+
+def measure_tables() -> str:
+    """Return all tables, measured now."""
+    started_at, load = perf_counter(), getloadavg()[0]
+    base_mb_by_role = {role: base_mb(role) for role in ("balancer", "agent")}
+    slopes = measure_slopes()
+    dead_s = spread_seconds(PROCESSES, DEAD)
+    work = Workings(slopes, base_mb_by_role)
+    seconds = perf_counter() - started_at
+    bases = " and ".join(
+        f"{mb:.0f} MB for the {r}" for r, mb in base_mb_by_role.items()
+    )
+    return "\n\n".join(
+        [
+            f"Last run: `make capacity`, Python {python_version()}, {cpu_count()} "
+            f"cores, load {load:.1f} at its start and {getloadavg()[0]:.1f} at its "
+            f"end, {seconds:.0f} s. A process without work takes {bases}.",
+            "### By role",
+            role_table(work),
+            "### By kind of message",
+            message_table(work),
+            "### Against the limits",
+            limit_table(work, dead_s),
+            "### Losses, restarts and starts",
+            fault_table(work),
+            "### Slopes",
+            slope_table(slopes),
+        ]
+    )
+
+
+def main() -> None:
+    """Rewrite the tables of the page."""
+    parser = ArgumentParser(prog="python -m bench.capacity", description=__doc__)
+    parser.add_argument("--page", type=Path, default=PAGE)
+    page = parser.parse_args().page
+    text = page.read_text()
+    replace_measured(text, "")
+    page.write_text(replace_measured(text, measure_tables()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/capacity_measures.py
@@ -0,0 +1,303 @@
+"""Measurements behind the capacity page, each at one size."""
+
+from asyncio import create_task, gather, get_running_loop, run
+from collections.abc import Callable, Iterable
+from gc import collect
+from multiprocessing import get_context
+from random import Random
+from time import process_time
+from tracemalloc import get_traced_memory, start, stop
+
+from psutil import Process
+from pynng import Rep0
+
+from bench import agent, datapath, membership, routing, spread
+from bench.epidemic import Fleet, spread_times
+from lycheeglade import balancer
+from lycheeglade.address import Address
+from lycheeglade.agent import make_agent, update_view
+from lycheeglade.flow import FlowKey
+from lycheeglade.gossip import PUSH_FANOUT
+from lycheeglade.gossip_message import encode_message
+from lycheeglade.knowledge import Knowledge
+from lycheeglade.membership import Membership
+from lycheeglade.overload import EstablishedFlows
+from lycheeglade.packet import (
+    Answer,
+    Delegate,
+    DelegateReply,
+    HandoffCommit,
+    HandoffDone,
+    HandoffOffer,
+    HandoffReady,
+    HomeNotice,
+    Ping,
+    Pong,
+    Probe,
+    ProbeReply,
+    encode_packet,
+)
+from lycheeglade.peer import ask_peer
+from lycheeglade.routing import CandidateCache
+from lycheeglade.spread import Snapshot, advance, build_view
+from lycheeglade.transport import DatagramSocket
+from lycheeglade.view import View
+
+BATCHES = 6
+RUNS = 3
+EXCHANGES = 20
+HOSTS_PER_SERVICE = 39_300 // 11_000
+WATCHERS = 50
+DEAD = 0.02
+
+
+def traced_kb(make: Callable[[], object]) -> float:
+    """Return the kilobytes that the result of `make` holds."""
+    collect()
+    start()
+    kept = make()
+    collect()
+    size, _ = get_traced_memory()
+    stop()
+    del kept
+    return size / 1000
+
+
+def relayed_cpu(round_trips: int) -> float:
+    """Return milliseconds of a balancer's processor time for round trips."""
+    figures = datapath.measure("balancer", round_trips)
+    return 2e3 * round_trips * figures["answered"] / figures["packets_per_cpu_second"]
+
+
+def make_established(count: int) -> EstablishedFlows:
+    """Return the table of flows that were answered lately."""
+    flows = EstablishedFlows(count)
+    for number in range(count):
+        caller_ip = f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}"
+        flows.note_answer(FlowKey("booth-sync", caller_ip, 1024 + number), 1.0)
+    return flows
+
+
+def make_cache(count: int) -> CandidateCache:
+    """Return a cache of so many ranked buckets."""
+    service = routing.make_service(7)
+    cache = CandidateCache(2 * count)
+    for bucket in range(count):
+        cache.rank(service, bucket)
+    return cache
+
+
+def rank_us(targets: int) -> float:
+    """Return microseconds to rank a bucket that isn't cached."""
+    service = routing.make_service(targets)
+    return least(lambda _: routing.time_lookups(service, routing.BUCKETS), targets)
+
+
+def make_membership(count: int) -> Membership:
+    """Return the membership of so many peers."""
+    peers = Membership(Random(1))
+    peers.watch(list(range(count)))
+    return peers
+
+
+def detection_time(count: int) -> float:
+    """Return seconds until 1/25 of the peers, lost at once, are suspected."""
+    lost = frozenset(range(0, count, 25))
+    found, _, _ = membership.run_loss(range(count), lost, 8, 1)
+    if len(found) < len(lost):
+        raise ValueError(f"only {len(found)} of {len(lost)} were found")
+    return max(found.values())
+
+
+def notice_bytes(callers: int) -> float:
+    """Return the bytes of a notice about so many flows."""
+    flows = tuple((f"10.1.{n >> 8}.{n & 255}", 4000 + n) for n in range(callers))
+    return len(encode_packet(HomeNotice("booth-sync", "t0", "t1", flows)))
+
+
+def sample_packets() -> dict[str, bytes]:
+    """Return a datagram of each kind; what carries a payload has 64 bytes."""
+    payload, flow = bytes(64), ("booth-sync", "t0", "10.0.0.1", 4000)
+    number = 1 << 47
+    moved = ("booth-sync", "t0", "t1", "10.0.0.1", 4000, number)
+    samples = (
+        agent.make_forward(1, payload),
+        Answer(*flow, payload),
+        Probe(*flow),
+        ProbeReply(*flow, "t1"),
+        HomeNotice("booth-sync", "t0", "t1", (("10.0.0.1", 4000),)),
+        Ping(number),
+        Pong(number),
+        Delegate("booth-sync", "t0", "t1", number, number, 0.5, False, payload),
+        DelegateReply("booth-sync", "t0", "t1", number, True, payload, 0.5, number),
+        HandoffOffer(*moved, (payload,)),
+        HandoffReady("booth-sync", "t0", number, True),
+        HandoffCommit(*moved, payload),
+        HandoffDone("booth-sync", "t0", number),
+    )
+    return {type(packet).__name__: encode_packet(packet) for packet in samples}
+
+
+def least(measure: Callable[[int], float], size: int) -> float:
+    """Return the least of some runs, since other work only adds."""
+    return min(measure(size) for _ in range(RUNS))
+
+
+def requests_ms(flows: int) -> float:
+    """Return milliseconds of an agent for a request of each flow."""
+    return least(agent.time_requests, flows) * flows / 1000
+
+
+def items_ms(flows: int) -> float:
+    """Return milliseconds of an agent for a feed item of each flow."""
+    return least(agent.time_notifications, flows) * flows / 1000
+
+
+def moves_ms(flows: int) -> float:
+    """Return milliseconds of an agent for a change that ranks its flows."""
+    return least(lambda n: agent.time_view_change(n)[0], flows) * flows / 1000
+
+
+def make_kept(values: Iterable, revision: int) -> object:
+    """Return a snapshot of the values and its view."""
+    snapshot = advance(Snapshot(), values, revision).snapshot
+    return snapshot, build_view(snapshot)
+
+
+def services_kb(count: int) -> float:
+    """Return the kilobytes of so many services in force."""
+    return traced_kb(lambda: make_kept(spread.make_services(count), count))
+
+
+def hosts_kb(count: int) -> float:
+    """Return the kilobytes of so many listed hosts in force."""
+    return traced_kb(lambda: make_kept(spread.make_host_values(count), count))
+
+
+def list_bytes(hosts: int) -> float:
+    """Return the bytes of a reply that carries a zone's list of hosts."""
+    value = spread.make_hosts(0, hosts)
+    known = Knowledge(0.0)
+    known.snapshot = Snapshot(value.revision, {value.name: value})
+    request = Knowledge(0.0).ask("127.0.0.1", 1)
+    return len(encode_message(known.answer(request, True, 0.0)))
+
+
+def view_ms(services: int) -> float:
+    """Return milliseconds of processor time to build a view."""
+    values = spread.make_services(services)
+    snapshot = advance(Snapshot(), values, services).snapshot
+    return spread.measure_cpu(lambda: build_view(snapshot), 10)
+
+
+def make_role_view(services: int) -> View:
+    """Return a view of so many services, and hosts in proportion."""
+    values = [*spread.make_services(services)]
+    values += spread.make_host_values(services * HOSTS_PER_SERVICE)
+    snapshot = advance(Snapshot(), values, services).snapshot
+    return build_view(snapshot)[0]
+
+
+def balancer_view_ms(services: int) -> float:
+    """Return milliseconds of a balancer's processor time for a newer view."""
+    view = make_role_view(services)
+    actions = balancer.BalancerActions(
+        send=lambda address, datagram: None,
+        answer=lambda service, caller, datagram: None,
+        count=lambda name, service, cause: None,
+    )
+    subject = balancer.make_balancer(
+        "b1", datapath.HERE, datapath.AGENT_SIDE, actions, Random(1)
+    )
+    return spread.measure_cpu(lambda: balancer.update_view(subject, view), 10)
+
+
+def agent_view_ms(services: int) -> float:
+    """Return milliseconds of an agent's processor time for a newer view."""
+    view = make_role_view(services)
+    upstream = agent.Upstream()
+    subject = make_agent(
+        "host-1", spread.make_zone(0), upstream.actions(), Random(1), 100_000, 0.0
+    )
+    return spread.measure_cpu(lambda: update_view(subject, view, 0.0), 10)
+
+
+def bind_ms(sockets: int) -> float:
+    """Return milliseconds of processor time to bind so many addresses."""
+
+    async def bind() -> float:
+        loop = get_running_loop()
+        network = datapath.NETWORK
+        started = process_time()
+        bound = [
+            DatagramSocket(
+                loop,
+                lambda datagram, source: None,
+                local=Address(f"127.{network}.{100 + n // 250}.{n % 250 + 1}", 5683),
+            )
+            for n in range(sockets)
+        ]
+        seconds = process_time() - started
+        for each in bound:
+            each.close()
+        return seconds * 1000.0
+
+    return run(bind())
+
+
+def read_ms(services: int) -> float:
+    """Return milliseconds of processor time to read so many services."""
+    values = list(spread.make_services(services))
+    return spread.measure_cpu(lambda: advance(Snapshot(), values, services), 1)
+
+
+async def exchange_costs(services: int) -> tuple[float, float]:
+    """Return milliseconds (both ends) and bytes of an idle exchange.
+
+    The least of several batches, since others may use the loopback too.
+    """
+    known = Knowledge(0.0)
+    values = spread.make_services(services)
+    known.snapshot = advance(Snapshot(), values, services).snapshot
+    cpu, wire = [], []
+    with Rep0() as listener:
+        listener.listen(f"tcp://{spread.CONTROL}")
+        server = create_task(spread.serve(listener, known))
+        request = known.ask(*spread.CONTROL)
+        await ask_peer(spread.CONTROL, request)
+        for _ in range(BATCHES):
+            bytes_before, started = spread.loopback_bytes(), process_time()
+            for _ in range(EXCHANGES):
+                if await ask_peer(spread.CONTROL, request) is None:
+                    raise TimeoutError("no reply of the peer")
+            cpu.append((process_time() - started) / EXCHANGES * 1000.0)
+            wire.append((spread.loopback_bytes() - bytes_before) / EXCHANGES)
+    await gather(server, return_exceptions=True)
+    return min(cpu), min(wire)
+
+
+def spread_seconds(processes: int, dead: float = DEAD) -> float:
+    """Return seconds until a change is known everywhere, in the model."""
+    return _spread(processes, dead).all
+
+
+def spread_messages(processes: int) -> float:
+    """Return the messages a process that a change takes, in the model."""
+    return _spread(processes, DEAD).messages
+
+
+def _spread(processes: int, dead: float):
+    fleet = Fleet(processes, spread.ZONES, PUSH_FANOUT, WATCHERS, dead)
+    return spread_times(fleet, 1)
+
+
+def base_mb(role: str) -> float:
+    """Return the resident megabytes of a role's modules in a new process."""
+    with get_context("spawn").Pool(1) as pool:
+        return pool.apply(_load_role, (role,))
+
+
+def _load_role(role: str) -> float:
+    # A process without the measuring modules would be smaller still.
+    __import__(f"lycheeglade.{role}_daemon")
+    return Process().memory_info().rss / 1e6
--- /dev/null
+++ b/bench/capacity_workings.py
@@ -0,0 +1,122 @@
+"""Figures at the target size, worked out from measured slopes."""
+
+from bench import capacity_target as size
+from bench.capacity_measures import WATCHERS
+from bench.capacity_slopes import Slope
+from lycheeglade.balancer import MAX_CACHED_BUCKETS, MAX_ESTABLISHED_FLOWS
+from lycheeglade.gossip import WATCH_S
+from lycheeglade.overload import ESTABLISHED_TIME
+
+
+class Workings:
+    """Figures at the target size.
+
+    Parameters
+    ----------
+    slopes : dict of str to Slope
+        What was measured.
+    base_mb_by_role : dict of str to float
+        Resident memory of each role's modules in a new process.
+    """
+
+    def __init__(self, slopes: dict[str, Slope], base_mb_by_role: dict[str, float]):
+        self.slopes = slopes
+        self.base_mb_by_role = base_mb_by_role
+        self.config_mb = (
+            self.each("services", size.ADDRESSES) + self.each("hosts", size.PROCESSES)
+        ) / 1000
+
+    def each(self, name: str, count: float) -> float:
+        """Return slope times count."""
+        return self.slopes[name].line.slope * count
+
+    def at(self, name: str, count: float) -> float:
+        """Return the line's figure at a size."""
+        return self.slopes[name].at(count)
+
+    def last(self, name: str) -> float:
+        """Return the figure at the greatest size that was measured."""
+        return self.slopes[name].figures[-1]
+
+    def rank_us(self) -> float:
+        """Return microseconds to rank a bucket at the mean service."""
+        return self.at("rank", size.TARGETS_PER_SERVICE)
+
+    def balancer_core(self) -> float:
+        """Return the cores that a balancer's packets take."""
+        trips = size.ROUND_TRIPS_PER_NODE_S
+        return trips * (self.each("relay", 1) / 1e3 + self.rank_us() / 1e6)
+
+    def established_needed(self) -> float:
+        """Return the flows that a balancer answers in the time kept."""
+        return size.ROUND_TRIPS_PER_NODE_S * ESTABLISHED_TIME
+
+    def agent_core(self) -> float:
+        """Return the cores that an agent's flows take."""
+        items = self.each("item", size.ITEMS_PER_TARGET_S)
+        opens = self.each("request", size.OPENS_PER_TARGET_S)
+        return (items + opens) / 1e3
+
+    def balancer_mb(self) -> float:
+        """Return a balancer's megabytes."""
+        tables = self.each("cache", MAX_CACHED_BUCKETS)
+        tables += self.each("established", MAX_ESTABLISHED_FLOWS)
+        tables += self.each("peers", size.TARGETS)
+        return self.base_mb_by_role["balancer"] + self.config_mb + tables / 1000
+
+    def agent_mb(self) -> float:
+        """Return an agent's megabytes, each flow with a feed."""
+        flows = self.each("feed", size.FLOWS_PER_TARGET) / 1000
+        return self.base_mb_by_role["agent"] + self.config_mb + flows
+
+    def rest_bytes(self) -> float:
+        """Return gossip bytes a second without changes, in and out."""
+        return self.at("gossip", size.ADDRESSES)
+
+    def list_bytes(self) -> float:
+        """Return the bytes of one zone's list of hosts."""
+        return self.at("list", size.HOSTS_PER_ZONE)
+
+    def change_bytes(self) -> float:
+        """Return bytes of a list change at a process, in and out."""
+        return self.last("messages") * self.rest_bytes() + 2 * self.list_bytes()
+
+    def control_bytes(self) -> float:
+        """Return control bytes a second on average."""
+        pushes = self.last("messages") * self.rest_bytes() * size.CHANGES_PER_DAY
+        lists = 2 * self.list_bytes() * size.LIST_CHANGES_PER_DAY
+        return self.rest_bytes() + (pushes + lists) / size.DAY_S
+
+    def rest_core(self) -> float:
+        """Return the share of a core that gossip takes without changes."""
+        return self.at("gossip_cpu", size.ADDRESSES) / 2 / 1000
+
+    def change_ms(self, role: str) -> float:
+        """Return processor milliseconds of one list change."""
+        pushes = self.last("messages") * self.at("gossip_cpu", size.ADDRESSES) / 2
+        view = self.at("view", size.ADDRESSES)
+        taken = self.at(f"{role}_view", size.ADDRESSES)
+        return pushes + view + taken + self.at("list_cpu", size.HOSTS_PER_ZONE)
+
+    def control_core(self, role: str) -> float:
+        """Return the share of a core for control on average."""
+        changes = self.change_ms(role) / 1000 * size.CHANGES_PER_DAY / size.DAY_S
+        return self.rest_core() + changes
+
+    def in_force_s(self, role: str) -> float:
+        """Return seconds until a change is in force in the last process."""
+        return self.last("spread") + self.change_ms(role) / 1000
+
+    def start_s(self) -> float:
+        """Return processor seconds to read all services at a start."""
+        return self.each("read", size.ADDRESSES) / 1000
+
+
+def reads_at_rest() -> float:
+    """Return platform reads a second without changes."""
+    return WATCHERS / WATCH_S
+
+
+def reads_by_changes() -> float:
+    """Return platform reads a second by changes: an index and a value each."""
+    return 2 * WATCHERS * size.CHANGES_PER_DAY / size.DAY_S
--- a/bench/datapath.py
+++ b/bench/datapath.py
@@ -38,6 +38,8 @@
 HERE = Zone("viti-west", "nadi-a")
 BUFFER_BYTES = 4 * 1024 * 1024
 IDLE_S = 1.0
+START_S = 1.5
+START_ATTEMPTS = 10
 KNOWN_FLOWS = 100_000
 GOAL_RATIO = 0.4
 # The children take the network of the process that started them.
@@ -172,6 +174,24 @@
     return answered, perf_counter() - started_at
 
 
+def warm_up(packets: int) -> None:
+    """Drive until all children answer.
+
+    Raises
+    ------
+    TimeoutError
+        If they don't within some seconds.
+    """
+    for _ in range(START_ATTEMPTS):
+        uvloop.run(sleep(START_S))
+        try:
+            if drive(packets)[0] == packets:
+                return
+        except ConnectionRefusedError:
+            continue
+    raise TimeoutError("the relay or balancer doesn't answer")
+
+
 def measure(name: str, packets: int) -> dict[str, float]:
     """Measure one subject; a packet counts on each of its two ways."""
     context = get_context("spawn")
@@ -184,8 +204,7 @@
     for child in children:
         child.start()
     try:
-        uvloop.run(sleep(1.5))
-        drive(packets // 10)
+        warm_up(packets // 10)
         process = Process(subject.pid)
         before = sum(process.cpu_times()[:2])
         answered, seconds = drive(packets)
