--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -80,9 +80,9 @@
     parser = ArgumentParser(prog="python -m bench.capacity", description=__doc__)
     parser.add_argument("--page", type=Path, default=PAGE)
     page = parser.parse_args().page
-    text = page.read_text()
-    replace_measured(text, "")
-    page.write_text(replace_measured(text, measure_tables()))
+    replace_measured(page.read_text(), "")
+    tables = measure_tables()
+    page.write_text(replace_measured(page.read_text(), tables))
 
 
 if __name__ == "__main__":
--- a/bench/capacity_measures.py
+++ b/bench/capacity_measures.py
@@ -1,7 +1,8 @@
 """Measurements behind the capacity page, each at one size."""
 
 from asyncio import create_task, gather, get_running_loop, run
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
+from functools import cache
 from gc import collect
 from multiprocessing import get_context
 from random import Random
@@ -158,20 +159,39 @@
     return least(lambda n: agent.time_view_change(n)[0], flows) * flows / 1000
 
 
-def make_kept(values: Iterable, revision: int) -> object:
-    """Return a snapshot of the values and its view."""
-    snapshot = advance(Snapshot(), values, revision).snapshot
-    return snapshot, build_view(snapshot)
-
-
 def services_kb(count: int) -> float:
-    """Return the kilobytes of so many services in force."""
-    return traced_kb(lambda: make_kept(spread.make_services(count), count))
+    """Return the resident kilobytes of so many services in force."""
+    return _in_new_process(_resident_kb, "services", count)
 
 
 def hosts_kb(count: int) -> float:
-    """Return the kilobytes of so many listed hosts in force."""
-    return traced_kb(lambda: make_kept(spread.make_host_values(count), count))
+    """Return the resident kilobytes of so many listed hosts in force."""
+    return _in_new_process(_resident_kb, "hosts", count)
+
+
+def _in_new_process(function: Callable, *arguments) -> float:
+    with get_context("spawn").Pool(1) as pool:
+        return pool.apply(function, arguments)
+
+
+def _resident_kb(kind: str, count: int) -> float:
+    make = {"services": spread.make_services, "hosts": spread.make_host_values}[kind]
+    collect()
+    before = Process().memory_info().rss
+    snapshot = Snapshot()
+    for value in make(count):
+        snapshot = advance(snapshot, [value], 0).snapshot
+    kept = build_view(snapshot)
+    collect()
+    after = Process().memory_info().rss
+    del kept
+    return (after - before) / 1000
+
+
+@cache
+def services_snapshot(count: int) -> Snapshot:
+    """Return a snapshot of so many services."""
+    return advance(Snapshot(), spread.make_services(count), count).snapshot
 
 
 def list_bytes(hosts: int) -> float:
@@ -185,16 +205,15 @@
 
 def view_ms(services: int) -> float:
     """Return milliseconds of processor time to build a view."""
-    values = spread.make_services(services)
-    snapshot = advance(Snapshot(), values, services).snapshot
+    snapshot = services_snapshot(services)
     return spread.measure_cpu(lambda: build_view(snapshot), 10)
 
 
+@cache
 def make_role_view(services: int) -> View:
     """Return a view of so many services, and hosts in proportion."""
-    values = [*spread.make_services(services)]
-    values += spread.make_host_values(services * HOSTS_PER_SERVICE)
-    snapshot = advance(Snapshot(), values, services).snapshot
+    hosts = spread.make_host_values(services * HOSTS_PER_SERVICE)
+    snapshot = advance(services_snapshot(services), hosts, services).snapshot
     return build_view(snapshot)[0]
 
 
@@ -257,8 +276,7 @@
     The least of several batches, since others may use the loopback too.
     """
     known = Knowledge(0.0)
-    values = spread.make_services(services)
-    known.snapshot = advance(Snapshot(), values, services).snapshot
+    known.snapshot = services_snapshot(services)
     cpu, wire = [], []
     with Rep0() as listener:
         listener.listen(f"tcp://{spread.CONTROL}")
@@ -286,6 +304,7 @@
     return _spread(processes, DEAD).messages
 
 
+@cache
 def _spread(processes: int, dead: float):
     fleet = Fleet(processes, spread.ZONES, PUSH_FANOUT, WATCHERS, dead)
     return spread_times(fleet, 1)
@@ -293,8 +312,7 @@
 
 def base_mb(role: str) -> float:
     """Return the resident megabytes of a role's modules in a new process."""
-    with get_context("spawn").Pool(1) as pool:
-        return pool.apply(_load_role, (role,))
+    return _in_new_process(_load_role, role)
 
 
 def _load_role(role: str) -> float:
--- a/bench/capacity_slopes.py
+++ b/bench/capacity_slopes.py
@@ -14,8 +14,8 @@
 FLOWS = (500, 1000, 2000)
 ENTRIES = (5_000, 10_000, 20_000)
 HOSTS = (100, 400, 1572)
-SERVICES = (500, 1000, 2000)
-ALL_HOSTS = (2500, 5000, 10_000)
+SERVICES = (1100, 3300, 11_000)
+ALL_HOSTS = (3930, 13_100, 39_300)
 PEERS = (1000, 4000, 16_000)
 LOST_FROM = (6000, 9000, 12_000)
 PROCESSES = (300, 3300, 39_300)
@@ -164,14 +164,14 @@
             lambda n: 1e6 * measures.least(tickets.ticket_time, n),
         ),
         "services": (
-            "services in force",
+            "resident memory of services in force",
             "spread",
             "kB",
             SERVICES,
             measures.services_kb,
         ),
         "hosts": (
-            "listed hosts in force",
+            "resident memory of listed hosts in force",
             "spread",
             "kB",
             ALL_HOSTS,
--- a/bench/capacity_tables.py
+++ b/bench/capacity_tables.py
@@ -190,6 +190,7 @@
     reopened = size.TARGETS_PER_ZONE * size.FLOWS_PER_TARGET
     loss_s = work.at("loss", size.TARGETS)
     per_other = reopened / others
+    reopen_s = work.each("request", per_other) / 1e3
     moves = size.RESTARTS_PER_DAY * size.FLOWS_PER_TARGET / size.DAY_S
     notice = work.each("notice", size.FLOWS_PER_TARGET)
     announce = work.each("move", size.FLOWS_PER_TARGET) / 1e3
@@ -219,7 +220,7 @@
         (
             "An availability zone",
             f"{number(reopened)} flows open anew, {number(per_other)} at each other "
-            f"agent, {number(work.each('request', per_other) / 1e3)} s of its processor time; a "
+            f"agent, {number(reopen_s)} s of its processor time; a "
             f"balancer that uses all agents suspects the last after "
             f"{number(loss_s)} s",
         ),
