--- a/bench/agent.py
+++ b/bench/agent.py
@@ -6,7 +6,7 @@
 
 from gc import collect
 from random import Random
-from time import perf_counter
+from time import process_time
 from tracemalloc import get_traced_memory, start, stop
 
 from aiocoap import Code, Message, Type
@@ -154,12 +154,12 @@
 def time_requests(flows: int) -> float:
     """Return microseconds of one request and its answer."""
     agent, upstream = open_flows(flows, feeds=False)
-    started_at = perf_counter()
+    started_at = process_time()
     for number in range(flows):
         request = make_request(2, feed=False)
         receive_packet(agent, make_forward(number, request), BALANCER, 0.02)
         drain_answers(agent, upstream, 0.02)
-    return (perf_counter() - started_at) / flows * 1e6
+    return (process_time() - started_at) / flows * 1e6
 
 
 def time_notifications(flows: int) -> float:
@@ -169,23 +169,23 @@
         make_item(token, 2, Type.CON, number)
         for number, token in enumerate(upstream.tokens)
     ]
-    started_at = perf_counter()
+    started_at = process_time()
     for number, item in enumerate(items):
         from_upstream(agent, KEY, None, item, 0.02)
         answer = upstream.packets.pop()
         acknowledgement = write_acknowledgement(Message.decode(answer.payload).mid)
         packet = make_forward(number, acknowledgement)
         receive_packet(agent, packet, BALANCER, 0.02)
-    return (perf_counter() - started_at) / flows * 1e6
+    return (process_time() - started_at) / flows * 1e6
 
 
 def time_view_change(flows: int) -> tuple[float, float]:
     """Return microseconds and notice bytes a flow of a target's removal."""
     agent, upstream = open_flows(flows, feeds=True)
     view = make_view(2, leaving="t3")
-    started_at = perf_counter()
+    started_at = process_time()
     update_view(agent, view, 0.02)
-    seconds = perf_counter() - started_at
+    seconds = process_time() - started_at
     notices = [packet for packet in upstream.packets if isinstance(packet, HomeNotice)]
     return seconds / flows * 1e6, sum(map(len, map(encode_packet, notices))) / flows
 
@@ -194,10 +194,10 @@
     """Return microseconds of a tick with so many quiet feeds."""
     agent, _ = open_flows(flows, feeds=True)
     rounds = 200
-    started_at = perf_counter()
+    started_at = process_time()
     for number in range(rounds):
         tick(agent, 0.02 + number * 0.001)
-    return (perf_counter() - started_at) / rounds * 1e6
+    return (process_time() - started_at) / rounds * 1e6
 
 
 def main() -> None:
--- a/bench/capacity_measures.py
+++ b/bench/capacity_measures.py
@@ -270,11 +270,16 @@
     return spread.measure_cpu(lambda: advance(Snapshot(), values, services), 1)
 
 
-async def exchange_costs(services: int) -> tuple[float, float]:
+@cache
+def exchange_costs(services: int) -> tuple[float, float]:
     """Return milliseconds (both ends) and bytes of an idle exchange.
 
     The least of several batches, since others may use the loopback too.
     """
+    return run(_exchange_costs(services))
+
+
+async def _exchange_costs(services: int) -> tuple[float, float]:
     known = Knowledge(0.0)
     known.snapshot = services_snapshot(services)
     cpu, wire = [], []
--- a/bench/capacity_slopes.py
+++ b/bench/capacity_slopes.py
@@ -1,6 +1,5 @@
 """Slopes that the capacity page is worked out from."""
 
-from asyncio import run
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
@@ -12,6 +11,7 @@
 TARGETS = (3, 7, 20, 36)
 SOCKETS = (100, 200, 400)
 FLOWS = (500, 1000, 2000)
+TRACED_FLOWS = (250, 500, 1000)
 ENTRIES = (5_000, 10_000, 20_000)
 HOSTS = (100, 400, 1572)
 SERVICES = (1100, 3300, 11_000)
@@ -53,10 +53,6 @@
 
 def measure_slopes() -> dict[str, Slope]:
     """Measure all slopes, by the names that the tables use."""
-    exchanges = [run(measures.exchange_costs(size)) for size in SERVICES]
-    cpu, wire = (
-        dict(zip(SERVICES, side, strict=True)) for side in zip(*exchanges, strict=True)
-    )
     plan = {
         "relay": (
             "balancer CPU by round trips",
@@ -104,14 +100,14 @@
             "agent memory by flows without a feed",
             "agent",
             "kB",
-            FLOWS,
+            TRACED_FLOWS,
             lambda n: agent.measure_memory(n, feeds=False),
         ),
         "feed": (
             "agent memory by flows with a feed",
             "agent",
             "kB",
-            FLOWS,
+            TRACED_FLOWS,
             lambda n: agent.measure_memory(n, feeds=True),
         ),
         "request": (
@@ -225,14 +221,14 @@
             "spread",
             "ms",
             SERVICES,
-            cpu.get,
+            lambda n: measures.exchange_costs(n)[0],
         ),
         "gossip": (
             "bytes of an idle exchange, both ways, by services",
             "spread",
             "B",
             SERVICES,
-            wire.get,
+            lambda n: measures.exchange_costs(n)[1],
         ),
         "spread": (
             "time until all know a change (model), by processes",
