--- a/bench/capacity_measures.py
+++ b/bench/capacity_measures.py
@@ -6,6 +6,8 @@
 from gc import collect
 from multiprocessing import get_context
 from random import Random
+from subprocess import run as run_process
+from sys import executable
 from time import process_time
 from tracemalloc import get_traced_memory, start, stop
 
@@ -317,10 +319,12 @@
 
 def base_mb(role: str) -> float:
     """Return the resident megabytes of a role's modules in a new process."""
-    return _in_new_process(_load_role, role)
-
-
-def _load_role(role: str) -> float:
-    # A process without the measuring modules would be smaller still.
-    __import__(f"lycheeglade.{role}_daemon")
-    return Process().memory_info().rss / 1e6
+    program = (
+        f"import lycheeglade.{role}_daemon\n"
+        "from psutil import Process\n"
+        "print(Process().memory_info().rss)"
+    )
+    result = run_process(
+        [executable, "-c", program], check=True, capture_output=True, text=True
+    )
+    return int(result.stdout) / 1e6
--- a/bench/capacity_tables.py
+++ b/bench/capacity_tables.py
@@ -119,7 +119,7 @@
     when_by_kind = {
         "Forward": (trips, "balancer", "a packet of a caller"),
         "Answer": (trips, "balancer", "a packet to a caller"),
-        "Probe": (probes, "agent", "on an opening, while its service is unsettled"),
+        "Probe": (probes, "agent", "on an opening; as if no service were settled"),
         "ProbeReply": (probes, "agent", "as probes"),
         "HomeNotice": (None, "agent", f"{flows} flows at most, on a change only"),
         "Ping": (PINGS_PER_S, "process", "on suspicion only; the bound"),
@@ -135,7 +135,7 @@
     for kind, (rate, whose, when) in when_by_kind.items():
         length = len(sample_packets()[kind])
         bytes_per_s = "" if rate is None else number(rate * (length + UDP_IP_BYTES))
-        shown = "not stated" if rate is None else f"{number(rate)} a {whose}"
+        shown = "not stated" if rate is None else f"{number(rate)} by each {whose}"
         if rate is not None and whose == "fleet":
             shown = f"{number(rate)} in the fleet"
         rows.append((kind, f"{length}", shown, bytes_per_s, when))
@@ -159,20 +159,22 @@
 
     for role in ("balancer", "agent"):
         core = 100 * work.control_core(role)
-        add(f"Control of a {role}, average", core, 100 * size.CONTROL_CORE, "% core")
+        add(f"Control, {role}, average", core, 100 * size.CONTROL_CORE, "% core")
         add(f"Change in force, {role}", work.in_force_s(role), size.IN_FORCE_S, "s")
     add("Change known, 30% of peers dead", dead_s, size.IN_FORCE_S, "s")
     limit = size.CONTROL_BYTES_PER_S
     add("Control bytes, average", work.control_bytes(), limit, "B/s")
     add("Second in which a zone's list changes", work.change_bytes(), limit, "B/s")
-    add("Balancer, whole process", work.balancer_mb(), size.CONTROL_MB, "MB")
-    add("Agent, whole process", work.agent_mb(), size.CONTROL_MB, "MB")
+    add(
+        "Memory of a balancer, whole process", work.balancer_mb(), size.CONTROL_MB, "MB"
+    )
+    add("Memory of an agent, whole process", work.agent_mb(), size.CONTROL_MB, "MB")
     add("Balancer, packets", 100 * work.balancer_core(), 100, "% core")
     add("Agent, flows", 100 * work.agent_core(), 100, "% core")
     needed = work.established_needed()
-    add("Flows that a balancer answered lately", needed, MAX_ESTABLISHED_FLOWS, "")
+    add("Flows answered lately, table of a balancer", needed, MAX_ESTABLISHED_FLOWS, "")
     buckets = size.ADDRESSES * BUCKETS_PER_SERVICE
-    add("Buckets of all services", buckets, MAX_CACHED_BUCKETS, "")
+    add("Buckets of all services, cache of a balancer", buckets, MAX_CACHED_BUCKETS, "")
     reads = reads_at_rest() + reads_by_changes()
     add("Platform reads, average", reads, size.READS_PER_S, "/s")
     cold = WATCHERS * READS_PER_S
