--- a/bench/capacity_measures.py
+++ b/bench/capacity_measures.py
@@ -45,12 +45,12 @@
 from lycheeglade.spread import Snapshot, advance, build_view
 from lycheeglade.transport import DatagramSocket
 from lycheeglade.view import View
+from lycheeglade.watch import WATCHERS
 
 BATCHES = 6
 RUNS = 3
 EXCHANGES = 20
 HOSTS_PER_SERVICE = 39_300 // 11_000
-WATCHERS = 50
 DEAD = 0.02
 
 
--- a/bench/capacity_tables.py
+++ b/bench/capacity_tables.py
@@ -3,13 +3,13 @@
 from collections.abc import Iterable, Sequence
 
 from bench import capacity_target as size
-from bench.capacity_measures import WATCHERS, sample_packets
+from bench.capacity_measures import sample_packets
 from bench.capacity_slopes import Slope
 from bench.capacity_workings import Workings, reads_at_rest, reads_by_changes
 from lycheeglade.balancer import MAX_CACHED_BUCKETS, MAX_ESTABLISHED_FLOWS
 from lycheeglade.routing import BUCKETS_PER_SERVICE
 from lycheeglade.transport import SOCKET_BUFFER_BYTES
-from lycheeglade.watch import READS_PER_S, RETRIES_PER_S
+from lycheeglade.watch import READS_PER_S, RETRIES_PER_S, WATCHERS
 
 UDP_IP_BYTES = 28
 PINGS_PER_S = 200
--- a/bench/capacity_workings.py
+++ b/bench/capacity_workings.py
@@ -1,11 +1,11 @@
 """Figures at the target size, worked out from measured slopes."""
 
 from bench import capacity_target as size
-from bench.capacity_measures import WATCHERS
 from bench.capacity_slopes import Slope
 from lycheeglade.balancer import MAX_CACHED_BUCKETS, MAX_ESTABLISHED_FLOWS
 from lycheeglade.gossip import WATCH_S
 from lycheeglade.overload import ESTABLISHED_TIME
+from lycheeglade.watch import WATCHERS
 
 
 class Workings:
