--- /dev/null
+++ b/bench/capacity_slopes.py
@@ -0,0 +1,249 @@
+"""Slopes that the capacity page is worked out from."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from bench import agent, spread, tickets
+from bench import capacity_measures as measures
+from bench.fit import Line, fit_line
+
+ROUND_TRIPS = (10_000, 20_000, 40_000)
+TARGETS = (3, 7, 20, 36)
+SOCKETS = (100, 200, 400)
+FLOWS = (500, 1000, 2000)
+TRACED_FLOWS = (250, 500, 1000)
+ENTRIES = (5_000, 10_000, 20_000)
+HOSTS = (100, 400, 1572)
+SERVICES = (1100, 3300, 11_000)
+READ_AT_START = (500, 1000, 2000)
+ALL_HOSTS = (3930, 13_100, 39_300)
+PEERS = (1000, 4000, 16_000)
+LOST_FROM = (6000, 9000, 12_000)
+PROCESSES = (300, 3300, 39_300)
+
+
+@dataclass(frozen=True, slots=True)
+class Slope:
+    """Figures at three sizes or more and the line through them."""
+
+    title: str
+    bench: str
+    unit: str
+    sizes: tuple[float, ...]
+    figures: tuple[float, ...]
+    line: Line
+
+    def at(self, size: float) -> float:
+        """Return the figure of the line at `size`."""
+        return self.line.slope * size + self.line.intercept
+
+
+def measure_slope(
+    title: str,
+    bench: str,
+    unit: str,
+    sizes: Sequence[float],
+    measure: Callable[[float], float],
+) -> Slope:
+    """Measure at each size and fit a line."""
+    figures = tuple(measure(size) for size in sizes)
+    line = fit_line(sizes, figures)
+    print(f"{title}: {line.slope:.4g} {unit} each, residual {line.residual:.1%}")
+    return Slope(title, bench, unit, tuple(sizes), figures, line)
+
+
+def measure_slopes() -> dict[str, Slope]:
+    """Measure all slopes, by the names that the tables use."""
+    plan = {
+        "relay": (
+            "balancer CPU by round trips",
+            "datapath",
+            "ms",
+            ROUND_TRIPS,
+            measures.relayed_cpu,
+        ),
+        "rank": (
+            "ranking of an uncached bucket by targets",
+            "routing",
+            "us",
+            TARGETS,
+            measures.rank_us,
+        ),
+        "cache": (
+            "cached buckets",
+            "routing",
+            "kB",
+            ENTRIES,
+            lambda n: measures.traced_kb(lambda: measures.make_cache(n)),
+        ),
+        "established": (
+            "flows answered lately at a balancer",
+            "capacity",
+            "kB",
+            ENTRIES,
+            lambda n: measures.traced_kb(lambda: measures.make_established(n)),
+        ),
+        "peers": (
+            "peers known to a process",
+            "membership",
+            "kB",
+            PEERS,
+            lambda n: measures.traced_kb(lambda: measures.make_membership(n)),
+        ),
+        "loss": (
+            "time to suspect a lost zone by peers in use",
+            "membership",
+            "s",
+            LOST_FROM,
+            measures.detection_time,
+        ),
+        "flow": (
+            "agent memory by flows without a feed",
+            "agent",
+            "kB",
+            TRACED_FLOWS,
+            lambda n: agent.measure_memory(n, feeds=False),
+        ),
+        "feed": (
+            "agent memory by flows with a feed",
+            "agent",
+            "kB",
+            TRACED_FLOWS,
+            lambda n: agent.measure_memory(n, feeds=True),
+        ),
+        "request": (
+            "agent CPU by requests",
+            "agent",
+            "ms",
+            FLOWS,
+            measures.requests_ms,
+        ),
+        "item": (
+            "agent CPU by feed items and their acknowledgements",
+            "agent",
+            "ms",
+            FLOWS,
+            measures.items_ms,
+        ),
+        "move": (
+            "agent CPU of a view change by flows ranked anew",
+            "agent",
+            "ms",
+            FLOWS,
+            measures.moves_ms,
+        ),
+        "notice": (
+            "bytes of a home notice by flows",
+            "capacity",
+            "B",
+            (10, 100, 500),
+            measures.notice_bytes,
+        ),
+        "unused": (
+            "unused tickets",
+            "tickets",
+            "kB",
+            ENTRIES,
+            lambda n: tickets.memory_of(tickets.make_unused, n) / 1000,
+        ),
+        "used": (
+            "used tickets with 64-byte outcomes",
+            "tickets",
+            "kB",
+            ENTRIES,
+            lambda n: tickets.memory_of(tickets.make_used, n) / 1000,
+        ),
+        "ticket": (
+            "one request through the ticket book, by records",
+            "tickets",
+            "us",
+            ENTRIES,
+            lambda n: 1e6 * measures.least(tickets.ticket_time, n),
+        ),
+        "services": (
+            "resident memory of services in force",
+            "spread",
+            "kB",
+            SERVICES,
+            measures.services_kb,
+        ),
+        "hosts": (
+            "resident memory of listed hosts in force",
+            "spread",
+            "kB",
+            ALL_HOSTS,
+            measures.hosts_kb,
+        ),
+        "list": ("bytes of a list of hosts", "spread", "B", HOSTS, measures.list_bytes),
+        "list_cpu": (
+            "CPU to read a list with one host changed",
+            "spread",
+            "ms",
+            HOSTS,
+            lambda n: spread.measure_host_change(spread.make_hosts(0, n)),
+        ),
+        "read": (
+            "CPU to read services at a start",
+            "spread",
+            "ms",
+            READ_AT_START,
+            measures.read_ms,
+        ),
+        "view": (
+            "CPU to build a view by services",
+            "spread",
+            "ms",
+            SERVICES,
+            measures.view_ms,
+        ),
+        "balancer_view": (
+            "CPU of a balancer to take a view, by services",
+            "capacity",
+            "ms",
+            SERVICES,
+            measures.balancer_view_ms,
+        ),
+        "agent_view": (
+            "CPU of an agent to take a view, by services",
+            "capacity",
+            "ms",
+            SERVICES,
+            measures.agent_view_ms,
+        ),
+        "bind": (
+            "CPU to bind service addresses",
+            "capacity",
+            "ms",
+            SOCKETS,
+            measures.bind_ms,
+        ),
+        "gossip_cpu": (
+            "CPU of an idle exchange, both ends, by services",
+            "spread",
+            "ms",
+            SERVICES,
+            lambda n: measures.exchange_costs(n)[0],
+        ),
+        "gossip": (
+            "bytes of an idle exchange, both ways, by services",
+            "spread",
+            "B",
+            SERVICES,
+            lambda n: measures.exchange_costs(n)[1],
+        ),
+        "spread": (
+            "time until all know a change (model), by processes",
+            "epidemic",
+            "s",
+            PROCESSES,
+            measures.spread_seconds,
+        ),
+        "messages": (
+            "messages a process a change (model), by processes",
+            "epidemic",
+            "",
+            PROCESSES,
+            measures.spread_messages,
+        ),
+    }
+    return {name: measure_slope(*entry) for name, entry in plan.items()}
