--- a/tests/test_homes_machine.py
+++ b/tests/test_homes_machine.py
@@ -16,7 +16,8 @@
 from demo.traces import Plan, leave, make_hosts, make_service, without
 from lycheeglade.configuration import format_hosts, format_service
 from lycheeglade.outcome import CHECKS_BY_NAME
-from lycheeglade.replay import World, apply_event, run_until
+from lycheeglade.replay import apply_event, run_until
+from lycheeglade.replay_world import World
 from lycheeglade.trace import (
     Event,
     Expect,
@@ -40,6 +41,7 @@
     targets=5,
     other_targets=0,
     slots=2,
+    service_time_s=0.02,
     callers=4,
     requests=0,
     seed=1,
