--- a/lycheeglade/agent.py
+++ b/lycheeglade/agent.py
@@ -30,9 +30,7 @@
 from lycheeglade.flow import FlowKey
 from lycheeglade.handoff import (
     move_flows,
-    receive_commit,
     receive_done,
-    receive_offer,
     receive_ready,
     start_drain,
     stop_drain,
@@ -63,6 +61,7 @@
 )
 from lycheeglade.served_target import ServedTarget, TargetKey
 from lycheeglade.session import receive_upstream
+from lycheeglade.takeover import receive_commit, receive_offer
 from lycheeglade.ticket import TicketBook
 from lycheeglade.upstream_health import (
     check_upstream,
--- /dev/null
+++ b/lycheeglade/flow_state.py
@@ -0,0 +1,76 @@
+"""State of a flow on its way to a successor."""
+
+from msgspec import Struct
+from msgspec.msgpack import Decoder, Encoder
+
+from lycheeglade.served_target import (
+    Feed,
+    FlowRecord,
+    ServedTarget,
+)
+
+
+class FeedState(Struct, frozen=True, array_like=True):
+    """A feed on its way to a successor."""
+
+    token: bytes
+    registration: bytes
+    sequence: int
+    recent_items: tuple[bytes, ...]
+    items: tuple[bytes, ...]
+    latest: bytes
+    in_flight: tuple[int, int, bytes] | None
+
+
+class FlowState(Struct, frozen=True, array_like=True):
+    """A flow on its way to a successor."""
+
+    balancer_ip: str
+    balancer_port: int
+    next_message_id: int
+    feeds: tuple[FeedState, ...]
+    tickets: bytes
+
+
+def export_flow(served: ServedTarget, record: FlowRecord, now: float) -> FlowState:
+    """Return all that the successor of a flow must know."""
+    return FlowState(
+        record.balancer.ip,
+        record.balancer.port,
+        record.next_message_id,
+        tuple(_export_feed(feed) for feed in record.feeds_by_token.values()),
+        served.book.export_flow(record.flow, now),
+    )
+
+
+def _export_feed(feed: Feed) -> FeedState:
+    in_flight = feed.in_flight
+    return FeedState(
+        feed.token,
+        feed.registration,
+        feed.sequence,
+        tuple(feed.recent_items),
+        tuple(feed.items),
+        feed.latest,
+        in_flight and (in_flight.sequence, in_flight.message_id, in_flight.datagram),
+    )
+
+
+_encoder = Encoder()
+_decoder = Decoder(FlowState)
+
+
+def encode_state(state: FlowState) -> bytes:
+    """Return the MessagePack form of a flow's state."""
+    return _encoder.encode(state)
+
+
+def decode_state(state: bytes) -> FlowState:
+    """Return the state of a flow.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        If `state` isn't the form of a flow's state.
+    """
+    return _decoder.decode(state)
--- /dev/null
+++ b/lycheeglade/takeover.py
@@ -0,0 +1,251 @@
+"""Takes over flows that a leaving target hands away.
+
+The flow's feeds are registered here before the home gives the flow up. What
+arrives for it in between waits for the commit.
+"""
+
+from collections import deque
+
+from msgspec import DecodeError
+
+from lycheeglade.address import Address
+from lycheeglade.agent_state import Agent, send_packet
+from lycheeglade.errors import PacketError, TicketError
+from lycheeglade.feed import (
+    make_feed,
+    pump_feed,
+    register_upstream,
+    schedule_check,
+    send_in_flight,
+)
+from lycheeglade.flow import FlowKey
+from lycheeglade.flow_state import FeedState, FlowState, decode_state
+from lycheeglade.home import probe_homes, serve_held
+from lycheeglade.notice import announce_home
+from lycheeglade.packet import (
+    HandoffCommit,
+    HandoffDone,
+    HandoffOffer,
+    HandoffReady,
+)
+from lycheeglade.served_target import (
+    MAX_RECENT_ITEMS,
+    Feed,
+    FlowRecord,
+    IncomingHandoff,
+    Notification,
+    ServedTarget,
+)
+from lycheeglade.session import open_record
+
+INCOMING_TIMEOUT_S = 3.0
+READY_TIMEOUT_S = 0.5
+
+
+def receive_offer(
+    agent: Agent,
+    served: ServedTarget,
+    packet: HandoffOffer,
+    source: Address,
+    now: float,
+) -> None:
+    """Prepare to take a flow: register its feeds at the own upstream."""
+    flow = FlowKey(packet.service, packet.caller_ip, packet.caller_port)
+    incoming = served.incoming_by_flow.get(flow)
+    if incoming is not None:
+        if incoming.home_target_id == packet.home_target_id:
+            incoming.handoff_id = packet.handoff_id
+            _watch_registrations(agent, served, flow, incoming, source, now, now)
+        return
+    taken = (
+        not served.must_move
+        and not agent.stopping
+        and flow not in served.records_by_flow
+        and served.admission.admit_flow(now)
+    )
+    if not taken:
+        ready = HandoffReady(
+            packet.service, packet.home_target_id, packet.handoff_id, accepted=False
+        )
+        agent.actions.send(source, ready)
+        return
+    record = FlowRecord(flow, source, now, now, 0)
+    feeds = _make_feeds(agent, served, record, packet, now)
+    incoming = IncomingHandoff(
+        packet.handoff_id, packet.home_target_id, now + INCOMING_TIMEOUT_S, feeds
+    )
+    served.incoming_by_flow[flow] = incoming
+    _watch_registrations(agent, served, flow, incoming, source, now, now)
+    agent.timers.call_at(
+        incoming.expires_at,
+        lambda now: _expire_incoming(agent, served, flow, incoming, now),
+    )
+
+
+def _make_feeds(
+    agent: Agent,
+    served: ServedTarget,
+    record: FlowRecord,
+    packet: HandoffOffer,
+    now: float,
+) -> list[Feed]:
+    feeds = []
+    for registration in packet.registrations:
+        try:
+            message = served.adapter.read_caller(registration)
+        except PacketError as error:
+            agent.actions.count("malformed", served.service.name, error.cause)
+            continue
+        feed = make_feed(agent, record, message.token, registration, now)
+        feed.suspended = True
+        feeds.append(feed)
+        register_upstream(agent, served, feed, now)
+    return feeds
+
+
+def _watch_registrations(
+    agent: Agent,
+    served: ServedTarget,
+    flow: FlowKey,
+    incoming: IncomingHandoff,
+    source: Address,
+    started_at: float,
+    now: float,
+) -> None:
+    """Tell the home as soon as every feed has its first item."""
+    if served.incoming_by_flow.get(flow) is not incoming:
+        return
+    registered = all(feed.items for feed in incoming.feeds)
+    if not registered and now - started_at < READY_TIMEOUT_S:
+        agent.timers.call_at(
+            now + READY_TIMEOUT_S / 50,
+            lambda now: _watch_registrations(
+                agent, served, flow, incoming, source, started_at, now
+            ),
+        )
+        return
+    if not registered:
+        _cancel_incoming(agent, served, flow, incoming)
+    ready = HandoffReady(
+        served.service.name,
+        incoming.home_target_id,
+        incoming.handoff_id,
+        accepted=registered,
+    )
+    send_packet(agent, source, ready, now)
+    if not registered:
+        _find_home_again(agent, served, flow, incoming, now)
+
+
+def _cancel_incoming(
+    agent: Agent, served: ServedTarget, flow: FlowKey, incoming: IncomingHandoff
+) -> None:
+    del served.incoming_by_flow[flow]
+    served.admission.release_flow()
+    for feed in incoming.feeds:
+        served.feeds_by_upstream_token.pop(feed.upstream_token, None)
+    agent.actions.count("handoff", served.service.name, "abandoned")
+
+
+def _expire_incoming(
+    agent: Agent,
+    served: ServedTarget,
+    flow: FlowKey,
+    incoming: IncomingHandoff,
+    now: float,
+) -> None:
+    if served.incoming_by_flow.get(flow) is incoming:
+        _cancel_incoming(agent, served, flow, incoming)
+        _find_home_again(agent, served, flow, incoming, now)
+
+
+def _find_home_again(
+    agent: Agent,
+    served: ServedTarget,
+    flow: FlowKey,
+    incoming: IncomingHandoff,
+    now: float,
+) -> None:
+    """Serve what waited for a flow that went elsewhere or stayed at home."""
+    likely = (incoming.home_target_id,)
+    probe_homes(agent, served, flow, list(incoming.held), now, likely)
+
+
+def receive_commit(
+    agent: Agent,
+    served: ServedTarget,
+    packet: HandoffCommit,
+    source: Address,
+    now: float,
+) -> None:
+    """Become the home of a flow. A repeated commit is only acknowledged."""
+    flow = FlowKey(packet.service, packet.caller_ip, packet.caller_port)
+    incoming = served.incoming_by_flow.get(flow)
+    if incoming is None or incoming.handoff_id != packet.handoff_id:
+        if (packet.home_target_id, packet.handoff_id) in served.committed:
+            _acknowledge_commit(agent, packet, source)
+        else:
+            agent.actions.count("handoff", served.service.name, "late-commit")
+        return
+    try:
+        state = decode_state(packet.state)
+    except DecodeError:
+        agent.actions.count("malformed", served.service.name, "handoff-state")
+        return
+    del served.incoming_by_flow[flow]
+    served.committed.append((packet.home_target_id, packet.handoff_id))
+    _acknowledge_commit(agent, packet, source)
+    _import_flow(agent, served, flow, incoming, state, now)
+    agent.actions.count("handoff", served.service.name, "taken")
+    announce_home(agent, served, [flow], now)
+    serve_held(agent, served, flow, incoming.held, now)
+
+
+def _acknowledge_commit(agent: Agent, packet: HandoffCommit, source: Address) -> None:
+    done = HandoffDone(packet.service, packet.home_target_id, packet.handoff_id)
+    agent.actions.send(source, done)
+
+
+def _import_flow(
+    agent: Agent,
+    served: ServedTarget,
+    flow: FlowKey,
+    incoming: IncomingHandoff,
+    state: FlowState,
+    now: float,
+) -> None:
+    balancer = Address(state.balancer_ip, state.balancer_port)
+    record = open_record(agent, served, flow, balancer, now)
+    record.next_message_id = state.next_message_id
+    try:
+        served.book.import_flow(flow, state.tickets, now)
+    except TicketError:
+        agent.actions.count("malformed", served.service.name, "handoff-state")
+    states_by_token = {feed.token: feed for feed in state.feeds}
+    for feed in incoming.feeds:
+        feed_state = states_by_token.get(feed.token)
+        if feed_state is None:
+            served.feeds_by_upstream_token.pop(feed.upstream_token, None)
+            continue
+        record.feeds_by_token[feed.token] = feed
+        _import_feed(feed, feed_state, now)
+        if feed.in_flight is not None:
+            send_in_flight(agent, served, record, feed, now)
+        pump_feed(agent, served, feed, now)
+        schedule_check(agent, served, feed, now + served.service.heartbeat)
+
+
+def _import_feed(feed: Feed, state: FeedState, now: float) -> None:
+    """Go on where the home stopped, without the items that it had seen."""
+    delivered = set(state.recent_items)
+    own_items = list(zip(feed.recent_items, feed.items, strict=False))
+    unseen = [(item, datagram) for item, datagram in own_items if item not in delivered]
+    feed.items = deque([*state.items, *(datagram for _, datagram in unseen)])
+    feed.recent_items = deque(
+        [*state.recent_items, *(item for item, _ in unseen)], maxlen=MAX_RECENT_ITEMS
+    )
+    feed.sequence = state.sequence
+    feed.latest = state.latest
+    feed.suspended = False
+    if state.in_flight is not None:
+        feed.in_flight = Notification(*state.in_flight, created_at=now)
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -3,7 +3,7 @@
 import pytest
 
 from lycheeglade import agent as agent_core
-from lycheeglade import exchange, handoff, spread
+from lycheeglade import exchange, spread, takeover
 from lycheeglade.cmdline import main
 from lycheeglade.outcome import replay_trace
 from lycheeglade.ticket import Judgement, TicketBook, Verdict
@@ -25,7 +25,7 @@
     def import_feed(feed, state, now):
         feed.suspended = False
 
-    monkeypatch.setattr(handoff, "_import_feed", import_feed)
+    monkeypatch.setattr(takeover, "_import_feed", import_feed)
 
 
 def serve_any_packet(monkeypatch):
