--- a/lycheeglade/delegation.py
+++ b/lycheeglade/delegation.py
@@ -18,6 +18,7 @@
 from lycheeglade.packet import Delegate, DelegateReply
 from lycheeglade.placement import (
     MAX_DELEGATIONS,
+    REOFFER_INTERVAL_S,
     DelegateTo,
     accept_delegated,
     place_request,
@@ -35,7 +36,6 @@
 MIN_DELEGATIONS_SEEN = 8_192
 MAX_DELEGATIONS_SEEN = 32_768
 DELEGATION_MEMORY_S = 600.0
-REOFFER_S = 0.05
 
 
 def offer_request(
@@ -93,7 +93,7 @@
     request = served.requests_by_id.get(request_id)
     if request is None or now < served.next_reoffer_at:
         return
-    served.next_reoffer_at = now + REOFFER_S
+    served.next_reoffer_at = now + REOFFER_INTERVAL_S
     record = served.records_by_flow.get(request.flow)
     if record is None:
         return
--- a/lycheeglade/served_target.py
+++ b/lycheeglade/served_target.py
@@ -10,7 +10,7 @@
 from lycheeglade.flow import FlowKey
 from lycheeglade.message import Adapter, CallerMessage, ReplyTo
 from lycheeglade.packet import Delegate, Forward
-from lycheeglade.placement import PeerLoads
+from lycheeglade.placement import OFFER_BURST, OFFERS_PER_REQUEST, PeerLoads
 from lycheeglade.retry import RetryBudget
 from lycheeglade.ticket import TicketBook
 from lycheeglade.view import Service, Target
@@ -18,8 +18,6 @@
 MAX_RECENT_ITEMS = 64
 MAX_HELD_PACKETS = 32
 MAX_COMMITTED = 4096
-DELEGATIONS_PER_REQUEST = 4.0
-DELEGATION_BURST = 50.0
 MESSAGE_ID_MODULUS = 1 << 16
 
 
@@ -239,7 +237,7 @@
     incoming_by_flow: dict[FlowKey, IncomingHandoff] = field(default_factory=dict)
     outgoing_by_id: dict[int, OutgoingHandoff] = field(default_factory=dict)
     delegation_budget: RetryBudget = field(
-        default_factory=lambda: RetryBudget(DELEGATIONS_PER_REQUEST, DELEGATION_BURST)
+        default_factory=lambda: RetryBudget(OFFERS_PER_REQUEST, OFFER_BURST)
     )
     next_reoffer_at: float = 0.0
     requests_by_delegation: dict[int, Request] = field(default_factory=dict)
