--- a/lycheeglade/agent.py
+++ b/lycheeglade/agent.py
@@ -108,20 +108,24 @@
 
 def update_view(agent: Agent, view: View, now: float) -> None:
     """Put a newer view in force."""
-    agent.view = view
     update_known_addresses(agent, view)
+    previous, agent.view = agent.view, view
+    own_names = {key.service for key in agent.served_by_key}
     peers = set()
     wanted = {}
-    for service in view.services_by_name.values():
+    for name, service in view.services_by_name.items():
+        is_known = previous.services_by_name.get(name) is service
+        if is_known and name not in own_names:
+            continue
         own = [
             target
             for target in service.targets_by_id.values()
             if target.host_id == agent.host_id
         ]
         for target in own:
-            wanted[TargetKey(service.name, target.target_id)] = (service, target)
+            wanted[TargetKey(name, target.target_id)] = (service, target)
         if own:
-            peers.update(target.agent for target in service.targets_by_id.values())
+            peers.update(agent.agents_by_service[name])
     agent.membership.watch(peers)
     for key, (service, target) in wanted.items():
         _update_target(agent, key, service, target, now)
--- a/lycheeglade/agent_state.py
+++ b/lycheeglade/agent_state.py
@@ -14,7 +14,7 @@
 from lycheeglade.routing import CandidateCache
 from lycheeglade.served_target import FlowRecord, ServedTarget, TargetKey
 from lycheeglade.timer import TimerQueue
-from lycheeglade.view import Role, Service, Target, View
+from lycheeglade.view import Role, Service, Target, View, find_agents
 
 MAX_CACHED_BUCKETS = 4096
 MAX_BALANCERS = 4096
@@ -86,6 +86,7 @@
     served_by_key: dict[TargetKey, ServedTarget] = field(default_factory=dict)
     balancers_heard_at: OrderedDict[Address, float] = field(default_factory=OrderedDict)
     balancer_zones_by_address: dict[Address, Zone] = field(default_factory=dict)
+    agents_by_service: dict[str, frozenset[Address]] = field(default_factory=dict)
     known_addresses: frozenset[Address] = frozenset()
     suspects: frozenset[Address] = frozenset()
     confirmed: frozenset[Address] = frozenset()
@@ -163,13 +164,15 @@
 
 
 def update_known_addresses(agent: Agent, view: View) -> None:
-    """Take the addresses of the processes of the system from `view`."""
+    """Take the addresses of the processes of the system from `view`.
+
+    Has to be called while the agent still holds the view before it.
+    """
     agent.balancer_zones_by_address = {
         host.packets: host.zone
         for host in view.hosts_by_id.values()
         if host.role is Role.BALANCER
     }
-    addresses = {host.packets for host in view.hosts_by_id.values()}
-    for service in view.services_by_name.values():
-        addresses.update(target.agent for target in service.targets_by_id.values())
-    agent.known_addresses = frozenset(addresses)
+    agent.agents_by_service = find_agents(view, agent.view, agent.agents_by_service)
+    hosts = {host.packets for host in view.hosts_by_id.values()}
+    agent.known_addresses = frozenset(hosts).union(*agent.agents_by_service.values())
--- a/lycheeglade/balancer.py
+++ b/lycheeglade/balancer.py
@@ -26,7 +26,7 @@
     encode_packet,
 )
 from lycheeglade.routing import CandidateCache
-from lycheeglade.view import Service, View
+from lycheeglade.view import Service, View, find_agents
 
 MAX_CACHED_BUCKETS = 65536
 MAX_ESTABLISHED_FLOWS = 65536
@@ -71,6 +71,7 @@
     confirmed: frozenset[Address] = frozenset()
     suspects_by_service: dict[str, frozenset[str]] = field(default_factory=dict)
     agents_by_service: dict[str, frozenset[Address]] = field(default_factory=dict)
+    agents: frozenset[Address] = frozenset()
     known_addresses: frozenset[Address] = frozenset()
 
 
@@ -95,15 +96,19 @@
 
 def update_view(balancer: Balancer, view: View) -> None:
     """Put a newer view in force."""
-    balancer.view = view
-    balancer.agents_by_service = {
-        name: frozenset(target.agent for target in service.targets_by_id.values())
-        for name, service in view.services_by_name.items()
-    }
-    agents = frozenset().union(*balancer.agents_by_service.values())
-    hosts = {host.packets for host in view.hosts_by_id.values()}
-    balancer.known_addresses = agents | hosts
-    balancer.membership.watch(agents)
+    previous, balancer.view = balancer.view, view
+    before = balancer.agents_by_service
+    after = find_agents(view, previous, before)
+    balancer.agents_by_service = after
+    agents_differ = before.keys() != after.keys() or any(
+        before[name] is not agents for name, agents in after.items()
+    )
+    if agents_differ:
+        balancer.agents = frozenset().union(*after.values())
+        balancer.membership.watch(balancer.agents)
+    if agents_differ or view.hosts_by_id != previous.hosts_by_id:
+        hosts = {host.packets for host in view.hosts_by_id.values()}
+        balancer.known_addresses = balancer.agents | hosts
     _update_suspects(balancer)
 
 
--- a/lycheeglade/view.py
+++ b/lycheeglade/view.py
@@ -119,3 +119,25 @@
     revision: int = 0
     services_by_name: Mapping[str, Service] = field(default_factory=dict)
     hosts_by_id: Mapping[str, Host] = field(default_factory=dict)
+
+
+def find_agents(
+    view: View, previous: View, known: Mapping[str, frozenset[Address]]
+) -> dict[str, frozenset[Address]]:
+    """Return the agents of each service.
+
+    Parameters
+    ----------
+    previous : View
+        The view that `known` was found for. What it shares with `view` isn't
+        looked at again.
+    """
+    agents_by_service = {}
+    for name, service in view.services_by_name.items():
+        agents = known.get(name)
+        if previous.services_by_name.get(name) is not service:
+            found = frozenset(t.agent for t in service.targets_by_id.values())
+            # An equal set stays the same object, so that it needs no merging.
+            agents = agents if agents == found else found
+        agents_by_service[name] = agents
+    return agents_by_service
