--- a/lycheeglade/replay_caller.py
+++ b/lycheeglade/replay_caller.py
@@ -73,6 +73,7 @@
     last_item: int | None = None
     last_sequence: int | None = None
     registrations: int = 0
+    item_at: float = 0.0
     faults: list[tuple[float, str]] = field(default_factory=list)
     recovered_at: list[float] = field(default_factory=list)
     closed: bool = False
@@ -294,21 +295,27 @@
         feed.recovered_at.append(now)
     feed.registered = True
     feed.heard_at = now
-    _check_item(feed, item, message.opt.observe, now)
+    _check_item(caller, feed, item, message.opt.observe, now)
 
 
-def _check_item(feed: CallerFeed, item: int, sequence: int, now: float) -> None:
+def _check_item(
+    caller: Caller, feed: CallerFeed, item: int, sequence: int, now: float
+) -> None:
     """Note a gap or a step back; the last item again is a heartbeat."""
     if feed.last_sequence is not None and sequence <= feed.last_sequence:
         # A copy of a datagram, which RFC 7641 lets a client drop.
         return
     previous = feed.last_item
+    is_known = feed.last_sequence is not None
     feed.last_sequence = sequence
     if previous is not None and item < previous:
         _note_fault(feed, "step-back", now)
     elif previous is not None and item > previous + 1 and feed.registrations == 1:
         _note_fault(feed, "gap", now)
+    elif item == previous and is_known and now < feed.item_at + caller.heartbeat / 2:
+        _note_fault(feed, "repeat", now)
     feed.last_item = item
+    feed.item_at = now
 
 
 def _note_fault(feed: CallerFeed, reason: str, now: float) -> None:
