--- a/bench/capacity_measures.py
+++ b/bench/capacity_measures.py
@@ -2,8 +2,10 @@
 
 from asyncio import create_task, gather, get_running_loop, run
 from collections.abc import Callable
+from dataclasses import replace
 from functools import cache
 from gc import collect
+from itertools import cycle
 from multiprocessing import get_context
 from random import Random
 from subprocess import run as run_process
@@ -44,7 +46,7 @@
 from lycheeglade.routing import CandidateCache
 from lycheeglade.spread import Snapshot, advance, build_view
 from lycheeglade.transport import DatagramSocket
-from lycheeglade.view import View
+from lycheeglade.view import State, View
 from lycheeglade.watch import WATCHERS
 
 BATCHES = 6
@@ -219,6 +221,24 @@
     return build_view(snapshot)[0]
 
 
+def make_next_view(view: View) -> View:
+    """Return the view after one target of one service began to leave."""
+    name, service = next(iter(view.services_by_name.items()))
+    targets_by_id = dict(service.targets_by_id)
+    target_id, target = next(iter(targets_by_id.items()))
+    targets_by_id[target_id] = replace(target, state=State.LEAVING)
+    changed = replace(service, targets_by_id=targets_by_id)
+    services = {**view.services_by_name, name: changed}
+    return replace(view, services_by_name=services)
+
+
+def measure_views(view: View, take_view: Callable[[View], None]) -> float:
+    """Return milliseconds for a view that differs in one service."""
+    views = cycle((make_next_view(view), view))
+    take_view(view)
+    return spread.measure_cpu(lambda: take_view(next(views)), 10)
+
+
 def balancer_view_ms(services: int) -> float:
     """Return milliseconds of a balancer's processor time for a newer view."""
     view = make_role_view(services)
@@ -230,7 +250,7 @@
     subject = balancer.make_balancer(
         "b1", datapath.HERE, datapath.AGENT_SIDE, actions, Random(1)
     )
-    return spread.measure_cpu(lambda: balancer.update_view(subject, view), 10)
+    return measure_views(view, lambda new: balancer.update_view(subject, new))
 
 
 def agent_view_ms(services: int) -> float:
@@ -240,7 +260,7 @@
     subject = make_agent(
         "host-1", spread.make_zone(0), upstream.actions(), Random(1), 100_000, 0.0
     )
-    return spread.measure_cpu(lambda: update_view(subject, view, 0.0), 10)
+    return measure_views(view, lambda new: update_view(subject, new, 0.0))
 
 
 def bind_ms(sockets: int) -> float:
