--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -58,7 +58,8 @@
     )
     return "\n\n".join(
         [
-            f"Last run: `make capacity`, Python {python_version()}, {cpu_count()} "
+            f"Last run: `python -m bench.capacity`, Python {python_version()}, "
+            f"{cpu_count()} "
             f"cores, load {load:.1f} at its start and {getloadavg()[0]:.1f} at its "
             f"end, {seconds:.0f} s. A process without work takes {bases}.",
             "### By role",
