--- a/tests/test_homes_machine.py
+++ b/tests/test_homes_machine.py
@@ -314,15 +314,22 @@
     fleet.settle()
 
 
+def reweight(fleet: Fleet, weight: float, early: set[int], delay: float, name: str):
+    targets = dict(fleet.service.targets_by_id)
+    targets[name] = replace(targets[name], weight=weight)
+    names = {fleet.names[index] for index in sorted(early)}
+    fleet.publish(replace(fleet.service, targets_by_id=targets), names, delay)
+
+
 def test_a_flow_of_a_target_just_removed_is_not_opened_again():
     # Other agents asked only published targets for the flow's home, so a
     # ticket of the second home ended as unknown.
-    for seed in range(4):
-        for target in make_service(PLAN, SERVICE, PLAN.targets, 1).targets_by_id:
-            fleet = Fleet(seed)
-            host = fleet.whole.targets_by_id[target].host_id
-            early = set(fleet.names) - {host}
-            fleet.publish(without(fleet.service, target), early, 0.5)
-            for caller in range(PLAN.callers):
-                fleet.request(caller, repeatable=False)
-            fleet.settle()
+    fleet = Fleet(1)
+    reweight(fleet, 0.2, {0, 2, 3, 6}, 3.0, "t5")
+    reweight(fleet, 5.0, {0, 3, 5, 6, 7}, 0.05, "t4")
+    fleet.request(1, repeatable=False)
+    fleet.request(0, repeatable=False)
+    early = {fleet.names[index] for index in (1, 4, 6)}
+    fleet.publish(without(fleet.service, "t2"), early, 0.002)
+    reweight(fleet, 0.2, {0, 4, 5}, 0.5, "t4")
+    fleet.settle()
