Renew the wait for a commit with each repeated offer

Cause: an offer that was repeated kept the first one's expiry, so that a commit which came just after it was lost. The tests' agent without sockets has a module of its own.

--- a/lycheeglade/takeover.py
+++ b/lycheeglade/takeover.py
@@ -55,6 +55,7 @@
     if incoming is not None:
         if incoming.home_target_id == packet.home_target_id:
             incoming.handoff_id = packet.handoff_id
+            incoming.expires_at = now + INCOMING_TIMEOUT_S
             _watch_registrations(agent, served, flow, incoming, source, now, now)
         return
     taken = (
@@ -76,10 +77,7 @@
     )
     served.incoming_by_flow[flow] = incoming
     _watch_registrations(agent, served, flow, incoming, source, now, now)
-    agent.timers.call_at(
-        incoming.expires_at,
-        lambda now: _expire_incoming(agent, served, flow, incoming, now),
-    )
+    _watch_expiry(agent, served, flow, incoming)
 
 
 def _make_feeds(
@@ -147,6 +145,15 @@
     agent.actions.count("handoff", served.service.name, "abandoned")
 
 
+def _watch_expiry(
+    agent: Agent, served: ServedTarget, flow: FlowKey, incoming: IncomingHandoff
+) -> None:
+    agent.timers.call_at(
+        incoming.expires_at,
+        lambda now: _expire_incoming(agent, served, flow, incoming, now),
+    )
+
+
 def _expire_incoming(
     agent: Agent,
     served: ServedTarget,
@@ -154,7 +161,11 @@
     incoming: IncomingHandoff,
     now: float,
 ) -> None:
-    if served.incoming_by_flow.get(flow) is incoming:
+    if served.incoming_by_flow.get(flow) is not incoming:
+        return
+    if now < incoming.expires_at:
+        _watch_expiry(agent, served, flow, incoming)
+    else:
         _cancel_incoming(agent, served, flow, incoming)
         _find_home_again(agent, served, flow, incoming, now)
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,12 @@
 from os import environ
+from random import Random
 
+import pytest
 from hypothesis import HealthCheck, settings
 
+from lycheeglade.agent import make_agent, tick, update_view
+from tests.agents import HERE, Recorder, make_view
+
 SLOW = [HealthCheck.too_slow, HealthCheck.data_too_large]
 
 settings.register_profile(
@@ -15,3 +20,16 @@
     suppress_health_check=SLOW,
 )
 settings.load_profile(environ.get("HYPOTHESIS_PROFILE", "ci"))
+
+
+@pytest.fixture
+def recorder():
+    return Recorder()
+
+
+@pytest.fixture
+def agent(recorder):
+    state = make_agent("h1", HERE, recorder.actions(), Random(1), 100, 0.0)
+    update_view(state, make_view(), 0.0)
+    tick(state, 0.0)
+    return state
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -1,91 +1,17 @@
 from random import Random
 
 import pytest
-from aiocoap import Code, Message, Type
 
-from lycheeglade.address import Address, Zone
+from lycheeglade.address import Address
 from lycheeglade.agent import (
-    make_agent,
     note_view_age,
     receive_datagram,
     receive_from_upstream,
     tick,
     update_view,
 )
-from lycheeglade.agent_state import AgentActions
-from lycheeglade.packet import Answer, Forward, encode_packet
-from lycheeglade.served_target import TargetKey
-from lycheeglade.view import Host, Protocol, Role, Service, Target, View
-
-HERE = Zone("viti-west", "nadi-a")
-ELSEWHERE = Zone("viti-east", "suva-a")
-AGENT = Address("127.2.0.1", 7100)
-BALANCER = Address("127.1.0.1", 7100)
-KEY = TargetKey("booth-sync", "t1")
-
-
-class Recorder:
-    def __init__(self):
-        self.sent = []
-        self.upstream = []
-        self.counts = {}
-
-    def actions(self):
-        return AgentActions(
-            send=lambda address, packet: self.sent.append((address, packet)),
-            send_upstream=lambda key, flow, datagram: self.upstream.append(
-                (key, datagram)
-            ),
-            close_upstream=lambda key, flow: None,
-            count=self.count,
-            record=lambda service, work, stage, seconds: None,
-        )
-
-    def count(self, name, service, cause):
-        self.counts[name, cause] = self.counts.get((name, cause), 0) + 1
-
-    def answers(self):
-        return [packet for _, packet in self.sent if isinstance(packet, Answer)]
-
-
-def make_view(revision=1, places=("viti-west",), upstream_port=5683):
-    target = Target(
-        "t1", "h1", HERE, AGENT, Address("127.2.0.1", upstream_port), slots=1
-    )
-    service = Service(
-        "booth-sync",
-        "reelbure",
-        revision,
-        Protocol.COAP,
-        (Address("127.10.0.1", 5683),),
-        places,
-        {"t1": target},
-        flow_idle=60.0,
-    )
-    hosts = {
-        "h1": Host("h1", Role.AGENT, HERE, AGENT, AGENT),
-        "b1": Host("b1", Role.BALANCER, HERE, BALANCER, BALANCER),
-    }
-    return View(revision, {"booth-sync": service}, hosts)
-
-
-@pytest.fixture
-def recorder():
-    return Recorder()
-
-
-@pytest.fixture
-def agent(recorder):
-    state = make_agent("h1", HERE, recorder.actions(), Random(1), 100, 0.0)
-    update_view(state, make_view(), 0.0)
-    tick(state, 0.0)
-    return state
-
-
-def get_request(message_id=1):
-    message = Message(code=Code.GET, uri_path=("status",))
-    message.mtype, message.mid, message.token = Type.CON, message_id, b"\x01"
-    return message.encode()
+from lycheeglade.packet import Forward, encode_packet
+from tests.agents import BALANCER, KEY, get_request, make_view
 
 
 def forward(payload, service="booth-sync", target_id="t1"):
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -12,7 +12,7 @@
 )
 from lycheeglade.coap import read_caller
 from lycheeglade.packet import Answer, Forward, decode_packet, encode_packet
-from tests.test_agent import AGENT, BALANCER, HERE, get_request, make_view
+from tests.agents import AGENT, BALANCER, HERE, get_request, make_view
 
 CALLER = Address("127.9.0.1", 4000)
 OTHER_CALLER = Address("127.9.0.2", 4000)
