Never call a copy of a request that ran not run

Cause: a repeatable request that had run, here or at a peer, was refused as not run if its copy, or it itself after a silent peer, found no room. The test got 5.03 for such a copy. Change: the flow remembers the latest 32 requests that may have run, also through a handoff; their copies are turned away with 4.29, which claims nothing. The status command shows peers, pauses and overload.

--- a/lycheeglade/agent_daemon.py
+++ b/lycheeglade/agent_daemon.py
@@ -19,13 +19,13 @@
     update_view,
     work_left,
 )
-from lycheeglade.agent_state import Agent, AgentActions
+from lycheeglade.agent_state import BALANCER_FRESH_S, Agent, AgentActions
 from lycheeglade.blackboard import Blackboard
 from lycheeglade.daemon import ProcessParts, run_process
 from lycheeglade.flow import FlowKey
 from lycheeglade.histograms import Metrics
 from lycheeglade.packet import encode_packet
-from lycheeglade.served_target import TargetKey
+from lycheeglade.served_target import ServedTarget, TargetKey
 from lycheeglade.settings import Settings
 from lycheeglade.transport import DatagramSocket
 from lycheeglade.watch import view_is_fresh
@@ -156,6 +156,10 @@
         "zone": str(settings.zone),
         "revision": agent.view.revision,
         "incarnation": f"{agent.incarnation:016x}",
+        "stopping": agent.stopping,
+        "waits_for_view": agent.is_stale,
+        "peers": len(agent.known_addresses),
+        "balancers_heard": _count_heard(agent, now),
         "suspects": sorted(map(str, agent.suspects)),
         "timers": len(agent.timers),
         "targets": {
@@ -165,10 +169,17 @@
     }
 
 
-def _describe_target(served, now: float) -> Mapping[str, object]:
+def _count_heard(agent: Agent, now: float) -> int:
+    """Return the number of balancers that were heard lately."""
+    heard = agent.balancers_heard_at.values()
+    return sum(now - heard_at < BALANCER_FRESH_S for heard_at in heard)
+
+
+def _describe_target(served: ServedTarget, now: float) -> Mapping[str, object]:
     load = served.admission.load(now)
     return {
         "draining": served.draining,
+        "upstream_down": served.is_down,
         "flows": len(served.records_by_flow),
         "feeds": len(served.feeds_by_upstream_token),
         "pointers": len(served.homes_by_flow),
--- a/lycheeglade/balancer_daemon.py
+++ b/lycheeglade/balancer_daemon.py
@@ -169,7 +169,11 @@
         "zone": str(settings.zone),
         "revision": balancer.view.revision,
         "listening": services.describe(),
+        "peers": len(balancer.known_addresses),
         "suspects": sorted(map(str, balancer.suspects)),
+        "overloaded": balancer.overload.is_overloaded(monotonic()),
+        "packets_per_second": balancer.overload.packet_rate,
+        "established_flows": len(balancer.overload.established),
         "cached_buckets": len(balancer.candidates),
         "services": {
             name: {
--- a/lycheeglade/delegation.py
+++ b/lycheeglade/delegation.py
@@ -9,6 +9,7 @@
     admit_request,
     finish_request,
     forget_request,
+    note_run,
     refuse_admitted,
     reply_delegate,
     start_request,
@@ -197,6 +198,7 @@
         return
     if request.request_id not in served.requests_by_id:
         return
+    note_run(served, request)
     may_run_here = request.message.repeatable and now < request.deadline
     if may_run_here and not served.is_down:
         _offer_returned(agent, served, request, now)
@@ -276,6 +278,7 @@
         return
     record = served.records_by_flow.get(request.flow)
     if packet.ran:
+        note_run(served, request)
         finish_request(agent, served, request, packet.payload, now)
     elif record is None:
         forget_request(served, request)
--- a/lycheeglade/exchange.py
+++ b/lycheeglade/exchange.py
@@ -7,6 +7,7 @@
 from lycheeglade.message import CallerMessage, ReplyTo, UpstreamMessage
 from lycheeglade.packet import Delegate, DelegateReply
 from lycheeglade.served_target import (
+    MESSAGE_ID_MODULUS,
     FlowRecord,
     Request,
     RequestState,
@@ -48,11 +49,12 @@
     request.started_at = now
     token = take_upstream_token(agent)
     served.requests_by_upstream_token[token] = request
+    note_run(served, request)
     agent.actions.record(
         served.service.name, work_of(request), "queue", now - request.received_at
     )
     datagram = served.adapter.write_request(
-        request.message.datagram, agent.next_number() % (1 << 16), token
+        request.message.datagram, agent.next_number() % MESSAGE_ID_MODULUS, token
     )
     send_upstream(agent, served, datagram, now)
     agent.timers.call_at(
@@ -93,7 +95,8 @@
     if request.flow is None:
         _return_delegated(agent, served, request, message, now)
     elif message.refused:
-        _hand_back(agent, served, request, now)
+        forget_run(served, request)
+        refuse_admitted(agent, served, request, "upstream-shed", 1.0, now)
     else:
         finish_request(agent, served, request, message.datagram, now)
     start_queued(agent, served, now)
@@ -142,13 +145,6 @@
             del record.requests_by_message_id[request.message.message_id]
 
 
-def _hand_back(
-    agent: Agent, served: ServedTarget, request: Request, now: float
-) -> None:
-    """Answer a request that the upstream refused to run."""
-    refuse_admitted(agent, served, request, "upstream-shed", 1.0, now)
-
-
 def refuse_admitted(
     agent: Agent,
     served: ServedTarget,
@@ -157,17 +153,59 @@
     retry_after: float,
     now: float,
 ) -> None:
-    """Refuse a request that was entered and certainly did not run."""
+    """Refuse a request that was entered.
+
+    If it, or a copy of it, may have run, nothing is claimed of that.
+    """
+    record = served.records_by_flow.get(request.flow)
+    if record is not None and request.message.message_id in record.run_message_ids:
+        _turn_away(agent, served, record, request, cause, retry_after, now)
+        return
     forget_request(served, request)
     refusal = served.adapter.write_refusal(
         reply_to(request.message), _whole_seconds(retry_after), None
     )
     _burn_ticket(served, request, refusal, now)
-    record = served.records_by_flow.get(request.flow)
     if record is not None:
         refuse(agent, served, record, request.reply_tos, cause, retry_after, now)
 
 
+def _turn_away(
+    agent: Agent,
+    served: ServedTarget,
+    record: FlowRecord,
+    request: Request,
+    cause: str,
+    retry_after: float,
+    now: float,
+) -> None:
+    """Answer a request that may have run and can't be run again now."""
+    if not request.message.repeatable:
+        finish_request(agent, served, request, b"", now)
+        return
+    forget_request(served, request)
+    agent.actions.count("turned-away", served.service.name, cause)
+    datagram = served.adapter.write_overload(
+        request.message.datagram, _whole_seconds(retry_after)
+    )
+    answer_caller(agent, served, record, datagram)
+
+
+def note_run(served: ServedTarget, request: Request) -> None:
+    """Remember that a flow's request may have run, for its later copies."""
+    record = served.records_by_flow.get(request.flow)
+    if record is not None:
+        record.run_message_ids.append(request.message.message_id)
+
+
+def forget_run(served: ServedTarget, request: Request) -> None:
+    """Take it back: the upstream did not run the request."""
+    record = served.records_by_flow.get(request.flow)
+    message_id = request.message.message_id
+    if record is not None and message_id in record.run_message_ids:
+        record.run_message_ids.remove(message_id)
+
+
 def refuse(
     agent: Agent,
     served: ServedTarget,
--- a/lycheeglade/flow_state.py
+++ b/lycheeglade/flow_state.py
@@ -28,6 +28,7 @@
     balancer_ip: str
     balancer_port: int
     next_message_id: int
+    run_message_ids: tuple[int, ...]
     feeds: tuple[FeedState, ...]
     tickets: bytes
 
@@ -38,6 +39,7 @@
         record.balancer.ip,
         record.balancer.port,
         record.next_message_id,
+        tuple(record.run_message_ids),
         tuple(_export_feed(feed) for feed in record.feeds_by_token.values()),
         served.book.export_flow(record.flow, now),
     )
--- a/lycheeglade/served_target.py
+++ b/lycheeglade/served_target.py
@@ -18,6 +18,7 @@
 MAX_RECENT_ITEMS = 64
 MAX_HELD_PACKETS = 32
 MAX_COMMITTED = 4096
+MAX_RUN_MESSAGE_IDS = 32
 MESSAGE_ID_MODULUS = 1 << 16
 
 
@@ -135,6 +136,8 @@
     ----------
     balancer : Address
         Balancer through which the flow's latest packet came.
+    run_message_ids : deque of int
+        Requests of the flow that may have run, latest last.
     held : deque of Forward
         Packets that wait for the end of a handoff.
     """
@@ -146,6 +149,9 @@
     next_message_id: int
     feeds_by_token: dict[bytes, Feed] = field(default_factory=dict)
     requests_by_message_id: dict[int, Request] = field(default_factory=dict)
+    run_message_ids: deque[int] = field(
+        default_factory=lambda: deque(maxlen=MAX_RUN_MESSAGE_IDS)
+    )
     held: deque[Forward] = field(default_factory=deque)
     leaving: bool = False
     failed_offers: int = 0
--- a/lycheeglade/takeover.py
+++ b/lycheeglade/takeover.py
@@ -228,6 +228,7 @@
     balancer = Address(state.balancer_ip, state.balancer_port)
     record = open_record(agent, served, flow, balancer, now)
     record.next_message_id = state.next_message_id
+    record.run_message_ids.extend(state.run_message_ids)
     try:
         served.book.import_flow(flow, state.tickets, now)
     except TicketError:
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -1,6 +1,7 @@
 from random import Random
 
 import pytest
+from aiocoap import Code, Message, Type
 
 from lycheeglade.address import Address
 from lycheeglade.agent import (
@@ -80,3 +81,20 @@
     assert recorder.answers() == []
     assert recorder.counts["malformed", "encoding"] > 0
     assert recorder.counts["malformed", "version"] > 0
+
+
+def answer_upstream(agent, recorder, now):
+    request = Message.decode(recorder.upstream[-1][1])
+    answer = Message(code=Code.CONTENT, payload=b"x")
+    answer.mtype, answer.mid, answer.token = Type.ACK, request.mid, request.token
+    receive_from_upstream(agent, KEY, None, answer.encode(), now)
+
+
+def test_copy_of_a_request_that_ran_is_not_called_not_run(agent, recorder):
+    receive_datagram(agent, forward(get_request()), BALANCER, 0.01)
+    answer_upstream(agent, recorder, 0.02)
+    agent.served_by_key[KEY].is_down = True
+    receive_datagram(agent, forward(get_request()), BALANCER, 0.03)
+    receive_datagram(agent, forward(get_request(2)), BALANCER, 0.03)
+    codes = [answer.payload[1] for answer in recorder.answers()]
+    assert codes == [Code.CONTENT, Code.TOO_MANY_REQUESTS, Code.SERVICE_UNAVAILABLE]
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -23,7 +23,7 @@
 
 def commit(handoff_id, now):
     tickets = TicketBook(b"key", "t2", 1).export_flow(FLOW, now)
-    state = encode_state(FlowState(*BALANCER, 7, (), tickets))
+    state = encode_state(FlowState(*BALANCER, 7, (), (), tickets))
     return encode_packet(
         HandoffCommit("booth-sync", "t1", "t2", *FLOW[1:], handoff_id, state)
     )
