Raise nothing on any packet that a peer may send

Cause: a delegated request that is no request, a handoff for a service whose datagrams aren't read, and an answer to an impossible port ended in exceptions. Now they are counted. The broken variant that refuses late requests goes one level deeper, since a request that ran can't be refused any more where it did.

--- a/lycheeglade/agent.py
+++ b/lycheeglade/agent.py
@@ -61,6 +61,7 @@
 )
 from lycheeglade.served_target import ServedTarget, TargetKey
 from lycheeglade.session import receive_upstream
+from lycheeglade.staleness import hold, must_wait
 from lycheeglade.takeover import receive_commit, receive_offer
 from lycheeglade.ticket import TicketBook
 from lycheeglade.upstream_health import (
@@ -71,8 +72,6 @@
 from lycheeglade.view import Service, State, Target, View
 
 KEY_BYTES = 32
-PAUSE_S = 2.0
-MAX_HELD_DATAGRAMS = 4096
 MAX_NUMBER = 1 << 48
 
 
@@ -209,8 +208,8 @@
     agent: Agent, datagram: bytes, source: Address, now: float
 ) -> None:
     """Take a datagram from a process of the system, or drop it."""
-    if _must_wait(agent, now):
-        _hold(agent, lambda now: receive_datagram(agent, datagram, source, now))
+    if must_wait(agent, now):
+        hold(agent, lambda now: receive_datagram(agent, datagram, source, now))
         return
     if source not in agent.known_addresses:
         agent.actions.count("dropped", "", "unknown-source")
@@ -223,35 +222,6 @@
     receive_packet(agent, packet, source, now)
 
 
-def _must_wait(agent: Agent, now: float) -> bool:
-    """Tell whether the view has to be read again before anything is decided.
-
-    A gap since the last tick means that this process was paused. What it
-    knew may be forbidden by now.
-    """
-    if agent.last_tick_at is not None and now - agent.last_tick_at > PAUSE_S:
-        agent.is_stale = True
-    return agent.is_stale
-
-
-def _hold(agent: Agent, action: Callable[[float], None]) -> None:
-    if len(agent.held) < MAX_HELD_DATAGRAMS:
-        agent.held.append(action)
-    else:
-        agent.actions.count("dropped", "", "stale-view")
-
-
-def note_view_age(agent: Agent, is_fresh: bool, now: float) -> None:
-    """Note whether this process has lately asked for a newer view."""
-    if _must_wait(agent, now) and is_fresh:
-        agent.is_stale = False
-        agent.last_tick_at = now
-        held = list(agent.held)
-        agent.held.clear()
-        for action in held:
-            action(now)
-
-
 def receive_packet(agent: Agent, packet: Packet, source: Address, now: float) -> None:
     """Act on a packet from a process of the system."""
     if source in agent.balancer_zones_by_address:
@@ -278,7 +248,13 @@
     if not _may_handle(agent, served):
         agent.actions.count("dropped", served.service.name, "forbidden-place")
         return
-    handler(agent, served, packet, source, now)
+    if served.adapter is None and isinstance(packet, READ_KINDS):
+        agent.actions.count("dropped", served.service.name, "wrong-kind")
+        return
+    try:
+        handler(agent, served, packet, source, now)
+    except PacketError as error:
+        agent.actions.count("malformed", served.service.name, error.cause)
 
 
 def _find_served(agent: Agent, packet: Packet) -> ServedTarget | None:
@@ -321,12 +297,16 @@
 }
 
 
+# Kinds that hold a caller's datagram which has to be read.
+READ_KINDS = (Delegate, DelegateReply, HandoffOffer, HandoffReady, HandoffCommit)
+
+
 def receive_from_upstream(
     agent: Agent, key: TargetKey, flow: FlowKey | None, datagram: bytes, now: float
 ) -> None:
     """Take a datagram from an upstream."""
-    if _must_wait(agent, now):
-        _hold(agent, lambda now: receive_from_upstream(agent, key, flow, datagram, now))
+    if must_wait(agent, now):
+        hold(agent, lambda now: receive_from_upstream(agent, key, flow, datagram, now))
         return
     served = agent.served_by_key.get(key)
     if served is None:
--- a/lycheeglade/agent_daemon.py
+++ b/lycheeglade/agent_daemon.py
@@ -11,7 +11,6 @@
 from lycheeglade.agent import (
     begin_stop,
     make_agent,
-    note_view_age,
     receive_datagram,
     receive_from_upstream,
     receive_upstream_failure,
@@ -27,6 +26,7 @@
 from lycheeglade.packet import encode_packet
 from lycheeglade.served_target import ServedTarget, TargetKey
 from lycheeglade.settings import Settings
+from lycheeglade.staleness import note_view_age
 from lycheeglade.transport import DatagramSocket
 from lycheeglade.watch import view_is_fresh
 
--- a/lycheeglade/replay_process.py
+++ b/lycheeglade/replay_process.py
@@ -8,6 +8,7 @@
 from lycheeglade.replay_network import agent_actions, balancer_actions
 from lycheeglade.replay_world import Process, World
 from lycheeglade.spread import Snapshot, advance, build_view
+from lycheeglade.staleness import note_view_age
 from lycheeglade.value import Value
 from lycheeglade.view import Host, Role
 
@@ -61,7 +62,7 @@
     if not process.is_paused:
         core = agent_core if isinstance(process.state, Agent) else balancer_core
         if isinstance(process.state, Agent):
-            agent_core.note_view_age(process.state, True, now)
+            note_view_age(process.state, True, now)
         core.tick(process.state, now)
         if process.is_stopping:
             _end_if_idle(world, process, now)
--- a/lycheeglade/transport.py
+++ b/lycheeglade/transport.py
@@ -67,7 +67,10 @@
         return Address(*self._socket.getsockname()[:2])
 
     def send(self, datagram: bytes, address: tuple | None = None) -> None:
-        """Send a datagram, or count it as dropped if the buffer is full."""
+        """Send a datagram, or count it as dropped.
+
+        It is dropped if the buffer is full or no such address can exist.
+        """
         try:
             if address is None:
                 self._socket.send(datagram)
@@ -76,7 +79,7 @@
         except ConnectionRefusedError:
             if self._on_refused is not None:
                 self._on_refused()
-        except OSError:
+        except (OSError, OverflowError, TypeError, ValueError):
             self.dropped += 1
 
     def close(self) -> None:
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -5,13 +5,13 @@
 
 from lycheeglade.address import Address
 from lycheeglade.agent import (
-    note_view_age,
     receive_datagram,
     receive_from_upstream,
     tick,
     update_view,
 )
 from lycheeglade.packet import Forward, encode_packet
+from lycheeglade.staleness import note_view_age
 from tests.agents import BALANCER, KEY, get_request, make_view
 
 
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -55,7 +55,9 @@
     def expire(agent, served, token, request, now):
         if served.requests_by_upstream_token.pop(token, None) is not None:
             served.admission.finish(request.request_id, now, failed=True)
-            exchange.refuse_admitted(agent, served, request, "late", 1.0, now)
+            record = served.records_by_flow[request.flow]
+            exchange.forget_request(served, request)
+            exchange.refuse(agent, served, record, request.reply_tos, "late", 1.0, now)
 
     monkeypatch.setattr(exchange, "_expire_running", expire)
 
