--- a/lycheeglade/daemon.py
+++ b/lycheeglade/daemon.py
@@ -66,7 +66,7 @@
     try:
         async with serve_operations(settings.operators, metrics, parts.describe):
             await _wait_for_stop(stop_requests[0], follower, ticker)
-            return await _stop(settings, parts, stop_requests[1], logger)
+            return await stop_process(settings, parts, stop_requests[1], logger)
     finally:
         for task in (follower, ticker):
             task.cancel()
@@ -103,7 +103,7 @@
         tick(monotonic())
 
 
-async def _stop(
+async def stop_process(
     settings: Settings, parts: ProcessParts, stop_at_once: Event, logger: Logger
 ) -> int:
     """Finish the work in progress, for as long as the grace period lasts."""
--- /dev/null
+++ b/tests/test_stop.py
@@ -0,0 +1,49 @@
+from asyncio import Event, get_running_loop
+from logging import getLogger
+from types import SimpleNamespace
+
+import pytest
+
+from lycheeglade.daemon import EXIT_CUT, EXIT_OK, ProcessParts, stop_process
+
+GRACE_S = 1.0
+
+
+def make_parts(work_left):
+    return ProcessParts(
+        tick=lambda now: None,
+        begin_stop=lambda now: None,
+        work_left=work_left,
+        describe=dict,
+    )
+
+
+async def stop(work_left, caplog, *, second_signal=False):
+    caplog.set_level("INFO", logger="lycheeglade")
+    stop_at_once = Event()
+    if second_signal:
+        get_running_loop().call_later(GRACE_S / 5, stop_at_once.set)
+    code = await stop_process(
+        SimpleNamespace(grace=GRACE_S),
+        make_parts(work_left),
+        stop_at_once,
+        getLogger("lycheeglade.stop"),
+    )
+    return code, caplog.records[-1].event_fields
+
+
+async def test_stop_waits_until_no_work_is_left(caplog):
+    left = iter([3, 2, 1, 0])
+    code, fields = await stop(lambda now: next(left), caplog)
+    assert (code, fields) == (EXIT_OK, {"cut": 0})
+
+
+@pytest.mark.parametrize("second_signal", [False, True])
+async def test_grace_or_a_second_signal_ends_it_and_tells_what_was_cut(
+    caplog, second_signal
+):
+    loop = get_running_loop()
+    started_at = loop.time()
+    code, fields = await stop(lambda now: 3, caplog, second_signal=second_signal)
+    assert (code, fields) == (EXIT_CUT, {"cut": 3})
+    assert (loop.time() - started_at < GRACE_S) is second_signal
