Remove what no check of the replay reads

Counts of kills and cut work, refused values and the sum over services were left from its first form. The replay, trace and flow home tests pass as before.

--- a/lycheeglade/replay.py
+++ b/lycheeglade/replay.py
@@ -162,7 +162,6 @@
     process = world.processes_by_name[event.process]
     process.is_alive = False
     process.ended_at = now
-    world.kills.append(now)
 
 
 def _start(world: World, event: Start, line: int, now: float) -> None:
--- a/lycheeglade/replay_process.py
+++ b/lycheeglade/replay_process.py
@@ -45,8 +45,7 @@
     # A single value makes no snapshot complete.
     advanced = advance(process.snapshot, [value], process.snapshot.revision)
     process.snapshot = advanced.snapshot
-    view, conflicts = build_view(process.snapshot, process.view)
-    process.refused_values += map(str, advanced.errors + conflicts)
+    view, _ = build_view(process.snapshot, process.view)
     known = process.snapshot.values_by_name.get(value.name)
     process.revisions.append((now, value.name, known.revision if known else 0))
     process.view = view
--- a/lycheeglade/replay_world.py
+++ b/lycheeglade/replay_world.py
@@ -44,7 +44,6 @@
     ended_at: float | None = None
     inbox: list[Callable[[float], None]] = field(default_factory=list)
     revisions: list[tuple[float, str, int]] = field(default_factory=list)
-    refused_values: list[str] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,22 +76,12 @@
         default_factory=dict
     )
     published: list[tuple[float, str, int]] = field(default_factory=list)
-    cut_work: int = 0
-    kills: list[float] = field(default_factory=list)
 
     def count(self, name: str, service: str = "", cause: str = "") -> None:
         """Count an event over all processes."""
         key = (name, service, cause)
         self.counts[key] = self.counts.get(key, 0) + 1
 
-    def total(self, name: str, cause: str | None = None) -> int:
-        """Return a count over all services, and over all causes if None."""
-        return sum(
-            count
-            for key, count in self.counts.items()
-            if key[0] == name and cause in (None, key[2])
-        )
-
 
 def whole_snapshot(world: World) -> Snapshot:
     """Return all valid values that were published."""
