Open a caller's new flow before it takes the old one's place

Cause: when a feed fell silent, its caller put a socket that wasn't open yet in the place of the old one, then waited for it to open. A request of the same caller that started in between failed on the missing socket, and left an exchange without a timer, on which closing all callers failed. So test_paused_agent fell over in the callers, not in what it tests.

Change: the new socket is opened first and then takes the old one's place.

Measured: tests/test_caller.py, 2 failed and 2 errors before (with the same lines), 2 passed after.

Conclusion: a fault of the stand-in only; nothing of the product changed.

--- a/demo/caller.py
+++ b/demo/caller.py
@@ -78,11 +78,15 @@
             endpoint.close()
 
     async def reopen(self) -> None:
-        """Go on with a new flow; the old one ends its requests."""
+        """Go on with a new flow; the old one ends its requests.
+
+        Requests that start before the new socket is open use the old one.
+        """
+        endpoint = self._make_endpoint()
+        await open_endpoint(endpoint, (self.options.local_ip, 0))
         self._old_endpoints.append(self._endpoint)
-        self._endpoint = self._make_endpoint()
+        self._endpoint = endpoint
         self.echo = b""
-        await self.open()
 
     async def request(self, message: Message, deadline: float) -> Message:
         """Send a confirmable request and return the answer.
--- a/demo/coap.py
+++ b/demo/coap.py
@@ -98,6 +98,11 @@
         self._transport = transport
         self._loop = get_running_loop()
 
+    @property
+    def local(self) -> Remote:
+        """Address and port of the open socket."""
+        return self._transport.get_extra_info("sockname")
+
     def error_received(self, exc):
         """Ignore an ICMP error; the retransmission covers it."""
 
