Tell in /status of each role that a shutdown has begun

Cause: two entries of the blackboard had no reader. `suspects` was never written; `draining` was written by a balancer that stops, and nobody heard of it: its /status said nothing of a shutdown, the agent's did.

Change: one entry, `stopping`, written when a graceful shutdown begins and shown in /status by the frame that both roles share; `suspects` is gone. The test of a process without a platform waited 5 s and then sent SIGTERM; on a loaded machine the process hadn't started yet and died of it. It now waits for the log line of the platform that can't be read, then 2 s more.

--- a/lycheeglade/agent_daemon.py
+++ b/lycheeglade/agent_daemon.py
@@ -156,7 +156,6 @@
         "zone": str(settings.zone),
         "revision": agent.view.revision,
         "incarnation": f"{agent.incarnation:016x}",
-        "stopping": agent.stopping,
         "waits_for_view": agent.is_stale,
         "peers": len(agent.known_addresses),
         "balancers_heard": _count_heard(agent, now),
--- a/lycheeglade/balancer_daemon.py
+++ b/lycheeglade/balancer_daemon.py
@@ -146,7 +146,7 @@
     blackboard.view.subscribe(on_view)
     parts = ProcessParts(
         tick=partial(tick, balancer),
-        begin_stop=lambda now: blackboard.draining.write(True),
+        begin_stop=lambda now: None,
         work_left=lambda now: int(now - services.heard_at < QUIET_S),
         describe=lambda: {
             **describe(balancer, services, settings),
--- a/lycheeglade/blackboard.py
+++ b/lycheeglade/blackboard.py
@@ -51,11 +51,12 @@
         answered or not; `lycheeglade.watch.view_is_fresh` judges it.
     heard_at : Topic of float
         When the platform or a peer last answered.
+    stopping : Topic of bool
+        A graceful shutdown has begun.
     """
 
     def __init__(self):
         self.view: Topic[View] = Topic(View())
         self.checked_at: Topic[float] = Topic(NEVER)
         self.heard_at: Topic[float] = Topic(NEVER)
-        self.suspects: Topic[frozenset[str]] = Topic(frozenset())
-        self.draining: Topic[bool] = Topic(False)
+        self.stopping: Topic[bool] = Topic(False)
--- a/lycheeglade/daemon.py
+++ b/lycheeglade/daemon.py
@@ -4,6 +4,7 @@
 from asyncio import wait_for as wait_for_async
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from functools import partial
 from logging import INFO, WARNING, Logger
 from random import Random, SystemRandom
 from signal import SIGINT, SIGTERM
@@ -64,14 +65,20 @@
     ticker = create_task(_tick_forever(parts.tick))
     log_event(logger, INFO, "started", host=settings.host_id, zone=settings.zone)
     try:
-        async with serve_operations(settings.operators, metrics, parts.describe):
+        describe = partial(_describe, blackboard, parts)
+        async with serve_operations(settings.operators, metrics, describe):
             await _wait_for_stop(stop_requests[0], follower, ticker)
+            blackboard.stopping.write(True)
             return await stop_process(settings, parts, stop_requests[1], logger)
     finally:
         for task in (follower, ticker):
             task.cancel()
 
 
+def _describe(blackboard: Blackboard, parts: ProcessParts) -> dict[str, object]:
+    return {**parts.describe(), "stopping": blackboard.stopping.value}
+
+
 def _count_signals() -> tuple[Event, Event]:
     """Return events for the first and the second request to stop."""
     events = (Event(), Event())
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -1,13 +1,20 @@
+from asyncio import create_task, sleep
+from logging import getLogger
 from os import getpid
 from pathlib import Path
-from signal import SIGTERM
+from signal import SIGTERM, raise_signal
 from socket import AF_INET, SOCK_DGRAM, SOCK_STREAM, socket
 from subprocess import PIPE, Popen, TimeoutExpired
 from sys import executable
 
 import pytest
 
+from lycheeglade.blackboard import Blackboard
+from lycheeglade.daemon import ProcessParts, run_process
 from lycheeglade.generator import generate_files
+from lycheeglade.histograms import Metrics
+from lycheeglade.settings import load_settings
+from lycheeglade.status import fetch_status
 
 EXAMPLE = Path(__file__).parent.parent / "examples" / "reelbure.ini"
 NETWORK = 100 + getpid() % 100
@@ -16,15 +23,21 @@
 
 
 @pytest.fixture
-def start(tmp_path):
-    """Start a process of the example by role; no platform answers it."""
+def settings_folder(tmp_path):
+    """Return the folder of the example's settings."""
     answers = tmp_path / "answers.ini"
     answers.write_text(EXAMPLE.read_text().replace("127.20.", f"127.{NETWORK}."))
     generate_files(answers, tmp_path)
+    return tmp_path / "settings"
+
+
+@pytest.fixture
+def start(settings_folder):
+    """Start a process of the example by role; no platform answers it."""
     processes = []
 
     def start_process(role, host):
-        settings = tmp_path / "settings" / f"{host}.ini"
+        settings = settings_folder / f"{host}.ini"
         command = [executable, "-m", "lycheeglade", role, "-c", str(settings)]
         processes.append(Popen(command, stderr=PIPE, text=True))
         return processes[-1]
@@ -36,18 +49,30 @@
         process.stderr.close()
 
 
+def read_until(process, mark):
+    """Return the lines of a process's log up to the first with `mark`."""
+    lines = []
+    for line in process.stderr:
+        lines.append(line)
+        if mark in line:
+            break
+    return "".join(lines)
+
+
 @pytest.mark.parametrize(
     ("role", "host"),
     [("balancer", "nadi-a-balancer-1"), ("agent", "nadi-a-booth-sync-1")],
 )
 def test_process_waits_for_a_platform_that_is_down(start, role, host):
     process = start(role, host)
+    log = read_until(process, " event=platform-unread ")
+    assert " event=started " in log
     with pytest.raises(TimeoutExpired):
-        process.wait(timeout=5)
+        process.wait(timeout=2)
     process.send_signal(SIGTERM)
-    _, log = process.communicate(timeout=TIMEOUT_S)
+    _, rest = process.communicate(timeout=TIMEOUT_S)
+    log += rest
     assert process.returncode == 0
-    assert " event=platform-unread " in log
     assert " event=stopped cut=0" in log
     assert " level=error " not in log
     assert " event=message " not in log
@@ -70,3 +95,25 @@
     assert "in use" in last.lower()
     assert " level=error " not in log
     assert "Traceback" not in log
+
+
+async def test_status_tells_that_a_shutdown_has_begun(settings_folder):
+    settings = load_settings(settings_folder / "nadi-a-balancer-1.ini")
+    work = [1]
+    parts = ProcessParts(
+        tick=lambda now: None,
+        begin_stop=lambda now: None,
+        work_left=lambda now: work[0],
+        describe=lambda: {"role": "balancer"},
+    )
+    process = create_task(
+        run_process(settings, Blackboard(), Metrics(), parts, getLogger("lycheeglade"))
+    )
+    await sleep(0.5)
+    before = await fetch_status(settings.operators)
+    raise_signal(SIGTERM)
+    await sleep(0.5)
+    after = await fetch_status(settings.operators)
+    work[0] = 0
+    assert await process == 0
+    assert (before["stopping"], after["stopping"]) == (False, True)
