Write the lines of a trace without holding up the process

Cause: a daemon can't be asked for a trace, and whatever takes one may stand still or go away while packets must go on.

Change: lines of a recording (recording) wait in a buffer of 16 MiB, which a task sends to a TCP connection or to standard output (trace_writer). TCP and not UDP, since a replay needs every line in its order, a view doesn't fit a datagram, and a reader that falls behind shows as backpressure. A thread writes standard output, which may be a file or a pipe that nobody reads. What finds no room is counted and told by a gap line; a connection that is gone is tried again every 2 s, and goes on with the header and a gap.

Conclusion: nothing uses it yet.

--- /dev/null
+++ b/lycheeglade/trace_writer.py
@@ -0,0 +1,275 @@
+"""Writes the lines of a trace to a stream, without holding up the process.
+
+Lines wait in a bounded buffer. Those that find no room are dropped and
+counted, and a ``gap`` line tells the reader how many are missing.
+"""
+
+from asyncio import (
+    AbstractEventLoop,
+    Future,
+    get_running_loop,
+    open_connection,
+    sleep,
+    wait_for,
+)
+from collections import deque
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from dataclasses import dataclass
+from logging import DEBUG, INFO, WARNING, getLogger
+from os import write as write_descriptor
+from queue import SimpleQueue
+from select import select
+from threading import Thread
+
+from lycheeglade.address import Address, parse_address
+from lycheeglade.logs import log_event
+from lycheeglade.recording import Gap, encode_line
+
+logger = getLogger(__name__)
+
+MAX_BUFFER_BYTES = 16 * 1024 * 1024
+MAX_CHUNK_BYTES = 256 * 1024
+FLUSH_S = 0.05
+RETRY_S = 2.0
+CONNECT_TIMEOUT_S = 2.0
+CLOSE_TIMEOUT_S = 2.0
+STANDARD_OUTPUT = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Stream:
+    """Where a trace goes.
+
+    Attributes
+    ----------
+    send : callable
+        Returns when the bytes are handed over; raises `OSError` if they
+        can't be.
+    close : callable
+        Give the stream up.
+    """
+
+    send: Callable[[bytes], Awaitable[None]]
+    close: Callable[[], None]
+
+
+class TraceWriter:
+    """Buffers the lines of one trace and sends them when it can.
+
+    Parameters
+    ----------
+    open_stream : callable
+        Returns a `Stream`; raises `OSError` if there is none at present.
+    on_dropped : callable
+        Called with the number of lines that were dropped.
+    max_bytes : int
+        Bound of the buffer.
+    pause : callable
+        Sleeps for some seconds.
+    """
+
+    def __init__(
+        self,
+        open_stream: Callable[[], Awaitable[Stream]],
+        on_dropped: Callable[[int], None],
+        *,
+        max_bytes: int = MAX_BUFFER_BYTES,
+        pause: Callable[[float], Awaitable[None]] = sleep,
+    ):
+        self._open_stream = open_stream
+        self._on_dropped = on_dropped
+        self._max_bytes = max_bytes
+        self._pause = pause
+        self._header = b""
+        self._lines: deque[bytes] = deque()
+        self._bytes = 0
+        self._missing = 0
+        self._written_at = 0.0
+        self._closing = False
+
+    def start(self, header: bytes) -> None:
+        """Take the first line, which opens every stream of this trace."""
+        self._header = header
+
+    def write(self, line: bytes, now: float) -> None:
+        """Take a line with its line break, or drop it.
+
+        After a dropped line the others are dropped too until the buffer is
+        empty, since nothing can be checked right after a gap.
+        """
+        self._written_at = now
+        if self._missing or self._bytes + len(line) > self._max_bytes:
+            self._note_missing(1)
+            return
+        self._lines.append(line)
+        self._bytes += len(line)
+
+    async def run(self) -> None:
+        """Send the lines until `finish` was called and none is left."""
+        failures = 0
+        is_resumed = False
+        while True:
+            try:
+                stream = await self._open_stream()
+            except OSError as error:
+                level = DEBUG if failures else WARNING
+                log_event(logger, level, "trace-unopened", cause=error)
+                failures += 1
+                await self._pause(RETRY_S)
+                continue
+            failures = 0
+            log_event(logger, INFO, "trace-opened")
+            try:
+                await self._send_all(stream, is_resumed)
+                return
+            except OSError as error:
+                log_event(logger, WARNING, "trace-lost", cause=error)
+            finally:
+                stream.close()
+            is_resumed = True
+            await self._pause(RETRY_S)
+
+    def finish(self) -> None:
+        """Let `run` return once all lines are sent."""
+        self._closing = True
+
+    async def _send_all(self, stream: Stream, is_resumed: bool) -> None:
+        await stream.send(self._header)
+        if is_resumed:
+            # What the former stream had taken may be lost with it.
+            await stream.send(self._take_gap())
+        while True:
+            count, chunk = self._take_chunk()
+            if count:
+                try:
+                    await stream.send(chunk)
+                except OSError:
+                    self._note_missing(count)
+                    raise
+            elif self._missing:
+                await stream.send(self._take_gap())
+            elif self._closing:
+                return
+            else:
+                await self._pause(FLUSH_S)
+
+    def _take_chunk(self) -> tuple[int, bytes]:
+        """Take waiting lines, up to a bound; return their number too."""
+        taken = []
+        size = 0
+        while self._lines and size < MAX_CHUNK_BYTES:
+            line = self._lines.popleft()
+            taken.append(line)
+            size += len(line)
+        self._bytes -= size
+        return len(taken), b"".join(taken)
+
+    def _take_gap(self) -> bytes:
+        missing, self._missing = self._missing, 0
+        return encode_line(Gap(at=self._written_at, lines=missing))
+
+    def _note_missing(self, lines: int) -> None:
+        self._missing += lines
+        self._on_dropped(lines)
+
+
+@dataclass(frozen=True, slots=True)
+class TraceOptions:
+    """What an operator asked to be recorded.
+
+    Attributes
+    ----------
+    address : Address or None
+        Who takes the trace over TCP; None for standard output.
+    is_whole : bool
+        Whether payloads are written as they are.
+    """
+
+    address: Address | None = None
+    is_whole: bool = False
+
+
+def parse_trace_target(text: str) -> Address | None:
+    """Return where a trace goes: ``IP:PORT``, or None for ``-``.
+
+    Raises
+    ------
+    ValueError
+        If `text` is neither.
+    """
+    return None if text == "-" else parse_address(text)
+
+
+def open_stream(options: TraceOptions) -> Awaitable[Stream]:
+    """Return a stream to where `options` say, see `TraceWriter`."""
+    if options.address is None:
+        return open_standard_output()
+    return open_socket(options.address)
+
+
+async def open_socket(address: Address) -> Stream:
+    """Return a stream over a TCP connection to `address`.
+
+    Raises
+    ------
+    OSError
+        If nobody accepts the connection in time.
+    """
+    _, writer = await wait_for(open_connection(*address), CONNECT_TIMEOUT_S)
+    writer.transport.set_write_buffer_limits(0)
+
+    async def send(data: bytes) -> None:
+        writer.write(data)
+        await writer.drain()
+
+    return Stream(send, writer.close)
+
+
+async def open_standard_output() -> Stream:
+    """Return a stream to the standard output of this process.
+
+    A thread writes to it, so that a reader that stands still holds up nothing
+    else, whether it is a pipe, a terminal or a file.
+    """
+    jobs: SimpleQueue[tuple[bytes, Future] | None] = SimpleQueue()
+    loop = get_running_loop()
+    Thread(target=_write_jobs, args=(jobs, loop), daemon=True).start()
+
+    async def send(data: bytes) -> None:
+        future = loop.create_future()
+        jobs.put((data, future))
+        await future
+
+    return Stream(send, lambda: jobs.put(None))
+
+
+def _write_jobs(jobs: SimpleQueue, loop: AbstractEventLoop) -> None:
+    while (job := jobs.get()) is not None:
+        data, future = job
+        error = None
+        try:
+            _write_whole(STANDARD_OUTPUT, data)
+        except OSError as raised:
+            error = raised
+        # The loop is closed if the process ended in the meantime.
+        with suppress(RuntimeError):
+            loop.call_soon_threadsafe(_settle, future, error)
+
+
+def _write_whole(descriptor: int, data: bytes) -> None:
+    rest = memoryview(data)
+    while rest:
+        try:
+            rest = rest[write_descriptor(descriptor, rest) :]
+        except BlockingIOError:
+            select([], [descriptor], [])
+
+
+def _settle(future: Future, error: OSError | None) -> None:
+    if future.done():
+        return
+    if error is None:
+        future.set_result(None)
+    else:
+        future.set_exception(error)
