Choose witnesses alike in every process

Cause: watched peers were taken in the order of a set of addresses, which differs from process to process. The peers that are pinged as witnesses were then chosen from another list although the seed was the same, so that no process can be stepped through in another one.

Change: new peers are taken in their own order.

--- a/lycheeglade/membership.py
+++ b/lycheeglade/membership.py
@@ -119,9 +119,9 @@
         """Make `peers` all the peers there are; the others are forgotten."""
         watched = frozenset(peers)
         self.forget([peer for peer in self._peers if peer not in watched])
-        for peer in watched:
-            if peer not in self._peers:
-                self._peers[peer] = _Peer()
+        # Sorted, since the order of a set differs between two processes.
+        for peer in sorted(watched.difference(self._peers)):
+            self._peers[peer] = _Peer()
 
     def forget(self, peers: Collection[Hashable]) -> None:
         """Drop all that is known of `peers`."""
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -11,6 +11,7 @@
     MAX_HOLD,
     PAUSE,
     SILENCE,
+    WITNESSES,
     Membership,
     suspected_targets,
 )
@@ -330,3 +331,19 @@
 TestMembershipMachine.settings = settings(
     derandomize=True, max_examples=60, stateful_step_count=20, deadline=None
 )
+
+
+class FirstOnes(Random):
+    """Takes the first ones of a sample."""
+
+    def sample(self, population, k):
+        return population[:k]
+
+
+def test_order_of_pings_does_not_depend_on_the_order_of_a_set():
+    peers = [f"127.2.{number % 7}.{number}" for number in range(40)]
+    membership = Membership(FirstOnes(1))
+    membership.watch(frozenset(peers))
+    membership.note_sent("127.9.0.1", 0.0)
+    pinged = membership.collect_pings(SILENCE)
+    assert sorted(pinged) == sorted([*sorted(peers)[:WITNESSES], "127.9.0.1"])
