Replace what callers and upstreams say by filler for a recording

Cause: a recording of a daemon leaves the place where the traffic may be handled, so it must not hold what was said; yet a replay has to decide alike.

Change: what the cores read is the header of a CoAP message, its token, Observe, Echo, ETag and a few numeric options, the length, and whether two contents are equal. All else becomes filler of the same length, made from a digest under a key that is never written (redaction), also inside handoffs. The three payloads that the agent writes itself stay. A malformed message stays malformed for the same cause.

Conclusion: callers' addresses stay, since flows are ranked by them.

--- a/lycheeglade/coap.py
+++ b/lycheeglade/coap.py
@@ -31,6 +31,8 @@
 _DIGEST_IGNORED = (OptionNumber.ECHO,)
 _NOT_RUN = b"not run"
 _OUTCOME_UNKNOWN = b"outcome unknown"
+_FEED_ENDED = b"feed ended"
+OWN_PAYLOADS = frozenset({_NOT_RUN, _OUTCOME_UNKNOWN, _FEED_ENDED})
 
 
 def _decode(datagram: bytes) -> Message:
@@ -223,7 +225,7 @@
 
 def write_closing(message_id: int, token: bytes) -> bytes:
     """End a feed: an error response ends the observation (RFC 7641, 4.2)."""
-    message = Message(code=Code.SERVICE_UNAVAILABLE, payload=b"feed ended", max_age=1)
+    message = Message(code=Code.SERVICE_UNAVAILABLE, payload=_FEED_ENDED, max_age=1)
     return _encode(message, Type.CON, message_id, token)
 
 
--- /dev/null
+++ b/lycheeglade/redaction.py
@@ -0,0 +1,186 @@
+"""Replaces what callers and upstreams say by filler of the same length.
+
+What the decisions read stays: the header of a CoAP message, its token and the
+options below. Equal contents get equal filler under a key that is never
+written, so that a replay tells copies from other messages as the process did.
+"""
+
+from base64 import urlsafe_b64encode
+from collections.abc import Callable
+from hashlib import blake2b
+
+from aiocoap.numbers import OptionNumber
+from msgspec import DecodeError
+from msgspec.structs import replace
+
+from lycheeglade.coap import MAX_TOKEN_BYTES, OWN_PAYLOADS
+from lycheeglade.flow_state import FeedState, FlowState, decode_state, encode_state
+from lycheeglade.packet import (
+    Answer,
+    Delegate,
+    DelegateReply,
+    Forward,
+    HandoffCommit,
+    HandoffOffer,
+    Packet,
+)
+from lycheeglade.ticket import map_exported
+from lycheeglade.view import Protocol
+
+KEPT_OPTIONS = frozenset(
+    {
+        OptionNumber.ETAG,
+        OptionNumber.OBSERVE,
+        OptionNumber.URI_PORT,
+        OptionNumber.CONTENT_FORMAT,
+        OptionNumber.MAX_AGE,
+        OptionNumber.ACCEPT,
+        OptionNumber.BLOCK1,
+        OptionNumber.BLOCK2,
+        OptionNumber.SIZE1,
+        OptionNumber.SIZE2,
+        OptionNumber.ECHO,
+        OptionNumber.NO_RESPONSE,
+    }
+)
+DIGEST_BYTES = 24
+HEADER_BYTES = 4
+PAYLOAD_MARKER = 0xFF
+# An option with a reserved length, which no decoder takes.
+_MALFORMED = b"\xf0"
+_NOT_TEXT = b"\xff"
+
+FindProtocol = Callable[[str], Protocol | None]
+
+
+class Redactor:
+    """Redacts datagrams and packets under one key.
+
+    Parameters
+    ----------
+    key : bytes
+        Secret of this process, up to 64 bytes.
+    find_protocol : callable
+        Returns the protocol of a service by name, None if it isn't known.
+    """
+
+    def __init__(self, key: bytes, find_protocol: FindProtocol):
+        self._key = key
+        self._find_protocol = find_protocol
+        self._latest = (b"", None, b"")
+
+    def fill(self, content: bytes) -> bytes:
+        """Return filler in plain ASCII, as long as `content`."""
+        digest = blake2b(content, key=self._key, digest_size=DIGEST_BYTES).digest()
+        text = urlsafe_b64encode(digest)
+        return (text * (len(content) // len(text) + 1))[: len(content)]
+
+    def redact_datagram(self, datagram: bytes, service: str) -> bytes:
+        """Return a caller's or upstream's datagram of `service` redacted."""
+        protocol = self._find_protocol(service)
+        # One datagram is seen as it comes and again as it is passed on.
+        latest, latest_protocol, redacted = self._latest
+        if latest == datagram and latest_protocol is protocol:
+            return redacted
+        if protocol is Protocol.COAP:
+            redacted = self._redact_coap(datagram)
+        else:
+            redacted = self.fill(datagram)
+        self._latest = (datagram, protocol, redacted)
+        return redacted
+
+    def redact_packet(self, packet: Packet) -> Packet:
+        """Return a packet between processes redacted."""
+        if isinstance(packet, (Forward, Answer, Delegate, DelegateReply)):
+            payload = self.redact_datagram(packet.payload, packet.service)
+            return replace(packet, payload=payload)
+        if isinstance(packet, HandoffOffer):
+            registrations = tuple(
+                self.redact_datagram(each, packet.service)
+                for each in packet.registrations
+            )
+            return replace(packet, registrations=registrations)
+        if isinstance(packet, HandoffCommit):
+            return replace(packet, state=self._redact_state(packet))
+        return packet
+
+    def _redact_state(self, packet: HandoffCommit) -> bytes:
+        def redact(datagram: bytes | None) -> bytes | None:
+            if not datagram:
+                return datagram
+            return self.redact_datagram(datagram, packet.service)
+
+        try:
+            state = decode_state(packet.state)
+            tickets = map_exported(state.tickets, self.fill, redact)
+        except DecodeError:
+            return _MALFORMED * len(packet.state)
+        redacted = FlowState(
+            state.balancer_ip,
+            state.balancer_port,
+            state.next_message_id,
+            state.run_message_ids,
+            tuple(_redact_feed(feed, redact) for feed in state.feeds),
+            tickets,
+        )
+        return encode_state(redacted)
+
+    def _redact_coap(self, datagram: bytes) -> bytes:
+        position = HEADER_BYTES + (datagram[0] & 0x0F if datagram else 0)
+        if position > HEADER_BYTES + MAX_TOKEN_BYTES or position > len(datagram):
+            return datagram[:HEADER_BYTES] + self.fill(datagram[HEADER_BYTES:])
+        parts = [datagram[:position]]
+        number = 0
+        while position < len(datagram):
+            if datagram[position] == PAYLOAD_MARKER:
+                payload = datagram[position + 1 :]
+                is_own = payload in OWN_PAYLOADS
+                parts += (b"\xff", payload if is_own else self.fill(payload))
+                return b"".join(parts)
+            delta, length, start = _read_option(datagram, position)
+            number += delta
+            value = datagram[start : start + length]
+            if start < 0 or len(value) < length:
+                parts.append(_MALFORMED * (len(datagram) - position))
+                return b"".join(parts)
+            kept = value if number in KEPT_OPTIONS else self._fill_option(value)
+            parts += (datagram[position:start], kept)
+            position = start + length
+        return b"".join(parts)
+
+    def _fill_option(self, value: bytes) -> bytes:
+        try:
+            value.decode()
+        except UnicodeDecodeError:
+            # A text that can't be decoded makes the message malformed.
+            return _NOT_TEXT * len(value)
+        return self.fill(value)
+
+
+def _redact_feed(feed: FeedState, redact: Callable[[bytes], bytes]) -> FeedState:
+    in_flight = feed.in_flight
+    return FeedState(
+        feed.token,
+        redact(feed.registration),
+        feed.sequence,
+        feed.recent_items,
+        tuple(map(redact, feed.items)),
+        redact(feed.latest),
+        in_flight and (*in_flight[:2], redact(in_flight[2])),
+    )
+
+
+def _read_option(datagram: bytes, position: int) -> tuple[int, int, int]:
+    """Return an option's delta, length and start; -1 if it is malformed."""
+    first = datagram[position]
+    position += 1
+    fields = []
+    for field in (first >> 4, first & 0x0F):
+        size = {13: 1, 14: 2}.get(field, 0)
+        extended = datagram[position : position + size]
+        if field == 15 or len(extended) < size:
+            return 0, 0, -1
+        base = {13: 13, 14: 269}.get(field, field)
+        fields.append(base + int.from_bytes(extended, "big"))
+        position += size
+    return fields[0], fields[1], position
--- a/lycheeglade/ticket.py
+++ b/lycheeglade/ticket.py
@@ -6,6 +6,7 @@
 ticket is whether it was ever used: one bit for each ticket says so.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from hmac import compare_digest
@@ -70,6 +71,26 @@
 _decoder = Decoder(_FlowState)
 
 
+def map_exported(
+    state: bytes,
+    map_digest: Callable[[bytes], bytes],
+    map_outcome: Callable[[bytes | None], bytes | None],
+) -> bytes:
+    """Return exported tickets with other digests and outcomes.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        If `state` can't be decoded.
+    """
+    decoded = _decoder.decode(state)
+    used = tuple(
+        _UsedTicket(each.ticket, map_digest(each.digest), map_outcome(each.outcome))
+        for each in decoded.used
+    )
+    return _encoder.encode(_FlowState(decoded.epoch, decoded.unused, used))
+
+
 class TicketBook:
     """Tickets of one target, minted and judged by one agent process.
 
