Record a core's inputs and actions, and replay them in a fresh core

Cause: a trace could only be written by hand for a whole system; what one process did in a strange night could not be stepped through.

Change: a core is called through its inputs (recorder), which a recorder wraps like its actions: one line for each input with all that was done. A replay feeds them to a core with the same role, seed and limits and names the first line after which it does something else (replay_recording). The replay of whole systems calls its cores through the same inputs and can record them.

Conclusion: stated outcomes are about a whole system and stay with written traces; a recording states its actions itself.

--- a/lycheeglade/outcome.py
+++ b/lycheeglade/outcome.py
@@ -6,10 +6,12 @@
 from pathlib import Path
 
 from lycheeglade.errors import TraceError
+from lycheeglade.recording import is_recording, parse_recording
 from lycheeglade.replay import run_trace
 from lycheeglade.replay_caller import Caller, CallerRequest, Result
+from lycheeglade.replay_recording import format_verdict, replay_recording
 from lycheeglade.replay_world import World
-from lycheeglade.trace import Expect, Trace, TraceLine, load_trace
+from lycheeglade.trace import Expect, Trace, TraceLine, parse_trace
 
 MAX_SHOWN_FAULTS = 5
 
@@ -325,11 +327,19 @@
     Returns
     -------
     int
-        How many outcomes were broken.
+        How many outcomes were broken. A recording counts as one, which is
+        that the core does what was recorded.
     """
     broken = 0
     for path in paths:
-        trace = load_trace(path)
+        text = path.read_text(encoding="utf-8")
+        if is_recording(text):
+            recording = parse_recording(text, str(path))
+            verdict = replay_recording(recording)
+            broken += verdict.fault is not None
+            print("\n".join(format_verdict(recording, verdict)))
+            continue
+        trace = parse_trace(text, str(path))
         for outcome in replay_trace(trace):
             broken += not outcome.is_held
             print("\n".join(format_outcome(trace, outcome)))
--- /dev/null
+++ b/lycheeglade/recorder.py
@@ -0,0 +1,359 @@
+"""Records what a core is given and what it does, at the daemons' edge.
+
+The daemons call a core through its inputs and the core acts through its
+actions. Both are plain callables, which a recorder wraps: without one, nothing
+stands between the sockets and the core.
+"""
+
+from asyncio import create_task, wait
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from functools import partial
+from math import isfinite
+from secrets import token_bytes
+
+from lycheeglade import __version__
+from lycheeglade import agent as agent_core
+from lycheeglade import balancer as balancer_core
+from lycheeglade.address import Address
+from lycheeglade.agent_state import Agent, AgentActions
+from lycheeglade.balancer import Balancer, BalancerActions
+from lycheeglade.errors import PacketError
+from lycheeglade.flow import FlowKey
+from lycheeglade.histograms import Metrics
+from lycheeglade.packet import (
+    Delegate,
+    DelegateReply,
+    Packet,
+    decode_packet,
+    encode_packet,
+)
+from lycheeglade.recording import (
+    FORMAT,
+    Action,
+    Answered,
+    Batch,
+    ClosedUpstream,
+    Counted,
+    FromCaller,
+    FromProcess,
+    FromUpstream,
+    Header,
+    Line,
+    PortClosed,
+    Sent,
+    SentUpstream,
+    Stop,
+    Tick,
+    Timed,
+    describe_change,
+    encode_line,
+)
+from lycheeglade.redaction import Redactor
+from lycheeglade.served_target import TargetKey
+from lycheeglade.settings import Settings
+from lycheeglade.staleness import note_view_age
+from lycheeglade.trace_writer import (
+    CLOSE_TIMEOUT_S,
+    TraceOptions,
+    TraceWriter,
+    open_stream,
+)
+from lycheeglade.view import Protocol, View
+
+KEY_BYTES = 32
+# Never the first byte of a MessagePack value.
+_UNREADABLE = b"\xc1"
+
+
+@dataclass(frozen=True, slots=True)
+class BalancerInputs:
+    """All that a balancer's core is given."""
+
+    receive_from_caller: Callable[[str, tuple, bytes, float], None]
+    receive_datagram: Callable[[bytes, Address, float], None]
+    note_batch: Callable[[int, bool, float], None]
+    update_view: Callable[[View, float], None]
+    tick: Callable[[float], None]
+
+
+@dataclass(frozen=True, slots=True)
+class AgentInputs:
+    """All that an agent's core is given.
+
+    Attributes
+    ----------
+    tick : callable
+        Takes whether the view is fresh, and the present time.
+    """
+
+    receive_datagram: Callable[[bytes, Address, float], None]
+    receive_from_upstream: Callable[[TargetKey, FlowKey | None, bytes, float], None]
+    receive_upstream_failure: Callable[[TargetKey, float], None]
+    update_view: Callable[[View, float], None]
+    tick: Callable[[bool, float], None]
+    begin_stop: Callable[[float], None]
+
+
+def balancer_inputs(balancer: Balancer) -> BalancerInputs:
+    """Return the inputs of a balancer's core."""
+    return BalancerInputs(
+        partial(balancer_core.receive_from_caller, balancer),
+        partial(balancer_core.receive_datagram, balancer),
+        balancer.overload.note_batch,
+        lambda view, now: balancer_core.update_view(balancer, view),
+        partial(balancer_core.tick, balancer),
+    )
+
+
+def agent_inputs(agent: Agent) -> AgentInputs:
+    """Return the inputs of an agent's core."""
+
+    def tick(is_fresh: bool, now: float) -> None:
+        note_view_age(agent, is_fresh, now)
+        agent_core.tick(agent, now)
+
+    return AgentInputs(
+        partial(agent_core.receive_datagram, agent),
+        partial(agent_core.receive_from_upstream, agent),
+        partial(agent_core.receive_upstream_failure, agent),
+        partial(agent_core.update_view, agent),
+        tick,
+        partial(agent_core.begin_stop, agent),
+    )
+
+
+class Recorder:
+    """Turns the inputs and actions of one core into lines.
+
+    Parameters
+    ----------
+    write : callable
+        Takes each line but the header, and its time.
+    is_whole : bool
+        Whether payloads are written as they are.
+    """
+
+    def __init__(self, write: Callable[[bytes, float], None], *, is_whole: bool):
+        self._write = write
+        self._did: list[Action] = []
+        self._view = View()
+        self._protocols_by_service: dict[str, Protocol] = {}
+        self._redactor = None
+        if not is_whole:
+            key = token_bytes(KEY_BYTES)
+            self._redactor = Redactor(key, self._protocols_by_service.get)
+
+    def balancer_actions(self, actions: BalancerActions) -> BalancerActions:
+        """Return actions that are noted before they are done."""
+
+        def send(address: Address, datagram: bytes) -> None:
+            packet = self._redact_packet(decode_packet(datagram))
+            self._did.append(Sent(address, packet))
+            actions.send(address, datagram)
+
+        def answer(service: str, caller: Address, datagram: bytes) -> None:
+            self._did.append(
+                Answered(service, Address(*caller[:2]), self._redact(datagram, service))
+            )
+            actions.answer(service, caller, datagram)
+
+        return BalancerActions(send, answer, self._note_count(actions.count))
+
+    def agent_actions(self, actions: AgentActions) -> AgentActions:
+        """Return actions that are noted before they are done."""
+
+        def send(address: Address, packet: Packet) -> None:
+            self._did.append(Sent(address, self._redact_packet(packet)))
+            actions.send(address, packet)
+
+        def send_upstream(key: TargetKey, flow: FlowKey | None, datagram: bytes):
+            redacted = self._redact(datagram, key.service)
+            self._did.append(SentUpstream(*key, flow, redacted))
+            actions.send_upstream(key, flow, datagram)
+
+        def close_upstream(key: TargetKey, flow: FlowKey) -> None:
+            self._did.append(ClosedUpstream(*key, flow))
+            actions.close_upstream(key, flow)
+
+        def record(service: str, work: str, stage: str, seconds: float) -> None:
+            self._did.append(Timed(service, str(work), str(stage), seconds))
+            actions.record(service, work, stage, seconds)
+
+        return AgentActions(
+            send,
+            send_upstream,
+            close_upstream,
+            self._note_count(actions.count),
+            record,
+        )
+
+    def balancer_inputs(self, inputs: BalancerInputs) -> BalancerInputs:
+        """Return inputs that write a line each."""
+
+        def from_caller(service, caller, datagram, now, **done):
+            return FromCaller(
+                at=now,
+                service=service,
+                caller=Address(*caller[:2]),
+                datagram=self._redact(datagram, service),
+                **done,
+            )
+
+        def batch(packets, drained, now, **done):
+            return Batch(at=now, packets=packets, drained=drained, **done)
+
+        def tick(now, **done):
+            return Tick(at=now, **done)
+
+        return BalancerInputs(
+            self._note(inputs.receive_from_caller, from_caller),
+            self._note(inputs.receive_datagram, self._describe_packet),
+            self._note(inputs.note_batch, batch),
+            self._note(self._learn_view(inputs.update_view), self._describe_view),
+            self._note(inputs.tick, tick),
+        )
+
+    def agent_inputs(self, inputs: AgentInputs) -> AgentInputs:
+        """Return inputs that write a line each."""
+
+        def from_upstream(key, flow, datagram, now, **done):
+            return FromUpstream(
+                at=now,
+                service=key.service,
+                target=key.target_id,
+                flow=flow,
+                datagram=self._redact(datagram, key.service),
+                **done,
+            )
+
+        def port_closed(key, now, **done):
+            return PortClosed(at=now, service=key.service, target=key.target_id, **done)
+
+        def tick(is_fresh, now, **done):
+            return Tick(at=now, fresh=is_fresh, **done)
+
+        def stop(now, **done):
+            return Stop(at=now, **done)
+
+        return AgentInputs(
+            self._note(inputs.receive_datagram, self._describe_packet),
+            self._note(inputs.receive_from_upstream, from_upstream),
+            self._note(inputs.receive_upstream_failure, port_closed),
+            self._note(self._learn_view(inputs.update_view), self._describe_view),
+            self._note(inputs.tick, tick),
+            self._note(inputs.begin_stop, stop),
+        )
+
+    def _note(self, function: Callable, describe: Callable[..., Line]) -> Callable:
+        """Return `function` with a line written after each call.
+
+        The present time is its last argument.
+        """
+
+        def call(*arguments):
+            raised = ""
+            self._did.clear()
+            try:
+                function(*arguments)
+            except Exception as error:
+                raised = type(error).__name__
+                raise
+            finally:
+                line = describe(*arguments, did=tuple(self._did), raised=raised)
+                self._write(encode_line(line), arguments[-1])
+
+        return call
+
+    def _note_count(self, count: Callable[[str, str, str], None]) -> Callable:
+        def note(name: str, service: str, cause: str) -> None:
+            self._did.append(Counted(name, service, str(cause)))
+            count(name, service, cause)
+
+        return note
+
+    def _describe_packet(self, datagram, source, now, **done) -> FromProcess:
+        try:
+            packet = self._redact_packet(decode_packet(datagram))
+            if not _fits_json(packet):
+                packet = encode_packet(packet)
+        except PacketError:
+            packet = datagram
+            if self._redactor is not None:
+                packet = datagram[:1] + _UNREADABLE * (len(datagram) - 1)
+        return FromProcess(at=now, source=source, packet=packet, **done)
+
+    def _describe_view(self, view: View, now: float, **done) -> Line:
+        previous, self._view = self._view, view
+        return describe_change(previous, view, now, **done)
+
+    def _learn_view(self, update_view: Callable[[View, float], None]) -> Callable:
+        def learn(view: View, now: float) -> None:
+            # A service that is gone stays known: its flows may live on.
+            for name, service in view.services_by_name.items():
+                self._protocols_by_service[name] = service.protocol
+            update_view(view, now)
+
+        return learn
+
+    def _redact(self, datagram: bytes, service: str) -> bytes:
+        if self._redactor is None:
+            return datagram
+        return self._redactor.redact_datagram(datagram, service)
+
+    def _redact_packet(self, packet: Packet) -> Packet:
+        if self._redactor is None:
+            return packet
+        return self._redactor.redact_packet(packet)
+
+
+def _fits_json(packet: Packet) -> bool:
+    """Tell whether no number of a packet is one that JSON lacks."""
+    if isinstance(packet, Delegate):
+        return isfinite(packet.home_busy)
+    return not isinstance(packet, DelegateReply) or isfinite(packet.busy)
+
+
+@asynccontextmanager
+async def open_recorder(
+    options: TraceOptions | None,
+    settings: Settings,
+    seed: int,
+    now: float,
+    metrics: Metrics,
+) -> AsyncIterator[Recorder | None]:
+    """Give the recorder of a process that starts now; None without options.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the core's generator.
+    """
+    if options is None:
+        yield None
+        return
+    writer = TraceWriter(
+        partial(open_stream, options),
+        lambda lines: metrics.count("trace", "", "dropped", lines),
+    )
+    header = Header(
+        at=now,
+        format=FORMAT,
+        version=__version__,
+        role=settings.role,
+        host=settings.host_id,
+        zone=settings.zone,
+        packets=settings.packets,
+        max_flows=settings.max_flows,
+        seed=f"{seed:x}",
+        is_whole=options.is_whole,
+    )
+    writer.start(encode_line(header))
+    task = create_task(writer.run())
+    try:
+        yield Recorder(writer.write, is_whole=options.is_whole)
+    finally:
+        writer.finish()
+        await wait([task], timeout=CLOSE_TIMEOUT_S)
+        task.cancel()
--- a/lycheeglade/recording.py
+++ b/lycheeglade/recording.py
@@ -274,6 +274,7 @@
             errors.append(TraceError(source, number, str(error)))
     errors += _check_lines(lines, source)
     if errors:
+        errors.sort(key=lambda error: error.line)
         raise ExceptionGroup(f"{source}: invalid recording", errors)
     return Recording(source, lines[0].line, tuple(lines[1:]))
 
--- a/lycheeglade/replay.py
+++ b/lycheeglade/replay.py
@@ -4,10 +4,10 @@
 from functools import partial
 from random import Random
 
-from lycheeglade import agent as agent_core
 from lycheeglade import replay_caller
 from lycheeglade.agent_state import Agent
 from lycheeglade.errors import ConfigurationError
+from lycheeglade.recorder import Recorder
 from lycheeglade.replay_network import apply_behaviour, caller_of
 from lycheeglade.replay_process import start_process, take_value
 from lycheeglade.replay_world import LeavingSpan, World, deliver, whole_snapshot
@@ -34,11 +34,13 @@
     Upstream,
 )
 from lycheeglade.value import Value, read_value
-from lycheeglade.view import View
+from lycheeglade.view import Host, View
 
 
 def run_trace(
-    trace: Trace, on_expect: Callable[[World, TraceLine], None] | None = None
+    trace: Trace,
+    on_expect: Callable[[World, TraceLine], None] | None = None,
+    record: Callable[[Host, int, float], Recorder] | None = None,
 ) -> World:
     """Replay a trace up to the time of its last line.
 
@@ -46,8 +48,10 @@
     ----------
     on_expect : callable, optional
         Called with each stated outcome at its time.
+    record : callable, optional
+        See `World`.
     """
-    world = World(trace.options, Random(trace.options.seed))
+    world = World(trace.options, Random(trace.options.seed), record)
     for line in trace.lines:
         if isinstance(line.event, Options):
             continue
@@ -174,7 +178,7 @@
     process = world.processes_by_name[event.process]
     process.is_stopping = True
     if isinstance(process.state, Agent):
-        deliver(world, process, partial(agent_core.begin_stop, process.state))
+        deliver(world, process, process.inputs.begin_stop)
 
 
 def _pause(world: World, event: Pause, line: int, now: float) -> None:
--- a/lycheeglade/replay_network.py
+++ b/lycheeglade/replay_network.py
@@ -3,11 +3,9 @@
 from functools import partial
 from random import Random
 
-from lycheeglade import agent as agent_core
-from lycheeglade import balancer as balancer_core
 from lycheeglade import replay_caller, replay_upstream
 from lycheeglade.address import Address
-from lycheeglade.agent_state import Agent, AgentActions
+from lycheeglade.agent_state import AgentActions
 from lycheeglade.balancer import Balancer, BalancerActions
 from lycheeglade.flow import FlowKey
 from lycheeglade.packet import encode_packet
@@ -33,12 +31,11 @@
 
     def arrive(now: float) -> None:
         process = world.processes_by_name[name]
-        core = agent_core if isinstance(process.state, Agent) else balancer_core
         deliver(
             world,
             process,
-            lambda now: core.receive_datagram(
-                process.state, datagram, sender.host.packets, now
+            lambda now: process.inputs.receive_datagram(
+                datagram, sender.host.packets, now
             ),
         )
 
@@ -84,9 +81,7 @@
         deliver(
             world,
             process,
-            lambda now: agent_core.receive_from_upstream(
-                process.state, key, None, datagram, now
-            ),
+            lambda now: process.inputs.receive_from_upstream(key, None, datagram, now),
         )
 
     def send_later(datagram: bytes) -> None:
@@ -142,8 +137,7 @@
         deliver(
             world,
             process,
-            lambda now: balancer_core.receive_from_caller(
-                process.state,
+            lambda now: process.inputs.receive_from_caller(
                 flow.service,
                 Address(flow.caller_ip, flow.caller_port),
                 datagram,
--- a/lycheeglade/replay_process.py
+++ b/lycheeglade/replay_process.py
@@ -5,10 +5,10 @@
 from lycheeglade import agent as agent_core
 from lycheeglade import balancer as balancer_core
 from lycheeglade.agent_state import Agent
+from lycheeglade.recorder import agent_inputs, balancer_inputs
 from lycheeglade.replay_network import agent_actions, balancer_actions
 from lycheeglade.replay_world import Process, World
 from lycheeglade.spread import Snapshot, advance, build_view
-from lycheeglade.staleness import note_view_age
 from lycheeglade.value import Value
 from lycheeglade.view import Host, Role
 
@@ -17,22 +17,30 @@
 
 def start_process(world: World, host: Host, now: float) -> None:
     """Start a process with all values that were published."""
-    generator = Random(world.generator.getrandbits(64))
+    seed = world.generator.getrandbits(64)
+    recorder = world.record and world.record(host, seed, now)
     name = host.host_id
     if host.role is Role.AGENT:
+        actions = agent_actions(world, name)
+        if recorder is not None:
+            actions = recorder.agent_actions(actions)
         state = agent_core.make_agent(
-            name,
-            host.zone,
-            agent_actions(world, name),
-            generator,
-            MAX_AGENT_FLOWS,
-            now,
+            name, host.zone, actions, Random(seed), MAX_AGENT_FLOWS, now
         )
+        inputs = agent_inputs(state)
+        if recorder is not None:
+            inputs = recorder.agent_inputs(inputs)
     else:
+        actions = balancer_actions(world, name)
+        if recorder is not None:
+            actions = recorder.balancer_actions(actions)
         state = balancer_core.make_balancer(
-            name, host.zone, host.packets, balancer_actions(world, name), generator
+            name, host.zone, host.packets, actions, Random(seed)
         )
-    process = Process(host, state, Snapshot(), now)
+        inputs = balancer_inputs(state)
+        if recorder is not None:
+            inputs = recorder.balancer_inputs(inputs)
+    process = Process(host, state, inputs, Snapshot(), now)
     world.processes_by_name[name] = process
     world.names_by_address[host.packets] = name
     for value in list(world.values_by_name.values()):
@@ -49,20 +57,17 @@
     known = process.snapshot.values_by_name.get(value.name)
     process.revisions.append((now, value.name, known.revision if known else 0))
     process.view = view
-    if isinstance(process.state, Agent):
-        agent_core.update_view(process.state, view, now)
-    else:
-        balancer_core.update_view(process.state, view)
+    process.inputs.update_view(view, now)
 
 
 def _tick(world: World, process: Process, now: float) -> None:
     if not process.is_alive:
         return
     if not process.is_paused:
-        core = agent_core if isinstance(process.state, Agent) else balancer_core
         if isinstance(process.state, Agent):
-            note_view_age(process.state, True, now)
-        core.tick(process.state, now)
+            process.inputs.tick(True, now)
+        else:
+            process.inputs.tick(now)
         if process.is_stopping:
             _end_if_idle(world, process, now)
     world.timers.call_at(
--- /dev/null
+++ b/lycheeglade/replay_recording.py
@@ -0,0 +1,247 @@
+"""Replays a recording: the same inputs into a fresh core of the same role.
+
+The first line after which the core does something else than was recorded is
+the fault; what comes later would only follow from it.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from msgspec.json import encode as encode_json
+from msgspec.structs import replace
+
+from lycheeglade.agent import make_agent
+from lycheeglade.agent_state import AgentActions
+from lycheeglade.balancer import BalancerActions, make_balancer
+from lycheeglade.packet import HandoffCommit, decode_packet, encode_packet
+from lycheeglade.recorder import (
+    AgentInputs,
+    BalancerInputs,
+    agent_inputs,
+    balancer_inputs,
+)
+from lycheeglade.recording import (
+    Action,
+    Answered,
+    Batch,
+    ClosedUpstream,
+    Counted,
+    FromCaller,
+    FromProcess,
+    FromUpstream,
+    Gap,
+    Header,
+    Input,
+    Line,
+    PortClosed,
+    Recording,
+    Sent,
+    SentUpstream,
+    Stop,
+    Tick,
+    Timed,
+    ViewChange,
+    apply_change,
+)
+from lycheeglade.served_target import TargetKey
+from lycheeglade.view import Role, View
+
+MAX_SHOWN_CHARACTERS = 400
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """How a replay of a recording ended.
+
+    Attributes
+    ----------
+    checked : int
+        Lines whose actions were the recorded ones.
+    fault : tuple or None
+        Number of the line at fault, and lines that tell what differs.
+    gap : tuple or None
+        Number of the line before which others are missing, and how many at
+        least. Nothing was checked from there on.
+    """
+
+    checked: int
+    seconds: float
+    fault: tuple[int, tuple[str, ...]] | None = None
+    gap: tuple[int, int] | None = None
+
+
+class Core:
+    """A fresh core, fed with the lines of a recording."""
+
+    def __init__(self, header: Header):
+        self._did: list[Action] = []
+        self._view = View()
+        generator = Random(int(header.seed, 16))
+        if header.role is Role.BALANCER:
+            actions = _balancer_actions(self._did.append)
+            balancer = make_balancer(
+                header.host, header.zone, header.packets, actions, generator
+            )
+            self._inputs = balancer_inputs(balancer)
+        else:
+            agent = make_agent(
+                header.host,
+                header.zone,
+                _agent_actions(self._did.append),
+                generator,
+                header.max_flows,
+                header.at,
+            )
+            self._inputs = agent_inputs(agent)
+
+    def apply(self, line: Input) -> tuple[tuple[Action, ...], str]:
+        """Return what the core does on an input, and the error it raises."""
+        self._did.clear()
+        raised = ""
+        if isinstance(line, ViewChange):
+            self._view = apply_change(self._view, line)
+        try:
+            _APPLY_BY_KIND[type(line)](self._inputs, line, self._view)
+        except Exception as error:
+            raised = type(error).__name__
+        return tuple(self._did), raised
+
+
+def _apply_tick(inputs: AgentInputs | BalancerInputs, line: Tick, view: View) -> None:
+    if isinstance(inputs, AgentInputs):
+        inputs.tick(line.fresh, line.at)
+    else:
+        inputs.tick(line.at)
+
+
+def _apply_packet(inputs, line: FromProcess, view: View) -> None:
+    packet = line.packet
+    datagram = packet if isinstance(packet, bytes) else encode_packet(packet)
+    inputs.receive_datagram(datagram, line.source, line.at)
+
+
+_APPLY_BY_KIND: dict[type[Line], Callable] = {
+    ViewChange: lambda inputs, line, view: inputs.update_view(view, line.at),
+    FromProcess: _apply_packet,
+    FromCaller: lambda inputs, line, view: inputs.receive_from_caller(
+        line.service, line.caller, line.datagram, line.at
+    ),
+    Batch: lambda inputs, line, view: inputs.note_batch(
+        line.packets, line.drained, line.at
+    ),
+    FromUpstream: lambda inputs, line, view: inputs.receive_from_upstream(
+        TargetKey(line.service, line.target), line.flow, line.datagram, line.at
+    ),
+    PortClosed: lambda inputs, line, view: inputs.receive_upstream_failure(
+        TargetKey(line.service, line.target), line.at
+    ),
+    Tick: _apply_tick,
+    Stop: lambda inputs, line, view: inputs.begin_stop(line.at),
+}
+
+
+def _balancer_actions(note: Callable[[Action], None]) -> BalancerActions:
+    return BalancerActions(
+        send=lambda address, datagram: note(Sent(address, decode_packet(datagram))),
+        answer=lambda service, caller, datagram: note(
+            Answered(service, caller, datagram)
+        ),
+        count=lambda name, service, cause: note(Counted(name, service, str(cause))),
+    )
+
+
+def _agent_actions(note: Callable[[Action], None]) -> AgentActions:
+    return AgentActions(
+        send=lambda address, packet: note(Sent(address, packet)),
+        send_upstream=lambda key, flow, datagram: note(
+            SentUpstream(*key, flow, datagram)
+        ),
+        close_upstream=lambda key, flow: note(ClosedUpstream(*key, flow)),
+        count=lambda name, service, cause: note(Counted(name, service, str(cause))),
+        record=lambda service, work, stage, seconds: note(
+            Timed(service, str(work), str(stage), seconds)
+        ),
+    )
+
+
+def replay_recording(recording: Recording) -> Verdict:
+    """Replay a recording up to its end, its first gap or its first fault."""
+    header = recording.header
+    core = Core(header)
+    checked = 0
+    at = header.at
+    for numbered in recording.lines:
+        line = numbered.line
+        if isinstance(line, (Gap, Header)):
+            missing = line.lines if isinstance(line, Gap) else 0
+            return Verdict(checked, at - header.at, gap=(numbered.number, missing))
+        at = line.at
+        did, raised = core.apply(line)
+        if line.did is None:
+            continue
+        difference = _compare(line, did, raised, is_whole=header.is_whole)
+        if difference:
+            fault = (numbered.number, difference)
+            return Verdict(checked, at - header.at, fault=fault)
+        checked += 1
+    return Verdict(checked, at - header.at)
+
+
+def _compare(
+    line: Input, did: tuple[Action, ...], raised: str, *, is_whole: bool
+) -> tuple[str, ...]:
+    """Return lines that tell the first difference; none if there is none."""
+    recorded, replayed = line.did, did
+    if not is_whole:
+        recorded = tuple(map(_comparable, recorded))
+        replayed = tuple(map(_comparable, replayed))
+    for index in range(max(len(recorded), len(replayed))):
+        pair = [each[index : index + 1] for each in (recorded, replayed)]
+        if pair[0] != pair[1]:
+            old, new = (_show(each) for each in pair)
+            return (f"did[{index}] recorded: {old}", f"did[{index}] replayed: {new}")
+    if line.raised != raised:
+        return (
+            f"raised recorded: {line.raised or 'nothing'}",
+            f"raised replayed: {raised or 'nothing'}",
+        )
+    return ()
+
+
+def _comparable(action: Action) -> Action:
+    """Return an action without the digests of what was replaced by filler."""
+    if isinstance(action, Sent) and isinstance(action.packet, HandoffCommit):
+        packet = replace(action.packet, state=bytes(len(action.packet.state)))
+        return Sent(action.to, packet)
+    return action
+
+
+def _show(actions: tuple[Action, ...]) -> str:
+    if not actions:
+        return "nothing"
+    text = encode_json(actions[0]).decode()
+    if len(text) > MAX_SHOWN_CHARACTERS:
+        return text[:MAX_SHOWN_CHARACTERS] + "..."
+    return text
+
+
+def format_verdict(recording: Recording, verdict: Verdict) -> list[str]:
+    """Return lines that tell a reader how a replay ended."""
+    header = recording.header
+    about = (
+        f"{header.role} {header.host}, {verdict.checked} lines checked over"
+        f" {verdict.seconds:.3f} s"
+    )
+    if verdict.fault is not None:
+        number, difference = verdict.fault
+        text = f"{recording.source}:{number}: actions BROKEN ({about} before)"
+        return [text, *(f"    {each}" for each in difference)]
+    lines = [f"{recording.source}: actions held ({about})"]
+    if verdict.gap is not None:
+        number, missing = verdict.gap
+        lines.append(
+            f"    line {number}: a gap of {missing} lines or more; nothing is"
+            " checked from there on"
+        )
+    return lines
--- a/lycheeglade/replay_world.py
+++ b/lycheeglade/replay_world.py
@@ -8,6 +8,7 @@
 from lycheeglade.agent_state import Agent
 from lycheeglade.balancer import Balancer
 from lycheeglade.flow import FlowKey
+from lycheeglade.recorder import AgentInputs, BalancerInputs, Recorder
 from lycheeglade.replay_caller import Caller
 from lycheeglade.replay_upstream import UpstreamModel
 from lycheeglade.served_target import TargetKey
@@ -27,6 +28,8 @@
 
     Attributes
     ----------
+    inputs : AgentInputs or BalancerInputs
+        Through which its core is called, as in the daemons.
     inbox : list of callable
         What arrived while the process was paused.
     revisions : list of tuple
@@ -35,6 +38,7 @@
 
     host: Host
     state: Agent | Balancer
+    inputs: AgentInputs | BalancerInputs
     snapshot: Snapshot
     started_at: float
     view: View = field(default_factory=View)
@@ -56,10 +60,18 @@
 
 @dataclass(slots=True)
 class World:
-    """State of a replay."""
+    """State of a replay.
+
+    Attributes
+    ----------
+    record : callable or None
+        Returns a recorder for a process that starts, from its host, the seed
+        of its core and the present time.
+    """
 
     options: Options
     generator: Random
+    record: Callable[[Host, int, float], Recorder] | None = None
     now: float = 0.0
     timers: TimerQueue = field(default_factory=TimerQueue)
     values_by_name: dict[str, Value] = field(default_factory=dict)
