Ask how long an upstream's cold start takes

Cause: what is generated ramped every upstream up over 10 s, or 30 s for a team that weighs imbalance more, whatever the upstream needs; a deployment with quicker or slower cold starts could not be stated in answers.

Change: a service's answers have cold_start_s (10 s unless answered, up to an hour). What is generated ramps up over one cold start, or over three of them for a team that weighs imbalance more, which is what it was at 10 s. The property tests draw it too.

--- a/lycheeglade/answers.py
+++ b/lycheeglade/answers.py
@@ -28,6 +28,7 @@
 MAX_USER_PORT = 65535
 MAX_FEEDS = 1_000_000_000
 MIN_SILENCE_S = 1.0
+MAX_COLD_START_S = 3600.0
 
 
 class Fabric(StrEnum):
@@ -90,6 +91,8 @@
         Seconds after which a caller should know that its feed went silent.
     grace : float
         Seconds that a leaving upstream gets to finish its work.
+    cold_start : float
+        Seconds that an upstream needs after its start to reach full speed.
     """
 
     name: str
@@ -104,6 +107,7 @@
     late_after: float = 10.0
     silence: float = 30.0
     grace: float = 30.0
+    cold_start: float = 10.0
     worse: Worse = Worse.BROKEN_FLOWS
 
 
@@ -225,6 +229,7 @@
         "late_after_s": service.late_after,
         "silence_s": service.silence,
         "grace_s": service.grace,
+        "cold_start_s": service.cold_start,
         "worse": service.worse,
     }
 
@@ -306,6 +311,7 @@
         late_after=seconds("late_after_s", 10.0),
         silence=seconds("silence_s", 30.0, MIN_SILENCE_S),
         grace=section.get_float("grace_s", 30.0, 0.0, MAX_GRACE_S),
+        cold_start=section.get_float("cold_start_s", 10.0, 0.0, MAX_COLD_START_S),
         worse=section.get_choice("worse", Worse, Worse.BROKEN_FLOWS),
     )
 
--- a/lycheeglade/generator.py
+++ b/lycheeglade/generator.py
@@ -36,9 +36,9 @@
 SETTINGS_PREFIX = "settings/"
 
 # A team that fears broken flows keeps silent ones longer; one that fears
-# imbalance lets a fresh upstream take up load more slowly.
+# imbalance lets a fresh upstream take up load over several cold starts.
 FLOW_IDLE_S_BY_WORSE = {Worse.BROKEN_FLOWS: 900.0, Worse.IMBALANCE: 300.0}
-COLD_START_S_BY_WORSE = {Worse.BROKEN_FLOWS: 10.0, Worse.IMBALANCE: 30.0}
+COLD_STARTS_BY_WORSE = {Worse.BROKEN_FLOWS: 1.0, Worse.IMBALANCE: 3.0}
 
 Machine = BalancerAnswers | HostAnswers
 
@@ -123,7 +123,7 @@
         request_timeout=service.late_after,
         heartbeat=service.silence / HEARTBEATS_UNTIL_SILENT,
         flow_idle=max(FLOW_IDLE_S_BY_WORSE[service.worse], service.silence),
-        cold_start=COLD_START_S_BY_WORSE[service.worse],
+        cold_start=service.cold_start * COLD_STARTS_BY_WORSE[service.worse],
         grace=service.grace,
     )
 
--- a/lycheeglade/questionnaire.py
+++ b/lycheeglade/questionnaire.py
@@ -6,6 +6,7 @@
 
 from lycheeglade.address import Zone
 from lycheeglade.answers import (
+    MAX_COLD_START_S,
     MAX_FEEDS,
     Answers,
     BalancerAnswers,
@@ -32,7 +33,7 @@
 from lycheeglade.numbering import choose_free_ip
 from lycheeglade.options import parse_name
 from lycheeglade.prompter import Ask, Prompter, Tell, list_of, number_in, one_of
-from lycheeglade.settings import parse_url, read_text
+from lycheeglade.settings import MAX_GRACE_S, parse_url, read_text
 from lycheeglade.view import Protocol
 
 MAX_HOSTS_A_ZONE = 1000
@@ -211,7 +212,12 @@
         grace=ask_for(
             "how many seconds does an upstream that leaves get to finish?",
             known.grace,
-            number_in(float, 0, 3600),
+            number_in(float, 0, MAX_GRACE_S),
+        ),
+        cold_start=ask_for(
+            "how many seconds after its start is an upstream at full speed?",
+            known.cold_start,
+            number_in(float, 0, MAX_COLD_START_S),
         ),
         worse=ask_for(
             "what is worse for you, flows that break (broken-flows) or some "
--- a/tests/test_generator.py
+++ b/tests/test_generator.py
@@ -8,6 +8,7 @@
 
 from lycheeglade.address import Zone
 from lycheeglade.answers import (
+    MAX_COLD_START_S,
     Answers,
     BalancerAnswers,
     Fabric,
@@ -106,6 +107,7 @@
         late_after=draw(SECONDS | st.just(1000.0)),
         silence=draw(SECONDS),
         grace=draw(SECONDS | st.just(1000.0)),
+        cold_start=draw(st.floats(0, MAX_COLD_START_S)),
         worse=draw(st.sampled_from(Worse)),
     )
 
