Refuse feeds that count as dead before the fabric notices a death

The answers said that a feed counts as dead after 3 s, so that callers gave up after 2.5 s, while the fabric hands packets to a dead balancer for 3 s, acknowledgements of items among them, and an item is repeated after up to 2.5 s. Nobody was asked for the fabric's time.

Change: the questionnaire asks for it (fabric_notice_s, 3 s unless answered). A service with feeds whose silence is shorter than that and 3 s more is a contradiction, named with the least value that holds. A test holds the 3 s to the retries of feeds.

--- a/lycheeglade/answers.py
+++ b/lycheeglade/answers.py
@@ -29,6 +29,7 @@
 MAX_FEEDS = 1_000_000_000
 MIN_SILENCE_S = 1.0
 MAX_COLD_START_S = 3600.0
+MAX_FABRIC_NOTICE_S = 3600.0
 
 
 class Fabric(StrEnum):
@@ -61,6 +62,8 @@
     balancers, upstreams, services : str
         Networks, such as ``127.1.0.0/24``. The questionnaire proposes their
         free addresses; what is generated uses the addresses of the hosts.
+    fabric_notice : float
+        Seconds for which the fabric hands packets to a dead balancer.
     """
 
     name: str
@@ -69,6 +72,7 @@
     upstreams: str
     services: str
     fabric: Fabric = Fabric.SERVICE_ADDRESS
+    fabric_notice: float = 3.0
     operators: Operators = Operators.LOOPBACK
 
 
@@ -192,6 +196,7 @@
             "upstreams": team.upstreams,
             "services": team.services,
             "fabric": team.fabric,
+            "fabric_notice_s": team.fabric_notice,
             "operators": team.operators,
         },
         "places": {
@@ -268,6 +273,9 @@
         upstreams=section.get("upstreams", parse_network, ""),
         services=section.get("services", parse_network, ""),
         fabric=section.get_choice("fabric", Fabric, Fabric.SERVICE_ADDRESS),
+        fabric_notice=section.get_float(
+            "fabric_notice_s", 3.0, 0.0, MAX_FABRIC_NOTICE_S
+        ),
         operators=section.get_choice("operators", Operators, Operators.LOOPBACK),
     )
     section.refuse_unknown()
--- a/lycheeglade/contradictions.py
+++ b/lycheeglade/contradictions.py
@@ -17,6 +17,8 @@
 from lycheeglade.errors import OptionError
 
 MAX_LISTEN_PORTS = PACKETS_PORT - FIRST_LISTEN_PORT
+# Bound of the interval between two copies of a feed's item.
+LONGEST_FEED_RETRY_S = 3.0
 
 
 def find_contradictions(answers: Answers, source: str) -> list[OptionError]:
@@ -87,6 +89,7 @@
             _check_places(answers, service),
             _check_capacity(answers, service),
             _check_times(service),
+            _check_silence(answers, service),
         ):
             yield section, option, reason
 
@@ -132,6 +135,23 @@
         )
 
 
+def _check_silence(answers: Answers, service: ServiceAnswers) -> Iterator:
+    """Refuse feeds that count as dead before the death of a balancer is over.
+
+    Until the fabric notices it, acknowledgements of feed items are lost there.
+    """
+    notice = answers.team.fabric_notice
+    least = notice + LONGEST_FEED_RETRY_S
+    if service.feeds and service.silence < least:
+        yield (
+            "silence_s",
+            f"a feed counts as dead after {service.silence:g} s, but the fabric "
+            f"hands packets to a dead entry host for {notice:g} s, and an item is "
+            f"repeated after up to {LONGEST_FEED_RETRY_S:g} s; "
+            f"at least {least:g} s are needed",
+        )
+
+
 def _check_addresses(answers: Answers) -> Findings:
     section_by_ip: dict[str, str] = {}
     for kind, machines in (
--- a/lycheeglade/questionnaire.py
+++ b/lycheeglade/questionnaire.py
@@ -7,6 +7,7 @@
 from lycheeglade.address import Zone
 from lycheeglade.answers import (
     MAX_COLD_START_S,
+    MAX_FABRIC_NOTICE_S,
     MAX_FEEDS,
     Answers,
     BalancerAnswers,
@@ -112,6 +113,12 @@
             earlier.fabric,
             one_of(Fabric),
         ),
+        fabric_notice=ask_for(
+            "For how many seconds does the fabric still hand packets to an "
+            "entry host that has died?",
+            earlier.fabric_notice,
+            number_in(float, 0, MAX_FABRIC_NOTICE_S),
+        ),
         operators=ask_for(
             "Is the state of a process read on its host only (loopback), or "
             "over the network of the hosts (host-address)?",
--- a/tests/test_generator.py
+++ b/tests/test_generator.py
@@ -21,8 +21,9 @@
     parse_answers,
 )
 from lycheeglade.checker import check_files
-from lycheeglade.contradictions import find_contradictions
+from lycheeglade.contradictions import LONGEST_FEED_RETRY_S, find_contradictions
 from lycheeglade.errors import ConfigurationError
+from lycheeglade.feed import MAX_RETRY_S, RETRY_JITTER
 from lycheeglade.generator import generate_files, generate_texts
 from lycheeglade.questionnaire import ask_and_save
 from lycheeglade.view import Protocol
@@ -66,6 +67,10 @@
     assert check_files(generate_files(path, tmp_path)) == []
 
 
+def test_feeds_outlast_the_longest_retry():
+    assert MAX_RETRY_S * (1 + RETRY_JITTER) <= LONGEST_FEED_RETRY_S
+
+
 def test_questionnaire_asks_again_and_keeps_answers(tmp_path):
     lines = (DATA / "first.dialogue").read_text().splitlines()
     dialogue = [line.split("|") for line in lines]
@@ -127,6 +132,7 @@
             "10.0.0.0/24",
             "10.9.0.0/24",
             draw(st.sampled_from(Fabric)),
+            draw(SECONDS | st.just(3.0)),
             draw(st.sampled_from(Operators)),
         ),
         {"viti-west": ("nadi-a", "nadi-b"), "fj": ("suva",)},
@@ -180,6 +186,7 @@
                 port=6000 + number,
                 places=places,
                 feeds=service.connections,
+                silence=2000.0,
                 late_after=1000.0,
                 grace=1000.0,
             )
