Run the demo and the tests from generated configuration

Cause: the demo wrote settings and published values by formatters of its own, beside those of the generator. What a team's answers give was never run.

Change: a deployment is planned from the shipped answers: read, shortened to the times of a trial (demo/examples.py names them all), moved to a free network, and handed to the generator. The cluster writes what is generated and the answers, and publishes those values. Targets are the product's own type; a changed value is parsed, edited and formatted by the product. The formatters of the demo are gone. Both teams change at once, since they share the type of a deployment.

--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -11,19 +11,12 @@
 from aiocoap import CONTENT, GET, Message
 
 from demo.coap import Endpoint, build_message, open_endpoint
-from demo.deployment import (
-    OPERATORS_PORT,
-    Deployment,
-    ServicePlan,
-    TargetPlan,
-    format_hosts_value,
-    format_service_value,
-    write_settings,
-    write_values,
-)
+from demo.deployment import VALUES, Deployment, ServicePlan
 from demo.journal import read_journal
 from demo.processes import Processes
-from lycheeglade.address import Address
+from lycheeglade.address import Zone
+from lycheeglade.configuration import HOSTS_PREFIX, SERVICE_PREFIX
+from lycheeglade.view import Target
 
 COMMAND_TIMEOUT_S = 2.0
 PLATFORM_TIMEOUT_S = 5.0
@@ -61,7 +54,7 @@
     return network
 
 
-def upstream_name(target: TargetPlan) -> str:
+def upstream_name(target: Target) -> str:
     """Return the name of a target's upstream process."""
     return f"upstream-{target.target_id}"
 
@@ -93,10 +86,7 @@
 
     async def start(self) -> None:
         """Start everything and wait until it is ready."""
-        write_values(self.deployment, self.folder / "values")
-        self._settings_by_host = write_settings(
-            self.deployment, self.folder / "settings"
-        )
+        self._settings_by_host = self.deployment.write(self.folder)
         self.start_platform()
         self._start_fabric()
         for service in self.deployment.services:
@@ -112,10 +102,10 @@
         for balancer in self.deployment.balancers:
             self.start_balancer(balancer)
         for target in self.deployment.targets:
-            await self.wait_listening(target.host_id, target.ip)
+            await self.wait_listening(target.host_id)
         for balancer in self.deployment.balancers:
-            await self.wait_listening(balancer.host_id, balancer.ip)
-        values = len(self.deployment.services) + len(self.deployment.zones)
+            await self.wait_listening(balancer.host_id)
+        values = len(self.deployment.value_texts_by_name)
         for host_id in self.product_ips_by_host:
             await self.wait_revision(host_id, values)
 
@@ -143,8 +133,10 @@
     @property
     def product_ips_by_host(self) -> dict[str, str]:
         """Addresses of the hosts of all balancers and agents."""
-        hosts = (*self.deployment.balancers, *self.deployment.targets)
-        return {host.host_id: host.ip for host in hosts}
+        return {
+            host_id: settings.packets.ip
+            for host_id, settings in self.deployment.settings_by_host.items()
+        }
 
     async def fetch_status(self, host_id: str) -> dict:
         """Return the status of a balancer or an agent.
@@ -154,10 +146,10 @@
         OSError
             If it does not answer.
         """
-        ip = self.product_ips_by_host[host_id]
+        operators = self.deployment.settings_by_host[host_id].operators
 
         def call():
-            url = f"http://{ip}:{OPERATORS_PORT}/status"
+            url = f"http://{operators}/status"
             with urlopen(url, timeout=COMMAND_TIMEOUT_S) as response:
                 return loads(response.read())
 
@@ -171,10 +163,10 @@
             "--listen",
             str(self.deployment.platform),
             "--values",
-            str(self.folder / "values"),
+            str(self.folder / VALUES),
         )
 
-    def start_upstream(self, service: ServicePlan, target: TargetPlan) -> None:
+    def start_upstream(self, service: ServicePlan, target: Target) -> None:
         """Start the upstream of one target."""
         self.processes.start(
             upstream_name(target),
@@ -183,7 +175,7 @@
             *("--service", service.name),
             *("--protocol", service.protocol),
             *("--slots", str(target.slots)),
-            *("--speed", f"{target.speed:g}"),
+            *("--speed", f"{target.weight:g}"),
             *("--work-ms", f"{service.work_ms:g}"),
             *("--period", f"{service.period:g}"),
             *("--cold-start", f"{service.cold_start:g}"),
@@ -191,7 +183,7 @@
             *("--seed", str(self.seed)),
         )
 
-    def start_agent(self, target: TargetPlan) -> None:
+    def start_agent(self, target: Target) -> None:
         """Start the agent on a target's host."""
         self._start_product("agent", target.host_id)
 
@@ -199,12 +191,12 @@
         """Start a balancer."""
         self._start_product("balancer", balancer.host_id)
 
-    async def wait_listening(self, name: str, ip: str) -> None:
+    async def wait_listening(self, host_id: str) -> None:
         """Wait until a balancer or agent answers its operators."""
-        address = Address(ip, OPERATORS_PORT)
-        await to_thread(self.processes.wait_listening, name, address)
+        operators = self.deployment.settings_by_host[host_id].operators
+        await to_thread(self.processes.wait_listening, host_id, operators)
 
-    def journal(self, target: TargetPlan) -> Path:
+    def journal(self, target: Target) -> Path:
         """Return the path of a target's journal."""
         return self.folder / f"{upstream_name(target)}.journal"
 
@@ -224,15 +216,15 @@
 
     async def publish_service(self, service: ServicePlan) -> int:
         """Publish a service as it is now known here."""
-        text = format_service_value(self.deployment, service, self.leaving_targets)
-        return await self.publish(f"services/{service.name}", text)
+        text = service.format_value(self.leaving_targets)
+        return await self.publish(f"{SERVICE_PREFIX}{service.name}", text)
 
-    async def publish_hosts(self, zone: str) -> None:
+    async def publish_hosts(self, zone: Zone) -> None:
         """Publish a zone's hosts list as it is now known here."""
-        text = format_hosts_value(self.deployment, zone, self.leaving_hosts)
-        await self.publish(f"hosts/{self.deployment.region}/{zone}", text)
+        text = self.deployment.format_hosts_value(zone, self.leaving_hosts)
+        await self.publish(f"{HOSTS_PREFIX}{zone}", text)
 
-    async def drain_target(self, service: ServicePlan, target: TargetPlan) -> float:
+    async def drain_target(self, service: ServicePlan, target: Target) -> float:
         """Declare a target and its host leaving; return the wall time."""
         self.leaving_targets.add(target.target_id)
         self.leaving_hosts.add(target.host_id)
@@ -253,7 +245,7 @@
             raise ValueError(answer["error"])
         return answer
 
-    async def fetch_upstream_account(self, target: TargetPlan) -> dict:
+    async def fetch_upstream_account(self, target: Target) -> dict:
         """Ask an upstream for its account, without the runs.
 
         Raises
@@ -295,7 +287,7 @@
                 )
         return busy_by_target
 
-    def count_late_work(self, target: TargetPlan, after: float) -> int:
+    def count_late_work(self, target: Target, after: float) -> int:
         """Return the runs and feeds begun at a target after wall `after`."""
         return sum(
             entry.at > after and entry.kind in ("run", "feed")
@@ -307,7 +299,7 @@
         maps = []
         for service in deployment.services:
             balancers = ",".join(
-                str(deployment.listen_address(balancer, service))
+                str(balancer.listen_address(service))
                 for balancer in deployment.balancers
             )
             maps += ["--map", f"{service.address}={balancers}"]
--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -1,84 +1,138 @@
-"""The two users' deployments on loopback addresses, one a host.
+"""A deployment on loopback addresses, generated from a team's answers.
 
-A deployment lives in ``127.NETWORK.0.0/16``: the platform at ``.0.2``, the
-fabric at ``.0.3``, the callers at ``.0.9``, services at ``.10.N``, balancers
-at ``.1.N`` and the upstream hosts of zone ``Z`` at ``.(20 + Z).N``.
+A deployment lives in ``127.NETWORK.0.0/16``. The answers say where the
+platform, the services, the balancers and the upstream hosts are. The stand-ins
+that the product doesn't know are at ``.0.3`` (fabric) and ``.0.9`` (callers).
 """
 
-from collections.abc import Collection
-from dataclasses import dataclass
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass, replace
 from pathlib import Path
+from urllib.parse import urlsplit
+
+from demo.examples import move_to_network, read_example, shorten_times
+from lycheeglade.address import Address, Zone, parse_address
+from lycheeglade.answers import Answers, format_answers
+from lycheeglade.configuration import (
+    HOSTS_PREFIX,
+    SERVICE_PREFIX,
+    format_hosts,
+    format_service,
+    parse_hosts,
+    parse_service,
+)
+from lycheeglade.generator import SETTINGS_PREFIX, generate_texts, write_texts
+from lycheeglade.settings import Settings, parse_settings
+from lycheeglade.view import Protocol, Service, State, Target
 
-from lycheeglade.address import Address
-
-PACKETS_PORT = 7100
-CONTROL_PORT = 7200
-OPERATORS_PORT = 7300
-SERVICE_PORT = 5683
-PLATFORM_PORT = 8080
 FABRIC_CONTROL_PORT = 9000
 DEFAULT_NETWORK = 20
-
-
-@dataclass(frozen=True, slots=True)
-class TargetPlan:
-    """One upstream of a deployment."""
-
-    target_id: str
-    host_id: str
-    zone: str
-    ip: str
-    speed: float
-    slots: int
-
-    @property
-    def upstream(self) -> Address:
-        """Address of the upstream."""
-        return Address(self.ip, SERVICE_PORT)
+FEED_PERIOD_S = 0.5
+VALUES = "values"
+WORK_MS = 10.0
+WAYFARER_WORK_MS = 30.0
 
 
 @dataclass(frozen=True, slots=True)
 class ServicePlan:
-    """One service of a deployment.
+    """A generated service, and what the stand-ins of its upstreams do.
 
     Attributes
     ----------
+    generated : Service
+        As generated; `targets` take the place of its targets.
     work_ms : float
-        Work of a small request at speed 1.
-    period, heartbeat : float
-        Seconds between two items of the feed, and within which it speaks.
+        Work of a small request at a target of weight 1.
+    cold_start : float
+        Seconds that an upstream needs after its start to reach full speed.
+    period : float
+        Seconds between two items of the feed.
     """
 
-    name: str
-    tenant: str
-    address: Address
-    targets: tuple[TargetPlan, ...]
+    generated: Service
+    targets: tuple[Target, ...]
     work_ms: float
-    period: float = 0.5
-    heartbeat: float = 2.0
-    cold_start: float = 2.0
-    grace: float = 10.0
-    request_timeout: float = 10.0
-    protocol: str = "coap"
+    cold_start: float
+    period: float = FEED_PERIOD_S
+
+    @property
+    def name(self) -> str:
+        """Name of the service."""
+        return self.generated.name
+
+    @property
+    def address(self) -> Address:
+        """Address that callers use."""
+        return self.generated.addresses[0]
+
+    @property
+    def protocol(self) -> Protocol:
+        """What the service's datagrams are read as."""
+        return self.generated.protocol
+
+    @property
+    def heartbeat(self) -> float:
+        """Seconds between two notifications of a silent feed."""
+        return self.generated.heartbeat
+
+    @property
+    def grace(self) -> float:
+        """Seconds that a leaving target gets to finish its work."""
+        return self.generated.grace
+
+    def format_value(self, leaving: Collection[str] = ()) -> str:
+        """Return the value to publish; `leaving` holds target ids."""
+        targets_by_id = {
+            target.target_id: replace(
+                target, state=_state_of(target.target_id, leaving)
+            )
+            for target in self.targets
+        }
+        return format_service(replace(self.generated, targets_by_id=targets_by_id))
 
 
 @dataclass(frozen=True, slots=True)
 class BalancerPlan:
-    """One entry host of a deployment."""
+    """One entry host, by its generated settings."""
 
-    host_id: str
-    zone: str
-    ip: str
+    settings: Settings
+
+    @property
+    def host_id(self) -> str:
+        """Name of the host."""
+        return self.settings.host_id
+
+    @property
+    def zone(self) -> Zone:
+        """Availability zone of the host."""
+        return self.settings.zone
+
+    @property
+    def ip(self) -> str:
+        """IP of the host."""
+        return self.settings.packets.ip
+
+    def listen_address(self, service: ServicePlan) -> Address:
+        """Return where the balancer receives a service's packets."""
+        return self.settings.listen_by_service[service.name][0]
 
 
 @dataclass(frozen=True, slots=True)
 class Deployment:
-    """A region with its services, upstream hosts and balancers."""
+    """A team's answers, and what is generated from them.
 
-    name: str
+    Attributes
+    ----------
+    text_by_name : Mapping
+        Values and settings as ``lycheeglade generate`` writes them.
+    settings_by_host : Mapping
+        The settings among them.
+    """
+
+    answers: Answers
     network: int
-    region: str
-    zones: tuple[str, ...]
+    text_by_name: Mapping[str, str]
+    settings_by_host: Mapping[str, Settings]
     services: tuple[ServicePlan, ...]
     balancers: tuple[BalancerPlan, ...]
 
@@ -86,10 +140,20 @@
         """Return an address of the deployment's network."""
         return f"127.{self.network}.{third}.{fourth}"
 
+    @property
+    def name(self) -> str:
+        """Name of the team."""
+        return self.answers.team.name
+
+    @property
+    def zones(self) -> tuple[Zone, ...]:
+        """All availability zones."""
+        return self.answers.zones
+
     @property
     def platform(self) -> Address:
         """Address of the platform."""
-        return Address(self.ip(0, 2), PLATFORM_PORT)
+        return parse_address(urlsplit(self.answers.team.platform).netloc)
 
     @property
     def fabric_control(self) -> Address:
@@ -97,208 +161,112 @@
         return Address(self.ip(0, 3), FABRIC_CONTROL_PORT)
 
     @property
-    def targets(self) -> tuple[TargetPlan, ...]:
+    def targets(self) -> tuple[Target, ...]:
         """All targets of all services."""
         return tuple(target for service in self.services for target in service.targets)
 
-    def listen_address(self, balancer: BalancerPlan, service: ServicePlan) -> Address:
-        """Return where a balancer receives a service's packets."""
-        return Address(balancer.ip, SERVICE_PORT + self.services.index(service))
-
-
-def _plan_targets(name, network, zones, speeds, slots, first_host):
-    targets = []
-    for index, speed in enumerate(speeds):
-        zone_index = index % len(zones)
-        zone = zones[zone_index]
-        number = first_host + index
-        host_id = f"{zone}-{name}-{number}"
-        ip = f"127.{network}.{20 + zone_index}.{number}"
-        target_id = f"{zone}-{number}"
-        targets.append(TargetPlan(target_id, host_id, zone, ip, speed, slots))
-    return tuple(targets)
+    @property
+    def value_texts_by_name(self) -> dict[str, str]:
+        """The values to publish."""
+        return {
+            name: text
+            for name, text in self.text_by_name.items()
+            if not name.startswith(SETTINGS_PREFIX)
+        }
+
+    def format_hosts_value(self, zone: Zone, leaving: Collection[str] = ()) -> str:
+        """Return the hosts list of a zone; `leaving` holds host ids."""
+        name = f"{HOSTS_PREFIX}{zone}"
+        hosts = parse_hosts(self.text_by_name[name], name)
+        return format_hosts(
+            replace(host, state=_state_of(host.host_id, leaving)) for host in hosts
+        )
 
+    def write(self, folder: Path) -> dict[str, Path]:
+        """Write the answers and all that is generated from them.
+
+        Returns
+        -------
+        dict of str to Path
+            The settings by host. The values are below ``values``.
+        """
+        values = self.value_texts_by_name
+        write_texts(values, folder / VALUES)
+        settings = {
+            name: text for name, text in self.text_by_name.items() if name not in values
+        }
+        path_by_name = write_texts(settings, folder)
+        (folder / "answers.ini").write_text(format_answers(self.answers))
+        return {
+            name.removeprefix(SETTINGS_PREFIX): path
+            for name, path in path_by_name.items()
+        }
+
+
+def plan_deployment(
+    answers: Answers, network: int = DEFAULT_NETWORK, work_ms: float = WORK_MS
+) -> Deployment:
+    """Return the deployment that is generated from `answers`.
+
+    The addresses are moved to `network`, the times shortened to those of a
+    trial. The answers must say that the fabric hands packets to the
+    balancers' addresses, since one machine can have a service's address once.
+
+    Parameters
+    ----------
+    work_ms : float
+        Work of a small request at a target of weight 1.
 
-def _plan_balancers(network, zones, count):
-    balancers = []
-    for number in range(1, count + 1):
-        zone = zones[(number - 1) % len(zones)]
-        host_id = f"{zone}-balancer-{number}"
-        balancers.append(BalancerPlan(host_id, zone, f"127.{network}.1.{number}"))
-    return tuple(balancers)
+    Raises
+    ------
+    ConfigurationError
+        If the answers contradict each other.
+    """
+    answers = move_to_network(shorten_times(answers), network)
+    text_by_name = generate_texts(answers, f"answers of {answers.team.name}")
+    settings_by_host = {
+        name.removeprefix(SETTINGS_PREFIX): parse_settings(text, name)
+        for name, text in text_by_name.items()
+        if name.startswith(SETTINGS_PREFIX)
+    }
+    return Deployment(
+        answers=answers,
+        network=network,
+        text_by_name=text_by_name,
+        settings_by_host=settings_by_host,
+        services=tuple(_plan_services(answers, text_by_name, work_ms)),
+        balancers=tuple(
+            BalancerPlan(settings_by_host[name]) for name in answers.balancers_by_name
+        ),
+    )
 
 
-def plan_reelbure(network: int = DEFAULT_NETWORK, balancers: int = 3) -> Deployment:
+def plan_reelbure(network: int = DEFAULT_NETWORK) -> Deployment:
     """Return Reelbure's deployment: booth-sync and reel-depot."""
-    zones = ("nadi-a", "nadi-b", "lautoka-a", "lautoka-b")
-    booth_speeds = (2.0, 1.6, 1.2, 1.0, 0.8, 0.6, 0.4)
-    depot_speeds = (2.0, 1.2, 0.8, 0.4)
-    services = (
-        ServicePlan(
-            "booth-sync",
-            "reelbure",
-            Address(f"127.{network}.10.1", SERVICE_PORT),
-            _plan_targets("booth-sync", network, zones, booth_speeds, 1, 1),
-            work_ms=10.0,
-        ),
-        ServicePlan(
-            "reel-depot",
-            "reelbure",
-            Address(f"127.{network}.10.2", SERVICE_PORT),
-            _plan_targets("reel-depot", network, zones, depot_speeds, 1, 11),
-            work_ms=10.0,
-        ),
-    )
-    plan = _plan_balancers(network, zones, balancers)
-    return Deployment("reelbure", network, "viti-west", zones, services, plan)
+    return plan_deployment(read_example("reelbure"), network)
 
 
-def plan_wayfarer(network: int = DEFAULT_NETWORK, balancers: int = 3) -> Deployment:
+def plan_wayfarer(network: int = DEFAULT_NETWORK) -> Deployment:
     """Return Wayfarer's deployment: phrasebook and pronounce."""
-    zones = ("wa-south-a", "wa-south-b", "wa-south-c")
-    phrase_speeds = (2.0, 1.6, 1.2, 1.0, 0.8, 0.6, 0.4)
-    audio_speeds = (2.0, 1.0, 0.4)
-    services = (
-        ServicePlan(
-            "phrasebook",
-            "wayfarer",
-            Address(f"127.{network}.10.1", SERVICE_PORT),
-            _plan_targets("phrasebook", network, zones, phrase_speeds, 3, 1),
-            work_ms=30.0,
-        ),
-        ServicePlan(
-            "pronounce",
-            "wayfarer",
-            Address(f"127.{network}.10.2", SERVICE_PORT),
-            _plan_targets("pronounce", network, zones, audio_speeds, 3, 11),
-            work_ms=30.0,
-        ),
-    )
-    plan = _plan_balancers(network, zones, balancers)
-    return Deployment("wayfarer", network, "wa-south", zones, services, plan)
+    return plan_deployment(read_example("wayfarer"), network, WAYFARER_WORK_MS)
 
 
 PLANS_BY_NAME = {"reelbure": plan_reelbure, "wayfarer": plan_wayfarer}
 
 
-def format_service_value(
-    deployment: Deployment, service: ServicePlan, leaving: Collection[str] = ()
-) -> str:
-    """Return the published value of `service`; `leaving` holds target ids."""
-    lines = [
-        "[service]",
-        f"name = {service.name}",
-        f"tenant = {service.tenant}",
-        f"protocol = {service.protocol}",
-        f"addresses = {service.address}",
-        f"places = {deployment.region}",
-        f"request_timeout_s = {service.request_timeout:g}",
-        f"heartbeat_s = {service.heartbeat:g}",
-        f"cold_start_s = {service.cold_start:g}",
-        f"grace_s = {service.grace:g}",
-    ]
-    for target in service.targets:
-        lines += [
-            "",
-            f"[target {target.target_id}]",
-            f"host = {target.host_id}",
-            f"zone = {deployment.region}/{target.zone}",
-            f"agent = {target.ip}:{PACKETS_PORT}",
-            f"upstream = {target.upstream}",
-            f"weight = {target.speed:g}",
-            f"slots = {target.slots}",
-            "connections = 2000",
-            f"state = {'leaving' if target.target_id in leaving else 'live'}",
-        ]
-    return "\n".join(lines) + "\n"
-
-
-def _hosts_of(deployment: Deployment, zone: str):
-    for balancer in deployment.balancers:
-        if balancer.zone == zone:
-            yield balancer.host_id, "balancer", balancer.ip
-    for target in deployment.targets:
-        if target.zone == zone:
-            yield target.host_id, "agent", target.ip
-
-
-def format_hosts_value(
-    deployment: Deployment, zone: str, leaving: Collection[str] = ()
-) -> str:
-    """Return the hosts list of `zone`; `leaving` holds host ids."""
-    sections = []
-    for host_id, role, ip in _hosts_of(deployment, zone):
-        sections.append(
-            f"[host {host_id}]\n"
-            f"role = {role}\n"
-            f"zone = {deployment.region}/{zone}\n"
-            f"packets = {ip}:{PACKETS_PORT}\n"
-            f"control = {ip}:{CONTROL_PORT}\n"
-            f"state = {'leaving' if host_id in leaving else 'live'}\n"
+def _plan_services(
+    answers: Answers, text_by_name: Mapping[str, str], work_ms: float
+) -> Iterable[ServicePlan]:
+    for service in answers.services_by_name.values():
+        name = f"{SERVICE_PREFIX}{service.name}"
+        generated = parse_service(text_by_name[name], name, revision=0)
+        yield ServicePlan(
+            generated,
+            tuple(generated.targets_by_id.values()),
+            work_ms,
+            service.cold_start,
         )
-    return "\n".join(sections)
-
-
-def format_settings(
-    deployment: Deployment,
-    host_id: str,
-    seeds: Collection[str] = (),
-    log_level: str = "info",
-) -> str:
-    """Return the settings of the process on `host_id`."""
-    for zone in deployment.zones:
-        for known_id, role, ip in _hosts_of(deployment, zone):
-            if known_id == host_id:
-                return _format_settings(
-                    deployment, host_id, role, zone, ip, seeds, log_level
-                )
-    raise KeyError(host_id)
-
-
-def _format_settings(deployment, host_id, role, zone, ip, seeds, log_level):
-    sections = [
-        f"[process]\nrole = {role}\nhost = {host_id}\n"
-        f"zone = {deployment.region}/{zone}\n"
-        f"packets = {ip}:{PACKETS_PORT}\n"
-        f"control = {ip}:{CONTROL_PORT}\n"
-        f"operators = {ip}:{OPERATORS_PORT}\n",
-        f"[platform]\nurl = http://{deployment.platform}\n",
-        f"[log]\nlevel = {log_level}\n",
-    ]
-    if seeds:
-        sections.append(f"[seeds]\ncontrol = {', '.join(seeds)}\n")
-    if role == "balancer":
-        balancer = next(
-            item for item in deployment.balancers if item.host_id == host_id
-        )
-        lines = [
-            f"{service.name} = {deployment.listen_address(balancer, service)}"
-            for service in deployment.services
-        ]
-        sections.append("[listen]\n" + "\n".join(lines) + "\n")
-    return "\n".join(sections)
-
-
-def write_values(deployment: Deployment, folder: Path) -> None:
-    """Write all published values below `folder`."""
-    for service in deployment.services:
-        path = folder / "services" / f"{service.name}.ini"
-        path.parent.mkdir(parents=True, exist_ok=True)
-        path.write_text(format_service_value(deployment, service))
-    for zone in deployment.zones:
-        path = folder / "hosts" / deployment.region / f"{zone}.ini"
-        path.parent.mkdir(parents=True, exist_ok=True)
-        path.write_text(format_hosts_value(deployment, zone))
-
-
-def write_settings(deployment: Deployment, folder: Path) -> dict[str, Path]:
-    """Write the settings of every host; return the paths by host id."""
-    folder.mkdir(parents=True, exist_ok=True)
-    paths_by_host = {}
-    seeds = [f"{balancer.ip}:{CONTROL_PORT}" for balancer in deployment.balancers]
-    for zone in deployment.zones:
-        for host_id, _role, _ip in _hosts_of(deployment, zone):
-            path = folder / f"{host_id}.ini"
-            path.write_text(format_settings(deployment, host_id, seeds))
-            paths_by_host[host_id] = path
-    return paths_by_host
+
+
+def _state_of(name: str, leaving: Collection[str]) -> State:
+    return State.LEAVING if name in leaving else State.LIVE
--- /dev/null
+++ b/demo/examples.py
@@ -0,0 +1,122 @@
+"""The shipped answers, changed so that a trial fits one machine."""
+
+from collections.abc import Mapping
+from dataclasses import replace
+from pathlib import Path
+
+from lycheeglade.answers import Answers, ServiceAnswers, parse_answers
+from lycheeglade.settings import read_text
+
+FOLDER = Path(__file__).resolve().parent.parent / "examples"
+EXAMPLES_BY_NAME = {path.stem: path for path in sorted(FOLDER.glob("*.ini"))}
+TRIAL_FEEDS = 400
+# Trials last some seconds: no time of the answers may be longer than these.
+LONGEST_TRIAL_TIMES_S = {
+    "longest_request": 5.0,
+    "late_after": 10.0,
+    "silence": 6.0,
+    "grace": 10.0,
+    "cold_start": 2.0,
+}
+
+
+def read_example(name: str) -> Answers:
+    """Return the answers of a shipped example.
+
+    Raises
+    ------
+    KeyError
+        If there is none of that name.
+    ConfigurationError
+        If they can't be read.
+    """
+    path = EXAMPLES_BY_NAME[name]
+    return parse_answers(read_text(path), str(path))
+
+
+def shorten_times(answers: Answers) -> Answers:
+    """Return the answers with the feeds and times of a trial."""
+    return replace(
+        answers,
+        services_by_name={
+            name: _shorten_times_of(service)
+            for name, service in answers.services_by_name.items()
+        },
+    )
+
+
+def _shorten_times_of(service: ServiceAnswers) -> ServiceAnswers:
+    times = {
+        name: min(getattr(service, name), longest)
+        for name, longest in LONGEST_TRIAL_TIMES_S.items()
+    }
+    return replace(service, feeds=min(service.feeds, TRIAL_FEEDS), **times)
+
+
+def move_to_network(answers: Answers, network: int) -> Answers:
+    """Return the answers with all addresses in ``127.NETWORK.0.0/16``.
+
+    Raises
+    ------
+    ValueError
+        If one of the addresses isn't a loopback address.
+    """
+    team = answers.team
+    scheme, _, platform = team.platform.partition("://")
+
+    def move_all(machines_by_name):
+        return {
+            name: replace(machine, ip=_move(machine.ip, network))
+            for name, machine in machines_by_name.items()
+        }
+
+    return replace(
+        answers,
+        team=replace(
+            team,
+            platform=f"{scheme}://{_move(platform, network)}",
+            balancers=_move(team.balancers, network),
+            upstreams=_move(team.upstreams, network),
+            services=_move(team.services, network),
+        ),
+        services_by_name=move_all(answers.services_by_name),
+        balancers_by_name=move_all(answers.balancers_by_name),
+        hosts_by_name=move_all(answers.hosts_by_name),
+    )
+
+
+def _move(address: str, network: int) -> str:
+    """Return a loopback address, or a network of them, in another network."""
+    first, _, others = address.partition(".")
+    if first != "127":
+        raise ValueError(f"{address} is not on the loopback network")
+    _, _, host = others.partition(".")
+    return f"127.{network}.{host}"
+
+
+def keep_part(
+    answers: Answers, balancers: int, hosts_by_service: Mapping[str, int]
+) -> Answers:
+    """Return the answers with fewer machines and services.
+
+    Parameters
+    ----------
+    balancers : int
+        How many balancers stay, the first ones.
+    hosts_by_service : Mapping
+        The services that stay, and how many hosts of each: the first ones.
+    """
+    hosts = answers.hosts_by_name.values()
+    kept_hosts = [
+        host
+        for service, count in hosts_by_service.items()
+        for host in [host for host in hosts if service in host.services][:count]
+    ]
+    return replace(
+        answers,
+        services_by_name={
+            name: answers.services_by_name[name] for name in hosts_by_service
+        },
+        balancers_by_name=dict(list(answers.balancers_by_name.items())[:balancers]),
+        hosts_by_name={host.name: host for host in kept_hosts},
+    )
--- a/demo/run.py
+++ b/demo/run.py
@@ -24,7 +24,6 @@
 from demo.workload import Load, Workload
 
 WARM_UP_S = 3.0
-FABRIC_NOTICES_S = 3.0
 LEAVING_S = 3.0
 HANDOFF_S = 6.0
 
@@ -38,7 +37,7 @@
     await sleep(max(1.0, seconds / 2 - WARM_UP_S))
     busy = _subtract(await _measure_busy(cluster), before)
     target, drained_at = await _disturb(cluster)
-    settle = max(HANDOFF_S, seconds / 2 - FABRIC_NOTICES_S)
+    settle = max(HANDOFF_S, seconds / 2 - _fabric_notice(cluster))
     await sleep(settle / 2)
     cluster.processes.terminate(target.host_id)
     await sleep(settle / 2)
@@ -57,11 +56,15 @@
     target = service.targets[1]
     _note(f"draining upstream {target.target_id} of {service.name}")
     drained_at = await cluster.drain_target(service, target)
-    await sleep(FABRIC_NOTICES_S)
+    await sleep(_fabric_notice(cluster))
     cluster.command_fabric("remove", ip=balancer.ip)
     return target, drained_at
 
 
+def _fabric_notice(cluster: Cluster) -> float:
+    return cluster.deployment.answers.team.fabric_notice
+
+
 async def _measure_busy(cluster: Cluster):
     return {
         service.name: await cluster.measure_busy_times(service)
@@ -88,12 +91,14 @@
     network = find_free_network()
     deployment = PLANS_BY_NAME[arguments.deployment](network)
     folder = Path(mkdtemp(prefix="lycheeglade-demo-"))
-    _note(f"logs and journals in {folder}")
+    _note(f"answers, values, settings, logs and journals in {folder}")
     cluster = Cluster(deployment, folder, arguments.seed)
     load = Load(arguments.callers, arguments.downloads)
     try:
         await cluster.start()
         _note(f"{deployment.name} is up on 127.{network}.0.0/16")
+        operators = deployment.balancers[-1].settings.operators
+        _note(f"try: lycheeglade status {operators}")
         report = await run_demo(cluster, load, arguments.seconds, arguments.seed)
     finally:
         cluster.stop()
--- a/lycheeglade/generator.py
+++ b/lycheeglade/generator.py
@@ -60,14 +60,18 @@
     """
     source = str(answers_path)
     answers = parse_answers(read_text(answers_path), source)
-    text_by_name = generate_texts(answers, source)
-    paths = []
-    for name, text in sorted(text_by_name.items()):
+    return sorted(write_texts(generate_texts(answers, source), folder).values())
+
+
+def write_texts(text_by_name: Mapping[str, str], folder: Path) -> dict[str, Path]:
+    """Write generated texts below `folder`; return the files by name."""
+    path_by_name = {}
+    for name, text in text_by_name.items():
         path = folder / f"{name}.ini"
         path.parent.mkdir(parents=True, exist_ok=True)
         path.write_text(text, encoding="utf-8")
-        paths.append(path)
-    return paths
+        path_by_name[name] = path
+    return path_by_name
 
 
 def generate_texts(answers: Answers, source: str) -> dict[str, str]:
--- a/tests/test_datagram.py
+++ b/tests/test_datagram.py
@@ -7,7 +7,9 @@
 
 from demo.account import read_journals
 from demo.cluster import Cluster, find_free_network
-from demo.deployment import plan_reelbure
+from demo.deployment import plan_deployment
+from demo.examples import keep_part, read_example
+from lycheeglade.view import Protocol
 
 FLOWS = 12
 DATAGRAMS = 20
@@ -24,10 +26,11 @@
 
 @pytest.fixture(scope="module")
 def cluster(tmp_path_factory):
-    plan = plan_reelbure(find_free_network(), balancers=2)
-    targets = plan.services[0].targets[:3]
-    service = replace(plan.services[0], protocol="datagram", targets=targets)
-    deployment = replace(plan, services=(service,))
+    answers = keep_part(read_example("reelbure"), 2, {"booth-sync": 3})
+    booth = answers.services_by_name["booth-sync"]
+    booth = replace(booth, protocol=Protocol.DATAGRAM)
+    answers = replace(answers, services_by_name={booth.name: booth})
+    deployment = plan_deployment(answers, find_free_network())
     cluster = Cluster(deployment, tmp_path_factory.mktemp("datagram"), alternate=True)
     try:
         run(cluster.start())
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -9,7 +9,6 @@
 import pytest
 
 from demo.cluster import upstream_name
-from demo.deployment import format_service_value
 from tests.faults import (
     IN_FORCE_LIMIT_S,
     LEAVING_LIMIT_S,
@@ -192,7 +191,7 @@
 async def test_invalid_value_between_two_good_ones(run):
     service = run.deployment.services[0]
     name = f"services/{service.name}"
-    good = format_service_value(run.deployment, service)
+    good = service.format_value()
     await run.cluster.publish(name, good)
     await run.cluster.publish(name, good.replace("weight = 1", "weight = -1"))
     await sleep(2.0)
@@ -205,9 +204,7 @@
     targets = (await balancer_status(run))["services"][service.name]["targets"]
     assert targets == len(service.targets)
     fewer = replace(service, targets=service.targets[:-1])
-    revision = await run.cluster.publish(
-        name, format_service_value(run.deployment, fewer)
-    )
+    revision = await run.cluster.publish(name, fewer.format_value())
     await run.wait_in_force(revision)
     targets = (await balancer_status(run))["services"][service.name]["targets"]
     assert targets == len(fewer.targets)
@@ -229,7 +226,7 @@
         run.processes.kill(host_id)
         run.processes.restart(host_id)
     for host in (balancer, target):
-        await run.cluster.wait_listening(host.host_id, host.ip)
+        await run.cluster.wait_listening(host.host_id)
         await run.cluster.wait_revision(host.host_id, 1, IN_FORCE_LIMIT_S)
     before = run.cluster.command_fabric("counters")["counters"]
     await sleep(FAULT_S + 4.0)
--- a/tests/test_stock_client.py
+++ b/tests/test_stock_client.py
@@ -1,14 +1,14 @@
 """A stock aiocoap client through two balancers that take turns."""
 
 from asyncio import run, wait_for
-from dataclasses import replace
 
 import pytest
 from aiocoap import CHANGED, CONTENT, GET, POST, PUT, UNAUTHORIZED, Context, Message
 
 from demo.account import read_journals
 from demo.cluster import Cluster, find_free_network
-from demo.deployment import plan_reelbure
+from demo.deployment import plan_deployment
+from demo.examples import keep_part, read_example
 from demo.upstream import build_reel
 
 REEL_BYTES = 2 << 20
@@ -17,12 +17,9 @@
 
 @pytest.fixture(scope="module")
 def cluster(tmp_path_factory):
-    plan = plan_reelbure(find_free_network(), balancers=2)
-    services = [
-        replace(service, targets=service.targets[:count])
-        for service, count in zip(plan.services, (3, 2), strict=True)
-    ]
-    deployment = replace(plan, services=tuple(services))
+    answers = read_example("reelbure")
+    answers = keep_part(answers, 2, {"booth-sync": 3, "reel-depot": 2})
+    deployment = plan_deployment(answers, find_free_network())
     cluster = Cluster(deployment, tmp_path_factory.mktemp("stock"), alternate=True)
     try:
         run(cluster.start())
