Tell a new team sooner what can't work

Cause, each seen while answering as a new team from a clean clone: a network without its bits (127.88.1.0) was taken as one of a single address, so that the questionnaire ended forty answers later with "has no free address" and nothing saved; "has host bits set" did not say which network was meant; after answers that contradict each other the last line said to generate; and check accepted a folder without any file.

Change: networks need IP/BITS, and the refusal names the network of an address. A number of hosts that the network has no room for is asked again. Contradictory answers are said to be saved, with the two ways to mend them. check refuses a folder without an .ini file.

What the questionnaire says is now held by a text file, like what it asks.

--- a/lycheeglade/answers.py
+++ b/lycheeglade/answers.py
@@ -261,7 +261,14 @@
     ValueError
         If `text` is not ``IP/BITS`` with all host bits zero.
     """
-    return str(ip_network(text))
+    try:
+        network = ip_network(text if "/" in text else "", strict=False)
+    except ValueError:
+        example = "IP/BITS such as 10.1.0.0/24"
+        raise ValueError(f"{text!r} is not a network {example}") from None
+    if network.network_address != ip_address(text.partition("/")[0]):
+        raise ValueError(f"{text!r} is the address of a host; its network is {network}")
+    return str(network)
 
 
 def _read_team(reader: OptionReader) -> TeamAnswers:
--- a/lycheeglade/checker.py
+++ b/lycheeglade/checker.py
@@ -68,7 +68,7 @@
 
 def _check(paths: Iterable[str | Path]) -> Checked:
     checked = Checked()
-    for path in _list_files(paths):
+    for path in _list_files(paths, checked):
         try:
             _read_file(str(path), checked)
         except ConfigurationError as error:
@@ -154,10 +154,15 @@
             self.errors.append(OptionError(*place, option, reason))
 
 
-def _list_files(paths: Iterable[str | Path]) -> Iterator[Path]:
+def _list_files(paths: Iterable[str | Path], checked: Checked) -> Iterator[Path]:
     for path in map(Path, paths):
         if path.is_dir():
-            yield from sorted(path.rglob("*.ini"))
+            found = sorted(path.rglob("*.ini"))
+            if not found:
+                checked.errors.append(
+                    OptionError(str(path), "-", "file", "the folder has no .ini file")
+                )
+            yield from found
         else:
             yield path
 
--- a/lycheeglade/numbering.py
+++ b/lycheeglade/numbering.py
@@ -1,7 +1,8 @@
 """Proposes free IPs for new hosts and services."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterator
 from ipaddress import ip_network
+from itertools import islice
 
 from lycheeglade.errors import LycheegladeError
 
@@ -18,7 +19,17 @@
     NetworkFullError
         If there is none.
     """
+    for ip in _find_free_ips(network, used):
+        return ip
+    raise NetworkFullError(f"network {network} has no free address")
+
+
+def count_free_ips(network: str, used: Collection[str], limit: int) -> int:
+    """Return how many addresses are free, counting up to `limit`."""
+    return sum(1 for _ip in islice(_find_free_ips(network, used), limit))
+
+
+def _find_free_ips(network: str, used: Collection[str]) -> Iterator[str]:
     for ip in ip_network(network).hosts():
         if str(ip) not in used:
-            return str(ip)
-    raise NetworkFullError(f"network {network} has no free address")
+            yield str(ip)
--- a/lycheeglade/questionnaire.py
+++ b/lycheeglade/questionnaire.py
@@ -1,6 +1,6 @@
 """Asks a team about its services, places, hosts and tolerances."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import replace
 from pathlib import Path
 
@@ -31,7 +31,7 @@
 )
 from lycheeglade.contradictions import find_contradictions
 from lycheeglade.errors import ConfigurationError
-from lycheeglade.numbering import choose_free_ip
+from lycheeglade.numbering import choose_free_ip, count_free_ips
 from lycheeglade.options import parse_name
 from lycheeglade.prompter import Ask, Prompter, Tell, list_of, number_in, one_of
 from lycheeglade.settings import MAX_GRACE_S, parse_url, read_text
@@ -59,10 +59,15 @@
         earlier = parse_answers(read_text(path), str(path))
     answers = ask_answers(Prompter(ask, tell), earlier)
     path.write_text(format_answers(answers), encoding="utf-8")
-    tell(f"Your answers are in {path}. Next: lycheeglade generate {path}")
     contradictions = find_contradictions(answers, str(path))
     if contradictions:
+        tell(
+            f"Your answers are in {path}, but they contradict each other. Edit "
+            f"the file, or run lycheeglade questionnaire -o {path} again to be "
+            "asked with these answers as defaults."
+        )
         raise ConfigurationError(f"{path} contradicts itself", contradictions)
+    tell(f"Your answers are in {path}. Next: lycheeglade generate {path}")
     return answers
 
 
@@ -245,7 +250,7 @@
         count = prompter.ask_for(
             f"How many entry hosts do you have in {zone}?",
             len(known) if earlier else 1,
-            number_in(int, 0, MAX_HOSTS_A_ZONE),
+            _number_of_hosts(len(known), answers.team.balancers, used),
         )
         names = _names_for(f"{zone.name}-balancer", known, earlier, count)
         for name in names:
@@ -290,7 +295,7 @@
     count = prompter.ask_for(
         f"{service.name}: how many upstream hosts serve it in {zone}?",
         len(known) if earlier else 1,
-        number_in(int, 0, MAX_HOSTS_A_ZONE),
+        _number_of_hosts(len(known), answers.team.upstreams, used),
     )
     hosts = []
     for name in _names_for(f"{zone.name}-{service.name}", known, earlier, count):
@@ -308,6 +313,22 @@
     return hosts
 
 
+def _number_of_hosts(
+    known: int, network: str, used: Collection[str]
+) -> Callable[[str], int]:
+    """Return a parser of a number of hosts that `network` has room for."""
+    parse_number = number_in(int, 0, MAX_HOSTS_A_ZONE)
+
+    def parse(text: str) -> int:
+        count = parse_number(text)
+        free = count_free_ips(network, used, MAX_HOSTS_A_ZONE)
+        if count - known > free:
+            raise ValueError(f"network {network} has only {free} free addresses")
+        return count
+
+    return parse
+
+
 def _names_for(
     prefix: str,
     known: Iterable[BalancerAnswers | HostAnswers],
--- a/tests/test_generator.py
+++ b/tests/test_generator.py
@@ -31,6 +31,7 @@
 DATA = Path(__file__).parent / "data" / "answers"
 EXAMPLES = sorted((Path(__file__).parent.parent / "examples").glob("*.ini"))
 ZONES = [Zone("viti-west", "nadi-a"), Zone("viti-west", "nadi-b"), Zone("fj", "suva")]
+TOLD = (DATA / "first.told").read_text().rstrip("\n")
 NAMES = ["booth-sync", "reel-depot", "cues"]
 
 
@@ -80,14 +81,26 @@
         assert question.startswith(start)
         return answer or default
 
+    told = []
     path = tmp_path / "answers.ini"
-    ask_and_save(path, ask, lambda line: None)
+    ask_and_save(path, ask, told.append)
     assert dialogue == []
+    assert "\n".join(told).replace(str(path), "it.ini") == TOLD
     assert path.read_text() == (DATA / "first.expected").read_text()
     ask_and_save(path, lambda question, default: default, lambda line: None)
     assert path.read_text() == (DATA / "first.expected").read_text()
 
 
+def test_contradictory_answers_are_saved_and_told(tmp_path):
+    path = tmp_path / "answers.ini"
+    path.write_text((DATA / "contradictory.ini").read_text())
+    told = []
+    with pytest.raises(ConfigurationError, match="contradicts itself"):
+        ask_and_save(path, lambda question, default: default or "wa-south", told.append)
+    assert told[-1].endswith("to be asked with these answers as defaults.")
+    assert parse_answers(path.read_text(), "it.ini").team.fabric_notice == 4.0
+
+
 SECONDS = st.floats(1, 1000, allow_subnormal=False)
 PLACES = st.lists(
     st.sampled_from(["viti-west", "fj", "fj/suva", "viti-west/nadi-a", "nowhere"]),
