Refuse a service that no balancer may carry

Cause: a new team's answers allowed a service in one region only and had no entry host there. They were generated and accepted by check, and the status of both running balancers said carried_here no: nobody would ever answer.

Change: a service whose places hold no balancer is a contradiction.

Seen: red first in the test of all contradictions; the answers that showed it are refused now.

--- a/lycheeglade/contradictions.py
+++ b/lycheeglade/contradictions.py
@@ -87,6 +87,7 @@
         section = f"service {service.name}"
         for option, reason in chain(
             _check_places(answers, service),
+            _check_entry(answers, service),
             _check_capacity(answers, service),
             _check_times(service),
             _check_silence(answers, service),
@@ -103,6 +104,18 @@
             yield "places", f"unknown place {place!r}; known: {_join(sorted(known))}"
 
 
+def _check_entry(answers: Answers, service: ServiceAnswers) -> Iterator:
+    balancers = answers.balancers_by_name.values()
+    if not service.places or not balancers:
+        return
+    if not any(_permits(service, balancer.zone) for balancer in balancers):
+        yield (
+            "places",
+            f"no balancer is in {_join(service.places)}, "
+            f"and others may not carry {service.name}",
+        )
+
+
 def _check_capacity(answers: Answers, service: ServiceAnswers) -> Iterator:
     targets = _permitted_hosts(answers, service)
     if not targets:
