Let no agent be a witness of itself

Cause: an agent watched all agents of its services, its own address included. When all peers were silent it chose itself among the witnesses, answered its own ping, and took that for the sign of life that makes the others suspects.

Change: an agent's own address is not watched.

Before: the new test finds a suspect; after: none in 29 s of silence of all four peers.

Conclusion: a cut of one agent from everything suspects nobody, as the module of the membership promises.

--- a/lycheeglade/agent.py
+++ b/lycheeglade/agent.py
@@ -125,6 +125,8 @@
             wanted[TargetKey(name, target.target_id)] = (service, target)
         if own:
             peers.update(agent.agents_by_service[name])
+    # This process always hears itself, which shows nothing of the network.
+    peers.difference_update(target.agent for _, target in wanted.values())
     agent.membership.watch(peers)
     for key, (service, target) in wanted.items():
         _update_target(agent, key, service, target, now)
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -1,3 +1,4 @@
+from dataclasses import replace
 from random import Random
 
 import pytest
@@ -10,9 +11,10 @@
     tick,
     update_view,
 )
-from lycheeglade.packet import Forward, encode_packet
+from lycheeglade.agent_state import send_packet
+from lycheeglade.packet import Forward, Ping, Pong, Probe, encode_packet
 from lycheeglade.staleness import note_view_age
-from tests.agents import BALANCER, KEY, get_request, make_view
+from tests.agents import AGENT, BALANCER, KEY, get_request, make_view
 
 
 def forward(payload, service="booth-sync", target_id="t1"):
@@ -98,3 +100,28 @@
     receive_datagram(agent, forward(get_request(2)), BALANCER, 0.03)
     codes = [answer.payload[1] for answer in recorder.answers()]
     assert codes == [Code.CONTENT, Code.TOO_MANY_REQUESTS, Code.SERVICE_UNAVAILABLE]
+
+
+def test_agent_that_nobody_answers_is_no_witness_of_itself(agent, recorder):
+    peers = {name: Address(f"127.2.0.{name}", 7100) for name in "2345"}
+    view = make_view(2)
+    service = view.services_by_name["booth-sync"]
+    targets = dict(service.targets_by_id)
+    for name, address in peers.items():
+        targets[name] = replace(
+            targets["t1"], target_id=name, host_id=f"h{name}", agent=address
+        )
+    service = replace(service, targets_by_id=targets)
+    update_view(agent, replace(view, services_by_name={"booth-sync": service}), 1.0)
+    probe = Probe("booth-sync", "2", "127.9.0.1", 4000)
+    for step in range(50, 1500):
+        now = step * 0.02
+        if step % 50 == 0:
+            send_packet(agent, peers["2"], probe, now)
+        recorder.sent.clear()
+        tick(agent, now)
+        for address, packet in list(recorder.sent):
+            if address == AGENT and isinstance(packet, Ping):
+                receive_datagram(agent, encode_packet(packet), AGENT, now)
+                receive_datagram(agent, encode_packet(Pong(packet.nonce)), AGENT, now)
+        assert agent.suspects == frozenset()
