Let the flows of a dead upstream move although requests hang

Cause: a flow with a request in progress isn't handed on. Where two agents died in the moment in which the upstream of a third did, requests that the third had delegated to the dead ones hung for their whole 10 s, and kept 25 of 51 flows there: their feeds were given up after 8 s. A request that a silent upstream holds does the same.

Change: 1.5 s after an upstream is down, what it holds of flows, and what a suspected peer does, is answered as unknown, and the flow moves on.

The request would have been answered as unknown anyway, unless the upstream was only slow for more than 4 s.

--- a/lycheeglade/agent.py
+++ b/lycheeglade/agent.py
@@ -14,6 +14,7 @@
 from lycheeglade.admission import Admission, AdmissionLimits
 from lycheeglade.agent_state import Agent, AgentActions, update_known_addresses
 from lycheeglade.delegation import (
+    give_up_requests,
     receive_delegate,
     receive_delegate_reply,
     reoffer_queued,
@@ -354,6 +355,7 @@
             expire_queued(agent, served, now)
             start_queued(agent, served, now)
             reoffer_queued(agent, served, now)
+            give_up_requests(agent, served, now)
         if check_upstream(agent, served, now):
             _start_moving(agent, served, now)
 
--- a/lycheeglade/delegation.py
+++ b/lycheeglade/delegation.py
@@ -37,6 +37,7 @@
 MIN_DELEGATIONS_SEEN = 8_192
 MAX_DELEGATIONS_SEEN = 32_768
 DELEGATION_MEMORY_S = 600.0
+DOWN_PATIENCE_S = 1.5
 
 
 def offer_request(
@@ -119,6 +120,31 @@
             finish_request(agent, served, request, b"", now)
 
 
+def give_up_requests(agent: Agent, served: ServedTarget, now: float) -> None:
+    """Answer what no answer is likely for, so that its flow can move on.
+
+    That is what a dead upstream holds, and what a suspected peer does. A feed
+    on the same flow would else be silent up to the request's deadline.
+    """
+    if not served.is_down or now - served.down_since < DOWN_PATIENCE_S:
+        return
+    suspected = suspected_targets(agent, served.service)
+    for token, request in list(served.requests_by_upstream_token.items()):
+        if request.flow is not None:
+            del served.requests_by_upstream_token[token]
+            served.admission.finish(request.request_id, now, failed=True)
+            _give_up(agent, served, request, now)
+    for request in list(served.requests_by_delegation.values()):
+        if request.asked[-1] in suspected:
+            note_run(served, request)
+            _give_up(agent, served, request, now)
+
+
+def _give_up(agent: Agent, served: ServedTarget, request: Request, now: float) -> None:
+    agent.actions.count("request", served.service.name, "given-up")
+    finish_request(agent, served, request, b"", now)
+
+
 def _own_load(served: ServedTarget, now: float) -> Load:
     """Return the load, without free slots while the upstream is down."""
     load = served.admission.load(now)
--- a/lycheeglade/served_target.py
+++ b/lycheeglade/served_target.py
@@ -211,6 +211,8 @@
     ----------
     is_down : bool
         Whether the upstream answers nothing at present.
+    down_since : float
+        When it was last found to be down.
     unanswered_since : float or None
         When the oldest datagram was sent that the upstream did not answer.
     homes_by_flow : OrderedDict
@@ -232,6 +234,7 @@
     former_targets_by_id: dict[str, tuple[Target, float]] = field(default_factory=dict)
     draining: bool = False
     is_down: bool = False
+    down_since: float = 0.0
     is_moving: bool = False
     unanswered_since: float | None = None
     upstream_pings: int = 0
--- a/lycheeglade/upstream_health.py
+++ b/lycheeglade/upstream_health.py
@@ -57,6 +57,7 @@
     if served.is_down or served.upstream_pings <= MIN_PINGS:
         return False
     served.is_down = True
+    served.down_since = now
     return True
 
 
@@ -69,7 +70,9 @@
         Whether the upstream was up until now.
     """
     was_up = not served.is_down
-    served.is_down = True
+    if was_up:
+        served.is_down = True
+        served.down_since = now
     if served.unanswered_since is None:
         served.unanswered_since = now
         served.next_ping_at = now + PING_INTERVAL_S
--- /dev/null
+++ b/tests/test_rescue.py
@@ -0,0 +1,101 @@
+"""The flows of a dead upstream move on, whatever requests they wait for."""
+
+from dataclasses import replace
+
+import pytest
+from aiocoap import GET, POST, Message
+from aiocoap.numbers.codes import Code
+
+from lycheeglade.address import Address
+from lycheeglade.agent import (
+    receive_datagram,
+    receive_upstream_failure,
+    tick,
+    update_view,
+)
+from lycheeglade.packet import (
+    Answer,
+    Delegate,
+    Forward,
+    HandoffOffer,
+    Ping,
+    Pong,
+    encode_packet,
+)
+from tests.agents import AGENT, BALANCER, KEY, make_view
+
+FLOW = ("127.9.0.1", 4000)
+DEAD = Address("127.2.0.2", 7100)
+ALIVE = Address("127.2.0.3", 7100)
+HEARTBEAT_S = 2.0
+BACK_S = HEARTBEAT_S + 5.0
+TICK_S = 0.02
+
+
+@pytest.fixture
+def served(agent):
+    view = make_view(2)
+    service = view.services_by_name["booth-sync"]
+    (own,) = service.targets_by_id.values()
+    targets = {"t1": own}
+    for target_id, address in (("t2", DEAD), ("t3", ALIVE)):
+        host_id = f"host-{target_id}"
+        targets[target_id] = replace(
+            own, target_id=target_id, host_id=host_id, agent=address
+        )
+    service = replace(service, targets_by_id=targets, heartbeat=HEARTBEAT_S)
+    update_view(agent, replace(view, services_by_name={KEY.service: service}), 0.0)
+    return agent.served_by_key[KEY]
+
+
+def forward(message, message_id):
+    message.mtype, message.mid, message.token = 0, message_id, bytes([message_id])
+    packet = Forward(
+        KEY.service, "t1", 2, *FLOW, ("t1", "t2"), 1, *BALANCER, message.encode()
+    )
+    return encode_packet(packet)
+
+
+def confirm(agent, recorder, now):
+    """Send a confirmation with the ticket that the first answer brings."""
+    receive_datagram(agent, forward(Message(code=POST), 1), BALANCER, now)
+    echo = Message.decode(recorder.answers()[-1].payload).opt.echo
+    request = Message(code=POST, echo=echo)
+    receive_datagram(agent, forward(request, 2), BALANCER, now)
+
+
+def run_until_offered(agent, recorder, since):
+    """Return the seconds until the flow is offered to another agent."""
+    for step in range(round(BACK_S / TICK_S)):
+        now = since + step * TICK_S
+        before = len(recorder.sent)
+        tick(agent, now)
+        for address, packet in recorder.sent[before:]:
+            if isinstance(packet, HandoffOffer):
+                return now - since
+            if isinstance(packet, Ping) and address not in (DEAD, AGENT):
+                pong = encode_packet(Pong(packet.nonce))
+                receive_datagram(agent, pong, address, now)
+    raise AssertionError("the flow was not offered in time")
+
+
+def last_codes(recorder):
+    answers = [packet for _, packet in recorder.sent if isinstance(packet, Answer)]
+    return [Message.decode(answer.payload).code for answer in answers]
+
+
+def test_flow_leaves_a_silent_upstream_that_holds_its_request(agent, served, recorder):
+    confirm(agent, recorder, 0.1)
+    assert served.requests_by_upstream_token
+    run_until_offered(agent, recorder, 0.1)
+    assert last_codes(recorder)[-1] is Code.GATEWAY_TIMEOUT
+
+
+def test_flow_leaves_although_a_dead_peer_holds_its_request(agent, served, recorder):
+    receive_datagram(agent, forward(Message(code=GET), 9), BALANCER, 0.1)
+    served.incarnations_by_peer["t2"] = 1
+    confirm(agent, recorder, 0.1)
+    assert any(isinstance(packet, Delegate) for _, packet in recorder.sent)
+    receive_upstream_failure(agent, KEY, 0.1)
+    run_until_offered(agent, recorder, 0.1)
+    assert last_codes(recorder)[-1] is Code.GATEWAY_TIMEOUT
