Give a new flow back if nobody after this target can take it

Cause: a flow is handed on to the candidate that told the least load, also if its upstream has died since. As the last of the candidates that one had nobody to hand it to and refused the flow, each time that its caller tried.

Change: the first candidate follows the last. An agent that is passed a flow by the very target that it takes for the flow's home forgets that, and opens the flow.

--- a/lycheeglade/agent.py
+++ b/lycheeglade/agent.py
@@ -286,7 +286,7 @@
 
 
 HANDLERS_BY_KIND: dict[type, Handler] = {
-    Forward: _without_source(receive_forward),
+    Forward: receive_forward,
     Probe: receive_probe,
     HomeNotice: _without_source(receive_home_notice),
     Delegate: receive_delegate,
--- a/lycheeglade/home.py
+++ b/lycheeglade/home.py
@@ -44,7 +44,7 @@
 
 
 def receive_forward(
-    agent: Agent, served: ServedTarget, packet: Forward, now: float
+    agent: Agent, served: ServedTarget, packet: Forward, source: Address, now: float
 ) -> None:
     """Serve a caller's datagram, pass it to the flow's home, or open it."""
     flow = flow_of(packet)
@@ -61,7 +61,10 @@
         hold_packet(agent, served, opening.held, packet)
         return
     home = find_home(agent, served, flow, now)
-    if home is not None and pass_on(agent, served, packet, home, now):
+    if home is not None and home.agent == source:
+        # Whoever passes the flow's datagram back is not its home.
+        del served.homes_by_flow[flow]
+    elif home is not None and pass_on(agent, served, packet, home, now):
         return
     _look_for_home(agent, served, flow, packet, now)
 
@@ -343,13 +346,14 @@
     """Return the candidate that a new flow goes on to.
 
     It is the least busy one for a flow that could open here, and the next in
-    the packet's order for one that can't.
+    the packet's order for one that can't; the first one follows the last.
     """
     names = list(packet.candidates) or [
         target.target_id for target in rank_flow(agent, served, flow)
     ]
     own = served.target.target_id
-    later = names[names.index(own) + 1 :] if own in names else names
+    place = names.index(own) if own in names else len(names)
+    later = names[place + 1 :] + names[:place]
     if _can_accept(agent, served) and packet.hops < len(names):
         load = served.admission.load(now)
         placed = place_flow(load, packet.hops, names, served.peer_loads, now)
--- a/tests/test_rescue.py
+++ b/tests/test_rescue.py
@@ -13,6 +13,8 @@
     tick,
     update_view,
 )
+from lycheeglade.flow import FlowKey
+from lycheeglade.home import point_to
 from lycheeglade.packet import (
     Answer,
     Delegate,
@@ -99,3 +101,28 @@
     receive_upstream_failure(agent, KEY, 0.1)
     run_until_offered(agent, recorder, 0.1)
     assert last_codes(recorder)[-1] is Code.GATEWAY_TIMEOUT
+
+
+def pass_on(candidates, hops):
+    message = Message(code=GET, uri_path=("status",))
+    message.mtype, message.mid, message.token = 0, 5, b"new"
+    packet = Forward(
+        KEY.service, "t1", 2, *FLOW, candidates, hops, *BALANCER, message.encode()
+    )
+    return encode_packet(packet)
+
+
+def test_last_candidate_that_is_down_gives_a_new_flow_back(agent, served, recorder):
+    receive_upstream_failure(agent, KEY, 0.1)
+    receive_datagram(agent, pass_on(("t3", "t1"), 1), ALIVE, 0.1)
+    assert recorder.answers() == []
+    passed = [
+        address for address, packet in recorder.sent if isinstance(packet, Forward)
+    ]
+    assert passed == [ALIVE]
+
+
+def test_new_flow_that_comes_back_opens_here(agent, served, recorder):
+    point_to(agent, served, FlowKey(KEY.service, *FLOW), "t3", 0.1)
+    receive_datagram(agent, pass_on(("t1", "t3"), 2), ALIVE, 0.1)
+    assert [key for key, _ in recorder.upstream] == [KEY]
