Let the replay's callers come back when they are turned away

Cause: an agent that can't run a repeatable request again, since a copy may have run, says 4.29 (docs/design/towards-callers.md). The replay's caller knew 5.03 only and took 4.29 for a wrong answer, so a trial with lost datagrams, drains and stops reported a wrong delivery that was none.

Change: 4.29 makes the caller come back in Max-Age seconds. It isn't a refusal as not run, and a caller that gives up on it calls the outcome unknown.

Measured: the new test's case for 4.29 fails before, both cases pass after.

Conclusion: a fault of the replay's caller, none of the agent.

--- a/lycheeglade/replay_caller.py
+++ b/lycheeglade/replay_caller.py
@@ -329,11 +329,15 @@
 ) -> None:
     if message.code is Code.UNAUTHORIZED:
         _send_anew(caller, request, now)
-    elif message.code is Code.SERVICE_UNAVAILABLE:
-        request.refusals.append(now)
+    elif message.code in (Code.SERVICE_UNAVAILABLE, Code.TOO_MANY_REQUESTS):
+        # Only the first of the two says that the request has not run.
+        is_refused = message.code is Code.SERVICE_UNAVAILABLE
+        if is_refused:
+            request.refusals.append(now)
         request.returns += 1
         if request.returns > MAX_RETURNS:
-            _finish(caller, request, Result.NOT_RUN, now)
+            result = Result.NOT_RUN if is_refused else Result.UNKNOWN
+            _finish(caller, request, result, now)
             return
         request.message_id = -1
         caller.call_at(
