Answer a copy of a registration under the same sequence number

Cause: each copy of a feed's registration was answered with the latest item under a new sequence number.

Change: a registration that equals the feed's own is answered with the latest item under the number that it was sent with, so that a caller that knows it drops it (RFC 7641, section 3.4). A refresh under a new message id is answered as before.

--- a/lycheeglade/feed.py
+++ b/lycheeglade/feed.py
@@ -41,9 +41,7 @@
     """Register a caller's feed, or answer a repeated registration."""
     feed = record.feeds_by_token.get(message.token)
     if feed is not None:
-        feed.reply_to = reply_to(message)
-        if feed.latest:
-            _answer_registration(agent, served, record, feed, feed.latest, now)
+        _answer_again(agent, served, record, feed, message, now)
         return
     if served.is_down:
         _refuse_feed(agent, served, record, reply_to(message), "upstream-down")
@@ -62,6 +60,30 @@
     schedule_check(agent, served, feed, now + served.service.heartbeat)
 
 
+def _answer_again(
+    agent: Agent,
+    served: ServedTarget,
+    record: FlowRecord,
+    feed: Feed,
+    message: CallerMessage,
+    now: float,
+) -> None:
+    """Answer a repeated registration with the latest item.
+
+    A copy gets the number under which that item was sent, so that a caller
+    that knows the item drops it (RFC 7641, section 3.4).
+    """
+    if feed.latest and message.datagram == feed.registration:
+        datagram = served.adapter.write_notification(
+            feed.latest, reply_to(message), feed.token, feed.sequence
+        )
+        answer_caller(agent, served, record, datagram)
+        return
+    feed.reply_to = reply_to(message)
+    if feed.latest:
+        _answer_registration(agent, served, record, feed, feed.latest, now)
+
+
 def _refuse_feed(
     agent: Agent,
     served: ServedTarget,
