Ignore a copy of a refusal at the replay's callers

Cause: a caller that was told to come back kept the token open. A doubled refusal made it come back twice, as two requests with two tickets, and both ran: r1 at 5.118 s and 5.126 s in a trial that doubles datagrams during a drain. A CoAP client drops a copy of an acknowledgement (RFC 7252, section 4.5).

Change: the refusal closes the token.

Measured: both cases of the test fail before and pass after.

Conclusion: the run twice was the caller's own; each ticket ran once.

--- a/lycheeglade/replay_caller.py
+++ b/lycheeglade/replay_caller.py
@@ -339,6 +339,8 @@
             result = Result.NOT_RUN if is_refused else Result.UNKNOWN
             _finish(caller, request, result, now)
             return
+        # A copy of this answer is ignored from here on.
+        caller.open_by_token.pop(request.token)
         request.message_id = -1
         caller.call_at(
             now + (message.opt.max_age or 1),
--- a/tests/test_replay_caller.py
+++ b/tests/test_replay_caller.py
@@ -26,6 +26,10 @@
     answer = Message(code=code, max_age=3)
     answer.mtype, answer.mid, answer.token = Type.ACK, sent[0].mid, sent[0].token
     receive(caller, answer.encode(), 1.0)
+    known = len(timers)
+    receive(caller, answer.encode(), 1.1)
+    # A copy of the refusal made it send the request twice.
+    assert len(timers) == known
     assert caller.misdelivered == []
     assert caller.requests[0].refusals == refusals
     due, come_back = timers[-1]
