Share equal strings and numbers of parsed values

Cause: tracemalloc at full size counts 77,000 texts of IP addresses and 77,000 ports for 39,300 hosts, as many again for the services, and a float for each weight and time. An INI parser refers to itself, so that its sections stayed in memory until the next full garbage collection and left gaps between what is kept.

Change: names, places and IP addresses are interned, numbers and zones shared, and the sections of a parser are taken out of it once they are read.

--- a/bench/capacity_measures.py
+++ b/bench/capacity_measures.py
@@ -17,6 +17,7 @@
 from pynng import Rep0
 
 from bench import agent, datapath, membership, routing, spread
+from bench import capacity_target as size
 from bench.epidemic import Fleet, spread_times
 from lycheeglade import balancer
 from lycheeglade.address import Address
@@ -163,33 +164,31 @@
     return least(lambda n: agent.time_view_change(n)[0], flows) * flows / 1000
 
 
-def services_kb(count: int) -> float:
-    """Return the resident kilobytes of so many services in force."""
-    return _in_new_process(_resident_kb, "services", count)
+def in_force_kb(role: str, services: int) -> float:
+    """Return the resident kilobytes of a role with so many services in force.
 
-
-def hosts_kb(count: int) -> float:
-    """Return the resident kilobytes of so many listed hosts in force."""
-    return _in_new_process(_resident_kb, "hosts", count)
-
-
-def _in_new_process(function: Callable, *arguments) -> float:
+    Hosts are in proportion; snapshot, view and what the role derives from the
+    view are counted, sockets and flows are not.
+    """
     with get_context("spawn").Pool(1) as pool:
-        return pool.apply(function, arguments)
+        return pool.apply(_in_force_kb, (role, services))
 
 
-def _resident_kb(kind: str, count: int) -> float:
-    make = {"services": spread.make_services, "hosts": spread.make_host_values}[kind]
+def _in_force_kb(role: str, services: int) -> float:
+    take_view = {"balancer": make_balancer_taker, "agent": make_agent_taker}[role]()
     collect()
     before = Process().memory_info().rss
     snapshot = Snapshot()
-    for value in make(count):
-        snapshot = advance(snapshot, [value], 0).snapshot
-    kept = build_view(snapshot)
+    for make, count in (
+        (spread.make_host_values, services * size.PROCESSES // size.ADDRESSES),
+        (spread.make_services, services),
+    ):
+        for value in make(count):
+            snapshot = advance(snapshot, [value], 0).snapshot
+    snapshot = advance(snapshot, (), services).snapshot
+    take_view(build_view(snapshot)[0])
     collect()
-    after = Process().memory_info().rss
-    del kept
-    return (after - before) / 1000
+    return (Process().memory_info().rss - before) / 1000
 
 
 @cache
@@ -239,9 +238,8 @@
     return spread.measure_cpu(lambda: take_view(next(views)), 10)
 
 
-def balancer_view_ms(services: int) -> float:
-    """Return milliseconds of a balancer's processor time for a newer view."""
-    view = make_role_view(services)
+def make_balancer_taker() -> Callable[[View], None]:
+    """Return what puts a view in force at a balancer."""
     actions = balancer.BalancerActions(
         send=lambda address, datagram: None,
         answer=lambda service, caller, datagram: None,
@@ -250,17 +248,22 @@
     subject = balancer.make_balancer(
         "b1", datapath.HERE, datapath.AGENT_SIDE, actions, Random(1)
     )
-    return measure_views(view, lambda new: balancer.update_view(subject, new))
+    return lambda view: balancer.update_view(subject, view)
 
 
-def agent_view_ms(services: int) -> float:
-    """Return milliseconds of an agent's processor time for a newer view."""
-    view = make_role_view(services)
+def make_agent_taker() -> Callable[[View], None]:
+    """Return what puts a view in force at an agent."""
     upstream = agent.Upstream()
     subject = make_agent(
         "host-1", spread.make_zone(0), upstream.actions(), Random(1), 100_000, 0.0
     )
-    return measure_views(view, lambda new: update_view(subject, new, 0.0))
+    return lambda view: update_view(subject, view, 0.0)
+
+
+def role_view_ms(role: str, services: int) -> float:
+    """Return milliseconds of a role's processor time for a newer view."""
+    take_view = {"balancer": make_balancer_taker, "agent": make_agent_taker}[role]()
+    return measure_views(make_role_view(services), take_view)
 
 
 def bind_ms(sockets: int) -> float:
--- a/bench/capacity_slopes.py
+++ b/bench/capacity_slopes.py
@@ -16,7 +16,6 @@
 HOSTS = (100, 400, 1572)
 SERVICES = (1100, 3300, 11_000)
 READ_AT_START = (500, 1000, 2000)
-ALL_HOSTS = (3930, 13_100, 39_300)
 PEERS = (1000, 4000, 16_000)
 LOST_FROM = (6000, 9000, 12_000)
 PROCESSES = (300, 3300, 39_300)
@@ -160,19 +159,19 @@
             ENTRIES,
             lambda n: 1e6 * measures.least(tickets.ticket_time, n),
         ),
-        "services": (
-            "resident memory of services in force",
-            "spread",
+        "balancer_config": (
+            "resident memory of a balancer's configuration, by services",
+            "capacity",
             "kB",
             SERVICES,
-            measures.services_kb,
+            lambda n: measures.in_force_kb("balancer", n),
         ),
-        "hosts": (
-            "resident memory of listed hosts in force",
-            "spread",
+        "agent_config": (
+            "resident memory of an agent's configuration, by services",
+            "capacity",
             "kB",
-            ALL_HOSTS,
-            measures.hosts_kb,
+            SERVICES,
+            lambda n: measures.in_force_kb("agent", n),
         ),
         "list": ("bytes of a list of hosts", "spread", "B", HOSTS, measures.list_bytes),
         "list_cpu": (
@@ -201,14 +200,14 @@
             "capacity",
             "ms",
             SERVICES,
-            measures.balancer_view_ms,
+            lambda n: measures.role_view_ms("balancer", n),
         ),
         "agent_view": (
             "CPU of an agent to take a view, by services",
             "capacity",
             "ms",
             SERVICES,
-            measures.agent_view_ms,
+            lambda n: measures.role_view_ms("agent", n),
         ),
         "bind": (
             "CPU to bind service addresses",
--- a/bench/capacity_tables.py
+++ b/bench/capacity_tables.py
@@ -59,7 +59,9 @@
 def role_table(work: Workings) -> str:
     """Return state, messages, processor time and memory by role."""
     trips = size.ROUND_TRIPS_PER_NODE_S
-    config = f"{number(work.config_mb)} MB"
+    config_by_role = {
+        role: f"{number(work.config_mb(role))} MB" for role in ("balancer", "agent")
+    }
     cache = work.each("cache", MAX_CACHED_BUCKETS) / 1000
     answered = work.each("established", MAX_ESTABLISHED_FLOWS) / 1000
     peers = work.each("peers", size.TARGETS) / 1000
@@ -89,10 +91,10 @@
         *(
             (
                 f"{role.capitalize()}, control",
-                f"configuration {config}",
+                f"configuration {config_by_role[role]}",
                 f"1 exchange, {number(work.last('messages'))} a change; {control}",
                 f"{work.control_core(role):.2%} of a core",
-                f"{config}, in the row above",
+                f"{config_by_role[role]}, in the row above",
                 "digests, pushes of a revision, one pull by whoever lacks it",
             )
             for role in ("balancer", "agent")
--- a/bench/capacity_workings.py
+++ b/bench/capacity_workings.py
@@ -22,9 +22,6 @@
     def __init__(self, slopes: dict[str, Slope], base_mb_by_role: dict[str, float]):
         self.slopes = slopes
         self.base_mb_by_role = base_mb_by_role
-        self.config_mb = (
-            self.each("services", size.ADDRESSES) + self.each("hosts", size.PROCESSES)
-        ) / 1000
 
     def each(self, name: str, count: float) -> float:
         """Return slope times count."""
@@ -38,6 +35,16 @@
         """Return the figure at the greatest size that was measured."""
         return self.slopes[name].figures[-1]
 
+    def config_mb(self, role: str) -> float:
+        """Return the megabytes of a role's configuration.
+
+        The line and its largest residual, so that the figure isn't below any
+        that was measured.
+        """
+        slope = self.slopes[f"{role}_config"]
+        spare = slope.line.residual * sum(slope.figures) / len(slope.figures)
+        return (slope.at(size.ADDRESSES) + spare) / 1000
+
     def rank_us(self) -> float:
         """Return microseconds to rank a bucket at the mean service."""
         return self.at("rank", size.TARGETS_PER_SERVICE)
@@ -62,12 +69,16 @@
         tables = self.each("cache", MAX_CACHED_BUCKETS)
         tables += self.each("established", MAX_ESTABLISHED_FLOWS)
         tables += self.each("peers", size.TARGETS)
-        return self.base_mb_by_role["balancer"] + self.config_mb + tables / 1000
+        return (
+            self.base_mb_by_role["balancer"]
+            + self.config_mb("balancer")
+            + tables / 1000
+        )
 
     def agent_mb(self) -> float:
         """Return an agent's megabytes, each flow with a feed."""
         flows = self.each("feed", size.FLOWS_PER_TARGET) / 1000
-        return self.base_mb_by_role["agent"] + self.config_mb + flows
+        return self.base_mb_by_role["agent"] + self.config_mb("agent") + flows
 
     def rest_bytes(self) -> float:
         """Return gossip bytes a second without changes, in and out."""
--- a/lycheeglade/address.py
+++ b/lycheeglade/address.py
@@ -1,10 +1,16 @@
 """Network addresses and places."""
 
 from dataclasses import dataclass
+from functools import lru_cache
 from ipaddress import ip_address
+from sys import intern
 from typing import NamedTuple
 
 MAX_PORT = 65535
+# Different numbers that are kept, so that equal ones share an object.
+MAX_SHARED = 1024
+
+_share_port = lru_cache(MAX_SHARED)(int)
 
 
 class Address(NamedTuple):
@@ -33,7 +39,7 @@
         raise ValueError(f"port {port} is not in 1..{MAX_PORT}")
     if ip.startswith("[") and ip.endswith("]"):
         ip = ip[1:-1]
-    return Address(str(ip_address(ip)), int(port))
+    return Address(intern(str(ip_address(ip))), _share_port(port))
 
 
 @dataclass(frozen=True, slots=True, order=True)
--- a/lycheeglade/configuration.py
+++ b/lycheeglade/configuration.py
@@ -1,8 +1,9 @@
 """Published values: services and lists of hosts, as INI texts."""
 
 from collections.abc import Iterable, Mapping
+from sys import intern
 
-from lycheeglade.address import Address, Zone
+from lycheeglade.address import Address
 from lycheeglade.options import OptionReader, Section, parse_name, parse_named_zone
 from lycheeglade.view import Host, Protocol, Role, Service, State, Target
 
@@ -88,14 +89,12 @@
         With one `OptionError` for each thing that is wrong.
     """
     reader = OptionReader(text, source)
-    zones_by_text: dict[str, Zone] = {}
     hosts = []
     for host_id, section in reader.get_named_sections("host").items():
-        zone = section.get_zone("zone")
         host = Host(
             host_id=host_id,
             role=section.get_choice("role", Role),
-            zone=zones_by_text.setdefault(str(zone), zone),
+            zone=section.get_zone("zone"),
             packets=section.get_address("packets"),
             control=section.get_address("control"),
             state=section.get_choice("state", State, State.LIVE),
@@ -163,7 +162,7 @@
     ValueError
         If `text` is neither.
     """
-    return str(parse_named_zone(text)) if "/" in text else parse_name(text)
+    return intern(str(parse_named_zone(text))) if "/" in text else parse_name(text)
 
 
 def _get_seconds(
@@ -174,13 +173,11 @@
 
 def _read_targets(reader: OptionReader) -> dict[str, Target]:
     targets_by_id = {}
-    zones_by_text: dict[str, Zone] = {}
     for target_id, section in reader.get_named_sections("target").items():
-        zone = section.get_zone("zone")
         targets_by_id[target_id] = Target(
             target_id=target_id,
             host_id=section.get_name("host"),
-            zone=zones_by_text.setdefault(str(zone), zone),
+            zone=section.get_zone("zone"),
             agent=section.get_address("agent"),
             upstream=section.get_address("upstream"),
             weight=section.get_float("weight", 1.0, MIN_WEIGHT, MAX_WEIGHT),
--- a/lycheeglade/options.py
+++ b/lycheeglade/options.py
@@ -12,11 +12,19 @@
 )
 from difflib import get_close_matches
 from enum import StrEnum
+from functools import lru_cache
 from math import isfinite
 from re import compile as compile_pattern
+from sys import intern
 from typing import Any, TypeVar
 
-from lycheeglade.address import Address, Zone, parse_address, parse_zone
+from lycheeglade.address import (
+    MAX_SHARED,
+    Address,
+    Zone,
+    parse_address,
+    parse_zone,
+)
 from lycheeglade.errors import ConfigurationError, OptionError
 
 MAX_NAME_LENGTH = 64
@@ -25,6 +33,10 @@
 _NO_SECTION = "-"
 _NO_DEFAULTS = "\0"
 
+# Equal numbers of many values share an object.
+_share_float = lru_cache(MAX_SHARED)(float)
+_share_int = lru_cache(MAX_SHARED)(int)
+
 Choice = TypeVar("Choice", bound=StrEnum)
 Parsed = TypeVar("Parsed")
 
@@ -56,9 +68,10 @@
             f"{text!r} is not a name of 1 to {MAX_NAME_LENGTH} letters, digits, "
             "dots, hyphens and underscores"
         )
-    return text
+    return intern(text)
 
 
+@lru_cache(MAX_SHARED)
 def parse_named_zone(text: str) -> Zone:
     """Parse ``REGION/ZONE``, both of them names.
 
@@ -190,7 +203,7 @@
                 raise ValueError(f"{text!r} is not a whole number")
             if not low <= int(text) <= high:
                 raise ValueError(f"{text} is not in {low}..{high}")
-            return int(text)
+            return _share_int(text)
 
         return self.get(option, parse_int, default, required=False)
 
@@ -199,7 +212,7 @@
 
         def parse_float(text: str) -> float:
             try:
-                number = float(text)
+                number = _share_float(text)
             except ValueError:
                 raise ValueError(f"{text!r} is not a number") from None
             if not isfinite(number) or not low <= number <= high:
@@ -230,15 +243,7 @@
     def __init__(self, text: str, source: str):
         self.source = source
         self.errors: list[OptionError] = []
-        self._parser = ConfigParser(
-            interpolation=None,
-            delimiters=("=",),
-            comment_prefixes=("#", ";"),
-            inline_comment_prefixes=(";",),
-            empty_lines_in_values=False,
-            default_section=_NO_DEFAULTS,
-        )
-        self._parser.optionxform = str
+        self._values_by_section: dict[str, dict[str, str]] = {}
         self._read(text)
         self._known: set[str] = set()
         self._hints: set[str] = set()
@@ -246,7 +251,7 @@
     @property
     def section_names(self) -> list[str]:
         """Names of the sections, in their order."""
-        return self._parser.sections()
+        return list(self._values_by_section)
 
     def add_error(self, section: str, option: str, reason: str) -> None:
         """Note an error."""
@@ -256,11 +261,10 @@
         """Return a section; all options of an absent one are absent."""
         self._known.add(name)
         self._hints.add(name)
-        if not self._parser.has_section(name):
-            if required:
-                self.add_error(name, "section", "is missing")
-            return Section(self, name, None)
-        return Section(self, name, dict(self._parser.items(name)))
+        values = self._values_by_section.get(name)
+        if values is None and required:
+            self.add_error(name, "section", "is missing")
+        return Section(self, name, values)
 
     def get_named_sections(self, prefix: str) -> dict[str, Section]:
         """Return the sections ``PREFIX NAME`` by name."""
@@ -272,7 +276,7 @@
                 continue
             self._known.add(section)
             try:
-                values = dict(self._parser.items(section))
+                values = self._values_by_section[section]
                 sections_by_name[parse_name(name)] = Section(self, section, values)
             except ValueError as error:
                 self.add_error(section, "section", str(error))
@@ -298,8 +302,17 @@
             raise ConfigurationError(f"{self.source} is invalid", self.errors)
 
     def _read(self, text: str) -> None:
+        parser = ConfigParser(
+            interpolation=None,
+            delimiters=("=",),
+            comment_prefixes=("#", ";"),
+            inline_comment_prefixes=(";",),
+            empty_lines_in_values=False,
+            default_section=_NO_DEFAULTS,
+        )
+        parser.optionxform = str
         try:
-            self._parser.read_string(text, self.source)
+            parser.read_string(text, self.source)
         except DuplicateSectionError as error:
             self.add_error(
                 error.section, "section", f"stands twice, line {error.lineno}"
@@ -318,3 +331,8 @@
         except Error as error:
             self.add_error(_NO_SECTION, "text", str(error))
         self.raise_errors()
+        for name in parser.sections():
+            self._values_by_section[name] = dict(parser.items(name))
+            # A parser refers to itself, so its sections would stay in memory
+            # until the next full garbage collection.
+            parser.remove_section(name)
