Keep published texts compressed

Cause: at full size the texts of services and lists take 13 MB; a process reads one again only when a peer asks for it or a newer revision arrives.

Change: a value compresses its text (zlib, level 1) and unpacks it when it is asked for.

--- a/bench/capacity_workings.py
+++ b/bench/capacity_workings.py
@@ -65,10 +65,9 @@
         return (items + opens) / 1e3
 
     def balancer_mb(self) -> float:
-        """Return a balancer's megabytes."""
+        """Return a balancer's megabytes; the configuration's hold its peers."""
         tables = self.each("cache", MAX_CACHED_BUCKETS)
         tables += self.each("established", MAX_ESTABLISHED_FLOWS)
-        tables += self.each("peers", size.TARGETS)
         return (
             self.base_mb_by_role["balancer"]
             + self.config_mb("balancer")
--- a/lycheeglade/spread.py
+++ b/lycheeglade/spread.py
@@ -224,12 +224,12 @@
 
 
 def _check_bound(snapshot: Snapshot, accepted: dict[str, Value], value: Value) -> None:
-    if value.text is None or value.name in snapshot.values_by_name:
+    if value.is_deletion or value.name in snapshot.values_by_name:
         return
     if len(snapshot.values_by_name) + len(accepted) < MAX_VALUES:
         return
     values = {**snapshot.values_by_name, **accepted}.values()
-    if sum(each.text is not None for each in values) >= MAX_VALUES:
+    if sum(not each.is_deletion for each in values) >= MAX_VALUES:
         reason = f"more than {MAX_VALUES} values are published"
         refuse_value(value, "-", "value", reason)
 
@@ -269,7 +269,7 @@
     deletions = [
         value
         for value in snapshot.values_by_name.values()
-        if value.text is None
+        if value.is_deletion
         and value.revision <= snapshot.revision
         and value.name not in snapshot.refused_by_name
     ]
@@ -289,6 +289,6 @@
 
 def _hash_value(value: Value | None) -> int:
     """Return a hash of name and revision; 0 for a deletion."""
-    if value is None or value.text is None:
+    if value is None or value.is_deletion:
         return 0
     return xxh3_64_intdigest(f"{value.name}\0{value.revision}".encode())
--- a/lycheeglade/value.py
+++ b/lycheeglade/value.py
@@ -1,7 +1,8 @@
 """One revision of one published value, and what it declares."""
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from re import compile as compile_pattern
+from zlib import compress, decompress
 
 from lycheeglade.configuration import (
     HOSTS_PREFIX,
@@ -16,14 +17,21 @@
 # Printable ASCII and no line that continues the one before.
 _PLAIN_TEXT = compile_pattern(r"(?:[!-~][ -~]*)?(?:\n(?:[!-~][ -~]*)?)*")
 
+COMPRESSION_LEVEL = 1
+# A text may hold any code point that JSON or MessagePack lets through.
+_ERRORS = "surrogatepass"
+
 Content = Service | tuple[Host, ...] | None
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, init=False)
 class Value:
     """One revision of one published value.
 
-    Attributes
+    The text is kept compressed, since a process holds thousands of values and
+    reads a text again only when a peer asks for it or a newer one arrives.
+
+    Parameters
     ----------
     text : str or None
         None if this revision deleted the value.
@@ -34,8 +42,31 @@
 
     name: str
     revision: int
-    text: str | None
-    content: Content = field(default=None, compare=False, repr=False)
+    packed: bytes | None = field(repr=False)
+    content: Content = field(compare=False, repr=False)
+
+    def __init__(
+        self, name: str, revision: int, text: str | None, content: Content = None
+    ):
+        packed = text
+        if text is not None:
+            packed = compress(text.encode(errors=_ERRORS), COMPRESSION_LEVEL)
+        object.__setattr__(self, "name", name)
+        object.__setattr__(self, "revision", revision)
+        object.__setattr__(self, "packed", packed)
+        object.__setattr__(self, "content", content)
+
+    @property
+    def is_deletion(self) -> bool:
+        """Whether this revision deleted the value."""
+        return self.packed is None
+
+    @property
+    def text(self) -> str | None:
+        """The published text, None if this revision deleted the value."""
+        if self.packed is None:
+            return None
+        return decompress(self.packed).decode(errors=_ERRORS)
 
 
 def read_value(value: Value, known: Value | None = None) -> Value:
@@ -52,13 +83,16 @@
     ConfigurationError
         If the text is invalid or declares something else than the name says.
     """
-    if value.text is None:
+    text = value.text
+    if text is None:
         return value
     if value.name.startswith(SERVICE_PREFIX):
-        return replace(value, content=_read_service(value))
-    if value.name.startswith(HOSTS_PREFIX):
-        return replace(value, content=_read_hosts(value, known))
-    return value
+        content = _read_service(value, text)
+    elif value.name.startswith(HOSTS_PREFIX):
+        content = _read_hosts(value, text, known)
+    else:
+        return value
+    return Value(value.name, value.revision, text, content)
 
 
 def refuse_value(value: Value, section: str, option: str, reason: str) -> None:
@@ -73,18 +107,18 @@
     raise ConfigurationError(f"{value.name} is invalid", [error])
 
 
-def _read_service(value: Value) -> Service:
-    service = parse_service(value.text, value.name, value.revision)
+def _read_service(value: Value, text: str) -> Service:
+    service = parse_service(text, value.name, value.revision)
     if value.name != SERVICE_PREFIX + service.name:
         reason = f"{service.name!r} is not the name of the value"
         refuse_value(value, "service", "name", reason)
     return service
 
 
-def _read_hosts(value: Value, known: Value | None) -> tuple[Host, ...]:
-    hosts = _read_changed_hosts(value, known)
+def _read_hosts(value: Value, text: str, known: Value | None) -> tuple[Host, ...]:
+    hosts = _read_changed_hosts(value.name, text, known)
     if hosts is None:
-        hosts = parse_hosts(value.text, value.name)
+        hosts = parse_hosts(text, value.name)
     zone = value.name.removeprefix(HOSTS_PREFIX)
     for host in hosts:
         if str(host.zone) != zone:
@@ -93,7 +127,9 @@
     return hosts
 
 
-def _read_changed_hosts(value: Value, known: Value | None) -> tuple[Host, ...] | None:
+def _read_changed_hosts(
+    source: str, text: str, known: Value | None
+) -> tuple[Host, ...] | None:
     """Return the hosts, reading only sections that `known` lacks.
 
     Returns
@@ -104,7 +140,7 @@
     if known is None or known.content is None:
         return None
     old_sections = _split_sections(known.text)
-    new_sections = _split_sections(value.text)
+    new_sections = _split_sections(text)
     if not new_sections or len(old_sections) != len(known.content):
         return None
     host_by_section = dict(zip(old_sections, known.content, strict=True))
@@ -112,10 +148,10 @@
     if 2 * len(changed) > len(new_sections):
         return None
     try:
-        read = parse_hosts("".join(changed), value.name)
+        read = parse_hosts("".join(changed), source)
         host_by_section.update(zip(changed, read, strict=True))
         hosts = tuple(host_by_section[section] for section in new_sections)
-        check_hosts(hosts, value.name)
+        check_hosts(hosts, source)
     except (ConfigurationError, ValueError):
         return None
     return hosts
