Record running daemons on request

Cause: the daemons had no way to give out what they are given and what they do.

They call their cores through the recorder's inputs if a trace is asked for, and directly if not. The seed of the core's generator is drawn by the daemon and stands in the header. Counts of sockets that can't be opened are the daemon's own and go to the metrics directly. cleo takes the - after an option for another option, so it is joined to the name.

Conclusion: a trace can be asked for at the start only.

--- a/lycheeglade/__init__.py
+++ b/lycheeglade/__init__.py
@@ -15,6 +15,7 @@
     from lycheeglade.difference import Difference
     from lycheeglade.errors import OptionError
     from lycheeglade.explain import Explanation
+    from lycheeglade.trace_writer import TraceOptions
     from lycheeglade.view import Service, Target, View
 
 __version__ = "0.1.0"
@@ -129,13 +130,19 @@
     return replay(map(Path, paths))
 
 
-def run_balancer(path: str | Path, log_level: str | None = None) -> int:
+def run_balancer(
+    path: str | Path,
+    log_level: str | None = None,
+    trace: TraceOptions | None = None,
+) -> int:
     """Run a balancer with the settings at `path`; return its exit code.
 
     Parameters
     ----------
     log_level : str, optional
         Stands in for the one of the settings.
+    trace : TraceOptions, optional
+        Where the process records what it is given and what it does.
 
     Raises
     ------
@@ -146,16 +153,22 @@
     """
     from lycheeglade.balancer_daemon import run_balancer as run
 
-    return _run_daemon(run, path, log_level)
+    return _run_daemon(run, path, log_level, trace)
 
 
-def run_agent(path: str | Path, log_level: str | None = None) -> int:
+def run_agent(
+    path: str | Path,
+    log_level: str | None = None,
+    trace: TraceOptions | None = None,
+) -> int:
     """Run an agent with the settings at `path`; return its exit code.
 
     Parameters
     ----------
     log_level : str, optional
         Stands in for the one of the settings.
+    trace : TraceOptions, optional
+        Where the process records what it is given and what it does.
 
     Raises
     ------
@@ -166,10 +179,12 @@
     """
     from lycheeglade.agent_daemon import run_agent as run
 
-    return _run_daemon(run, path, log_level)
+    return _run_daemon(run, path, log_level, trace)
 
 
-def _run_daemon(run, path: str | Path, log_level: str | None) -> int:
+def _run_daemon(
+    run, path: str | Path, log_level: str | None, trace: TraceOptions | None
+) -> int:
     import uvloop
 
     from lycheeglade.logs import configure_logging
@@ -177,4 +192,4 @@
 
     settings = load_settings(path)
     configure_logging(log_level or settings.log_level)
-    return uvloop.run(run(settings))
+    return uvloop.run(run(settings, trace))
--- a/lycheeglade/agent_daemon.py
+++ b/lycheeglade/agent_daemon.py
@@ -2,31 +2,22 @@
 
 from asyncio import get_running_loop
 from collections.abc import Mapping
-from functools import partial
 from logging import getLogger
 from random import Random, SystemRandom
 from time import monotonic
 
 from lycheeglade.address import Address
-from lycheeglade.agent import (
-    begin_stop,
-    make_agent,
-    receive_datagram,
-    receive_from_upstream,
-    receive_upstream_failure,
-    tick,
-    update_view,
-    work_left,
-)
+from lycheeglade.agent import make_agent, work_left
 from lycheeglade.agent_state import BALANCER_FRESH_S, Agent, AgentActions
 from lycheeglade.blackboard import Blackboard
 from lycheeglade.daemon import ProcessParts, run_process
 from lycheeglade.flow import FlowKey
 from lycheeglade.histograms import Metrics
 from lycheeglade.packet import encode_packet
+from lycheeglade.recorder import AgentInputs, Recorder, agent_inputs, open_recorder
 from lycheeglade.served_target import ServedTarget, TargetKey
 from lycheeglade.settings import Settings
-from lycheeglade.staleness import note_view_age
+from lycheeglade.trace_writer import TraceOptions
 from lycheeglade.transport import DatagramSocket
 from lycheeglade.watch import view_is_fresh
 
@@ -38,13 +29,19 @@
 class UpstreamSockets:
     """Connected sockets towards the upstreams, one a target or a flow."""
 
-    def __init__(self):
+    def __init__(self, metrics: Metrics):
+        self._metrics = metrics
         self._sockets_by_key: dict[
             tuple[TargetKey, FlowKey | None], tuple[Address, DatagramSocket]
         ] = {}
 
     def send(
-        self, agent: Agent, key: TargetKey, flow: FlowKey | None, datagram: bytes
+        self,
+        agent: Agent,
+        inputs: AgentInputs,
+        key: TargetKey,
+        flow: FlowKey | None,
+        datagram: bytes,
     ) -> None:
         """Send a datagram to the target's upstream."""
         served = agent.served_by_key.get(key)
@@ -55,7 +52,7 @@
         if address != upstream:
             if socket is not None:
                 socket.close()
-            socket = self._open(agent, key, flow, upstream)
+            socket = self._open(inputs, key, flow, upstream)
             if socket is None:
                 return
         socket.send(datagram)
@@ -72,69 +69,93 @@
             socket.close()
 
     def _open(
-        self, agent: Agent, key: TargetKey, flow: FlowKey | None, upstream: Address
+        self,
+        inputs: AgentInputs,
+        key: TargetKey,
+        flow: FlowKey | None,
+        upstream: Address,
     ) -> DatagramSocket | None:
         loop = get_running_loop()
         options = {} if flow is None else {"buffer_bytes": FLOW_SOCKET_BUFFER_BYTES}
         try:
             socket = DatagramSocket(
                 loop,
-                lambda datagram, source: receive_from_upstream(
-                    agent, key, flow, datagram, monotonic()
+                lambda datagram, source: inputs.receive_from_upstream(
+                    key, flow, datagram, monotonic()
                 ),
                 remote=upstream,
                 # The failure of one send must not cut another in progress.
                 on_refused=lambda: loop.call_soon(
-                    lambda: receive_upstream_failure(agent, key, monotonic())
+                    lambda: inputs.receive_upstream_failure(key, monotonic())
                 ),
                 **options,
             )
         except OSError:
-            agent.actions.count("socket", key.service, "connect-failed")
+            self._metrics.count("socket", key.service, "connect-failed")
             return None
         self._sockets_by_key[key, flow] = (upstream, socket)
         return socket
 
 
-async def run_agent(settings: Settings) -> int:
-    """Run an agent until it is asked to stop; return its exit code."""
-    blackboard = Blackboard()
+async def run_agent(settings: Settings, trace: TraceOptions | None = None) -> int:
+    """Run an agent until it is asked to stop; return its exit code.
+
+    Parameters
+    ----------
+    trace : TraceOptions, optional
+        Where its inputs and actions are recorded.
+    """
     metrics = Metrics()
-    upstreams = UpstreamSockets()
+    seed = SystemRandom().getrandbits(64)
+    now = monotonic()
+    async with open_recorder(trace, settings, seed, now, metrics) as recorder:
+        return await _run_agent(settings, seed, now, metrics, recorder)
+
+
+async def _run_agent(
+    settings: Settings,
+    seed: int,
+    started_at: float,
+    metrics: Metrics,
+    recorder: Recorder | None,
+) -> int:
+    blackboard = Blackboard()
+    upstreams = UpstreamSockets(metrics)
     peers = DatagramSocket(
         get_running_loop(),
-        lambda datagram, source: receive_datagram(
-            agent, datagram, Address(source[0], source[1]), monotonic()
+        lambda datagram, source: inputs.receive_datagram(
+            datagram, Address(source[0], source[1]), monotonic()
         ),
         local=settings.packets,
     )
     actions = AgentActions(
         send=lambda address, packet: peers.send(encode_packet(packet), address),
         send_upstream=lambda key, flow, datagram: upstreams.send(
-            agent, key, flow, datagram
+            agent, inputs, key, flow, datagram
         ),
         close_upstream=upstreams.close,
         count=metrics.count,
         record=metrics.record,
     )
+    if recorder is not None:
+        actions = recorder.agent_actions(actions)
     agent = make_agent(
         settings.host_id,
         settings.zone,
         actions,
-        Random(SystemRandom().getrandbits(64)),
+        Random(seed),
         settings.max_flows,
-        monotonic(),
+        started_at,
     )
-    blackboard.view.subscribe(lambda view: update_view(agent, view, monotonic()))
-
-    def run_tick(now: float) -> None:
-        is_fresh = view_is_fresh(blackboard.checked_at.value, now)
-        note_view_age(agent, is_fresh, now)
-        tick(agent, now)
-
+    inputs = agent_inputs(agent)
+    if recorder is not None:
+        inputs = recorder.agent_inputs(inputs)
+    blackboard.view.subscribe(lambda view: inputs.update_view(view, monotonic()))
     parts = ProcessParts(
-        tick=run_tick,
-        begin_stop=partial(begin_stop, agent),
+        tick=lambda now: inputs.tick(
+            view_is_fresh(blackboard.checked_at.value, now), now
+        ),
+        begin_stop=inputs.begin_stop,
         work_left=lambda now: work_left(agent),
         describe=lambda: {
             **describe(agent, settings),
--- a/lycheeglade/balancer_daemon.py
+++ b/lycheeglade/balancer_daemon.py
@@ -13,16 +13,19 @@
     BalancerActions,
     make_balancer,
     may_carry,
-    receive_datagram,
-    receive_from_caller,
-    tick,
-    update_view,
 )
 from lycheeglade.blackboard import Blackboard
 from lycheeglade.daemon import ProcessParts, run_process
 from lycheeglade.histograms import Metrics, Stage, Work
 from lycheeglade.logs import log_event
+from lycheeglade.recorder import (
+    BalancerInputs,
+    Recorder,
+    balancer_inputs,
+    open_recorder,
+)
 from lycheeglade.settings import Settings
+from lycheeglade.trace_writer import TraceOptions
 from lycheeglade.transport import DatagramSocket
 from lycheeglade.view import Service, View
 
@@ -52,7 +55,7 @@
                 socket.send(datagram, caller)
                 return
 
-    def update(self, balancer: Balancer, view: View) -> None:
+    def update(self, balancer: Balancer, inputs: BalancerInputs, view: View) -> None:
         """Open and close sockets so that they match the view."""
         wanted = {
             (service.name, address)
@@ -63,7 +66,7 @@
         for key in self._sockets_by_address.keys() - wanted:
             self._sockets_by_address.pop(key).close()
         for key in wanted - self._sockets_by_address.keys():
-            self._open(balancer, *key)
+            self._open(inputs, *key)
 
     @property
     def dropped(self) -> int:
@@ -77,19 +80,19 @@
     def _addresses(self, service: Service) -> tuple[Address, ...]:
         return self._settings.listen_by_service.get(service.name, service.addresses)
 
-    def _open(self, balancer: Balancer, service: str, address: Address) -> None:
-        receive = partial(self._receive, balancer, service)
+    def _open(self, inputs: BalancerInputs, service: str, address: Address) -> None:
+        receive = partial(self._receive, inputs, service)
         try:
             socket = DatagramSocket(
                 get_running_loop(),
                 receive,
                 local=address,
-                on_batch=lambda packets, drained: balancer.overload.note_batch(
+                on_batch=lambda packets, drained: inputs.note_batch(
                     packets, drained, monotonic()
                 ),
             )
         except OSError as error:
-            balancer.actions.count("socket", service, "bind-failed")
+            self._metrics.count("socket", service, "bind-failed")
             log_event(
                 logger,
                 ERROR,
@@ -103,10 +106,10 @@
         log_event(logger, INFO, "listening", service=service, address=address)
 
     def _receive(
-        self, balancer: Balancer, service: str, datagram: bytes, source: tuple
+        self, inputs: BalancerInputs, service: str, datagram: bytes, source: tuple
     ) -> None:
         self.heard_at = monotonic()
-        receive_from_caller(balancer, service, source, datagram, self.heard_at)
+        inputs.receive_from_caller(service, source, datagram, self.heard_at)
         self._packets_until_sample -= 1
         if not self._packets_until_sample:
             self._packets_until_sample = PACKETS_PER_SAMPLE
@@ -114,15 +117,29 @@
             self._metrics.record(service, Work.ANY, Stage.BALANCER, seconds)
 
 
-async def run_balancer(settings: Settings) -> int:
-    """Run a balancer until it is asked to stop; return its exit code."""
-    blackboard = Blackboard()
+async def run_balancer(settings: Settings, trace: TraceOptions | None = None) -> int:
+    """Run a balancer until it is asked to stop; return its exit code.
+
+    Parameters
+    ----------
+    trace : TraceOptions, optional
+        Where its inputs and actions are recorded.
+    """
     metrics = Metrics()
+    seed = SystemRandom().getrandbits(64)
+    async with open_recorder(trace, settings, seed, monotonic(), metrics) as recorder:
+        return await _run_balancer(settings, seed, metrics, recorder)
+
+
+async def _run_balancer(
+    settings: Settings, seed: int, metrics: Metrics, recorder: Recorder | None
+) -> int:
+    blackboard = Blackboard()
     services = ServiceSockets(settings, metrics)
     peers = DatagramSocket(
         get_running_loop(),
-        lambda datagram, source: receive_datagram(
-            balancer, datagram, Address(source[0], source[1]), monotonic()
+        lambda datagram, source: inputs.receive_datagram(
+            datagram, Address(source[0], source[1]), monotonic()
         ),
         local=settings.packets,
     )
@@ -131,21 +148,22 @@
         answer=services.answer,
         count=metrics.count,
     )
+    if recorder is not None:
+        actions = recorder.balancer_actions(actions)
     balancer = make_balancer(
-        settings.host_id,
-        settings.zone,
-        settings.packets,
-        actions,
-        Random(SystemRandom().getrandbits(64)),
+        settings.host_id, settings.zone, settings.packets, actions, Random(seed)
     )
+    inputs = balancer_inputs(balancer)
+    if recorder is not None:
+        inputs = recorder.balancer_inputs(inputs)
 
     def on_view(view: View) -> None:
-        update_view(balancer, view)
-        services.update(balancer, view)
+        inputs.update_view(view, monotonic())
+        services.update(balancer, inputs, view)
 
     blackboard.view.subscribe(on_view)
     parts = ProcessParts(
-        tick=partial(tick, balancer),
+        tick=inputs.tick,
         begin_stop=lambda now: None,
         work_left=lambda now: int(now - services.heard_at < QUIET_S),
         describe=lambda: {
--- a/lycheeglade/cmdline.py
+++ b/lycheeglade/cmdline.py
@@ -4,11 +4,14 @@
 the command line is wrong.
 """
 
+from __future__ import annotations
+
 import sys
 from asyncio import run as run_async
 from collections.abc import Callable, Iterator, Sequence
 from functools import partial
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from cleo.application import Application
 from cleo.commands.command import Command
@@ -32,6 +35,9 @@
 from lycheeglade.address import parse_address, parse_zone
 from lycheeglade.errors import LycheegladeError
 
+if TYPE_CHECKING:
+    from lycheeglade.trace_writer import TraceOptions
+
 EXIT_OK = 0
 EXIT_WRONG = 1
 EXIT_USAGE = 2
@@ -69,11 +75,13 @@
 
 
 def _run_balancer(command: Command) -> int:
-    return run_balancer(_required_option(command, "config"), _log_level(command))
+    path = _required_option(command, "config")
+    return run_balancer(path, _log_level(command), _trace_options(command))
 
 
 def _run_agent(command: Command) -> int:
-    return run_agent(_required_option(command, "config"), _log_level(command))
+    path = _required_option(command, "config")
+    return run_agent(path, _log_level(command), _trace_options(command))
 
 
 def _log_level(command: Command) -> str | None:
@@ -82,6 +90,18 @@
     return "warning" if command.io.output.is_quiet() else None
 
 
+def _trace_options(command: Command) -> TraceOptions | None:
+    from lycheeglade.trace_writer import TraceOptions, parse_trace_target
+
+    target = command.option("trace")
+    is_whole = command.option("trace-payloads")
+    if target is None:
+        if is_whole:
+            raise UsageError("--trace-payloads: needs --trace")
+        return None
+    return TraceOptions(_parse_usage(parse_trace_target, "--trace", target), is_whole)
+
+
 def _check(command: Command) -> int:
     errors = check_files(command.argument("files"))
     _print_errors(errors)
@@ -167,20 +187,24 @@
 
 
 def _build_commands() -> Iterator[Command]:
-    settings = option("config", "c", "Settings of this process.", flag=False)
+    daemon = [
+        option("config", "c", "Settings of this process.", flag=False),
+        option("trace", None, "Records to IP:PORT (TCP) or to -.", flag=False),
+        option("trace-payloads", None, "Records payloads too; they are secret."),
+    ]
     yield _FunctionCommand(
         "balancer",
         _run_balancer,
         "Runs a balancer: receives any packet of any service's callers.",
         "lycheeglade balancer -c settings/nadi-a-balancer-1.ini",
-        options=[settings],
+        options=daemon,
     )
     yield _FunctionCommand(
         "agent",
         _run_agent,
         "Runs the agent beside the upstreams of one host.",
         "lycheeglade agent -c settings/nadi-a-host-1.ini",
-        options=[settings],
+        options=daemon,
     )
     yield _FunctionCommand(
         "check",
@@ -260,6 +284,17 @@
         print(" ".join(filter(None, lines)), file=sys.stderr)
 
 
+def _join_lone_dashes(arguments: Sequence[str]) -> list[str]:
+    """Return ``--name -`` as ``--name=-``, which cleo takes as a value."""
+    joined: list[str] = []
+    for text in arguments:
+        if text == "-" and joined and joined[-1].startswith("--"):
+            joined[-1] += "=-"
+        else:
+            joined.append(text)
+    return joined
+
+
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run the command line and return its exit code.
 
@@ -271,7 +306,8 @@
     if arguments is None:
         arguments = sys.argv[1:]
     try:
-        return build_application().run(ArgvInput(["lycheeglade", *arguments]))
+        arguments = _join_lone_dashes(["lycheeglade", *arguments])
+        return build_application().run(ArgvInput(arguments))
     except (CleoError, UsageError) as error:
         _print_errors([error])
         return EXIT_USAGE
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -29,6 +29,14 @@
         (["status"], 'Not enough arguments (missing: "address")'),
         (["statsu"], 'The command "statsu" does not exist. Did you mean this? status'),
         (["status", "--jsn", "127.0.0.1:9"], 'The option "--jsn" does not exist'),
+        (
+            ["agent", "-c", "a.ini", "--trace", "nowhere"],
+            "--trace: 'nowhere' is not IP:PORT",
+        ),
+        (
+            ["agent", "-c", "a.ini", "--trace-payloads"],
+            "--trace-payloads: needs --trace",
+        ),
     ],
 )
 def test_wrong_usage_is_told_in_one_line(arguments, message, capsys):
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -13,6 +13,8 @@
 from lycheeglade.daemon import ProcessParts, run_process
 from lycheeglade.generator import generate_files
 from lycheeglade.histograms import Metrics
+from lycheeglade.recording import parse_recording
+from lycheeglade.replay_recording import replay_recording
 from lycheeglade.settings import load_settings
 from lycheeglade.status import fetch_status
 
@@ -36,17 +38,21 @@
     """Start a process of the example by role; no platform answers it."""
     processes = []
 
-    def start_process(role, host):
+    def start_process(role, host, *options):
         settings = settings_folder / f"{host}.ini"
         command = [executable, "-m", "lycheeglade", role, "-c", str(settings)]
-        processes.append(Popen(command, stderr=PIPE, text=True))
-        return processes[-1]
+        output = PIPE if options else None
+        process = Popen([*command, *options], stdout=output, stderr=PIPE, text=True)
+        processes.append(process)
+        return process
 
     yield start_process
     for process in processes:
         process.kill()
         process.wait()
         process.stderr.close()
+        if process.stdout is not None:
+            process.stdout.close()
 
 
 def read_until(process, mark):
@@ -78,6 +84,38 @@
     assert " event=message " not in log
 
 
+@pytest.mark.parametrize(
+    ("role", "host"),
+    [("balancer", "nadi-a-balancer-1"), ("agent", "nadi-a-booth-sync-1")],
+)
+def test_standard_output_holds_the_trace_and_nothing_else(start, role, host):
+    process = start(role, host, "--trace", "-")
+    read_until(process, " event=started ")
+    with pytest.raises(TimeoutExpired):
+        process.wait(timeout=1)
+    process.send_signal(SIGTERM)
+    text, log = process.communicate(timeout=TIMEOUT_S)
+    assert process.returncode == 0
+    assert " event=stopped cut=0" in log
+    assert '"kind"' not in log
+    recording = parse_recording(text, host)
+    assert recording.header.role == role
+    assert replay_recording(recording).checked == len(recording.lines) > 10
+
+
+def test_process_runs_on_while_nobody_takes_its_trace(start):
+    process = start("balancer", "nadi-a-balancer-1", "--trace", f"{BALANCER_IP}:9")
+    log = read_until(process, " event=trace-unopened ")
+    with pytest.raises(TimeoutExpired):
+        process.wait(timeout=1)
+    process.send_signal(SIGTERM)
+    _, rest = process.communicate(timeout=TIMEOUT_S)
+    log += rest
+    assert process.returncode == 0
+    assert log.count(" event=trace-unopened ") == 1
+    assert " event=stopped cut=0" in log
+
+
 @pytest.mark.parametrize(
     ("kind", "port"), [(SOCK_DGRAM, 7100), (SOCK_STREAM, 7200), (SOCK_STREAM, 7300)]
 )
