Let the first view of a whole fleet fit the buffer of a trace

Cause: the first view line of 36,000 targets, 11,000 services and 39,300 hosts takes 18.5 MB, more than the buffer of 16 MiB, so that a recording would begin with a gap and check nothing. The transport also copied it once more.

Change: a buffer of 32 MiB; a socket is given 256 KiB at a time.

--- a/lycheeglade/trace_writer.py
+++ b/lycheeglade/trace_writer.py
@@ -28,7 +28,7 @@
 
 logger = getLogger(__name__)
 
-MAX_BUFFER_BYTES = 16 * 1024 * 1024
+MAX_BUFFER_BYTES = 32 * 1024 * 1024
 MAX_CHUNK_BYTES = 256 * 1024
 FLUSH_S = 0.05
 RETRY_S = 2.0
@@ -220,8 +220,10 @@
     writer.transport.set_write_buffer_limits(0)
 
     async def send(data: bytes) -> None:
-        writer.write(data)
-        await writer.drain()
+        # In parts, since the transport copies what it can't send at once.
+        for start in range(0, len(data), MAX_CHUNK_BYTES):
+            writer.write(data[start : start + MAX_CHUNK_BYTES])
+            await writer.drain()
 
     return Stream(send, writer.close)
 
