--- a/bench/capacity_workings.py
+++ b/bench/capacity_workings.py
@@ -65,7 +65,7 @@
         return (items + opens) / 1e3
 
     def balancer_mb(self) -> float:
-        """Return a balancer's megabytes; the configuration's hold its peers."""
+        """Return a balancer's megabytes, its peers counted with the view."""
         tables = self.each("cache", MAX_CACHED_BUCKETS)
         tables += self.each("established", MAX_ESTABLISHED_FLOWS)
         return (
