Record daemons that run from generated configuration

Cause: the test of recorded daemons still planned its own deployment in the way that the generated configuration has replaced, and failed to start.

--- a/tests/test_trace_daemons.py
+++ b/tests/test_trace_daemons.py
@@ -2,7 +2,6 @@
 
 from asyncio import run, wait_for
 from contextlib import ExitStack, closing
-from dataclasses import replace
 from json import loads
 from socket import create_server
 from threading import Thread
@@ -11,7 +10,8 @@
 from aiocoap import CHANGED, CONTENT, GET, POST, UNAUTHORIZED, Context, Message
 
 from demo.cluster import Cluster, find_free_network
-from demo.deployment import plan_reelbure
+from demo.deployment import plan_deployment
+from demo.examples import keep_part, read_example
 from lycheeglade.cmdline import main
 from lycheeglade.recording import parse_recording
 
@@ -93,9 +93,8 @@
 
 @pytest.fixture(scope="module")
 def texts_by_host(tmp_path_factory):
-    plan = plan_reelbure(find_free_network(), balancers=1)
-    service = replace(plan.services[0], targets=plan.services[0].targets[:1])
-    deployment = replace(plan, services=(service,))
+    answers = keep_part(read_example("reelbure"), 1, {"booth-sync": 1})
+    deployment = plan_deployment(answers, find_free_network())
     cluster = TracedCluster(deployment, tmp_path_factory.mktemp("traced"))
     with ExitStack() as stack:
         stack.callback(cluster.stop)
