Read a recording whose last line was cut

Cause: the last line of a recording is cut when its process is killed, or when its connection is lost; the whole file was then refused as invalid.

Change: a line that breaks off at the end of the file, or before the header that opens the next connection, is a gap. The writer ends the line of a lost connection before it goes on.

The new test cuts a line in the middle, at the end and before a second header; a line that is malformed elsewhere is still an error.

Conclusion: nothing after a cut line is checked, as after any gap.

--- a/lycheeglade/recorder.py
+++ b/lycheeglade/recorder.py
@@ -47,7 +47,6 @@
     Stop,
     Tick,
     Timed,
-    describe_change,
     encode_line,
 )
 from lycheeglade.redaction import Redactor
@@ -61,6 +60,7 @@
     open_stream,
 )
 from lycheeglade.view import Protocol, View
+from lycheeglade.view_change import describe_change
 
 KEY_BYTES = 32
 # Never the first byte of a MessagePack value.
--- a/lycheeglade/recording.py
+++ b/lycheeglade/recording.py
@@ -4,9 +4,8 @@
 one input at its time, with the actions that the core answered it by.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import TypeVar
 
 from msgspec import DecodeError, Struct, ValidationError
 from msgspec.json import Decoder, Encoder
@@ -16,12 +15,10 @@
 from lycheeglade.errors import TraceError
 from lycheeglade.flow import FlowKey
 from lycheeglade.packet import Packet
-from lycheeglade.view import Host, Role, Service, View
+from lycheeglade.view import Host, Role, Service
 
 FORMAT = 1
 
-Entry = TypeVar("Entry")
-
 
 class Line(
     Struct,
@@ -267,11 +264,17 @@
     """
     lines: list[NumberedLine] = []
     errors = []
-    for number, line in _number_lines(text):
+    numbered = list(_number_lines(text))
+    for index, (number, line) in enumerate(numbered):
         try:
             lines.append(NumberedLine(number, _decoder.decode(line)))
-        except (ValidationError, DecodeError) as error:
-            errors.append(TraceError(source, number, str(error)))
+        except DecodeError as error:
+            is_syntax = not isinstance(error, ValidationError)
+            if lines and is_syntax and _is_cut(text, numbered[index + 1 :]):
+                gap = Gap(at=lines[-1].line.at, lines=1)
+                lines.append(NumberedLine(number, gap))
+            else:
+                errors.append(TraceError(source, number, str(error)))
     errors += _check_lines(lines, source)
     if errors:
         errors.sort(key=lambda error: error.line)
@@ -279,6 +282,13 @@
     return Recording(source, lines[0].line, tuple(lines[1:]))
 
 
+def _is_cut(text: str, later: list[tuple[int, str]]) -> bool:
+    """Tell whether a line ends with its connection or with its process."""
+    if later:
+        return is_recording(later[0][1])
+    return not text.endswith("\n")
+
+
 def _number_lines(text: str) -> Iterable[tuple[int, str]]:
     for number, line in enumerate(text.split("\n"), 1):
         if line.strip() and not line.lstrip().startswith("#"):
@@ -322,69 +332,3 @@
     if isinstance(line, (FromUpstream, PortClosed, Stop)):
         return Role.AGENT
     return default
-
-
-def describe_change(
-    previous: View,
-    view: View,
-    at: float,
-    *,
-    did: tuple[Action, ...] | None = None,
-    raised: str = "",
-) -> ViewChange:
-    """Return the line that turns `previous` into `view`."""
-    services, gone_services, service_order = _compare(
-        previous.services_by_name, view.services_by_name
-    )
-    hosts, gone_hosts, host_order = _compare(previous.hosts_by_id, view.hosts_by_id)
-    return ViewChange(
-        at=at,
-        revision=view.revision,
-        services=services,
-        gone_services=gone_services,
-        service_order=service_order,
-        hosts=hosts,
-        gone_hosts=gone_hosts,
-        host_order=host_order,
-        did=did,
-        raised=raised,
-    )
-
-
-def apply_change(previous: View, change: ViewChange) -> View:
-    """Return the view after a change."""
-    services = {service.name: service for service in change.services}
-    hosts = {host.host_id: host for host in change.hosts}
-    return View(
-        change.revision,
-        _merge(
-            previous.services_by_name,
-            services,
-            change.gone_services,
-            change.service_order,
-        ),
-        _merge(previous.hosts_by_id, hosts, change.gone_hosts, change.host_order),
-    )
-
-
-def _compare(
-    old: Mapping[str, Entry], new: Mapping[str, Entry]
-) -> tuple[tuple[Entry, ...], tuple[str, ...], tuple[str, ...] | None]:
-    changed = {name: entry for name, entry in new.items() if old.get(name) is not entry}
-    gone = tuple(name for name in old if name not in new)
-    is_ordered = list(_merge(old, changed, gone, None)) == list(new)
-    return tuple(changed.values()), gone, None if is_ordered else tuple(new)
-
-
-def _merge(
-    old: Mapping[str, Entry],
-    changed: Mapping[str, Entry],
-    gone: Iterable[str],
-    order: Iterable[str] | None,
-) -> dict[str, Entry]:
-    merged = {**old, **changed}
-    for name in gone:
-        merged.pop(name, None)
-    if order is None:
-        return merged
-    return {name: merged[name] for name in order if name in merged}
--- a/lycheeglade/replay_recording.py
+++ b/lycheeglade/replay_recording.py
@@ -42,10 +42,10 @@
     Tick,
     Timed,
     ViewChange,
-    apply_change,
 )
 from lycheeglade.served_target import TargetKey
 from lycheeglade.view import Role, View
+from lycheeglade.view_change import apply_change
 
 MAX_SHOWN_CHARACTERS = 400
 
--- a/lycheeglade/trace_writer.py
+++ b/lycheeglade/trace_writer.py
@@ -135,10 +135,12 @@
         self._closing = True
 
     async def _send_all(self, stream: Stream, is_resumed: bool) -> None:
-        await stream.send(self._header)
         if is_resumed:
-            # What the former stream had taken may be lost with it.
-            await stream.send(self._take_gap())
+            # What the former stream had taken may be lost with it, and its
+            # last line may lack the line break.
+            await stream.send(b"\n" + self._header + self._take_gap())
+        else:
+            await stream.send(self._header)
         while True:
             count, chunk = self._take_chunk()
             if count:
--- a/tests/test_recording.py
+++ b/tests/test_recording.py
@@ -200,6 +200,21 @@
     assert f"line {numbered.number}: a gap of 3 lines or more" in second
 
 
+@pytest.mark.parametrize("is_resumed", [False, True])
+def test_line_that_was_cut_is_a_gap(recordings, is_resumed):
+    recording = recordings[0]
+    header = encode_line(recording.header).decode()
+    lines = [encode_line(each.line).decode() for each in recording.lines[:30]]
+    text = header + "".join(lines[:20]) + lines[20][:-9]
+    if is_resumed:
+        text += "\n" + header + "".join(lines[21:])
+    cut = parse_recording(text, "cut.trace")
+    verdict = replay_recording(cut)
+    assert (verdict.checked, verdict.gap) == (20, (22, 1))
+    with pytest.raises(ExceptionGroup):
+        parse_recording(text.replace("}\n", "\n", 2), "broken.trace")
+
+
 def test_errors_name_line_and_field():
     text = (DATA / "wrong-recording.trace").read_text()
     with pytest.raises(ExceptionGroup) as caught:
