--- a/tests/test_trace_writer.py
+++ b/tests/test_trace_writer.py
@@ -176,3 +176,21 @@
 )
 def test_target_is_standard_output_or_an_address(text, target):
     assert parse_trace_target(text) == target
+
+
+async def test_socket_that_is_gone_is_an_error():
+    server = await start_server(
+        lambda reader, writer: writer.transport.abort(), "127.0.0.1", 0
+    )
+    stream = await open_socket(Address(*server.sockets[0].getsockname()[:2]))
+
+    async def send_on():
+        for _ in range(200):
+            await stream.send(b"x\n")
+            await sleep(0.01)
+
+    with pytest.raises(ConnectionError):
+        await send_on()
+    stream.close()
+    server.close()
+    await server.wait_closed()
