--- a/bench/agent.py
+++ b/bench/agent.py
@@ -1,11 +1,14 @@
 """Memory and CPU time of an agent by its flows, and the cost of its messages.
 
-Usage: ``python -m bench.agent``. The decisions run in this process, against an
-upstream that answers at once.
+Usage: ``python -m bench.agent [--trace]``. The decisions run in this process,
+against an upstream that answers at once. With ``--trace`` one request is timed
+without a trace and with one whose lines go nowhere.
 """
 
+from argparse import ArgumentParser
 from gc import collect
 from random import Random
+from statistics import median
 from time import process_time
 from tracemalloc import get_traced_memory, start, stop
 
@@ -19,6 +22,7 @@
 from lycheeglade.agent_state import Agent, AgentActions
 from lycheeglade.coap import write_acknowledgement
 from lycheeglade.packet import Answer, Forward, HomeNotice, encode_packet
+from lycheeglade.recorder import Recorder, agent_inputs
 from lycheeglade.served_target import TargetKey
 from lycheeglade.view import Host, Protocol, Role, Service, State, Target, View
 
@@ -27,6 +31,7 @@
 KEY = TargetKey("booth-sync", "t0")
 SIZES = (500, 1000, 2000, 4000)
 TARGETS = 7
+ROUNDS = 7
 GOAL_MB = 128
 
 
@@ -162,6 +167,62 @@
     return (process_time() - started_at) / flows * 1e6
 
 
+def time_traced_requests(requests: int, is_whole: bool | None) -> tuple[float, float]:
+    """Return microseconds and bytes of the trace for one request.
+
+    Parameters
+    ----------
+    is_whole : bool or None
+        Whether payloads are recorded; None for no trace at all.
+    """
+    upstream = Upstream()
+    actions = upstream.actions()
+    written = [0]
+
+    def write(line: bytes, now: float) -> None:
+        written[0] += len(line)
+
+    recorder = None if is_whole is None else Recorder(write, is_whole=is_whole)
+    if recorder is not None:
+        actions = recorder.agent_actions(actions)
+    agent = make_agent("h0", HERE, actions, Random(1), 100_000, 0.0)
+    inputs = agent_inputs(agent)
+    if recorder is not None:
+        inputs = recorder.agent_inputs(inputs)
+    inputs.update_view(make_view(), 0.0)
+    inputs.tick(True, 0.0)
+
+    def run_all(message_id: int, now: float) -> float:
+        request = make_request(message_id, feed=False)
+        datagrams = [
+            encode_packet(make_forward(number, request)) for number in range(requests)
+        ]
+        started_at = process_time()
+        for datagram in datagrams:
+            inputs.receive_datagram(datagram, BALANCER, now)
+            answers, upstream.answers = upstream.answers, []
+            for answer in answers:
+                inputs.receive_from_upstream(KEY, None, answer, now)
+        return process_time() - started_at
+
+    run_all(1, 0.01)
+    before = written[0]
+    seconds = run_all(2, 0.02)
+    return seconds / requests * 1e6, (written[0] - before) / requests
+
+
+def print_trace_cost() -> None:
+    """Print the median figures of one request without and with a trace."""
+    modes = {"untraced": None, "traced": False, "traced whole": True}
+    rounds = [
+        [time_traced_requests(SIZES[-1], is_whole) for is_whole in modes.values()]
+        for _ in range(ROUNDS)
+    ]
+    for name, *rows in zip(modes, *rounds, strict=True):
+        us, size = (median(column) for column in zip(*rows, strict=True))
+        print(f"{name:14}{us:8.1f} CPU us a request{size:8.0f} bytes a request")
+
+
 def time_notifications(flows: int) -> float:
     """Return microseconds of one item and its acknowledgement."""
     agent, upstream = open_flows(flows, feeds=True)
@@ -201,7 +262,12 @@
 
 
 def main() -> None:
-    """Print the slopes."""
+    """Print the slopes, or what a trace costs."""
+    parser = ArgumentParser(description=__doc__)
+    parser.add_argument("--trace", action="store_true")
+    if parser.parse_args().trace:
+        print_trace_cost()
+        return
     flows_kb = [measure_memory(size, feeds=False) for size in SIZES]
     feeds_kb = [measure_memory(size, feeds=True) for size in SIZES]
     report("agent memory by flows (kB)", SIZES, flows_kb)
--- a/bench/datapath.py
+++ b/bench/datapath.py
@@ -1,20 +1,33 @@
 """Packets a second of a balancer beside those of a bare relay.
 
-Usage: ``python -m bench.datapath [--packets N] [--json]``. Relay and balancer
-run one after the other, each in a process of its own on the same event loop,
-between the same driver and the same far end. A round trip is two packets.
+Usage: ``python -m bench.datapath [--packets N] [--json] [--trace]``. Relay
+and balancer run one after the other, each in a process of its own on the same
+event loop, between the same driver and the same far end. A round trip is two
+packets. With ``--trace`` a balancer that is called as the daemon calls it is
+measured without a trace, and with one that another process takes over TCP.
 """
 
 from argparse import ArgumentParser
 from asyncio import Event, get_running_loop, sleep
 from collections import deque
+from functools import partial
 from itertools import cycle
 from json import dumps
 from multiprocessing import get_context
 from os import environ, getpid
 from random import Random
 from select import select
-from socket import AF_INET, SO_RCVBUF, SOCK_DGRAM, SOL_SOCKET, socket
+from socket import (
+    AF_INET,
+    SO_RCVBUF,
+    SOCK_DGRAM,
+    SOL_SOCKET,
+    create_connection,
+    create_server,
+    socket,
+)
+from statistics import median
+from sys import stderr
 from time import monotonic, perf_counter
 
 import uvloop
@@ -28,7 +41,11 @@
     receive_from_caller,
     update_view,
 )
+from lycheeglade.histograms import Metrics
 from lycheeglade.packet import Answer, decode_packet, encode_packet
+from lycheeglade.recorder import balancer_inputs, open_recorder
+from lycheeglade.settings import Settings
+from lycheeglade.trace_writer import TraceOptions
 from lycheeglade.transport import DatagramSocket
 from lycheeglade.view import Host, Protocol, Role, Service, Target, View
 
@@ -40,12 +57,14 @@
 IDLE_S = 1.0
 START_S = 1.5
 START_ATTEMPTS = 10
+ROUNDS = 5
 KNOWN_FLOWS = 100_000
 GOAL_RATIO = 0.4
 # The children take the network of the process that started them.
 NETWORK = int(environ.setdefault("BENCH_NETWORK", str(200 + getpid() % 50)))
 CALLER_SIDE = Address(f"127.{NETWORK}.1.1", 5683)
 AGENT_SIDE = Address(f"127.{NETWORK}.1.1", 7100)
+COLLECTOR = Address(f"127.{NETWORK}.3.1", 7400)
 FAR_ENDS = [Address(f"127.{NETWORK}.2.{number}", 7100) for number in (1, 2, 3)]
 
 
@@ -121,9 +140,73 @@
     await Event().wait()
 
 
+async def run_daemon(trace: TraceOptions | None) -> None:
+    """Run the balancer's decisions behind the inputs of the daemon."""
+    loop = get_running_loop()
+    settings = Settings(
+        Role.BALANCER, "b1", HERE, AGENT_SIDE, AGENT_SIDE, AGENT_SIDE, ""
+    )
+    metrics = Metrics()
+    actions = BalancerActions(
+        send=lambda address, datagram: agents.send(datagram, address),
+        answer=lambda service, caller, datagram: callers.send(datagram, caller),
+        count=metrics.count,
+    )
+    async with open_recorder(trace, settings, 1, monotonic(), metrics) as recorder:
+        if recorder is not None:
+            actions = recorder.balancer_actions(actions)
+        balancer = make_balancer("b1", HERE, AGENT_SIDE, actions, Random(1))
+        inputs = balancer_inputs(balancer)
+        if recorder is not None:
+            inputs = recorder.balancer_inputs(inputs)
+        inputs.update_view(make_view(), monotonic())
+        callers = DatagramSocket(
+            loop,
+            lambda datagram, source: inputs.receive_from_caller(
+                "booth-sync", source, datagram, monotonic()
+            ),
+            local=CALLER_SIDE,
+            # The driver's window is always full, which is no overload.
+            on_batch=lambda packets, drained: inputs.note_batch(
+                packets, True, monotonic()
+            ),
+        )
+        agents = DatagramSocket(
+            loop,
+            lambda datagram, source: inputs.receive_datagram(
+                datagram, Address(source[0], source[1]), monotonic()
+            ),
+            local=AGENT_SIDE,
+        )
+        while True:
+            await sleep(IDLE_S)
+            dropped = metrics.counter("trace", "", "dropped")
+            if dropped:
+                print(f"{dropped} lines of the trace dropped", file=stderr)
+
+
+SUBJECTS = {
+    "relay": run_relay,
+    "balancer": run_balancer,
+    "untraced": partial(run_daemon, None),
+    "traced": partial(run_daemon, TraceOptions(COLLECTOR)),
+    "traced whole": partial(run_daemon, TraceOptions(COLLECTOR, is_whole=True)),
+}
+
+
 def run_subject(name: str) -> None:
-    """Run the relay or the balancer until the process is ended."""
-    uvloop.run({"relay": run_relay, "balancer": run_balancer}[name]())
+    """Run the relay or a balancer until the process is ended."""
+    uvloop.run(SUBJECTS[name]())
+
+
+def run_collector() -> None:
+    """Take a trace and forget it."""
+    with create_server(COLLECTOR) as server:
+        while True:
+            connection, _ = server.accept()
+            with connection:
+                while connection.recv(BUFFER_BYTES):
+                    pass
 
 
 def run_far_end(address: Address, is_packet: bool) -> None:
@@ -146,6 +229,17 @@
         server.sendto(datagram, source)
 
 
+def wait_for_collector() -> None:
+    """Wait until the collector listens, so that no trace begins without it."""
+    for _ in range(START_ATTEMPTS):
+        try:
+            create_connection(COLLECTOR, IDLE_S).close()
+        except ConnectionRefusedError:
+            uvloop.run(sleep(START_S))
+        else:
+            return
+
+
 def drive(packets: int) -> tuple[int, float]:
     """Keep a window of datagrams under way; return answers and seconds."""
     sockets = []
@@ -195,13 +289,16 @@
 def measure(name: str, packets: int) -> dict[str, float]:
     """Measure one subject; a packet counts on each of its two ways."""
     context = get_context("spawn")
-    is_packet = name == "balancer"
+    is_packet = name != "relay"
     subject = context.Process(target=run_subject, args=(name,))
-    children = [subject] + [
+    collector = context.Process(target=run_collector)
+    children = [collector, subject] + [
         context.Process(target=run_far_end, args=(address, is_packet))
         for address in FAR_ENDS
     ]
-    for child in children:
+    collector.start()
+    wait_for_collector()
+    for child in children[1:]:
         child.start()
     try:
         warm_up(packets // 10)
@@ -244,12 +341,31 @@
     }
 
 
+def print_trace_cost(packets: int) -> None:
+    """Print the median figures of a balancer without and with a trace."""
+    names = ("untraced", "traced", "traced whole")
+    rounds = [[measure(name, packets) for name in names] for _ in range(ROUNDS)]
+    for name, *rows in zip(names, *rounds, strict=True):
+        rate, cpu_rate, answered = (
+            median(row[key] for row in rows)
+            for key in ("packets_per_second", "packets_per_cpu_second", "answered")
+        )
+        print(
+            f"{name:14}{rate:12,.0f} packets/s"
+            f"{1e6 / cpu_rate:8.1f} CPU us a packet{answered:8.1%} answered"
+        )
+
+
 def main() -> None:
     """Print the figures and the ratios."""
     parser = ArgumentParser(description=__doc__)
     parser.add_argument("--packets", type=int, default=100_000)
     parser.add_argument("--json", action="store_true")
+    parser.add_argument("--trace", action="store_true")
     options = parser.parse_args()
+    if options.trace:
+        print_trace_cost(options.packets)
+        return
     relay = measure("relay", options.packets)
     balancer = measure("balancer", options.packets)
     flows = measure_known_flows()
