--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -85,11 +85,14 @@
 
 
 @pytest.mark.parametrize(
-    ("role", "host"),
-    [("balancer", "nadi-a-balancer-1"), ("agent", "nadi-a-booth-sync-1")],
+    ("role", "host", "options"),
+    [
+        ("balancer", "nadi-a-balancer-1", []),
+        ("agent", "nadi-a-booth-sync-1", ["--trace-payloads"]),
+    ],
 )
-def test_standard_output_holds_the_trace_and_nothing_else(start, role, host):
-    process = start(role, host, "--trace", "-")
+def test_standard_output_holds_the_trace_and_nothing_else(start, role, host, options):
+    process = start(role, host, "--trace", "-", *options)
     read_until(process, " event=started ")
     with pytest.raises(TimeoutExpired):
         process.wait(timeout=1)
@@ -100,6 +103,7 @@
     assert '"kind"' not in log
     recording = parse_recording(text, host)
     assert recording.header.role == role
+    assert recording.header.is_whole is bool(options)
     assert replay_recording(recording).checked == len(recording.lines) > 10
 
 
