Keep the answers given so far when the questionnaire is broken off

Cause: an input that ended, or five wrong answers in a row, lost all the answers of up to forty questions, and so did a network with fewer addresses than services, found only once the services were named.

Change: what is known is written when the questions are broken off, from the last answer on the team itself onwards; the next run takes it as its defaults. More services than the network has room for are asked for again.

Conclusion: the answers on the team itself, eight in all, are still lost, since a file without them can't be read.

--- a/tests/test_generator.py
+++ b/tests/test_generator.py
@@ -25,6 +25,7 @@
 from lycheeglade.errors import ConfigurationError
 from lycheeglade.feed import MAX_RETRY_S, RETRY_JITTER
 from lycheeglade.generator import generate_files, generate_texts
+from lycheeglade.prompter import QuestionnaireError
 from lycheeglade.questionnaire import ask_and_save
 from lycheeglade.view import Protocol
 
@@ -91,6 +92,66 @@
     assert path.read_text() == (DATA / "first.expected").read_text()
 
 
+TEAM_LINES = 12
+DIALOGUE = [
+    line.split("|") for line in (DATA / "first.dialogue").read_text().splitlines()
+]
+
+
+@pytest.mark.parametrize("broken_off_at", range(TEAM_LINES, len(DIALOGUE)))
+def test_answers_given_before_the_input_ended_are_kept(broken_off_at, tmp_path):
+    path = tmp_path / "answers.ini"
+    rest = list(DIALOGUE)
+    told = []
+
+    def answer(question, default):
+        if len(DIALOGUE) - len(rest) == broken_off_at:
+            raise QuestionnaireError("the input ended")
+        return rest.pop(0)[1] or default
+
+    with pytest.raises(QuestionnaireError):
+        ask_and_save(path, answer, told.append)
+    assert told[-1].startswith(f"Your answers so far are in {path}.")
+
+    def go_on(question, default):
+        if rest and question.startswith(rest[0][0]):
+            return rest.pop(0)[1] or default
+        given = [answer for start, answer in DIALOGUE if question.startswith(start)]
+        return default or given[-1]
+
+    ask_and_save(path, go_on, told.append)
+    assert rest == []
+    assert path.read_text() == (DATA / "first.expected").read_text()
+
+
+def test_input_that_ends_before_the_team_is_known_writes_nothing(tmp_path):
+    path = tmp_path / "answers.ini"
+    rest = list(DIALOGUE[: TEAM_LINES - 1])
+
+    def answer(question, default):
+        if not rest:
+            raise QuestionnaireError("the input ended")
+        return rest.pop(0)[1] or default
+
+    with pytest.raises(QuestionnaireError):
+        ask_and_save(path, answer, lambda line: None)
+    assert not path.exists()
+
+
+def test_more_services_than_addresses_are_asked_for_again(tmp_path):
+    text = (DATA / "first.expected").read_text()
+    path = tmp_path / "answers.ini"
+    path.write_text(text.replace("10.10.0.0/24", "10.10.0.0/30"))
+    tries = ["a, b, c, d, phrasebook", "phrasebook"]
+    told = []
+
+    def answer(question, default):
+        return tries.pop(0) if question.startswith("Which services") else default
+
+    ask_and_save(path, answer, told.append)
+    assert told[0] == "  network 10.10.0.0/30 has only 1 free addresses"
+
+
 def test_contradictory_answers_are_saved_and_told(tmp_path):
     path = tmp_path / "answers.ini"
     path.write_text((DATA / "contradictory.ini").read_text())
