Break more of a deployment of real processes, in the long set

Cause: no cut between a balancer and an agent, no two faults in one moment and no lying upstream was tried on real processes.

Change: a relay, whose addresses are published in place of the processes' own, cuts, delays, drops, doubles and reorders the datagrams of chosen pairs. An upstream can be told to be mute or slow and to lie about it. A failure in a product's log is shown with the lines around it, also of processes that were started again since.

--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -146,15 +146,33 @@
         OSError
             If it does not answer.
         """
+        return loads(await self._read_operators(host_id, "status"))
+
+    async def fetch_metrics(self, host_id: str) -> str:
+        """Return the metrics of a balancer or an agent as text.
+
+        Raises
+        ------
+        OSError
+            If it does not answer.
+        """
+        return (await self._read_operators(host_id, "metrics")).decode()
+
+    async def _read_operators(self, host_id: str, path: str) -> bytes:
         operators = self.deployment.settings_by_host[host_id].operators
 
         def call():
-            url = f"http://{operators}/status"
+            url = f"http://{operators}/{path}"
             with urlopen(url, timeout=COMMAND_TIMEOUT_S) as response:
-                return loads(response.read())
+                return response.read()
 
         return await to_thread(call)
 
+    @property
+    def platform_journal(self) -> Path:
+        """Path of the file in which the platform keeps its changes."""
+        return self.folder / "platform.journal"
+
     def start_platform(self) -> None:
         """Start the platform."""
         self.processes.start(
@@ -164,6 +182,8 @@
             str(self.deployment.platform),
             "--values",
             str(self.folder / VALUES),
+            "--journal",
+            str(self.platform_journal),
         )
 
     def start_upstream(self, service: ServicePlan, target: Target) -> None:
--- a/demo/fabric.py
+++ b/demo/fabric.py
@@ -11,36 +11,19 @@
 from asyncio import CancelledError, DatagramProtocol, get_running_loop, run
 from collections import Counter
 from contextlib import suppress
-from dataclasses import asdict, dataclass
-from json import dumps, loads
+from dataclasses import asdict
+from json import dumps
 from random import Random
 from signal import SIGINT, SIGTERM
 
 from uvloop import install
 
+from demo.fault import NO_FAULT, Control, Fault, deliver
 from lycheeglade.address import Address, parse_address
 
 SOCKET_BUFFER_BYTES = 1 << 20
 
 
-@dataclass(frozen=True, slots=True)
-class Fault:
-    """What happens to the packets between the fabric and one balancer.
-
-    `drop`, `duplicate` and `reorder` are probabilities; `delay` is in seconds.
-    A reordered packet is held back for `reorder_delay` seconds.
-    """
-
-    drop: float = 0.0
-    delay: float = 0.0
-    duplicate: float = 0.0
-    reorder: float = 0.0
-    reorder_delay: float = 0.02
-
-
-NO_FAULT = Fault()
-
-
 class CallerSide(DatagramProtocol):
     """Socket on a service's address."""
 
@@ -223,50 +206,11 @@
             return balancers[self._turn % len(balancers)]
         return balancers[self._generator.randrange(len(balancers))]
 
-    def _apply(self, key, deliver):
+    def _apply(self, key, send):
         direction, _ip = key
         fault = self._faults_by_key.get(key)
         fault = fault or self._faults_by_key.get((direction, "*"), NO_FAULT)
-        if fault is NO_FAULT:
-            deliver()
-            return
-        chance = self._generator.random
-        if chance() < fault.drop:
-            self.counters["dropped"] += 1
-            return
-        copies = 1
-        if chance() < fault.duplicate:
-            self.counters["duplicated"] += 1
-            copies = 2
-        for _copy in range(copies):
-            delay = fault.delay
-            if chance() < fault.reorder:
-                self.counters["reordered"] += 1
-                delay += fault.reorder_delay
-            if delay:
-                get_running_loop().call_later(delay, deliver)
-            else:
-                deliver()
-
-
-class Control(DatagramProtocol):
-    """Socket that takes JSON commands."""
-
-    def __init__(self, fabric: Fabric):
-        self._fabric = fabric
-        self._transport = None
-
-    def connection_made(self, transport):
-        """Keep the socket."""
-        self._transport = transport
-
-    def datagram_received(self, datagram, remote):
-        """Run one command and answer with the counters."""
-        try:
-            answer = self._fabric.run_command(loads(datagram))
-        except (ValueError, TypeError) as error:
-            answer = {"error": str(error)}
-        self._transport.sendto(dumps(answer).encode(), remote)
+        deliver(fault, send, self._generator, self.counters)
 
 
 def parse_map(text: str) -> tuple[Address, list[Address]]:
@@ -292,7 +236,8 @@
     await fabric.start()
     if arguments.control:
         await loop.create_datagram_endpoint(
-            lambda: Control(fabric), local_addr=parse_address(arguments.control)
+            lambda: Control(fabric.run_command),
+            local_addr=parse_address(arguments.control),
         )
     print("ready", flush=True)
     try:
--- /dev/null
+++ b/demo/mute.py
@@ -0,0 +1,59 @@
+"""An upstream's endpoint that can leave its callers without an answer."""
+
+from enum import StrEnum
+
+from aiocoap import EMPTY, Message
+from aiocoap.error import Error as CoapError
+
+from demo.coap import Endpoint
+
+SPARED_PATHS = ("health", "load", "account", "fault")
+
+
+class Mute(StrEnum):
+    """What the upstream leaves unanswered, all of it but `SPARED_PATHS`."""
+
+    NOTHING = "nothing"
+    REQUESTS = "requests"
+    EVERYTHING = "everything"
+
+
+class UpstreamEndpoint(Endpoint):
+    """Endpoint that can be made mute; `REQUESTS` still answers pings."""
+
+    mute = Mute.NOTHING
+
+    def datagram_received(self, datagram, remote):
+        """Take one datagram in, unless it is to stay unanswered."""
+        if self.mute is Mute.NOTHING or self._spares(datagram):
+            super().datagram_received(datagram, remote)
+
+    def send_confirmable(self, *arguments, **options):
+        """Send a message, such as a notification, unless mute."""
+        if self.mute is Mute.NOTHING:
+            super().send_confirmable(*arguments, **options)
+
+    def _retransmit(self, key, exchange):
+        if self.mute is Mute.NOTHING:
+            super()._retransmit(key, exchange)
+        else:
+            self.abandon(*key)
+
+    def reply(self, request, remote, response):
+        """Answer a request, unless it came before the endpoint was mute."""
+        if self.mute is Mute.NOTHING or path_of(request) in SPARED_PATHS:
+            super().reply(request, remote, response)
+
+    def _spares(self, datagram) -> bool:
+        try:
+            message = Message.decode(datagram)
+        except (CoapError, ValueError, IndexError):
+            return False
+        if message.code == EMPTY:
+            return self.mute is Mute.REQUESTS
+        return path_of(message) in SPARED_PATHS
+
+
+def path_of(request: Message) -> str:
+    """Return the path of a request."""
+    return "/".join(request.opt.uri_path)
--- a/demo/platform.py
+++ b/demo/platform.py
@@ -2,14 +2,18 @@
 
 Values can be read and watched over HTTP. ``PUT``, ``DELETE`` and ``/fault``
 are for the tests and the demo only; the product never calls them.
+
+With ``--journal`` each change is written to a file before it is served. A
+restart reads them back, so that neither values nor revisions are lost.
 """
 
 from argparse import ArgumentParser
 from asyncio import Event, run, sleep, timeout
 from collections.abc import Iterable, Iterator
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from enum import StrEnum
+from json import dumps, loads
 from pathlib import Path
 
 from aiohttp import web
@@ -41,13 +45,28 @@
     text: str | None
 
 
+def _read_journal(journal: Path | None) -> list[Change]:
+    """Return the changes that a platform before this one has made."""
+    if journal is None or not journal.exists():
+        return []
+    lines = journal.read_text(encoding="utf-8").splitlines()
+    return [Change(**loads(line)) for line in lines]
+
+
 class Platform:
-    """All changes so far, and how they are served at present."""
+    """All changes so far, and how they are served at present.
+
+    Parameters
+    ----------
+    journal : Path, optional
+        File that the changes are kept in.
+    """
 
-    def __init__(self):
+    def __init__(self, journal: Path | None = None):
         self.mode = Mode.OK
         self.reads = 0
-        self._changes: list[Change] = []
+        self._journal = journal
+        self._changes: list[Change] = _read_journal(journal)
         self._served_up_to: int | None = None
         self._changed = Event()
 
@@ -60,7 +79,11 @@
 
     def put(self, name: str, text: str | None) -> int:
         """Change or delete a value and return the change's revision."""
-        self._changes.append(Change(len(self._changes) + 1, name, text))
+        change = Change(len(self._changes) + 1, name, text)
+        if self._journal is not None:
+            with self._journal.open("a", encoding="utf-8") as journal:
+                journal.write(dumps(asdict(change)) + "\n")
+        self._changes.append(change)
         self.wake()
         return len(self._changes)
 
@@ -202,10 +225,13 @@
         yield name, path.read_text(encoding="utf-8")
 
 
-async def _serve(listen: Address, values: Iterable[tuple[str, str]]) -> None:
-    platform = Platform()
-    for name, text in values:
-        platform.put(name, text)
+async def _serve(
+    listen: Address, values: Iterable[tuple[str, str]], journal: Path | None
+) -> None:
+    platform = Platform(journal)
+    if not platform.revision:
+        for name, text in values:
+            platform.put(name, text)
     await start_platform(platform, listen)
     await Event().wait()
 
@@ -215,9 +241,11 @@
     parser = ArgumentParser(prog="python -m demo.platform", description=__doc__)
     parser.add_argument("--listen", type=parse_address, required=True)
     parser.add_argument("--values", type=Path, required=True)
+    parser.add_argument("--journal", type=Path, help="file that keeps the changes")
     arguments = parser.parse_args()
+    values = read_values(arguments.values)
     with suppress(KeyboardInterrupt):
-        run(_serve(arguments.listen, read_values(arguments.values)))
+        run(_serve(arguments.listen, values, arguments.journal))
 
 
 if __name__ == "__main__":
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -115,6 +115,10 @@
             log.seek(running.log_offset)
             return log.read().decode(errors="replace")
 
+    def read_whole_log(self, name: str) -> str:
+        """Return what all processes of `name` have written."""
+        return self._running_by_name[name].log.read_text(errors="replace")
+
     def pid(self, name: str) -> int:
         """Return the process id of `name`."""
         return self._running_by_name[name].popen.pid
--- a/demo/slots.py
+++ b/demo/slots.py
@@ -73,6 +73,10 @@
         share = COLD_SPEED_SHARE + (1 - COLD_SPEED_SHARE) * age / self._cold_start
         return self._speed * share
 
+    def set_speed(self, speed: float) -> None:
+        """Work at another speed; jobs that run already keep theirs."""
+        self._speed = speed
+
     def __contains__(self, key) -> bool:
         """Tell whether a job with `key` runs or waits."""
         return key in self._running or any(job.key == key for job in self._waiting)
--- a/demo/upstream.py
+++ b/demo/upstream.py
@@ -7,8 +7,8 @@
 ---------
 ``GET /feed`` (observe), ``GET /status``, ``GET /reel``, ``POST /confirm``,
 ``PUT /item``, and beside the slots ``GET /health``, ``GET /load``,
-``GET /account``, ``POST /drain`` and ``DELETE /request?token=HEX``, which
-cancels the sender's own request.
+``GET /account``, ``POST /drain``, ``POST /fault`` (see `Upstream.set_fault`)
+and ``DELETE /request?token=HEX``, which cancels the sender's own request.
 
 Queries: ``service`` (compared with the own name), ``id`` (for the account),
 ``deadline`` (milliseconds left), ``size`` and ``work`` (milliseconds at speed
@@ -42,9 +42,10 @@
 )
 from uvloop import install
 
-from demo.coap import Endpoint, Remote, build_message, open_endpoint, query_of
+from demo.coap import Remote, build_message, open_endpoint, query_of
 from demo.echo import Echo
 from demo.journal import Journal
+from demo.mute import Mute, UpstreamEndpoint, path_of
 from demo.observers import Feeds
 from demo.slots import Job, Slots
 from lycheeglade.address import parse_address
@@ -79,7 +80,8 @@
         self.journal = Journal(arguments.journal)
         self.runs_by_id: Counter[str] = Counter()
         self.counters = Counter()
-        self.endpoint = Endpoint(Random(arguments.seed), on_request=self.take_request)
+        generator = Random(arguments.seed)
+        self.endpoint = UpstreamEndpoint(generator, on_request=self.take_request)
         self.slots = Slots(
             loop,
             arguments.slots,
@@ -102,6 +104,7 @@
             (GET, "load"): self._serve_load,
             (GET, "account"): self._serve_account,
             (POST, "drain"): self._serve_drain,
+            (POST, "fault"): self._serve_fault,
             (DELETE, "request"): self._serve_cancel,
         }
 
@@ -113,7 +116,7 @@
         if wanted != self.arguments.service:
             self.counters["wrong service"] += 1
             self.journal.add("wrong", query.get("id", wanted))
-        path = "/".join(request.opt.uri_path)
+        path = path_of(request)
         handler = self._handlers.get((request.code, path))
         if handler is None:
             self.endpoint.reply(request, remote, build_message(NOT_FOUND))
@@ -273,6 +276,26 @@
         self.slots.draining = query.get("on", "1") == "1"
         self.endpoint.reply(request, remote, build_message(CHANGED))
 
+    def _serve_fault(self, request: Message, remote: Remote, query):
+        self.set_fault(query)
+        self.endpoint.reply(request, remote, build_message(CHANGED))
+
+    def set_fault(self, fault: dict[str, str]) -> None:
+        """Behave as `fault` says from now on.
+
+        ``mute`` is a `Mute`, ``speed`` the speed; ``lag`` (seconds), ``lies``
+        (0 or 1) and ``load`` (a factor) spoil the answers on health and load.
+        """
+        self.endpoint.mute = Mute(fault.get("mute", self.endpoint.mute))
+        if "speed" in fault:
+            self.slots.set_speed(float(fault["speed"]))
+        self.arguments.health_lag = float(fault.get("lag", self.arguments.health_lag))
+        self.arguments.load_factor = float(
+            fault.get("load", self.arguments.load_factor)
+        )
+        if "lies" in fault:
+            self.arguments.health_lies = fault["lies"] == "1"
+
     def _serve_cancel(self, request: Message, remote: Remote, query):
         token = bytes.fromhex(query.get("token", ""))
         found = self.slots.cancel((remote, token))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,6 @@
 from os import environ
 from random import Random
+from sys import modules
 
 import pytest
 from hypothesis import HealthCheck, settings
@@ -22,6 +23,13 @@
 settings.load_profile(environ.get("HYPOTHESIS_PROFILE", "ci"))
 
 
+def pytest_terminal_summary(terminalreporter):
+    """Print what the runs of whole deployments measured."""
+    faults = modules.get("tests.faults")
+    if faults is not None and faults.REPORTS_BY_NAME:
+        terminalreporter.write_line(faults.format_table())
+
+
 @pytest.fixture
 def recorder():
     return Recorder()
--- a/tests/faults.py
+++ b/tests/faults.py
@@ -1,14 +1,19 @@
 """Runs a whole deployment under callers' load while faults are injected."""
 
-from asyncio import get_running_loop, sleep
+from asyncio import get_running_loop, sleep, wait_for
+from collections import Counter
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from os import environ
 from pathlib import Path
 from random import Random
 
+import pytest
+from aiocoap import CON, Message
+
 from demo.account import Outcome, read_journals
-from demo.cluster import Cluster, find_free_network, wait_until
+from demo.cluster import COMMAND_TIMEOUT_S, Cluster, find_free_network, wait_until
+from demo.coap import Endpoint, build_message, open_endpoint
 from demo.deployment import Deployment, plan_reelbure
 from demo.report import Report, build_report, find_broken_promises
 from demo.workload import Load, Workload
@@ -24,7 +29,9 @@
 IN_FORCE_LIMIT_S = 6.0
 LEAVING_LIMIT_S = 3.0
 FAILURE_MARKS = ("Traceback", "Error:", "never retrieved", "level=error")
+LOG_LINES_AFTER = 20
 REFUSED_VALUE = "event=value-refused"
+long_only = pytest.mark.skipif(not LONG, reason="only in the long set")
 UNFINISHED = (Outcome.UNKNOWN, Outcome.GIVEN_UP, Outcome.FAILED, "open")
 
 
@@ -91,6 +98,44 @@
         status = await self.cluster.fetch_status(host_id)
         return sum(target["flows"] for target in status["targets"].values())
 
+    async def feeds_if_reachable(self, host_id: str) -> int:
+        """Return the number of flows on a host, 0 if it doesn't answer."""
+        try:
+            return await self.feeds_at(host_id)
+        except OSError:
+            return 0
+
+    async def fetch_counters(self, host_id: str) -> Counter:
+        """Return a process's counters by name, summed over their labels."""
+        counters = Counter()
+        for line in (await self.cluster.fetch_metrics(host_id)).splitlines():
+            name, _, value = line.rpartition(" ")
+            if not line.startswith("#"):
+                counters[name.partition("{")[0]] += float(value)
+        return counters
+
+    async def command_upstream(self, target, code, path, **query) -> Message:
+        """Send a request to an upstream itself and return its answer."""
+        answer = get_running_loop().create_future()
+        endpoint = Endpoint(
+            Random(SEED), on_response=lambda message, remote: answer.set_result(message)
+        )
+        await open_endpoint(endpoint, (self.deployment.ip(0, 9), 0))
+        items = tuple(f"{name}={value}" for name, value in query.items())
+        request = build_message(
+            code, mtype=CON, token=b"command", uri_path=(path,), uri_query=items
+        )
+        endpoint.send(request, target.upstream)
+        try:
+            return await wait_for(answer, COMMAND_TIMEOUT_S)
+        finally:
+            endpoint.close()
+
+    def kill_host(self, host_id: str) -> None:
+        """Kill a balancer or an agent, which then isn't asked any more."""
+        self.processes.kill(host_id)
+        self.silent_hosts.add(host_id)
+
     async def revisions(self) -> dict[str, int]:
         """Return the view's revision of each reachable process."""
         hosts = set(self.cluster.product_ips_by_host) - self.silent_hosts
@@ -110,15 +155,21 @@
         return sum(feed.items > 0 for feed in feeds)
 
     def errors_in_logs(self) -> list[str]:
-        """Return the product's log lines that tell of a failure inside it."""
-        lines = []
+        """Return the product's log lines that tell of a failure inside it.
+
+        Each has the lines before and after it. The logs of processes that
+        were started again are read from their first start on.
+        """
+        found = []
         for host_id in self.cluster.product_ips_by_host:
-            for line in self.processes.read_log(host_id).splitlines():
+            lines = self.processes.read_whole_log(host_id).splitlines()
+            for number, line in enumerate(lines):
                 if REFUSED_VALUE in line:
                     continue
                 if any(mark in line for mark in FAILURE_MARKS):
-                    lines.append(f"{host_id}: {line}")
-        return lines
+                    near = lines[max(0, number - 3) : number + LOG_LINES_AFTER]
+                    found.append("\n".join((f"{host_id} line {number}:", *near)))
+        return found
 
     def refusals_in_log(self, host_id: str) -> list[str]:
         """Return a process's log lines about refused values."""
@@ -127,9 +178,11 @@
 
 
 @asynccontextmanager
-async def run_faults(folder: Path, plan=plan_reelbure, load=None, name=""):
+async def run_faults(
+    folder: Path, plan=plan_reelbure, load=None, name="", cluster_type=Cluster
+):
     """Start a deployment with callers whose feeds all stand."""
-    cluster = Cluster(plan(find_free_network()), folder, SEED)
+    cluster = cluster_type(plan(find_free_network()), folder, SEED)
     load = load or (LONG_LOAD if LONG else CI_LOAD)
     workload = Workload(cluster.deployment, load, Random(SEED))
     run = FaultRun(name, cluster, workload)
--- /dev/null
+++ b/tests/relayed.py
@@ -0,0 +1,68 @@
+"""A cluster whose datagrams between processes pass a relay."""
+
+from json import dumps, loads
+from socket import AF_INET, SOCK_DGRAM, socket
+
+from demo.cluster import COMMAND_TIMEOUT_S, Cluster
+from demo.deployment import PACKETS_PORT
+
+RELAY = "relay"
+RELAY_PORT = PACKETS_PORT + 50
+ANY = "*"
+
+
+class RelayedCluster(Cluster):
+    """Publishes the relay's addresses in place of the processes' own."""
+
+    def start_platform(self) -> None:
+        """Start the relay, then the platform with the relay's addresses."""
+        for path in (self.folder / "values").rglob("*.ini"):
+            path.write_text(name_relay(path.read_text()))
+        self.processes.start(
+            RELAY,
+            "demo.relay",
+            *("--hosts", ",".join(self.product_ips_by_host.values())),
+            *("--packets-port", str(PACKETS_PORT)),
+            *("--port", str(RELAY_PORT)),
+            *("--control", "{}:{}".format(*self.relay_control)),
+            *("--seed", str(self.seed)),
+        )
+        self.processes.wait_ready(RELAY)
+        super().start_platform()
+
+    @property
+    def relay_control(self) -> tuple[str, int]:
+        """Control socket of the relay."""
+        return self.deployment.ip(0, 4), self.deployment.fabric_control.port
+
+    async def publish(self, name: str, text: str) -> int:
+        """Put a value on the platform, with the relay's addresses."""
+        return await super().publish(name, name_relay(text))
+
+    def command_relay(self, command: str, **fields) -> dict:
+        """Run a command of the relay's control socket."""
+        with socket(AF_INET, SOCK_DGRAM) as control:
+            control.settimeout(COMMAND_TIMEOUT_S)
+            message = dumps({"command": command, **fields})
+            control.sendto(message.encode(), self.relay_control)
+            answer = loads(control.recv(65535))
+        if "error" in answer:
+            raise ValueError(answer["error"])
+        return answer
+
+    def cut(self, from_ip: str, to_ip: str) -> None:
+        """Drop all datagrams of one direction."""
+        self.harm(from_ip, to_ip, drop=1.0)
+
+    def harm(self, from_ip: str, to_ip: str, **fault) -> None:
+        """Set a fault of one direction, see `demo.fault.Fault`."""
+        self.command_relay("fault", **{"from": from_ip, "to": to_ip}, **fault)
+
+    def heal(self) -> None:
+        """Remove all faults."""
+        self.command_relay("heal")
+
+
+def name_relay(text: str) -> str:
+    """Return a published value with the relay's port at each process."""
+    return text.replace(f":{PACKETS_PORT}\n", f":{RELAY_PORT}\n")
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -17,7 +17,7 @@
     check_always,
     check_planned,
     check_unplanned,
-    format_table,
+    long_only,
     run_faults,
 )
 
@@ -25,7 +25,6 @@
 PAUSE_S = 15.0 if LONG else 6.0
 FAULT_S = 20.0 if LONG else 4.0
 LOSSY = {"drop": 0.05, "duplicate": 0.2, "reorder": 0.1}
-long_only = pytest.mark.skipif(not LONG, reason="only in the long set")
 
 
 @pytest.fixture
@@ -34,19 +33,6 @@
         yield run
 
 
-@pytest.fixture(scope="module", autouse=True)
-def table(request):
-    yield
-    capture = request.config.pluginmanager.getplugin("capturemanager")
-    with capture.global_and_fixture_disabled():
-        print("\n" + format_table())
-
-
-def kill_host(run, host_id):
-    run.processes.kill(host_id)
-    run.silent_hosts.add(host_id)
-
-
 async def drain(run, service, target):
     drained_at = await run.cluster.drain_target(service, target)
     await sleep(FAULT_S)
@@ -56,7 +42,7 @@
 
 async def test_killed_balancer(run):
     balancer = run.deployment.balancers[0]
-    kill_host(run, balancer.host_id)
+    run.kill_host(balancer.host_id)
     await sleep(FABRIC_NOTICES_S)
     run.cluster.command_fabric("remove", ip=balancer.ip)
     await sleep(FAULT_S)
@@ -67,7 +53,7 @@
 async def test_killed_agent(run):
     host_id = run.deployment.targets[0].host_id
     lived_there = await run.feeds_at(host_id)
-    kill_host(run, host_id)
+    run.kill_host(host_id)
     await sleep(FAULT_S + 4.0)
     run.processes.restart(host_id)
     await sleep(FAULT_S)
@@ -91,7 +77,7 @@
     balancers = [item for item in run.deployment.balancers if item.zone == zone]
     lived_there = sum([await run.feeds_at(item.host_id) for item in targets])
     for item in (*targets, *balancers):
-        kill_host(run, item.host_id)
+        run.kill_host(item.host_id)
     for target in targets:
         run.processes.kill(upstream_name(target))
     await sleep(FABRIC_NOTICES_S)
