Move an agent's flows to its peers while no balancer reaches it

Cause: an agent cut from all balancers kept its flows, although its peers passed it their datagrams, and peers handed it new ones, since it seemed idle. A caller's new flow often came back to it, so that feeds were silent for as long as the cut lasted.

Change: an agent with flows that hears no balancer for 1.5 s pings some. After four rounds without an answer, while a peer has passed on a caller's datagram within 4 s, its flows move to peers as those of a dead upstream do, and it takes none until a balancer answers again. Where no peer has a balancer either nothing moves. An idle agent with flows sends a ping each 1.5 s at most; one without flows none.

--- a/lycheeglade/agent.py
+++ b/lycheeglade/agent.py
@@ -42,6 +42,7 @@
     receive_probe,
     receive_probe_reply,
 )
+from lycheeglade.isolation import NO_CHANGE, check_isolation, note_packet
 from lycheeglade.membership import Membership
 from lycheeglade.notice import announce_home
 from lycheeglade.packet import (
@@ -227,7 +228,9 @@
 
 def receive_packet(agent: Agent, packet: Packet, source: Address, now: float) -> None:
     """Act on a packet from a process of the system."""
-    if source in agent.balancer_zones_by_address:
+    of_balancer = source in agent.balancer_zones_by_address
+    note_packet(agent.isolation, packet, of_balancer, now)
+    if of_balancer:
         agent.balancers_heard_at[source] = now
         agent.balancers_heard_at.move_to_end(source)
     is_reply = isinstance(packet, (Pong, ProbeReply, DelegateReply))
@@ -350,6 +353,7 @@
         agent.actions.send(address, Ping(agent.next_number()))
     agent.suspects = agent.membership.suspects(now)
     agent.confirmed = agent.membership.confirmed(now)
+    _check_isolation(agent, now)
     for served in agent.served_by_key.values():
         if served.requests_by_id:
             expire_queued(agent, served, now)
@@ -360,6 +364,18 @@
             _start_moving(agent, served, now)
 
 
+def _check_isolation(agent: Agent, now: float) -> None:
+    """Move all flows to peers while no balancer can be reached."""
+    change = check_isolation(agent, now)
+    if change is NO_CHANGE:
+        return
+    agent.actions.count("isolation", "", "begun" if change.begins else "ended")
+    for served in agent.served_by_key.values():
+        served.is_isolated = change.begins
+        if change.begins:
+            move_flows(agent, served, now)
+
+
 def begin_stop(agent: Agent, now: float) -> None:
     """Drain all targets before the process ends."""
     agent.stopping = True
--- a/lycheeglade/agent_state.py
+++ b/lycheeglade/agent_state.py
@@ -48,6 +48,27 @@
     record: Callable[[str, str, str, float], None]
 
 
+@dataclass(slots=True)
+class Isolation:
+    """Whether balancers reach this agent, see `lycheeglade.isolation`.
+
+    Attributes
+    ----------
+    heard_at : float
+        When a balancer last sent anything but a ping.
+    passed_at : float
+        When a peer last passed a caller's datagram on.
+    rounds : int
+        Unanswered rounds of pings to balancers.
+    """
+
+    heard_at: float = float("-inf")
+    passed_at: float = float("-inf")
+    rounds: int = 0
+    next_round_at: float = float("-inf")
+    is_isolated: bool = False
+
+
 @dataclass(slots=True)
 class Agent:
     """All that one agent knows.
@@ -90,6 +111,7 @@
     known_addresses: frozenset[Address] = frozenset()
     suspects: frozenset[Address] = frozenset()
     confirmed: frozenset[Address] = frozenset()
+    isolation: Isolation = field(default_factory=Isolation)
     stopping: bool = False
     last_tick_at: float | None = None
     is_stale: bool = False
--- a/lycheeglade/served_target.py
+++ b/lycheeglade/served_target.py
@@ -213,6 +213,8 @@
         Whether the upstream answers nothing at present.
     down_since : float
         When it was last found to be down.
+    is_isolated : bool
+        Whether this agent is out of reach of all balancers.
     unanswered_since : float or None
         When the oldest datagram was sent that the upstream did not answer.
     homes_by_flow : OrderedDict
@@ -235,6 +237,7 @@
     draining: bool = False
     is_down: bool = False
     down_since: float = 0.0
+    is_isolated: bool = False
     is_moving: bool = False
     unanswered_since: float | None = None
     upstream_pings: int = 0
@@ -266,7 +269,7 @@
     @property
     def must_move(self) -> bool:
         """Whether the flows have to move to other targets."""
-        return self.draining or self.is_down
+        return self.draining or self.is_down or self.is_isolated
 
     @property
     def has_flows(self) -> bool:
