Begin no round of a notification's balancers with the one that failed last

A notification that isn't acknowledged is sent again after 0.5, 1, 2 and 2 s, each time by another balancer; once all were tried the next round began with the one that the caller's latest datagram had come by. Was the third try lost on the cut balancer, and did the caller's requests still arrive by it, the fourth was lost there too. The next came after the 5 s in which the caller gives up.

Change: the next round begins with another one than the last.

The new test fails without the change.

--- a/lycheeglade/feed.py
+++ b/lycheeglade/feed.py
@@ -290,15 +290,13 @@
     notification = feed.in_flight
     balancer = record.balancer
     if notification.attempts:
-        untried = [
-            address
-            for address in usable_balancers(agent, served.service, now)
-            if address not in notification.tried
-        ]
-        if untried:
-            balancer = untried[0]
-        else:
-            notification.tried.clear()
+        usable = usable_balancers(agent, served.service, now)
+        if notification.tried.issuperset(usable):
+            # The next round doesn't begin with the one that has just failed.
+            notification.tried = {notification.balancer}
+        untried = [each for each in usable if each not in notification.tried]
+        balancer = untried[0] if untried else balancer
+    notification.balancer = balancer
     notification.tried.add(balancer)
     packet = make_answer(served, feed.flow, notification.datagram)
     agent.actions.send(balancer, packet)
--- a/lycheeglade/served_target.py
+++ b/lycheeglade/served_target.py
@@ -75,8 +75,10 @@
 
     Attributes
     ----------
+    balancer : Address or None
+        Balancer that it was last sent through.
     tried : set of Address
-        Balancers that it was sent through.
+        Balancers that it was sent through in this round.
     """
 
     sequence: int
@@ -85,6 +87,7 @@
     created_at: float
     attempts: int = 0
     retry_at: float = 0.0
+    balancer: Address | None = None
     tried: set[Address] = field(default_factory=set)
 
 
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -1,9 +1,19 @@
+from dataclasses import replace
+from itertools import pairwise
+
 import pytest
 from aiocoap import Code, Message, Type
 
-from lycheeglade.agent import receive_datagram, receive_from_upstream, tick
-from lycheeglade.packet import Forward, encode_packet
-from tests.agents import BALANCER, KEY
+from lycheeglade.address import Address
+from lycheeglade.agent import (
+    receive_datagram,
+    receive_from_upstream,
+    tick,
+    update_view,
+)
+from lycheeglade.packet import Answer, Forward, encode_packet
+from lycheeglade.view import Host, Role
+from tests.agents import BALANCER, HERE, KEY, make_view
 
 TOKEN = b"\x07"
 
@@ -48,3 +58,28 @@
     register(agent, message_id, 0.2)
     first, second = sequences(recorder)
     assert (first == second) is is_copy
+
+
+def test_notification_is_never_sent_twice_running_by_the_same_balancer(agent, recorder):
+    balancers = {BALANCER, *(Address(f"127.1.0.{name}", 7100) for name in "23")}
+    view = make_view(2)
+    hosts = {
+        address.ip: Host(address.ip, Role.BALANCER, HERE, address, address)
+        for address in balancers
+    }
+    update_view(agent, replace(view, hosts_by_id=hosts), 0.0)
+    register(agent, 5, 0.0)
+    send_item(agent, recorder, b"first", 0.1)
+    send_item(agent, recorder, b"second", 0.2)
+    (record,) = agent.served_by_key[KEY].records_by_flow.values()
+    used = []
+    for step in range(1000):
+        recorder.sent.clear()
+        tick(agent, 0.2 + step * 0.02)
+        for address, packet in recorder.sent:
+            if isinstance(packet, Answer):
+                used.append(address)
+                # The caller's own requests still come by that balancer.
+                record.balancer = address
+    assert set(used) == balancers
+    assert all(first != second for first, second in pairwise(used))
