Drive drains and handoffs through faults by a state machine

Cause: the machine of flow homes made planned changes only; what a lost message, a pause or a death does to a handoff was read off the code. The long profile of hypothesis didn't lengthen that machine, whose own bounds took precedence.

Change: a second machine doubles, delays, reorders and loses datagrams, pauses processes for up to 45 s and kills them, also in the middle of a handoff, and begins the next change early. Its fleet is shared with the first machine. Both follow the long profile, whose number of examples is LYCHEEGLADE_EXAMPLES. The ticket machine serves and hands on in one step, and repeats an old state together with the flow's old requests.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -16,11 +16,19 @@
 settings.register_profile(
     "long",
     deadline=None,
-    max_examples=2000,
+    max_examples=int(environ.get("LYCHEEGLADE_EXAMPLES", "2000")),
     stateful_step_count=100,
     suppress_health_check=SLOW,
 )
-settings.load_profile(environ.get("HYPOTHESIS_PROFILE", "ci"))
+PROFILE = environ.get("HYPOTHESIS_PROFILE", "ci")
+settings.load_profile(PROFILE)
+
+
+def machine_settings(max_examples: int, steps: int) -> settings:
+    """Return a state machine's bounds in CI, or those of the long profile."""
+    if PROFILE == "long":
+        return settings()
+    return settings(max_examples=max_examples, stateful_step_count=steps)
 
 
 def pytest_terminal_summary(terminalreporter):
--- /dev/null
+++ b/tests/faulty_fleet.py
@@ -0,0 +1,294 @@
+"""The small deployment under faults, and what each fault may break."""
+
+from dataclasses import dataclass, replace
+
+from msgspec.structs import replace as replace_struct
+
+from demo.traces import make_service
+from lycheeglade.address import Address
+from lycheeglade.agent_state import Agent
+from lycheeglade.configuration import format_service
+from lycheeglade.home import PROBE_TIMEOUT_S
+from lycheeglade.replay_caller import Caller, Result
+from lycheeglade.replay_process import Process
+from lycheeglade.trace import Kill, Options, Pause, Publish, Request, Resume
+from tests.fleet import PLAN, SERVICE, Fleet
+
+OTHER = "reel-depot"
+FLOW_IDLE_S = 20.0
+WINDOW_S = 30.0
+HARMLESS_SILENCE_S = 4.0
+LATEST_ARRIVAL_S = 2.0
+SETTLE_S = 40.0
+GIVE_UP_S = 60.0
+NEVER = ("gap", "step-back", "repeat")
+CLEAN = {"loss": 0.0, "duplication": 0.0, "jitter_s": Options(at=0.0).jitter_s}
+
+
+@dataclass(frozen=True, slots=True)
+class Excuse:
+    """What a fault may break.
+
+    Attributes
+    ----------
+    caller_ips : frozenset of str or None
+        The callers that it may silence, or None for all.
+    seconds : float
+        How long it may silence them; their feeds notice longer ones.
+    """
+
+    start: float
+    end: float
+    caller_ips: frozenset[str] | None
+    seconds: float
+
+
+class FaultyFleet(Fleet):
+    """Two services on the same hosts, and the same callers use both."""
+
+    def __init__(self, seed: int = 1):
+        super().__init__(seed, FLOW_IDLE_S)
+        self.excuses: list[Excuse] = []
+        self.is_broken = False
+        self.slow_spans: list[tuple[float, float]] = []
+        self.publish_other()
+        self.advance(1.0)
+
+    def publish_other(self) -> None:
+        other = make_service(PLAN, OTHER, 2, 1)
+        targets = {
+            name: replace(target, upstream=Address(target.agent.ip, 5684))
+            for name, target in other.targets_by_id.items()
+        }
+        addresses = (Address("127.10.0.9", 5683),)
+        other = replace(other, targets_by_id=targets, addresses=addresses)
+        self.revision += 1
+        text = format_service(other)
+        self.apply(
+            Publish(at=0.0, name=f"services/{OTHER}", revision=self.revision, text=text)
+        )
+
+    def request_other(self, caller: int, *, repeatable: bool) -> None:
+        self.requests += 1
+        name = f"r{self.requests}"
+        event = Request(
+            at=0.0,
+            service=OTHER,
+            caller=self.caller_ports[caller],
+            id=name,
+            repeatable=repeatable,
+        )
+        self.apply(event)
+
+    def process(self, name: str) -> Process:
+        return self.world.processes_by_name[name]
+
+    def agents(self) -> dict[str, Agent]:
+        return {
+            name: process.state
+            for name, process in self.world.processes_by_name.items()
+            if isinstance(process.state, Agent)
+        }
+
+    def parties(self, *, is_home: bool) -> list[str]:
+        """Return the processes that hand flows away, or that take them."""
+        return [
+            name
+            for name, agent in self.agents().items()
+            for served in agent.served_by_key.values()
+            if (served.outgoing_by_id if is_home else served.incoming_by_flow)
+        ]
+
+    def home_of(self, caller: int) -> str | None:
+        """Return the published target where a caller's feed lives."""
+        flow = self.world.callers_by_name[SERVICE, self.caller_ports[caller]].flow
+        for agent in self.agents().values():
+            for served in agent.served_by_key.values():
+                name = served.target.target_id
+                if flow in served.records_by_flow:
+                    return name if name in self.service.targets_by_id else None
+        return None
+
+    def held_callers(self, name: str) -> frozenset[str]:
+        """Return the callers whose flows a process holds in any state."""
+        agent = self.agents().get(name)
+        if agent is None:
+            return frozenset()
+        return frozenset(
+            flow.caller_ip
+            for served in agent.served_by_key.values()
+            for flow in (
+                *served.records_by_flow,
+                *served.incoming_by_flow,
+                *(handoff.flow for handoff in served.outgoing_by_id.values()),
+            )
+        )
+
+    def excuse(self, end: float, caller_ips: frozenset[str] | None, seconds: float):
+        now = self.world.now
+        self.excuses.append(Excuse(now, now + end, caller_ips, seconds))
+
+    def is_last_balancer(self, name: str) -> bool:
+        """Tell whether no other balancer would carry any packet."""
+        carrying = [
+            name
+            for name in self.names
+            if name not in self.agents()
+            and self.is_running(name)
+            and not self.process(name).is_paused
+        ]
+        return carrying == [name]
+
+    def kill(self, name: str, down: float) -> None:
+        """End a process at once and start it anew, without any state."""
+        self.excuse(down, self.held_callers(name), WINDOW_S)
+        self.apply(Kill(at=0.0, process=name))
+        self.later(down, lambda now: None if self.is_up(name) else self.start(name))
+
+    def is_up(self, name: str) -> bool:
+        return self.process(name).is_alive
+
+    def pause(self, name: str, seconds: float) -> None:
+        """Stop a process for a while; what arrives meanwhile waits for it."""
+        process = self.process(name)
+        if not process.is_alive or process.is_paused:
+            return
+        self.excuse(seconds, self.held_callers(name), seconds)
+        self.apply(Pause(at=0.0, process=name))
+        self.later(seconds, lambda now: self.resume(name, process))
+
+    def resume(self, name: str, process: Process) -> None:
+        if self.process(name) is process and process.is_paused:
+            self.apply(Resume(at=0.0, process=name))
+
+    def later(self, seconds: float, action) -> None:
+        self.world.timers.call_at(self.world.now + seconds, action)
+
+    def disturb_network(
+        self,
+        seconds: float,
+        jitter_s: float,
+        duplication: float = 0.0,
+        loss: float = 0.0,
+    ) -> None:
+        """Lose, double, delay and reorder datagrams for a while."""
+        if loss:
+            self.excuse(seconds, None, WINDOW_S)
+        if 2 * jitter_s > PROBE_TIMEOUT_S:
+            self.slow_spans.append((self.world.now, self.world.now + seconds))
+        self.world.options = changed = replace_struct(
+            self.world.options, jitter_s=jitter_s, duplication=duplication, loss=loss
+        )
+
+        def end(now: float) -> None:
+            if self.world.options is changed:
+                self.world.options = replace_struct(changed, **CLEAN)
+
+        self.later(seconds, end)
+
+    def may_be_silent(self, caller: Caller, since: float, until: float) -> bool:
+        """Tell whether faults explain a silence towards a caller."""
+        seconds = sum(
+            excuse.seconds
+            for excuse in self.excuses
+            if excuse.start <= until
+            and excuse.end >= since
+            and (
+                excuse.caller_ips is None or caller.flow.caller_ip in excuse.caller_ips
+            )
+        )
+        return seconds > HARMLESS_SILENCE_S
+
+    def is_slow(self, since: float, until: float) -> bool:
+        """Tell whether an agent may have opened a flow that has a home.
+
+        It waits for other agents no longer than its probes allow. A ticket of
+        the second home then ends as unknown.
+        """
+        return any(
+            start - LATEST_ARRIVAL_S <= until and end + LATEST_ARRIVAL_S >= since
+            for start, end in self.slow_spans
+        )
+
+    def check_feeds(self) -> None:
+        faults = [
+            (caller.flow, round(at, 3), reason)
+            for caller in self.world.callers_by_flow.values()
+            if caller.feed is not None
+            for at, reason in caller.feed.faults
+            if reason in NEVER or not self.may_be_silent(caller, at - WINDOW_S, at)
+        ]
+        assert not faults, faults
+
+    def check_requests(self) -> None:
+        """Hold the callers' final results against what faults may cause."""
+        ran = {
+            run.request_id
+            for upstream in self.world.upstreams_by_key.values()
+            for run in upstream.runs
+        }
+        faults = []
+        for caller in self.world.callers_by_flow.values():
+            for request in caller.requests:
+                result = request.result
+                is_lost = result in (Result.UNKNOWN, Result.GIVEN_UP)
+                may_be_lost = is_lost and (
+                    self.may_be_silent(
+                        caller, request.sent_at - WINDOW_S, request.finished_at
+                    )
+                    or self.is_slow(request.sent_at, request.finished_at)
+                )
+                is_false = result is Result.NOT_RUN and request.request_id in ran
+                is_bad = result in (None, Result.WRONG) or is_false
+                if is_bad or (is_lost and not may_be_lost):
+                    faults.append((caller.flow, request.request_id, result))
+        assert not faults, faults
+
+    def unfinished(self) -> bool:
+        return any(
+            request.result is None
+            for caller in self.world.callers_by_flow.values()
+            for request in caller.requests
+        )
+
+    def check_homes(self) -> None:
+        """Require one home for each feed, and that it feeds its caller."""
+        for caller in self.world.callers_by_flow.values():
+            if caller.feed is None:
+                continue
+            homes = [
+                name
+                for name, agent in self.agents().items()
+                for served in agent.served_by_key.values()
+                if caller.flow in served.records_by_flow
+                and served.records_by_flow[caller.flow].feeds_by_token
+            ]
+            assert len(homes) == 1, (caller.flow, homes)
+        assert not self.parties(is_home=True), "a handoff never ends"
+        assert not self.parties(is_home=False), "a handoff never ends"
+
+    def check_always(self) -> None:
+        """Check what must hold at any moment."""
+        self.is_broken = True
+        self.check(("misdeliveries", "double-runs", "false-refusals"))
+        self.check_feeds()
+        self.is_broken = False
+
+    def heal(self) -> None:
+        """End all faults and start what has ended."""
+        self.world.options = replace_struct(self.world.options, **CLEAN)
+        for name, process in list(self.world.processes_by_name.items()):
+            if not process.is_alive:
+                self.start(name)
+            else:
+                self.resume(name, process)
+
+    def settle(self) -> None:
+        self.heal()
+        self.advance(SETTLE_S)
+        if self.unfinished():
+            self.advance(GIVE_UP_S)
+        self.check_always()
+        self.check(("answered-without-run", "stale-feeds", "reverted-values"))
+        self.check_requests()
+        self.check_homes()
--- /dev/null
+++ b/tests/test_homes_under_faults.py
@@ -0,0 +1,241 @@
+"""Faults during drains and handoffs break no promise.
+
+Datagrams are lost, doubled, delayed and reordered, processes pause for longer
+than any lease or die and come back empty, and the next change is published
+before the last one has settled.
+"""
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+from msgspec.structs import replace as replace_struct
+
+from demo.traces import leave, without
+from lycheeglade import handoff, takeover
+from lycheeglade.agent import HANDLERS_BY_KIND
+from lycheeglade.flow import FlowKey
+from lycheeglade.packet import HandoffCommit
+from lycheeglade.served_target import IncomingHandoff
+from lycheeglade.ticket import Judgement, TicketBook, Verdict
+from tests.conftest import machine_settings
+from tests.faulty_fleet import FaultyFleet
+from tests.fleet import MIN_LIVE_TARGETS, PLAN
+
+TARGETS = st.sampled_from([f"t{number + 1}" for number in range(PLAN.targets)])
+CALLERS = st.integers(0, PLAN.callers - 1)
+PROCESSES = st.integers(0, 7)
+EARLY = st.sets(PROCESSES, max_size=5)
+DELAY = st.sampled_from([0.002, 0.05, 0.5, 3.0])
+MOMENT = st.sampled_from([0.002, 0.0045, 0.007, 0.011, 0.3])
+SECONDS = st.sampled_from([0.05, 1.0, 8.0])
+JITTER = st.sampled_from([0.0005, 0.02, 0.3])
+PAUSE = st.sampled_from([0.4, 1.2, 5.0, 45.0])
+DOWN = st.sampled_from([0.01, 0.5, 5.0])
+
+
+class FaultsMachine(RuleBasedStateMachine):
+    """Any order of planned changes, faults, requests and time."""
+
+    @initialize(seed=st.integers(0, 3))
+    def begin(self, seed):
+        self.fleet = FaultyFleet(seed)
+
+    def publish(self, service, early=(), delay=0.0):
+        fleet = self.fleet
+        live = sum(t.state.value == "live" for t in service.targets_by_id.values())
+        if live >= MIN_LIVE_TARGETS:
+            fleet.publish(service, {fleet.names[i] for i in sorted(early)}, delay)
+
+    @rule(
+        target_id=TARGETS,
+        change=st.sampled_from([leave, without]),
+        early=EARLY,
+        delay=DELAY,
+    )
+    def take_away(self, target_id, change, early, delay):
+        if target_id in self.fleet.service.targets_by_id:
+            self.publish(change(self.fleet.service, target_id), early, delay)
+
+    @rule(target_id=TARGETS, early=EARLY, delay=DELAY)
+    def bring_back(self, target_id, early, delay):
+        targets = dict(self.fleet.service.targets_by_id)
+        targets[target_id] = self.fleet.whole.targets_by_id[target_id]
+        service = replace(self.fleet.service, targets_by_id=targets)
+        self.publish(service, early, delay)
+
+    @rule(
+        caller=CALLERS,
+        moment=MOMENT,
+        is_home=st.booleans(),
+        pause=st.none() | PAUSE,
+        down=DOWN,
+    )
+    def fault_in_handoff(self, caller, moment, is_home, pause, down):
+        """Drain a caller's home; pause or kill a party meanwhile."""
+        self.drain_home(caller)
+        self.fleet.advance(moment)
+        parties = self.fleet.parties(is_home=is_home)
+        if parties:
+            self.fault(parties[0], pause, down)
+
+    @rule(
+        caller=CALLERS,
+        jitter_s=JITTER,
+        loss=st.sampled_from([0.0, 0.0, 0.0, 0.3]),
+    )
+    def drain_over_bad_network(self, caller, jitter_s, loss):
+        """Drain a caller's home while datagrams are doubled, late or lost."""
+        self.fleet.disturb_network(3.0, jitter_s, duplication=0.7, loss=loss)
+        self.drain_home(caller)
+        self.fleet.advance(1.0)
+
+    def drain_home(self, caller):
+        home = self.fleet.home_of(caller)
+        if home is not None:
+            self.publish(leave(self.fleet.service, home))
+
+    @rule(index=PROCESSES, pause=st.none() | PAUSE, down=DOWN)
+    def fault_anywhere(self, index, pause, down):
+        self.fault(self.fleet.names[index], pause, down)
+
+    def fault(self, name, pause, down):
+        if self.fleet.is_last_balancer(name):
+            return
+        if pause is not None:
+            self.fleet.pause(name, pause)
+        elif self.fleet.is_up(name):
+            self.fleet.kill(name, down)
+
+    @rule(index=PROCESSES)
+    def stop(self, index):
+        name = self.fleet.names[index]
+        if self.fleet.is_up(name) and not self.fleet.is_last_balancer(name):
+            self.fleet.stop(name)
+
+    @rule(index=PROCESSES)
+    def start(self, index):
+        if not self.fleet.is_up(self.fleet.names[index]):
+            self.fleet.start(self.fleet.names[index])
+
+    @rule(seconds=SECONDS, duplication=st.sampled_from([0.0, 0.5]), jitter_s=JITTER)
+    def disturb_network(self, seconds, duplication, jitter_s):
+        self.fleet.disturb_network(seconds, jitter_s, duplication=duplication)
+
+    @rule(seconds=SECONDS, loss=st.sampled_from([0.1, 0.4]), jitter_s=JITTER)
+    def lose_datagrams(self, seconds, loss, jitter_s):
+        self.fleet.disturb_network(seconds, jitter_s, loss=loss)
+
+    @rule(caller=CALLERS, repeatable=st.booleans(), other=st.booleans())
+    def request(self, caller, repeatable, other):
+        ask = self.fleet.request_other if other else self.fleet.request
+        ask(caller, repeatable=repeatable)
+
+    @rule(seconds=st.sampled_from([0.003, 0.05, 0.3, 1.0, 5.0, 12.0]))
+    def advance(self, seconds):
+        self.fleet.advance(seconds)
+
+    @invariant()
+    def nothing_broken(self):
+        if hasattr(self, "fleet"):
+            self.fleet.check_always()
+
+    def teardown(self):
+        if hasattr(self, "fleet") and not self.fleet.is_broken:
+            self.fleet.settle()
+
+
+FaultsMachine.TestCase.settings = machine_settings(max_examples=20, steps=15)
+TestFaultsMachine = FaultsMachine.TestCase
+
+
+class DoublingMachine(FaultsMachine):
+    """Planned changes over a network that doubles and delays datagrams."""
+
+    fault_in_handoff = fault_anywhere = lose_datagrams = stop = start = None
+
+
+def keep_the_flow(monkeypatch):
+    monkeypatch.setattr(handoff, "close_record", lambda *arguments: None)
+
+
+def take_any_commit(monkeypatch):
+    receive = takeover.receive_commit
+
+    def receive_commit(agent, served, packet, source, now):
+        flow = FlowKey(packet.service, packet.caller_ip, packet.caller_port)
+        if flow not in served.incoming_by_flow:
+            served.incoming_by_flow[flow] = IncomingHandoff(
+                packet.handoff_id, packet.home_target_id, now, []
+            )
+        served.incoming_by_flow[flow].handoff_id = packet.handoff_id
+        receive(agent, served, packet, source, now)
+
+    monkeypatch.setitem(HANDLERS_BY_KIND, HandoffCommit, receive_commit)
+
+
+def hold_on_to_offers(monkeypatch):
+    monkeypatch.setattr(handoff, "_withdraw_offer", lambda *arguments: None)
+
+
+def count_from_one(monkeypatch):
+    import_feed = takeover._import_feed
+
+    def import_without_number(feed, state, now):
+        import_feed(feed, replace_struct(state, sequence=1), now)
+
+    monkeypatch.setattr(takeover, "_import_feed", import_without_number)
+
+
+def forget_what_was_sent(monkeypatch):
+    import_feed = takeover._import_feed
+
+    def import_without_items(feed, state, now):
+        import_feed(feed, replace_struct(state, recent_items=(), in_flight=None), now)
+
+    monkeypatch.setattr(takeover, "_import_feed", import_without_items)
+
+
+def run_every_copy(monkeypatch):
+    judge = TicketBook.judge
+
+    def judge_as_new(book, ticket, flow, digest, now):
+        verdict = judge(book, ticket, flow, digest, now)
+        if verdict.judgement is Judgement.CHALLENGE:
+            return verdict
+        return Verdict(Judgement.RUN)
+
+    monkeypatch.setattr(TicketBook, "judge", judge_as_new)
+    monkeypatch.setattr(TicketBook, "begin", lambda *arguments: None)
+
+
+@pytest.mark.parametrize(
+    ("break_decision", "machine"),
+    [
+        (keep_the_flow, DoublingMachine),
+        (take_any_commit, DoublingMachine),
+        (hold_on_to_offers, FaultsMachine),
+        (count_from_one, FaultsMachine),
+        (forget_what_was_sent, FaultsMachine),
+        (run_every_copy, DoublingMachine),
+    ],
+)
+def test_broken_decision_is_caught(monkeypatch, break_decision, machine):
+    break_decision(monkeypatch)
+    options = settings(
+        derandomize=True,
+        database=None,
+        max_examples=100,
+        stateful_step_count=15,
+        phases=[Phase.generate],
+    )
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(machine, settings=options)
--- a/tests/test_ticket_machine.py
+++ b/tests/test_ticket_machine.py
@@ -83,6 +83,7 @@
 class TicketMachine(RuleBasedStateMachine):
     judge = staticmethod(TicketBook.judge)
     begin = staticmethod(TicketBook.begin)
+    import_flow = staticmethod(TicketBook.import_flow)
 
     attempts = Bundle("attempts")
     tickets = Bundle("tickets")
@@ -229,7 +230,24 @@
         successor = self.agents[successor]
         # An incarnation takes only the handoffs that it has agreed to.
         if handoff in successor.ready:
-            successor.book.import_flow(flow, state, self.now)
+            self.import_flow(successor.book, flow, state, self.now)
+
+    @rule(target=commits, step=st.integers(1, len(AGENTS) - 1), attempt=attempts)
+    def serve_and_hand_on(self, step, attempt):
+        """Deliver an attempt at its flow's home, then move the flow."""
+        self.deliver(attempt, None, None, True)
+        home = AGENTS.index(self.homes[attempt.flow])
+        successor = AGENTS[(home + step) % len(AGENTS)]
+        return self.hand_off(None, successor, attempt.flow, True)
+
+    @rule(commit=commits)
+    def deliver_late_copies(self, commit):
+        """Deliver an old state, and all old requests where it went."""
+        _, successor, flow, _ = commit
+        self.deliver_copy(commit)
+        for attempt in self.sent:
+            if attempt.flow == flow:
+                self.deliver(attempt, successor, None, True)
 
     @rule(commit=consumes(commits))
     def lose_commit(self, commit):
@@ -269,6 +287,17 @@
     begin = staticmethod(begin_any)
 
 
+def import_any(book, flow, state, now):
+    """Broken on purpose: takes a state that a later one has overtaken."""
+    book._epochs_by_flow.clear()
+    return book.import_flow(flow, state, now)
+
+
+class EpochlessMachine(TicketMachine):
+    restart = pause = finish = lose_commit = send_again_after_not_run = None
+    import_flow = staticmethod(import_any)
+
+
 def seeded_settings(**options):
     """Settings of CI, or of a longer run if LYCHEEGLADE_EXAMPLES is set."""
     examples = environ.get("LYCHEEGLADE_EXAMPLES")
@@ -288,8 +317,9 @@
     run_state_machine_as_test(TicketMachine, settings=seeded_settings())
 
 
-def test_machine_catches_a_broken_judgement():
+@pytest.mark.parametrize("machine", [BrokenMachine, EpochlessMachine])
+def test_machine_catches_a_broken_decision(machine):
     with pytest.raises(AssertionError, match=r"ran twice|what ran"):
         run_state_machine_as_test(
-            BrokenMachine, settings=seeded_settings(phases=[Phase.generate])
+            machine, settings=seeded_settings(phases=[Phase.generate])
         )
