Send the changed part of a long value to who holds the one before

Cause: when one of a zone's 1,572 hosts leaves, each process pulled and handed on the whole list, 16 KB each way, which passed 17 KB in that second.

Change: a value remembers the last 16 splices that led to it. Who asks says that it takes differences and is sent splices against a named revision, and a hash of the text that comes out. If the base isn't held or the hash differs, nothing of the pull counts as complete and the next request is for whole values. What comes out is checked and refused like any other text. Processes that don't know differences neither ask for them nor are sent any.

The machine of processes publishes texts that differ in two places, and has processes read revisions in turn, so that bases don't match. It fails without the check of base and hash, and if a pull counts in spite of a missing value; before this it passed both.

--- a/bench/capacity_measures.py
+++ b/bench/capacity_measures.py
@@ -47,6 +47,7 @@
 from lycheeglade.routing import CandidateCache
 from lycheeglade.spread import Snapshot, advance, build_view
 from lycheeglade.transport import DatagramSocket
+from lycheeglade.value import Value
 from lycheeglade.view import State, View
 from lycheeglade.watch import WATCHERS
 
@@ -206,6 +207,24 @@
     return len(encode_message(known.answer(request, True, 0.0)))
 
 
+def difference_bytes(hosts: int) -> float:
+    """Return the bytes of a reply that carries a change of one listed host."""
+    value = spread.make_hosts(0, hosts)
+    known, asker = Knowledge(0.0), Knowledge(0.0)
+    for knowledge in (known, asker):
+        knowledge.take_values([value])
+        knowledge.take_index(1, 0, 0.0)
+    # A host in the middle of the list is no longer published.
+    head, _, rest = value.text.partition(f"[host host-0-{hosts // 2}]")
+    text = head + "[host" + rest.partition("[host")[2]
+    known.take_values([Value(value.name, 2, text)])
+    known.take_index(2, 1, 0.0)
+    reply = known.answer(asker.ask("127.0.0.1", 1), True, 0.0)
+    if not reply.differences or asker.take_reply(reply, 1, 0.0):
+        raise ValueError("the change wasn't taken as a difference")
+    return len(encode_message(reply))
+
+
 def view_ms(services: int) -> float:
     """Return milliseconds of processor time to build a view."""
     snapshot = services_snapshot(services)
--- a/bench/capacity_slopes.py
+++ b/bench/capacity_slopes.py
@@ -174,6 +174,13 @@
             lambda n: measures.in_force_kb("agent", n),
         ),
         "list": ("bytes of a list of hosts", "spread", "B", HOSTS, measures.list_bytes),
+        "difference": (
+            "bytes of a change of one listed host",
+            "capacity",
+            "B",
+            HOSTS,
+            measures.difference_bytes,
+        ),
         "list_cpu": (
             "CPU to read a list with one host changed",
             "spread",
--- a/bench/capacity_workings.py
+++ b/bench/capacity_workings.py
@@ -83,18 +83,18 @@
         """Return gossip bytes a second without changes, in and out."""
         return self.at("gossip", size.ADDRESSES)
 
-    def list_bytes(self) -> float:
-        """Return the bytes of one zone's list of hosts."""
-        return self.at("list", size.HOSTS_PER_ZONE)
+    def difference_bytes(self) -> float:
+        """Return the bytes of a change of one host in a zone's list."""
+        return self.at("difference", size.HOSTS_PER_ZONE)
 
     def change_bytes(self) -> float:
         """Return bytes of a list change at a process, in and out."""
-        return self.last("messages") * self.rest_bytes() + 2 * self.list_bytes()
+        return self.last("messages") * self.rest_bytes() + 2 * self.difference_bytes()
 
     def control_bytes(self) -> float:
         """Return control bytes a second on average."""
         pushes = self.last("messages") * self.rest_bytes() * size.CHANGES_PER_DAY
-        lists = 2 * self.list_bytes() * size.LIST_CHANGES_PER_DAY
+        lists = 2 * self.difference_bytes() * size.LIST_CHANGES_PER_DAY
         return self.rest_bytes() + (pushes + lists) / size.DAY_S
 
     def rest_core(self) -> float:
--- a/lycheeglade/gossip_message.py
+++ b/lycheeglade/gossip_message.py
@@ -25,16 +25,39 @@
     text: str | None
 
 
+class ValueDifference(Struct, frozen=True, array_like=True):
+    """How one revision of a published text becomes a later one.
+
+    Attributes
+    ----------
+    base : int
+        Revision that the first splice is applied to.
+    splices : tuple of (int, int, str)
+        Characters that are kept at the start and at the end of the text, and
+        what stands between them.
+    text_hash : int
+        Hash of the text after all splices.
+    """
+
+    name: str
+    revision: int
+    base: int
+    splices: tuple[tuple[int, int, str], ...]
+    text_hash: int
+
+
 class Exchange(Struct, frozen=True, array_like=True, tag="E"):
     """Tells what the sender knows and asks for what it lacks.
 
-    `sender_ip` and `sender_port` are the sender's control address.
+    `sender_ip` and `sender_port` are the sender's control address. Values are
+    sent whole to who doesn't say that it takes differences.
     """
 
     revision: int
     digest: int
     sender_ip: str
     sender_port: int
+    takes_differences: bool = False
 
 
 class Compare(Struct, frozen=True, array_like=True, tag="C"):
@@ -58,6 +81,8 @@
         Revision up to which `values` complete the asking process.
     refused : tuple of (str, int)
         Names and revisions of values that were refused.
+    differences : tuple of ValueDifference
+        Values beside the whole ones of `values`.
     """
 
     revision: int
@@ -67,6 +92,7 @@
     up_to: int
     values: tuple[PublishedValue, ...]
     refused: tuple[tuple[str, int], ...] = ()
+    differences: tuple[ValueDifference, ...] = ()
 
 
 Message = Exchange | Compare | Reply
--- a/lycheeglade/knowledge.py
+++ b/lycheeglade/knowledge.py
@@ -4,7 +4,14 @@
 
 from lycheeglade.blackboard import NEVER
 from lycheeglade.errors import OptionError
-from lycheeglade.gossip_message import Compare, Exchange, PublishedValue, Reply
+from lycheeglade.gossip_message import (
+    Compare,
+    Exchange,
+    PublishedValue,
+    Reply,
+    ValueDifference,
+)
+from lycheeglade.splice import Splice, apply_splices
 from lycheeglade.spread import (
     Changes,
     Snapshot,
@@ -13,7 +20,7 @@
     changes_after,
     values_that_differ,
 )
-from lycheeglade.value import Value
+from lycheeglade.value import Step, Value, hash_text
 
 MAX_REPLY_BYTES = 128 * 1024
 # Seconds between two comparisons that brought nothing new.
@@ -44,6 +51,7 @@
         self._pulled_up_to = 0
         self._goal = 0
         self._goal_at = now
+        self._needs_whole = False
 
     @property
     def complete(self) -> bool:
@@ -64,14 +72,16 @@
     def ask(self, sender_ip: str, sender_port: int) -> Exchange:
         """Return the request for changes that this process lacks."""
         after = max(self._pulled_up_to, self.snapshot.revision)
-        return Exchange(after, self.snapshot.digest, sender_ip, sender_port)
+        digest, takes_differences = self.snapshot.digest, not self._needs_whole
+        return Exchange(after, digest, sender_ip, sender_port, takes_differences)
 
     def answer(self, exchange: Exchange, fresh: bool, now: float) -> Reply:
         """Return the reply to a peer's request for changes."""
         if not self.complete or exchange.revision >= self.snapshot.revision:
             return self._reply(Changes(self.snapshot.revision), fresh, now)
         changes = changes_after(self.snapshot, exchange.revision, MAX_REPLY_BYTES)
-        return self._reply(changes, fresh, now)
+        known_up_to = exchange.revision if exchange.takes_differences else 0
+        return self._reply(changes, fresh, now, known_up_to)
 
     def answer_compare(self, compare: Compare, fresh: bool, now: float) -> Reply:
         """Return the reply to a peer whose digest differs."""
@@ -96,9 +106,13 @@
             Why values were refused.
         """
         revision, refused = self.snapshot.revision, dict(reply.refused)
-        step = advance(self.snapshot, _values_of(reply), revision, refused)
+        rebuilt = [self._rebuild(each) for each in reply.differences]
+        values = [*_values_of(reply), *(each for each in rebuilt if each is not None)]
+        step = advance(self.snapshot, values, revision, refused)
         self.snapshot = step.snapshot
-        if reply.revision > revision:
+        # A pull isn't complete without a value that couldn't be rebuilt.
+        self._needs_whole = None in rebuilt
+        if reply.revision > revision and not self._needs_whole:
             self._continue_pull(reply, after, now)
         self._confirm_by_peer(reply, now)
         return step.errors
@@ -152,7 +166,25 @@
         self._confirmed_at = max(self._confirmed_at, now)
         return True
 
-    def _reply(self, changes: Changes, fresh: bool, now: float) -> Reply:
+    def _rebuild(self, difference: ValueDifference) -> Value | None:
+        """Return the value that a difference leads to, None if it can't be."""
+        held = self.snapshot.values_by_name.get(difference.name)
+        if held is not None and held.revision >= difference.revision:
+            return held
+        if held is None or held.text is None or held.revision != difference.base:
+            return None
+        splices = [Splice(*each) for each in difference.splices]
+        text = apply_splices(held.text, splices)
+        if text is None or hash_text(text) != difference.text_hash:
+            return None
+        return Value(difference.name, difference.revision, text)
+
+    def _reply(
+        self, changes: Changes, fresh: bool, now: float, known_up_to: int = 0
+    ) -> Reply:
+        steps_by_name = {
+            value.name: value.steps_from(known_up_to) for value in changes.values
+        }
         return Reply(
             revision=self.snapshot.revision,
             digest=self.snapshot.digest,
@@ -162,8 +194,14 @@
             values=tuple(
                 PublishedValue(value.name, value.revision, value.text)
                 for value in changes.values
+                if not steps_by_name[value.name]
             ),
             refused=changes.refused,
+            differences=tuple(
+                _write_difference(value, steps_by_name[value.name])
+                for value in changes.values
+                if steps_by_name[value.name]
+            ),
         )
 
     def _continue_pull(self, reply: Reply, after: int, now: float) -> None:
@@ -188,6 +226,17 @@
             self._confirmed_at = max(self._confirmed_at, now - reply.age)
 
 
+def _write_difference(value: Value, steps: tuple[Step, ...]) -> ValueDifference:
+    splices = [step.splice for step in steps]
+    return ValueDifference(
+        value.name,
+        value.revision,
+        steps[0].base,
+        tuple((splice.head, splice.tail, splice.middle) for splice in splices),
+        hash_text(value.text),
+    )
+
+
 def _values_of(reply: Reply) -> list[Value]:
     return [Value(each.name, each.revision, each.text) for each in reply.values]
 
--- a/lycheeglade/value.py
+++ b/lycheeglade/value.py
@@ -4,6 +4,8 @@
 from re import compile as compile_pattern
 from zlib import compress, decompress
 
+from xxhash import xxh3_64_intdigest
+
 from lycheeglade.configuration import (
     HOSTS_PREFIX,
     SERVICE_PREFIX,
@@ -12,18 +14,31 @@
     parse_service,
 )
 from lycheeglade.errors import ConfigurationError, OptionError
+from lycheeglade.splice import Splice, find_splice
 from lycheeglade.view import Host, Service
 
 # Printable ASCII and no line that continues the one before.
 _PLAIN_TEXT = compile_pattern(r"(?:[!-~][ -~]*)?(?:\n(?:[!-~][ -~]*)?)*")
 
 COMPRESSION_LEVEL = 1
+# Shorter texts are passed on whole.
+MIN_SPLICED_CHARS = 2048
+# Earlier revisions from which a peer can be brought up to date by splices.
+MAX_STEPS = 16
 # A text may hold any code point that JSON or MessagePack lets through.
 _ERRORS = "surrogatepass"
 
 Content = Service | tuple[Host, ...] | None
 
 
+@dataclass(frozen=True, slots=True)
+class Step:
+    """How a text came from the revision `base` that was held before it."""
+
+    base: int
+    splice: Splice
+
+
 @dataclass(frozen=True, slots=True, init=False)
 class Value:
     """One revision of one published value.
@@ -38,15 +53,23 @@
     content : Service or tuple of Host or None
         What the text declares; None until `read_value` has read it, and for
         kinds of values that this version doesn't know.
+    steps : tuple of Step
+        The last ones of those that led to this revision, oldest first.
     """
 
     name: str
     revision: int
     packed: bytes | None = field(repr=False)
     content: Content = field(compare=False, repr=False)
+    steps: tuple[Step, ...] = field(compare=False, repr=False)
 
     def __init__(
-        self, name: str, revision: int, text: str | None, content: Content = None
+        self,
+        name: str,
+        revision: int,
+        text: str | None,
+        content: Content = None,
+        steps: tuple[Step, ...] = (),
     ):
         packed = text
         if text is not None:
@@ -55,6 +78,7 @@
         object.__setattr__(self, "revision", revision)
         object.__setattr__(self, "packed", packed)
         object.__setattr__(self, "content", content)
+        object.__setattr__(self, "steps", steps)
 
     @property
     def is_deletion(self) -> bool:
@@ -68,6 +92,18 @@
             return None
         return decompress(self.packed).decode(errors=_ERRORS)
 
+    def steps_from(self, revision: int) -> tuple[Step, ...]:
+        """Return the steps for a peer that knows all up to `revision`.
+
+        Returns
+        -------
+        tuple of Step
+            Empty if no earlier text is known that the peer may hold.
+        """
+        later = [step for step in self.steps if step.base > revision]
+        first = len(self.steps) - len(later) - 1
+        return self.steps[first:] if first >= 0 else ()
+
 
 def read_value(value: Value, known: Value | None = None) -> Value:
     """Return `value` with its content.
@@ -92,7 +128,13 @@
         content = _read_hosts(value, text, known)
     else:
         return value
-    return Value(value.name, value.revision, text, content)
+    steps = _find_steps(text, known)
+    return Value(value.name, value.revision, text, content, steps)
+
+
+def hash_text(text: str) -> int:
+    """Return a 64-bit hash by which a rebuilt text is checked."""
+    return xxh3_64_intdigest(text.encode(errors=_ERRORS))
 
 
 def refuse_value(value: Value, section: str, option: str, reason: str) -> None:
@@ -107,6 +149,19 @@
     raise ConfigurationError(f"{value.name} is invalid", [error])
 
 
+def _find_steps(text: str, known: Value | None) -> tuple[Step, ...]:
+    """Return the steps to `text`, none if it is best passed on whole."""
+    if known is None or known.content is None or len(text) < MIN_SPLICED_CHARS:
+        return ()
+    splice = find_splice(known.text, text)
+    if 2 * len(splice.middle) > len(text):
+        return ()
+    steps = (*known.steps, Step(known.revision, splice))[-MAX_STEPS:]
+    while 2 * sum(len(step.splice.middle) for step in steps) > len(text):
+        steps = steps[1:]
+    return steps
+
+
 def _read_service(value: Value, text: str) -> Service:
     service = parse_service(text, value.name, value.revision)
     if value.name != SERVICE_PREFIX + service.name:
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -1,8 +1,17 @@
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 import lycheeglade.knowledge
 import lycheeglade.spread
+from lycheeglade.gossip_message import (
+    Reply,
+    ValueDifference,
+    decode_message,
+    encode_message,
+)
 from lycheeglade.knowledge import RESTART_PULL_S, Knowledge
+from lycheeglade.splice import apply_splices, find_splice
 from lycheeglade.spread import Snapshot, advance
 from lycheeglade.value import Value
 
@@ -76,6 +85,73 @@
     assert restarted.snapshot.revision == 0
 
 
+def long_list(ports):
+    """Return a list of hosts that is long enough for differences."""
+    hosts = [
+        f"[host h{number}]\nrole = agent\nzone = f/a\n"
+        f"packets = 127.1.0.{number}:{port}\ncontrol = 127.1.0.{number}:9\n"
+        for number, port in enumerate(ports, 1)
+    ]
+    return "".join(hosts)
+
+
+def publish(knowledge, revision, ports):
+    knowledge.take_values([Value("hosts/f/a", revision, long_list(ports))])
+    assert knowledge.take_index(revision, knowledge.snapshot.revision, 0.0)
+
+
+def test_changes_of_a_long_list_travel_as_differences():
+    peer, asker = Knowledge(0.0), Knowledge(0.0)
+    publish(peer, 1, [1] * 40)
+    publish(asker, 1, [1] * 40)
+    publish(peer, 2, [1] * 20 + [2] + [1] * 19)
+    publish(peer, 3, [1] * 20 + [2] + [1] * 18)
+    reply, after = ask(asker, peer, 1.0)
+    assert [each.base for each in reply.differences] == [1]
+    assert not reply.values
+    assert len(encode_message(reply)) < 300
+    assert not asker.take_reply(reply, after, 1.0)
+    assert asker.snapshot == peer.snapshot
+
+
+@pytest.mark.parametrize("held", [[3] * 40, [1] * 39])
+def test_difference_to_another_text_is_replaced_by_the_whole_one(held):
+    peer, asker = Knowledge(0.0), Knowledge(0.0)
+    publish(peer, 1, [1] * 40)
+    publish(peer, 3, [1] * 20 + [2] + [1] * 19)
+    publish(asker, 2 if held[0] == 3 else 1, held)
+    asker.take_reply(*ask(asker, peer, 1.0), 1.0)
+    assert asker.snapshot.revision < 3
+    reply, after = ask(asker, peer, 1.0)
+    assert reply.values
+    asker.take_reply(reply, after, 1.0)
+    assert asker.snapshot == peer.snapshot
+
+
+numbers = st.integers(-5, 10_000)
+
+
+@given(
+    st.integers(0, 4),
+    st.lists(st.tuples(numbers, numbers, st.text(max_size=5)), max_size=4),
+    st.integers(0, 2**64 - 1),
+)
+def test_no_difference_of_a_peer_raises_or_changes_anything(base, splices, text_hash):
+    asker = Knowledge(0.0)
+    publish(asker, 3, [1] * 40)
+    before = asker.snapshot
+    difference = ValueDifference("hosts/f/a", 4, base, tuple(splices), text_hash)
+    reply = Reply(4, 0, True, 0.0, 4, (), (), (difference,))
+    asker.take_reply(decode_message(encode_message(reply)), 3, 1.0)
+    assert asker.snapshot == before
+    assert not asker.ask("127.0.0.1", 1).takes_differences
+
+
+@given(st.text("ab\n", max_size=30), st.text("ab\n", max_size=30))
+def test_splice_turns_one_text_into_the_other(old, new):
+    assert apply_splices(old, [find_splice(old, new)]) == new
+
+
 def test_value_older_than_a_forgotten_deletion_is_not_taken(monkeypatch):
     monkeypatch.setattr(lycheeglade.spread, "MAX_VALUES", 1)
     deletions = [Value("hosts/f/a", 2, None), Value("hosts/f/b", 3, None)]
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -12,6 +12,7 @@
 
 import lycheeglade.knowledge
 import lycheeglade.spread
+import lycheeglade.value
 from lycheeglade.address import Address, Zone
 from lycheeglade.gossip_message import decode_message, encode_message
 from lycheeglade.knowledge import COMPARE_S, Knowledge
@@ -27,11 +28,12 @@
 processes = st.sampled_from(PROCESSES)
 
 
-def valid_text(name: str) -> str:
+def valid_text(name: str, revision: int = 1) -> str:
     zone = name.removeprefix("hosts/")
     return (
         f"[host a]\nrole = agent\nzone = {zone}\n"
-        "packets = 127.1.0.1:1\ncontrol = 127.1.0.1:2\n"
+        f"packets = 127.1.0.1:{1 + revision % 2}\n"
+        f"control = 127.1.0.1:{1 + revision // 2}\n"
     )
 
 
@@ -66,8 +68,9 @@
 
     @rule(name=names, kind=st.sampled_from(["valid", "invalid", "deleted"]))
     def publish(self, name, kind):
-        texts = {"valid": valid_text(name), "invalid": "[host a]\n", "deleted": None}
         revision = len(self.platform.changes) + 1
+        valid = valid_text(name, revision)
+        texts = {"valid": valid, "invalid": "[host a]\n", "deleted": None}
         self.platform.changes.append(Value(name, revision, texts[kind]))
 
     @rule(mode=st.sampled_from(["ok", "down", "stale", "old"]))
@@ -129,6 +132,14 @@
         self.publish(name, kind)
         self.finish_read(process)
 
+    @precondition(lambda self: not self.platform.down)
+    @rule(readers=st.lists(processes, min_size=2, max_size=4))
+    def read_in_turn(self, readers):
+        """Each process reads a later revision of one name."""
+        for process in readers:
+            self.publish(NAMES[0], "valid")
+            self.read(process)
+
     @rule(asker=processes, peer=processes, late=st.booleans())
     def exchange(self, asker, peer, late):
         if asker == peer or self.sides[asker] != self.sides[peer]:
@@ -235,6 +246,7 @@
 def test_processes_never_go_back_and_converge(monkeypatch):
     monkeypatch.setattr(lycheeglade.knowledge, "MAX_REPLY_BYTES", 50)
     monkeypatch.setattr(lycheeglade.knowledge, "RESTART_PULL_S", 1.0)
+    monkeypatch.setattr(lycheeglade.value, "MIN_SPLICED_CHARS", 1)
     monkeypatch.setattr(lycheeglade.knowledge, "RESTART_PULL_S", 1.0)
     run_state_machine_as_test(SpreadMachine, settings=settings(max_examples=400))
 
