Compare watched peers as sets

Cause: a profile of a balancer that takes a view without one target shows half of the time in the loops of Membership.watch over 36,000 peers, and a third in joining the agents of all services.

Change: the peers that came and went are set differences. The capacity page measures the removal of a target, the dearer of the two kinds of change, and no longer one that only makes it leave.

Joining the agents of all services remains.

--- a/bench/capacity_measures.py
+++ b/bench/capacity_measures.py
@@ -48,7 +48,7 @@
 from lycheeglade.spread import Snapshot, advance, build_view
 from lycheeglade.transport import DatagramSocket
 from lycheeglade.value import Value
-from lycheeglade.view import State, View
+from lycheeglade.view import View
 from lycheeglade.watch import WATCHERS
 
 BATCHES = 6
@@ -240,11 +240,10 @@
 
 
 def make_next_view(view: View) -> View:
-    """Return the view after one target of one service began to leave."""
+    """Return the view after one target of one service was removed."""
     name, service = next(iter(view.services_by_name.items()))
     targets_by_id = dict(service.targets_by_id)
-    target_id, target = next(iter(targets_by_id.items()))
-    targets_by_id[target_id] = replace(target, state=State.LEAVING)
+    del targets_by_id[next(iter(targets_by_id))]
     changed = replace(service, targets_by_id=targets_by_id)
     services = {**view.services_by_name, name: changed}
     return replace(view, services_by_name=services)
--- a/lycheeglade/membership.py
+++ b/lycheeglade/membership.py
@@ -118,7 +118,7 @@
     def watch(self, peers: Collection[Hashable]) -> None:
         """Make `peers` all the peers there are; the others are forgotten."""
         watched = frozenset(peers)
-        self.forget([peer for peer in self._peers if peer not in watched])
+        self.forget(set(self._peers).difference(watched))
         # Sorted, since the order of a set differs between two processes.
         for peer in sorted(watched.difference(self._peers)):
             self._peers[peer] = _Peer()
