Tell peers that were heard lately of news first

Cause: with 30% of the listed peers dead, three pushes in ten wait a second for a dead peer before they go to another one.

Change: peers that answered a request of this process within 60 s are pushed to before others; a silent one leaves the list. Only answers to own requests count, since a request's sender isn't verified. The model has both cases, dead for longer than that and dead since just before the change.

--- a/bench/capacity_measures.py
+++ b/bench/capacity_measures.py
@@ -342,9 +342,11 @@
     return min(cpu), min(wire)
 
 
-def spread_seconds(processes: int, dead: float = DEAD) -> float:
+def spread_seconds(
+    processes: int, dead: float = DEAD, known_dead: bool = False
+) -> float:
     """Return seconds until a change is known everywhere, in the model."""
-    return _spread(processes, dead).all
+    return _spread(processes, dead, known_dead).all
 
 
 def spread_messages(processes: int) -> float:
@@ -353,8 +355,8 @@
 
 
 @cache
-def _spread(processes: int, dead: float):
-    fleet = Fleet(processes, spread.ZONES, PUSH_FANOUT, WATCHERS, dead)
+def _spread(processes: int, dead: float, known_dead: bool = False):
+    fleet = Fleet(processes, spread.ZONES, PUSH_FANOUT, WATCHERS, dead, known_dead)
     return spread_times(fleet, 1)
 
 
--- a/lycheeglade/gossip.py
+++ b/lycheeglade/gossip.py
@@ -42,8 +42,10 @@
 from lycheeglade.view import View
 from lycheeglade.watch import (
     FRESH_S,
+    HeardPeers,
     Rank,
     ReadBudget,
+    choose_heard_peers,
     choose_peers,
     is_watcher,
     list_peers,
@@ -120,6 +122,7 @@
         self._knowledge = Knowledge(monotonic())
         self._budget = ReadBudget()
         self._peers = list_peers(settings, blackboard.view.value)
+        self._heard = HeardPeers()
         self._rank = Rank()
         self._published = (0, 0)
         self._news = Event()
@@ -167,16 +170,20 @@
             while True:
                 await self._news.wait()
                 self._news.clear()
-                for peer in choose_peers(self._peers, PUSH_FANOUT, self._random):
+                for peer in self._choose_heard(PUSH_FANOUT):
                     pushes.create_task(self._push_to(peer))
                 await sleep(self._random.uniform(0.5, 1.0) * PUSH_PAUSE_S)
 
     async def _push_to(self, peer: Address) -> None:
         """Tell `peer`, or another one in its place if it is silent."""
         if not await self._talk_to(peer):
-            for other in choose_peers(self._peers, 1, self._random):
+            for other in self._choose_heard(1):
                 await self._talk_to(other)
 
+    def _choose_heard(self, count: int) -> list[Address]:
+        heard = self._heard.list(monotonic())
+        return choose_heard_peers(self._peers, heard, count, self._random)
+
     async def watch_platform(self) -> None:
         """Watch the platform while this process is one of its watchers."""
         failures = 0
@@ -242,8 +249,10 @@
             request = self._knowledge.ask(*self._settings.control)
             reply = await ask_peer(peer, request)
             if reply is None:
+                self._heard.forget(peer)
                 return False
             now = monotonic()
+            self._heard.note(peer, now)
             self._publish(self._knowledge.take_reply(reply, request.revision, now))
             if not self._knowledge.is_behind(reply.revision):
                 break
--- a/lycheeglade/watch.py
+++ b/lycheeglade/watch.py
@@ -1,6 +1,6 @@
 """Which processes read the platform, how often, and which peers to ask."""
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 from random import Random
 
@@ -24,6 +24,9 @@
 FRESH_S = 6.0
 READS_PER_S = 20.0
 READ_BURST = 40.0
+# Peers that answered within that time are told of news before all others.
+HEARD_S = 60.0
+MAX_HEARD = 256
 
 
 def view_is_fresh(checked_at: float, now: float) -> bool:
@@ -181,5 +184,42 @@
     return chosen
 
 
+def choose_heard_peers(
+    peers: Peers, heard: Collection[Address], count: int, random: Random
+) -> list[Address]:
+    """Return up to `count` random peers, those in `heard` before any other."""
+    near = tuple(address for address in peers.near if address in heard)
+    far = tuple(address for address in peers.far if address in heard)
+    chosen = choose_peers(Peers(near, far), count, random)
+    others = choose_peers(peers, count, random)
+    chosen += [address for address in others if address not in chosen]
+    return chosen[:count]
+
+
+class HeardPeers:
+    """Peers that answered a request of this process lately.
+
+    At `MAX_HEARD` the one that was silent longest is forgotten.
+    """
+
+    def __init__(self):
+        self._heard_at: dict[Address, float] = {}
+
+    def note(self, peer: Address, now: float) -> None:
+        """Note an answer of `peer`."""
+        self._heard_at.pop(peer, None)
+        self._heard_at[peer] = now
+        if len(self._heard_at) > MAX_HEARD:
+            del self._heard_at[next(iter(self._heard_at))]
+
+    def forget(self, peer: Address) -> None:
+        """Note that `peer` did not answer."""
+        self._heard_at.pop(peer, None)
+
+    def list(self, now: float) -> set[Address]:
+        """Return the peers that were heard within `HEARD_S`."""
+        return {peer for peer, at in self._heard_at.items() if now - at < HEARD_S}
+
+
 def _hash_watcher(host_id: str) -> int:
     return xxh3_64_intdigest(f"watch\0{host_id}".encode())
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -8,11 +8,16 @@
 from lycheeglade.view import Host, Role, View
 from lycheeglade.watch import (
     FRESH_S,
+    HEARD_S,
+    MAX_HEARD,
     RETRIES_PER_S,
     TAKEOVER_S,
     WATCHERS,
+    HeardPeers,
+    Peers,
     Rank,
     ReadBudget,
+    choose_heard_peers,
     choose_peers,
     is_watcher,
     list_peers,
@@ -84,6 +89,30 @@
     assert len(set(chosen)) == 4
 
 
+def test_news_go_first_to_peers_that_were_heard_lately():
+    addresses = [Address("127.9.0.1", port) for port in range(1, 21)]
+    peers = Peers(tuple(addresses[:10]), tuple(addresses[10:]))
+    heard = HeardPeers()
+    for number in (0, 3, 12, 15):
+        heard.note(addresses[number], 10.0)
+    heard.note(addresses[7], 10.0 - HEARD_S)
+    heard.forget(addresses[3])
+    lively = heard.list(10.0)
+    assert lively == {addresses[0], addresses[12], addresses[15]}
+    for count in (1, 2, 6, 20):
+        chosen = choose_heard_peers(peers, lively, count, Random(count))
+        assert len(set(chosen)) == len(chosen) == count
+        assert len(lively.intersection(chosen)) == min(count, len(lively))
+
+
+def test_peers_that_were_heard_are_bounded():
+    heard = HeardPeers()
+    for port in range(MAX_HEARD + 5):
+        heard.note(Address("127.9.0.1", port), 1.0)
+    assert len(heard.list(1.0)) == MAX_HEARD
+    assert Address("127.9.0.1", 4) not in heard.list(1.0)
+
+
 def test_view_is_not_fresh_after_a_pause():
     assert view_is_fresh(100.0, 100.0 + FRESH_S / 2)
     assert not view_is_fresh(100.0, 100.0 + FRESH_S)
