Push most news within the own zone

Cause: an agent is told of news by its own zone alone, since only balancers are asked across zones. With half of six pushes to other zones three reach it on average, and one agent in twenty, e to the minus three, is missed and waits for rounds of two seconds and their dead peers.

Change: five of six pushes go to the own zone, to peers that were heard lately first. Rounds still ask both halves alike.

--- a/bench/epidemic.py
+++ b/bench/epidemic.py
@@ -4,6 +4,8 @@
 from heapq import heappop, heappush
 from random import Random
 
+from lycheeglade.watch import PUSH_NEAR_SHARE
+
 ROUND_S = (1.5, 2.5)
 # From the news at one process to the news at the peer that it was pushed to:
 # a push, and a pull back, each with a new connection.
@@ -69,7 +71,7 @@
                     at += TIMEOUT_S
                     if random.random() < dead_pushed:
                         continue
-                peer = _choose_peer(fleet, process, random)
+                peer = _choose_peer(fleet, process, random, PUSH_NEAR_SHARE)
                 heappush(events, (at, peer, True))
             continue
         messages += 2
@@ -88,9 +90,11 @@
     )
 
 
-def _choose_peer(fleet: Fleet, process: int, random: Random) -> int:
-    """Return one of the own zone, or a balancer of any zone, evenly."""
-    if random.random() < 0.5:
+def _choose_peer(
+    fleet: Fleet, process: int, random: Random, near_share: float = 0.5
+) -> int:
+    """Return one of the own zone, or a balancer of any zone."""
+    if random.random() < near_share:
         zone = process % fleet.zones
         return zone + fleet.zones * random.randrange(fleet.processes // fleet.zones)
     balancer = random.randrange(max(1, fleet.processes // BALANCERS_IN))
--- a/lycheeglade/watch.py
+++ b/lycheeglade/watch.py
@@ -27,6 +27,8 @@
 # Peers that answered within that time are told of news before all others.
 HEARD_S = 60.0
 MAX_HEARD = 256
+# Agents are told of news by their own zone alone, balancers by all zones.
+PUSH_NEAR_SHARE = 5 / 6
 
 
 def view_is_fresh(checked_at: float, now: float) -> bool:
@@ -173,9 +175,11 @@
     return Peers(tuple(sorted(near - own)), tuple(sorted(far - near - own)))
 
 
-def choose_peers(peers: Peers, count: int, random: Random) -> list[Address]:
-    """Return up to `count` random peers, about half of them near ones."""
-    wanted = count // 2 + random.randint(0, count % 2)
+def choose_peers(
+    peers: Peers, count: int, random: Random, near_share: float = 0.5
+) -> list[Address]:
+    """Return up to `count` random peers, a share of them near ones."""
+    wanted = int(count * near_share + random.random())
     from_near = min(len(peers.near), max(wanted, count - len(peers.far)))
     from_far = min(len(peers.far), count - from_near)
     chosen = random.sample(peers.near, from_near)
@@ -187,11 +191,14 @@
 def choose_heard_peers(
     peers: Peers, heard: Collection[Address], count: int, random: Random
 ) -> list[Address]:
-    """Return up to `count` random peers, those in `heard` before any other."""
+    """Return up to `count` random peers, those in `heard` before any other.
+
+    As many as `PUSH_NEAR_SHARE` are near ones.
+    """
     near = tuple(address for address in peers.near if address in heard)
     far = tuple(address for address in peers.far if address in heard)
-    chosen = choose_peers(Peers(near, far), count, random)
-    others = choose_peers(peers, count, random)
+    chosen = choose_peers(Peers(near, far), count, random, PUSH_NEAR_SHARE)
+    others = choose_peers(peers, count, random, PUSH_NEAR_SHARE)
     chosen += [address for address in others if address not in chosen]
     return chosen[:count]
 
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -4,6 +4,7 @@
 from hypothesis import strategies as st
 
 from lycheeglade.address import Address, Zone
+from lycheeglade.gossip import PUSH_FANOUT
 from lycheeglade.settings import Settings
 from lycheeglade.view import Host, Role, View
 from lycheeglade.watch import (
@@ -105,6 +106,19 @@
         assert len(lively.intersection(chosen)) == min(count, len(lively))
 
 
+def test_news_go_to_the_own_zone_and_to_another():
+    hosts = make_hosts(4, 30)
+    own = hosts["host-1"]
+    addresses = (own.packets, own.control, own.control)
+    settings = Settings(own.role, own.host_id, own.zone, *addresses, "")
+    peers = list_peers(settings, View(hosts_by_id=hosts))
+    heard = {*peers.near, *peers.far}
+    for seed in range(20):
+        chosen = choose_heard_peers(peers, heard, PUSH_FANOUT, Random(seed))
+        near = len(set(chosen) & set(peers.near))
+        assert PUSH_FANOUT > near > PUSH_FANOUT / 2
+
+
 def test_peers_that_were_heard_are_bounded():
     heard = HeardPeers()
     for port in range(MAX_HEARD + 5):
