Measure handoffs and delegated requests by number

Cause: the capacity page had no processor time for either.

Change: bench.handoff runs the agents of one service in virtual time, with all packets encoded, counted and decoded. The slopes stand in the page's table, and the work of a target that leaves is worked out from them.

--- a/bench/capacity_slopes.py
+++ b/bench/capacity_slopes.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from bench import agent, spread, tickets
+from bench import agent, handoff, spread, tickets
 from bench import capacity_measures as measures
 from bench.fit import Line, fit_line
 
@@ -131,6 +131,43 @@
             FLOWS,
             measures.moves_ms,
         ),
+        "handoff": (
+            "CPU of both agents by flows handed over with a feed",
+            "handoff",
+            "ms",
+            TRACED_FLOWS,
+            lambda n: measures.least(lambda m: handoff.measure_handoffs(m).cpu_ms, n),
+        ),
+        "handoff_bytes": (
+            "bytes by flows handed over with a feed",
+            "handoff",
+            "B",
+            TRACED_FLOWS,
+            lambda n: handoff.measure_handoffs(n).sent_bytes,
+        ),
+        "handoff_time": (
+            "time to hand flows over, packets arriving at once (virtual)",
+            "handoff",
+            "s",
+            TRACED_FLOWS,
+            lambda n: handoff.measure_handoffs(n).seconds,
+        ),
+        "delegation": (
+            "CPU of both agents by delegated requests",
+            "handoff",
+            "ms",
+            TRACED_FLOWS,
+            lambda n: measures.least(
+                lambda m: handoff.measure_delegations(m).cpu_ms, n
+            ),
+        ),
+        "delegation_bytes": (
+            "bytes by delegated requests",
+            "handoff",
+            "B",
+            TRACED_FLOWS,
+            lambda n: handoff.measure_delegations(n).sent_bytes,
+        ),
         "notice": (
             "bytes of a home notice by flows",
             "capacity",
--- a/bench/capacity_tables.py
+++ b/bench/capacity_tables.py
@@ -213,7 +213,12 @@
         (
             "Restarts and replacements",
             f"{number(moves)} flows handed off a second in the fleet, "
-            f"{number(size.FLOWS_PER_TARGET)} at each target that leaves",
+            f"{number(size.FLOWS_PER_TARGET)} at each target that leaves: "
+            f"{number(work.at('handoff', size.FLOWS_PER_TARGET) / 1e3)} s of "
+            f"processor time of it and its successors and "
+            f"{number(work.at('handoff_bytes', size.FLOWS_PER_TARGET))} B, in "
+            f"{number(work.at('handoff_time', size.FLOWS_PER_TARGET))} s or "
+            "longer",
         ),
         (
             "A host fails",
--- /dev/null
+++ b/bench/handoff.py
@@ -0,0 +1,236 @@
+"""Cost of handing flows to a successor and requests to a peer.
+
+Usage: ``python -m bench.handoff``. The agents of one service run in this
+process in virtual time; packets are encoded, counted and decoded, and arrive
+at once. Processor time is that of all agents together.
+"""
+
+from collections import Counter, deque
+from dataclasses import dataclass
+from random import Random
+from time import process_time
+
+from bench.agent import (
+    BALANCER,
+    HERE,
+    TARGETS,
+    Upstream,
+    make_forward,
+    make_request,
+    make_view,
+)
+from bench.fit import report
+from lycheeglade.address import Address
+from lycheeglade.agent import (
+    make_agent,
+    receive_datagram,
+    receive_from_upstream,
+    tick,
+    update_view,
+)
+from lycheeglade.agent_state import Agent, AgentActions
+from lycheeglade.packet import encode_packet
+from lycheeglade.served_target import TargetKey
+
+FLOWS = (250, 500, 1000)
+TICK_S = 0.05
+TIME_LIMIT_S = 300.0
+# Peers are asked only if a request takes longer than the way to them.
+SERVICE_S = 0.02
+GAP_S = 0.002
+
+
+@dataclass(frozen=True, slots=True)
+class Cost:
+    """What so many flows or requests took.
+
+    Attributes
+    ----------
+    cpu_ms : float
+        Processor milliseconds of all agents.
+    sent_bytes : int
+        Bytes of the packets between agents, without their headers.
+    packets : int
+        Packets between agents.
+    seconds : float
+        Virtual seconds until the last one was done.
+    done : int
+        Flows that moved, or requests that a peer answered.
+    """
+
+    cpu_ms: float
+    sent_bytes: int
+    packets: int
+    seconds: float
+    done: int
+
+
+class Fleet:
+    """The agents of one service and the packets between them."""
+
+    def __init__(self):
+        self.agents_by_address: dict[Address, Agent] = {}
+        self.upstreams_by_target: dict[str, Upstream] = {}
+        self.datagrams: deque[tuple[Address, Address, bytes]] = deque()
+        self.lengths_by_kind: dict[str, list[int]] = {}
+        self.counts: Counter[tuple[str, str]] = Counter()
+        for number in range(TARGETS):
+            self._add_agent(number)
+        self.take_view(make_view(), 0.0)
+
+    def _add_agent(self, number: int) -> None:
+        address = Address(f"127.2.0.{number + 1}", 7100)
+        upstream = Upstream()
+        upstream_actions = upstream.actions()
+        actions = AgentActions(
+            send=lambda to, packet: self._send(address, to, packet),
+            send_upstream=upstream_actions.send_upstream,
+            close_upstream=upstream_actions.close_upstream,
+            count=lambda name, service, cause: self.counts.update([(name, cause)]),
+            record=upstream_actions.record,
+        )
+        self.upstreams_by_target[f"t{number}"] = upstream
+        self.agents_by_address[address] = make_agent(
+            f"h{number}", HERE, actions, Random(number), 100_000, 0.0
+        )
+
+    def take_view(self, view, now: float) -> None:
+        """Put a view in force at all agents."""
+        for agent in self.agents_by_address.values():
+            update_view(agent, view, now)
+
+    def home(self) -> Agent:
+        """Return the agent of the first target."""
+        return next(iter(self.agents_by_address.values()))
+
+    def receive(self, number: int, message_id: int, now: float, *, feed: bool) -> None:
+        """Give a caller's request to the home."""
+        packet = make_forward(number, make_request(message_id, feed=feed))
+        receive_datagram(self.home(), encode_packet(packet), BALANCER, now)
+
+    def settle(self, now: float, busy: tuple[str, ...] = ()) -> None:
+        """Deliver all packets and answers; `busy` targets don't answer."""
+        while self.datagrams or self._answer(now, busy):
+            while self.datagrams:
+                source, address, datagram = self.datagrams.popleft()
+                agent = self.agents_by_address[address]
+                receive_datagram(agent, datagram, source, now)
+
+    def tick(self, now: float) -> None:
+        """Run what is due at all agents."""
+        for agent in self.agents_by_address.values():
+            tick(agent, now)
+
+    def _send(self, source: Address, to: Address, packet) -> None:
+        if to in self.agents_by_address:
+            datagram = encode_packet(packet)
+            kind = type(packet).__name__
+            self.lengths_by_kind.setdefault(kind, []).append(len(datagram))
+            self.datagrams.append((source, to, datagram))
+
+    def _answer(self, now: float, busy: tuple[str, ...]) -> bool:
+        answered = False
+        for agent, (name, upstream) in zip(
+            self.agents_by_address.values(),
+            self.upstreams_by_target.items(),
+            strict=True,
+        ):
+            if name in busy:
+                continue
+            answers, upstream.answers = upstream.answers, []
+            for answer in answers:
+                key = TargetKey("booth-sync", name)
+                receive_from_upstream(agent, key, None, answer, now)
+                answered = True
+        return answered
+
+
+def open_fleet(
+    flows: int, *, feed: bool, service_s: float = 0.0
+) -> tuple[Fleet, float]:
+    """Return a fleet and the time; its first target is home of all flows."""
+    fleet = Fleet()
+    now = 0.01
+    for number in range(flows):
+        fleet.receive(number, 1, now, feed=feed)
+        now += service_s
+        fleet.settle(now)
+    return fleet, now
+
+
+def flows_at_home(fleet: Fleet) -> int:
+    """Return the flows that live at the first target."""
+    key = TargetKey("booth-sync", "t0")
+    served = fleet.home().served_by_key.get(key)
+    return 0 if served is None else len(served.records_by_flow)
+
+
+def measure_handoffs(flows: int) -> Cost:
+    """Return the cost of moving so many flows with a feed.
+
+    Raises
+    ------
+    ValueError
+        If not all of them moved.
+    """
+    fleet, begun_at = open_fleet(flows, feed=True)
+    held = flows_at_home(fleet)
+    fleet.lengths_by_kind.clear()
+    now = begun_at
+    started_at = process_time()
+    fleet.take_view(make_view(2, leaving="t0"), now)
+    fleet.settle(now)
+    while flows_at_home(fleet) and now - begun_at < TIME_LIMIT_S:
+        now += TICK_S
+        fleet.tick(now)
+        fleet.settle(now)
+    cpu_ms = (process_time() - started_at) * 1e3
+    if held < flows or flows_at_home(fleet):
+        raise ValueError(f"{flows_at_home(fleet)} of {held} flows didn't move")
+    lengths = [n for k, ns in fleet.lengths_by_kind.items() for n in ns if "Hand" in k]
+    return Cost(cpu_ms, sum(lengths), len(lengths), now - begun_at, held)
+
+
+def measure_delegations(requests: int) -> Cost:
+    """Return the cost of so many requests that reach a home without slots.
+
+    Raises
+    ------
+    ValueError
+        If a peer was asked for less than half of them.
+    """
+    fleet, begun_at = open_fleet(requests, feed=False, service_s=SERVICE_S)
+    now = begun_at
+    fleet.receive(0, 2, now, feed=False)
+    fleet.settle(now, ("t0",))
+    fleet.lengths_by_kind.clear()
+    started_at = process_time()
+    for number in range(requests):
+        fleet.receive(number, 3, now, feed=False)
+        now += GAP_S
+        fleet.settle(now, ("t0",))
+    cpu_ms = (process_time() - started_at) * 1e3
+    lengths = fleet.lengths_by_kind
+    delegated = len(lengths.get("DelegateReply", ()))
+    if 2 * delegated < requests:
+        raise ValueError(f"only {delegated} of {requests} were delegated")
+    sent = [n for k in ("Delegate", "DelegateReply") for n in lengths[k]]
+    return Cost(cpu_ms, sum(sent), len(sent), now - begun_at, delegated)
+
+
+def main() -> None:
+    """Print the slopes."""
+    for name, measure in (
+        ("handed-over flows with a feed", measure_handoffs),
+        ("delegated requests", measure_delegations),
+    ):
+        costs = [measure(flows) for flows in FLOWS]
+        done = [cost.done for cost in costs]
+        report(f"CPU of {name} (ms)", done, [cost.cpu_ms for cost in costs])
+        report(f"bytes of {name}", done, [cost.sent_bytes for cost in costs])
+        report(f"packets of {name}", done, [cost.packets for cost in costs])
+        report(f"virtual seconds of {name}", done, [cost.seconds for cost in costs])
+
+
+if __name__ == "__main__":
+    main()
