--- a/tests/relayed.py
+++ b/tests/relayed.py
@@ -4,10 +4,11 @@
 from socket import AF_INET, SOCK_DGRAM, socket
 
 from demo.cluster import COMMAND_TIMEOUT_S, Cluster
-from demo.deployment import PACKETS_PORT
+from demo.deployment import VALUES
 
 RELAY = "relay"
-RELAY_PORT = PACKETS_PORT + 50
+PACKETS_PORT = 7100
+RELAY_PORT = 7150
 ANY = "*"
 
 
@@ -16,8 +17,10 @@
 
     def start_platform(self) -> None:
         """Start the relay, then the platform with the relay's addresses."""
-        for path in (self.folder / "values").rglob("*.ini"):
+        for path in (self.folder / VALUES).rglob("*.ini"):
             path.write_text(name_relay(path.read_text()))
+        settings = self.deployment.settings_by_host.values()
+        assert {each.packets.port for each in settings} == {PACKETS_PORT}
         self.processes.start(
             RELAY,
             "demo.relay",
--- a/tests/test_cuts.py
+++ b/tests/test_cuts.py
@@ -39,9 +39,9 @@
     target = run.deployment.targets[0]
     lived_there = await run.feeds_at(target.host_id)
     if direction != "to balancer":
-        run.cluster.cut(balancer.ip, target.ip)
+        run.cluster.cut(balancer.ip, target.agent.ip)
     if direction != "to agent":
-        run.cluster.cut(target.ip, balancer.ip)
+        run.cluster.cut(target.agent.ip, balancer.ip)
     await sleep(CUT_S)
     dropped = run.cluster.command_relay("counters")["counters"]["dropped"]
     assert dropped > 0
@@ -53,8 +53,8 @@
     target = run.deployment.targets[0]
     lived_there = await run.feeds_at(target.host_id)
     for balancer in run.deployment.balancers:
-        run.cluster.cut(balancer.ip, target.ip)
-        run.cluster.cut(target.ip, balancer.ip)
+        run.cluster.cut(balancer.ip, target.agent.ip)
+        run.cluster.cut(target.agent.ip, balancer.ip)
     await sleep(CUT_S)
     report = await finish_healed(run)
     check_unplanned(run, report, broken_feeds=lived_there)
@@ -63,8 +63,8 @@
 async def test_agent_cut_from_everything(run):
     target = run.deployment.targets[0]
     lived_there = await run.feeds_at(target.host_id)
-    run.cluster.cut(ANY, target.ip)
-    run.cluster.cut(target.ip, ANY)
+    run.cluster.cut(ANY, target.agent.ip)
+    run.cluster.cut(target.agent.ip, ANY)
     await sleep(CUT_S)
     report = await finish_healed(run)
     check_unplanned(run, report, broken_feeds=lived_there)
@@ -72,8 +72,8 @@
 
 async def test_agents_cut_from_each_other(run):
     first, second = run.deployment.targets[:2]
-    run.cluster.cut(first.ip, second.ip)
-    run.cluster.cut(second.ip, first.ip)
+    run.cluster.cut(first.agent.ip, second.agent.ip)
+    run.cluster.cut(second.agent.ip, first.agent.ip)
     await sleep(CUT_S)
     report = await finish_healed(run)
     lived_there = report.feeds
@@ -89,8 +89,8 @@
 
 async def test_slow_path_to_one_agent(run):
     target = run.deployment.targets[0]
-    run.cluster.harm(ANY, target.ip, delay=0.4)
-    run.cluster.harm(target.ip, ANY, delay=0.4)
+    run.cluster.harm(ANY, target.agent.ip, delay=0.4)
+    run.cluster.harm(target.agent.ip, ANY, delay=0.4)
     await sleep(CUT_S)
     report = await finish_healed(run)
     check_unplanned(run, report, broken_feeds=0)
--- a/tests/test_double_faults.py
+++ b/tests/test_double_faults.py
@@ -39,7 +39,7 @@
     await sleep(DEAD_S)
     for host in (balancer, target):
         run.processes.restart(host.host_id)
-        await run.cluster.wait_listening(host.host_id, host.ip)
+        await run.cluster.wait_listening(host.host_id)
     run.cluster.command_fabric("add", ip=balancer.ip)
     await sleep(BACK_S)
     report = await run.finish(UNPLANNED_SETTLE_S)
@@ -75,7 +75,7 @@
             run.kill_host(host.host_id)
     for host in (balancer, target):
         run.processes.restart(host.host_id)
-        await run.cluster.wait_listening(host.host_id, host.ip)
+        await run.cluster.wait_listening(host.host_id)
     run.cluster.command_fabric("add", ip=balancer.ip)
     await sleep(BACK_S)
     report = await run.finish(UNPLANNED_SETTLE_S)
@@ -90,7 +90,7 @@
 async def test_platform_killed_while_a_change_spreads(run):
     service = run.deployment.services[0]
     for weight in (1.5, 1.1, 1.9):
-        first = replace(service.targets[0], speed=weight)
+        first = replace(service.targets[0], weight=weight)
         changed = replace(service, targets=(first, *service.targets[1:]))
         revision = await run.cluster.publish_service(changed)
         run.processes.kill(PLATFORM)
--- a/tests/test_lying_upstreams.py
+++ b/tests/test_lying_upstreams.py
@@ -55,7 +55,7 @@
 async def test_full_upstream_that_says_it_is_free(run):
     target = run.deployment.targets[0]
     before = await count_unserved(run, others(run, target))
-    speed = f"{SLOWDOWN * target.speed:g}"
+    speed = f"{SLOWDOWN * target.weight:g}"
     await run.command_upstream(
         target, POST, "fault", speed=speed, lies="1", load="0", lag="120"
     )
