Look less often for what is due while no caller's work is here

Change: 10 ticks a second while an agent has no flow and no request, and while a balancer has heard no caller for a second.

A timer that begins at rest may be up to 0.1 s late.

--- a/lycheeglade/agent_daemon.py
+++ b/lycheeglade/agent_daemon.py
@@ -8,7 +8,12 @@
 
 from lycheeglade.address import Address
 from lycheeglade.agent import make_agent, work_left
-from lycheeglade.agent_state import BALANCER_FRESH_S, Agent, AgentActions
+from lycheeglade.agent_state import (
+    BALANCER_FRESH_S,
+    Agent,
+    AgentActions,
+    is_idle,
+)
 from lycheeglade.blackboard import Blackboard
 from lycheeglade.daemon import ProcessParts, run_process
 from lycheeglade.flow import FlowKey
@@ -161,6 +166,7 @@
             **describe(agent, settings),
             "unsent_datagrams": peers.dropped + upstreams.dropped,
         },
+        is_idle=lambda: is_idle(agent),
     )
     try:
         return await run_process(settings, blackboard, metrics, parts, logger)
--- a/lycheeglade/agent_state.py
+++ b/lycheeglade/agent_state.py
@@ -122,6 +122,14 @@
         return next(self.numbers)
 
 
+def is_idle(agent: Agent) -> bool:
+    """Tell whether no flow and no request is here or on its way here."""
+    return not any(
+        served.has_flows or served.openings_by_flow or served.requests_by_id
+        for served in agent.served_by_key.values()
+    )
+
+
 def suspected_targets(agent: Agent, service: Service) -> frozenset[str]:
     """Return the targets of `service` whose agents are suspected."""
     if not agent.suspects:
--- a/lycheeglade/balancer_daemon.py
+++ b/lycheeglade/balancer_daemon.py
@@ -170,6 +170,7 @@
             **describe(balancer, services, settings),
             "unsent_datagrams": peers.dropped + services.dropped,
         },
+        is_idle=lambda: monotonic() - services.heard_at >= QUIET_S,
     )
     try:
         return await run_process(settings, blackboard, metrics, parts, logger)
--- a/lycheeglade/daemon.py
+++ b/lycheeglade/daemon.py
@@ -18,6 +18,7 @@
 from lycheeglade.settings import Settings
 
 TICK_S = 0.02
+REST_TICK_S = 0.1
 STOP_POLL_S = 0.05
 EXIT_OK = 0
 EXIT_CUT = 1
@@ -37,12 +38,15 @@
         Returns how many pieces of work a shutdown would cut now.
     describe : callable
         Returns what ``/status`` shows of the process.
+    is_idle : callable
+        Tells whether fewer ticks will do, since no caller's work is here.
     """
 
     tick: Callable[[float], None]
     begin_stop: Callable[[float], None]
     work_left: Callable[[float], int]
     describe: Callable[[], Mapping[str, object]]
+    is_idle: Callable[[], bool] = lambda: False
 
 
 async def run_process(
@@ -62,7 +66,7 @@
     stop_requests = _count_signals()
     generator = Random(SystemRandom().getrandbits(64))
     follower = create_task(follow_configuration(settings, blackboard, generator))
-    ticker = create_task(_tick_forever(parts.tick))
+    ticker = create_task(_tick_forever(parts))
     log_event(logger, INFO, "started", host=settings.host_id, zone=settings.zone)
     try:
         describe = partial(_describe, blackboard, parts)
@@ -104,10 +108,10 @@
             continue
 
 
-async def _tick_forever(tick: Callable[[float], None]) -> None:
+async def _tick_forever(parts: ProcessParts) -> None:
     while True:
-        await sleep(TICK_S)
-        tick(monotonic())
+        await sleep(REST_TICK_S if parts.is_idle() else TICK_S)
+        parts.tick(monotonic())
 
 
 async def stop_process(
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -11,7 +11,7 @@
     tick,
     update_view,
 )
-from lycheeglade.agent_state import send_packet
+from lycheeglade.agent_state import is_idle, send_packet
 from lycheeglade.packet import Forward, Ping, Pong, Probe, encode_packet
 from lycheeglade.staleness import note_view_age
 from tests.agents import AGENT, BALANCER, KEY, get_request, make_view
@@ -68,6 +68,12 @@
     assert len(recorder.upstream) == 1
 
 
+def test_agent_is_idle_until_a_flow_comes(agent):
+    assert is_idle(agent)
+    receive_datagram(agent, forward(get_request()), BALANCER, 0.01)
+    assert not is_idle(agent)
+
+
 def test_random_datagrams_raise_nothing_and_reach_nobody(agent, recorder):
     generator = Random(7)
     valid = [forward(get_request(number)) for number in range(1, 9)]
