Keep the order of answers in the table of answered flows

Cause: among flows of a set that were answered in the same moment the one in the first slot was forgotten, also when it had just been answered again. The state machine of the overload found it within the whole suite: 20 flows are remembered, 21 answered, and the one answered twice was refused.

Change: a set of slots is kept in the order of its answers.

--- a/lycheeglade/established.py
+++ b/lycheeglade/established.py
@@ -13,9 +13,9 @@
     """Flows that an answer went back to lately, a bounded number of them.
 
     A flow's hash selects one of many small sets of slots, and a slot holds 32
-    other bits of the hash and the time of the last answer: 12 bytes. In a full
-    set the flow that was silent longest is forgotten; it is then treated as a
-    new one until its next answer. Two flows of a set that agree in these bits
+    other bits of the hash and the time of the last answer: 12 bytes. A set is
+    kept in the order of the answers. In a full one the flow that was silent
+    longest is forgotten; it is then treated as a new one until its next answer. Two flows of a set that agree in these bits
     count as one.
 
     Parameters
@@ -41,17 +41,16 @@
     def note_answer(self, flow: FlowKey, now: float) -> None:
         """Note an answer to `flow` through this balancer."""
         start, mark = self._locate(flow)
-        marks = self._marks[start : start + self._ways]
+        last = start + self._ways - 1
+        marks = self._marks[start : last + 1]
+        slot = start
         if mark in marks:
-            self._answered_at[start + marks.index(mark)] = now
-            return
-        times = self._answered_at[start : start + self._ways]
-        oldest = min(times)
-        slot = start + times.index(oldest)
-        if oldest == -inf:
+            slot += marks.index(mark)
+        elif not marks[0]:
             self._count += 1
-        self._marks[slot] = mark
-        self._answered_at[slot] = now
+        for column, entry in ((self._marks, mark), (self._answered_at, now)):
+            column[slot:last] = column[slot + 1 : last + 1]
+            column[last] = entry
 
     def holds(self, flow: FlowKey, now: float) -> bool:
         """Tell whether `flow` got an answer lately."""
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -78,6 +78,19 @@
     assert not any(established.holds(flow, 10.0) for flow in strangers)
 
 
+def test_order_of_answers_in_one_moment_counts():
+    established = EstablishedFlows(4)
+    for number in (0, 1, 2, 3, 0, 4):
+        established.note_answer(FLOWS[number], 10.0)
+    assert [established.holds(flow, 10.0) for flow in FLOWS[:5]] == [
+        True,
+        False,
+        True,
+        True,
+        True,
+    ]
+
+
 class OverloadMachine(RuleBasedStateMachine):
     """Batches, answers and pauses, against the plain statement of the rule."""
 
