--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
+FAULT_TESTS := $(addprefix tests/test_,faults.py cuts.py double_faults.py \
+    lying_upstreams.py wayfarer_faults.py rest.py)
 READY := $(VENV)/.ready
 
 .PHONY: setup test check demo bench capacity faults fuzz
@@ -24,7 +26,7 @@
 	$(BIN)/python -m demo.run
 
 faults: $(READY)
-	FAULTS_LONG=1 FAULTS_SEED=$(or $(SEED),1) $(BIN)/python -m pytest -v --timeout 200 tests/test_faults.py
+	FAULTS_LONG=1 FAULTS_SEED=$(or $(SEED),1) $(BIN)/python -m pytest -v --timeout 200 $(FAULT_TESTS)
 
 capacity: $(READY)
 	$(BIN)/python -m bench.capacity
