--- a/bench/capacity_measures.py
+++ b/bench/capacity_measures.py
@@ -3,7 +3,7 @@
 from asyncio import create_task, gather, get_running_loop, run
 from collections.abc import Callable
 from dataclasses import replace
-from functools import cache
+from functools import cache, partial
 from gc import collect
 from itertools import cycle
 from multiprocessing import get_context
@@ -94,6 +94,20 @@
     return cache
 
 
+def make_contests(services: int) -> CandidateCache:
+    """Return a cache that has ranked one bucket of so many services."""
+    cache = CandidateCache(2 * services)
+    for service in make_role_view(services).services_by_name.values():
+        cache.rank(service, 0)
+    return cache
+
+
+def contests_kb(services: int) -> float:
+    """Return the kilobytes of the cache of so many services' first buckets."""
+    make_role_view(services)
+    return traced_kb(lambda: make_contests(services))
+
+
 def rank_us(targets: int) -> float:
     """Return microseconds to rank a bucket that isn't cached."""
     service = routing.make_service(targets)
@@ -288,17 +302,8 @@
     """Return milliseconds of processor time to bind so many addresses."""
 
     async def bind() -> float:
-        loop = get_running_loop()
-        network = datapath.NETWORK
         started = process_time()
-        bound = [
-            DatagramSocket(
-                loop,
-                lambda datagram, source: None,
-                local=Address(f"127.{network}.{100 + n // 250}.{n % 250 + 1}", 5683),
-            )
-            for n in range(sockets)
-        ]
+        bound = bind_sockets(sockets)
         seconds = process_time() - started
         for each in bound:
             each.close()
@@ -307,6 +312,41 @@
     return run(bind())
 
 
+def sockets_kb(sockets: int) -> float:
+    """Return the kilobytes that so many open sockets allocate in Python."""
+
+    async def bind() -> float:
+        bound = []
+        size = traced_kb(lambda: bound.extend(bind_sockets(sockets)))
+        for each in bound:
+            each.close()
+        return size
+
+    return run(bind())
+
+
+def bind_sockets(sockets: int) -> list[DatagramSocket]:
+    """Return so many sockets that are read in the running loop."""
+    loop, network = get_running_loop(), datapath.NETWORK
+    return [
+        DatagramSocket(
+            loop,
+            partial(receive_nothing, n),
+            local=Address(f"127.{network}.{100 + n // 250}.{n % 250 + 1}", 5683),
+            on_batch=note_batch,
+        )
+        for n in range(sockets)
+    ]
+
+
+def note_batch(packets: int, drained: bool) -> None:
+    """Take note of nothing."""
+
+
+def receive_nothing(socket: int, datagram: bytes, source: tuple) -> None:
+    """Drop a datagram."""
+
+
 def read_ms(services: int) -> float:
     """Return milliseconds of processor time to read so many services."""
     values = list(spread.make_services(services))
--- a/bench/capacity_slopes.py
+++ b/bench/capacity_slopes.py
@@ -14,6 +14,7 @@
 TRACED_FLOWS = (250, 500, 1000)
 ENTRIES = (5_000, 10_000, 20_000)
 HOSTS = (100, 400, 1572)
+CONTESTS = (1024, 2048, 4096)
 SERVICES = (1100, 3300, 11_000)
 READ_AT_START = (500, 1000, 2000)
 PEERS = (1000, 4000, 16_000)
@@ -75,6 +76,13 @@
             ENTRIES,
             lambda n: measures.traced_kb(lambda: measures.make_cache(n)),
         ),
+        "contests": (
+            "services with a cached bucket",
+            "capacity",
+            "kB",
+            CONTESTS,
+            measures.contests_kb,
+        ),
         "established": (
             "flows answered lately at a balancer, by slots",
             "capacity",
@@ -260,6 +268,13 @@
             SOCKETS,
             measures.bind_ms,
         ),
+        "sockets": (
+            "memory of open sockets, without the kernel's",
+            "capacity",
+            "kB",
+            SOCKETS,
+            measures.sockets_kb,
+        ),
         "gossip_cpu": (
             "CPU of an idle exchange, both ends, by services",
             "spread",
--- a/bench/capacity_workings.py
+++ b/bench/capacity_workings.py
@@ -5,6 +5,7 @@
 from lycheeglade.balancer import MAX_CACHED_BUCKETS, MAX_ESTABLISHED_FLOWS
 from lycheeglade.established import ESTABLISHED_TIME
 from lycheeglade.gossip import WATCH_S
+from lycheeglade.routing import MAX_CONTESTS
 from lycheeglade.watch import WATCHERS
 
 
@@ -67,7 +68,9 @@
     def balancer_mb(self) -> float:
         """Return a balancer's megabytes; its configuration holds its peers."""
         tables = self.each("cache", MAX_CACHED_BUCKETS)
+        tables += self.each("contests", MAX_CONTESTS)
         tables += self.each("established", MAX_ESTABLISHED_FLOWS)
+        tables += self.each("sockets", size.ADDRESSES)
         return (
             self.base_mb_by_role["balancer"]
             + self.config_mb("balancer")
--- a/lycheeglade/balancer.py
+++ b/lycheeglade/balancer.py
@@ -28,7 +28,7 @@
 from lycheeglade.routing import CandidateCache
 from lycheeglade.view import Service, View, find_agents
 
-MAX_CACHED_BUCKETS = 65536
+MAX_CACHED_BUCKETS = 32768
 # Slots; the flows answered in a minute should take at most two thirds.
 MAX_ESTABLISHED_FLOWS = 393_216
 MAX_PAYLOAD_BYTES = MAX_DATAGRAM_BYTES - 2048
--- a/lycheeglade/balancer_daemon.py
+++ b/lycheeglade/balancer_daemon.py
@@ -1,7 +1,7 @@
 """The balancer's process: its sockets, clock and signals."""
 
 from asyncio import get_running_loop
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from functools import partial
 from logging import ERROR, INFO, getLogger
 from random import Random, SystemRandom
@@ -46,6 +46,7 @@
         self._metrics = metrics
         self._packets_until_sample = 1
         self._sockets_by_address: dict[tuple[str, Address], DatagramSocket] = {}
+        self._note_batch: Callable[[int, bool], None] | None = None
         self.heard_at = float("-inf")
 
     def answer(self, service: str, caller: Address, datagram: bytes) -> None:
@@ -57,6 +58,11 @@
 
     def update(self, balancer: Balancer, inputs: BalancerInputs, view: View) -> None:
         """Open and close sockets so that they match the view."""
+        if self._note_batch is None:
+            # All sockets share one, since there are thousands of them.
+            self._note_batch = lambda packets, drained: inputs.note_batch(
+                packets, drained, monotonic()
+            )
         wanted = {
             (service.name, address)
             for service in view.services_by_name.values()
@@ -87,9 +93,7 @@
                 get_running_loop(),
                 receive,
                 local=address,
-                on_batch=lambda packets, drained: inputs.note_batch(
-                    packets, drained, monotonic()
-                ),
+                on_batch=self._note_batch,
             )
         except OSError as error:
             self._metrics.count("socket", service, "bind-failed")
--- a/lycheeglade/routing.py
+++ b/lycheeglade/routing.py
@@ -8,6 +8,7 @@
 from collections.abc import Set
 from dataclasses import dataclass
 from enum import StrEnum
+from itertools import count
 from math import inf, log
 
 from xxhash import xxh3_64_intdigest
@@ -16,6 +17,7 @@
 
 BUCKETS_PER_SERVICE = 65536
 CANDIDATES = 4
+MAX_CONTESTS = 4096
 HASH_SCALE = 2.0**-64
 NO_SUSPECTS: frozenset[str] = frozenset()
 
@@ -130,9 +132,10 @@
 
     def __init__(self, max_entries: int):
         self._max_young = max(1, max_entries // 2)
-        self._young: dict[tuple, tuple[Target, ...]] = {}
-        self._old: dict[tuple, tuple[Target, ...]] = {}
-        self._contests: dict[str, tuple[int, _Contest]] = {}
+        self._young: dict[int, tuple[Target, ...]] = {}
+        self._old: dict[int, tuple[Target, ...]] = {}
+        self._contests: dict[tuple, tuple[int, _Contest]] = {}
+        self._numbers = count()
         self._suspects = NO_SUSPECTS
         self._suspects_by_service: dict[tuple[str, int], frozenset[str]] = {}
 
@@ -148,17 +151,18 @@
         """Return what `rank_targets` does for the default limit."""
         if suspects:
             suspects = self._suspects_of(service, suspects)
-        bucket = flow_hash % BUCKETS_PER_SERVICE
-        key = (service.name, service.revision, bucket, suspects)
+        numbered = self._contests.get((service.name, service.revision, suspects))
+        number, contest = numbered or self._add_contest(service, suspects)
+        # One number in place of a tuple halves the memory of an entry.
+        key = number * BUCKETS_PER_SERVICE + flow_hash % BUCKETS_PER_SERVICE
         candidates = self._young.get(key)
         if candidates is None:
-            candidates = self._promote(key, service, flow_hash, suspects)
+            candidates = self._promote(key, service, contest, flow_hash, suspects)
         return candidates
 
-    def _promote(self, key, service, flow_hash, suspects):
+    def _promote(self, key, service, contest, flow_hash, suspects):
         candidates = self._old.pop(key, None)
         if candidates is None:
-            contest = self._contest_of(service)
             candidates = _rank(contest, service.name, flow_hash, suspects, CANDIDATES)
         if len(self._young) >= self._max_young:
             self._old = self._young
@@ -166,14 +170,13 @@
         self._young[key] = candidates
         return candidates
 
-    def _contest_of(self, service):
-        revision, contest = self._contests.get(service.name, (None, None))
-        if revision != service.revision:
-            contest = _prepare(service)
-            if len(self._contests) >= self._max_young:
-                self._contests.clear()
-            self._contests[service.name] = (service.revision, contest)
-        return contest
+    def _add_contest(self, service, suspects):
+        """Prepare and number a contest; no number is used again."""
+        if len(self._contests) >= min(self._max_young, MAX_CONTESTS):
+            self._contests.clear()
+        numbered = next(self._numbers), _prepare(service)
+        self._contests[service.name, service.revision, suspects] = numbered
+        return numbered
 
     def _suspects_of(self, service, suspects):
         """Return the suspects among the service's own targets."""
@@ -194,24 +197,26 @@
 class _Contest:
     """The targets that contend for the flows of a service.
 
-    `entries` holds each target's hashed key and ``-1 / weight``.
+    `keys` are hashed for each bucket; `factors` are ``-1 / weight``.
     """
 
     targets: tuple[Target, ...]
-    entries: tuple[tuple[bytes, float], ...]
+    keys: tuple[bytes, ...]
+    factors: tuple[float, ...]
 
 
 def _prepare(service):
     targets = eligible_targets(service)
-    entries = ((item.target_id.encode(), -1 / item.weight) for item in targets)
-    return _Contest(targets, tuple(entries))
+    keys = tuple([target.target_id.encode() for target in targets])
+    factors = tuple([-1 / target.weight for target in targets])
+    return _Contest(targets, keys, factors)
 
 
 def _rank(contest, service_name, flow_hash, suspects, limit):
     seed = xxh3_64_intdigest(f"{service_name}\0{bucket_of(flow_hash)}".encode())
     costs = [
         log((xxh3_64_intdigest(key, seed) + 0.5) * HASH_SCALE) * factor
-        for key, factor in contest.entries
+        for key, factor in zip(contest.keys, contest.factors, strict=True)
     ]
     if suspects:
         # Ties go to the lower id, since the targets are sorted by id.
--- a/lycheeglade/transport.py
+++ b/lycheeglade/transport.py
@@ -28,6 +28,15 @@
         Called if the peer of a connected socket reports a closed port.
     """
 
+    __slots__ = (
+        "_loop",
+        "_on_batch",
+        "_on_datagram",
+        "_on_refused",
+        "_socket",
+        "dropped",
+    )
+
     def __init__(
         self,
         loop: AbstractEventLoop,
--- a/lycheeglade/value.py
+++ b/lycheeglade/value.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 from re import compile as compile_pattern
-from zlib import compress, decompress
+from zlib import compressobj, decompressobj
 
 from xxhash import xxh3_64_intdigest
 
@@ -28,6 +28,31 @@
 # A text may hold any code point that JSON or MessagePack lets through.
 _ERRORS = "surrogatepass"
 
+# What most services have in common, for the compression of short texts.
+_COMMON = b"""\
+[service]
+name =
+tenant =
+protocol = coap
+addresses =
+places =
+request_timeout_s = 10.0
+heartbeat_s = 10.0
+flow_idle_s = 300.0
+cold_start_s = 10.0
+grace_s = 30.0
+
+[target t0]
+host =
+zone =
+agent = 10.0.0.1:7100
+upstream = 10.0.0.1:5683
+weight = 1.0
+slots = 1
+connections = 2000
+state = live
+"""
+
 Content = Service | tuple[Host, ...] | None
 
 
@@ -73,7 +98,7 @@
     ):
         packed = text
         if text is not None:
-            packed = compress(text.encode(errors=_ERRORS), COMPRESSION_LEVEL)
+            packed = _pack(text.encode(errors=_ERRORS))
         object.__setattr__(self, "name", name)
         object.__setattr__(self, "revision", revision)
         object.__setattr__(self, "packed", packed)
@@ -90,7 +115,7 @@
         """The published text, None if this revision deleted the value."""
         if self.packed is None:
             return None
-        return decompress(self.packed).decode(errors=_ERRORS)
+        return _unpack(self.packed).decode(errors=_ERRORS)
 
     def steps_from(self, revision: int) -> tuple[Step, ...]:
         """Return the steps for a peer that knows all up to `revision`.
@@ -132,6 +157,15 @@
     return Value(value.name, value.revision, text, content, steps)
 
 
+def _pack(text: bytes) -> bytes:
+    compressor = compressobj(COMPRESSION_LEVEL, zdict=_COMMON)
+    return compressor.compress(text) + compressor.flush()
+
+
+def _unpack(packed: bytes) -> bytes:
+    return decompressobj(zdict=_COMMON).decompress(packed)
+
+
 def hash_text(text: str) -> int:
     """Return a 64-bit hash by which a rebuilt text is checked."""
     return xxh3_64_intdigest(text.encode(errors=_ERRORS))
