Count an exchange's bytes on its own connections

Cause: the capacity page read the bytes of an idle exchange from the loopback interface.

Change: a relay passes the connection on and reads the kernel's counters of it, bytes and segments of both directions, headers worked out. Memory of the configuration has the capacity page as its one source; bench.spread no longer measures it in another way, whose figures differed since one counted hosts after the first parse and the other in a new process.

--- a/bench/capacity_measures.py
+++ b/bench/capacity_measures.py
@@ -1,6 +1,6 @@
 """Measurements behind the capacity page, each at one size."""
 
-from asyncio import create_task, gather, get_running_loop, run
+from asyncio import create_task, gather, get_running_loop, run, sleep
 from collections.abc import Callable
 from dataclasses import replace
 from functools import cache, partial
@@ -19,6 +19,7 @@
 from bench import agent, datapath, membership, routing, spread
 from bench import capacity_target as size
 from bench.epidemic import Fleet, spread_times
+from bench.wire import CountingRelay
 from lycheeglade import balancer
 from lycheeglade.address import Address
 from lycheeglade.agent import make_agent, update_view
@@ -54,6 +55,8 @@
 BATCHES = 6
 RUNS = 3
 EXCHANGES = 20
+RELAY = Address(spread.CONTROL.ip, spread.CONTROL.port + 1)
+SETTLE_S = 0.5
 HOSTS_PER_SERVICE = 39_300 // 11_000
 DEAD = 0.02
 
@@ -357,7 +360,8 @@
 def exchange_costs(services: int) -> tuple[float, float]:
     """Return milliseconds (both ends) and bytes of an idle exchange.
 
-    The least of several batches, since others may use the loopback too.
+    The processor time is the least of several batches; bytes are counted on
+    connections of their own, since others may use the loopback too.
     """
     return run(_exchange_costs(services))
 
@@ -365,21 +369,27 @@
 async def _exchange_costs(services: int) -> tuple[float, float]:
     known = Knowledge(0.0)
     known.snapshot = services_snapshot(services)
-    cpu, wire = [], []
+    cpu = []
     with Rep0() as listener:
         listener.listen(f"tcp://{spread.CONTROL}")
         server = create_task(spread.serve(listener, known))
         request = known.ask(*spread.CONTROL)
         await ask_peer(spread.CONTROL, request)
         for _ in range(BATCHES):
-            bytes_before, started = spread.loopback_bytes(), process_time()
+            started = process_time()
             for _ in range(EXCHANGES):
                 if await ask_peer(spread.CONTROL, request) is None:
                     raise TimeoutError("no reply of the peer")
             cpu.append((process_time() - started) / EXCHANGES * 1000.0)
-            wire.append((spread.loopback_bytes() - bytes_before) / EXCHANGES)
+        relay = CountingRelay(spread.CONTROL)
+        relayed = await relay.serve(RELAY)
+        for _ in range(EXCHANGES):
+            if await ask_peer(RELAY, request) is None:
+                raise TimeoutError("no reply of the peer")
+        await sleep(SETTLE_S)
+        relayed.close()
     await gather(server, return_exceptions=True)
-    return min(cpu), min(wire)
+    return min(cpu), relay.wire_bytes / relay.connections
 
 
 def spread_seconds(
--- a/bench/spread.py
+++ b/bench/spread.py
@@ -1,19 +1,18 @@
 """Measures what the spread of configuration costs one process.
 
-Run ``python -m bench.spread``. Bytes on the wire are read from the counters
-of the loopback interface, so nothing else should use it meanwhile.
+Run ``python -m bench.spread``; memory is measured by ``bench.capacity``. Bytes
+on the wire are read from the counters of the loopback interface, so nothing
+else should use it meanwhile.
 """
 
 from argparse import ArgumentParser
 from asyncio import create_task, gather, run
-from collections.abc import Callable, Iterable, Iterator, Sequence
-from gc import collect
+from collections.abc import Callable, Iterator, Sequence
 from pathlib import Path
 from time import process_time
 
 from numpy import abs as absolute
 from numpy import polyfit, polyval
-from psutil import Process
 from pynng import Rep0
 
 from bench.epidemic import Fleet, spread_times
@@ -27,7 +26,7 @@
 from lycheeglade.value import Value
 from lycheeglade.view import Host, Protocol, Role, Service, Target
 
-PARTS = ("memory", "changes", "exchanges", "epidemic")
+PARTS = ("changes", "exchanges", "epidemic")
 ZONES = 25
 TARGETS_PER_SERVICE = 3
 CONTROL = Address("127.62.0.1", 7200)
@@ -97,14 +96,6 @@
     return (process_time() - started) / repeats * 1000.0
 
 
-def measure_memory() -> None:
-    """Print the resident memory of services and hosts in force."""
-    base = Process().memory_info().rss / 2**20
-    print(f"memory before any configuration: {base:.0f} MiB")
-    measure_resident("memory of services", [1100, 3300, 11_000], make_services)
-    measure_resident("memory of hosts", [3930, 13_100, 39_300], make_host_values)
-
-
 def make_services(count: int) -> Iterator[Value]:
     """Yield the values of `count` services."""
     return (make_service(number) for number in range(count))
@@ -115,25 +106,6 @@
     return (make_hosts(zone, count // ZONES) for zone in range(ZONES))
 
 
-def measure_resident(
-    name: str, sizes: list[int], make: Callable[[int], Iterable[Value]]
-) -> None:
-    """Print the memory that a view of each size takes."""
-    costs = []
-    kept = []
-    for size in sizes:
-        collect()
-        before = Process().memory_info().rss
-        snapshot = Snapshot()
-        for value in make(size):
-            snapshot = advance(snapshot, [value], 0).snapshot
-        snapshot = advance(snapshot, [], size).snapshot
-        kept.append((snapshot, build_view(snapshot)))
-        collect()
-        costs.append((Process().memory_info().rss - before) / 1024)
-    print_fit(name, "KiB", sizes, costs)
-
-
 def measure_changes() -> None:
     """Print the processor time and bytes of one change."""
     sizes = [100, 400, 1572]
@@ -250,8 +222,6 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("parts", nargs="*", default=PARTS, help=", ".join(PARTS))
     arguments = parser.parse_args()
-    if "memory" in arguments.parts:
-        measure_memory()
     if "changes" in arguments.parts:
         measure_changes()
     if "exchanges" in arguments.parts:
--- /dev/null
+++ b/bench/wire.py
@@ -0,0 +1,61 @@
+"""Bytes that connections to a peer take on the wire, whatever else runs."""
+
+from asyncio import (
+    StreamReader,
+    StreamWriter,
+    gather,
+    open_connection,
+    start_server,
+)
+from socket import IPPROTO_TCP, TCP_INFO
+from struct import unpack_from
+
+from lycheeglade.address import Address
+
+HEADER_BYTES = 52  # IP and TCP with timestamps
+SYN_EXTRA_BYTES = 8
+# Places in the kernel's struct tcp_info (Linux 4.6 and later).
+BYTES_AT = 120
+SEGMENTS_AT = 136
+INFO_BYTES = 144
+
+
+class CountingRelay:
+    """Passes connections on to a peer and counts their bytes with headers."""
+
+    def __init__(self, peer: Address):
+        self.wire_bytes = 0
+        self.connections = 0
+        self._peer = peer
+
+    async def serve(self, address: Address):
+        """Listen at an address and return the server."""
+        return await start_server(self._relay, *address)
+
+    async def _relay(self, reader: StreamReader, writer: StreamWriter) -> None:
+        peer_reader, peer_writer = await open_connection(*self._peer)
+        await gather(_copy(reader, peer_writer), _copy(peer_reader, writer))
+        self.wire_bytes += _count(peer_writer)
+        self.connections += 1
+        peer_writer.close()
+        writer.close()
+
+
+async def _copy(reader: StreamReader, writer: StreamWriter) -> None:
+    try:
+        while data := await reader.read(65536):
+            writer.write(data)
+            await writer.drain()
+        writer.write_eof()
+    except OSError:
+        return
+
+
+def _count(writer: StreamWriter) -> int:
+    """Return the bytes of a connection in both directions, with headers."""
+    socket = writer.get_extra_info("socket")
+    info = socket.getsockopt(IPPROTO_TCP, TCP_INFO, INFO_BYTES)
+    sent, received = unpack_from("QQ", info, BYTES_AT)
+    segments_out, segments_in = unpack_from("II", info, SEGMENTS_AT)
+    headers = (segments_out + segments_in) * HEADER_BYTES + 2 * SYN_EXTRA_BYTES
+    return sent + received + headers
