--- a/bench/wire.py
+++ b/bench/wire.py
@@ -7,6 +7,7 @@
     open_connection,
     start_server,
 )
+from contextlib import suppress
 from socket import IPPROTO_TCP, TCP_INFO
 from struct import unpack_from
 
@@ -42,13 +43,13 @@
 
 
 async def _copy(reader: StreamReader, writer: StreamWriter) -> None:
-    try:
+    """Pass on all that comes, and its end, also that of a reset connection."""
+    with suppress(OSError):
         while data := await reader.read(65536):
             writer.write(data)
             await writer.drain()
+    with suppress(OSError):
         writer.write_eof()
-    except OSError:
-        return
 
 
 def _count(writer: StreamWriter) -> int:
