--- a/lycheeglade/established.py
+++ b/lycheeglade/established.py
@@ -15,7 +15,7 @@
     A flow's hash selects one of many small sets of slots, and a slot holds 32
     other bits of the hash and the time of the last answer: 12 bytes. A set is
     kept in the order of the answers. In a full one the flow that was silent
-    longest is forgotten; it is then treated as a new one until its next answer.
+    longest is forgotten and treated as a new one until its next answer.
     Two flows of a set that agree in these bits count as one.
 
     Parameters
