--- a/bench/fairness.py
+++ b/bench/fairness.py
@@ -1,12 +1,16 @@
 """Fairness of the product's decisions against baselines, in virtual time.
 
-Usage: python -m bench.fairness [SEEDS [SECONDS]]
+Usage: python -m bench.fairness [SEEDS [SECONDS [LOAD]]]
+
+With a load, a share of the capacity, only booth-sync and phrasebook with
+weights as strong as the hosts are compared.
 """
 
 from collections import defaultdict
 from dataclasses import replace
 from functools import partial
 from multiprocessing import Pool
+from os import environ
 from random import Random
 from sys import argv
 
@@ -36,7 +40,7 @@
 LOAD = 0.7
 WARM_UP_S = 60.0
 WEAK_UPSTREAMS = 2
-WORKERS = 5
+WORKERS = int(environ.get("BENCH_WORKERS", "5"))
 BOOTH_SYNC = Mix("booth-sync", 1, 0.25, 700, 3600.0, 0.5, 2.0)
 PHRASEBOOK = Mix("phrasebook", 3, 0.5, 1000, 600.0, 1.0, 2.0)
 POLICIES = (
@@ -51,7 +55,7 @@
 )
 
 
-def run(policy_type, mix, weights, seconds, make_limit, seed):
+def run(policy_type, mix, weights, seconds, make_limit, seed, load=LOAD):
     """Return the measures of one run."""
     clock = Clock()
     upstreams = [
@@ -67,7 +71,7 @@
     ]
     service = make_service(mix, weights)
     policy = policy_type(clock, service, upstreams, Random(seed))
-    Callers(clock, mix, LOAD, Random(seed), policy.open_flow, policy.send)
+    Callers(clock, mix, load, Random(seed), policy.open_flow, policy.send)
     clock.run(WARM_UP_S)
     before = [upstream.busy_time for upstream in upstreams]
     start = snapshot(policy)
@@ -105,12 +109,13 @@
     seconds,
     policies=POLICIES,
     make_limit=SharingLimit,
+    load=LOAD,
 ):
     """Print the means over all seeds of each policy."""
     print(f"\n{title}")
     for position, policy_type in enumerate(policies):
         values = defaultdict(list)
-        runs = partial(run, policy_type, mix, weights, seconds, make_limit)
+        runs = partial(run, policy_type, mix, weights, seconds, make_limit, load=load)
         for result in pool.map(runs, seeds):
             for name, value in result.items():
                 values[name].append(value)
@@ -129,12 +134,22 @@
         compare(pool, title, mix, SPEEDS, seeds, seconds, policies, make_limit)
 
 
-def main(seeds=3, seconds=300.0):
+def compare_at(pool, load, seeds, seconds):
+    """Compare all policies at one load."""
+    for mix in (BOOTH_SYNC, PHRASEBOOK):
+        title = f"{mix.name}, {mix.slots} slots, weights as strong, load {load:.0%}"
+        compare(pool, title, mix, SPEEDS, seeds, seconds, load=load)
+
+
+def main(seeds=3, seconds=300.0, load=None):
     """Print all comparisons."""
     seeds = range(1, int(seeds) + 1)
     seconds = float(seconds)
     equal = (1.0,) * len(SPEEDS)
     with Pool(WORKERS) as pool:
+        if load is not None:
+            compare_at(pool, float(load), seeds, seconds)
+            return
         for mix in (BOOTH_SYNC, PHRASEBOOK):
             for name, weights in (("as strong", SPEEDS), ("equal", equal)):
                 title = f"{mix.name}, {mix.slots} slots, weights {name}"
