Keep a removed target as a waypost for as long as others may point to it

Cause: an agent forgot a removed target with its last flow. Other agents believe for flow_idle that flows live there, so packets passed to it were dropped as not served. And when it came back it knew of no target that was removed meanwhile: it didn't ask that one, opened a flow a second time, and a ticket of the second home ended as unknown.

Change: a removed target stays for flow_idle, drained, passes packets on and takes note of further removals. One timer tries to forget it, in place of one more with each view.

--- a/lycheeglade/agent.py
+++ b/lycheeglade/agent.py
@@ -9,10 +9,13 @@
 from itertools import count
 from random import Random
 
-from lycheeglade.adapters import find_adapter
 from lycheeglade.address import Address, Zone
-from lycheeglade.admission import Admission, AdmissionLimits
-from lycheeglade.agent_state import Agent, AgentActions, update_known_addresses
+from lycheeglade.agent_state import (
+    Agent,
+    AgentActions,
+    make_served,
+    update_known_addresses,
+)
 from lycheeglade.delegation import (
     give_up_requests,
     receive_delegate,
@@ -65,7 +68,6 @@
 from lycheeglade.session import receive_upstream
 from lycheeglade.staleness import hold, must_wait
 from lycheeglade.takeover import receive_commit, receive_offer
-from lycheeglade.ticket import TicketBook
 from lycheeglade.upstream_health import (
     check_upstream,
     note_port_closed,
@@ -142,7 +144,7 @@
 ) -> None:
     served = agent.served_by_key.get(key)
     if served is None:
-        served = _make_served(agent, service, target, now)
+        served = make_served(agent, service, target, now)
         agent.served_by_key[key] = served
         agent.actions.count("target", service.name, "added")
     elif served.service != service:
@@ -151,6 +153,7 @@
         served.peer_loads.keep(list(service.targets_by_id))
         served.settled_at = now + service.flow_idle
         announce_home(agent, served, list(served.records_by_flow), now)
+    served.removed_at = None
     may_serve = target.state is State.LIVE and service.permits(agent.zone)
     if agent.stopping or not may_serve:
         start_drain(agent, served, now)
@@ -158,49 +161,31 @@
         stop_drain(served, now)
 
 
-def _make_served(
-    agent: Agent, service: Service, target: Target, now: float
-) -> ServedTarget:
-    minter = f"{service.name}/{target.target_id}/{agent.host_id}"
-    limits = AdmissionLimits(target.slots, target.connections, service.cold_start)
-    return ServedTarget(
-        service=service,
-        target=target,
-        adapter=find_adapter(service.protocol),
-        book=TicketBook(
-            agent.key,
-            minter,
-            agent.incarnation,
-            lifetime=_ticket_lifetime(service),
-        ),
-        admission=Admission(limits, now, agent.generator),
-        settled_at=now + service.flow_idle,
-    )
-
-
-def _ticket_lifetime(service: Service) -> float:
-    """Return how long outcomes are remembered, in seconds.
+def _remove_target(agent: Agent, key: TargetKey, view: View, now: float) -> None:
+    """Drain a target that is no longer published, then forget it.
 
-    RFC 7252 lets a copy of a message arrive up to 247 s after the first one.
+    It passes packets on for as long as other agents may believe that flows
+    live here.
     """
-    return max(300.0, 2 * service.request_timeout)
-
-
-def _remove_target(agent: Agent, key: TargetKey, view: View, now: float) -> None:
-    """Drain a target that is no longer published, then forget it."""
     served = agent.served_by_key[key]
     service = view.services_by_name.get(key.service)
     if service is not None:
-        served.service = service
+        served.update_service(service, now)
+    if served.removed_at is None:
+        served.removed_at = now
     start_drain(agent, served, now)
-    if not served.has_flows:
+    is_asked = service is not None and now < served.removed_at + service.flow_idle
+    if not served.has_flows and not is_asked:
         del agent.served_by_key[key]
         agent.actions.count("target", key.service, "removed")
-        return
-    agent.timers.call_at(now + 1.0, lambda now: _retry_remove(agent, key, now))
+    elif not served.is_removal_due:
+        served.is_removal_due = True
+        agent.timers.call_at(now + 1.0, lambda now: _retry_remove(agent, key, now))
 
 
 def _retry_remove(agent: Agent, key: TargetKey, now: float) -> None:
+    if key in agent.served_by_key:
+        agent.served_by_key[key].is_removal_due = False
     service = agent.view.services_by_name.get(key.service)
     if key in agent.served_by_key and (
         service is None or key.target_id not in service.targets_by_id
--- a/lycheeglade/agent_state.py
+++ b/lycheeglade/agent_state.py
@@ -6,13 +6,16 @@
 from itertools import count
 from random import Random
 
+from lycheeglade.adapters import find_adapter
 from lycheeglade.address import Address, Zone
+from lycheeglade.admission import Admission, AdmissionLimits
 from lycheeglade.flow import FlowKey, hash_flow
 from lycheeglade.membership import Membership
 from lycheeglade.membership import suspected_targets as suspected_among
 from lycheeglade.packet import Answer, Packet
 from lycheeglade.routing import CandidateCache
 from lycheeglade.served_target import FlowRecord, ServedTarget, TargetKey
+from lycheeglade.ticket import TicketBook
 from lycheeglade.timer import TimerQueue
 from lycheeglade.view import Role, Service, Target, View, find_agents
 
@@ -206,3 +209,32 @@
     agent.agents_by_service = find_agents(view, agent.view, agent.agents_by_service)
     hosts = {host.packets for host in view.hosts_by_id.values()}
     agent.known_addresses = frozenset(hosts).union(*agent.agents_by_service.values())
+
+
+def make_served(
+    agent: Agent, service: Service, target: Target, now: float
+) -> ServedTarget:
+    """Return the state of a target that this agent begins to serve."""
+    minter = f"{service.name}/{target.target_id}/{agent.host_id}"
+    limits = AdmissionLimits(target.slots, target.connections, service.cold_start)
+    return ServedTarget(
+        service=service,
+        target=target,
+        adapter=find_adapter(service.protocol),
+        book=TicketBook(
+            agent.key,
+            minter,
+            agent.incarnation,
+            lifetime=_ticket_lifetime(service),
+        ),
+        admission=Admission(limits, now, agent.generator),
+        settled_at=now + service.flow_idle,
+    )
+
+
+def _ticket_lifetime(service: Service) -> float:
+    """Return how long outcomes are remembered, in seconds.
+
+    RFC 7252 lets a copy of a message arrive up to 247 s after the first one.
+    """
+    return max(300.0, 2 * service.request_timeout)
--- a/lycheeglade/served_target.py
+++ b/lycheeglade/served_target.py
@@ -228,6 +228,10 @@
     former_targets_by_id : dict
         Targets that were removed lately, with the time up to which flows may
         still live there.
+    removed_at : float or None
+        Since when the target is no longer published.
+    is_removal_due : bool
+        Whether a timer will try to forget it.
     """
 
     service: Service
@@ -237,6 +241,8 @@
     admission: Admission
     settled_at: float
     former_targets_by_id: dict[str, tuple[Target, float]] = field(default_factory=dict)
+    removed_at: float | None = None
+    is_removal_due: bool = False
     draining: bool = False
     is_down: bool = False
     down_since: float = 0.0
--- a/tests/test_homes_machine.py
+++ b/tests/test_homes_machine.py
@@ -13,6 +13,9 @@
 )
 
 from demo.traces import leave, make_service, without
+from lycheeglade.agent import receive_datagram
+from lycheeglade.packet import Forward, encode_packet
+from tests.agents import get_request
 from tests.conftest import machine_settings
 from tests.fleet import ALWAYS, MIN_LIVE_TARGETS, PLAN, SERVICE, Fleet
 
@@ -189,3 +192,48 @@
     fleet.publish(without(fleet.service, "t2"), early, 0.002)
     reweight(fleet, 0.2, {0, 4, 5}, 0.5, "t4")
     fleet.settle()
+
+
+def test_a_packet_that_is_passed_to_a_target_just_removed_is_passed_on():
+    # It was dropped there, and its caller had to send it again.
+    fleet = Fleet(1)
+    home = "t2"
+    flows = flows_at(fleet, home)
+    fleet.publish(without(fleet.service, home))
+    fleet.advance(10.0)
+    host = fleet.whole.targets_by_id[home].host_id
+    agent = fleet.world.processes_by_name[host].state
+    assert flows > 0 == flows_at(fleet, home)
+    caller = next(iter(fleet.world.callers_by_flow.values()))
+    packet = Forward(
+        SERVICE, home, 1, *caller.flow[1:], (), 1, "127.1.0.1", 7100, get_request()
+    )
+    source = fleet.whole.targets_by_id["t1"].agent
+    before = fleet.world.counts.get(("passed-on", SERVICE, "home"), 0)
+    receive_datagram(agent, encode_packet(packet), source, fleet.world.now)
+    assert fleet.world.counts["passed-on", SERVICE, "home"] == before + 1
+    fleet.advance(fleet.whole.flow_idle)
+    assert agent.served_by_key == {}
+
+
+def test_a_target_that_came_back_asks_one_that_was_removed_meanwhile():
+    # It didn't know of that one and opened the flow a second time.
+    fleet = Fleet(2)
+    early = {fleet.names[index] for index in range(5)}
+    fleet.publish(without(fleet.service, "t2"), early, 0.002)
+    fleet.request(1, repeatable=True)
+    fleet.advance(0.05)
+    fleet.request(2, repeatable=False)
+    fleet.advance(5.0)
+    fleet.publish(without(fleet.service, "t1"))
+    targets = dict(fleet.service.targets_by_id)
+    targets["t2"] = fleet.whole.targets_by_id["t2"]
+    fleet.publish(replace(fleet.service, targets_by_id=targets))
+    fleet.request(2, repeatable=True)
+    fleet.publish(without(fleet.service, "t3"))
+    early = {fleet.names[index] for index in (1, 2, 3, 5, 7)}
+    fleet.publish(leave(fleet.service, "t5"), early, 0.05)
+    fleet.advance(5.0)
+    fleet.request(2, repeatable=False)
+    fleet.advance(0.05)
+    fleet.settle()
