Split the measurements of control from those of flows and tables

Change: what is measured of the configuration, its spread and its exchanges stands in bench/capacity_control.py; nothing of it changed.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -10,7 +10,8 @@
 from platform import python_version
 from time import perf_counter
 
-from bench.capacity_measures import base_mb, spread_seconds
+from bench.capacity_control import spread_seconds
+from bench.capacity_measures import base_mb
 from bench.capacity_slopes import measure_slopes
 from bench.capacity_tables import (
     Workings,
--- a/bench/capacity_slopes.py
+++ b/bench/capacity_slopes.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from bench import agent, handoff, spread, tickets
+from bench import capacity_control as control
 from bench import capacity_measures as measures
 from bench.fit import Line, fit_line
 
@@ -209,22 +210,22 @@
             "capacity",
             "kB",
             SERVICES,
-            lambda n: measures.in_force_kb("balancer", n),
+            lambda n: control.in_force_kb("balancer", n),
         ),
         "agent_config": (
             "resident memory of an agent's configuration, by services",
             "capacity",
             "kB",
             SERVICES,
-            lambda n: measures.in_force_kb("agent", n),
+            lambda n: control.in_force_kb("agent", n),
         ),
-        "list": ("bytes of a list of hosts", "spread", "B", HOSTS, measures.list_bytes),
+        "list": ("bytes of a list of hosts", "spread", "B", HOSTS, control.list_bytes),
         "difference": (
             "bytes of a change of one listed host",
             "capacity",
             "B",
             HOSTS,
-            measures.difference_bytes,
+            control.difference_bytes,
         ),
         "list_cpu": (
             "CPU to read a list with one host changed",
@@ -238,28 +239,28 @@
             "spread",
             "ms",
             READ_AT_START,
-            measures.read_ms,
+            control.read_ms,
         ),
         "view": (
             "CPU to build a view by services",
             "spread",
             "ms",
             SERVICES,
-            measures.view_ms,
+            control.view_ms,
         ),
         "balancer_view": (
             "CPU of a balancer to take a view, by services",
             "capacity",
             "ms",
             SERVICES,
-            lambda n: measures.role_view_ms("balancer", n),
+            lambda n: control.role_view_ms("balancer", n),
         ),
         "agent_view": (
             "CPU of an agent to take a view, by services",
             "capacity",
             "ms",
             SERVICES,
-            lambda n: measures.role_view_ms("agent", n),
+            lambda n: control.role_view_ms("agent", n),
         ),
         "bind": (
             "CPU to bind service addresses",
@@ -280,28 +281,28 @@
             "spread",
             "ms",
             SERVICES,
-            lambda n: measures.exchange_costs(n)[0],
+            lambda n: control.exchange_costs(n)[0],
         ),
         "gossip": (
             "bytes of an idle exchange, both ways, by services",
             "spread",
             "B",
             SERVICES,
-            lambda n: measures.exchange_costs(n)[1],
+            lambda n: control.exchange_costs(n)[1],
         ),
         "spread": (
             "time until all know a change (model), by processes",
             "epidemic",
             "s",
             PROCESSES,
-            measures.spread_seconds,
+            control.spread_seconds,
         ),
         "messages": (
             "messages a process a change (model), by processes",
             "epidemic",
             "",
             PROCESSES,
-            measures.spread_messages,
+            control.spread_messages,
         ),
     }
     return {name: measure_slope(*entry) for name, entry in plan.items()}
