--- a/tests/test_homes_machine.py
+++ b/tests/test_homes_machine.py
@@ -237,3 +237,26 @@
     fleet.request(2, repeatable=False)
     fleet.advance(0.05)
     fleet.settle()
+
+
+def test_agent_that_starts_after_a_removal_asks_the_removed_target():
+    fleet = Fleet(2)
+    fleet.publish(without(fleet.service, "t2"), set(fleet.names[:5]), 0.002)
+    fleet.request(1, repeatable=True)
+    fleet.advance(0.05)
+    fleet.stop(fleet.names[1])
+    fleet.request(0, repeatable=False)
+    fleet.advance(5.0)
+    fleet.publish(without(fleet.service, "t1"))
+    fleet.start(fleet.names[1])
+    targets = dict(fleet.service.targets_by_id)
+    targets["t2"] = fleet.whole.targets_by_id["t2"]
+    fleet.publish(replace(fleet.service, targets_by_id=targets))
+    fleet.request(2, repeatable=True)
+    fleet.publish(without(fleet.service, "t3"))
+    early = {fleet.names[index] for index in (1, 2, 3, 5, 7)}
+    fleet.publish(leave(fleet.service, "t5"), early, 0.05)
+    fleet.advance(5.0)
+    fleet.request(2, repeatable=False)
+    fleet.advance(0.05)
+    fleet.settle()
