Find a packet's flow in one place

Cause: six places built a flow's key from the same three fields of a packet, and the function for it took one kind of packet only.

Change: flow_of stands beside the packets and takes each kind that has a flow.

--- a/lycheeglade/balancer.py
+++ b/lycheeglade/balancer.py
@@ -24,6 +24,7 @@
     Pong,
     decode_packet,
     encode_packet,
+    flow_of,
 )
 from lycheeglade.routing import CandidateCache
 from lycheeglade.view import Service, View, find_agents
@@ -225,7 +226,7 @@
         balancer.actions.count("dropped", packet.service, "forbidden-place")
         return
     caller = Address(packet.caller_ip, packet.caller_port)
-    flow = FlowKey(packet.service, packet.caller_ip, packet.caller_port)
+    flow = flow_of(packet)
     balancer.overload.established.note_answer(flow, now)
     balancer.actions.answer(packet.service, caller, packet.payload)
 
--- a/lycheeglade/home.py
+++ b/lycheeglade/home.py
@@ -24,13 +24,13 @@
     HomeNotice,
     Probe,
     ProbeReply,
+    flow_of,
 )
 from lycheeglade.placement import HandOn, place_flow
 from lycheeglade.refusal import refuse_flow
 from lycheeglade.served_target import HomePointer, Opening, ServedTarget
 from lycheeglade.session import (
     close_record,
-    flow_of,
     hold_packet,
     open_record,
     serve_packet,
@@ -207,7 +207,7 @@
     agent: Agent, served: ServedTarget, packet: Probe, source: Address, now: float
 ) -> None:
     """Tell another agent whether a flow lives here or where it went."""
-    flow = FlowKey(packet.service, packet.caller_ip, packet.caller_port)
+    flow = flow_of(packet)
     home_target_id = ""
     if flow in served.records_by_flow:
         home_target_id = served.target.target_id
@@ -233,7 +233,7 @@
     `served` is any of this host's targets of the service: the reply names the
     target that answers, not the one that asked.
     """
-    flow = FlowKey(packet.service, packet.caller_ip, packet.caller_port)
+    flow = flow_of(packet)
     opening = served.openings_by_flow.get(flow)
     if opening is None:
         return
--- a/lycheeglade/packet.py
+++ b/lycheeglade/packet.py
@@ -9,6 +9,7 @@
 from msgspec.msgpack import Decoder, Encoder
 
 from lycheeglade.errors import PacketError
+from lycheeglade.flow import FlowKey
 
 FORMAT_VERSION = 1
 MAX_DATAGRAM_BYTES = 65507
@@ -207,10 +208,19 @@
     | HandoffDone
 )
 
+PacketOfFlow = (
+    Forward | Answer | Probe | ProbeReply | HomeNotice | HandoffOffer | HandoffCommit
+)
+
 _encoder = Encoder()
 _decoder = Decoder(Packet)
 
 
+def flow_of(packet: PacketOfFlow) -> FlowKey:
+    """Return the flow that `packet` belongs to."""
+    return FlowKey(packet.service, packet.caller_ip, packet.caller_port)
+
+
 def encode_packet(packet: Packet) -> bytes:
     """Return the datagram for `packet`."""
     return _VERSION_PREFIX + _encoder.encode(packet)
--- a/lycheeglade/refusal.py
+++ b/lycheeglade/refusal.py
@@ -5,9 +5,8 @@
 from lycheeglade.exchange import reply_to
 from lycheeglade.flow import FlowKey
 from lycheeglade.message import CallerMessage, Kind
-from lycheeglade.packet import Forward
+from lycheeglade.packet import Forward, flow_of
 from lycheeglade.served_target import ServedTarget
-from lycheeglade.session import flow_of
 from lycheeglade.ticket import Judgement
 
 REFUSED_FLOW_RETRY_AFTER_S = 2
--- a/lycheeglade/session.py
+++ b/lycheeglade/session.py
@@ -26,11 +26,6 @@
 )
 
 
-def flow_of(packet: Forward) -> FlowKey:
-    """Return the flow that `packet` belongs to."""
-    return FlowKey(packet.service, packet.caller_ip, packet.caller_port)
-
-
 def hold_packet(
     agent: Agent, served: ServedTarget, held: deque[Forward], packet: Forward
 ) -> None:
--- a/lycheeglade/takeover.py
+++ b/lycheeglade/takeover.py
@@ -27,6 +27,7 @@
     HandoffDone,
     HandoffOffer,
     HandoffReady,
+    flow_of,
 )
 from lycheeglade.served_target import (
     MAX_RECENT_ITEMS,
@@ -50,7 +51,7 @@
     now: float,
 ) -> None:
     """Prepare to take a flow: register its feeds at the own upstream."""
-    flow = FlowKey(packet.service, packet.caller_ip, packet.caller_port)
+    flow = flow_of(packet)
     incoming = served.incoming_by_flow.get(flow)
     if incoming is not None:
         if incoming.home_target_id == packet.home_target_id:
@@ -190,7 +191,7 @@
     now: float,
 ) -> None:
     """Become the home of a flow. A repeated commit is only acknowledged."""
-    flow = FlowKey(packet.service, packet.caller_ip, packet.caller_port)
+    flow = flow_of(packet)
     incoming = served.incoming_by_flow.get(flow)
     if incoming is None or incoming.handoff_id != packet.handoff_id:
         if (packet.home_target_id, packet.handoff_id) in served.committed:
