Run all state machines longer by one command

Cause: a longer seeded run took three variables and options typed by hand, three of the machines kept their own bounds under the long profile, and the Makefile named targets that it didn't have.

Change: make machines SEED=n EXAMPLES=n.

--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,11 @@
 BIN := $(VENV)/bin
 FAULT_TESTS := $(addprefix tests/test_,faults.py cuts.py double_faults.py \
     lying_upstreams.py wayfarer_faults.py rest.py)
+MACHINE_TESTS := $(addprefix tests/test_,homes_machine.py homes_under_faults.py \
+    ticket_machine.py overload.py membership.py spread.py)
 READY := $(VENV)/.ready
 
-.PHONY: setup test check demo bench capacity faults fuzz
+.PHONY: setup test check demo capacity faults machines
 
 $(READY): requirements.lock pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -28,5 +30,8 @@
 faults: $(READY)
 	FAULTS_LONG=1 FAULTS_SEED=$(or $(SEED),1) $(BIN)/python -m pytest -v --timeout 200 $(FAULT_TESTS)
 
+machines: $(READY)
+	HYPOTHESIS_PROFILE=long LYCHEEGLADE_EXAMPLES=$(or $(EXAMPLES),200) $(BIN)/python -m pytest -v --timeout 0 --hypothesis-seed=$(or $(SEED),1) $(MACHINE_TESTS)
+
 capacity: $(READY)
 	$(BIN)/python -m bench.capacity
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,7 +2,6 @@
 from random import Random
 
 import pytest
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
@@ -15,6 +14,7 @@
     Membership,
     suspected_targets,
 )
+from tests.conftest import machine_settings
 from tests.test_routing import ZONES, make_service, make_target
 
 TICK = 0.1  # seconds between two rounds
@@ -328,9 +328,7 @@
 
 
 TestMembershipMachine = MembershipMachine.TestCase
-TestMembershipMachine.settings = settings(
-    derandomize=True, max_examples=60, stateful_step_count=20, deadline=None
-)
+TestMembershipMachine.settings = machine_settings(max_examples=60, steps=20)
 
 
 class FirstOnes(Random):
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -1,6 +1,5 @@
 from random import Random
 
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
@@ -15,6 +14,7 @@
     RECOVERY_TIME,
     Overload,
 )
+from tests.conftest import machine_settings
 
 FLOWS = tuple(FlowKey("phrasebook", "127.0.0.9", 4000 + n) for n in range(200))
 STEP = 0.05  # seconds between two batches
@@ -151,6 +151,4 @@
 
 
 TestOverloadMachine = OverloadMachine.TestCase
-TestOverloadMachine.settings = settings(
-    derandomize=True, max_examples=60, stateful_step_count=20, deadline=None
-)
+TestOverloadMachine.settings = machine_settings(max_examples=60, steps=20)
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -1,6 +1,5 @@
 from dataclasses import dataclass, field
 
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -19,6 +18,7 @@
 from lycheeglade.spread import Snapshot, advance, build_view
 from lycheeglade.value import Value
 from lycheeglade.view import Protocol, Service
+from tests.conftest import machine_settings
 
 NAMES = [f"hosts/fiji/z{number}" for number in range(3)]
 PROCESSES = range(3)
@@ -248,7 +248,7 @@
     monkeypatch.setattr(lycheeglade.knowledge, "RESTART_PULL_S", 1.0)
     monkeypatch.setattr(lycheeglade.value, "MIN_SPLICED_CHARS", 1)
     monkeypatch.setattr(lycheeglade.knowledge, "RESTART_PULL_S", 1.0)
-    run_state_machine_as_test(SpreadMachine, settings=settings(max_examples=400))
+    run_state_machine_as_test(SpreadMachine, settings=machine_settings(400, 50))
 
 
 def service(name, revision):
