Leave the upstream of a removed target alone once its work has ended

Cause: a removed target now stays, drained, for as long as others may point to it. If its upstream was silent when it was removed, the agent went on pinging an address that another service may have by then.

--- a/lycheeglade/agent_daemon.py
+++ b/lycheeglade/agent_daemon.py
@@ -205,6 +205,7 @@
     load = served.admission.load(now)
     return {
         "draining": served.draining,
+        "removed": served.removed_at is not None,
         "upstream_down": served.is_down,
         "flows": len(served.records_by_flow),
         "feeds": len(served.feeds_by_upstream_token),
--- a/lycheeglade/upstream_health.py
+++ b/lycheeglade/upstream_health.py
@@ -48,7 +48,7 @@
     """
     if served.unanswered_since is None or now < served.next_ping_at:
         return False
-    if served.adapter is None:
+    if served.adapter is None or _is_left_alone(served):
         return False
     served.next_ping_at = now + PING_INTERVAL_S
     served.upstream_pings += 1
@@ -61,6 +61,12 @@
     return True
 
 
+def _is_left_alone(served: ServedTarget) -> bool:
+    """Tell whether the upstream's address may be another service's by now."""
+    has_work = served.has_flows or served.requests_by_upstream_token
+    return served.removed_at is not None and not has_work
+
+
 def note_port_closed(served: ServedTarget, now: float) -> bool:
     """Note that the upstream's host reports a closed port.
 
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -108,6 +108,19 @@
     assert codes == [Code.CONTENT, Code.TOO_MANY_REQUESTS, Code.SERVICE_UNAVAILABLE]
 
 
+def test_upstream_of_a_removed_target_is_left_alone(agent, recorder):
+    served = agent.served_by_key[KEY]
+    served.unanswered_since = 0.0
+    view = make_view(2)
+    service = replace(view.services_by_name["booth-sync"], targets_by_id={})
+    update_view(agent, replace(view, services_by_name={"booth-sync": service}), 1.0)
+    assert not served.has_flows
+    for step in range(50, 500):
+        tick(agent, step * 0.02)
+    assert KEY in agent.served_by_key
+    assert recorder.upstream == []
+
+
 def test_agent_that_nobody_answers_is_no_witness_of_itself(agent, recorder):
     peers = {name: Address(f"127.2.0.{name}", 7100) for name in "2345"}
     view = make_view(2)
