Read the options of a CoAP message in one place

Cause: the refusals of an overloaded balancer and the redaction of recordings each read options from bytes by a loop of their own, with the same tables.

Change: read_option in coap_option; both call it. What is malformed or cut is None in both cases, as each treated it before.

--- a/lycheeglade/coap.py
+++ b/lycheeglade/coap.py
@@ -12,6 +12,12 @@
 from aiocoap.error import Error as CoapError
 from aiocoap.numbers import OptionNumber
 
+from lycheeglade.coap_option import (
+    HEADER_BYTES,
+    MAX_TOKEN_BYTES,
+    PAYLOAD_MARKER,
+    read_option,
+)
 from lycheeglade.errors import PacketError
 from lycheeglade.message import (
     Adapter,
@@ -23,11 +29,7 @@
 )
 
 COAP_VERSION = 1
-MAX_TOKEN_BYTES = 8
-MIN_COAP_BYTES = 4
 MAX_COAP_BYTES = 2048
-PAYLOAD_MARKER = 0xFF
-RESERVED_NIBBLE = 15
 DIGEST_BYTES = 16
 OBSERVE_MODULUS = 1 << 24
 REPEATABLE_CODES = frozenset({Code.GET, Code.PUT, Code.DELETE, Code.FETCH, Code.iPATCH})
@@ -37,8 +39,6 @@
 # Max-Age as a first option needs a delta of one extended byte.
 _MAX_AGE_DELTA = 13 << 4
 _MAX_AGE_EXTENDED = OptionNumber.MAX_AGE - 13
-_EXTENDED_BYTES = {13: 1, 14: 2}
-_EXTENDED_BASES = {13: 13, 14: 269}
 _NOT_RUN = b"not run"
 _OUTCOME_UNKNOWN = b"outcome unknown"
 _FEED_ENDED = b"feed ended"
@@ -46,12 +46,12 @@
 
 
 def _decode(datagram: bytes) -> Message:
-    if len(datagram) < MIN_COAP_BYTES:
+    if len(datagram) < HEADER_BYTES:
         raise PacketError("coap-truncated")
     if len(datagram) > MAX_COAP_BYTES:
         raise PacketError("coap-oversized")
     token_length = datagram[0] & 0x0F
-    if token_length > MAX_TOKEN_BYTES or len(datagram) < 4 + token_length:
+    if token_length > MAX_TOKEN_BYTES or len(datagram) < HEADER_BYTES + token_length:
         raise PacketError("coap-token")
     if datagram[0] >> 6 != COAP_VERSION:
         raise PacketError("coap-version")
@@ -212,15 +212,15 @@
     for its outcome. This reads and writes bytes itself, since the codec takes
     longer than a balancer takes to carry the request.
     """
-    if not MIN_COAP_BYTES <= len(datagram) <= MAX_COAP_BYTES:
+    if not HEADER_BYTES <= len(datagram) <= MAX_COAP_BYTES:
         return None
     head, code = datagram[0], datagram[1]
-    message_type, token_end = head >> 4 & 3, MIN_COAP_BYTES + (head & 0x0F)
+    message_type, token_end = head >> 4 & 3, HEADER_BYTES + (head & 0x0F)
     if (
         head >> 6 != COAP_VERSION
         or message_type not in (Type.CON, Type.NON)
         or code not in _REQUEST_CODES
-        or token_end > min(len(datagram), MIN_COAP_BYTES + MAX_TOKEN_BYTES)
+        or token_end > min(len(datagram), HEADER_BYTES + MAX_TOKEN_BYTES)
         or _may_have_ticket(datagram, token_end)
     ):
         return None
@@ -243,18 +243,12 @@
     """
     number = 0
     while position < len(datagram) and datagram[position] != PAYLOAD_MARKER:
-        fields = datagram[position] >> 4, datagram[position] & 0x0F
-        position += 1
-        values = []
-        for nibble in fields:
-            size = _EXTENDED_BYTES.get(nibble, 0)
-            extended = int.from_bytes(datagram[position : position + size], "big")
-            values.append(_EXTENDED_BASES.get(nibble, nibble) + extended)
-            position += size
-        number += values[0]
-        position += values[1]
-        is_whole = RESERVED_NIBBLE not in fields and position <= len(datagram)
-        if number == OptionNumber.ECHO or not is_whole:
+        option = read_option(datagram, position)
+        if option is None:
+            return True
+        delta, _, position = option
+        number += delta
+        if number == OptionNumber.ECHO:
             return True
     return position + 1 == len(datagram)
 
--- a/lycheeglade/redaction.py
+++ b/lycheeglade/redaction.py
@@ -13,7 +13,13 @@
 from msgspec import DecodeError
 from msgspec.structs import replace
 
-from lycheeglade.coap import MAX_TOKEN_BYTES, OWN_PAYLOADS
+from lycheeglade.coap import OWN_PAYLOADS
+from lycheeglade.coap_option import (
+    HEADER_BYTES,
+    MAX_TOKEN_BYTES,
+    PAYLOAD_MARKER,
+    read_option,
+)
 from lycheeglade.flow_state import FeedState, FlowState, decode_state, encode_state
 from lycheeglade.packet import (
     Answer,
@@ -44,8 +50,6 @@
     }
 )
 DIGEST_BYTES = 24
-HEADER_BYTES = 4
-PAYLOAD_MARKER = 0xFF
 # An option with a reserved length, which no decoder takes.
 _MALFORMED = b"\xf0"
 _NOT_TEXT = b"\xff"
@@ -137,15 +141,16 @@
                 is_own = payload in OWN_PAYLOADS
                 parts += (b"\xff", payload if is_own else self.fill(payload))
                 return b"".join(parts)
-            delta, length, start = _read_option(datagram, position)
-            number += delta
-            value = datagram[start : start + length]
-            if start < 0 or len(value) < length:
+            option = read_option(datagram, position)
+            if option is None:
                 parts.append(_MALFORMED * (len(datagram) - position))
                 return b"".join(parts)
+            delta, start, end = option
+            number += delta
+            value = datagram[start:end]
             kept = value if number in KEPT_OPTIONS else self._fill_option(value)
             parts += (datagram[position:start], kept)
-            position = start + length
+            position = end
         return b"".join(parts)
 
     def _fill_option(self, value: bytes) -> bytes:
@@ -168,19 +173,3 @@
         redact(feed.latest),
         in_flight and (*in_flight[:2], redact(in_flight[2])),
     )
-
-
-def _read_option(datagram: bytes, position: int) -> tuple[int, int, int]:
-    """Return an option's delta, length and start; -1 if it is malformed."""
-    first = datagram[position]
-    position += 1
-    fields = []
-    for field in (first >> 4, first & 0x0F):
-        size = {13: 1, 14: 2}.get(field, 0)
-        extended = datagram[position : position + size]
-        if field == 15 or len(extended) < size:
-            return 0, 0, -1
-        base = {13: 13, 14: 269}.get(field, field)
-        fields.append(base + int.from_bytes(extended, "big"))
-        position += size
-    return fields[0], fields[1], position
