Derive from the state whether an isolation begins or ends

Cause: check_isolation returned an object of two flags, one of which nobody read, beside the state that tells the same.

Change: it tells whether the state has changed; the state says to what.

Measured: tests of isolation, agent, rescue and docs, 33 passed before and after.

--- a/lycheeglade/agent.py
+++ b/lycheeglade/agent.py
@@ -45,7 +45,7 @@
     receive_probe,
     receive_probe_reply,
 )
-from lycheeglade.isolation import NO_CHANGE, check_isolation, note_packet
+from lycheeglade.isolation import check_isolation, note_packet
 from lycheeglade.membership import Membership
 from lycheeglade.notice import announce_home
 from lycheeglade.packet import (
@@ -351,13 +351,13 @@
 
 def _check_isolation(agent: Agent, now: float) -> None:
     """Move all flows to peers while no balancer can be reached."""
-    change = check_isolation(agent, now)
-    if change is NO_CHANGE:
+    if not check_isolation(agent, now):
         return
-    agent.actions.count("isolation", "", "begun" if change.begins else "ended")
+    is_isolated = agent.isolation.is_isolated
+    agent.actions.count("isolation", "", "begun" if is_isolated else "ended")
     for served in agent.served_by_key.values():
-        served.is_isolated = change.begins
-        if change.begins:
+        served.is_isolated = is_isolated
+        if is_isolated:
             move_flows(agent, served, now)
 
 
--- a/lycheeglade/isolation.py
+++ b/lycheeglade/isolation.py
@@ -4,8 +4,6 @@
 still pass it its callers' datagrams. Its flows are better off at a peer.
 """
 
-from dataclasses import dataclass
-
 from lycheeglade.agent_state import Agent, Isolation
 from lycheeglade.packet import Forward, Packet, Ping
 
@@ -16,17 +14,6 @@
 PASSED_FRESH_S = 4.0
 
 
-@dataclass(frozen=True, slots=True)
-class Change:
-    """What a check has found to be new."""
-
-    begins: bool = False
-    ends: bool = False
-
-
-NO_CHANGE = Change()
-
-
 def note_packet(isolation: Isolation, packet: Packet, of_balancer: bool, now: float):
     """Note a packet of a balancer or of another agent.
 
@@ -38,18 +25,34 @@
         isolation.passed_at = now
 
 
-def check_isolation(agent: Agent, now: float) -> Change:
+def check_isolation(agent: Agent, now: float) -> bool:
     """Ask balancers for a sign of life if none was heard lately.
 
     Nothing is asked while no flow lives here.
+
+    Returns
+    -------
+    bool
+        Whether the isolation has just begun or ended.
     """
     isolation = agent.isolation
-    if now - isolation.heard_at < QUIET_S:
-        return _settle(isolation)
-    if not any(served.records_by_flow for served in agent.served_by_key.values()):
-        return _settle(isolation)
-    if now < isolation.next_round_at:
-        return NO_CHANGE
+    was_isolated = isolation.is_isolated
+    is_reached = now - isolation.heard_at < QUIET_S
+    if is_reached or not _has_flows(agent):
+        isolation.rounds = 0
+        isolation.is_isolated = False
+    elif now >= isolation.next_round_at:
+        _begin_round(agent, now)
+    return isolation.is_isolated != was_isolated
+
+
+def _has_flows(agent: Agent) -> bool:
+    return any(served.records_by_flow for served in agent.served_by_key.values())
+
+
+def _begin_round(agent: Agent, now: float) -> None:
+    """Ask balancers, or find this agent isolated after enough rounds."""
+    isolation = agent.isolation
     if now - isolation.next_round_at > ROUND_S:
         # The first round, or this process slept.
         isolation.rounds = 0
@@ -57,18 +60,9 @@
     if isolation.rounds >= MIN_ROUNDS and not isolation.is_isolated:
         isolation.is_isolated = now - isolation.passed_at < PASSED_FRESH_S
         if isolation.is_isolated:
-            return Change(begins=True)
+            return
     isolation.rounds += 1
     _ask_balancers(agent)
-    return NO_CHANGE
-
-
-def _settle(isolation: Isolation) -> Change:
-    isolation.rounds = 0
-    if not isolation.is_isolated:
-        return NO_CHANGE
-    isolation.is_isolated = False
-    return Change(ends=True)
 
 
 def _ask_balancers(agent: Agent) -> None:
