Share equal whole numbers of values in one cache

Cause: ports and other whole numbers were shared by two caches of int.

Change: one, beside the addresses.

Measured: nothing but the tests of configuration and checker, which pass.

--- a/lycheeglade/address.py
+++ b/lycheeglade/address.py
@@ -10,7 +10,7 @@
 # Different numbers that are kept, so that equal ones share an object.
 MAX_SHARED = 1024
 
-_share_port = lru_cache(MAX_SHARED)(int)
+share_int = lru_cache(MAX_SHARED)(int)
 
 
 class Address(NamedTuple):
@@ -39,7 +39,7 @@
         raise ValueError(f"port {port} is not in 1..{MAX_PORT}")
     if ip.startswith("[") and ip.endswith("]"):
         ip = ip[1:-1]
-    return Address(intern(str(ip_address(ip))), _share_port(port))
+    return Address(intern(str(ip_address(ip))), share_int(port))
 
 
 @dataclass(frozen=True, slots=True, order=True)
--- a/lycheeglade/options.py
+++ b/lycheeglade/options.py
@@ -24,6 +24,7 @@
     Zone,
     parse_address,
     parse_zone,
+    share_int,
 )
 from lycheeglade.errors import ConfigurationError, OptionError
 
@@ -35,7 +36,6 @@
 
 # Equal numbers of many values share an object.
 _share_float = lru_cache(MAX_SHARED)(float)
-_share_int = lru_cache(MAX_SHARED)(int)
 
 Choice = TypeVar("Choice", bound=StrEnum)
 Parsed = TypeVar("Parsed")
@@ -203,7 +203,7 @@
                 raise ValueError(f"{text!r} is not a whole number")
             if not low <= int(text) <= high:
                 raise ValueError(f"{text} is not in {low}..{high}")
-            return _share_int(text)
+            return share_int(text)
 
         return self.get(option, parse_int, default, required=False)
 
