Put a recorder between a core and its edge in one place

Cause: both daemons, the replay and two benches each wrapped the actions, made the core and wrapped its inputs, with two tests for a recorder around it.

Change: connect_balancer and connect_agent do that for all of them.

--- a/bench/agent.py
+++ b/bench/agent.py
@@ -22,7 +22,7 @@
 from lycheeglade.agent_state import Agent, AgentActions
 from lycheeglade.coap import write_acknowledgement
 from lycheeglade.packet import Answer, Forward, HomeNotice, encode_packet
-from lycheeglade.recorder import Recorder, agent_inputs
+from lycheeglade.recorder import Recorder, connect_agent
 from lycheeglade.served_target import TargetKey
 from lycheeglade.view import Host, Protocol, Role, Service, State, Target, View
 
@@ -176,19 +176,17 @@
         Whether payloads are recorded; None for no trace at all.
     """
     upstream = Upstream()
-    actions = upstream.actions()
     written = [0]
 
     def write(line: bytes, now: float) -> None:
         written[0] += len(line)
 
     recorder = None if is_whole is None else Recorder(write, is_whole=is_whole)
-    if recorder is not None:
-        actions = recorder.agent_actions(actions)
-    agent = make_agent("h0", HERE, actions, Random(1), 100_000, 0.0)
-    inputs = agent_inputs(agent)
-    if recorder is not None:
-        inputs = recorder.agent_inputs(inputs)
+    agent, inputs = connect_agent(
+        lambda actions: make_agent("h0", HERE, actions, Random(1), 100_000, 0.0),
+        upstream.actions(),
+        recorder,
+    )
     inputs.update_view(make_view(), 0.0)
     inputs.tick(True, 0.0)
 
--- a/bench/datapath.py
+++ b/bench/datapath.py
@@ -43,7 +43,7 @@
 )
 from lycheeglade.histograms import Metrics
 from lycheeglade.packet import Answer, decode_packet, encode_packet
-from lycheeglade.recorder import balancer_inputs, open_recorder
+from lycheeglade.recorder import connect_balancer, open_recorder
 from lycheeglade.settings import Settings
 from lycheeglade.trace_writer import TraceOptions
 from lycheeglade.transport import DatagramSocket
@@ -153,12 +153,11 @@
         count=metrics.count,
     )
     async with open_recorder(trace, settings, 1, monotonic(), metrics) as recorder:
-        if recorder is not None:
-            actions = recorder.balancer_actions(actions)
-        balancer = make_balancer("b1", HERE, AGENT_SIDE, actions, Random(1))
-        inputs = balancer_inputs(balancer)
-        if recorder is not None:
-            inputs = recorder.balancer_inputs(inputs)
+        _, inputs = connect_balancer(
+            lambda actions: make_balancer("b1", HERE, AGENT_SIDE, actions, Random(1)),
+            actions,
+            recorder,
+        )
         inputs.update_view(make_view(), monotonic())
         callers = DatagramSocket(
             loop,
--- a/lycheeglade/agent_daemon.py
+++ b/lycheeglade/agent_daemon.py
@@ -19,7 +19,7 @@
 from lycheeglade.flow import FlowKey
 from lycheeglade.histograms import Metrics
 from lycheeglade.packet import encode_packet
-from lycheeglade.recorder import AgentInputs, Recorder, agent_inputs, open_recorder
+from lycheeglade.recorder import AgentInputs, Recorder, connect_agent, open_recorder
 from lycheeglade.served_target import ServedTarget, TargetKey
 from lycheeglade.settings import Settings
 from lycheeglade.trace_writer import TraceOptions
@@ -142,19 +142,18 @@
         count=metrics.count,
         record=metrics.record,
     )
-    if recorder is not None:
-        actions = recorder.agent_actions(actions)
-    agent = make_agent(
-        settings.host_id,
-        settings.zone,
+    agent, inputs = connect_agent(
+        lambda actions: make_agent(
+            settings.host_id,
+            settings.zone,
+            actions,
+            Random(seed),
+            settings.max_flows,
+            started_at,
+        ),
         actions,
-        Random(seed),
-        settings.max_flows,
-        started_at,
+        recorder,
     )
-    inputs = agent_inputs(agent)
-    if recorder is not None:
-        inputs = recorder.agent_inputs(inputs)
     blackboard.view.subscribe(lambda view: inputs.update_view(view, monotonic()))
     parts = ProcessParts(
         tick=lambda now: inputs.tick(
--- a/lycheeglade/balancer_daemon.py
+++ b/lycheeglade/balancer_daemon.py
@@ -21,7 +21,7 @@
 from lycheeglade.recorder import (
     BalancerInputs,
     Recorder,
-    balancer_inputs,
+    connect_balancer,
     open_recorder,
 )
 from lycheeglade.settings import Settings
@@ -152,14 +152,13 @@
         answer=services.answer,
         count=metrics.count,
     )
-    if recorder is not None:
-        actions = recorder.balancer_actions(actions)
-    balancer = make_balancer(
-        settings.host_id, settings.zone, settings.packets, actions, Random(seed)
+    balancer, inputs = connect_balancer(
+        lambda actions: make_balancer(
+            settings.host_id, settings.zone, settings.packets, actions, Random(seed)
+        ),
+        actions,
+        recorder,
     )
-    inputs = balancer_inputs(balancer)
-    if recorder is not None:
-        inputs = recorder.balancer_inputs(inputs)
 
     def on_view(view: View) -> None:
         inputs.update_view(view, monotonic())
--- a/lycheeglade/recorder.py
+++ b/lycheeglade/recorder.py
@@ -308,6 +308,32 @@
         return self._redactor.redact_packet(packet)
 
 
+def connect_balancer(
+    make: Callable[[BalancerActions], Balancer],
+    actions: BalancerActions,
+    recorder: Recorder | None,
+) -> tuple[Balancer, BalancerInputs]:
+    """Return a balancer's core and its inputs, recorded if asked for."""
+    if recorder is None:
+        balancer = make(actions)
+        return balancer, balancer_inputs(balancer)
+    balancer = make(recorder.balancer_actions(actions))
+    return balancer, recorder.balancer_inputs(balancer_inputs(balancer))
+
+
+def connect_agent(
+    make: Callable[[AgentActions], Agent],
+    actions: AgentActions,
+    recorder: Recorder | None,
+) -> tuple[Agent, AgentInputs]:
+    """Return an agent's core and its inputs, recorded if asked for."""
+    if recorder is None:
+        agent = make(actions)
+        return agent, agent_inputs(agent)
+    agent = make(recorder.agent_actions(actions))
+    return agent, recorder.agent_inputs(agent_inputs(agent))
+
+
 def _fits_json(packet: Packet) -> bool:
     """Tell whether no number of a packet is one that JSON lacks."""
     if isinstance(packet, Delegate):
--- a/lycheeglade/replay_process.py
+++ b/lycheeglade/replay_process.py
@@ -5,7 +5,7 @@
 from lycheeglade import agent as agent_core
 from lycheeglade import balancer as balancer_core
 from lycheeglade.agent_state import Agent
-from lycheeglade.recorder import agent_inputs, balancer_inputs
+from lycheeglade.recorder import connect_agent, connect_balancer
 from lycheeglade.replay_network import agent_actions, balancer_actions
 from lycheeglade.replay_world import Process, World
 from lycheeglade.spread import Snapshot, advance, build_view
@@ -21,25 +21,21 @@
     recorder = world.record and world.record(host, seed, now)
     name = host.host_id
     if host.role is Role.AGENT:
-        actions = agent_actions(world, name)
-        if recorder is not None:
-            actions = recorder.agent_actions(actions)
-        state = agent_core.make_agent(
-            name, host.zone, actions, Random(seed), MAX_AGENT_FLOWS, now
+        state, inputs = connect_agent(
+            lambda actions: agent_core.make_agent(
+                name, host.zone, actions, Random(seed), MAX_AGENT_FLOWS, now
+            ),
+            agent_actions(world, name),
+            recorder,
         )
-        inputs = agent_inputs(state)
-        if recorder is not None:
-            inputs = recorder.agent_inputs(inputs)
     else:
-        actions = balancer_actions(world, name)
-        if recorder is not None:
-            actions = recorder.balancer_actions(actions)
-        state = balancer_core.make_balancer(
-            name, host.zone, host.packets, actions, Random(seed)
+        state, inputs = connect_balancer(
+            lambda actions: balancer_core.make_balancer(
+                name, host.zone, host.packets, actions, Random(seed)
+            ),
+            balancer_actions(world, name),
+            recorder,
         )
-        inputs = balancer_inputs(state)
-        if recorder is not None:
-            inputs = recorder.balancer_inputs(inputs)
     process = Process(host, state, inputs, Snapshot(), now)
     world.processes_by_name[name] = process
     world.names_by_address[host.packets] = name
