--- a/bench/agent.py
+++ b/bench/agent.py
@@ -182,7 +182,7 @@
         written[0] += len(line)
 
     recorder = None if is_whole is None else Recorder(write, is_whole=is_whole)
-    agent, inputs = connect_agent(
+    _, inputs = connect_agent(
         lambda actions: make_agent("h0", HERE, actions, Random(1), 100_000, 0.0),
         upstream.actions(),
         recorder,
