Share what trials, tests and benches wrote twice

Cause: fabric and relay were commanded by two copies of one client, upstreams were asked by two, the far end of two benches answered packets by two loops, and three tests repeated the end of another or one of its broken variants.

Change: send_command beside the control socket, Cluster.ask_upstream, far_end for the benches, one function each for what the tests share. Nothing asserted is changed. An upstream that doesn't tell its account now raises the TimeoutError that was documented, in place of a cancellation.

--- a/bench/datapath.py
+++ b/bench/datapath.py
@@ -19,9 +19,7 @@
 from select import select
 from socket import (
     AF_INET,
-    SO_RCVBUF,
     SOCK_DGRAM,
-    SOL_SOCKET,
     create_connection,
     create_server,
     socket,
@@ -33,6 +31,7 @@
 import uvloop
 from psutil import Process
 
+from bench.far_end import BUFFER_BYTES, run_far_end
 from lycheeglade.address import Address, Zone
 from lycheeglade.balancer import (
     BalancerActions,
@@ -42,7 +41,7 @@
     update_view,
 )
 from lycheeglade.histograms import Metrics
-from lycheeglade.packet import Answer, decode_packet, encode_packet
+from lycheeglade.packet import Answer, encode_packet
 from lycheeglade.recorder import connect_balancer, open_recorder
 from lycheeglade.settings import Settings
 from lycheeglade.trace_writer import TraceOptions
@@ -53,7 +52,6 @@
 WINDOW = 192
 CALLERS = 32
 HERE = Zone("viti-west", "nadi-a")
-BUFFER_BYTES = 4 * 1024 * 1024
 IDLE_S = 1.0
 START_S = 1.5
 START_ATTEMPTS = 10
@@ -208,26 +206,6 @@
                     pass
 
 
-def run_far_end(address: Address, is_packet: bool) -> None:
-    """Answer each datagram, as an agent would or as an echo."""
-    server = socket(AF_INET, SOCK_DGRAM)
-    server.setsockopt(SOL_SOCKET, SO_RCVBUF, BUFFER_BYTES)
-    server.bind(address)
-    while True:
-        datagram, source = server.recvfrom(65535)
-        if is_packet:
-            packet = decode_packet(datagram)
-            answer = Answer(
-                packet.service,
-                packet.target_id,
-                packet.caller_ip,
-                packet.caller_port,
-                packet.payload,
-            )
-            datagram = encode_packet(answer)
-        server.sendto(datagram, source)
-
-
 def wait_for_collector() -> None:
     """Wait until the collector listens, so that no trace begins without it."""
     for _ in range(START_ATTEMPTS):
--- /dev/null
+++ b/bench/far_end.py
@@ -0,0 +1,45 @@
+"""What stands behind the subject of a bench and answers its datagrams."""
+
+from collections.abc import Callable
+from socket import AF_INET, SO_RCVBUF, SOCK_DGRAM, SOL_SOCKET, socket
+
+from lycheeglade.address import Address
+from lycheeglade.packet import Answer, decode_packet, encode_packet
+
+BUFFER_BYTES = 4 * 1024 * 1024
+
+
+def run_far_end(address: Address, is_packet: bool) -> None:
+    """Answer each datagram, as an agent would or as an echo."""
+    if is_packet:
+        answer_packets(address, lambda payload: payload)
+    else:
+        answer_datagrams(address, lambda datagram: datagram)
+
+
+def answer_packets(address: Address, answer_payload: Callable[[bytes], bytes]) -> None:
+    """Answer what balancers forward, until the process is ended."""
+
+    def answer(datagram: bytes) -> bytes:
+        packet = decode_packet(datagram)
+        return encode_packet(
+            Answer(
+                packet.service,
+                packet.target_id,
+                packet.caller_ip,
+                packet.caller_port,
+                answer_payload(packet.payload),
+            )
+        )
+
+    answer_datagrams(address, answer)
+
+
+def answer_datagrams(address: Address, answer: Callable[[bytes], bytes]) -> None:
+    """Answer each datagram at `address` until the process is ended."""
+    server = socket(AF_INET, SOCK_DGRAM)
+    server.setsockopt(SOL_SOCKET, SO_RCVBUF, BUFFER_BYTES)
+    server.bind(address)
+    while True:
+        datagram, source = server.recvfrom(65535)
+        server.sendto(answer(datagram), source)
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -13,13 +13,14 @@
 from multiprocessing import get_context
 from random import Random
 from select import EPOLLIN, epoll
-from socket import AF_INET, SO_RCVBUF, SOCK_DGRAM, SOL_SOCKET, socket
+from socket import AF_INET, SOCK_DGRAM, socket
 from time import monotonic, sleep
 
 import numpy as np
 import uvloop
 from aiocoap import Message
 
+from bench.far_end import answer_packets
 from lycheeglade.address import Address, Zone
 from lycheeglade.balancer import (
     BalancerActions,
@@ -29,7 +30,6 @@
 )
 from lycheeglade.balancer_daemon import ServiceSockets
 from lycheeglade.histograms import Metrics
-from lycheeglade.packet import Answer, decode_packet, encode_packet
 from lycheeglade.settings import Settings
 from lycheeglade.transport import DatagramSocket
 from lycheeglade.view import Host, Protocol, Role, Service, Target, View
@@ -38,7 +38,6 @@
 CALLER_SIDE = Address("127.199.1.1", 5683)
 AGENT_SIDE = Address("127.199.1.1", 7100)
 AGENT = Address("127.199.2.1", 7100)
-BUFFER_BYTES = 4 * 1024 * 1024
 SLOWNESS = 8
 ESTABLISHED = 200
 NEW = 2000
@@ -118,20 +117,7 @@
 
 def run_agent() -> None:
     """Answer each request at once."""
-    server = socket(AF_INET, SOCK_DGRAM)
-    server.setsockopt(SOL_SOCKET, SO_RCVBUF, BUFFER_BYTES)
-    server.bind(AGENT)
-    while True:
-        datagram, source = server.recvfrom(65535)
-        packet = decode_packet(datagram)
-        answer = Answer(
-            packet.service,
-            packet.target_id,
-            packet.caller_ip,
-            packet.caller_port,
-            bytes([0x60, CONTENT]) + packet.payload[2:4],
-        )
-        server.sendto(encode_packet(answer), source)
+    answer_packets(AGENT, lambda payload: bytes([0x60, CONTENT]) + payload[2:4])
 
 
 class Driver:
--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -1,6 +1,6 @@
 """A whole deployment as processes of this machine."""
 
-from asyncio import get_running_loop, sleep, to_thread
+from asyncio import get_running_loop, sleep, to_thread, wait_for
 from json import dumps, loads
 from pathlib import Path
 from random import Random
@@ -8,10 +8,11 @@
 from time import time
 from urllib.request import Request, urlopen
 
-from aiocoap import CONTENT, GET, Message
+from aiocoap import CON, CONTENT, GET, Message
 
 from demo.coap import Endpoint, build_message, open_endpoint
 from demo.deployment import VALUES, Deployment, ServicePlan
+from demo.fault import send_command
 from demo.journal import read_journal
 from demo.processes import Processes
 from lycheeglade.address import Zone
@@ -254,44 +255,45 @@
 
     def command_fabric(self, command: str, **fields) -> dict:
         """Run a command of the fabric's control socket."""
-        with socket(AF_INET, SOCK_DGRAM) as control:
-            control.settimeout(COMMAND_TIMEOUT_S)
-            control.sendto(
-                dumps({"command": command, **fields}).encode(),
-                self.deployment.fabric_control,
-            )
-            answer = loads(control.recv(65535))
-        if "error" in answer:
-            raise ValueError(answer["error"])
-        return answer
+        address = self.deployment.fabric_control
+        return send_command(address, command, fields, COMMAND_TIMEOUT_S)
 
-    async def fetch_upstream_account(self, target: Target) -> dict:
-        """Ask an upstream for its account, without the runs.
+    async def ask_upstream(
+        self, target: Target, code, path: str, query: tuple[str, ...] = ()
+    ) -> Message:
+        """Send a request to an upstream itself and return its answer.
 
         Raises
         ------
         TimeoutError
             If it does not answer.
         """
-        loop = get_running_loop()
-        future = loop.create_future()
+        answer = get_running_loop().create_future()
 
         def take(message: Message, remote):
-            if not future.done():
-                future.set_result(message)
+            if not answer.done():
+                answer.set_result(message)
 
         endpoint = Endpoint(Random(self.seed), on_response=take)
         await open_endpoint(endpoint, (self.deployment.ip(0, 9), 0))
         request = build_message(
-            GET, token=b"account", uri_path=("account",), uri_query=("brief",)
+            code, mtype=CON, token=b"command", uri_path=(path,), uri_query=query
         )
         endpoint.send(request, target.upstream)
-        timer = loop.call_later(COMMAND_TIMEOUT_S, future.cancel)
         try:
-            message = await future
+            return await wait_for(answer, COMMAND_TIMEOUT_S)
         finally:
-            timer.cancel()
             endpoint.close()
+
+    async def fetch_upstream_account(self, target: Target) -> dict:
+        """Ask an upstream for its account, without the runs.
+
+        Raises
+        ------
+        TimeoutError
+            If it does not answer.
+        """
+        message = await self.ask_upstream(target, GET, "account", ("brief",))
         if message.code != CONTENT:
             raise ValueError(f"{target.target_id} answered {message.code}")
         return loads(message.payload)
--- a/demo/fault.py
+++ b/demo/fault.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from json import dumps, loads
 from random import Random
+from socket import AF_INET, SOCK_DGRAM, socket
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +53,27 @@
             send()
 
 
+def send_command(
+    address: tuple[str, int], command: str, fields: dict, timeout: float
+) -> dict:
+    """Run a command of a control socket and return the answer.
+
+    Raises
+    ------
+    TimeoutError
+        If there is no answer within `timeout` seconds.
+    ValueError
+        If the command is refused.
+    """
+    with socket(AF_INET, SOCK_DGRAM) as control:
+        control.settimeout(timeout)
+        control.sendto(dumps({"command": command, **fields}).encode(), address)
+        answer = loads(control.recv(65535))
+    if "error" in answer:
+        raise ValueError(answer["error"])
+    return answer
+
+
 class Control(DatagramProtocol):
     """Socket that takes JSON commands.
 
--- a/tests/faults.py
+++ b/tests/faults.py
@@ -1,6 +1,6 @@
 """Runs a whole deployment under callers' load while faults are injected."""
 
-from asyncio import get_running_loop, sleep, wait_for
+from asyncio import get_running_loop, sleep
 from collections import Counter
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -9,11 +9,10 @@
 from random import Random
 
 import pytest
-from aiocoap import CON, Message
+from aiocoap import Message
 
 from demo.account import Outcome, read_journals
-from demo.cluster import COMMAND_TIMEOUT_S, Cluster, find_free_network, wait_until
-from demo.coap import Endpoint, build_message, open_endpoint
+from demo.cluster import Cluster, find_free_network, wait_until
 from demo.deployment import Deployment, plan_reelbure
 from demo.report import Report, build_report, find_broken_promises
 from demo.workload import Load, Workload
@@ -116,20 +115,8 @@
 
     async def command_upstream(self, target, code, path, **query) -> Message:
         """Send a request to an upstream itself and return its answer."""
-        answer = get_running_loop().create_future()
-        endpoint = Endpoint(
-            Random(SEED), on_response=lambda message, remote: answer.set_result(message)
-        )
-        await open_endpoint(endpoint, (self.deployment.ip(0, 9), 0))
         items = tuple(f"{name}={value}" for name, value in query.items())
-        request = build_message(
-            code, mtype=CON, token=b"command", uri_path=(path,), uri_query=items
-        )
-        endpoint.send(request, target.upstream)
-        try:
-            return await wait_for(answer, COMMAND_TIMEOUT_S)
-        finally:
-            endpoint.close()
+        return await self.cluster.ask_upstream(target, code, path, items)
 
     def kill_host(self, host_id: str) -> None:
         """Kill a balancer or an agent, which then isn't asked any more."""
--- a/tests/relayed.py
+++ b/tests/relayed.py
@@ -1,10 +1,8 @@
 """A cluster whose datagrams between processes pass a relay."""
 
-from json import dumps, loads
-from socket import AF_INET, SOCK_DGRAM, socket
-
 from demo.cluster import COMMAND_TIMEOUT_S, Cluster
 from demo.deployment import VALUES
+from demo.fault import send_command
 
 RELAY = "relay"
 PACKETS_PORT = 7100
@@ -44,14 +42,7 @@
 
     def command_relay(self, command: str, **fields) -> dict:
         """Run a command of the relay's control socket."""
-        with socket(AF_INET, SOCK_DGRAM) as control:
-            control.settimeout(COMMAND_TIMEOUT_S)
-            message = dumps({"command": command, **fields})
-            control.sendto(message.encode(), self.relay_control)
-            answer = loads(control.recv(65535))
-        if "error" in answer:
-            raise ValueError(answer["error"])
-        return answer
+        return send_command(self.relay_control, command, fields, COMMAND_TIMEOUT_S)
 
     def cut(self, from_ip: str, to_ip: str) -> None:
         """Drop all datagrams of one direction."""
--- a/tests/test_double_faults.py
+++ b/tests/test_double_faults.py
@@ -37,13 +37,7 @@
     await sleep(FABRIC_NOTICES_S)
     run.cluster.command_fabric("remove", ip=balancer.ip)
     await sleep(DEAD_S)
-    for host in (balancer, target):
-        run.processes.restart(host.host_id)
-        await run.cluster.wait_listening(host.host_id)
-    run.cluster.command_fabric("add", ip=balancer.ip)
-    await sleep(BACK_S)
-    report = await run.finish(UNPLANNED_SETTLE_S)
-    check_unplanned(run, report, broken_feeds=lived_there)
+    await check_return(run, balancer, target, lived_there)
 
 
 async def test_two_agents_and_an_upstream_killed_in_one_moment(run):
@@ -73,6 +67,10 @@
         lived_there += await run.feeds_if_reachable(target.host_id)
         for host in (balancer, target):
             run.kill_host(host.host_id)
+    await check_return(run, balancer, target, lived_there)
+
+
+async def check_return(run, balancer, target, lived_there):
     for host in (balancer, target):
         run.processes.restart(host.host_id)
         await run.cluster.wait_listening(host.host_id)
--- a/tests/test_homes_machine.py
+++ b/tests/test_homes_machine.py
@@ -226,17 +226,7 @@
     fleet.request(2, repeatable=False)
     fleet.advance(5.0)
     fleet.publish(without(fleet.service, "t1"))
-    targets = dict(fleet.service.targets_by_id)
-    targets["t2"] = fleet.whole.targets_by_id["t2"]
-    fleet.publish(replace(fleet.service, targets_by_id=targets))
-    fleet.request(2, repeatable=True)
-    fleet.publish(without(fleet.service, "t3"))
-    early = {fleet.names[index] for index in (1, 2, 3, 5, 7)}
-    fleet.publish(leave(fleet.service, "t5"), early, 0.05)
-    fleet.advance(5.0)
-    fleet.request(2, repeatable=False)
-    fleet.advance(0.05)
-    fleet.settle()
+    bring_t2_back_and_take_others(fleet)
 
 
 def test_agent_that_starts_after_a_removal_asks_the_removed_target():
@@ -249,6 +239,10 @@
     fleet.advance(5.0)
     fleet.publish(without(fleet.service, "t1"))
     fleet.start(fleet.names[1])
+    bring_t2_back_and_take_others(fleet)
+
+
+def bring_t2_back_and_take_others(fleet):
     targets = dict(fleet.service.targets_by_id)
     targets["t2"] = fleet.whole.targets_by_id["t2"]
     fleet.publish(replace(fleet.service, targets_by_id=targets))
--- a/tests/test_homes_under_faults.py
+++ b/tests/test_homes_under_faults.py
@@ -25,10 +25,10 @@
 from lycheeglade.flow import FlowKey
 from lycheeglade.packet import HandoffCommit
 from lycheeglade.served_target import IncomingHandoff
-from lycheeglade.ticket import Judgement, TicketBook, Verdict
 from tests.conftest import machine_settings
 from tests.faulty_fleet import FaultyFleet
 from tests.fleet import MIN_LIVE_TARGETS, PLAN
+from tests.test_replay import run_every_copy
 
 TARGETS = st.sampled_from([f"t{number + 1}" for number in range(PLAN.targets)])
 CALLERS = st.integers(0, PLAN.callers - 1)
@@ -212,19 +212,6 @@
     monkeypatch.setattr(takeover, "_import_feed", import_without_items)
 
 
-def run_every_copy(monkeypatch):
-    judge = TicketBook.judge
-
-    def judge_as_new(book, ticket, flow, digest, now):
-        verdict = judge(book, ticket, flow, digest, now)
-        if verdict.judgement is Judgement.CHALLENGE:
-            return verdict
-        return Verdict(Judgement.RUN)
-
-    monkeypatch.setattr(TicketBook, "judge", judge_as_new)
-    monkeypatch.setattr(TicketBook, "begin", lambda *arguments: None)
-
-
 @pytest.mark.parametrize(
     ("break_decision", "machine"),
     [
