Let the bench of overload run again

Cause: it called the balancer's sockets without the inputs that they now take, so that nothing was served; and it waited one second for two processes whose imports take about as long, so that it sometimes measured a capacity of 0.

Change: it connects the core as the daemon does, and waits for a first answer. The new test runs its server, and failed before.

--- a/bench/overload.py
+++ b/bench/overload.py
@@ -25,11 +25,10 @@
 from lycheeglade.balancer import (
     BalancerActions,
     make_balancer,
-    receive_datagram,
-    update_view,
 )
 from lycheeglade.balancer_daemon import ServiceSockets
 from lycheeglade.histograms import Metrics
+from lycheeglade.recorder import connect_balancer
 from lycheeglade.settings import Settings
 from lycheeglade.transport import DatagramSocket
 from lycheeglade.view import Host, Protocol, Role, Service, Target, View
@@ -42,7 +41,8 @@
 ESTABLISHED = 200
 NEW = 2000
 WINDOW = 100
-START_S = 1.0
+START_S = 10.0
+START_POLL_S = 0.1
 CAPACITY_S = 1.0
 LOAD_S = 2.0
 DRAIN_S = 0.5
@@ -96,16 +96,21 @@
         answer=services.answer,
         count=metrics.count,
     )
-    balancer = make_balancer("b1", HERE, AGENT_SIDE, actions, Random(1))
-    update_view(balancer, make_view())
+    balancer, inputs = connect_balancer(
+        lambda actions: make_balancer("b1", HERE, AGENT_SIDE, actions, Random(1)),
+        actions,
+        None,
+    )
+    view = make_view()
+    inputs.update_view(view, monotonic())
     agents = DatagramSocket(
         get_running_loop(),
-        lambda datagram, source: receive_datagram(
-            balancer, datagram, Address(source[0], source[1]), monotonic()
+        lambda datagram, source: inputs.receive_datagram(
+            datagram, Address(source[0], source[1]), monotonic()
         ),
         local=AGENT_SIDE,
     )
-    services.update(balancer, make_view())
+    services.update(balancer, inputs, view)
     await Event().wait()
 
 
@@ -196,6 +201,23 @@
             self.counts["established answered"] += 1
             self.seconds["established"].append(seconds)
 
+    def wait_for_answer(self) -> None:
+        """Ask until the balancer and the agent behind it answer.
+
+        Raises
+        ------
+        TimeoutError
+            If they don't within `START_S`.
+        """
+        until = monotonic() + START_S
+        while not self.counts["established answered"]:
+            if monotonic() > until:
+                raise TimeoutError("the balancer doesn't answer")
+            self.send(self.established[0])
+            sleep(START_POLL_S)
+            self.receive()
+        self.reset()
+
     def measure_capacity(self, seconds: float) -> float:
         """Return answers a second with a window of requests under way."""
         callers = cycle(self.established)
@@ -260,7 +282,7 @@
         child.start()
     driver = Driver()
     try:
-        sleep(START_S)
+        driver.wait_for_answer()
         if load is None:
             return driver.measure_capacity(CAPACITY_S), ""
         for caller in driver.established:
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -1,8 +1,10 @@
+from asyncio import create_task, wait
 from random import Random
 
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from bench.overload import serve
 from lycheeglade.established import ESTABLISHED_TIME, EstablishedFlows
 from lycheeglade.flow import FlowKey
 from lycheeglade.overload import (
@@ -91,6 +93,13 @@
     ]
 
 
+async def test_bench_runs_on_the_sockets_of_the_daemon():
+    server = create_task(serve())
+    ended, _ = await wait([server], timeout=0.3)
+    server.cancel()
+    assert not ended, server.exception()
+
+
 class OverloadMachine(RuleBasedStateMachine):
     """Batches, answers and pauses, against the plain statement of the rule."""
 
