Note an answer to the latest flow of its set without moving it

Cause: each answer that a balancer carries is noted; since a set keeps the order of its answers, a note took 4.1 us also where the flow was the latest already.

Change: that flow's time is set and nothing is moved.

Measured: 200 flows in the balancer's table, a note 4.06 us before and 1.96 us after; filled to half as before.

--- a/lycheeglade/established.py
+++ b/lycheeglade/established.py
@@ -42,6 +42,9 @@
         """Note an answer to `flow` through this balancer."""
         start, mark = self._locate(flow)
         last = start + self._ways - 1
+        if self._marks[last] == mark:
+            self._answered_at[last] = now
+            return
         marks = self._marks[start : last + 1]
         slot = start
         if mark in marks:
