Find an upstream that answers pings and no request

Now one that lets requests wait for four times as long as it ever did, and at least 3 s, is down; answered pings bring it back after a pause of 5 s that doubles while it stays mute. Ruled out: counting each unanswered request alone; long work would be taken for silence. The trace of requests that come too late uses an upstream that still sends items, else it is found mute before they are late. The isolation tests poked at the state of an answering upstream; they note its response now.

--- a/demo/traces.py
+++ b/demo/traces.py
@@ -17,6 +17,7 @@
 
 END_S = 600.0
 FEED_PERIOD_S = 5.0
+BUSY_FEED_PERIOD_S = 1.0
 IN_FORCE_S = 6.0
 NEW_WORK_S = 3.0
 RECOVERY_S = 30.0
@@ -260,7 +261,9 @@
     writer.add(490, "upstream", **key, is_down=True)
     writer.add(505, "upstream", **key)
     late = {"service": feeds.name, "target": "t5", "feed_period_s": FEED_PERIOD_S}
-    writer.add(520, "upstream", **late, service_time_s=LATE_S)
+    # It still sends items of its feeds, so it isn't taken for a mute one.
+    busy = {**late, "feed_period_s": BUSY_FEED_PERIOD_S}
+    writer.add(520, "upstream", **busy, service_time_s=LATE_S)
     writer.add(535, "upstream", **late)
     # Answers through one balancer are lost, so that requests are repeated.
     writer.add(540, "cut", source="balancer-1", destination="fabric")
--- a/lycheeglade/agent.py
+++ b/lycheeglade/agent.py
@@ -302,7 +302,7 @@
     served = agent.served_by_key.get(key)
     if served is None:
         return
-    if note_upstream_heard(served):
+    if note_upstream_heard(served, now):
         agent.actions.count("upstream", served.service.name, "back")
         renew_registrations(agent, served, now)
     receive_upstream(agent, served, flow, datagram, now)
--- a/lycheeglade/served_target.py
+++ b/lycheeglade/served_target.py
@@ -7,6 +7,7 @@
 
 from lycheeglade.address import Address
 from lycheeglade.admission import Admission
+from lycheeglade.blackboard import NEVER
 from lycheeglade.flow import FlowKey
 from lycheeglade.message import Adapter, CallerMessage, ReplyTo
 from lycheeglade.packet import Delegate, Forward
@@ -220,6 +221,14 @@
         Whether this agent is out of reach of all balancers.
     unanswered_since : float or None
         When the oldest datagram was sent that the upstream did not answer.
+    unserved_since : float or None
+        When the first request was sent since its latest response.
+    longest_gap : float or None
+        Longest time of late that a request was unserved, seconds.
+    mute_until : float
+        Up to when answered pings are no sign that requests are served.
+    mute_pause : float
+        Seconds of the latest such pause; 0 while requests are served.
     homes_by_flow : OrderedDict
         Flows that live elsewhere, least recently used first.
     settled_at : float
@@ -251,6 +260,10 @@
     unanswered_since: float | None = None
     upstream_pings: int = 0
     next_ping_at: float = 0.0
+    unserved_since: float | None = None
+    longest_gap: float | None = None
+    mute_until: float = NEVER
+    mute_pause: float = 0.0
     records_by_flow: dict[FlowKey, FlowRecord] = field(default_factory=dict)
     homes_by_flow: OrderedDict[FlowKey, HomePointer] = field(
         default_factory=OrderedDict
--- a/lycheeglade/session.py
+++ b/lycheeglade/session.py
@@ -24,6 +24,7 @@
     FlowRecord,
     ServedTarget,
 )
+from lycheeglade.upstream_health import note_upstream_served
 
 
 def hold_packet(
@@ -140,6 +141,7 @@
         return
     if message.kind is not Kind.RESPONSE:
         return
+    note_upstream_served(served, now)
     known = receive_response(agent, served, message, now) or receive_notification(
         agent, served, message, now
     )
--- a/lycheeglade/upstream_health.py
+++ b/lycheeglade/upstream_health.py
@@ -2,15 +2,28 @@
 
 An upstream that answers nothing is pinged. One that stays silent, or whose
 port is closed, is down: its flows move to other targets until it answers
-again. Published health is not consulted, since it lags.
+again. So is one that answers pings but none of its requests for several times
+as long as it ever took; a ping that it answers doesn't bring that one back
+before its pause is over. Published health is not consulted, since it lags.
 """
 
 from lycheeglade.agent_state import Agent
+from lycheeglade.blackboard import NEVER
 from lycheeglade.served_target import MESSAGE_ID_MODULUS, ServedTarget
 
 SILENCE_S = 1.0
 PING_INTERVAL_S = 0.5
 MIN_PINGS = 3
+# Seconds without any response to requests after which an upstream is mute,
+# if that is also `MUTE_FACTOR` times the longest such gap that ended well.
+MUTE_S = 3.0
+MUTE_FACTOR = 4.0
+# Seconds that count for the longest gap until a response has come.
+UNKNOWN_GAP_S = 3.0
+GAP_DECAY = 0.99
+# Seconds that a mute upstream gets no work, doubled each time it stays mute.
+MUTE_PAUSE_S = 5.0
+MAX_MUTE_PAUSE_S = 60.0
 
 
 def send_upstream(
@@ -21,10 +34,12 @@
         served.unanswered_since = now
         served.upstream_pings = 0
         served.next_ping_at = now + SILENCE_S
+    if served.unserved_since is None:
+        served.unserved_since = now
     agent.actions.send_upstream(served.key, None, datagram)
 
 
-def note_upstream_heard(served: ServedTarget) -> bool:
+def note_upstream_heard(served: ServedTarget, now: float) -> bool:
     """Note any datagram from the upstream.
 
     Returns
@@ -32,20 +47,56 @@
     bool
         Whether the upstream was down until now.
     """
+    if now < served.mute_until:
+        return False
     was_down = served.is_down
     served.unanswered_since = None
     served.is_down = False
+    if was_down:
+        # What it was sent while it was down is lost.
+        served.unserved_since = None
     return was_down
 
 
+def note_upstream_served(served: ServedTarget, now: float) -> None:
+    """Note a response to a request, or an item of a feed."""
+    if served.unserved_since is not None:
+        gap = now - served.unserved_since
+        served.longest_gap = max(gap, (served.longest_gap or 0.0) * GAP_DECAY)
+    served.unserved_since = None
+    served.mute_pause = 0.0
+    served.mute_until = NEVER
+
+
+def _check_mute(served: ServedTarget, now: float) -> bool:
+    """Tell whether the upstream has just been found to serve no request."""
+    if served.unserved_since is None or served.is_down:
+        return False
+    gap = UNKNOWN_GAP_S if served.longest_gap is None else served.longest_gap
+    if now - served.unserved_since < max(MUTE_S, MUTE_FACTOR * gap):
+        return False
+    served.unserved_since = None
+    pause = max(MUTE_PAUSE_S, 2 * served.mute_pause)
+    served.mute_pause = min(pause, MAX_MUTE_PAUSE_S)
+    served.mute_until = now + served.mute_pause
+    # Pings find out when it is over.
+    served.unanswered_since = now
+    served.next_ping_at = now + PING_INTERVAL_S
+    served.is_down = True
+    served.down_since = now
+    return True
+
+
 def check_upstream(agent: Agent, served: ServedTarget, now: float) -> bool:
-    """Ping a silent upstream.
+    """Ping a silent upstream, and find one that serves no request.
 
     Returns
     -------
     bool
         Whether the upstream has just been found to be down.
     """
+    if served.adapter is not None and _check_mute(served, now):
+        return True
     if served.unanswered_since is None or now < served.next_ping_at:
         return False
     if served.adapter is None or _is_left_alone(served):
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -8,6 +8,7 @@
 from lycheeglade.address import Address
 from lycheeglade.agent import receive_datagram, tick, update_view
 from lycheeglade.packet import Forward, HandoffOffer, Ping, Pong, encode_packet
+from lycheeglade.upstream_health import note_upstream_heard, note_upstream_served
 from tests.agents import BALANCER, KEY, make_view
 
 PEER = Address("127.2.0.3", 7100)
@@ -44,7 +45,8 @@
     (served,) = agent.served_by_key.values()
     for step in range(1, round(seconds * TICKS_PER_S) + 1):
         now = 0.1 + step * TICK_S
-        served.unanswered_since = None
+        note_upstream_heard(served, now)
+        note_upstream_served(served, now)
         sent = len(recorder.sent)
         tick(agent, now)
         for address, packet in recorder.sent[sent:]:
--- /dev/null
+++ b/tests/test_upstream_health.py
@@ -0,0 +1,105 @@
+"""An upstream that answers pings and no request is found to be down."""
+
+from random import Random
+
+import pytest
+from aiocoap import Code, Message, Type
+
+from lycheeglade.agent import (
+    make_agent,
+    receive_datagram,
+    receive_from_upstream,
+    tick,
+    update_view,
+)
+from lycheeglade.upstream_health import MUTE_FACTOR, MUTE_PAUSE_S, MUTE_S
+from tests.agents import BALANCER, HERE, KEY, Recorder, get_request, make_view
+from tests.test_agent import forward
+
+STEP_S = 0.05
+
+
+class Upstream:
+    """One agent's upstream, which answers pings and, if told, requests."""
+
+    def __init__(self):
+        self.recorder = Recorder()
+        self.agent = make_agent("h1", HERE, self.recorder.actions(), Random(1), 9, 0.0)
+        update_view(self.agent, make_view(), 0.0)
+        self.served = self.agent.served_by_key[KEY]
+        self.now = 0.0
+        self.seen = 0
+        self.waiting = []
+
+    def request(self, message_id):
+        receive_datagram(
+            self.agent, forward(get_request(message_id)), BALANCER, self.now
+        )
+
+    def run(self, seconds, work_s=None):
+        """Pass time; requests are answered `work_s` after they came."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += STEP_S
+            tick(self.agent, self.now)
+            for _, datagram in self.recorder.upstream[self.seen :]:
+                message = Message.decode(datagram)
+                if message.code is Code.EMPTY:
+                    self.answer(Message(code=Code.EMPTY), Type.RST, message)
+                else:
+                    self.waiting.append((self.now, message))
+            self.seen = len(self.recorder.upstream)
+            if work_s is not None:
+                for since, message in list(self.waiting):
+                    if self.now >= since + work_s:
+                        self.waiting.remove((since, message))
+                        answer = Message(code=Code.CONTENT, payload=b"x")
+                        self.answer(answer, Type.ACK, message)
+
+    def answer(self, answer, kind, message):
+        answer.mtype, answer.mid, answer.token = kind, message.mid, message.token
+        receive_from_upstream(self.agent, KEY, None, answer.encode(), self.now)
+
+
+@pytest.fixture
+def upstream():
+    return Upstream()
+
+
+def test_upstream_that_answers_pings_only_is_down_for_a_pause(upstream):
+    upstream.request(1)
+    upstream.run(0.2, work_s=0.1)
+    upstream.request(2)
+    upstream.run(MUTE_S + 2 * STEP_S)
+    assert upstream.served.is_down
+    upstream.run(MUTE_PAUSE_S - 1.0)
+    assert upstream.served.is_down
+    upstream.run(2.0)
+    assert not upstream.served.is_down
+    upstream.request(3)
+    upstream.run(MUTE_S + 2 * STEP_S)
+    assert upstream.served.is_down
+    upstream.run(2 * MUTE_PAUSE_S - 1.0)
+    assert upstream.served.is_down
+
+
+def test_upstream_that_serves_again_is_up_and_its_pause_is_forgotten(upstream):
+    upstream.request(1)
+    upstream.run(0.2, work_s=0.1)
+    upstream.request(2)
+    upstream.run(MUTE_S + MUTE_PAUSE_S + 1.0)
+    assert not upstream.served.is_down
+    upstream.request(3)
+    upstream.run(0.2, work_s=0.1)
+    assert not upstream.served.is_down
+    assert upstream.served.mute_pause == 0.0
+
+
+def test_upstream_whose_work_takes_long_is_not_mute(upstream):
+    work_s = 2 * MUTE_S
+    upstream.request(1)
+    upstream.run(work_s + 1.0, work_s=work_s)
+    assert not upstream.served.is_down
+    upstream.request(2)
+    upstream.run(MUTE_FACTOR * work_s - 1.0)
+    assert not upstream.served.is_down
