Report a target as silent that returns no data of unknown connections

An agent now reports its target as silent after 0.6 s in which it neither returned nor answered data of two unknown connections.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
     connection_machine.py)
 READY := $(VENV)/.ready
 
-.PHONY: setup test check demo capacity faults machines
+.PHONY: setup test check demo capacity faults machines soak
 
 $(READY): requirements.lock pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -36,3 +36,7 @@
 
 capacity: $(READY)
 	$(BIN)/python -m bench.capacity
+
+soak: $(READY)
+	$(BIN)/python -m soak --seed $(or $(SEED),1) --minutes $(or $(MINUTES),0.5) \
+	    --rounds $(or $(ROUNDS),1) --jobs $(or $(JOBS),1)
--- a/lycheeglade/connection_agent.py
+++ b/lycheeglade/connection_agent.py
@@ -26,6 +26,7 @@
     AgentLoad,
     expected_time,
 )
+from lycheeglade.target_silence import TargetSilence
 
 MAX_CONNECTIONS = 8000
 MAX_PENDING = 4096
@@ -38,11 +39,6 @@
 QUIET_REPORT_INTERVAL_S = 0.4
 # Datagrams a second that reports to all balancers may take.
 REPORTS_PER_S = 100.0
-# A target that answers none of several opening segments for that long is
-# silent. After a while it is given another chance.
-SILENT_S = 0.1
-MIN_UNANSWERED = 2
-SILENT_HOLD_S = 1.0
 # A request that got no answer for that long is taken for lost.
 LOST_ANSWER_S = 1.0
 # Answers that come sooner are refusals of a target that is full.
@@ -148,9 +144,7 @@
     finished: int = 0
     finished_at: float = 0.0
     logged_at: float = 0.0
-    unanswered: int = 0
-    unanswered_since: float = 0.0
-    unanswered_at: float = 0.0
+    silence: TargetSilence = field(default_factory=TargetSilence)
     reported_at: float = 0.0
     reported: LoadReport | None = None
     is_leaving: bool = False
@@ -298,10 +292,9 @@
 
 def _deliver(agent: ConnectionAgent, segment: Segment, tag: int, now: float) -> None:
     if segment.opens:
-        if not agent.unanswered:
-            agent.unanswered_since = now
-        agent.unanswered += 1
-        agent.unanswered_at = now
+        agent.silence.note_opening(segment, now)
+    elif tag and segment.data_bytes:
+        agent.silence.note_unknown(segment, now)
     agent.actions.deliver(segment, tag)
 
 
@@ -430,7 +423,7 @@
 
 def receive_from_target(agent: ConnectionAgent, segment: Segment, now: float) -> None:
     """Take a segment that the target sent or returned."""
-    agent.unanswered = 0
+    agent.silence.note_heard()
     if segment.returned:
         _receive_returned(agent, segment, now)
         return
@@ -529,11 +522,6 @@
 
 
 def _report(agent: ConnectionAgent, now: float) -> LoadReport:
-    silent = (
-        agent.unanswered >= MIN_UNANSWERED
-        and now - agent.unanswered_since > SILENT_S
-        and now - agent.unanswered_at < SILENT_HOLD_S
-    )
     return LoadReport(
         incarnation=agent.incarnation,
         service=agent.service,
@@ -541,7 +529,7 @@
         service_time=agent.service_time.mean,
         busy=_busy_share(agent, now),
         connections=len(agent.connections_by_key),
-        silent=silent,
+        silent=agent.silence.is_silent(now),
         leaving=agent.is_leaving,
     )
 
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,55 @@
+"""Runs the soak: ``python -m soak --seed 1 --minutes 0.5 --rounds 3``."""
+
+import sys
+from argparse import ArgumentParser
+from asyncio import gather, run
+from pathlib import Path
+from tempfile import mkdtemp
+
+from soak.round import Report, run_round
+
+
+def parse_arguments(arguments: list[str]):
+    """Read the command line."""
+    parser = ArgumentParser("soak", description=__doc__)
+    parser.add_argument("--seed", type=int, default=1, help="first seed")
+    parser.add_argument("--minutes", type=float, default=0.5, help="faults of a round")
+    parser.add_argument("--rounds", type=int, default=1, help="seeds after the first")
+    parser.add_argument("--jobs", type=int, default=1, help="rounds at a time")
+    parser.add_argument(
+        "--slot", type=int, default=0, help="first addresses, if others soak too"
+    )
+    return parser.parse_args(arguments)
+
+
+def print_report(report: Report) -> None:
+    """Print what one round has shown."""
+    counts = " ".join(f"{name}={n}" for name, n in sorted(report.counts.items()))
+    state = f"BROKEN {len(report.breaches)}" if report.breaches else "held"
+    print(f"seed {report.seed}: {state}; {counts}", flush=True)
+    for breach in report.breaches[:20]:
+        print(f"  {breach}; logs in {report.folder}", flush=True)
+
+
+async def run_rounds(options) -> int:
+    """Run all rounds; return how many broke a promise."""
+    seeds = list(range(options.seed, options.seed + options.rounds))
+    broken = 0
+    for first in range(0, len(seeds), options.jobs):
+        reports = await gather(
+            *(
+                run_round(
+                    seed, 60.0 * options.minutes, Path(mkdtemp()), options.slot + job
+                )
+                for job, seed in enumerate(seeds[first : first + options.jobs])
+            )
+        )
+        for report in reports:
+            print_report(report)
+            broken += bool(report.breaches)
+    print(f"{len(seeds)} seeds, {broken} broken")
+    return broken
+
+
+if __name__ == "__main__":
+    sys.exit(bool(run(run_rounds(parse_arguments(sys.argv[1:])))))
--- /dev/null
+++ b/soak/caller.py
@@ -0,0 +1,182 @@
+"""Callers that keep connections and use them until they are lost."""
+
+from asyncio import Event, get_running_loop, sleep, wait_for
+from collections.abc import Callable
+from random import Random
+
+from lycheeglade.address import Address
+from lycheeglade.segment import SEQUENCE_SPACE, ConnectionKey, Segment
+from soak.network import Network
+from soak.packets import ACK, FIN, RST, SYN, decode_segment, pack_segment
+from soak.promises import Life, Promises
+
+OPENING_COPIES_S = (0.0, 0.2, 0.6)
+OPENING_S = 1.4
+FIRST_RETRY_S = 0.2
+MAX_RETRY_S = 1.6
+BUDGET_S = 2.5
+PAUSE_S = 0.3
+REQUESTS = 40
+CONTENT = b"question"
+FIRST_PORT = 20_000
+LAST_PORT = 60_000
+
+
+class Connection:
+    """One connection of a caller."""
+
+    def __init__(self, key: ConnectionKey, sequence: int):
+        self.key = key
+        self.sequence = sequence
+        self.acknowledgement: int | None = None
+        self.is_lost = False
+        self.answered: set[int] = set()
+        self.changed = Event()
+
+    def take(self, segment: Segment) -> None:
+        """Take a packet for this connection."""
+        if segment.resets:
+            self.is_lost = True
+        elif segment.opens:
+            if self.acknowledgement is None:
+                self.acknowledgement = (segment.sequence + 1) % SEQUENCE_SPACE
+        elif segment.data_bytes:
+            self.answered.add(segment.acknowledgement - 1)
+            self.acknowledgement = segment.end
+        self.changed.set()
+
+
+class Caller:
+    """Opens connections one after the other and sends requests on them.
+
+    Parameters
+    ----------
+    pick_entry : callable
+        Returns the balancer that the fabric sends a connection's packets to,
+        None if there is none.
+    pick_route : callable
+        Returns a route's address and its service.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        network: Network,
+        promises: Promises,
+        pick_entry: Callable[[ConnectionKey], Address | None],
+        pick_route: Callable[[], tuple[Address, str]],
+        generator: Random,
+    ):
+        self._address = address
+        self._network = network
+        self._promises = promises
+        self._pick_entry = pick_entry
+        self._pick_route = pick_route
+        self._generator = generator
+        self._port = generator.randrange(FIRST_PORT, LAST_PORT)
+        self._connections_by_key: dict[ConnectionKey, Connection] = {}
+        network.attach(address, self._receive)
+
+    async def run(self) -> None:
+        """Open connections for good."""
+        while True:
+            await self._use_connection()
+            await sleep(self._generator.uniform(0.0, PAUSE_S))
+
+    async def _use_connection(self) -> None:
+        self._port = FIRST_PORT + (self._port + 1 - FIRST_PORT) % (
+            LAST_PORT - FIRST_PORT
+        )
+        route, service = self._pick_route()
+        key = ConnectionKey(Address(self._address.ip, self._port), route)
+        connection = Connection(key, self._generator.randrange(SEQUENCE_SPACE))
+        now = get_running_loop().time()
+        self._promises.lives_by_key[key] = Life(service, now)
+        self._connections_by_key[key] = connection
+        try:
+            if not await self._open(connection):
+                self._promises.counts["not-opened"] += 1
+                return
+            for _ in range(self._generator.choice((1, REQUESTS))):
+                if not await self._ask(connection):
+                    self._promises.counts["unanswered"] += 1
+                    self._send(connection, RST, connection.sequence)
+                    return
+                self._promises.counts["answered"] += 1
+                await sleep(self._generator.uniform(0.0, PAUSE_S))
+            self._send(connection, FIN | ACK, connection.sequence)
+        finally:
+            del self._connections_by_key[key]
+
+    async def _open(self, connection: Connection) -> bool:
+        began_at = get_running_loop().time()
+        first = connection.sequence - 1
+        for copies, at in enumerate(OPENING_COPIES_S):
+            await self._wait(connection, began_at + at)
+            if connection.is_lost or connection.acknowledgement is not None:
+                break
+            self._send(connection, SYN, first, copies)
+        await self._wait(connection, began_at + OPENING_S)
+        if connection.is_lost or connection.acknowledgement is None:
+            return False
+        self._send(connection, ACK, connection.sequence)
+        return True
+
+    async def _ask(self, connection: Connection) -> bool:
+        """Send a request until it is answered or its time is over."""
+        began_at = get_running_loop().time()
+        sequence = connection.sequence
+        connection.sequence = (sequence + len(CONTENT)) % SEQUENCE_SPACE
+        retry, at = FIRST_RETRY_S, began_at
+        while at < began_at + BUDGET_S and not connection.is_lost:
+            self._send(connection, ACK, sequence, content=CONTENT)
+            at += retry
+            retry = min(2 * retry, MAX_RETRY_S)
+            await self._wait(connection, at, sequence)
+            if sequence in connection.answered:
+                return True
+        return False
+
+    async def _wait(
+        self, connection: Connection, until: float, sequence: int | None = None
+    ) -> None:
+        """Wait for what is to come of a connection."""
+        loop = get_running_loop()
+        while (left := until - loop.time()) > 0.0 and not connection.is_lost:
+            if sequence is None and connection.acknowledgement is not None:
+                return
+            if sequence in connection.answered:
+                return
+            connection.changed.clear()
+            try:
+                await wait_for(connection.changed.wait(), left)
+            except TimeoutError:
+                return
+
+    def _send(
+        self,
+        connection: Connection,
+        flags: int,
+        sequence: int,
+        copies: int = 0,
+        content: bytes = b"",
+    ) -> None:
+        key = connection.key
+        entry = self._pick_entry(key)
+        acknowledgement = copies if flags == SYN else connection.acknowledgement
+        datagram = pack_segment(flags, key, sequence, acknowledgement, content)
+        if entry is None:
+            return
+        self._promises.note_sent(key, entry.ip, datagram)
+        self._network.send(self._address, entry, datagram)
+
+    def _receive(self, datagram: bytes, source: Address) -> None:
+        segment = decode_segment(datagram)
+        key = segment.key_from_target
+        if segment.resets and not self._promises.was_sent(key, datagram):
+            self._promises.note_reset(key, source.ip)
+        else:
+            self._promises.note_got(key, datagram)
+        connection = self._connections_by_key.get(key)
+        if connection is not None:
+            connection.take(segment)
--- /dev/null
+++ b/soak/deployment.py
@@ -0,0 +1,328 @@
+"""A small deployment on loopback: processes, store, targets and callers."""
+
+import sys
+from asyncio import (
+    create_subprocess_exec,
+    create_task,
+    gather,
+    get_running_loop,
+    open_connection,
+    sleep,
+    wait_for,
+)
+from asyncio.subprocess import Process
+from dataclasses import dataclass
+from os import environ
+from pathlib import Path
+from random import Random
+from signal import SIGTERM
+from typing import IO
+
+from xxhash import xxh3_64_intdigest
+
+from lycheeglade.address import Address
+from lycheeglade.segment import ConnectionKey
+from soak.caller import Caller
+from soak.network import Network
+from soak.process import PROXY_VARIABLE
+from soak.promises import Promises
+from soak.store_link import StoreLink
+from soak.target import Target
+from tests.store_stand_in import StoreStandIn
+
+ROOT = Path(__file__).parent.parent
+BALANCERS = 3
+SERVICES = ("feeds", "feeds", "feeds", "reels", "reels")
+ZONES = ("nadi-a", "nadi-b")
+CALLERS = 12
+DATAGRAM_PORT, READY_PORT, OUTBOUND_PORT, APP_PORT = 8172, 8167, 8162, 8165
+INTERNAL_PORT, STORE_PORT, PROXY_PORT = 7720, 7600, 7601
+WORK_S = (0.005, 0.01)
+READY_POLL_S = 0.5
+READY_MISSES = 2
+READY_TIMEOUT_S = 0.4
+START_S = 20.0
+GRACE_S = 6.0
+# The soak's own stall; its processes may have stood still as well.
+STALL_S = 0.3
+STALL_POLL_S = 0.05
+SETTINGS = """node-name={name}
+role={role}
+ip={ip}
+zone={zone}
+region=viti-west
+zones.nadi-a=viti-west
+zones.nadi-b=viti-west
+listen.datagram-addr={ip}:8172
+listen.outbound={ip}:8162
+listen.ready-addr={ip}:8167
+internal-port-range=7720,7735
+seeds={seeds}
+platform.address={store}
+app={ip}:8165
+service={service}
+"""
+
+
+@dataclass(slots=True)
+class Host:
+    """One process and where it runs."""
+
+    name: str
+    role: str
+    ip: str
+    zone: str
+    service: str = ""
+    store_link: StoreLink | None = None
+    process: Process | None = None
+    log: IO | None = None
+    misses: int = READY_MISSES
+    is_busy: bool = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the fabric sends callers here."""
+        return self.misses < READY_MISSES
+
+
+class Deployment:
+    """All parts of one soak.
+
+    Parameters
+    ----------
+    slot : int
+        Third part of the addresses, for soaks beside each other.
+    folder : Path
+        Where settings and logs of the processes go.
+    """
+
+    def __init__(self, slot: int, folder: Path, generator: Random):
+        self.generator = generator
+        self.promises = Promises(get_running_loop().time)
+        self.network = Network(generator)
+        self.store = StoreStandIn()
+        self.targets_by_ip: dict[str, Target] = {}
+        self.routes: dict[Address, str] = {}
+        # Hosts whose target is on its way out.
+        self.away_ips: set[str] = set()
+        self._slot = slot
+        self._folder = folder
+        self._version = 0
+        self._target_count = 0
+        self._tasks = []
+        self._proxy = Address(self._ip(1), PROXY_PORT)
+        self.balancers = [
+            Host(f"balancer-{n}", "balancer", self._ip(10 + n), ZONES[n % len(ZONES)])
+            for n in range(BALANCERS)
+        ]
+        self.agents = [
+            Host(f"agent-{n}", "agent", self._ip(20 + n), ZONES[n % len(ZONES)], name)
+            for n, name in enumerate(SERVICES)
+        ]
+
+    def now(self) -> float:
+        """Return the present time in seconds."""
+        return get_running_loop().time()
+
+    def _ip(self, number: int) -> str:
+        return f"127.9.{self._slot}.{number}"
+
+    @property
+    def hosts(self) -> list[Host]:
+        """All hosts with a process."""
+        return self.balancers + self.agents
+
+    async def start(self) -> None:
+        """Start all parts, and wait until the balancers are ready."""
+        await self.network.start(self._proxy)
+        store = Address(*await self.store.start(self._ip(2), STORE_PORT))
+        for balancer in self.balancers:
+            balancer.store_link = StoreLink(store)
+            await balancer.store_link.start(Address(balancer.ip, STORE_PORT))
+        self.put_routes({Address("198.18.0.1", 443): "feeds"})
+        self.put_routes({**self.routes, Address("198.18.0.2", 443): "reels"})
+        for agent in self.agents:
+            self.add_target(agent)
+        await gather(*map(self.start_process, self.hosts))
+        self._tasks.append(create_task(self._poll_readiness()))
+        self._tasks.append(create_task(self._watch_stalls()))
+        await wait_for(self._wait_ready(), START_S)
+        for number in range(CALLERS):
+            caller = Caller(
+                Address(self._ip(100 + number), DATAGRAM_PORT),
+                self.network,
+                self.promises,
+                self.pick_entry,
+                self._pick_route,
+                self.generator,
+            )
+            self._tasks.append(create_task(caller.run()))
+
+    async def stop(self) -> None:
+        """End all that was started here."""
+        for task in self._tasks:
+            task.cancel()
+        await gather(*self._tasks, return_exceptions=True)
+        for host in self.hosts:
+            if host.process is not None and host.process.returncode is None:
+                host.process.kill()
+                await host.process.wait()
+            if host.log is not None:
+                host.log.close()
+        for balancer in self.balancers:
+            if balancer.store_link is not None:
+                balancer.store_link.stop()
+        self.store.stop()
+        self.network.stop()
+        await sleep(0)
+
+    def check_tasks(self) -> None:
+        """Raise the error of a part that failed, and note ends unasked for."""
+        for task in self._tasks:
+            if task.done():
+                task.result()
+        for host in self.hosts:
+            if not host.is_busy and host.process.returncode is not None:
+                code = host.process.returncode
+                self.promises.break_promise("ENDED", host.name, f"exit code {code}")
+                host.is_busy = True
+
+    async def start_process(self, host: Host) -> None:
+        """Start the process of a host."""
+        seeds = [f"{b.ip}:{INTERNAL_PORT}" for b in self.balancers if b is not host]
+        path = self._folder / f"{host.name}.conf"
+        path.write_text(
+            SETTINGS.format(
+                name=host.name,
+                role=host.role,
+                ip=host.ip,
+                zone=host.zone,
+                seeds=",".join(seeds),
+                store=f"{host.ip}:{STORE_PORT}",
+                service=host.service,
+            )
+        )
+        if host.log is None:
+            host.log = (self._folder / f"{host.name}.log").open("ab")
+        host.process = await create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "soak.process",
+            host.role,
+            cwd=ROOT,
+            env={
+                **environ,
+                "LYCHEEGLADE_CONFIG": str(path),
+                PROXY_VARIABLE: f"{self._proxy.ip}:{self._proxy.port}",
+            },
+            stdout=host.log,
+            stderr=host.log,
+        )
+
+    async def stop_process(self, host: Host) -> None:
+        """Stop a process as planned work does, and check how it ends."""
+        host.process.send_signal(SIGTERM)
+        try:
+            code = await wait_for(host.process.wait(), GRACE_S)
+        except TimeoutError:
+            self.promises.break_promise("GRACE", host.name, "didn't stop in time")
+            host.process.kill()
+            code = await host.process.wait()
+        if code:
+            self.promises.break_promise("ENDED", host.name, f"exit code {code}")
+
+    def put_routes(self, routes: dict[Address, str]) -> None:
+        """Publish a configuration."""
+        now = get_running_loop().time()
+        for address in self.routes.keys() - routes.keys():
+            self.promises.dropped_at[address] = now
+        for address in routes.keys() - self.routes.keys():
+            self.promises.dropped_at.pop(address, None)
+        self.routes = dict(routes)
+        self._version += 1
+        self.store.put(
+            "op/config",
+            {
+                "version": self._version,
+                "routes": [
+                    {"host": address.ip, "prefix": f"/{address.port}/", "type": "safe"}
+                    | {"service": service, "timeout-ms": 1500}
+                    for address, service in routes.items()
+                ],
+            },
+        )
+
+    def add_target(self, agent: Host) -> None:
+        """Start a target beside an agent, and publish it."""
+        self._target_count += 1
+        target = Target(
+            f"i-{self._target_count}",
+            agent.service,
+            Address(agent.ip, APP_PORT),
+            Address(agent.ip, OUTBOUND_PORT),
+            self.generator.choice(WORK_S),
+            self.network,
+            self.promises,
+            self.generator,
+        )
+        self.targets_by_ip[agent.ip] = target
+        self.publish_target(target, agent)
+
+    def publish_target(self, target: Target, agent: Host) -> None:
+        """Write what a target says of itself."""
+        self.store.put(
+            f"servers/{target.target_id}",
+            {
+                "service": target.service,
+                "address": f"{target.app.ip}:{target.app.port}",
+                "zone": agent.zone,
+                "capacity": 1,
+                "state": "draining" if target.leaving else "ready",
+            },
+        )
+
+    def pick_entry(self, key: ConnectionKey) -> Address | None:
+        """Return the balancer that packets of a connection go to."""
+        hosts = [host for host in self.balancers if host.is_ready] or self.balancers
+        best = max(
+            hosts, key=lambda host: xxh3_64_intdigest(f"{host.ip} {key}".encode())
+        )
+        return Address(best.ip, DATAGRAM_PORT)
+
+    def _pick_route(self) -> tuple[Address, str]:
+        return self.generator.choice(sorted(self.routes.items()))
+
+    async def _wait_ready(self) -> None:
+        while not all(balancer.is_ready for balancer in self.balancers):
+            await sleep(STALL_POLL_S)
+
+    async def _poll_readiness(self) -> None:
+        while True:
+            await gather(*map(self._poll, self.balancers))
+            await sleep(READY_POLL_S)
+
+    async def _poll(self, host: Host) -> None:
+        try:
+            answer = await wait_for(_fetch_ready(host.ip), READY_TIMEOUT_S)
+        except (OSError, TimeoutError):
+            answer = b""
+        host.misses = 0 if b" 200 " in answer else host.misses + 1
+
+    async def _watch_stalls(self) -> None:
+        """Note when this process stood still; others may have as well."""
+        loop = get_running_loop()
+        while True:
+            at = loop.time()
+            await sleep(STALL_POLL_S)
+            if loop.time() - at > STALL_S:
+                self.promises.counts["stalls"] += 1
+                self.promises.begin_trouble("")()
+
+
+async def _fetch_ready(ip: str) -> bytes:
+    reader, writer = await open_connection(ip, READY_PORT)
+    try:
+        writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        return await reader.read()
+    finally:
+        writer.close()
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,222 @@
+"""Series of faults and of planned work, drawn from a seed."""
+
+from asyncio import create_task, gather, sleep
+from collections.abc import Awaitable, Callable
+from random import Random
+from signal import SIGCONT, SIGHUP, SIGKILL, SIGSTOP
+
+from lycheeglade.address import Address
+from soak.deployment import Deployment, Host
+from soak.network import LinkFault
+from soak.store_link import LinkState
+
+MIN_GAP_S, MAX_GAP_S = 0.2, 2.5
+MIN_FAULT_S, MAX_FAULT_S = 0.3, 5.0
+READY_S = 1.5
+DRAIN_S = 4.0
+MAX_ROUTES = 5
+MAX_DELAY_S = 0.3
+# Targets of a service that may be away at a time.
+MAX_AWAY = 1
+
+Fault = Callable[[Deployment, Random], Awaitable[str]]
+
+
+def _pick_idle(hosts: list[Host], generator: Random) -> Host | None:
+    idle = [host for host in hosts if not host.is_busy]
+    return generator.choice(idle) if idle else None
+
+
+def _duration(generator: Random) -> float:
+    return generator.uniform(MIN_FAULT_S, MAX_FAULT_S)
+
+
+async def kill_process(deployment: Deployment, generator: Random) -> None:
+    """Kill a process and start it after a while."""
+    host = _pick_idle(deployment.hosts, generator)
+    if host is None:
+        return
+    host.is_busy = True
+    end = deployment.promises.begin_trouble(host.ip)
+    host.process.send_signal(SIGKILL)
+    await host.process.wait()
+    await sleep(_duration(generator))
+    await deployment.start_process(host)
+    await sleep(READY_S)
+    end()
+    host.is_busy = False
+
+
+async def pause_process(deployment: Deployment, generator: Random) -> None:
+    """Freeze a process, and wake it."""
+    host = _pick_idle(deployment.hosts, generator)
+    if host is None:
+        return
+    host.is_busy = True
+    end = deployment.promises.begin_trouble(host.ip)
+    host.process.send_signal(SIGSTOP)
+    await sleep(_duration(generator))
+    host.process.send_signal(SIGCONT)
+    end()
+    host.is_busy = False
+
+
+async def restart_process(deployment: Deployment, generator: Random) -> None:
+    """Stop and start a process, as planned work does."""
+    host = _pick_idle(deployment.hosts, generator)
+    if host is None:
+        return
+    host.is_busy = True
+    await deployment.stop_process(host)
+    await deployment.start_process(host)
+    await sleep(READY_S)
+    host.is_busy = False
+
+
+async def send_hangup(deployment: Deployment, generator: Random) -> None:
+    """Tell all processes that their settings may have changed."""
+    for host in deployment.hosts:
+        if not host.is_busy:
+            host.process.send_signal(SIGHUP)
+
+
+async def harm_link(deployment: Deployment, generator: Random) -> None:
+    """Cut, delay or thin out links between processes, maybe one way."""
+    first, second = generator.sample(deployment.hosts, 2)
+    far = generator.choice((second.ip, ""))
+    fault = generator.choice(
+        (
+            {"loss": 1.0},
+            {"loss": generator.uniform(0.1, 0.5)},
+            {"delay": generator.uniform(0.02, MAX_DELAY_S)},
+        )
+    )
+    ways = generator.choice((((first.ip, far),), ((first.ip, far), (far, first.ip))))
+    links = {LinkFault(*way, **fault) for way in ways}
+    ends = [deployment.promises.begin_trouble(ip) for ip in {first.ip, far} if ip]
+    deployment.network.faults |= links
+    await sleep(_duration(generator))
+    deployment.network.faults -= links
+    for end in ends:
+        end()
+
+
+async def harm_store_link(deployment: Deployment, generator: Random) -> None:
+    """Make some balancers' links to the store fail."""
+    count = generator.randint(1, len(deployment.balancers))
+    hosts = generator.sample(deployment.balancers, count)
+    state = generator.choice([s for s in LinkState if s is not LinkState.GOOD])
+    ends = [deployment.promises.begin_trouble(host.ip) for host in hosts]
+    for host in hosts:
+        host.store_link.put(state)
+    await sleep(_duration(generator))
+    for host, end in zip(hosts, ends, strict=True):
+        host.store_link.put(LinkState.GOOD)
+        end()
+
+
+async def harm_store(deployment: Deployment, generator: Random) -> None:
+    """Make the store refuse all calls, or forget its history."""
+    ends = [deployment.promises.begin_trouble(b.ip) for b in deployment.balancers]
+    if generator.random() < 0.5:
+        deployment.store.forget_history()
+    else:
+        deployment.store.status = generator.choice((429, 503))
+        await sleep(_duration(generator))
+        deployment.store.status = 200
+    for end in ends:
+        end()
+
+
+def _pick_target_host(deployment: Deployment, generator: Random) -> Host | None:
+    """Return an agent whose target may go, so that its service goes on."""
+    away = [a.service for a in deployment.agents if a.ip in deployment.away_ips]
+    hosts = [
+        agent
+        for agent in deployment.agents
+        if agent.ip not in deployment.away_ips and away.count(agent.service) < MAX_AWAY
+    ]
+    return generator.choice(hosts) if hosts else None
+
+
+async def crash_target(deployment: Deployment, generator: Random) -> None:
+    """Crash a target; another one starts in its place."""
+    agent = _pick_target_host(deployment, generator)
+    if agent is None:
+        return
+    deployment.away_ips.add(agent.ip)
+    end = deployment.promises.begin_trouble(agent.ip)
+    target = deployment.targets_by_ip[agent.ip]
+    target.crash()
+    await sleep(_duration(generator))
+    deployment.store.delete(f"servers/{target.target_id}")
+    deployment.add_target(agent)
+    end()
+    deployment.away_ips.discard(agent.ip)
+
+
+async def replace_target(deployment: Deployment, generator: Random) -> None:
+    """Drain a target and put another one in its place."""
+    agent = _pick_target_host(deployment, generator)
+    if agent is None:
+        return
+    deployment.away_ips.add(agent.ip)
+    target = deployment.targets_by_ip[agent.ip]
+    target.leaving = True
+    deployment.publish_target(target, agent)
+    deployment.promises.leaving_at[target.target_id] = deployment.now()
+    await sleep(DRAIN_S)
+    target.crash()
+    deployment.store.delete(f"servers/{target.target_id}")
+    deployment.add_target(agent)
+    deployment.away_ips.discard(agent.ip)
+
+
+async def change_routes(deployment: Deployment, generator: Random) -> None:
+    """Add a route, or drop one of those that were added."""
+    added = sorted(deployment.routes)[2:]
+    routes = dict(deployment.routes)
+    if added and (len(routes) >= MAX_ROUTES or generator.random() < 0.5):
+        del routes[generator.choice(added)]
+    else:
+        number = generator.randrange(10, 250)
+        routes[Address(f"198.18.1.{number}", 443)] = generator.choice(
+            ("feeds", "reels")
+        )
+    deployment.put_routes(routes)
+
+
+FAULTS = (
+    kill_process,
+    pause_process,
+    restart_process,
+    restart_process,
+    send_hangup,
+    harm_link,
+    harm_link,
+    harm_store_link,
+    harm_store,
+    crash_target,
+    replace_target,
+    change_routes,
+)
+
+
+async def run_faults(
+    deployment: Deployment, generator: Random, seconds: float, quiet: float
+) -> None:
+    """Run overlapping faults for a time, then none for `quiet` seconds."""
+    running = set()
+    end = deployment.now() + seconds
+    while deployment.now() < end:
+        await sleep(generator.uniform(MIN_GAP_S, MAX_GAP_S))
+        fault = generator.choice(FAULTS)
+        deployment.promises.counts[fault.__name__] += 1
+        running.add(create_task(fault(deployment, generator)))
+        for task in [task for task in running if task.done()]:
+            task.result()
+            running.discard(task)
+        deployment.check_tasks()
+    await gather(*running)
+    await sleep(quiet)
+    deployment.check_tasks()
--- /dev/null
+++ b/soak/packets.py
@@ -0,0 +1,51 @@
+"""Packets of callers and targets, as the platform writes them."""
+
+import sys
+from pathlib import Path
+
+from lycheeglade.segment import SEQUENCE_SPACE, ConnectionKey, Segment
+
+# The adapter's folder is no package, see `platform/main.py`.
+sys.path.append(str(Path(__file__).parent.parent / "platform"))
+
+from wire import (
+    ACK,
+    BOUNCED,
+    FIN,
+    HEADER,
+    RST,
+    SYN,
+    decode_segment,
+    encode_reset,
+    tag_segment,
+)
+
+__all__ = ["ACK", "FIN", "RST", "SYN", "Segment", "decode_segment", "pack_segment"]
+
+
+def pack_segment(
+    flags: int,
+    key: ConnectionKey,
+    sequence: int,
+    acknowledgement: int = 0,
+    content: bytes = b"",
+    from_target: bool = False,
+) -> bytes:
+    """Return a packet of either end of a connection."""
+    fields = list(HEADER.unpack(encode_reset(key, sequence % SEQUENCE_SPACE)))
+    if not from_target:
+        fields[4], fields[7] = fields[7], fields[4]
+        fields[5], fields[6] = fields[6], fields[5]
+    fields[0], fields[2] = flags, acknowledgement % SEQUENCE_SPACE
+    fields[8] = len(content)
+    return HEADER.pack(*fields) + content
+
+
+def bounce(datagram: bytes) -> bytes:
+    """Return a packet as a target gives it back."""
+    return bytes([datagram[0] | BOUNCED]) + datagram[1:]
+
+
+def unmarked(datagram: bytes) -> bytes:
+    """Return a packet without what may change on its way."""
+    return tag_segment(bytes([datagram[0] & ~BOUNCED]) + datagram[1:], 0)
--- /dev/null
+++ b/soak/process.py
@@ -0,0 +1,59 @@
+"""Starts a process of the system whose datagrams pass the soak's proxy.
+
+Run as ``python -m soak.process ROLE``. Each datagram carries the address that
+it comes from or goes to in front, since the proxy can't send from an address
+that a process is bound to.
+"""
+
+import sys
+from os import environ
+from pathlib import Path
+from runpy import run_path
+from socket import inet_aton, inet_ntoa
+from struct import Struct
+
+from lycheeglade import transport
+from lycheeglade.address import Address, parse_address
+
+PROXY_VARIABLE = "SOAK_PROXY"
+MAIN = Path(__file__).parent.parent / "platform" / "main.py"
+FAR_END = Struct("!4sH")
+
+
+def wrap_datagram(far_end: Address, datagram: bytes) -> bytes:
+    """Put the address of the far end in front of a datagram."""
+    return FAR_END.pack(inet_aton(far_end[0]), far_end[1]) + datagram
+
+
+def unwrap_datagram(datagram: bytes) -> tuple[Address, bytes]:
+    """Return the far end's address and what it sent or gets."""
+    ip, port = FAR_END.unpack_from(datagram)
+    return Address(inet_ntoa(ip), port), datagram[FAR_END.size :]
+
+
+def make_proxied_socket(proxy: Address) -> type:
+    """Return a class of sockets that send and receive through `proxy`."""
+
+    class ProxiedSocket(transport.DatagramSocket):
+        __slots__ = ()
+
+        def __init__(self, loop, on_datagram, **options):
+            def unwrap(datagram, source):
+                far_end, content = unwrap_datagram(datagram)
+                on_datagram(content, far_end)
+
+            super().__init__(loop, unwrap, **options)
+
+        def send(self, datagram, address=None):
+            super().send(wrap_datagram(address, datagram), proxy)
+
+    return ProxiedSocket
+
+
+if __name__ == "__main__":
+    transport.DatagramSocket = make_proxied_socket(
+        parse_address(environ[PROXY_VARIABLE])
+    )
+    sys.path.insert(0, str(MAIN.parent))
+    sys.argv = [str(MAIN), *sys.argv[1:]]
+    run_path(str(MAIN), run_name="__main__")
--- a/tests/test_connection_agent.py
+++ b/tests/test_connection_agent.py
@@ -4,8 +4,6 @@
 
 from lycheeglade.connection_agent import (
     LOST_ANSWER_S,
-    SILENT_HOLD_S,
-    SILENT_S,
     begin_leaving,
     receive_from_target,
     receive_message,
@@ -13,6 +11,11 @@
 )
 from lycheeglade.relay_message import Carry, Found, Hello, LoadReport, NotHere
 from lycheeglade.segment import ConnectionKey
+from lycheeglade.target_silence import (
+    OPENING_SILENT_S,
+    SILENT_HOLD_S,
+    UNKNOWN_SILENT_S,
+)
 from tests.connections import (
     BALANCER,
     CALLER,
@@ -192,10 +195,10 @@
     for port in (1, 2, 3):
         receive(agent, recorder, opening(port=port), 0.0)
     recorder.sent.clear()
-    tick(agent, SILENT_S + 0.1)
+    tick(agent, OPENING_SILENT_S + 0.1)
     assert recorder.sent[-1][1].silent
-    receive_from_target(agent, from_target(port=1, **SYN_ACK), SILENT_S + 0.2)
-    tick(agent, SILENT_S + 0.3)
+    receive_from_target(agent, from_target(port=1, **SYN_ACK), OPENING_SILENT_S + 0.2)
+    tick(agent, OPENING_SILENT_S + 0.3)
     assert not recorder.sent[-1][1].silent
 
 
@@ -203,13 +206,56 @@
     """Nothing shows that it is back unless something is sent there."""
     for port in (1, 2, 3):
         receive(agent, recorder, opening(port=port), 0.0)
-    tick(agent, SILENT_S + 0.1)
+    tick(agent, OPENING_SILENT_S + 0.1)
     assert recorder.sent[-1][1].silent
     receive_message(agent, Hello(1), BALANCER, 1.0)
     tick(agent, SILENT_HOLD_S + 0.1)
     assert not recorder.sent[-1][1].silent
 
 
+def search(agent, recorder, port, now):
+    receive(agent, recorder, data(port=port), now, search=True, service="")
+
+
+def test_target_that_returns_no_unknown_data_is_reported_silent(agent, recorder):
+    """Else nobody tells callers that their connections are gone."""
+    receive_message(agent, Hello(1), BALANCER, 0.0)
+    search(agent, recorder, 1, 0.0)
+    search(agent, recorder, 2, 0.1)
+    recorder.sent.clear()
+    tick(agent, UNKNOWN_SILENT_S - 0.05)
+    assert not recorder.sent[-1][1].silent
+    search(agent, recorder, 3, UNKNOWN_SILENT_S)
+    tick(agent, UNKNOWN_SILENT_S + 0.1)
+    assert recorder.sent[-1][1].silent
+    # The next one is told at the first chance.
+    tick(agent, UNKNOWN_SILENT_S + SILENT_HOLD_S + 1.0)
+    assert not recorder.sent[-1][1].silent
+    search(agent, recorder, 4, UNKNOWN_SILENT_S + SILENT_HOLD_S + 1.1)
+    tick(agent, UNKNOWN_SILENT_S + SILENT_HOLD_S + 1.2)
+    assert recorder.sent[-1][1].silent
+    receive_from_target(agent, from_target(port=9, acknowledges=True), 2.9)
+    tick(agent, 3.4)
+    assert not recorder.sent[-1][1].silent
+
+
+def test_target_that_works_on_one_unknown_request_is_not_silent(agent, recorder):
+    receive_message(agent, Hello(1), BALANCER, 0.0)
+    for copy in range(4):
+        search(agent, recorder, 1, 0.3 * copy)
+    tick(agent, 1.0)
+    assert not recorder.sent[-1][1].silent
+
+
+def test_acknowledgements_need_no_answer(agent, recorder):
+    receive_message(agent, Hello(1), BALANCER, 0.0)
+    for port in range(1, 5):
+        acknowledgement = data(port=port, data_bytes=0)
+        receive(agent, recorder, acknowledgement, 0.0, search=True, service="")
+    tick(agent, UNKNOWN_SILENT_S + 0.1)
+    assert not recorder.sent[-1][1].silent
+
+
 def test_planned_end_is_told(agent, recorder):
     receive_message(agent, Hello(1), BALANCER, 0.0)
     begin_leaving(agent, 0.1)
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,152 @@
+"""Short seeded rounds of the soak, and the seeds that once failed."""
+
+from asyncio import get_running_loop, sleep
+from collections import Counter
+from random import Random
+
+import pytest
+
+from lycheeglade.address import Address
+from lycheeglade.segment import ConnectionKey
+from soak.network import LinkFault, Network
+from soak.packets import ACK, SYN, bounce, pack_segment
+from soak.promises import DRAIN_S, FLOW_TIMEOUT_S, STABILITY_S, Life, Promises
+from soak.round import run_round
+from tests.test_connection_daemon import WORKER
+
+FAULTS_S = 8.0
+# Seeds that broke a promise once, with the cause.
+FAILED_SEEDS = ()
+KEY = ConnectionKey(Address("127.9.0.100", 20_000), Address("198.18.0.1", 443))
+FIRST_SLOT = 100
+
+
+@pytest.mark.parametrize("seed", [1, *FAILED_SEEDS])
+async def test_promises_hold_under_faults(seed, tmp_path):
+    report = await run_round(seed, FAULTS_S, tmp_path, FIRST_SLOT + WORKER)
+    assert report.breaches == ()
+    assert report.counts["answered"] > 0
+
+
+class FakeTarget:
+    service = "feeds"
+    target_id = "i-1"
+    ip = "127.9.0.20"
+    is_alive = True
+
+
+class Watched:
+    """One connection, and promises at a time that the test sets."""
+
+    def __init__(self):
+        self.now = 100.0
+        self.promises = Promises(lambda: self.now)
+        self.life = Life("feeds", self.now)
+        self.promises.lives_by_key[KEY] = self.life
+        self.opening = pack_segment(SYN, KEY, 7)
+        self.promises.note_sent(KEY, "127.9.0.10", self.opening)
+
+    def open(self):
+        target = FakeTarget()
+        self.promises.note_reached(KEY, target, self.opening)
+        self.promises.note_accepted(KEY, target)
+        self.promises.note_opened(KEY, target)
+        return target
+
+    def rules(self):
+        return Counter(breach.split()[1] for breach in self.promises.breaches)
+
+
+@pytest.fixture
+def watched():
+    return Watched()
+
+
+def test_reset_of_an_open_connection_is_found(watched):
+    watched.open()
+    watched.promises.note_reset(KEY, "127.9.0.10")
+    assert watched.rules() == {"FLOW": 1}
+
+
+def test_reset_after_trouble_is_allowed_for_the_stability_window(watched):
+    watched.open()
+    watched.promises.begin_trouble("127.9.0.20")()
+    watched.now += STABILITY_S - 0.1
+    watched.promises.note_reset(KEY, "127.9.0.10")
+    assert watched.rules() == {}
+    watched.now += 0.2
+    watched.promises.note_reset(KEY, "127.9.0.10")
+    assert watched.rules() == {"FLOW": 1}
+
+
+def test_packets_that_reach_other_targets_only_are_found(watched):
+    watched.open()
+    data = pack_segment(ACK, KEY, 8, 1, b"question")
+    watched.promises.note_sent(KEY, "127.9.0.10", data)
+    for _ in range(2):
+        watched.promises.note_reached(KEY, FakeTarget(), data)
+        assert watched.rules() == {}
+        watched.now += FLOW_TIMEOUT_S / 2
+    watched.promises.note_reached(KEY, FakeTarget(), data)
+    assert watched.rules() == {"FLOW": 1}
+
+
+def test_packets_that_reach_their_target_in_between_are_well(watched):
+    target = watched.open()
+    data = pack_segment(ACK, KEY, 8, 1, b"question")
+    watched.promises.note_sent(KEY, "127.9.0.10", data)
+    for step in range(20):
+        reached = target if step % 4 == 0 else FakeTarget()
+        watched.promises.note_reached(KEY, reached, data)
+        watched.now += FLOW_TIMEOUT_S / 5
+    assert watched.rules() == {}
+
+
+def test_second_run_and_refusal_after_a_run_are_found(watched):
+    watched.promises.note_run(KEY, 8)
+    watched.promises.note_reset(KEY, "127.9.0.10")
+    watched.promises.note_run(KEY, 8)
+    assert watched.rules() == {"NOT-RUN": 1, "ONCE": 1}
+
+
+def test_opening_at_a_target_that_leaves_is_found(watched):
+    watched.promises.leaving_at["i-1"] = watched.now
+    watched.now += DRAIN_S + 0.1
+    watched.life.began_at = watched.now
+    watched.open()
+    assert watched.rules() == {"DRAIN": 1}
+
+
+def test_opening_of_another_service_and_by_a_dropped_route_are_found(watched):
+    watched.promises.dropped_at[KEY.service] = watched.now - 10.0
+    watched.life.service = "reels"
+    watched.open()
+    assert watched.rules() == {"ROUTE": 1, "CONFIG": 1}
+
+
+def test_changed_packets_are_found(watched):
+    changed = pack_segment(SYN, KEY, 8)
+    watched.promises.note_reached(KEY, FakeTarget(), changed)
+    watched.promises.note_got(KEY, changed)
+    assert watched.rules() == {"UNASKED": 1, "MIXED": 1}
+    watched.promises.note_reached(KEY, FakeTarget(), bounce(watched.opening))
+    assert watched.rules() == {"UNASKED": 1, "MIXED": 1}
+
+
+async def test_network_cuts_one_way_and_delays():
+    network = Network(Random(1))
+    here, there = Address("127.9.0.1", 1), Address("127.9.0.2", 1)
+    got = []
+    for address in (here, there):
+        network.attach(address, lambda datagram, source: got.append(datagram))
+    network.faults = {LinkFault(here.ip, there.ip, loss=1.0)}
+    network.send(here, there, b"lost")
+    network.send(there, here, b"back")
+    assert got == [b"back"]
+    network.faults = {LinkFault(here.ip, "", delay=0.05)}
+    began_at = get_running_loop().time()
+    network.send(here, there, b"late")
+    assert got == [b"back"]
+    while len(got) < 2:
+        await sleep(0.01)
+    assert get_running_loop().time() - began_at >= 0.05
