Let one agent ask the others for an unknown connection

Above eight agents one of them asks up to 40 others over its own link and returns one answer. Ruled out: agents that answer late; those left were any of the asked. The balancer's state and its search are modules of their own now.

--- a/lycheeglade/connection_agent.py
+++ b/lycheeglade/connection_agent.py
@@ -19,6 +19,7 @@
     Message,
     NotHere,
 )
+from lycheeglade.search_relay import SearchRelay
 from lycheeglade.segment import ConnectionKey, Segment, distance
 from lycheeglade.service_time import BusyShare, ServiceTime
 from lycheeglade.target_load import (
@@ -112,10 +113,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Pending:
-    """A segment at the target that may be returned."""
+    """A segment at the target that may be returned.
+
+    Attributes
+    ----------
+    asker : Address
+        Who is told if the target doesn't know the connection.
+    """
 
-    key: ConnectionKey
     message: Carry
+    asker: Address
 
 
 @dataclass(slots=True)
@@ -148,8 +155,10 @@
     reported_at: float = 0.0
     reported: LoadReport | None = None
     is_leaving: bool = False
+    searches: SearchRelay | None = None
 
     def __post_init__(self):
+        self.searches = SearchRelay(self.actions.send)
         self.busy = BusyShare(self.started_at, BUSY_WINDOW_S)
 
 
@@ -164,18 +173,24 @@
     elif isinstance(message, Carry):
         agent.heard_by_balancer[message.balancer] = now
         segment = agent.actions.decode(message.datagram)
-        _receive_carry(agent, message, segment, now)
+        asker = source if message.is_relayed else message.balancer
+        _receive_carry(agent, Pending(message, asker), segment, now)
+    elif isinstance(message, NotHere):
+        agent.searches.note_not_here(message, source)
 
 
 def _receive_carry(
-    agent: ConnectionAgent, message: Carry, segment: Segment, now: float
+    agent: ConnectionAgent, pending: Pending, segment: Segment, now: float
 ) -> None:
+    message = pending.message
     key = segment.key_from_caller
+    if message.search and message.candidates:
+        agent.searches.search(key, message, now)
     connection = agent.connections_by_key.get(key)
     if segment.opens:
-        _receive_opening(agent, key, connection, message, segment, now)
+        _receive_opening(agent, key, connection, pending, segment, now)
     elif connection is None or not connection.is_open:
-        _receive_unknown(agent, key, connection, message, segment, now)
+        _receive_unknown(agent, key, connection, pending, segment, now)
     else:
         _note_segment(agent, key, connection, message, now)
         _receive_established(agent, key, connection, segment, now)
@@ -185,10 +200,11 @@
     agent: ConnectionAgent,
     key: ConnectionKey,
     connection: LocalConnection | None,
-    message: Carry,
+    pending: Pending,
     segment: Segment,
     now: float,
 ) -> None:
+    message = pending.message
     if connection is None:
         if message.service != agent.service:
             _pass_on(agent, key, message, segment, "other-service")
@@ -198,7 +214,7 @@
             return
         connection = _remember(agent, key, now)
     _note_segment(agent, key, connection, message, now)
-    _deliver_pending(agent, key, message, segment, now)
+    _deliver_pending(agent, pending, segment, now)
 
 
 def _is_better_elsewhere(agent: ConnectionAgent, message: Carry, now: float) -> bool:
@@ -253,7 +269,7 @@
     agent: ConnectionAgent,
     key: ConnectionKey,
     connection: LocalConnection | None,
-    message: Carry,
+    pending: Pending,
     segment: Segment,
     now: float,
 ) -> None:
@@ -262,6 +278,7 @@
     This process may be younger than the connection, and the acknowledgement
     of a target's opening segment may be for another target.
     """
+    message = pending.message
     if connection is not None:
         _note_segment(agent, key, connection, message, now)
         if segment.data_bytes:
@@ -272,19 +289,15 @@
         searchers.add(message.balancer)
         if len(agent.searchers_by_key) > MAX_PENDING:
             agent.searchers_by_key.popitem(last=False)
-    _deliver_pending(agent, key, message, segment, now)
+    _deliver_pending(agent, pending, segment, now)
 
 
 def _deliver_pending(
-    agent: ConnectionAgent,
-    key: ConnectionKey,
-    message: Carry,
-    segment: Segment,
-    now: float,
+    agent: ConnectionAgent, pending: Pending, segment: Segment, now: float
 ) -> None:
     tag = agent.next_tag
     agent.next_tag = tag % (TAG_SPACE - 1) + 1
-    agent.pending_by_tag[tag] = Pending(key, message)
+    agent.pending_by_tag[tag] = pending
     if len(agent.pending_by_tag) > MAX_PENDING:
         agent.pending_by_tag.popitem(last=False)
     _deliver(agent, segment, tag, now)
@@ -489,7 +502,7 @@
         return
     balancers = set()
     if pending is not None:
-        balancers.add(pending.message.balancer)
+        balancers.add(pending.asker)
     if connection is not None:
         balancers |= connection.balancers
         _forget(agent, key, now)
@@ -503,6 +516,7 @@
         if now - started_at > LOST_ANSWER_S:
             agent.actions.log("no-answer", connection=key, waited=now - started_at)
             _stop_running(agent, key, now)
+    agent.searches.tick(now)
     _forget_idle(agent, now)
     _report_load(agent, now)
     _log_load(agent, now)
--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -6,14 +6,22 @@
 segment, however late it started.
 """
 
-from collections import OrderedDict
-from collections.abc import Callable
-from dataclasses import dataclass, field
-from random import Random
-
 from xxhash import xxh3_64_intdigest
 
-from lycheeglade.address import Address, Zone
+from lycheeglade.address import Address
+from lycheeglade.connection_balancer_state import (
+    Connection,
+    ConnectionBalancer,
+    Home,
+    abandon_connection,
+    carry_segment,
+    send_message,
+)
+from lycheeglade.connection_search import (
+    conclude_search,
+    hold_segment,
+    search_home,
+)
 from lycheeglade.relay_message import (
     Carry,
     Found,
@@ -21,6 +29,7 @@
     LoadReport,
     Message,
     NotHere,
+    NotThere,
 )
 from lycheeglade.route import Route, RoutingView, pick_service
 from lycheeglade.segment import SEQUENCE_SPACE, ConnectionKey, Segment, distance
@@ -28,7 +37,6 @@
 from lycheeglade.view import State, Target
 
 MAX_CONNECTIONS = 20_000
-MAX_HELD_SEGMENTS = 16
 MAX_HELD_OPENINGS = 256
 # A connection without segments for that long is forgotten; it is searched
 # again if it goes on.
@@ -39,114 +47,11 @@
 OPENING_PATIENCE_FACTOR = 4.0
 FOUND_GAIN = 0.1
 MAX_OPENING_TRIES = 4
-# Agents that don't answer a search are asked again with the next segment.
-SEARCH_AGAIN_S = 0.15
-# An agent that reports that its target is silent is not waited for.
-SEARCH_PATIENCE_S = 0.4
-# A target is looked for that long after it was last published.
-DEPARTED_S = 60.0
 # An entry that vanished without notice may be a lapse of the platform.
 LAPSE_S = 2.0
 HELLO_INTERVAL_S = 0.5
 # A process that ran nothing for that long was paused.
 PAUSE_S = 0.5
-MIN_VIEW_AGE_S = 0.5
-
-
-@dataclass(frozen=True, slots=True)
-class ConnectionBalancerActions:
-    """What the decisions can do.
-
-    Attributes
-    ----------
-    send : callable
-        Send a message to an agent.
-    reset : callable
-        Reset a connection towards its caller; the number is the caller's
-        last acknowledgement.
-    log : callable
-        Log an event with its fields.
-    """
-
-    send: Callable[[Address, Message], None]
-    reset: Callable[[ConnectionKey, int], None]
-    log: Callable[..., None]
-
-
-@dataclass(slots=True)
-class Search:
-    """Search for the agent where a connection lives."""
-
-    asked_at: float
-    began_at: float
-    asked: set[Address] = field(default_factory=set)
-    denied: set[Address] = field(default_factory=set)
-
-
-@dataclass(frozen=True, slots=True)
-class Home:
-    """An agent that a connection lives at, or may open at.
-
-    Attributes
-    ----------
-    sequence : int
-        Position at which the target's side began, -1 if that isn't known.
-    is_open : bool
-        The target holds the connection.
-    """
-
-    agent: Address
-    sequence: int
-    is_open: bool
-
-
-@dataclass(slots=True)
-class Connection:
-    """What a balancer remembers of a connection.
-
-    Attributes
-    ----------
-    homes : list of Home
-        Two copies of an opening segment may get answers of two targets; the
-        caller's acknowledgement tells which one it took.
-    tried : list of Address
-        Agents that the opening segment was sent to.
-    """
-
-    last_at: float
-    homes: list[Home] = field(default_factory=list)
-    tried: list[Address] = field(default_factory=list)
-    sent_at: float = 0.0
-    opening: Segment | None = None
-    held: list[Segment] = field(default_factory=list)
-    search: Search | None = None
-
-
-@dataclass(slots=True)
-class ConnectionBalancer:
-    """All that one balancer knows."""
-
-    zone: Zone
-    address: Address
-    actions: ConnectionBalancerActions
-    generator: Random
-    started_at: float
-    view: RoutingView = field(default_factory=RoutingView)
-    view_at: float = 0.0
-    departed_by_agent: dict[Address, tuple[Target, str, float]] = field(
-        default_factory=dict
-    )
-    lapsed_by_id: dict[str, tuple[Target, str, float]] = field(default_factory=dict)
-    loads_by_agent: dict[Address, AgentLoad] = field(default_factory=dict)
-    connections_by_key: OrderedDict[ConnectionKey, Connection] = field(
-        default_factory=OrderedDict
-    )
-    searched_keys: set[ConnectionKey] = field(default_factory=set)
-    opening_keys: set[ConnectionKey] = field(default_factory=set)
-    found_delay: float = 0.0
-    held_openings: list[Segment] = field(default_factory=list)
-    hello_at: float = 0.0
-    ran_at: float = 0.0
 
 
 def update_routing(balancer: ConnectionBalancer, view: RoutingView, now: float) -> None:
@@ -239,7 +144,7 @@
 ) -> None:
     connection = _remember(balancer, key, now)
     if connection.homes:
-        _carry(balancer, connection.homes[-1].agent, segment, now)
+        carry_segment(balancer, connection.homes[-1].agent, segment, now)
         return
     if connection.tried and now - connection.sent_at < _patience(balancer):
         return
@@ -294,7 +199,7 @@
         candidates=tuple(place.target.agent for place in ranked[1:]),
         costs=tuple(place.cost for place in ranked[1:]),
     )
-    _send(balancer, first.agent, message, now)
+    send_message(balancer, first.agent, message, now)
 
 
 def _places(
@@ -311,26 +216,6 @@
     return places
 
 
-def _carry(
-    balancer: ConnectionBalancer,
-    agent: Address,
-    segment: Segment,
-    now: float,
-    search: bool = False,
-) -> None:
-    message = Carry(balancer.address, segment.datagram, search)
-    _send(balancer, agent, message, now)
-
-
-def _send(
-    balancer: ConnectionBalancer, agent: Address, message: Message, now: float
-) -> None:
-    load = balancer.loads_by_agent.get(agent)
-    if load is not None and load.greeted_at is None:
-        load.greeted_at = now
-    balancer.actions.send(agent, message)
-
-
 def _receive_established(
     balancer: ConnectionBalancer,
     key: ConnectionKey,
@@ -339,22 +224,22 @@
     now: float,
 ) -> None:
     connection = _remember(balancer, key, now)
-    home = _pick_home(connection, segment)
+    home = pick_home(connection, segment)
     if home is None:
-        _hold(connection, segment)
-        _search(balancer, key, connection, route, segment, now)
+        hold_segment(connection, segment)
+        search_home(balancer, key, connection, route, segment, now)
         return
     load = balancer.loads_by_agent.get(home)
     if route.repeatable and load is not None and load.is_dead(now):
         # Only a process that has crashed is silent without notice. What may
         # not be repeated goes on waiting for an answer that may still come.
         balancer.actions.log("reset", connection=key, cause="agent-lost", agent=home)
-        _abandon(balancer, key, segment.acknowledgement)
+        abandon_connection(balancer, key, segment.acknowledgement)
         return
-    _carry(balancer, home, segment, now)
+    carry_segment(balancer, home, segment, now)
 
 
-def _pick_home(connection: Connection, segment: Segment) -> Address | None:
+def pick_home(connection: Connection, segment: Segment) -> Address | None:
     """Return the agent whose target the caller has acknowledged."""
     homes = connection.homes
     if not homes:
@@ -369,50 +254,6 @@
     return min(homes, key=gap).agent
 
 
-def _hold(connection: Connection, segment: Segment) -> None:
-    if any(held.datagram == segment.datagram for held in connection.held):
-        return
-    if len(connection.held) < MAX_HELD_SEGMENTS:
-        connection.held.append(segment)
-
-
-def _search(
-    balancer: ConnectionBalancer,
-    key: ConnectionKey,
-    connection: Connection,
-    route: Route,
-    segment: Segment,
-    now: float,
-) -> None:
-    """Ask all agents that may know the connection where it lives."""
-    search = connection.search
-    if search is None:
-        search = connection.search = Search(now, now)
-        balancer.searched_keys.add(key)
-    elif now - search.asked_at < SEARCH_AGAIN_S:
-        return
-    search.asked_at = now
-    agents = _searched_agents(balancer, route, now)
-    for agent in agents - search.denied:
-        _carry(balancer, agent, segment, now, search=True)
-    search.asked |= agents
-
-
-def _searched_agents(
-    balancer: ConnectionBalancer, route: Route, now: float
-) -> set[Address]:
-    agents = set()
-    for service in route.weights_by_service:
-        targets = balancer.view.targets_by_service.get(service, {})
-        agents.update(target.agent for target in targets.values())
-    for agent, (_, _, gone_at) in list(balancer.departed_by_agent.items()):
-        if now - gone_at > DEPARTED_S:
-            del balancer.departed_by_agent[agent]
-        else:
-            agents.add(agent)
-    return agents
-
-
 def receive_message(
     balancer: ConnectionBalancer, message: Message, source: Address, now: float
 ) -> None:
@@ -425,6 +266,8 @@
         _note_found(balancer, message, source, now)
     elif isinstance(message, NotHere):
         _note_not_here(balancer, message, source, now)
+    elif isinstance(message, NotThere):
+        _note_not_there(balancer, message, now)
     elif isinstance(message, LoadReport):
         _note_load(balancer, load, message, source)
 
@@ -443,7 +286,7 @@
         balancer.found_delay += (delay - balancer.found_delay) * FOUND_GAIN
     held, connection.held = connection.held, []
     for segment in held:
-        _carry(balancer, _pick_home(connection, segment), segment, now)
+        carry_segment(balancer, pick_home(connection, segment), segment, now)
 
 
 def _note_not_here(
@@ -461,46 +304,20 @@
             balancer.actions.log(
                 "reset", connection=message.key, cause=cause, agent=source
             )
-            _abandon(balancer, message.key, message.acknowledgement)
+            abandon_connection(balancer, message.key, message.acknowledgement)
         return
     if connection.search is not None:
         connection.search.denied.add(source)
-        _conclude_search(balancer, message.key, connection, now)
+        conclude_search(balancer, message.key, connection, now)
 
 
-def _conclude_search(
-    balancer: ConnectionBalancer,
-    key: ConnectionKey,
-    connection: Connection,
-    now: float,
-) -> None:
-    """Reset a connection that no target holds any more."""
-    search = connection.search
-    if search is None or now - balancer.view_at < MIN_VIEW_AGE_S:
-        return
-    for agent in search.asked - search.denied:
-        load = balancer.loads_by_agent.get(agent)
-        if load is None:
-            continue
-        if not _is_given_up(load, now) or now - search.began_at < SEARCH_PATIENCE_S:
-            return
-    balancer.actions.log("reset", connection=key, cause="nowhere-found")
-    acknowledgement = connection.held[-1].acknowledgement if connection.held else 0
-    _abandon(balancer, key, acknowledgement)
-
-
-def _is_given_up(load: AgentLoad, now: float) -> bool:
-    """Tell whether an agent's answer to a search isn't waited for."""
-    if load.leaving:
-        return load.is_dead(now)
-    return load.silent or load.is_lost(now)
-
-
-def _abandon(
-    balancer: ConnectionBalancer, key: ConnectionKey, acknowledgement: int
+def _note_not_there(
+    balancer: ConnectionBalancer, message: NotThere, now: float
 ) -> None:
-    balancer.connections_by_key.pop(key, None)
-    balancer.actions.reset(key, acknowledgement)
+    connection = balancer.connections_by_key.get(message.key)
+    if connection is not None and connection.search is not None:
+        connection.search.denied.update(message.agents)
+        conclude_search(balancer, message.key, connection, now)
 
 
 def _note_load(
@@ -529,7 +346,7 @@
 
 
 def _greet(balancer: ConnectionBalancer, agent: Address, now: float) -> None:
-    _send(balancer, agent, Hello(balancer.loads_by_agent[agent].slots), now)
+    send_message(balancer, agent, Hello(balancer.loads_by_agent[agent].slots), now)
 
 
 def tick(balancer: ConnectionBalancer, now: float) -> None:
@@ -546,7 +363,7 @@
         if connection is None or connection.search is None:
             balancer.searched_keys.discard(key)
         else:
-            _conclude_search(balancer, key, connection, now)
+            conclude_search(balancer, key, connection, now)
 
 
 def _try_openings_again(balancer: ConnectionBalancer, now: float) -> None:
--- a/lycheeglade/connection_balancer_daemon.py
+++ b/lycheeglade/connection_balancer_daemon.py
@@ -7,13 +7,15 @@
 
 from lycheeglade.address import Address
 from lycheeglade.connection_balancer import (
-    ConnectionBalancer,
-    ConnectionBalancerActions,
     receive_message,
     receive_segment,
     update_routing,
 )
 from lycheeglade.connection_balancer import tick as tick_balancer
+from lycheeglade.connection_balancer_state import (
+    ConnectionBalancer,
+    ConnectionBalancerActions,
+)
 from lycheeglade.connection_daemon import (
     CarrierSettings,
     EventLog,
@@ -98,7 +100,6 @@
         settings.internal,
         ConnectionBalancerActions(send, reset, log),
         generator,
-        monotonic(),
     )
 
     def put_in_force(view: RoutingView) -> None:
--- a/lycheeglade/relay_message.py
+++ b/lycheeglade/relay_message.py
@@ -17,10 +17,14 @@
         Who is told where the connection lives.
     search : bool
         The balancer doesn't know where the connection lives.
+    is_relayed : bool
+        The sender is an agent that asks for the balancer, and collects what
+        agents answer that don't know the connection either.
     service : str
         Service that a new connection is for.
     candidates : tuple of Address
-        Agents that may take a new connection if this one can't.
+        Agents that may take a new connection if this one can't, or that it
+        has to ask for an unknown one.
     costs : tuple of float
         Seconds in which they are expected to answer a first request.
     """
@@ -31,6 +35,7 @@
     service: str = ""
     candidates: tuple[Address, ...] = ()
     costs: tuple[float, ...] = ()
+    is_relayed: bool = False
 
 
 class Found(Struct, frozen=True, array_like=True, tag=2):
@@ -103,7 +108,14 @@
     addresses: tuple[Address, ...]
 
 
-Message = Carry | Found | NotHere | Hello | LoadReport | Peers
+class NotThere(Struct, frozen=True, array_like=True, tag=7):
+    """Some agents' targets hold no such connection."""
+
+    key: ConnectionKey
+    agents: tuple[Address, ...]
+
+
+Message = Carry | Found | NotHere | Hello | LoadReport | Peers | NotThere
 
 _encoder = Encoder()
 _decoder = Decoder(Message)
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -294,6 +294,9 @@
 
     async def _wait_ready(self) -> None:
         while not all(balancer.is_ready for balancer in self.balancers):
+            for host in self.hosts:
+                if host.process.returncode is not None:
+                    raise RuntimeError(f"{host.name}: ended, see {host.log.name}")
             await sleep(STALL_POLL_S)
 
     async def _poll_readiness(self) -> None:
--- a/soak/target.py
+++ b/soak/target.py
@@ -89,12 +89,13 @@
         if half is None or not self._is_own(half, segment):
             self._send(bounce(datagram))
             return
+        if segment.resets:
+            self._close(key)
+            return
         if not half.is_open:
             half.is_open = True
             self._promises.note_opened(key, self)
-        if segment.resets:
-            self._close(key)
-        elif segment.data_bytes:
+        if segment.data_bytes:
             self._take_request(key, half, segment.sequence)
         elif segment.finishes:
             self._answer(key, pack_segment(FIN | ACK, key, 0, 0, from_target=True))
--- a/tests/connections.py
+++ b/tests/connections.py
@@ -5,10 +5,10 @@
 
 from lycheeglade.address import Address, Zone
 from lycheeglade.connection_agent import ConnectionAgent, ConnectionAgentActions
-from lycheeglade.connection_balancer import (
+from lycheeglade.connection_balancer import update_routing
+from lycheeglade.connection_balancer_state import (
     ConnectionBalancer,
     ConnectionBalancerActions,
-    update_routing,
 )
 from lycheeglade.relay_message import Carry, LoadReport
 from lycheeglade.route import Route, RoutingView
@@ -97,7 +97,7 @@
             reset=lambda key, ack: self.resets.append((key, ack)),
             log=lambda event, **fields: self.events.append((event, fields)),
         )
-        balancer = ConnectionBalancer(HERE, BALANCER, actions, Random(seed), now)
+        balancer = ConnectionBalancer(HERE, BALANCER, actions, Random(seed))
         if view is not None:
             update_routing(balancer, view, now)
         return balancer
--- a/tests/test_connection_balancer.py
+++ b/tests/test_connection_balancer.py
@@ -5,12 +5,12 @@
     LAPSE_S,
     MAX_OPENING_TRIES,
     MIN_OPENING_PATIENCE_S,
-    SEARCH_PATIENCE_S,
     receive_message,
     receive_segment,
     tick,
     update_routing,
 )
+from lycheeglade.connection_search import SEARCH_PATIENCE_S
 from lycheeglade.relay_message import Found, NotHere
 from lycheeglade.route import RoutingView
 from lycheeglade.segment import ConnectionKey
--- a/tests/test_connection_machine.py
+++ b/tests/test_connection_machine.py
@@ -19,14 +19,16 @@
 )
 from lycheeglade.connection_agent import receive_message as agent_receive
 from lycheeglade.connection_agent import tick as tick_agent
+from lycheeglade.connection_balancer import receive_message as balancer_receive
 from lycheeglade.connection_balancer import (
-    ConnectionBalancer,
-    ConnectionBalancerActions,
     receive_segment,
     update_routing,
 )
-from lycheeglade.connection_balancer import receive_message as balancer_receive
 from lycheeglade.connection_balancer import tick as tick_balancer
+from lycheeglade.connection_balancer_state import (
+    ConnectionBalancer,
+    ConnectionBalancerActions,
+)
 from lycheeglade.segment import Segment
 from tests.conftest import machine_settings
 from tests.connections import (
@@ -103,7 +105,7 @@
         actions = ConnectionBalancerActions(
             send, self.on_reset, lambda event, **fields: None
         )
-        balancer = ConnectionBalancer(HERE, address, actions, self.generator, self.now)
+        balancer = ConnectionBalancer(HERE, address, actions, self.generator)
         update_routing(balancer, make_view(TARGETS), self.now - 1.0)
         return balancer
 
--- /dev/null
+++ b/tests/test_search_relay.py
@@ -0,0 +1,142 @@
+"""A search through one agent costs a small entry host one packet."""
+
+from lycheeglade.address import Address
+from lycheeglade.connection_agent import (
+    receive_from_target,
+    receive_message,
+    tick,
+)
+from lycheeglade.connection_balancer import (
+    receive_message as receive_at_balancer,
+)
+from lycheeglade.connection_balancer import receive_segment
+from lycheeglade.connection_search import MAX_DIRECT, MAX_RELAYED
+from lycheeglade.relay_message import (
+    Carry,
+    Found,
+    NotHere,
+    NotThere,
+    encode_message,
+)
+from lycheeglade.search_relay import ANSWER_S
+from lycheeglade.segment import ConnectionKey
+from tests.connections import (
+    BALANCER,
+    CALLER,
+    SERVICE,
+    AgentRecorder,
+    BalancerRecorder,
+    data,
+    from_target,
+    make_report,
+    make_target,
+    make_view,
+)
+from tests.test_connection_agent import returned
+
+KEY = ConnectionKey(CALLER, SERVICE)
+OTHERS = tuple(make_target(number).agent for number in range(2, 6))
+SOURCE = Address("10.1.1.99", 7720)
+MTU_BYTES = 1500
+
+
+def ask(recorder, **fields):
+    return recorder.carry(data(), search=True, service="", **fields)
+
+
+def denials(recorder):
+    return [(to, m) for to, m in recorder.sent if isinstance(m, NotThere)]
+
+
+def test_agent_asks_the_others_and_answers_for_them():
+    recorder = AgentRecorder()
+    agent = recorder.make()
+    receive_message(agent, ask(recorder, candidates=OTHERS), BALANCER, 0.0)
+    asked = [pair for pair in recorder.sent if isinstance(pair[1], Carry)]
+    assert [to for to, _ in asked] == list(OTHERS)
+    assert all(carry.search and carry.is_relayed for _, carry in asked)
+    assert not any(carry.candidates for _, carry in asked)
+    assert len(recorder.delivered) == 1
+    for other in OTHERS:
+        assert denials(recorder) == []
+        receive_message(agent, NotHere(KEY, 5), other, 0.01)
+    assert denials(recorder) == [(BALANCER, NotThere(KEY, OTHERS))]
+    receive_from_target(agent, returned(recorder), 0.02)
+    assert recorder.sent[-1] == (BALANCER, NotHere(KEY, 1001))
+
+
+def test_agent_tells_what_it_knows_of_a_search_that_lasts():
+    recorder = AgentRecorder()
+    agent = recorder.make()
+    receive_message(agent, ask(recorder, candidates=OTHERS), BALANCER, 0.0)
+    receive_message(agent, NotHere(KEY, 5), OTHERS[0], 0.01)
+    receive_message(agent, NotHere(KEY, 5), SOURCE, 0.01)
+    tick(agent, ANSWER_S + 0.01)
+    assert denials(recorder) == [(BALANCER, NotThere(KEY, OTHERS[:1]))]
+    tick(agent, 2 * ANSWER_S)
+    assert len(denials(recorder)) == 1
+
+
+def test_agent_that_was_asked_by_another_answers_that_one():
+    recorder = AgentRecorder()
+    agent = recorder.make()
+    receive_message(agent, ask(recorder, is_relayed=True), SOURCE, 0.0)
+    receive_from_target(agent, returned(recorder), 0.01)
+    assert recorder.sent == [(SOURCE, NotHere(KEY, 1001))]
+
+
+def test_home_that_was_asked_by_another_tells_the_balancer():
+    recorder = AgentRecorder()
+    agent = recorder.make()
+    receive_message(agent, ask(recorder, is_relayed=True), SOURCE, 0.0)
+    answer = from_target(acknowledges=True, sequence=1001, data_bytes=9)
+    receive_from_target(agent, answer, 0.01)
+    assert recorder.sent == [(BALANCER, Found(KEY, -1))]
+
+
+def make_balancer(count):
+    recorder = BalancerRecorder()
+    targets = [make_target(number) for number in range(1, count + 1)]
+    balancer = recorder.make(make_view(targets))
+    for target in targets:
+        receive_at_balancer(balancer, make_report(), target.agent, 0.0)
+    recorder.sent.clear()
+    return balancer, recorder, [target.agent for target in targets]
+
+
+def test_balancer_of_many_targets_asks_a_few_agents():
+    count = 2 * MAX_RELAYED
+    balancer, recorder, agents = make_balancer(count)
+    receive_segment(balancer, data(), 0.1)
+    carried = recorder.carried()
+    assert len(carried) == count / MAX_RELAYED
+    asked = {agent for agent, _ in carried}
+    named = [agent for _, carry in carried for agent in carry.candidates]
+    assert sorted([*asked, *named]) == sorted(agents)
+    assert all(len(encode_message(carry)) < MTU_BYTES for _, carry in carried)
+
+
+def test_balancer_of_few_targets_asks_them_itself():
+    balancer, recorder, agents = make_balancer(MAX_DIRECT)
+    receive_segment(balancer, data(), 0.1)
+    assert sorted(agent for agent, _ in recorder.carried()) == sorted(agents)
+
+
+def test_connection_that_all_deny_by_relay_is_reset():
+    balancer, recorder, _ = make_balancer(MAX_DIRECT + 1)
+    receive_segment(balancer, data(acknowledgement=77), 0.6)
+    ((asker, carry),) = recorder.carried()
+    receive_at_balancer(balancer, NotThere(KEY, carry.candidates), asker, 0.61)
+    assert recorder.resets == []
+    receive_at_balancer(balancer, NotHere(KEY, 77), asker, 0.62)
+    assert recorder.resets == [(KEY, 77)]
+
+
+def test_agents_that_did_not_answer_are_asked_through_another():
+    balancer, recorder, agents = make_balancer(MAX_DIRECT + 2)
+    receive_segment(balancer, data(), 0.1)
+    ((asker, carry),) = recorder.carried()
+    receive_at_balancer(balancer, NotThere(KEY, carry.candidates[:3]), asker, 0.2)
+    receive_segment(balancer, data(), 0.4)
+    asked = [agent for agent, _ in recorder.carried()]
+    assert sorted(asked) == sorted({*agents} - {*carry.candidates[:3]})
