Count what a target fails as a wait when connections are placed

Cause: a target that hangs on, resets or refuses part of its requests though its health is good was taken for a fast one, as its answers come soon. The agent counts lost answers, resets of requests and refusals with a free slot, fading within seconds; balancers add what a failure costs a caller.

--- a/lycheeglade/connection_agent.py
+++ b/lycheeglade/connection_agent.py
@@ -21,7 +21,7 @@
 )
 from lycheeglade.search_relay import SearchRelay
 from lycheeglade.segment import ConnectionKey, Segment, distance
-from lycheeglade.service_time import BusyShare, ServiceTime
+from lycheeglade.service_time import BusyShare, FailureShare, ServiceTime
 from lycheeglade.target_load import (
     UNKNOWN_SERVICE_TIME_S,
     AgentLoad,
@@ -148,6 +148,7 @@
         default_factory=lambda: ServiceTime(UNKNOWN_SERVICE_TIME_S)
     )
     busy: BusyShare | None = None
+    failures: FailureShare = field(default_factory=FailureShare)
     finished: int = 0
     finished_at: float = 0.0
     logged_at: float = 0.0
@@ -228,6 +229,7 @@
         service_time=agent.service_time.mean,
         running=len(agent.running_by_key),
         busy=_busy_share(agent, now),
+        failing=agent.failures.share(now),
     )
     own = expected_time(load, agent.slots)
     return own > message.costs[0] * HUNT_FACTOR + HUNT_COST_S
@@ -413,7 +415,11 @@
     if started_at is None:
         return
     elapsed = now - started_at
-    if elapsed < MIN_WORK_S:
+    is_refusal = elapsed < MIN_WORK_S
+    if not is_refusal or connection.together <= agent.slots:
+        # A target that is full may refuse; one with a free slot fails.
+        agent.failures.observe(now, is_refusal)
+    if is_refusal:
         return
     agent.service_time.observe(_work_time(agent, connection, elapsed, now))
     agent.finished_at = now
@@ -458,6 +464,8 @@
     elif segment.finishes:
         _stop_running(agent, key, now)
     if segment.resets:
+        if key in agent.running_by_key:
+            agent.failures.observe(now, True)
         _forget(agent, key, now)
 
 
@@ -515,6 +523,7 @@
     for key, started_at in list(agent.running_by_key.items()):
         if now - started_at > LOST_ANSWER_S:
             agent.actions.log("no-answer", connection=key, waited=now - started_at)
+            agent.failures.observe(now, True)
             _stop_running(agent, key, now)
     agent.searches.tick(now)
     _forget_idle(agent, now)
@@ -545,6 +554,7 @@
         connections=len(agent.connections_by_key),
         silent=agent.silence.is_silent(now),
         leaving=agent.is_leaving,
+        failing=agent.failures.share(now),
     )
 
 
@@ -583,6 +593,7 @@
         finished=agent.finished,
         balancers=len(agent.heard_by_balancer),
         silent=report.silent,
+        failing=report.failing,
     )
 
 
--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -343,6 +343,7 @@
     load.busy = report.busy
     load.silent = report.silent
     load.leaving = report.leaving
+    load.failing = report.failing
 
 
 def _greet(balancer: ConnectionBalancer, agent: Address, now: float) -> None:
--- a/lycheeglade/relay_message.py
+++ b/lycheeglade/relay_message.py
@@ -89,6 +89,8 @@
         The target answers nothing.
     leaving : bool
         The agent's process is about to end.
+    failing : float
+        Share of the latest requests that the target failed, 0 to 1.
     """
 
     incarnation: int
@@ -99,13 +101,21 @@
     connections: int
     silent: bool = False
     leaving: bool = False
+    failing: float = 0.0
 
 
 class Peers(Struct, frozen=True, array_like=True, tag=6):
-    """A balancer's revision of the view, and the balancers that it knows."""
+    """A balancer's revision of the view, and the balancers that it knows.
+
+    Attributes
+    ----------
+    age : float
+        Seconds since the sender's process has started.
+    """
 
     revision: int
     addresses: tuple[Address, ...]
+    age: float = 0.0
 
 
 class NotThere(Struct, frozen=True, array_like=True, tag=7):
--- a/lycheeglade/service_time.py
+++ b/lycheeglade/service_time.py
@@ -1,10 +1,12 @@
-"""Running estimates of a target's service time and busy share."""
+"""Running estimates of a target's service time, busy share and failures."""
 
 from math import exp
 
 MEAN_GAIN = 0.1
 BASELINE_GAIN = 0.01
 BUSY_WINDOW_S = 20.0
+FAILURE_GAIN = 0.1
+FAILURE_WINDOW_S = 4.0
 
 
 class ServiceTime:
@@ -79,3 +81,34 @@
         elapsed = max(0.0, now - self._updated_at)
         kept = exp(-elapsed / self._window)
         return self._average * kept + self._running * (1 - kept)
+
+
+class FailureShare:
+    """Share of the latest requests that a target failed.
+
+    It falls with time as well, so that a target which gets no work for its
+    failures is tried again.
+
+    Parameters
+    ----------
+    window : float
+        Seconds after which an observation counts for a third.
+    """
+
+    __slots__ = ("_share", "_updated_at", "_window")
+
+    def __init__(self, window: float = FAILURE_WINDOW_S):
+        self._window = window
+        self._share = 0.0
+        self._updated_at = 0.0
+
+    def observe(self, now: float, has_failed: bool) -> None:
+        """Take in how one request ended."""
+        share = self.share(now)
+        self._share = share + (has_failed - share) * FAILURE_GAIN
+        self._updated_at = now
+
+    def share(self, now: float) -> float:
+        """Return the share at present, 0 to 1."""
+        elapsed = max(0.0, now - self._updated_at)
+        return self._share * exp(-elapsed / self._window)
--- a/lycheeglade/target_load.py
+++ b/lycheeglade/target_load.py
@@ -1,10 +1,12 @@
 """Where new connections are placed, by what agents report of their load.
 
-Answers two load patterns. Targets of unequal, unpublished speed: a count of
+Answers three load patterns. Targets of unequal, unpublished speed: a count of
 connections alone would fill the slow ones, so that places are compared by the
-wait that is expected there. A fleet that returns at once: reports are older
-than the last placements, so that these are added to them, and each balancer
-compares a random few targets, since all would choose the same best one.
+wait that is expected there. Targets that fail part of their requests though
+their health is good: what a failure costs its caller counts as a wait. A fleet
+that returns at once: reports are older than the last placements, so that these
+are added to them, and each balancer compares a random few targets, since all
+would choose the same best one.
 """
 
 from collections.abc import Collection, Mapping
@@ -24,6 +26,9 @@
 RESTART_S = 5.0
 UNKNOWN_SERVICE_TIME_S = 0.03
 MAX_BUSY = 0.95
+# What a failed request costs its caller: another connection, and the time that
+# showed the failure.
+FAILURE_COST_S = 0.3
 # What a connection to another zone costs beside the wait, in service times.
 OTHER_ZONE_COST = 0.5
 OTHER_ZONE_BULK_COST = 8.0
@@ -51,6 +56,7 @@
     busy: float = 0.0
     silent: bool = False
     leaving: bool = False
+    failing: float = 0.0
     incarnation: int = 0
     slots: int = 0
 
@@ -74,7 +80,8 @@
     ahead = max(0, load.running + load.placed + 1 - slots)
     busy = min(load.busy, MAX_BUSY)
     steady_wait = load.service_time * busy / (1.0 - busy) / slots
-    return load.service_time * (1.0 + ahead / slots) + steady_wait
+    failures = load.failing * FAILURE_COST_S
+    return load.service_time * (1.0 + ahead / slots) + steady_wait + failures
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/placement_replay.py
+++ b/tests/placement_replay.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from heapq import heappop, heappush
 from random import Random
 
@@ -22,9 +22,13 @@
 
 @dataclass
 class ReplayedTarget:
-    """A target with one slot; `free_at` is when its queue is done."""
+    """A target with one slot; `free_at` is when its queue is done.
+
+    `failing` is the share of its requests that it works on and fails.
+    """
 
     service_time: float
+    failing: float = 0.0
     free_at: float = 0.0
     starts: list = field(default_factory=list)
     worked: list = field(default_factory=list)
@@ -52,6 +56,11 @@
     return rank_places(targets, loads, HERE, now, generator)[0].target
 
 
+def place_without_failures(targets, loads, now, generator):
+    blind = {agent: replace(load, failing=0.0) for agent, load in loads.items()}
+    return rank_places(targets, blind, HERE, now, generator)[0].target
+
+
 def place_at_random(targets, loads, now, generator):
     return generator.choice(targets)
 
@@ -62,14 +71,23 @@
     aim: float,
     place: Callable,
     seed: int = 1,
+    failing: tuple[float, ...] = (),
 ) -> float:
-    """Return the share of requests that are answered within `aim` seconds."""
+    """Return the share of requests that are answered within `aim` seconds.
+
+    Parameters
+    ----------
+    failing : tuple of float
+        Share that the first targets fail.
+    """
     generator = Random(seed)
     targets = [make_target(number) for number in range(len(service_times))]
     replayed = {
         target.agent: ReplayedTarget(seconds)
         for target, seconds in zip(targets, service_times, strict=True)
     }
+    for target, share in zip(replayed.values(), failing, strict=False):
+        target.failing = share
     views = [{t.agent: AgentLoad() for t in targets} for _ in range(BALANCERS)]
     events = [(at, number, at, 0) for number, at in enumerate(arrivals)]
     events.sort()
@@ -85,7 +103,10 @@
         agent = place(targets, loads, now, generator).agent
         loads[agent].placed += 1
         done = replayed[agent].offer(now, generator.uniform(0.5, 1.5))
-        if done is not None:
+        if done is not None and generator.random() < replayed[agent].failing:
+            if tries < RETRIES:
+                heappush(events, (done, number, came, tries + 1))
+        elif done is not None:
             in_time += done - came <= aim
         elif tries < RETRIES:
             heappush(events, (now + 0.01, number, came, tries + 1))
@@ -99,3 +120,4 @@
         load.running = target.backlog(now)
         load.service_time = target.service_time
         load.busy = target.busy(now)
+        load.failing = target.failing
--- a/tests/test_connection_agent.py
+++ b/tests/test_connection_agent.py
@@ -256,6 +256,55 @@
     assert not recorder.sent[-1][1].silent
 
 
+def run_request(agent, recorder, port, now, seconds=0.02):
+    """Return after a request on a connection of its own was answered."""
+    receive(agent, recorder, opening(port=port), now)
+    receive_from_target(agent, from_target(port=port, **SYN_ACK), now)
+    receive(agent, recorder, data(port=port), now)
+    answer = from_target(port=port, acknowledges=True, sequence=1001, data_bytes=9)
+    receive_from_target(agent, answer, now + seconds)
+
+
+def failing_share(agent, recorder, now):
+    receive_message(agent, Hello(1), BALANCER, now)
+    return recorder.sent[-1][1].failing
+
+
+def test_answers_are_no_failures(agent, recorder):
+    for port in range(1, 6):
+        run_request(agent, recorder, port, 0.1 * port)
+    assert failing_share(agent, recorder, 0.7) == 0.0
+
+
+def test_lost_answers_are_failures(agent, recorder):
+    receive(agent, recorder, opening(), 0.0)
+    receive_from_target(agent, from_target(**SYN_ACK), 0.0)
+    receive(agent, recorder, data(), 0.0)
+    tick(agent, LOST_ANSWER_S + 0.1)
+    assert failing_share(agent, recorder, LOST_ANSWER_S + 0.1) > 0.0
+
+
+def test_resets_of_requests_are_failures_that_fade(agent, recorder):
+    open_connection(agent, recorder)
+    receive(agent, recorder, data(), 0.0)
+    receive_from_target(agent, from_target(resets=True), 0.01)
+    share = failing_share(agent, recorder, 0.01)
+    assert share > 0.0
+    assert 0.0 < failing_share(agent, recorder, 5.0) < 0.5 * share
+
+
+def test_refusals_of_a_target_with_a_free_slot_are_failures(agent, recorder):
+    run_request(agent, recorder, 1, 0.0, seconds=0.0001)
+    assert failing_share(agent, recorder, 0.01) > 0.0
+
+
+def test_refusals_of_a_full_target_are_none(agent, recorder):
+    open_connection(agent, recorder)
+    receive(agent, recorder, data(), 0.0)
+    run_request(agent, recorder, 2, 0.001, seconds=0.0001)
+    assert failing_share(agent, recorder, 0.01) == 0.0
+
+
 def test_planned_end_is_told(agent, recorder):
     receive_message(agent, Hello(1), BALANCER, 0.0)
     begin_leaving(agent, 0.1)
--- a/tests/test_target_load.py
+++ b/tests/test_target_load.py
@@ -9,7 +9,12 @@
     rank_places,
 )
 from tests.connections import HERE, THERE, make_target
-from tests.placement_replay import place_at_random, place_by_load, replay
+from tests.placement_replay import (
+    place_at_random,
+    place_by_load,
+    place_without_failures,
+    replay,
+)
 
 TARGETS = [make_target(number) for number in (1, 2, 3)]
 AIM_S = 0.1
@@ -75,8 +80,11 @@
     assert rank({}, []) == []
 
 
-def mean_share(arrivals, service_times, place):
-    shares = [replay(arrivals, service_times, AIM_S, place, seed) for seed in range(5)]
+def mean_share(arrivals, service_times, place, failing=()):
+    shares = [
+        replay(arrivals, service_times, AIM_S, place, seed, failing)
+        for seed in range(5)
+    ]
     return sum(shares) / len(shares)
 
 
@@ -101,3 +109,23 @@
     by_load = mean_share(arrivals, service_times, place_by_load)
     assert by_load > 0.99
     assert by_load > mean_share(arrivals, service_times, place_at_random)
+
+
+def test_targets_that_fail_behind_good_health():
+    """Two of seven fail almost half of their requests, at 36% load.
+
+    What the others can carry suffices for all.
+    """
+    generator = Random(9)
+    arrivals = [generator.uniform(0.0, 10.0) for _ in range(1250)]
+    service_times = [0.02] * 7
+    failing = (0.45, 0.45)
+    by_load = mean_share(arrivals, service_times, place_by_load, failing)
+    blind = mean_share(arrivals, service_times, place_without_failures, failing)
+    assert by_load > 0.99
+    assert 1.0 - by_load < 0.5 * (1.0 - blind)
+
+
+def test_all_targets_that_fail_are_used():
+    loads = {target.agent: AgentLoad(failing=0.5) for target in TARGETS}
+    assert len(rank(loads)) == len(TARGETS)
