--- a/lycheeglade/connection_agent_daemon.py
+++ b/lycheeglade/connection_agent_daemon.py
@@ -18,6 +18,7 @@
     CarrierSettings,
     EventLog,
     SegmentCodec,
+    decode_or_log,
     raise_failures,
     run_until,
     watch_signals,
@@ -43,16 +44,15 @@
     stop = watch_signals()
 
     def on_datagram(datagram: bytes, source: tuple) -> None:
-        try:
-            segment = codec.decode(datagram)
-        except PacketError as error:
-            log("malformed", source=source, cause=error.cause)
-            return
-        receive_from_target(agent, segment, monotonic())
+        segment = decode_or_log(codec.decode, datagram, source, log)
+        if segment is not None:
+            receive_from_target(agent, segment, monotonic())
 
     def on_message(datagram: bytes, source: tuple) -> None:
+        message = decode_or_log(decode_message, datagram, source, log)
+        if message is None:
+            return
         try:
-            message = decode_message(datagram)
             receive_message(agent, message, Address(*source), monotonic())
         except PacketError as error:
             log("malformed", source=source, cause=error.cause)
--- a/lycheeglade/connection_balancer_daemon.py
+++ b/lycheeglade/connection_balancer_daemon.py
@@ -20,11 +20,11 @@
     CarrierSettings,
     EventLog,
     SegmentCodec,
+    decode_or_log,
     raise_failures,
     run_until,
     watch_signals,
 )
-from lycheeglade.errors import PacketError
 from lycheeglade.relay_message import Message, Peers, decode_message, encode_message
 from lycheeglade.route import RoutingView
 from lycheeglade.segment import ConnectionKey
@@ -67,18 +67,13 @@
     def on_datagram(datagram: bytes, source: tuple) -> None:
         nonlocal heard_at
         heard_at = monotonic()
-        try:
-            segment = codec.decode(datagram)
-        except PacketError as error:
-            log("malformed", source=source, cause=error.cause)
-            return
-        receive_segment(balancer, segment, heard_at)
+        segment = decode_or_log(codec.decode, datagram, source, log)
+        if segment is not None:
+            receive_segment(balancer, segment, heard_at)
 
     def on_message(datagram: bytes, source: tuple) -> None:
-        try:
-            message = decode_message(datagram)
-        except PacketError as error:
-            log("malformed", source=source, cause=error.cause)
+        message = decode_or_log(decode_message, datagram, source, log)
+        if message is None:
             return
         address = Address(*source)
         if isinstance(message, Peers):
--- a/lycheeglade/connection_daemon.py
+++ b/lycheeglade/connection_daemon.py
@@ -11,13 +11,17 @@
 from logging import INFO, WARNING, getLogger
 from signal import SIGHUP, SIGINT, SIGTERM
 from time import monotonic
+from typing import TypeVar
 
 from lycheeglade.address import Address, Zone
+from lycheeglade.errors import PacketError
 from lycheeglade.logs import log_event
 from lycheeglade.segment import ConnectionKey, Segment
 
 logger = getLogger(__name__)
 
+Decoded = TypeVar("Decoded")
+
 # Lines a second that the log of one process takes; what is over is counted.
 LOG_LINES_PER_S = 50
 ANY_WORK = "any"
@@ -131,6 +135,17 @@
         return "\n".join(lines) + "\n"
 
 
+def decode_or_log(
+    decode: Callable[[bytes], Decoded], datagram: bytes, source: tuple, log: EventLog
+) -> Decoded | None:
+    """Return what a datagram holds; one that can't be read is logged."""
+    try:
+        return decode(datagram)
+    except PacketError as error:
+        log("malformed", source=source, cause=error.cause)
+        return None
+
+
 def watch_signals() -> Event:
     """Return an event that a request to stop sets."""
     stop = Event()
