End a round of the soak that hangs, with what each task waits for

A round of a broken variant once printed nothing in 200 s on a busy machine; four more runs of it ended as they should. The next one will leave its stacks.

--- a/soak/round.py
+++ b/soak/round.py
@@ -1,5 +1,6 @@
 """One round of the soak: a deployment, and the faults of one seed."""
 
+from asyncio import all_tasks, current_task, get_running_loop
 from collections import Counter
 from dataclasses import dataclass
 from pathlib import Path
@@ -13,6 +14,8 @@
 SERVED_S = 5.0
 # Share of the requests after the recovery that has to be answered.
 MIN_SERVED = 0.25
+# What starts, ends and the last faults of a round may take beside its parts.
+SPARE_S = 60.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,12 +43,17 @@
     generator = Random(seed)
     deployment = Deployment(slot, folder, Random(seed + 1))
     promises = deployment.promises
+    limit = seconds + recovery + SERVED_S + SPARE_S
+    watchdog = get_running_loop().call_later(
+        limit, _end_hanging_round, current_task(), folder
+    )
     try:
         await deployment.start()
         await run_faults(deployment, generator, seconds, recovery)
         before = Counter(promises.counts)
         await run_faults(deployment, generator, 0.0, SERVED_S)
     finally:
+        watchdog.cancel()
         await deployment.stop()
     served = promises.counts["answered"] - before["answered"]
     lost = sum(
@@ -54,3 +62,12 @@
     if served < MIN_SERVED * (served + lost) or not served:
         promises.break_promise("RECOVER", "all", f"{served} served, {lost} lost")
     return Report(seed, tuple(promises.breaches), promises.counts, folder)
+
+
+def _end_hanging_round(main, folder: Path) -> None:
+    """Write what each task waits for, and cancel the round."""
+    path = folder / "tasks.txt"
+    with path.open("w") as file:
+        for task in all_tasks():
+            task.print_stack(file=file)
+    main.cancel(f"the round hangs, see {path}")
