--- a/soak/faults.py
+++ b/soak/faults.py
@@ -18,6 +18,8 @@
 MAX_DELAY_S = 0.3
 # Targets of a service that may be away at a time.
 MAX_AWAY = 1
+# What each service keeps when an address goes to the other one.
+MIN_TARGETS = 2
 
 Fault = Callable[[Deployment, Random], Awaitable[str]]
 
@@ -172,6 +174,30 @@
     deployment.away_ips.discard(agent.ip)
 
 
+async def reuse_address(deployment: Deployment, generator: Random) -> None:
+    """Give a target's address to the other service, as planned work does."""
+    agent = _pick_target_host(deployment, generator)
+    served = [each.service for each in deployment.agents]
+    if agent is None or agent.is_busy or served.count(agent.service) <= MIN_TARGETS:
+        return
+    deployment.away_ips.add(agent.ip)
+    agent.is_busy = True
+    target = deployment.targets_by_ip[agent.ip]
+    target.leaving = True
+    deployment.publish_target(target, agent)
+    deployment.promises.leaving_at[target.target_id] = deployment.now()
+    await sleep(DRAIN_S)
+    target.crash()
+    deployment.store.delete(f"servers/{target.target_id}")
+    await deployment.stop_process(agent)
+    (agent.service,) = set(served) - {agent.service}
+    await deployment.start_process(agent)
+    deployment.add_target(agent)
+    await sleep(READY_S)
+    agent.is_busy = False
+    deployment.away_ips.discard(agent.ip)
+
+
 async def change_routes(deployment: Deployment, generator: Random) -> None:
     """Add a route, or drop one of those that were added."""
     added = sorted(deployment.routes)[2:]
@@ -198,6 +224,7 @@
     harm_store,
     crash_target,
     replace_target,
+    reuse_address,
     change_routes,
 )
 
