--- a/soak/caller.py
+++ b/soak/caller.py
@@ -1,6 +1,7 @@
 """Callers that keep connections and use them until they are lost."""
 
-from asyncio import Event, get_running_loop, sleep, wait_for
+from asyncio import Event, get_running_loop, sleep
+from asyncio import timeout as time_limit
 from collections.abc import Callable
 from random import Random
 
@@ -149,7 +150,8 @@
                 return
             connection.changed.clear()
             try:
-                await wait_for(connection.changed.wait(), left)
+                async with time_limit(left):
+                    await connection.changed.wait()
             except TimeoutError:
                 return
 
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -8,8 +8,8 @@
     get_running_loop,
     open_connection,
     sleep,
-    wait_for,
 )
+from asyncio import timeout as time_limit
 from asyncio.subprocess import Process
 from dataclasses import dataclass
 from os import environ
@@ -146,7 +146,8 @@
         await gather(*map(self.start_process, self.hosts))
         self._tasks.append(create_task(self._poll_readiness()))
         self._tasks.append(create_task(self._watch_stalls()))
-        await wait_for(self._wait_ready(), START_S)
+        async with time_limit(START_S):
+            await self._wait_ready()
         for number in range(CALLERS):
             caller = Caller(
                 Address(self._ip(100 + number), DATAGRAM_PORT),
@@ -223,7 +224,8 @@
         """Stop a process as planned work does, and check how it ends."""
         host.process.send_signal(SIGTERM)
         try:
-            code = await wait_for(host.process.wait(), GRACE_S)
+            async with time_limit(GRACE_S):
+                code = await host.process.wait()
         except TimeoutError:
             self.promises.break_promise("GRACE", host.name, "didn't stop in time")
             host.process.kill()
@@ -306,7 +308,8 @@
 
     async def _poll(self, host: Host) -> None:
         try:
-            answer = await wait_for(_fetch_ready(host.ip), READY_TIMEOUT_S)
+            async with time_limit(READY_TIMEOUT_S):
+                answer = await _fetch_ready(host.ip)
         except (OSError, TimeoutError):
             answer = b""
         host.misses = 0 if b" 200 " in answer else host.misses + 1
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -21,7 +21,7 @@
 # What each service keeps when an address goes to the other one.
 MIN_TARGETS = 2
 
-Fault = Callable[[Deployment, Random], Awaitable[str]]
+Fault = Callable[[Deployment, Random], Awaitable[None]]
 
 
 def _pick_idle(hosts: list[Host], generator: Random) -> Host | None:
@@ -157,12 +157,8 @@
     deployment.away_ips.discard(agent.ip)
 
 
-async def replace_target(deployment: Deployment, generator: Random) -> None:
-    """Drain a target and put another one in its place."""
-    agent = _pick_target_host(deployment, generator)
-    if agent is None:
-        return
-    deployment.away_ips.add(agent.ip)
+async def _drain_target(deployment: Deployment, agent: Host) -> None:
+    """Let a target leave, as planned work does."""
     target = deployment.targets_by_ip[agent.ip]
     target.leaving = True
     deployment.publish_target(target, agent)
@@ -170,6 +166,15 @@
     await sleep(DRAIN_S)
     target.crash()
     deployment.store.delete(f"servers/{target.target_id}")
+
+
+async def replace_target(deployment: Deployment, generator: Random) -> None:
+    """Drain a target and put another one in its place."""
+    agent = _pick_target_host(deployment, generator)
+    if agent is None:
+        return
+    deployment.away_ips.add(agent.ip)
+    await _drain_target(deployment, agent)
     deployment.add_target(agent)
     deployment.away_ips.discard(agent.ip)
 
@@ -182,13 +187,7 @@
         return
     deployment.away_ips.add(agent.ip)
     agent.is_busy = True
-    target = deployment.targets_by_ip[agent.ip]
-    target.leaving = True
-    deployment.publish_target(target, agent)
-    deployment.promises.leaving_at[target.target_id] = deployment.now()
-    await sleep(DRAIN_S)
-    target.crash()
-    deployment.store.delete(f"servers/{target.target_id}")
+    await _drain_target(deployment, agent)
     await deployment.stop_process(agent)
     (agent.service,) = set(served) - {agent.service}
     await deployment.start_process(agent)
@@ -212,7 +211,7 @@
     deployment.put_routes(routes)
 
 
-FAULTS = (
+FAULTS: tuple[Fault, ...] = (
     kill_process,
     pause_process,
     restart_process,
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -61,7 +61,6 @@
         self._trouble_by_ip: dict[str, list[list[float]]] = {}
         self.leaving_at: dict[str, float] = {}
         self.dropped_at: dict[Address, float] = {}
-        self.added_at: dict[Address, float] = {}
 
     def begin_trouble(self, ip: str) -> Callable[[], None]:
         """Note unplanned trouble at a host; return what ends it."""
@@ -163,10 +162,7 @@
         life = self.lives_by_key[key]
         if life.target is None:
             life.refused = True
-            added_at = self.added_at.get(key.service)
-            late = added_at is not None and life.began_at > added_at + APPLY_S
-            if late and self.is_calm(life.entry, since=life.began_at):
-                self.counts["refused"] += 1
+            self.counts["refused"] += 1
             if life.runs:
                 self.break_promise("NOT-RUN", key, "refused after it ran")
             return
