--- a/tests/test_view_exchange.py
+++ b/tests/test_view_exchange.py
@@ -1,7 +1,9 @@
+from asyncio import CancelledError, Event, create_task, sleep
 from random import Random
 
 import pytest
 
+from lycheeglade import view_exchange
 from lycheeglade.address import Address
 from lycheeglade.relay_message import Peers, decode_message, encode_message
 from lycheeglade.route import RoutingView
@@ -74,3 +76,22 @@
 def test_messages_are_read_as_they_were_written():
     message = Peers(4, (PEER, THIRD))
     assert decode_message(encode_message(message)) == message
+
+
+async def test_fetch_that_is_cancelled_as_it_ends_is_cancelled(monkeypatch):
+    """Else a process that stops may wait for it until it is killed."""
+    arrived = Event()
+
+    async def fetch(address):
+        await arrived.wait()
+        return make_view([])
+
+    monkeypatch.setattr(view_exchange, "_fetch", fetch)
+    task = create_task(fetch_view(PEER, lambda event, **fields: None))
+    await sleep(0)
+    await sleep(0)
+    arrived.set()
+    await sleep(0)
+    task.cancel()
+    with pytest.raises(CancelledError):
+        await task
