--- a/soak/round.py
+++ b/soak/round.py
@@ -53,8 +53,8 @@
         before = Counter(promises.counts)
         await run_faults(deployment, generator, 0.0, SERVED_S)
     finally:
-        watchdog.cancel()
         await deployment.stop()
+        watchdog.cancel()
     served = promises.counts["answered"] - before["answered"]
     lost = sum(
         promises.counts[name] - before[name] for name in ("not-opened", "unanswered")
