Give processes their settings in one place, in tests, bench and soak

The settings file, the ports, the look at readiness and the packing of packets were written three times. Trouble and work on a host are context managers in the soak; the case of no entry host, which never came, is gone. Checks and assertions are as they were.

--- a/bench/start.py
+++ b/bench/start.py
@@ -6,7 +6,7 @@
 """
 
 import sys
-from asyncio import create_subprocess_exec, open_connection, run, sleep
+from asyncio import create_subprocess_exec, run, sleep
 from asyncio import timeout as time_limit
 from asyncio.subprocess import DEVNULL
 from dataclasses import dataclass
@@ -16,6 +16,8 @@
 from tempfile import TemporaryDirectory
 from time import monotonic
 
+from lycheeglade.address import Address
+from tests.platform_process import PATH_VARIABLE, format_settings, is_ready
 from tests.store_stand_in import StoreStandIn
 
 ROOT = Path(__file__).parent.parent
@@ -28,19 +30,6 @@
 USER_TICKS, SYSTEM_TICKS = 13, 14
 KB_PER_MB = 1024
 ROUTE = {"host": "198.18.0.1", "prefix": "/443/", "type": "safe", "service": "s1"}
-SETTINGS = """node-name={role}
-ip={ip}
-zone=a
-region=r
-zones.a=r
-listen.datagram-addr={ip}:8172
-listen.outbound={ip}:8162
-listen.ready-addr={ip}:8167
-internal-port-range=7720,7735
-platform.address={store}
-app={ip}:8165
-service=s1
-"""
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,20 +50,9 @@
     return Start(ticks / sysconf("SC_CLK_TCK"), elapsed_s, peak_kb / KB_PER_MB)
 
 
-async def _is_ready(ip: str) -> bool:
-    try:
-        reader, writer = await open_connection(ip, 8167)
-    except OSError:
-        return False
-    writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
-    line = await reader.readline()
-    writer.close()
-    return b" 200 " in line
-
-
-async def _measure(role: str, folder: Path, store: str) -> Start:
+async def _measure(role: str, folder: Path, store: Address) -> Start:
     path = folder / role
-    path.write_text(SETTINGS.format(role=role, ip=IP_BY_ROLE[role], store=store))
+    path.write_text(format_settings(role, role, IP_BY_ROLE[role], store, "s1"))
     began = monotonic()
     process = await create_subprocess_exec(
         sys.executable,
@@ -83,13 +61,13 @@
         role,
         stderr=DEVNULL,
         env={
-            "LYCHEEGLADE_CONFIG": str(path),
+            PATH_VARIABLE: str(path),
             "PYTHONPATH": ":".join(entry for entry in sys.path if "site-pack" in entry),
         },
     )
     try:
         async with time_limit(START_LIMIT_S):
-            while not await _is_ready(IP_BY_ROLE[role]):
+            while not await is_ready(IP_BY_ROLE[role]):
                 await sleep(POLL_S)
         return _read_usage(process.pid, monotonic() - began)
     finally:
@@ -100,13 +78,13 @@
 async def measure_all() -> dict[str, list[Start]]:
     """Start each role a few times; return what each start took."""
     store = StoreStandIn()
-    ip, port = await store.start(STORE_IP)
+    address = Address(*await store.start(STORE_IP))
     store.put("op/config", {"version": 1, "routes": [ROUTE]})
     starts_by_role = {}
     with TemporaryDirectory() as folder:
         for role in IP_BY_ROLE:
             starts_by_role[role] = [
-                await _measure(role, Path(folder), f"{ip}:{port}") for _ in range(TRIES)
+                await _measure(role, Path(folder), address) for _ in range(TRIES)
             ]
     store.stop()
     return starts_by_role
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -53,8 +53,7 @@
     Parameters
     ----------
     pick_entry : callable
-        Returns the balancer that the fabric sends a connection's packets to,
-        None if there is none.
+        Returns the balancer that the fabric sends a connection's packets to.
     pick_route : callable
         Returns a route's address and its service.
     """
@@ -64,7 +63,7 @@
         address: Address,
         network: Network,
         promises: Promises,
-        pick_entry: Callable[[ConnectionKey], Address | None],
+        pick_entry: Callable[[ConnectionKey], Address],
         pick_route: Callable[[], tuple[Address, str]],
         generator: Random,
     ):
@@ -167,8 +166,6 @@
         entry = self._pick_entry(key)
         acknowledgement = copies if flags == SYN else connection.acknowledgement
         datagram = pack_segment(flags, key, sequence, acknowledgement, content)
-        if entry is None:
-            return
         self._promises.note_sent(key, entry.ip, datagram)
         self._network.send(self._address, entry, datagram)
 
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -6,7 +6,6 @@
     create_task,
     gather,
     get_running_loop,
-    open_connection,
     sleep,
 )
 from asyncio import timeout as time_limit
@@ -25,18 +24,25 @@
 from soak.caller import Caller
 from soak.network import Network
 from soak.process import PROXY_VARIABLE
-from soak.promises import Promises
+from soak.promises import ALL, Promises
 from soak.store_link import StoreLink
 from soak.target import Target
+from tests.platform_process import (
+    APP_PORT,
+    DATAGRAM_PORT,
+    OUTBOUND_PORT,
+    PATH_VARIABLE,
+    ZONES,
+    format_settings,
+    is_ready,
+)
 from tests.store_stand_in import StoreStandIn
 
 ROOT = Path(__file__).parent.parent
 BALANCERS = 3
 SERVICES = ("feeds", "feeds", "feeds", "reels", "reels")
-ZONES = ("nadi-a", "nadi-b")
 CALLERS = 12
-DATAGRAM_PORT, READY_PORT, OUTBOUND_PORT, APP_PORT = 8172, 8167, 8162, 8165
-INTERNAL_PORT, STORE_PORT, PROXY_PORT = 7720, 7600, 7601
+STORE_PORT, PROXY_PORT = 7600, 7601
 WORK_S = (0.005, 0.01)
 READY_POLL_S = 0.5
 READY_MISSES = 2
@@ -46,22 +52,6 @@
 # The soak's own stall; its processes may have stood still as well.
 STALL_S = 0.3
 STALL_POLL_S = 0.05
-SETTINGS = """node-name={name}
-role={role}
-ip={ip}
-zone={zone}
-region=viti-west
-zones.nadi-a=viti-west
-zones.nadi-b=viti-west
-listen.datagram-addr={ip}:8172
-listen.outbound={ip}:8162
-listen.ready-addr={ip}:8167
-internal-port-range=7720,7735
-seeds={seeds}
-platform.address={store}
-app={ip}:8165
-service={service}
-"""
 
 
 @dataclass(slots=True)
@@ -190,17 +180,17 @@
 
     async def start_process(self, host: Host) -> None:
         """Start the process of a host."""
-        seeds = [f"{b.ip}:{INTERNAL_PORT}" for b in self.balancers if b is not host]
+        seeds = tuple(b.ip for b in self.balancers if b is not host)
         path = self._folder / f"{host.name}.conf"
         path.write_text(
-            SETTINGS.format(
-                name=host.name,
-                role=host.role,
-                ip=host.ip,
-                zone=host.zone,
-                seeds=",".join(seeds),
-                store=f"{host.ip}:{STORE_PORT}",
-                service=host.service,
+            format_settings(
+                host.name,
+                host.role,
+                host.ip,
+                Address(host.ip, STORE_PORT),
+                host.service,
+                host.zone,
+                seeds,
             )
         )
         if host.log is None:
@@ -213,7 +203,7 @@
             cwd=ROOT,
             env={
                 **environ,
-                "LYCHEEGLADE_CONFIG": str(path),
+                PATH_VARIABLE: str(path),
                 PROXY_VARIABLE: f"{self._proxy.ip}:{self._proxy.port}",
             },
             stdout=host.log,
@@ -235,7 +225,7 @@
 
     def put_routes(self, routes: dict[Address, str]) -> None:
         """Publish a configuration."""
-        now = get_running_loop().time()
+        now = self.now()
         for address in self.routes.keys() - routes.keys():
             self.promises.dropped_at[address] = now
         for address in routes.keys() - self.routes.keys():
@@ -283,7 +273,7 @@
             },
         )
 
-    def pick_entry(self, key: ConnectionKey) -> Address | None:
+    def pick_entry(self, key: ConnectionKey) -> Address:
         """Return the balancer that packets of a connection go to."""
         hosts = [host for host in self.balancers if host.is_ready] or self.balancers
         best = max(
@@ -309,10 +299,10 @@
     async def _poll(self, host: Host) -> None:
         try:
             async with time_limit(READY_TIMEOUT_S):
-                answer = await _fetch_ready(host.ip)
+                ready = await is_ready(host.ip)
         except (OSError, TimeoutError):
-            answer = b""
-        host.misses = 0 if b" 200 " in answer else host.misses + 1
+            ready = False
+        host.misses = 0 if ready else host.misses + 1
 
     async def _watch_stalls(self) -> None:
         """Note when this process stood still; others may have as well."""
@@ -321,14 +311,5 @@
             at = loop.time()
             await sleep(STALL_POLL_S)
             if loop.time() - at > STALL_S:
-                self.promises.counts["stalls"] += 1
-                self.promises.begin_trouble("")()
-
-
-async def _fetch_ready(ip: str) -> bytes:
-    reader, writer = await open_connection(ip, READY_PORT)
-    try:
-        writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
-        return await reader.read()
-    finally:
-        writer.close()
+                with self.promises.trouble(ALL):
+                    self.promises.counts["stalls"] += 1
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,7 +1,8 @@
 """Series of faults and of planned work, drawn from a seed."""
 
 from asyncio import create_task, gather, sleep
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from random import Random
 from signal import SIGCONT, SIGHUP, SIGKILL, SIGSTOP
 
@@ -24,9 +25,19 @@
 Fault = Callable[[Deployment, Random], Awaitable[None]]
 
 
-def _pick_idle(hosts: list[Host], generator: Random) -> Host | None:
-    idle = [host for host in hosts if not host.is_busy]
-    return generator.choice(idle) if idle else None
+@contextmanager
+def _take_idle(deployment: Deployment, generator: Random) -> Iterator[Host | None]:
+    """Pick a host with which nothing is done, and keep others off it."""
+    idle = [host for host in deployment.hosts if not host.is_busy]
+    host = generator.choice(idle) if idle else None
+    if host is None:
+        yield None
+        return
+    host.is_busy = True
+    try:
+        yield host
+    finally:
+        host.is_busy = False
 
 
 def _duration(generator: Random) -> float:
@@ -35,44 +46,36 @@
 
 async def kill_process(deployment: Deployment, generator: Random) -> None:
     """Kill a process and start it after a while."""
-    host = _pick_idle(deployment.hosts, generator)
-    if host is None:
-        return
-    host.is_busy = True
-    end = deployment.promises.begin_trouble(host.ip)
-    host.process.send_signal(SIGKILL)
-    await host.process.wait()
-    await sleep(_duration(generator))
-    await deployment.start_process(host)
-    await sleep(READY_S)
-    end()
-    host.is_busy = False
+    with _take_idle(deployment, generator) as host:
+        if host is None:
+            return
+        with deployment.promises.trouble(host.ip):
+            host.process.send_signal(SIGKILL)
+            await host.process.wait()
+            await sleep(_duration(generator))
+            await deployment.start_process(host)
+            await sleep(READY_S)
 
 
 async def pause_process(deployment: Deployment, generator: Random) -> None:
     """Freeze a process, and wake it."""
-    host = _pick_idle(deployment.hosts, generator)
-    if host is None:
-        return
-    host.is_busy = True
-    end = deployment.promises.begin_trouble(host.ip)
-    host.process.send_signal(SIGSTOP)
-    await sleep(_duration(generator))
-    host.process.send_signal(SIGCONT)
-    end()
-    host.is_busy = False
+    with _take_idle(deployment, generator) as host:
+        if host is None:
+            return
+        with deployment.promises.trouble(host.ip):
+            host.process.send_signal(SIGSTOP)
+            await sleep(_duration(generator))
+            host.process.send_signal(SIGCONT)
 
 
 async def restart_process(deployment: Deployment, generator: Random) -> None:
     """Stop and start a process, as planned work does."""
-    host = _pick_idle(deployment.hosts, generator)
-    if host is None:
-        return
-    host.is_busy = True
-    await deployment.stop_process(host)
-    await deployment.start_process(host)
-    await sleep(READY_S)
-    host.is_busy = False
+    with _take_idle(deployment, generator) as host:
+        if host is None:
+            return
+        await deployment.stop_process(host)
+        await deployment.start_process(host)
+        await sleep(READY_S)
 
 
 async def send_hangup(deployment: Deployment, generator: Random) -> None:
@@ -95,12 +98,11 @@
     )
     ways = generator.choice((((first.ip, far),), ((first.ip, far), (far, first.ip))))
     links = {LinkFault(*way, **fault) for way in ways}
-    ends = [deployment.promises.begin_trouble(ip) for ip in {first.ip, far} if ip]
-    deployment.network.faults |= links
-    await sleep(_duration(generator))
-    deployment.network.faults -= links
-    for end in ends:
-        end()
+    # A fault on all links of one host is that host's trouble alone.
+    with deployment.promises.trouble(*filter(None, (first.ip, far))):
+        deployment.network.faults |= links
+        await sleep(_duration(generator))
+        deployment.network.faults -= links
 
 
 async def harm_store_link(deployment: Deployment, generator: Random) -> None:
@@ -108,26 +110,23 @@
     count = generator.randint(1, len(deployment.balancers))
     hosts = generator.sample(deployment.balancers, count)
     state = generator.choice([s for s in LinkState if s is not LinkState.GOOD])
-    ends = [deployment.promises.begin_trouble(host.ip) for host in hosts]
-    for host in hosts:
-        host.store_link.put(state)
-    await sleep(_duration(generator))
-    for host, end in zip(hosts, ends, strict=True):
-        host.store_link.put(LinkState.GOOD)
-        end()
+    with deployment.promises.trouble(*(host.ip for host in hosts)):
+        for host in hosts:
+            host.store_link.put(state)
+        await sleep(_duration(generator))
+        for host in hosts:
+            host.store_link.put(LinkState.GOOD)
 
 
 async def harm_store(deployment: Deployment, generator: Random) -> None:
     """Make the store refuse all calls, or forget its history."""
-    ends = [deployment.promises.begin_trouble(b.ip) for b in deployment.balancers]
-    if generator.random() < 0.5:
-        deployment.store.forget_history()
-    else:
-        deployment.store.status = generator.choice((429, 503))
-        await sleep(_duration(generator))
-        deployment.store.status = 200
-    for end in ends:
-        end()
+    with deployment.promises.trouble(*(host.ip for host in deployment.balancers)):
+        if generator.random() < 0.5:
+            deployment.store.forget_history()
+        else:
+            deployment.store.status = generator.choice((429, 503))
+            await sleep(_duration(generator))
+            deployment.store.status = 200
 
 
 def _pick_target_host(deployment: Deployment, generator: Random) -> Host | None:
@@ -147,13 +146,12 @@
     if agent is None:
         return
     deployment.away_ips.add(agent.ip)
-    end = deployment.promises.begin_trouble(agent.ip)
-    target = deployment.targets_by_ip[agent.ip]
-    target.crash()
-    await sleep(_duration(generator))
-    deployment.store.delete(f"servers/{target.target_id}")
-    deployment.add_target(agent)
-    end()
+    with deployment.promises.trouble(agent.ip):
+        target = deployment.targets_by_ip[agent.ip]
+        target.crash()
+        await sleep(_duration(generator))
+        deployment.store.delete(f"servers/{target.target_id}")
+        deployment.add_target(agent)
     deployment.away_ips.discard(agent.ip)
 
 
--- a/soak/packets.py
+++ b/soak/packets.py
@@ -3,7 +3,7 @@
 import sys
 from pathlib import Path
 
-from lycheeglade.segment import SEQUENCE_SPACE, ConnectionKey, Segment
+from lycheeglade.segment import SEQUENCE_SPACE, ConnectionKey
 
 # The adapter's folder is no package, see `platform/main.py`.
 sys.path.append(str(Path(__file__).parent.parent / "platform"))
@@ -20,7 +20,16 @@
     tag_segment,
 )
 
-__all__ = ["ACK", "FIN", "RST", "SYN", "Segment", "decode_segment", "pack_segment"]
+__all__ = [
+    "ACK",
+    "FIN",
+    "RST",
+    "SYN",
+    "bounce",
+    "decode_segment",
+    "pack_segment",
+    "unmarked",
+]
 
 
 def pack_segment(
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -1,7 +1,8 @@
 """What callers and targets must see, checked while the soak runs."""
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 from lycheeglade.address import Address
@@ -62,16 +63,17 @@
         self.leaving_at: dict[str, float] = {}
         self.dropped_at: dict[Address, float] = {}
 
-    def begin_trouble(self, ip: str) -> Callable[[], None]:
-        """Note unplanned trouble at a host; return what ends it."""
+    @contextmanager
+    def trouble(self, *ips: str) -> Iterator[None]:
+        """Note unplanned trouble at hosts while the block runs."""
         span = [self._clock(), float("inf")]
-        self._trouble_by_ip.setdefault(ip, []).append(span)
-
-        def end() -> None:
+        for ip in ips:
+            self._trouble_by_ip.setdefault(ip, []).append(span)
+        try:
+            yield
+        finally:
             span[1] = self._clock()
 
-        return end
-
     def is_calm(self, *ips: str, since: float | None = None) -> bool:
         """Tell whether hosts had no trouble for the whole stability window."""
         now = self._clock()
--- /dev/null
+++ b/tests/platform_process.py
@@ -0,0 +1,59 @@
+"""What the platform gives a process and asks of it, on loopback."""
+
+from asyncio import open_connection
+
+from lycheeglade.address import Address
+
+DATAGRAM_PORT, READY_PORT, OUTBOUND_PORT, APP_PORT = 8172, 8167, 8162, 8165
+INTERNAL_PORT = 7720
+PATH_VARIABLE = "LYCHEEGLADE_CONFIG"
+REGION = "viti-west"
+ZONES = ("nadi-a", "nadi-b")
+
+
+def format_settings(
+    name: str,
+    role: str,
+    ip: str,
+    store: Address,
+    service: str,
+    zone: str = ZONES[0],
+    seeds: tuple[str, ...] = (),
+) -> str:
+    """Return the settings file of a process at `ip`; `seeds` are IPs too."""
+    lines = {
+        "node-name": name,
+        "role": role,
+        "ip": ip,
+        "zone": zone,
+        "region": REGION,
+        **{f"zones.{each}": REGION for each in ZONES},
+        "listen.datagram-addr": f"{ip}:{DATAGRAM_PORT}",
+        "listen.outbound": f"{ip}:{OUTBOUND_PORT}",
+        "listen.ready-addr": f"{ip}:{READY_PORT}",
+        "internal-port-range": f"{INTERNAL_PORT},{INTERNAL_PORT + 15}",
+        "seeds": ",".join(f"{seed}:{INTERNAL_PORT}" for seed in seeds),
+        "platform.address": f"{store.ip}:{store.port}",
+        "app": f"{ip}:{APP_PORT}",
+        "service": service,
+    }
+    return "".join(f"{key}={value}\n" for key, value in lines.items())
+
+
+async def fetch(ip: str, port: int, path: str) -> bytes:
+    """Return a whole HTTP answer, nothing if nobody listens there."""
+    try:
+        reader, writer = await open_connection(ip, port)
+    except OSError:
+        return b""
+    head = f"GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+    try:
+        writer.write(head.encode())
+        return await reader.read()
+    finally:
+        writer.close()
+
+
+async def is_ready(ip: str) -> bool:
+    """Tell whether the process at `ip` says that it is ready."""
+    return b" 200 " in await fetch(ip, READY_PORT, "/ready")
--- a/tests/test_connection_daemon.py
+++ b/tests/test_connection_daemon.py
@@ -5,7 +5,6 @@
     DatagramProtocol,
     create_subprocess_exec,
     get_running_loop,
-    open_connection,
     sleep,
 )
 from asyncio import timeout as time_limit
@@ -19,32 +18,25 @@
 from catalog import CONFIGURATION_KEY
 from lycheeglade.address import Address
 from lycheeglade.segment import ConnectionKey
+from soak.packets import ACK, SYN, bounce, decode_segment, pack_segment
+from tests.platform_process import (
+    APP_PORT,
+    DATAGRAM_PORT,
+    OUTBOUND_PORT,
+    PATH_VARIABLE,
+    fetch,
+    format_settings,
+    is_ready,
+)
 from tests.store_stand_in import StoreStandIn
-from wire import ACK, BOUNCED, HEADER, SYN, decode_segment, encode_reset
 
 ROOT = Path(__file__).parent.parent
 # Each worker of pytest-xdist has addresses of its own.
 WORKER = int(environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
 STORE_IP, EDGE_IP, SIDE_IP, CALLER_IP = (f"127.8.{WORKER}.{n}" for n in (1, 2, 3, 4))
-DATAGRAM_PORT, READY_PORT, OUTBOUND_PORT, APP_PORT = 8172, 8167, 8162, 8165
 METRICS_PORT = 9464
 TARGET_SEQUENCE = 5000
 IP_BY_ROLE = {"agent": SIDE_IP, "balancer": EDGE_IP}
-SETTINGS = """node-name={name}
-role={role}
-ip={ip}
-zone=nadi-a
-region=viti-west
-zones.nadi-a=viti-west
-listen.datagram-addr={ip}:8172
-listen.outbound={ip}:8162
-listen.ready-addr={ip}:8167
-internal-port-range=7720,7735
-seeds=
-platform.address={store}
-app={ip}:8165
-service=s1
-"""
 
 
 class Endpoint(DatagramProtocol):
@@ -74,49 +66,40 @@
         key = segment.key_from_caller
         if segment.opens:
             self.held.add(key)
-            self._send(pack(SYN | ACK, key, TARGET_SEQUENCE, reverse=True))
+            answer = pack_segment(SYN | ACK, key, TARGET_SEQUENCE, from_target=True)
+            self._send(answer)
         elif key not in self.held:
-            self._send(bytes([data[0] | BOUNCED]) + data[1:])
+            self._send(bounce(data))
         elif segment.data_bytes:
             number = TARGET_SEQUENCE + 1
-            self._send(pack(ACK, key, number, reverse=True, content=b"answer"))
+            self._send(
+                pack_segment(ACK, key, number, content=b"answer", from_target=True)
+            )
 
     def _send(self, datagram):
         self.transport.sendto(datagram, (SIDE_IP, OUTBOUND_PORT))
 
 
-def pack(flags, key, sequence, ack=0, reverse=False, content=b""):
-    datagram = bytearray(encode_reset(key, sequence))
-    fields = list(HEADER.unpack(datagram))
-    if not reverse:
-        fields[4], fields[7] = fields[7], fields[4]
-        fields[5], fields[6] = fields[6], fields[5]
-    fields[0], fields[2], fields[8] = flags, ack, len(content)
-    return HEADER.pack(*fields) + content
-
-
 @dataclass
 class Deployment:
     store: StoreStandIn
     caller: Endpoint
     target: Target
     folder: Path
-    address: str
+    address: Address
 
     async def start(self, role, ip):
         path = self.folder / f"{role}.conf"
-        path.write_text(
-            SETTINGS.format(name=role, role=role, ip=ip, store=self.address)
-        )
+        path.write_text(format_settings(role, role, ip, self.address, service="s1"))
         return await create_subprocess_exec(
             sys.executable,
             str(ROOT / "platform" / "main.py"),
             role,
-            env={"LYCHEEGLADE_CONFIG": str(path)},
+            env={PATH_VARIABLE: str(path)},
         )
 
     def send(self, key, flags, sequence, ack=0, content=b""):
-        datagram = pack(flags, key, sequence, ack, content=content)
+        datagram = pack_segment(flags, key, sequence, ack, content)
         self.caller.transport.sendto(datagram, (EDGE_IP, DATAGRAM_PORT))
 
 
@@ -126,22 +109,6 @@
             await sleep(0.01)
 
 
-async def fetch(ip, port, path):
-    try:
-        reader, writer = await open_connection(ip, port)
-    except OSError:
-        return b""
-    head = f"GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
-    writer.write(head.encode())
-    answer = await reader.read()
-    writer.close()
-    return answer
-
-
-async def is_ready(ip):
-    return b" 200 " in await fetch(ip, READY_PORT, "/ready")
-
-
 async def wait_ready(ip):
     async with time_limit(10):
         while not await is_ready(ip):
@@ -174,7 +141,7 @@
     _, target = await loop.create_datagram_endpoint(
         Target, local_addr=(SIDE_IP, APP_PORT)
     )
-    made = Deployment(store, caller, target, tmp_path, f"{ip}:{port}")
+    made = Deployment(store, caller, target, tmp_path, Address(ip, port))
     yield made
     caller.transport.close()
     target.transport.close()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -87,7 +87,8 @@
 
 def test_reset_after_trouble_is_allowed_for_the_stability_window(watched):
     watched.open()
-    watched.promises.begin_trouble("127.9.0.20")()
+    with watched.promises.trouble("127.9.0.20"):
+        pass
     watched.now += STABILITY_S - 0.1
     watched.promises.note_reset(KEY, "127.9.0.10")
     assert watched.rules() == {}
