--- a/lycheeglade/connection_agent.py
+++ b/lycheeglade/connection_agent.py
@@ -6,40 +6,26 @@
 refuses at once what that can't take.
 """
 
-from collections import OrderedDict
-from collections.abc import Callable
-from dataclasses import dataclass, field
-
 from lycheeglade.address import Address
-from lycheeglade.relay_message import (
-    Carry,
-    Found,
-    Hello,
-    LoadReport,
-    Message,
-    NotHere,
+from lycheeglade.connection_agent_state import (
+    ConnectionAgent,
+    LocalConnection,
+    Pending,
 )
-from lycheeglade.search_relay import SearchRelay
-from lycheeglade.segment import ConnectionKey, Segment, distance
-from lycheeglade.service_time import BusyShare, FailureShare, ServiceTime
-from lycheeglade.target_load import (
-    UNKNOWN_SERVICE_TIME_S,
-    AgentLoad,
-    expected_time,
+from lycheeglade.connection_load import (
+    expected_wait,
+    log_load,
+    make_report,
+    report_load,
+    work_time,
 )
-from lycheeglade.target_silence import TargetSilence
+from lycheeglade.relay_message import Carry, Found, Hello, Message, NotHere
+from lycheeglade.segment import ConnectionKey, Segment, distance
 
 MAX_CONNECTIONS = 8000
 MAX_PENDING = 4096
 # A connection without segments for that long is forgotten.
 FORGET_S = 60.0
-# Balancers that sent nothing for that long get no reports.
-BALANCER_GONE_S = 3.0
-# Load is reported when it changed, and at least each so often.
-REPORT_INTERVAL_S = 0.1
-QUIET_REPORT_INTERVAL_S = 0.4
-# Datagrams a second that reports to all balancers may take.
-REPORTS_PER_S = 100.0
 # A request that got no answer for that long is taken for lost.
 LOST_ANSWER_S = 1.0
 # Answers that come sooner are refusals of a target that is full.
@@ -49,118 +35,6 @@
 # opening segment: the way there, and the age of what is known of its load.
 HUNT_FACTOR = 1.5
 HUNT_COST_S = 0.004
-BUSY_WINDOW_S = 2.0
-LOG_INTERVAL_S = 1.0
-MS_PER_S = 1000.0
-
-
-@dataclass(frozen=True, slots=True)
-class ConnectionAgentActions:
-    """What the decisions can do.
-
-    Attributes
-    ----------
-    send : callable
-        Send a message to a process of the system.
-    deliver : callable
-        Send a segment to the target, with a tag.
-    answer : callable
-        Send a segment of the target to its caller.
-    reset : callable
-        Reset a connection towards its caller; the number is the caller's
-        last acknowledgement.
-    decode : callable
-        Read a segment from a datagram. Raises `PacketError`.
-    log : callable
-        Log an event with its fields.
-    record : callable
-        Record a latency by stage in seconds.
-    """
-
-    send: Callable[[Address, Message], None]
-    deliver: Callable[[Segment, int], None]
-    answer: Callable[[Segment], None]
-    reset: Callable[[ConnectionKey, int], None]
-    decode: Callable[[bytes], Segment]
-    log: Callable[..., None]
-    record: Callable[[str, float], None]
-
-
-@dataclass(slots=True)
-class LocalConnection:
-    """A connection that lives at the agent's target, or may open there.
-
-    Attributes
-    ----------
-    sequence : int
-        Position at which the target's side began, -1 if that wasn't seen.
-    is_open : bool
-        The target has shown that it holds the connection.
-    data_end : int, optional
-        Position after the caller's data that was seen last.
-    together : int
-        Requests at the target when the latest one of this connection came,
-        itself included.
-    """
-
-    last_at: float
-    balancers: set[Address] = field(default_factory=set)
-    sequence: int = -1
-    is_open: bool = False
-    data_end: int | None = None
-    together: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class Pending:
-    """A segment at the target that may be returned.
-
-    Attributes
-    ----------
-    asker : Address
-        Who is told if the target doesn't know the connection.
-    """
-
-    message: Carry
-    asker: Address
-
-
-@dataclass(slots=True)
-class ConnectionAgent:
-    """All that one agent knows."""
-
-    service: str
-    incarnation: int
-    actions: ConnectionAgentActions
-    started_at: float
-    slots: int = 1
-    connections_by_key: OrderedDict[ConnectionKey, LocalConnection] = field(
-        default_factory=OrderedDict
-    )
-    running_by_key: dict[ConnectionKey, float] = field(default_factory=dict)
-    pending_by_tag: OrderedDict[int, Pending] = field(default_factory=OrderedDict)
-    searchers_by_key: OrderedDict[ConnectionKey, set[Address]] = field(
-        default_factory=OrderedDict
-    )
-    next_tag: int = 1
-    heard_by_balancer: dict[Address, float] = field(default_factory=dict)
-    service_time: ServiceTime = field(
-        default_factory=lambda: ServiceTime(UNKNOWN_SERVICE_TIME_S)
-    )
-    busy: BusyShare | None = None
-    failures: FailureShare = field(default_factory=FailureShare)
-    finished: int = 0
-    finished_at: float = 0.0
-    logged_at: float = 0.0
-    silence: TargetSilence = field(default_factory=TargetSilence)
-    reported_at: float = 0.0
-    reported: LoadReport | None = None
-    is_leaving: bool = False
-    searches: SearchRelay | None = None
-
-    def __post_init__(self):
-        self.searches = SearchRelay(self.actions.send)
-        self.busy = BusyShare(self.started_at, BUSY_WINDOW_S)
 
 
 def receive_message(
@@ -170,7 +44,7 @@
     if isinstance(message, Hello):
         agent.heard_by_balancer[source] = now
         agent.slots = max(1, message.slots)
-        agent.actions.send(source, _report(agent, now))
+        agent.actions.send(source, make_report(agent, now))
     elif isinstance(message, Carry):
         agent.heard_by_balancer[message.balancer] = now
         segment = agent.actions.decode(message.datagram)
@@ -225,14 +99,8 @@
     """
     if not message.costs:
         return False
-    load = AgentLoad(
-        service_time=agent.service_time.mean,
-        running=len(agent.running_by_key),
-        busy=_busy_share(agent, now),
-        failing=agent.failures.share(now),
-    )
-    own = expected_time(load, agent.slots)
-    return own > message.costs[0] * HUNT_FACTOR + HUNT_COST_S
+    elsewhere = message.costs[0] * HUNT_FACTOR + HUNT_COST_S
+    return expected_wait(agent, now) > elsewhere
 
 
 def _pass_on(
@@ -421,25 +289,12 @@
         agent.failures.observe(now, is_refusal)
     if is_refusal:
         return
-    agent.service_time.observe(_work_time(agent, connection, elapsed, now))
+    agent.service_time.observe(work_time(agent, connection, elapsed, now))
     agent.finished_at = now
     agent.finished += 1
     agent.actions.record("upstream", elapsed)
 
 
-def _work_time(
-    agent: ConnectionAgent, connection: LocalConnection, elapsed: float, now: float
-) -> float:
-    """Return how long the target worked on a request that is answered.
-
-    One that found all slots taken waited at the target. Its answer follows
-    another one by the time that a slot took, over the number of slots.
-    """
-    if connection.together <= agent.slots:
-        return elapsed
-    return min(elapsed, (now - agent.finished_at) * agent.slots)
-
-
 def receive_from_target(agent: ConnectionAgent, segment: Segment, now: float) -> None:
     """Take a segment that the target sent or returned."""
     agent.silence.note_heard()
@@ -527,8 +382,8 @@
             _stop_running(agent, key, now)
     agent.searches.tick(now)
     _forget_idle(agent, now)
-    _report_load(agent, now)
-    _log_load(agent, now)
+    report_load(agent, now)
+    log_load(agent, now)
 
 
 def _forget_idle(agent: ConnectionAgent, now: float) -> None:
@@ -538,75 +393,3 @@
         if now - connections[key].last_at < FORGET_S:
             return
         _forget(agent, key, now)
-
-
-def _busy_share(agent: ConnectionAgent, now: float) -> float:
-    return min(1.0, agent.busy.average(now) / agent.slots)
-
-
-def _report(agent: ConnectionAgent, now: float) -> LoadReport:
-    return LoadReport(
-        incarnation=agent.incarnation,
-        service=agent.service,
-        running=len(agent.running_by_key),
-        service_time=agent.service_time.mean,
-        busy=_busy_share(agent, now),
-        connections=len(agent.connections_by_key),
-        silent=agent.silence.is_silent(now),
-        leaving=agent.is_leaving,
-        failing=agent.failures.share(now),
-    )
-
-
-def _report_load(agent: ConnectionAgent, now: float) -> None:
-    interval = max(REPORT_INTERVAL_S, len(agent.heard_by_balancer) / REPORTS_PER_S)
-    if now - agent.reported_at < interval:
-        return
-    report = _report(agent, now)
-    is_same = agent.reported is not None and (
-        report.running,
-        report.silent,
-        report.leaving,
-    ) == (
-        agent.reported.running,
-        agent.reported.silent,
-        agent.reported.leaving,
-    )
-    if is_same and now - agent.reported_at < QUIET_REPORT_INTERVAL_S:
-        return
-    agent.reported_at = now
-    agent.reported = report
-    send_report(agent, report, now)
-
-
-def _log_load(agent: ConnectionAgent, now: float) -> None:
-    if now - agent.logged_at < LOG_INTERVAL_S:
-        return
-    agent.logged_at = now
-    report = _report(agent, now)
-    agent.actions.log(
-        "load",
-        running=report.running,
-        service_ms=report.service_time * MS_PER_S,
-        busy=report.busy,
-        connections=report.connections,
-        finished=agent.finished,
-        balancers=len(agent.heard_by_balancer),
-        silent=report.silent,
-        failing=report.failing,
-    )
-
-
-def send_report(agent: ConnectionAgent, report: LoadReport, now: float) -> None:
-    """Send a load report to all balancers that were heard from lately."""
-    for balancer, heard_at in list(agent.heard_by_balancer.items()):
-        if now - heard_at > BALANCER_GONE_S:
-            del agent.heard_by_balancer[balancer]
-        else:
-            agent.actions.send(balancer, report)
-
-
-def begin_leaving(agent: ConnectionAgent, now: float) -> None:
-    """Tell balancers that this process ends; its target may go on."""
-    agent.is_leaving = True
-    send_report(agent, _report(agent, now), now)
--- a/lycheeglade/connection_agent_daemon.py
+++ b/lycheeglade/connection_agent_daemon.py
@@ -7,13 +7,14 @@
 
 from lycheeglade.address import Address
 from lycheeglade.connection_agent import (
-    ConnectionAgent,
-    ConnectionAgentActions,
-    begin_leaving,
     receive_from_target,
     receive_message,
 )
 from lycheeglade.connection_agent import tick as tick_agent
+from lycheeglade.connection_agent_state import (
+    ConnectionAgent,
+    ConnectionAgentActions,
+)
 from lycheeglade.connection_daemon import (
     CarrierSettings,
     EventLog,
@@ -23,6 +24,7 @@
     run_until,
     watch_signals,
 )
+from lycheeglade.connection_load import begin_leaving
 from lycheeglade.errors import PacketError
 from lycheeglade.relay_message import decode_message, encode_message
 from lycheeglade.segment import ConnectionKey, Segment
--- /dev/null
+++ b/lycheeglade/connection_agent_state.py
@@ -0,0 +1,124 @@
+"""State that an agent of connections keeps."""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from lycheeglade.address import Address
+from lycheeglade.relay_message import Carry, LoadReport, Message
+from lycheeglade.search_relay import SearchRelay
+from lycheeglade.segment import ConnectionKey, Segment
+from lycheeglade.service_time import BusyShare, FailureShare, ServiceTime
+from lycheeglade.target_load import UNKNOWN_SERVICE_TIME_S
+from lycheeglade.target_silence import TargetSilence
+
+BUSY_WINDOW_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionAgentActions:
+    """What the decisions can do.
+
+    Attributes
+    ----------
+    send : callable
+        Send a message to a process of the system.
+    deliver : callable
+        Send a segment to the target, with a tag.
+    answer : callable
+        Send a segment of the target to its caller.
+    reset : callable
+        Reset a connection towards its caller; the number is the caller's
+        last acknowledgement.
+    decode : callable
+        Read a segment from a datagram. Raises `PacketError`.
+    log : callable
+        Log an event with its fields.
+    record : callable
+        Record a latency by stage in seconds.
+    """
+
+    send: Callable[[Address, Message], None]
+    deliver: Callable[[Segment, int], None]
+    answer: Callable[[Segment], None]
+    reset: Callable[[ConnectionKey, int], None]
+    decode: Callable[[bytes], Segment]
+    log: Callable[..., None]
+    record: Callable[[str, float], None]
+
+
+@dataclass(slots=True)
+class LocalConnection:
+    """A connection that lives at the agent's target, or may open there.
+
+    Attributes
+    ----------
+    sequence : int
+        Position at which the target's side began, -1 if that wasn't seen.
+    is_open : bool
+        The target has shown that it holds the connection.
+    data_end : int, optional
+        Position after the caller's data that was seen last.
+    together : int
+        Requests at the target when the latest one of this connection came,
+        itself included.
+    """
+
+    last_at: float
+    balancers: set[Address] = field(default_factory=set)
+    sequence: int = -1
+    is_open: bool = False
+    data_end: int | None = None
+    together: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Pending:
+    """A segment at the target that may be returned.
+
+    Attributes
+    ----------
+    asker : Address
+        Who is told if the target doesn't know the connection.
+    """
+
+    message: Carry
+    asker: Address
+
+
+@dataclass(slots=True)
+class ConnectionAgent:
+    """All that one agent knows."""
+
+    service: str
+    incarnation: int
+    actions: ConnectionAgentActions
+    started_at: float
+    slots: int = 1
+    connections_by_key: OrderedDict[ConnectionKey, LocalConnection] = field(
+        default_factory=OrderedDict
+    )
+    running_by_key: dict[ConnectionKey, float] = field(default_factory=dict)
+    pending_by_tag: OrderedDict[int, Pending] = field(default_factory=OrderedDict)
+    searchers_by_key: OrderedDict[ConnectionKey, set[Address]] = field(
+        default_factory=OrderedDict
+    )
+    next_tag: int = 1
+    heard_by_balancer: dict[Address, float] = field(default_factory=dict)
+    service_time: ServiceTime = field(
+        default_factory=lambda: ServiceTime(UNKNOWN_SERVICE_TIME_S)
+    )
+    busy: BusyShare | None = None
+    failures: FailureShare = field(default_factory=FailureShare)
+    finished: int = 0
+    finished_at: float = 0.0
+    logged_at: float = 0.0
+    silence: TargetSilence = field(default_factory=TargetSilence)
+    reported_at: float = 0.0
+    reported: LoadReport | None = None
+    is_leaving: bool = False
+    searches: SearchRelay | None = None
+
+    def __post_init__(self):
+        self.searches = SearchRelay(self.actions.send)
+        self.busy = BusyShare(self.started_at, BUSY_WINDOW_S)
--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -20,6 +20,7 @@
 from lycheeglade.connection_search import (
     conclude_search,
     hold_segment,
+    pick_home,
     search_home,
 )
 from lycheeglade.relay_message import (
@@ -32,7 +33,7 @@
     NotThere,
 )
 from lycheeglade.route import Route, RoutingView, pick_service
-from lycheeglade.segment import SEQUENCE_SPACE, ConnectionKey, Segment, distance
+from lycheeglade.segment import ConnectionKey, Segment
 from lycheeglade.target_load import AgentLoad, rank_places
 from lycheeglade.view import State, Target
 
@@ -239,21 +240,6 @@
     carry_segment(balancer, home, segment, now)
 
 
-def pick_home(connection: Connection, segment: Segment) -> Address | None:
-    """Return the agent whose target the caller has acknowledged."""
-    homes = connection.homes
-    if not homes:
-        return None
-    if len(homes) == 1:
-        return homes[0].agent
-
-    def gap(home: Home) -> int:
-        ahead = distance(home.sequence, segment.acknowledgement)
-        return ahead if ahead >= 0 else SEQUENCE_SPACE
-
-    return min(homes, key=gap).agent
-
-
 def receive_message(
     balancer: ConnectionBalancer, message: Message, source: Address, now: float
 ) -> None:
--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -9,6 +9,7 @@
 from lycheeglade.connection_balancer_state import (
     Connection,
     ConnectionBalancer,
+    Home,
     Search,
     abandon_connection,
     carry_segment,
@@ -16,7 +17,7 @@
 )
 from lycheeglade.relay_message import Carry
 from lycheeglade.route import Route
-from lycheeglade.segment import ConnectionKey, Segment
+from lycheeglade.segment import SEQUENCE_SPACE, ConnectionKey, Segment, distance
 from lycheeglade.target_load import AgentLoad
 
 # Agents that don't answer a search are asked again with the next segment.
@@ -33,6 +34,21 @@
 MAX_HELD_SEGMENTS = 16
 
 
+def pick_home(connection: Connection, segment: Segment) -> Address | None:
+    """Return the agent whose target the caller has acknowledged."""
+    homes = connection.homes
+    if not homes:
+        return None
+    if len(homes) == 1:
+        return homes[0].agent
+
+    def gap(home: Home) -> int:
+        ahead = distance(home.sequence, segment.acknowledgement)
+        return ahead if ahead >= 0 else SEQUENCE_SPACE
+
+    return min(homes, key=gap).agent
+
+
 def hold_segment(connection: Connection, segment: Segment) -> None:
     """Keep a segment until the connection is found; copies are dropped."""
     if any(held.datagram == segment.datagram for held in connection.held):
--- a/tests/connections.py
+++ b/tests/connections.py
@@ -4,7 +4,10 @@
 from random import Random
 
 from lycheeglade.address import Address, Zone
-from lycheeglade.connection_agent import ConnectionAgent, ConnectionAgentActions
+from lycheeglade.connection_agent_state import (
+    ConnectionAgent,
+    ConnectionAgentActions,
+)
 from lycheeglade.connection_balancer import update_routing
 from lycheeglade.connection_balancer_state import (
     ConnectionBalancer,
--- a/tests/test_connection_agent.py
+++ b/tests/test_connection_agent.py
@@ -4,11 +4,11 @@
 
 from lycheeglade.connection_agent import (
     LOST_ANSWER_S,
-    begin_leaving,
     receive_from_target,
     receive_message,
     tick,
 )
+from lycheeglade.connection_load import begin_leaving
 from lycheeglade.relay_message import Carry, Found, Hello, LoadReport, NotHere
 from lycheeglade.segment import ConnectionKey
 from lycheeglade.target_silence import (
--- a/tests/test_connection_machine.py
+++ b/tests/test_connection_machine.py
@@ -13,12 +13,14 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from lycheeglade.connection_agent import (
-    ConnectionAgent,
-    ConnectionAgentActions,
     receive_from_target,
 )
 from lycheeglade.connection_agent import receive_message as agent_receive
 from lycheeglade.connection_agent import tick as tick_agent
+from lycheeglade.connection_agent_state import (
+    ConnectionAgent,
+    ConnectionAgentActions,
+)
 from lycheeglade.connection_balancer import receive_message as balancer_receive
 from lycheeglade.connection_balancer import (
     receive_segment,
