Learn of removed targets from the peers that are probed

Cause: an agent that started after a target was removed from the view didn't know that target, so it asked only the others for the home of a flow, opened the flow a second time, and a ticket of the second home ended as unknown. Change: replies to probes name the latest removed targets of the sender; the agent asks those that it didn't know before it opens the flow.

--- a/lycheeglade/home.py
+++ b/lycheeglade/home.py
@@ -7,6 +7,7 @@
 
 from collections import deque
 from collections.abc import Sequence
+from dataclasses import replace
 
 from lycheeglade.address import Address
 from lycheeglade.agent_state import (
@@ -20,6 +21,7 @@
 from lycheeglade.message import Kind
 from lycheeglade.notice import announce_home
 from lycheeglade.packet import (
+    FormerTarget,
     Forward,
     HomeNotice,
     Probe,
@@ -169,17 +171,23 @@
     opening.held.extend(packets)
     served.openings_by_flow[flow] = opening
     for target in others:
-        probe = Probe(
-            served.service.name, target.target_id, flow.caller_ip, flow.caller_port
-        )
-        agent.actions.count("probe", served.service.name, "sent")
-        send_packet(agent, target.agent, probe, now)
+        _send_probe(agent, served, flow, target, now)
     agent.timers.call_at(
         now + PROBE_TIMEOUT_S,
         lambda now: _finish_opening(agent, served, flow, opening, now),
     )
 
 
+def _send_probe(
+    agent: Agent, served: ServedTarget, flow: FlowKey, target: Target, now: float
+) -> None:
+    probe = Probe(
+        served.service.name, target.target_id, flow.caller_ip, flow.caller_port
+    )
+    agent.actions.count("probe", served.service.name, "sent")
+    send_packet(agent, target.agent, probe, now)
+
+
 def _probe_targets(
     agent: Agent,
     served: ServedTarget,
@@ -229,10 +237,21 @@
         packet.caller_ip,
         packet.caller_port,
         home_target_id,
+        _list_former_targets(served, now),
     )
     agent.actions.send(source, reply)
 
 
+def _list_former_targets(served: ServedTarget, now: float) -> tuple[FormerTarget, ...]:
+    """Return the latest removed targets that may be the home of flows."""
+    former = [
+        FormerTarget(target.target_id, target.agent.ip, target.agent.port)
+        for target, until in served.former_targets_by_id.values()
+        if now < until
+    ]
+    return tuple(former[-MAX_FORMER_PROBES:])
+
+
 def receive_probe_reply(
     agent: Agent, served: ServedTarget, packet: ProbeReply, now: float
 ) -> None:
@@ -245,6 +264,11 @@
     opening = served.openings_by_flow.get(flow)
     if opening is None:
         return
+    for former in packet.former_targets:
+        target = _learn_former_target(agent, served, former, now)
+        if target is not None:
+            opening.awaited_targets.add(target.target_id)
+            _send_probe(agent, served, flow, target, now)
     home = served.find_target(packet.home_target_id, now)
     if home is not None and home.target_id != served.target.target_id:
         agent.actions.count("probe", served.service.name, "found")
@@ -256,6 +280,37 @@
         _finish_opening(agent, served, flow, opening, now)
 
 
+def _learn_former_target(
+    agent: Agent, served: ServedTarget, former: FormerTarget, now: float
+) -> Target | None:
+    """Record a removed target that a peer knows; return it if it is new here.
+
+    A target whose host is no longer published is ignored, since packets from
+    its agent would be dropped.
+    """
+    if (
+        former.target_id == served.target.target_id
+        or served.find_target(former.target_id, now) is not None
+    ):
+        return None
+    address = Address(former.agent_ip, former.agent_port)
+    for host in agent.view.hosts_by_id.values():
+        if host.packets == address:
+            target = replace(
+                served.target,
+                target_id=former.target_id,
+                host_id=host.host_id,
+                zone=host.zone,
+                agent=address,
+                upstream=Address(address.ip, served.target.upstream.port),
+                state=State.LEAVING,
+            )
+            until = now + served.service.flow_idle
+            served.former_targets_by_id[former.target_id] = target, until
+            return target
+    return None
+
+
 def _finish_opening(
     agent: Agent, served: ServedTarget, flow: FlowKey, opening: Opening, now: float
 ) -> None:
--- a/lycheeglade/packet.py
+++ b/lycheeglade/packet.py
@@ -65,14 +65,30 @@
     caller_port: int
 
 
+class FormerTarget(Struct, frozen=True, array_like=True):
+    """A recently removed target, which may still be the home of flows."""
+
+    target_id: str
+    agent_ip: str
+    agent_port: int
+
+
 class ProbeReply(Struct, frozen=True, array_like=True, tag="p"):
-    """Answers a probe with the flow's home, or an empty string if unknown."""
+    """Answers a probe with the flow's home, or an empty string if unknown.
+
+    Attributes
+    ----------
+    former_targets : tuple of FormerTarget
+        Latest targets removed from the sender's view. The receiver may have
+        started after their removal.
+    """
 
     service: str
     target_id: str
     caller_ip: str
     caller_port: int
     home_target_id: str
+    former_targets: tuple[FormerTarget, ...] = ()
 
 
 class HomeNotice(Struct, frozen=True, array_like=True, tag="H"):
