Keep a cancellation that arrives as a call to a peer or the store ends

Cause: asyncio.wait_for of Python 3.11 swallows a cancellation that comes as what it waits for ends; a balancer that stops then runs until it is killed.

--- a/lycheeglade/view_exchange.py
+++ b/lycheeglade/view_exchange.py
@@ -1,7 +1,14 @@
 """Lets balancers fetch the view from each other while the platform is down."""
 
-from asyncio import Server, StreamReader, StreamWriter, open_connection, start_server
-from asyncio import wait_for as wait_for_async
+from asyncio import (
+    Server,
+    StreamReader,
+    StreamWriter,
+    open_connection,
+    sleep,
+    start_server,
+    timeout,
+)
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
@@ -121,7 +128,8 @@
     async def send_view(reader: StreamReader, writer: StreamWriter) -> None:
         try:
             writer.write(encode(get_view()))
-            await wait_for_async(writer.drain(), FETCH_TIMEOUT_S)
+            async with timeout(FETCH_TIMEOUT_S):
+                await writer.drain()
         except (OSError, TimeoutError):
             # The peer retries with another balancer.
             pass
@@ -140,7 +148,11 @@
         None if the fetch fails or the balancer has no view yet.
     """
     try:
-        view = await wait_for_async(_fetch(address), FETCH_TIMEOUT_S)
+        async with timeout(FETCH_TIMEOUT_S):
+            view = await _fetch(address)
+            # Decoding a large view takes long: other tasks run first, and a
+            # cancellation that arrived meanwhile takes effect.
+            await sleep(0)
     except (OSError, TimeoutError, DecodeError, ValidationError) as error:
         log("view-not-fetched", peer=address, reason=repr(error))
         return None
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -1,4 +1,4 @@
-from asyncio import create_task, sleep, timeout
+from asyncio import CancelledError, create_task, sleep, timeout, wait
 from random import Random
 
 import pytest
@@ -9,6 +9,10 @@
 from tests.store_stand_in import StoreStandIn
 from tests.test_catalog import ROUTE, TARGET
 
+# Covers the whole start, up to the wait for the first watch, on loopback.
+MAX_LOOP_STEPS = 120
+STOP_GRACE_S = 0.5
+
 
 @pytest.fixture
 async def store():
@@ -98,3 +102,29 @@
     path = f"/kv-watch?after={store.revision}&wait-ms=5000&prefix="
     with pytest.raises(StoreError):
         await client.get(path, WireEvents, 0.1)
+
+
+async def test_follower_that_is_cancelled_at_any_await_ends_in_the_grace_time(store):
+    """A balancer stops by cancelling its tasks, wherever they wait."""
+    for steps in range(MAX_LOOP_STEPS):
+        log = []
+        client = StoreClient(store.address)
+        catalog = Catalog({"nadi-a": "viti-west"}, 7720, lambda event, **fields: None)
+        task = create_task(
+            follow_store(
+                client,
+                catalog,
+                lambda view: None,
+                Random(1),
+                lambda event, log=log, **fields: log.append(event),
+            )
+        )
+        for _ in range(steps):
+            await sleep(0)
+        task.cancel()
+        done, _ = await wait([task], timeout=STOP_GRACE_S)
+        assert done, f"still runs after a cancellation at step {steps}"
+        with pytest.raises(CancelledError):
+            task.result()
+        client.close()
+        assert log == []
--- a/tests/test_view_exchange.py
+++ b/tests/test_view_exchange.py
@@ -1,4 +1,4 @@
-from asyncio import CancelledError, Event, create_task, sleep
+from asyncio import CancelledError, Event, create_task, sleep, wait
 from random import Random
 
 import pytest
@@ -19,6 +19,9 @@
 OWN = Address("10.1.0.1", 7720)
 PEER = Address("10.1.0.2", 7720)
 THIRD = Address("10.1.0.3", 7720)
+# Covers a whole fetch on loopback.
+MAX_LOOP_STEPS = 200
+STOP_GRACE_S = 0.5
 
 
 @pytest.fixture
@@ -99,3 +102,21 @@
     task.cancel()
     with pytest.raises(CancelledError):
         await task
+
+
+async def test_fetch_that_is_cancelled_at_any_await_ends_in_the_grace_time():
+    view = make_view([make_target(number) for number in range(50)])
+    server = await serve_view(Address("127.0.0.1", 0), lambda: view)
+    address = Address(*server.sockets[0].getsockname()[:2])
+    ended_by_itself = 0
+    for steps in range(MAX_LOOP_STEPS):
+        task = create_task(fetch_view(address, lambda event, **fields: None))
+        for _ in range(steps):
+            await sleep(0)
+        is_cancelled = task.cancel()
+        done, _ = await wait([task], timeout=STOP_GRACE_S)
+        assert done, f"still runs after a cancellation at step {steps}"
+        assert task.cancelled() is is_cancelled
+        ended_by_itself += not is_cancelled
+    server.close()
+    assert 0 < ended_by_itself < MAX_LOOP_STEPS
