Prefer homes that hold a connection, and keep their sequence number

Cause: two copies of an opening reached two targets, and the agent of the one that the caller took restarted and told its home with an unknown sequence number. The balancer then took the other half for the home. Change: pick_home prefers open homes; an unknown number doesn't replace one that the balancer knew.

--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -279,7 +279,13 @@
 ) -> None:
     connection = _get_or_add_connection(balancer, message.key, now)
     homes = [home for home in connection.homes if home.agent != source]
-    homes.append(Home(source, message.sequence, message.is_open))
+    sequence = message.sequence
+    if sequence < 0:
+        # The agent has restarted since it saw the connection open.
+        sequence = next(
+            (home.sequence for home in connection.homes if home.agent == source), -1
+        )
+    homes.append(Home(source, sequence, message.is_open))
     connection.homes = homes
     connection.search = None
     if message.key in balancer.opening_keys:
--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -46,8 +46,11 @@
 
 
 def pick_home(connection: Connection, segment: Segment) -> Address | None:
-    """Return the agent whose target's segments the caller acknowledges."""
-    homes = connection.homes
+    """Return the agent whose target's segments the caller acknowledges.
+
+    Homes that hold the connection go before those that may only accept it.
+    """
+    homes = [home for home in connection.homes if home.is_open] or connection.homes
     if not homes:
         return None
     if len(homes) == 1:
