Read the store by one balancer a zone, and let the others follow it

Change: watch_duty chooses by what a balancer hears whether it reads the store; view_exchange tells revisions and duties, and names neighbours to newcomers; view_follower fetches the view, compressed, from whoever is ahead. A start reads from a peer where there is one.

--- a/lycheeglade/connection_balancer_daemon.py
+++ b/lycheeglade/connection_balancer_daemon.py
@@ -25,11 +25,18 @@
     raise_task_failures,
     run_until,
 )
-from lycheeglade.relay_message import Message, Peers, decode_message, encode_message
+from lycheeglade.relay_message import (
+    Message,
+    Peers,
+    ViewStatus,
+    decode_message,
+    encode_message,
+)
 from lycheeglade.route import RoutingView
 from lycheeglade.segment import ConnectionKey
 from lycheeglade.transport import DatagramSocket
-from lycheeglade.view_exchange import ViewExchange, fetch_view, serve_view
+from lycheeglade.view_exchange import serve_view
+from lycheeglade.view_follower import FollowStore, ViewFollower
 
 TICK_S = 0.02
 # A stopping balancer that received no datagrams for MIN_IDLE_S seconds gets no
@@ -42,7 +49,7 @@
 async def run_connection_balancer(
     settings: ProcessSettings,
     codec: SegmentCodec,
-    follow_view: Callable[[Callable[[RoutingView], None]], Awaitable[None]],
+    follow_store: FollowStore,
     serve_readiness: Callable[[Callable[[], bool]], Awaitable[None]],
     find_seeds: Callable[[], tuple[Address, ...]],
     log: EventLog,
@@ -51,8 +58,8 @@
 
     Parameters
     ----------
-    follow_view : callable
-        Runs forever and passes each published view to its argument.
+    follow_store : callable
+        Runs forever and publishes the views of the store.
     serve_readiness : callable
         Serves to the fabric whether the process is ready.
     find_seeds : callable
@@ -63,7 +70,6 @@
     stop = install_stop_handlers()
     generator = Random(SystemRandom().getrandbits(64))
     last_datagram_at = 0.0
-    exchange = ViewExchange(settings.internal, generator)
 
     def handle_datagram(datagram: bytes, source: tuple) -> None:
         nonlocal last_datagram_at
@@ -77,8 +83,8 @@
         if message is None:
             return
         address = Address(*source)
-        if isinstance(message, Peers):
-            exchange.receive_peers(message, address, monotonic())
+        if isinstance(message, Peers | ViewStatus):
+            follower.receive(message, address, monotonic())
         else:
             receive_message(balancer, message, address, monotonic())
 
@@ -103,8 +109,6 @@
     )
 
     def apply_view(view: RoutingView) -> None:
-        if view.revision <= balancer.view.revision and balancer.view.configuration:
-            return
         log(
             "view",
             revision=view.revision,
@@ -113,46 +117,44 @@
             targets=sum(map(len, view.targets_by_service.values())),
         )
         update_routing(balancer, view, monotonic())
-        exchange.announce(view.revision, send)
-
-    async def exchange_views() -> None:
-        while True:
-            await sleep(exchange.draw_interval(balancer.view.configuration))
-            now = monotonic()
-            exchange.gossip(find_seeds(), balancer.view.revision, send, now)
-            source = exchange.choose_source(balancer.view.revision, now)
-            if source is None and not balancer.view.configuration:
-                source = exchange.choose_seed(find_seeds())
-            if source is not None:
-                view = await fetch_view(source, log)
-                if view is not None:
-                    apply_view(view)
 
+    follower = ViewFollower(
+        settings.internal,
+        settings.zone,
+        generator,
+        follow_store,
+        find_seeds,
+        apply_view,
+        send,
+        log,
+        monotonic(),
+    )
     log("started", host=settings.host_id, role="balancer")
-    server = await serve_view(settings.internal, lambda: balancer.view)
+    server = await serve_view(settings.internal, follower.get_view)
     tasks = [
-        create_task(follow_view(apply_view)),
         create_task(
             serve_readiness(
                 lambda: bool(balancer.view.configuration) and not stop.is_set()
             )
         ),
-        create_task(exchange_views()),
     ]
 
     def tick(now: float) -> None:
         raise_task_failures(tasks)
+        follower.tick(now)
         tick_balancer(balancer, now)
 
     await run_until(stop, tick, TICK_S)
     stopped_at = monotonic()
     log("stopping", host=settings.host_id)
+    follower.resign()
     while (elapsed := monotonic() - stopped_at) < MAX_STOP_S:
         if elapsed > MIN_STOP_S and monotonic() - last_datagram_at > MIN_IDLE_S:
             break
-        tick_balancer(balancer, monotonic())
+        tick(monotonic())
         await sleep(TICK_S)
     log("stopped", host=settings.host_id)
     server.close()
+    follower.close()
     for task in tasks:
         task.cancel()
--- a/lycheeglade/relay_message.py
+++ b/lycheeglade/relay_message.py
@@ -1,5 +1,7 @@
 """Messages between the balancers and agents that handle connections."""
 
+from enum import StrEnum
+
 from msgspec import DecodeError, Struct, ValidationError
 from msgspec.msgpack import Decoder, Encoder
 
@@ -8,6 +10,18 @@
 from lycheeglade.segment import ConnectionKey
 
 
+class Duty(StrEnum):
+    """What a balancer does to learn of changes of the view.
+
+    A watcher holds a watch at the store. A trying balancer would, but the
+    store has not answered it yet. A follower learns of changes from watchers.
+    """
+
+    WATCHER = "watcher"
+    TRYING = "trying"
+    FOLLOWER = "follower"
+
+
 class ForwardSegment(Struct, frozen=True, array_like=True, tag=1):
     """A caller's segment, forwarded to an agent.
 
@@ -110,13 +124,12 @@
 
     Attributes
     ----------
-    age : float
-        Seconds since the sender's process started.
+    addresses : tuple of Address
+        A few random balancers that the sender knows.
     """
 
     revision: int
     addresses: tuple[Address, ...]
-    age: float = 0.0
 
 
 class ConnectionNotHeldBy(Struct, frozen=True, array_like=True, tag=7):
@@ -126,6 +139,31 @@
     agents: tuple[Address, ...]
 
 
+class ViewStatus(Struct, frozen=True, array_like=True, tag=8):
+    """What a balancer's view is based on.
+
+    Attributes
+    ----------
+    zone : str
+        Zone of the sender.
+    revision : int
+        Revision of the latest change in the sender's view.
+    checked : int
+        Revision of the store up to which the view lacks no change.
+    duty : Duty
+        Whether the sender reads the store.
+    neighbours : tuple of Address
+        Other balancers of the receiver's zone, if the receiver is new to the
+        sender.
+    """
+
+    zone: str
+    revision: int
+    checked: int
+    duty: Duty
+    neighbours: tuple[Address, ...] = ()
+
+
 Message = (
     ForwardSegment
     | HomeFound
@@ -134,6 +172,7 @@
     | LoadReport
     | Peers
     | ConnectionNotHeldBy
+    | ViewStatus
 )
 
 _encoder = Encoder()
--- a/lycheeglade/view_exchange.py
+++ b/lycheeglade/view_exchange.py
@@ -1,4 +1,8 @@
-"""Lets balancers fetch the view from each other while the platform is down."""
+"""Lets balancers learn of changes of the view from each other.
+
+Balancers tell each other the revisions of their views and whether they read
+the store. One that is behind fetches the whole view from one that is ahead.
+"""
 
 from asyncio import (
     Server,
@@ -12,109 +16,355 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
+from zlib import compress, decompressobj
+from zlib import error as CompressionError  # noqa: N812
 
 from msgspec import DecodeError, ValidationError
 from msgspec.msgpack import decode, encode
 
 from lycheeglade.address import Address
-from lycheeglade.relay_message import Message, Peers
+from lycheeglade.relay_message import Duty, Message, Peers, ViewStatus
 from lycheeglade.route import RoutingView
+from lycheeglade.watch_duty import WATCHER_TIMEOUT_S, ZonePeer, choose_duty
 
-MAX_PEERS = 64
+# Balancers named in a message; the receiver learns the others from others.
+MAX_REPORTED_PEERS = 8
+MAX_NEIGHBOURS = 64
 PEER_TIMEOUT_S = 5.0
 GOSSIP_PEERS = 2
 GOSSIP_PERIOD_S = 0.5
 # Shorter period of a process that has no view yet.
 START_PERIOD_S = 0.1
-# Delay before a newer view is fetched from a peer, so that the platform's own
-# update normally arrives first.
-FETCH_DELAY_S = 0.15
+# A process that starts asks other balancers for the view first. It reads the
+# store itself after MIN_START_WAIT_S to MAX_START_WAIT_S seconds.
+MIN_START_WAIT_S = 0.4
+MAX_START_WAIT_S = 0.7
+WATCHER_STATUS_PERIOD_S = 0.25
+FOLLOWER_STATUS_PERIOD_S = 1.0
+# Delays before a newer view is fetched from a balancer of another zone, so
+# that the own zone's watcher, or the own watch, normally brings it first.
+FETCH_DELAY_S = 0.4
+WATCHER_FETCH_DELAY_S = 1.0
+# After a failed fetch the next one follows after this pause.
+FETCH_RETRY_S = 0.1
 FETCH_TIMEOUT_S = 0.6
 MAX_VIEW_BYTES = 8 << 20
+COMPRESSION_LEVEL = 1
+
+Send = Callable[[Address, Message], None]
 
 
 @dataclass(slots=True)
 class Peer:
-    """State of another balancer."""
+    """State of another balancer.
+
+    Attributes
+    ----------
+    zone : str or None
+        Its zone, or None until it has reported it.
+    reported_at : float
+        Time of its latest status.
+    """
 
     heard_at: float
     revision: int
     ahead_since: float
+    zone: str | None = None
+    duty: Duty = Duty.FOLLOWER
+    reported_at: float = float("-inf")
 
 
 class ViewExchange:
-    """Balancers that this one knows, and the revisions of their views."""
+    """Balancers that this one knows, and the revisions of their views.
 
-    def __init__(self, address: Address, generator: Random):
+    Parameters
+    ----------
+    zone : str
+        Zone of this balancer.
+    started_at : float
+        Time at which this process started, in monotonic seconds.
+
+    Attributes
+    ----------
+    duty : Duty
+        Whether this balancer reads the store.
+    checked : int
+        Revision of the store up to which this balancer's view is complete.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        generator: Random,
+        zone: str = "",
+        started_at: float = 0.0,
+    ):
+        self.duty = Duty.FOLLOWER
+        self.checked = 0
         self._address = address
         self._generator = generator
+        self._zone = zone
         self._peers_by_address: dict[Address, Peer] = {}
         self._reported_at_by_address: dict[Address, float] = {}
+        self._watcher_heard_at = (
+            started_at
+            - WATCHER_TIMEOUT_S
+            + generator.uniform(MIN_START_WAIT_S, MAX_START_WAIT_S)
+        )
+        self._gossip_due_at = started_at
+        self._status_due_at = started_at
+        self._fetch_due_at = started_at
+        self._seeds: tuple[Address, ...] = ()
+        self._is_leaving = False
+
+    def receive(
+        self, message: Peers | ViewStatus, source: Address, revision: int, now: float
+    ) -> list[tuple[Address, Message]]:
+        """Process a message of another balancer; return what to send to whom.
+
+        A balancer that is new here, or whose view is behind `revision`, gets
+        the own status. So do balancers that `source` has named.
+        """
+        replies: list[tuple[Address, Message]] = []
+        if isinstance(message, ViewStatus):
+            is_new = self.receive_status(message, source, revision, now)
+            status = self.make_status(revision)
+            replies += [(a, status) for a in self.find_strangers(message)]
+        else:
+            is_new = self.receive_peers(message, source, now)
+            if is_new:
+                replies.append((source, self.make_peers(revision)))
+        if is_new or message.revision < revision:
+            newcomer = source if is_new else None
+            replies.append((source, self.make_status(revision, newcomer)))
+        return replies
+
+    def receive_peers(self, message: Peers, source: Address, now: float) -> bool:
+        """Update the known balancers from a message of `source`.
+
+        Returns
+        -------
+        bool
+            Whether `source` is new, so that it should get the own status.
+        """
+        is_new = source not in self._peers_by_address
+        self._record_revision(source, message.revision, now)
+        for address in message.addresses:
+            if address != self._address:
+                self._reported_at_by_address[address] = now
+        return is_new
+
+    def receive_status(
+        self, status: ViewStatus, source: Address, revision: int, now: float
+    ) -> bool:
+        """Record what another balancer's view is based on.
 
-    def receive_peers(self, message: Peers, source: Address, now: float) -> None:
-        """Update the known balancers from a message of `source`."""
+        Parameters
+        ----------
+        revision : int
+            Revision of this balancer's view.
+
+        Returns
+        -------
+        bool
+            Whether `source` is new, so that it should get the own status.
+        """
+        known = self._peers_by_address.get(source)
+        is_new = known is None or known.zone is None
+        peer = self._record_revision(source, status.revision, now)
+        resigns = peer.duty is Duty.WATCHER and status.duty is not Duty.WATCHER
+        if resigns and status.zone == self._zone:
+            # The others of its zone need not wait for its silence.
+            self._watcher_heard_at = now - WATCHER_TIMEOUT_S
+        peer.zone = status.zone
+        peer.duty = status.duty
+        peer.reported_at = now
+        if status.duty is Duty.WATCHER:
+            if status.zone == self._zone:
+                self._watcher_heard_at = now
+            if status.revision == revision:
+                self.checked = max(self.checked, status.checked)
+        return is_new
+
+    def _record_revision(self, source: Address, revision: int, now: float) -> Peer:
         peer = self._peers_by_address.get(source)
         if peer is None:
-            self._peers_by_address[source] = Peer(now, message.revision, now)
+            peer = self._peers_by_address[source] = Peer(now, revision, now)
         else:
             peer.heard_at = now
-            if message.revision > peer.revision:
-                peer.revision = message.revision
+            if revision > peer.revision:
+                peer.revision = revision
                 peer.ahead_since = now
-        for address in message.addresses:
-            if address != self._address:
-                self._reported_at_by_address[address] = now
+        return peer
 
-    def announce(self, revision: int, send: Callable[[Address, Message], None]) -> None:
-        """Announce a newer view to all peers."""
-        message = Peers(revision, ())
-        for address in self._peers_by_address:
-            send(address, message)
+    def record_store_answer(self, checked: int) -> None:
+        """Record that the store answered, with all changes up to `checked`."""
+        self.checked = max(self.checked, checked)
+        if self.duty is Duty.TRYING:
+            self.duty = Duty.WATCHER
+            self._status_due_at = float("-inf")
 
-    def gossip(
+    def record_store_failure(self) -> None:
+        """Record that a call to the store has failed."""
+        if self.duty is Duty.WATCHER:
+            self.duty = Duty.TRYING
+            self._status_due_at = float("-inf")
+
+    def resign(self) -> None:
+        """Leave the store to the other balancers of the zone from now on."""
+        self._is_leaving = True
+
+    def make_status(self, revision: int, newcomer: Address | None = None) -> ViewStatus:
+        """Return the status of this balancer, whose view has `revision`.
+
+        Parameters
+        ----------
+        newcomer : Address, optional
+            Receiver that should learn of the balancers of its zone.
+        """
+        neighbours = []
+        if newcomer in self._peers_by_address:
+            zone = self._peers_by_address[newcomer].zone
+            neighbours = [
+                address
+                for address, peer in self._peers_by_address.items()
+                if zone is not None and peer.zone == zone and address != newcomer
+            ]
+        chosen = neighbours[-MAX_NEIGHBOURS:]
+        return ViewStatus(self._zone, revision, self.checked, self.duty, tuple(chosen))
+
+    def find_strangers(self, status: ViewStatus) -> list[Address]:
+        """Return the balancers named in a status that are not known yet."""
+        return [
+            address
+            for address in status.neighbours
+            if address != self._address and address not in self._peers_by_address
+        ]
+
+    def announce(self, revision: int, send: Send) -> None:
+        """Announce a newer view to the balancers that may lack it."""
+        status = self.make_status(revision)
+        for address in self._status_receivers():
+            send(address, status)
+
+    def _status_receivers(self) -> list[Address]:
+        """Return the balancers that this one reports to.
+
+        That is its zone and, if it reads the store, those that read it in
+        other zones.
+        """
+        reads_store = self.duty is not Duty.FOLLOWER
+        return [
+            address
+            for address, peer in self._peers_by_address.items()
+            if peer.zone is None
+            or peer.zone == self._zone
+            or (reads_store and peer.duty is not Duty.FOLLOWER)
+        ]
+
+    def tick(
         self,
-        seeds: tuple[Address, ...],
-        revision: int,
-        send: Callable[[Address, Message], None],
+        seeds: Callable[[], tuple[Address, ...]],
+        view: RoutingView,
+        send: Send,
         now: float,
+    ) -> Duty:
+        """Send what is due and return the duty from now on.
+
+        Parameters
+        ----------
+        seeds : callable
+            Returns the addresses of some balancers.
+        """
+        if now >= self._gossip_due_at:
+            self._gossip_due_at = now + self.draw_interval(view.configuration)
+            self._seeds = seeds()
+            self.gossip(self._seeds, view.revision, send, now)
+        duty = self._choose_duty(view, now)
+        if duty is not self.duty or now >= self._status_due_at:
+            receivers = self._status_receivers()
+            self.duty = duty
+            is_follower = duty is Duty.FOLLOWER
+            self._status_due_at = now + (
+                FOLLOWER_STATUS_PERIOD_S if is_follower else WATCHER_STATUS_PERIOD_S
+            )
+            # A balancer that resigns tells those that follow it.
+            status = self.make_status(view.revision)
+            for address in {*receivers, *self._status_receivers()}:
+                send(address, status)
+        return duty
+
+    def _choose_duty(self, view: RoutingView, now: float) -> Duty:
+        if self._is_leaving:
+            return Duty.FOLLOWER
+        peers = [
+            ZonePeer(address, peer.reported_at, peer.duty)
+            for address, peer in self._peers_by_address.items()
+            if peer.zone == self._zone
+        ]
+        missed_since = self._watcher_heard_at
+        if not view.revision and self._address in self._seeds:
+            # Others ask the seeds first when all processes start at once.
+            missed_since = float("-inf")
+        return choose_duty(self._address, self.duty, peers, missed_since, now)
+
+    def gossip(
+        self, seeds: tuple[Address, ...], revision: int, send: Send, now: float
     ) -> None:
-        """Send the revision and the list of peers to a few balancers."""
+        """Send the revision and some known balancers to a few others."""
         for address, peer in list(self._peers_by_address.items()):
             if now - peer.heard_at > PEER_TIMEOUT_S:
                 del self._peers_by_address[address]
-        known = {*self._peers_by_address, *seeds}
-        known |= {
-            a
-            for a, at in self._reported_at_by_address.items()
-            if now - at < PEER_TIMEOUT_S
-        }
-        known.discard(self._address)
         self._reported_at_by_address = {
             a: at
             for a, at in self._reported_at_by_address.items()
             if now - at < PEER_TIMEOUT_S
         }
-        active = tuple(sorted(self._peers_by_address)[:MAX_PEERS])
+        known = {*self._peers_by_address, *self._reported_at_by_address, *seeds}
+        known.discard(self._address)
+        message = self.make_peers(revision)
         chosen = self._generator.sample(sorted(known), min(GOSSIP_PEERS, len(known)))
+        if not revision:
+            chosen = sorted({*chosen, *seeds} - {self._address})
         for address in chosen:
-            send(address, Peers(revision, active))
+            send(address, message)
+
+    def make_peers(self, revision: int) -> Peers:
+        """Return a message that names a few random balancers."""
+        active = sorted(self._peers_by_address)
+        chosen = self._generator.sample(active, min(MAX_REPORTED_PEERS, len(active)))
+        return Peers(revision, tuple(chosen))
 
     def choose_source(self, revision: int, now: float) -> Address | None:
         """Return a random balancer with a newer view than `revision`.
 
-        Only balancers that have been ahead for `FETCH_DELAY_S` seconds count.
+        Balancers of the own zone go first. Those of other zones only count
+        once they have been ahead for a while.
         """
+        if now < self._fetch_due_at:
+            return None
         ahead = [
-            address
+            (address, peer)
             for address, peer in self._peers_by_address.items()
-            if peer.revision > revision and now - peer.ahead_since >= FETCH_DELAY_S
+            if peer.revision > revision
+        ]
+        is_watcher = self.duty is Duty.WATCHER
+        delay = WATCHER_FETCH_DELAY_S if is_watcher else FETCH_DELAY_S
+        if not revision:
+            delay = 0.0
+        near = [
+            address
+            for address, peer in ahead
+            if peer.zone == self._zone and not is_watcher
+        ]
+        ready = near or [
+            address for address, peer in ahead if now - peer.ahead_since >= delay
         ]
-        return self._generator.choice(ahead) if ahead else None
+        return self._generator.choice(ready) if ready else None
 
-    def choose_seed(self, seeds: tuple[Address, ...]) -> Address | None:
-        """Return a random seed other than this balancer."""
-        others = [address for address in seeds if address != self._address]
-        return self._generator.choice(others) if others else None
+    def record_failed_fetch(self, now: float) -> None:
+        """Record that a peer did not return its view."""
+        self._fetch_due_at = now + FETCH_RETRY_S
 
     def draw_interval(self, configuration: int) -> float:
         """Return the seconds until the next exchange, with jitter."""
@@ -123,11 +373,19 @@
 
 
 async def serve_view(address: Address, get_view: Callable[[], RoutingView]) -> Server:
-    """Start a server that sends the whole view on each connection."""
+    """Start a server that sends the compressed view on each connection."""
+    encoded_view = RoutingView()
+    content = compress(encode(encoded_view), COMPRESSION_LEVEL)
 
     async def send_view(reader: StreamReader, writer: StreamWriter) -> None:
+        nonlocal encoded_view, content
+        view = get_view()
+        if view is not encoded_view:
+            # Many balancers of a zone fetch each change at once.
+            encoded_view = view
+            content = compress(encode(view), COMPRESSION_LEVEL)
         try:
-            writer.write(encode(get_view()))
+            writer.write(content)
             async with timeout(FETCH_TIMEOUT_S):
                 await writer.drain()
         except (OSError, TimeoutError):
@@ -153,7 +411,13 @@
             # Decoding a large view takes long: other tasks run first, and a
             # cancellation that arrived meanwhile takes effect.
             await sleep(0)
-    except (OSError, TimeoutError, DecodeError, ValidationError) as error:
+    except (
+        OSError,
+        TimeoutError,
+        CompressionError,
+        DecodeError,
+        ValidationError,
+    ) as error:
         log("view-not-fetched", peer=address, reason=repr(error))
         return None
     return view if view.configuration else None
@@ -165,6 +429,7 @@
         chunks = []
         while chunk := await reader.read(MAX_VIEW_BYTES):
             chunks.append(chunk)
-        return decode(b"".join(chunks), type=RoutingView)
+        content = decompressobj().decompress(b"".join(chunks), MAX_VIEW_BYTES)
+        return decode(content, type=RoutingView)
     finally:
         writer.close()
--- /dev/null
+++ b/lycheeglade/view_follower.py
@@ -0,0 +1,130 @@
+"""Keeps a balancer's view current, from the store or from other balancers."""
+
+from asyncio import Task, create_task
+from collections.abc import Awaitable, Callable
+from random import Random
+from time import monotonic
+
+from lycheeglade.address import Address, Zone
+from lycheeglade.connection_daemon import raise_task_failures
+from lycheeglade.relay_message import Duty, Message, Peers, ViewStatus
+from lycheeglade.route import RoutingView
+from lycheeglade.view_exchange import ViewExchange, fetch_view
+
+# Follows the store: gets a view to start from, the revision up to which that
+# view is complete, and callbacks for newer views and for answers and failures.
+FollowStore = Callable[
+    [RoutingView, int, Callable[[RoutingView], None], Callable[[int | None], None]],
+    Awaitable[None],
+]
+
+
+class ViewFollower:
+    """Follows the store while it is this balancer's duty, otherwise its peers.
+
+    Parameters
+    ----------
+    follow_store : callable
+        Runs forever and passes each published view to its argument.
+    find_seeds : callable
+        Returns the internal addresses of some balancers.
+    apply_view : callable
+        Called with each newer view.
+    send : callable
+        Sends a message to another balancer.
+    now : float
+        Monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        zone: Zone,
+        generator: Random,
+        follow_store: FollowStore,
+        find_seeds: Callable[[], tuple[Address, ...]],
+        apply_view: Callable[[RoutingView], None],
+        send: Callable[[Address, Message], None],
+        log: Callable[..., None],
+        now: float,
+    ):
+        self._exchange = ViewExchange(address, generator, str(zone), now)
+        self._follow_store = follow_store
+        self._find_seeds = find_seeds
+        self._apply_view = apply_view
+        self._send = send
+        self._log = log
+        self._view = RoutingView()
+        self._following: Task | None = None
+        self._fetching: Task | None = None
+
+    def get_view(self) -> RoutingView:
+        """Return the latest view."""
+        return self._view
+
+    def receive(self, message: Peers | ViewStatus, source: Address, now: float):
+        """Process a message of another balancer."""
+        revision = self._view.revision
+        for address, reply in self._exchange.receive(message, source, revision, now):
+            self._send(address, reply)
+
+    def tick(self, now: float) -> None:
+        """Run the periodic work; call it about 50 times a second.
+
+        Raises
+        ------
+        Exception
+            That of a background task which has failed.
+        """
+        raise_task_failures([task for task in (self._following,) if task])
+        previous = self._exchange.duty
+        duty = self._exchange.tick(self._find_seeds, self._view, self._send, now)
+        if duty is not previous:
+            self._log("view-duty", duty=duty, checked=self._exchange.checked)
+        if duty is Duty.FOLLOWER:
+            self._stop_following()
+        elif self._following is None:
+            self._following = create_task(
+                self._follow_store(
+                    self._view, self._exchange.checked, self._publish, self._observe
+                )
+            )
+        if self._fetching is None or self._fetching.done():
+            source = self._exchange.choose_source(self._view.revision, now)
+            if source is not None:
+                self._fetching = create_task(self._fetch(source))
+
+    def resign(self) -> None:
+        """Leave the store to the others, since this process is stopping."""
+        self._exchange.resign()
+
+    def close(self) -> None:
+        """Cancel the background tasks."""
+        self._stop_following()
+        if self._fetching is not None:
+            self._fetching.cancel()
+
+    def _stop_following(self) -> None:
+        if self._following is not None:
+            self._following.cancel()
+            self._following = None
+
+    def _observe(self, checked: int | None) -> None:
+        if checked is None:
+            self._exchange.record_store_failure()
+        else:
+            self._exchange.record_store_answer(checked)
+
+    def _publish(self, view: RoutingView) -> None:
+        # Without routes a view can't be used, and peers must not fetch it.
+        if view.configuration and view.revision > self._view.revision:
+            self._view = view
+            self._apply_view(view)
+            self._exchange.announce(view.revision, self._send)
+
+    async def _fetch(self, source: Address) -> None:
+        view = await fetch_view(source, self._log)
+        if view is None:
+            self._exchange.record_failed_fetch(monotonic())
+        else:
+            self._publish(view)
--- /dev/null
+++ b/lycheeglade/watch_duty.py
@@ -0,0 +1,79 @@
+"""Decides which balancers of a zone read the store.
+
+Each call to the store is paid for, and a watch of each balancer would return
+each change once per balancer. So one balancer in each zone watches, and the
+others follow it. No agreement is needed: a watcher too many costs its calls, a
+watcher too few is missed within `WATCHER_TIMEOUT_S`. Loads and faults that
+this answers: many targets that change in quick succession, all watchers of a
+zone killed at once, watchers that are cut off from the store or from their
+peers, and a store that is down.
+"""
+
+from collections.abc import Collection
+from dataclasses import dataclass
+
+from lycheeglade.address import Address
+from lycheeglade.relay_message import Duty
+
+# A zone without a watcher's status for WATCHER_TIMEOUT_S seconds needs another
+# watcher. The balancers of the zone take over one after the other, in the
+# order of their addresses, unless one before them has reported meanwhile.
+WATCHER_TIMEOUT_S = 0.8
+TAKEOVER_STEP_S = 0.08
+MAX_TAKEOVER_STEPS = 8
+# Balancers of one zone that try to reach a failing store.
+MAX_TRYING = 2
+
+
+@dataclass(frozen=True, slots=True)
+class ZonePeer:
+    """Another balancer of the own zone, as it last reported.
+
+    Attributes
+    ----------
+    heard_at : float
+        Time of its latest status, in monotonic seconds.
+    """
+
+    address: Address
+    heard_at: float
+    duty: Duty
+
+
+def choose_duty(
+    own: Address,
+    current: Duty,
+    peers: Collection[ZonePeer],
+    missed_since: float,
+    now: float,
+) -> Duty:
+    """Return whether the balancer at `own` reads the store from now on.
+
+    A balancer that reads the store goes on until one with a lower address
+    watches, so that restarted balancers do not displace a watcher.
+
+    Parameters
+    ----------
+    current : Duty
+        Duty so far; trying until the store answers, and while it fails.
+    peers : collection of ZonePeer
+        Other known balancers of the zone.
+    missed_since : float
+        Time since which this balancer knows of no watcher in its zone, in
+        monotonic seconds.
+    """
+    recent = [peer for peer in peers if now - peer.heard_at < WATCHER_TIMEOUT_S]
+    watchers = [peer.address for peer in recent if peer.duty is Duty.WATCHER]
+    if current is Duty.WATCHER:
+        return Duty.FOLLOWER if any(a < own for a in watchers) else current
+    if watchers:
+        return Duty.FOLLOWER
+    if current is Duty.TRYING:
+        return current
+    trying = sum(peer.duty is Duty.TRYING for peer in recent)
+    if trying >= MAX_TRYING:
+        return current
+    position = sum(peer.address < own and peer.duty is Duty.FOLLOWER for peer in peers)
+    steps = min(position, MAX_TAKEOVER_STEPS)
+    is_due = now - missed_since >= WATCHER_TIMEOUT_S + steps * TAKEOVER_STEP_S
+    return Duty.TRYING if is_due else current
--- /dev/null
+++ b/tests/test_watch_duty.py
@@ -0,0 +1,126 @@
+import pytest
+
+from lycheeglade.address import Address
+from lycheeglade.relay_message import Duty
+from lycheeglade.watch_duty import (
+    MAX_TRYING,
+    WATCHER_TIMEOUT_S,
+    ZonePeer,
+    choose_duty,
+)
+from tests.watch_fleet import WatchFleet
+
+# Half of the shortest time within which the users want a change in force.
+CHANGE_BOUND_S = 1.5
+SETTLE_S = 6.0
+ZONES = 6
+PER_ZONE = 10
+OWN, LOWER, HIGHER = (Address(f"10.1.0.{last}", 7720) for last in (5, 1, 9))
+
+
+@pytest.fixture(params=[1, 2, 3])
+def fleet(request):
+    fleet = WatchFleet(ZONES, PER_ZONE, seed=request.param)
+    fleet.advance(SETTLE_S)
+    return fleet
+
+
+def assert_in_force_in_time(fleet):
+    changed_at = fleet.now
+    revision = fleet.change()
+    fleet.advance(SETTLE_S)
+    assert fleet.last_reached_at(revision) - changed_at <= CHANGE_BOUND_S
+    for node in fleet.nodes_by_address.values():
+        revisions = [seen for _, seen in node.history]
+        assert revisions == sorted(revisions)
+
+
+def test_one_balancer_of_each_zone_watches(fleet):
+    for number in range(ZONES):
+        assert len(fleet.watchers(f"zone-{number}")) == 1
+    # All start at once: few read the store, and the others ask them.
+    assert fleet.calls.total() <= 3 * ZONES
+    assert_in_force_in_time(fleet)
+
+
+def test_calls_do_not_grow_with_the_balancers_of_a_zone():
+    calls = {}
+    for per_zone in (5, 20):
+        fleet = WatchFleet(ZONES, per_zone)
+        fleet.advance(SETTLE_S)
+        for _ in range(20):
+            fleet.change()
+            fleet.advance(1.0)
+        calls[per_zone] = fleet.calls.total()
+    # One watcher for each zone needs a call a change; 120 would need 2,400.
+    assert calls[20] <= 1.25 * calls[5]
+
+
+def test_change_arrives_after_all_watchers_of_a_zone_were_killed(fleet):
+    for watcher in fleet.watchers("zone-1"):
+        watcher.is_alive = False
+    assert_in_force_in_time(fleet)
+    assert len(fleet.watchers("zone-1")) == 1
+
+
+def test_change_arrives_while_the_watchers_are_cut_off_from_the_store(fleet):
+    for watcher in fleet.watchers("zone-1"):
+        watcher.store_is_silent = True
+    assert_in_force_in_time(fleet)
+
+
+def test_change_arrives_while_the_store_refuses_the_watchers(fleet):
+    refused = fleet.watchers("zone-1")
+    for watcher in refused:
+        watcher.reaches_store = False
+        watcher.exchange.record_store_failure()
+    assert_in_force_in_time(fleet)
+    assert fleet.watchers("zone-1") != refused
+
+
+def test_change_arrives_while_the_watchers_are_cut_off_from_their_peers(fleet):
+    for watcher in fleet.watchers("zone-1"):
+        watcher.reaches_peers = False
+    assert_in_force_in_time(fleet)
+
+
+def test_few_balancers_of_a_zone_try_a_store_that_is_down(fleet):
+    for node in fleet.nodes_by_address.values():
+        node.reaches_store = False
+        if node.exchange.duty is Duty.WATCHER:
+            node.exchange.record_store_failure()
+    fleet.advance(SETTLE_S)
+    trying = [
+        node.zone
+        for node in fleet.nodes_by_address.values()
+        if node.exchange.duty is Duty.TRYING
+    ]
+    assert max(map(trying.count, trying)) <= MAX_TRYING + 1
+
+
+def test_balancer_that_stops_hands_its_watch_over(fleet):
+    (watcher,) = fleet.watchers("zone-2")
+    watcher.exchange.resign()
+    fleet.advance(0.3)
+    assert watcher.exchange.duty is Duty.FOLLOWER
+    assert len(fleet.watchers("zone-2")) == 1
+
+
+def test_balancer_that_returns_does_not_displace_a_watcher(fleet):
+    (watcher,) = fleet.watchers("zone-2")
+    fleet.add(Address("10.0.0.1", 7720), "zone-2")
+    fleet.advance(SETTLE_S)
+    assert fleet.watchers("zone-2") == [watcher]
+
+
+def test_of_two_watchers_the_lower_address_goes_on():
+    for peer, duty in ((LOWER, Duty.FOLLOWER), (HIGHER, Duty.WATCHER)):
+        peers = [ZonePeer(peer, 9.9, Duty.WATCHER)]
+        assert choose_duty(OWN, Duty.WATCHER, peers, 9.9, 10.0) is duty
+
+
+def test_silent_watcher_is_replaced_after_its_time_out():
+    peers = [ZonePeer(LOWER, 1.0, Duty.WATCHER)]
+    late = 1.0 + WATCHER_TIMEOUT_S
+    assert choose_duty(OWN, Duty.FOLLOWER, peers, 1.0, late - 0.1) is Duty.FOLLOWER
+    assert choose_duty(OWN, Duty.FOLLOWER, peers, 1.0, late + 0.01) is Duty.TRYING
