Log each decision to standard output, and never wait for the log's reader

Change: the processes on the users' platform write lines of at most PIPE_BUF bytes, only when the descriptor is writable; what is lost or over the bound, now of each kind of event, is counted by kind. Refusals without a route are one line a second and caller's IP. New lines say where an opening went and on which knowledge, and how a search ended. Also, agents that were never heard get no connection while others were: after a loss of power the view lists targets that don't come back.

--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -53,7 +53,15 @@
 # may be missing after a transient error of the platform. It stays usable for
 # REMOVAL_GRACE_S.
 REMOVAL_GRACE_S = 2.0
+# Refused segments to addresses without a route are logged once in this time
+# for each caller's IP, and together for the callers beyond this number.
+UNROUTED_LOG_INTERVAL_S = 1.0
+MAX_UNROUTED_SOURCES = 64
+OTHER_SOURCES = "others"
 LOAD_REQUEST_INTERVAL_S = 0.5
+# Interval for agents that were never heard: after a loss of power they start
+# at about the same time as the balancers.
+FIRST_REQUEST_INTERVAL_S = 0.1
 # A gap of more than MIN_PAUSE_S seconds between two runs means that this
 # process was paused.
 MIN_PAUSE_S = 0.5
@@ -100,7 +108,7 @@
     key = segment.key_from_caller
     route = balancer.view.routes_by_address.get(segment.destination)
     if route is None:
-        _refuse_unrouted(balancer, key, segment)
+        _refuse_unrouted(balancer, key, segment, now)
         return
     if segment.opens:
         _receive_opening(balancer, key, route, segment, now)
@@ -120,12 +128,47 @@
 
 
 def _refuse_unrouted(
-    balancer: ConnectionBalancer, key: ConnectionKey, segment: Segment
+    balancer: ConnectionBalancer, key: ConnectionKey, segment: Segment, now: float
 ) -> None:
-    balancer.connections_by_key.pop(key, None)
-    if not segment.resets:
-        balancer.actions.log("refused", connection=key, cause="no-route")
-        balancer.actions.reset(key, segment.acknowledgement)
+    """Refuse a segment to an address without a route.
+
+    The refusals are logged together for each caller's IP: a scan of addresses
+    would otherwise fill the log.
+    """
+    was_known = balancer.connections_by_key.pop(key, None) is not None
+    if segment.resets:
+        return
+    balancer.actions.reset(key, segment.acknowledgement)
+    if was_known:
+        # The route was removed under the connection.
+        balancer.actions.log(
+            "refused",
+            connection=key,
+            cause="no-route",
+            configuration=balancer.view.configuration,
+        )
+        return
+    refusals = balancer.unrouted_by_source
+    source = key.caller.ip
+    if source not in refusals and len(refusals) >= MAX_UNROUTED_SOURCES:
+        source = OTHER_SOURCES
+    first_at, count, _ = refusals.get(source, (now, 0, key))
+    refusals[source] = (first_at, count + 1, key)
+
+
+def _log_unrouted(balancer: ConnectionBalancer, now: float) -> None:
+    for source, (first_at, count, latest) in list(balancer.unrouted_by_source.items()):
+        if now - first_at < UNROUTED_LOG_INTERVAL_S:
+            continue
+        del balancer.unrouted_by_source[source]
+        balancer.actions.log(
+            "refused",
+            source=source,
+            latest=latest,
+            cause="no-route",
+            configuration=balancer.view.configuration,
+            count=count,
+        )
 
 
 def _get_or_add_connection(
@@ -192,8 +235,16 @@
         route.is_bulk,
     )
     if not ranked or ranked[0].cost > route.timeout:
-        cause = "overload" if ranked else "no-target"
-        balancer.actions.log("refused", connection=key, cause=cause)
+        balancer.actions.log(
+            "refused",
+            connection=key,
+            cause="overload" if ranked else "no-target",
+            service=service,
+            targets=len(eligible),
+            wait_s=ranked[0].cost if ranked else 0.0,
+            limit_s=route.timeout,
+            revision=balancer.view.revision,
+        )
         balancer.opening_keys.discard(key)
         # An earlier copy may have opened the connection.
         if not segment.acknowledgement and not connection.tried_agents:
@@ -203,6 +254,17 @@
     connection.tried_agents.append(first.agent)
     connection.opening_sent_at = now
     load = balancer.loads_by_agent.setdefault(first.agent, AgentLoad())
+    balancer.actions.log(
+        "placed",
+        connection=key,
+        agent=first.agent,
+        attempt=len(connection.tried_agents),
+        wait_s=ranked[0].cost,
+        report_age_s=now - load.reported_at,
+        placements=load.recent_placements,
+        targets=len(eligible),
+        revision=balancer.view.revision,
+    )
     load.recent_placements += 1
     message = ForwardSegment(
         balancer=balancer.address,
@@ -271,7 +333,7 @@
     elif isinstance(message, ConnectionNotHeldBy):
         _handle_not_held_by(balancer, message, now)
     elif isinstance(message, LoadReport):
-        _handle_load_report(balancer, load, message, source)
+        _handle_load_report(balancer, load, message, source, now)
 
 
 def _handle_home_found(
@@ -287,6 +349,14 @@
         )
     homes.append(Home(source, sequence, message.is_open))
     connection.homes = homes
+    if connection.search is not None:
+        balancer.actions.log(
+            "found",
+            connection=message.key,
+            agent=source,
+            asked=len(connection.search.queried_agents),
+            after_s=now - connection.search.started_at,
+        )
     connection.search = None
     if message.key in balancer.opening_keys:
         balancer.opening_keys.discard(message.key)
@@ -337,6 +407,7 @@
     load: AgentLoad | None,
     report: LoadReport,
     source: Address,
+    now: float,
 ) -> None:
     if load is None:
         return
@@ -349,6 +420,7 @@
             leaving=report.leaving,
         )
     load.incarnation = report.incarnation
+    load.reported_at = now
     load.recent_placements = 0
     load.running = report.running
     load.service_time = report.service_time
@@ -372,9 +444,16 @@
     if now - balancer.load_request_sent_at >= LOAD_REQUEST_INTERVAL_S:
         balancer.load_request_sent_at = now
         _evict_idle(balancer, now)
+        balancer.first_request_sent_at = now
         for agent in balancer.loads_by_agent:
             _send_load_request(balancer, agent, now)
+    elif now - balancer.first_request_sent_at >= FIRST_REQUEST_INTERVAL_S:
+        balancer.first_request_sent_at = now
+        for agent, load in balancer.loads_by_agent.items():
+            if load.last_heard_at == float("-inf"):
+                _send_load_request(balancer, agent, now)
     _retry_openings(balancer, now)
+    _log_unrouted(balancer, now)
     for key in list(balancer.searching_keys):
         connection = balancer.connections_by_key.get(key)
         if connection is None or connection.search is None:
--- a/lycheeglade/connection_balancer_state.py
+++ b/lycheeglade/connection_balancer_state.py
@@ -85,7 +85,14 @@
 
 @dataclass(slots=True)
 class ConnectionBalancer:
-    """State of one balancer."""
+    """State of one balancer.
+
+    Attributes
+    ----------
+    unrouted_by_source : dict
+        Refused segments to addresses without a route, by the caller's IP: the
+        time of the first, their number and the latest connection.
+    """
 
     zone: Zone
     address: Address
@@ -107,7 +114,11 @@
     opening_keys: set[ConnectionKey] = field(default_factory=set)
     accept_delay: float = 0.0
     queued_openings: list[Segment] = field(default_factory=list)
+    unrouted_by_source: dict[str, tuple[float, int, ConnectionKey]] = field(
+        default_factory=dict
+    )
     load_request_sent_at: float = 0.0
+    first_request_sent_at: float = 0.0
     last_run_at: float = 0.0
 
 
--- a/lycheeglade/connection_daemon.py
+++ b/lycheeglade/connection_daemon.py
@@ -6,6 +6,7 @@
 """
 
 from asyncio import Event, Task, get_running_loop, sleep
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from logging import INFO, WARNING, getLogger
@@ -22,8 +23,8 @@
 
 Decoded = TypeVar("Decoded")
 
-# Maximum number of log lines per process and second; further lines are
-# counted.
+# Maximum number of log lines per second of each kind of event; further lines
+# are counted.
 LOG_LINES_PER_S = 50
 ANY_KIND = "any"
 
@@ -77,41 +78,59 @@
 class EventLog:
     """Logs and counts events, and records latencies.
 
-    The number of log lines per second is bounded; events beyond the bound are
-    only counted. The histogram module is imported with the first latency, to
-    keep the start of the process short.
+    The number of lines per second is bounded for each kind of event; events
+    beyond the bound are only counted. The histogram module is imported with
+    the first latency, to keep the start of the process short.
 
     Parameters
     ----------
     service : str
         Label of the latencies.
+    lost_by_event : Counter
+        Lines that the log's handler could not write, by event. They are
+        reported and removed.
     """
 
-    def __init__(self, service: str = ""):
+    def __init__(self, service: str = "", lost_by_event: Counter[str] | None = None):
         self._service = service
         self._second = 0
-        self._lines = 0
-        self._suppressed_lines = 0
-        self._counts_by_event: dict[tuple[str, str], int] = {}
+        self._lines_by_event: Counter[str] = Counter()
+        self._left_out_by_event: Counter[str] = Counter()
+        self._lost_by_event = Counter() if lost_by_event is None else lost_by_event
+        self._counts_by_event: Counter[tuple[str, str]] = Counter()
         self._metrics = None
 
-    def __call__(self, event: str, **fields: object) -> None:
-        """Count `event`, and log it unless the rate limit is reached."""
-        key = (event, str(fields.get("cause", "")))
-        self._counts_by_event[key] = self._counts_by_event.get(key, 0) + 1
+    def __call__(self, event: str, count: int = 1, **fields: object) -> None:
+        """Count `event`, and log it unless its rate limit is reached.
+
+        Parameters
+        ----------
+        count : int
+            Number of equal events that one line stands for.
+        """
+        self._counts_by_event[event, str(fields.get("cause", ""))] += count
         second = int(monotonic())
         if second != self._second:
-            if self._suppressed_lines:
-                log_event(
-                    logger, WARNING, "log-bounded", left_out=self._suppressed_lines
-                )
-            self._second, self._lines, self._suppressed_lines = second, 0, 0
-        if self._lines >= LOG_LINES_PER_S:
-            self._suppressed_lines += 1
+            self._second = second
+            self._lines_by_event.clear()
+            self._report_left_out()
+        self._lines_by_event[event] += 1
+        if self._lines_by_event[event] > LOG_LINES_PER_S:
+            self._left_out_by_event[event] += 1
             return
-        self._lines += 1
+        if count > 1:
+            fields["count"] = count
         log_event(logger, INFO, event, **fields)
 
+    def _report_left_out(self) -> None:
+        """Log how many lines of each kind are missing since last time."""
+        left_out = self._left_out_by_event + self._lost_by_event
+        self._left_out_by_event.clear()
+        self._lost_by_event.clear()
+        for kind, lines in sorted(left_out.items()):
+            self._counts_by_event["log-bounded", kind] += lines
+            log_event(logger, WARNING, "log-bounded", kind=kind, left_out=lines)
+
     def record(self, stage: str, seconds: float) -> None:
         """Record a latency in seconds."""
         if self._metrics is None:
--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -158,7 +158,15 @@
             continue
         if not _is_unavailable(load, now) or now - search.started_at < SEARCH_TIMEOUT_S:
             return
-    balancer.actions.log("reset", connection=key, cause="nowhere-found")
+    balancer.actions.log(
+        "reset",
+        connection=key,
+        cause="nowhere-found",
+        asked=len(search.queried_agents),
+        denied=len(search.denying_agents),
+        after_s=now - search.started_at,
+        revision=balancer.view.revision,
+    )
     acknowledgement = (
         connection.queued_segments[-1].acknowledgement
         if connection.queued_segments
--- a/lycheeglade/logs.py
+++ b/lycheeglade/logs.py
@@ -1,9 +1,12 @@
 """Structured logging: each event is one line of ``key=value`` pairs."""
 
+from collections import Counter
 from datetime import UTC, datetime
 from json import dumps
-from logging import Formatter, Logger, LogRecord, StreamHandler, getLogger
+from logging import Formatter, Handler, Logger, LogRecord, StreamHandler, getLogger
+from os import write
 from re import compile as compile_pattern
+from select import PIPE_BUF, POLLOUT, poll
 
 ROOT_LOGGER = "lycheeglade"
 LEVELS_BY_NAME = {"debug": 10, "info": 20, "warning": 30, "error": 40}
@@ -50,6 +53,34 @@
         return " ".join(f"{key}={format_field(value)}" for key, value in fields.items())
 
 
+class PipeHandler(Handler):
+    """Writes lines to a file descriptor whose reader is not trusted.
+
+    The process neither waits for a reader that is slow nor ends because of one
+    that is gone: lines that can't be written at once are counted in
+    `lost_by_event`. A line is at most ``PIPE_BUF`` bytes long, so that it can
+    be written whole whenever the descriptor is writable (poll(2), pipe(7)).
+    """
+
+    def __init__(self, descriptor: int):
+        super().__init__()
+        self.lost_by_event: Counter[str] = Counter()
+        self._descriptor = descriptor
+        self._poll = poll()
+        self._poll.register(descriptor, POLLOUT)
+
+    def emit(self, record: LogRecord) -> None:
+        """Write the line for `record`, or count it as lost."""
+        line = self.format(record).encode()[: PIPE_BUF - 1] + b"\n"
+        try:
+            events = self._poll.poll(0)
+            if not events or not events[0][1] & POLLOUT:
+                raise BlockingIOError
+            write(self._descriptor, line)
+        except OSError:
+            self.lost_by_event[record.getMessage()] += 1
+
+
 def log_event(logger: Logger, level: int, event: str, **fields: object) -> None:
     """Log `event` with its `fields`; a filtered event costs one comparison.
 
@@ -68,8 +99,8 @@
         logger.log(level, "%s", event, extra={"event_fields": fields})
 
 
-def configure_logging(level: str | int) -> None:
-    """Configure logging of this process to standard error.
+def configure_logging(level: str | int, handler: Handler | None = None) -> None:
+    """Configure logging of this process.
 
     Parameters
     ----------
@@ -77,6 +108,8 @@
         ``debug``, ``info``, ``warning``, ``error`` or a level of the
         ``logging`` module. Libraries log at ``warning`` or above, since
         their lines aren't documented events.
+    handler : logging.Handler, optional
+        Writes the lines; standard error if not given.
 
     Raises
     ------
@@ -88,7 +121,7 @@
             known = ", ".join(LEVELS_BY_NAME)
             raise ValueError(f"log level {level!r} is not one of {known}")
         level = LEVELS_BY_NAME[level.lower()]
-    handler = StreamHandler()
+    handler = handler or StreamHandler()
     handler.setFormatter(EventFormatter())
     root = getLogger()
     root.handlers[:] = [handler]
--- a/lycheeglade/target_load.py
+++ b/lycheeglade/target_load.py
@@ -48,6 +48,8 @@
     ----------
     last_heard_at : float
         Time of the latest message from the agent.
+    reported_at : float
+        Time of the latest report of the load.
     unanswered_since : float
         Time of the oldest message to the agent without an answer, None if
         all are answered.
@@ -56,6 +58,7 @@
     """
 
     last_heard_at: float = float("-inf")
+    reported_at: float = float("-inf")
     unanswered_since: float | None = None
     recent_placements: int = 0
     service_time: float = UNKNOWN_SERVICE_TIME_S
@@ -123,7 +126,9 @@
     """Return a random few of `targets` for a new connection, best first.
 
     Targets that are silent, and targets whose agent is unresponsive or
-    leaving, are excluded unless there are no others. Up to `SAMPLE_SIZE`
+    leaving, are excluded unless there are no others. So are those whose agent
+    was never heard: after a loss of power, the view lists targets that do not
+    come back. Up to `SAMPLE_SIZE`
     targets of the balancer's zone are compared with up to `SAMPLE_SIZE` of all
     zones.
 
@@ -133,7 +138,8 @@
         Whether answers are long, so that traffic between zones costs more.
     """
     usable = [t for t in targets if _is_usable(loads_by_agent.get(t.agent), now)]
-    usable = usable or list(targets)
+    heard = [t for t in usable if _was_heard(loads_by_agent.get(t.agent))]
+    usable = heard or usable or list(targets)
     chosen = generator.sample(usable, min(SAMPLE_SIZE, len(usable)))
     in_own_zone = [target for target in usable if target.zone == zone]
     chosen += generator.sample(in_own_zone, min(SAMPLE_SIZE, len(in_own_zone)))
@@ -151,6 +157,10 @@
     )
 
 
+def _was_heard(load: AgentLoad | None) -> bool:
+    return load is not None and load.last_heard_at > float("-inf")
+
+
 def _estimate_cost(
     target: Target,
     loads_by_agent: Mapping[Address, AgentLoad],
--- a/tests/test_connection_balancer.py
+++ b/tests/test_connection_balancer.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 import pytest
 
 from lycheeglade.address import Address
@@ -11,7 +13,7 @@
     update_routing,
 )
 from lycheeglade.connection_search import SEARCH_TIMEOUT_S
-from lycheeglade.relay_message import ConnectionNotHeld, HomeFound
+from lycheeglade.relay_message import ConnectionNotHeld, HomeFound, LoadRequest
 from lycheeglade.route import RoutingView
 from lycheeglade.segment import ConnectionKey
 from lycheeglade.target_load import CRASH_TIMEOUT_S
@@ -294,3 +296,37 @@
     assert recorder.resets == []
     receive_segment(balancer, data(acknowledgement=700_001), 0.3)
     assert all(forwarded.search for _, forwarded in recorder.pop_forwarded_segments())
+
+
+def test_scan_of_addresses_without_a_route_is_one_line_a_second(balancer, recorder):
+    recorder.events.clear()
+    for port in range(300):
+        scanned = replace(
+            opening(40100 + port), destination=Address("198.18.9.9", 1 + port)
+        )
+        receive_segment(balancer, scanned, 1.0 + port / 1000)
+    assert len(recorder.resets) == 300
+    tick(balancer, 1.5)
+    assert recorder.events == []
+    tick(balancer, 2.1)
+    (fields,) = [fields for event, fields in recorder.events if event == "refused"]
+    assert (fields["source"], fields["count"]) == (CALLER.ip, 300)
+    assert fields["cause"] == "no-route"
+
+
+def test_agents_that_were_never_heard_get_no_connection(recorder):
+    """After a loss of power, the view lists targets that do not come back."""
+    targets = [make_target(number) for number in range(24)]
+    balancer = recorder.make(make_view(targets))
+    returned = {target.agent for target in targets[:10]}
+    for agent in returned:
+        receive_message(balancer, make_report(), agent, 0.005)
+    recorder.pop_forwarded_segments()
+    for port in range(60):
+        receive_segment(balancer, opening(41000 + port), 0.01)
+    chosen = [agent for agent, _ in recorder.pop_forwarded_segments()]
+    assert set(chosen) <= returned
+    # The others are asked again soon, since they may start a little later.
+    tick(balancer, 0.2)
+    asked = {a for a, m in recorder.sent if isinstance(m, LoadRequest)}
+    assert asked >= {target.agent for target in targets[10:]}
--- a/tests/test_connection_daemon.py
+++ b/tests/test_connection_daemon.py
@@ -8,10 +8,13 @@
     sleep,
 )
 from asyncio import timeout as time_limit
+from contextlib import suppress
 from dataclasses import dataclass
-from os import environ
+from os import close, environ, pipe, read, set_blocking, write
 from pathlib import Path
+from select import select
 from signal import SIGHUP, SIGTERM
+from time import monotonic
 
 import pytest
 
@@ -37,6 +40,7 @@
     f"127.8.{WORKER}.{n}" for n in (1, 2, 3, 4)
 )
 METRICS_PORT = 9464
+FULL_PIPE_S = 5.0
 TARGET_SEQUENCE = 5000
 IP_BY_ROLE = {"agent": AGENT_IP, "balancer": BALANCER_IP}
 
@@ -90,7 +94,7 @@
     folder: Path
     address: Address
 
-    async def start(self, role, ip):
+    async def start(self, role, ip, stdout=None):
         path = self.folder / f"{role}.conf"
         path.write_text(format_settings(role, role, ip, self.address, service="s1"))
         return await create_subprocess_exec(
@@ -98,6 +102,7 @@
             str(ROOT / "platform" / "main.py"),
             role,
             env={PATH_VARIABLE: str(path)},
+            stdout=stdout,
         )
 
     def send(self, key, flags, sequence, ack=0, content=b""):
@@ -245,3 +250,44 @@
             deployment.send(key, ACK, 101, TARGET_SEQUENCE + 1, b"question")
             await sleep(0.2)
     assert deployment.caller.segments[-1].resets
+
+
+async def test_log_that_nobody_reads_holds_up_no_request(deployment):
+    """The pipe of the log fills up, since its reader does nothing."""
+    read_end, write_end = pipe()
+    set_blocking(write_end, False)
+    with suppress(BlockingIOError):
+        while True:
+            write(write_end, b"x" * 4096)
+    started = {}
+    try:
+        for role, ip in IP_BY_ROLE.items():
+            started[role] = await deployment.start(role, ip, stdout=write_end)
+            await wait_ready(ip)
+        begun_at = monotonic()
+        port = 41000
+        while monotonic() - begun_at < FULL_PIPE_S:
+            port += 1
+            key = make_key(port)
+            async with time_limit(1):
+                await open_connection_from(deployment, key)
+                answer = await send_request(deployment, key, 101)
+            assert answer.datagram.endswith(b"answer")
+        assert all(process.returncode is None for process in started.values())
+        assert port > 41100
+        # Once the log is read again, it says what is missing.
+        set_blocking(read_end, False)
+        while read(read_end, 1 << 20):
+            await sleep(0)
+            if not select([read_end], [], [], 0)[0]:
+                break
+        await sleep(1.1)
+        await open_connection_from(deployment, make_key(port + 1))
+        await wait_until(lambda: select([read_end], [], [], 0)[0])
+        assert b"event=log-bounded kind=placed left_out=" in read(read_end, 1 << 20)
+    finally:
+        for process in started.values():
+            process.kill()
+            await process.wait()
+        close(read_end)
+        close(write_end)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -48,7 +48,10 @@
 
 def test_each_event_of_the_carriers_is_explained():
     paths = [*filter(is_connection_module, SOURCES), *(ROOT / "platform").glob("*.py")]
-    paths.append(ROOT / "lycheeglade" / "view_exchange.py")
+    paths += [
+        ROOT / "lycheeglade" / f"{name}.py"
+        for name in ("view_exchange", "view_follower")
+    ]
     events = {"log-bounded"}
     for path in paths:
         events.update(CONNECTION_EVENT.findall(path.read_text()))
