Let new connections wait at the agent, the latest first, while all slots are taken

Cause: 0.3 s after a loss of power, 18 to 40 requests stood at each of six targets with four slots. Change: opening_queue decides how many new connections a target may have, in which order the others come, and which are refused at once since they can't get their turn; the agent tells the balancer that one waits, so that it isn't placed a second time. Requests on open connections are never held.

--- a/lycheeglade/connection_agent.py
+++ b/lycheeglade/connection_agent.py
@@ -25,6 +25,7 @@
     HomeFound,
     LoadRequest,
     Message,
+    OpeningHeld,
 )
 from lycheeglade.segment import ConnectionKey, Segment, sequence_distance
 
@@ -94,14 +95,75 @@
         if message.service != agent.service:
             _forward_opening(agent, key, message, segment, "other-service")
             return
+        if key in agent.held_openings_by_key:
+            return
         if _is_next_candidate_faster(agent, message, now):
             _forward_opening(agent, key, message, segment, "busy")
             return
+        if agent.held_openings_by_key or not _has_room(agent, now):
+            _hold_opening(agent, key, pending, segment, now)
+            return
+    _accept_opening(agent, key, pending, segment, now)
+
+
+def _accept_opening(
+    agent: ConnectionAgent,
+    key: ConnectionKey,
+    pending: PendingSegment,
+    segment: Segment,
+    now: float,
+) -> None:
+    """Deliver an opening segment to the target."""
+    connection = agent.connections_by_key.get(key)
+    if connection is None:
         connection = _add_connection(agent, key, now)
-    _record_segment(agent, key, connection, message, now)
+    if not connection.is_open:
+        agent.opening_queue.record_accepted(key, now)
+    _record_segment(agent, key, connection, pending.message, now)
     _deliver_pending(agent, pending, segment, now)
 
 
+def _has_room(agent: ConnectionAgent, now: float) -> bool:
+    return agent.opening_queue.has_room(
+        len(agent.running_by_key), agent.slots, agent.service_time.mean, now
+    )
+
+
+def _hold_opening(
+    agent: ConnectionAgent,
+    key: ConnectionKey,
+    pending: PendingSegment,
+    segment: Segment,
+    now: float,
+) -> None:
+    """Let a new connection wait for a slot of the target."""
+    agent.held_openings_by_key[key] = pending, segment
+    refused = agent.opening_queue.hold(key, agent.slots, agent.service_time.mean, now)
+    agent.actions.send(pending.message.balancer, OpeningHeld(key))
+    for refused_key in refused:
+        _refuse_held(agent, refused_key, "queue-full")
+    _admit_held(agent, now)
+
+
+def _admit_held(agent: ConnectionAgent, now: float) -> None:
+    """Deliver connections that wait as far as the target has room."""
+    while agent.held_openings_by_key and _has_room(agent, now):
+        key = agent.opening_queue.take_next()
+        pending, segment = agent.held_openings_by_key.pop(key)
+        _accept_opening(agent, key, pending, segment, now)
+
+
+def _stop_holding(agent: ConnectionAgent, key: ConnectionKey) -> None:
+    agent.opening_queue.remove(key)
+    agent.held_openings_by_key.pop(key, None)
+
+
+def _refuse_held(agent: ConnectionAgent, key: ConnectionKey, cause: str) -> None:
+    """Refuse a connection that waits, which no target has seen."""
+    pending, segment = agent.held_openings_by_key.pop(key)
+    _forward_opening(agent, key, pending.message, segment, cause)
+
+
 def _is_next_candidate_faster(
     agent: ConnectionAgent, message: ForwardSegment, now: float
 ) -> bool:
@@ -208,6 +270,7 @@
 
 def _remove_connection(agent: ConnectionAgent, key: ConnectionKey, now: float) -> None:
     agent.connections_by_key.pop(key, None)
+    _stop_holding(agent, key)
     _end_request(agent, key, now)
 
 
@@ -272,6 +335,7 @@
 ) -> None:
     """Record that a request of the connection runs at the target."""
     agent.running_by_key[key] = now
+    _stop_holding(agent, key)
     connection.concurrent_requests = len(agent.running_by_key)
     if connection.concurrent_requests <= agent.slots:
         agent.busy.add(now, 1)
@@ -285,8 +349,10 @@
     The busy share counts at most as many requests as the target has slots.
     """
     started_at = agent.running_by_key.pop(key, None)
-    if started_at is not None and len(agent.running_by_key) < agent.slots:
-        agent.busy.add(now, -1)
+    if started_at is not None:
+        if len(agent.running_by_key) < agent.slots:
+            agent.busy.add(now, -1)
+        _admit_held(agent, now)
     return started_at
 
 
@@ -399,6 +465,9 @@
             agent.actions.log("no-answer", connection=key, waited=now - started_at)
             agent.failures.observe(now, True)
             _end_request(agent, key, now)
+    for key in agent.opening_queue.expire(now):
+        _refuse_held(agent, key, "waited-too-long")
+    _admit_held(agent, now)
     agent.searches.tick(now)
     _evict_idle(agent, now)
     report_load(agent, now)
--- a/lycheeglade/connection_agent_state.py
+++ b/lycheeglade/connection_agent_state.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from lycheeglade.address import Address
+from lycheeglade.opening_queue import OpeningQueue
 from lycheeglade.relay_message import ForwardSegment, LoadReport, Message
 from lycheeglade.search_relay import SearchRelay
 from lycheeglade.segment import ConnectionKey, Segment
@@ -90,7 +91,13 @@
 
 @dataclass(slots=True)
 class ConnectionAgent:
-    """State of one agent."""
+    """State of one agent.
+
+    Attributes
+    ----------
+    held_openings_by_key : dict
+        Opening segments of the connections in `opening_queue`.
+    """
 
     service: str
     incarnation: int
@@ -107,6 +114,10 @@
     searching_balancers_by_key: OrderedDict[ConnectionKey, set[Address]] = field(
         default_factory=OrderedDict
     )
+    opening_queue: OpeningQueue = field(default_factory=OpeningQueue)
+    held_openings_by_key: dict[ConnectionKey, tuple[PendingSegment, Segment]] = field(
+        default_factory=dict
+    )
     next_tag: int = 1
     last_heard_by_balancer: dict[Address, float] = field(default_factory=dict)
     service_time: ServiceTime = field(
--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -23,6 +23,7 @@
     queue_segment,
     search_home,
 )
+from lycheeglade.opening_queue import MAX_HOLD_S
 from lycheeglade.relay_message import (
     ConnectionNotHeld,
     ConnectionNotHeldBy,
@@ -31,6 +32,7 @@
     LoadReport,
     LoadRequest,
     Message,
+    OpeningHeld,
 )
 from lycheeglade.route import Route, RoutingView, pick_service
 from lycheeglade.segment import ConnectionKey, Segment
@@ -201,11 +203,24 @@
         balancer
     ):
         return
+    if _is_held(balancer, connection, now):
+        return
     connection.opening = segment
     balancer.opening_keys.add(key)
     _place_opening(balancer, key, connection, route, now)
 
 
+def _is_held(balancer: ConnectionBalancer, connection: Connection, now: float) -> bool:
+    """Return whether the connection waits at an agent that still answers."""
+    if (
+        connection.held_by is None
+        or now - connection.opening_sent_at > MAX_HOLD_S + MIN_OPENING_TIMEOUT_S
+    ):
+        return False
+    load = balancer.loads_by_agent.get(connection.held_by)
+    return load is not None and not load.is_unresponsive(now)
+
+
 def _opening_timeout(balancer: ConnectionBalancer) -> float:
     """Return the seconds within which an agent should accept a connection."""
     delay = OPENING_TIMEOUT_FACTOR * balancer.accept_delay
@@ -332,6 +347,8 @@
         _handle_not_held(balancer, message, source, now)
     elif isinstance(message, ConnectionNotHeldBy):
         _handle_not_held_by(balancer, message, now)
+    elif isinstance(message, OpeningHeld):
+        _handle_opening_held(balancer, message, source)
     elif isinstance(message, LoadReport):
         _handle_load_report(balancer, load, message, source, now)
 
@@ -393,6 +410,16 @@
         conclude_search(balancer, message.key, connection, now)
 
 
+def _handle_opening_held(
+    balancer: ConnectionBalancer, message: OpeningHeld, source: Address
+) -> None:
+    """Stop trying other agents: the connection waits for its turn at one."""
+    connection = balancer.connections_by_key.get(message.key)
+    if connection is not None and not connection.homes:
+        connection.held_by = source
+        balancer.opening_keys.discard(message.key)
+
+
 def _handle_not_held_by(
     balancer: ConnectionBalancer, message: ConnectionNotHeldBy, now: float
 ) -> None:
--- a/lycheeglade/connection_balancer_state.py
+++ b/lycheeglade/connection_balancer_state.py
@@ -72,12 +72,15 @@
         accepted.
     tried_agents : list of Address
         Agents that the opening segment was sent to.
+    held_by : Address, optional
+        Agent at which the connection waits for a slot of the target.
     """
 
     last_at: float
     homes: list[Home] = field(default_factory=list)
     tried_agents: list[Address] = field(default_factory=list)
     opening_sent_at: float = 0.0
+    held_by: Address | None = None
     opening: Segment | None = None
     queued_segments: list[Segment] = field(default_factory=list)
     search: Search | None = None
--- a/lycheeglade/connection_load.py
+++ b/lycheeglade/connection_load.py
@@ -34,11 +34,16 @@
     return min(elapsed, (now - agent.last_finished_at) * agent.slots)
 
 
+def _count_requests(agent: ConnectionAgent) -> int:
+    """Return the number of requests here, and of connections that wait."""
+    return len(agent.running_by_key) + len(agent.held_openings_by_key)
+
+
 def expected_answer_time(agent: ConnectionAgent, now: float) -> float:
     """Return the expected seconds until a new connection's first answer."""
     load = AgentLoad(
         service_time=agent.service_time.mean,
-        running=len(agent.running_by_key),
+        running=_count_requests(agent),
         busy=_busy_share(agent, now),
         failing=agent.failures.share(now),
     )
@@ -50,7 +55,7 @@
     return LoadReport(
         incarnation=agent.incarnation,
         service=agent.service,
-        running=len(agent.running_by_key),
+        running=_count_requests(agent),
         service_time=agent.service_time.mean,
         busy=_busy_share(agent, now),
         connections=len(agent.connections_by_key),
@@ -97,6 +102,7 @@
         busy=report.busy,
         connections=report.connections,
         finished=agent.finished,
+        held=len(agent.held_openings_by_key),
         balancers=len(agent.last_heard_by_balancer),
         silent=report.silent,
         failing=report.failing,
--- a/lycheeglade/relay_message.py
+++ b/lycheeglade/relay_message.py
@@ -164,6 +164,12 @@
     neighbours: tuple[Address, ...] = ()
 
 
+class OpeningHeld(Struct, frozen=True, array_like=True, tag=9):
+    """The sender's target has no free slot; the new connection waits there."""
+
+    key: ConnectionKey
+
+
 Message = (
     ForwardSegment
     | HomeFound
@@ -173,6 +179,7 @@
     | Peers
     | ConnectionNotHeldBy
     | ViewStatus
+    | OpeningHeld
 )
 
 _encoder = Encoder()
--- /dev/null
+++ b/tests/opening_replay.py
@@ -0,0 +1,150 @@
+"""Replay of openings at one agent and its target, in virtual time.
+
+The agent's decisions are those of the real agent. The target has slots and a
+short queue, and refuses at once what exceeds it. A caller that is refused, or
+whose connection is reset, opens another connection.
+"""
+
+from dataclasses import dataclass
+from heapq import heappop, heappush
+from itertools import count
+from pathlib import Path
+from random import Random
+
+from lycheeglade.connection_agent import (
+    receive_from_target,
+    receive_message,
+    tick,
+)
+from lycheeglade.relay_message import LoadRequest
+from tests.connections import (
+    BALANCER,
+    AgentRecorder,
+    data,
+    from_target,
+    opening,
+)
+
+DATA = Path(__file__).parent / "data" / "load"
+BIN_S = 0.1
+TICK_S = 0.02
+ROUND_TRIP_S = 0.003
+TARGET_QUEUE = 8
+REFUSAL_S = 0.0005
+RETRIES = 2
+
+
+def read_arrivals(name: str, targets: int, target: int) -> list[float]:
+    """Return the arrival times of recorded openings at one of `targets`."""
+    lines = (DATA / f"{name}.txt").read_text().splitlines()
+    counts = [
+        int(n) for line in lines if not line.startswith("#") for n in line.split()
+    ]
+    arrivals = [
+        (number + position / recorded) * BIN_S
+        for number, recorded in enumerate(counts)
+        for position in range(recorded)
+    ]
+    return arrivals[target::targets]
+
+
+@dataclass
+class Call:
+    """A caller's request, over all connections that it opens for it."""
+
+    arrived_at: float
+    tries: int = 0
+    answered_at: float = float("inf")
+
+
+class OpeningReplay:
+    """One agent, its target and the callers."""
+
+    def __init__(self, arrivals: list[float], slots: int, work_s: float, seed: int = 1):
+        self.generator = Random(seed)
+        self.slots = slots
+        self.work_s = work_s
+        self.recorder = AgentRecorder()
+        self.agent = self.recorder.make()
+        receive_message(self.agent, LoadRequest(slots), BALANCER, 0.0)
+        self.calls = [Call(at) for at in arrivals]
+        self.calls_by_port: dict[int, Call] = {}
+        self._ports = count(2000)
+        self._order = count()
+        self._events = []
+        self._working = 0
+        self._waiting: list[int] = []
+        for call in self.calls:
+            self._at(call.arrived_at, self._open, call)
+        for number in range(int((arrivals[-1] + 8.0) / TICK_S)):
+            self._at(number * TICK_S, self._tick)
+
+    def run(self) -> list[Call]:
+        while self._events:
+            now, _, action, arguments = heappop(self._events)
+            action(now, *arguments)
+            self._follow_up(now)
+        return self.calls
+
+    def _at(self, at: float, action, *arguments) -> None:
+        heappush(self._events, (at, next(self._order), action, arguments))
+
+    def _open(self, now: float, call: Call) -> None:
+        port = next(self._ports)
+        self.calls_by_port[port] = call
+        message = self.recorder.make_forward_segment(opening(port))
+        receive_message(self.agent, message, BALANCER, now)
+
+    def _tick(self, now: float) -> None:
+        tick(self.agent, now)
+
+    def _follow_up(self, now: float) -> None:
+        """Let the target and the callers react to what the agent did."""
+        delivered, self.recorder.delivered[:] = list(self.recorder.delivered), []
+        for segment, _ in delivered:
+            if segment.opens:
+                self._at(now, self._accept, segment.source.port)
+            else:
+                self._receive_request(now, segment.source.port)
+        resets, self.recorder.resets[:] = list(self.recorder.resets), []
+        for key, _ in resets:
+            self._retry(now, key.caller.port)
+
+    def _accept(self, now: float, port: int) -> None:
+        answer = from_target(port, opens=True, acknowledges=True, sequence=1000)
+        receive_from_target(self.agent, answer, now)
+        self._at(now + ROUND_TRIP_S, self._send_request, port)
+
+    def _send_request(self, now: float, port: int) -> None:
+        message = self.recorder.make_forward_segment(data(port))
+        receive_message(self.agent, message, BALANCER, now)
+
+    def _receive_request(self, now: float, port: int) -> None:
+        if self._working < self.slots:
+            self._start(now, port)
+        elif len(self._waiting) < TARGET_QUEUE:
+            self._waiting.append(port)
+        else:
+            self._at(now + REFUSAL_S, self._refuse, port)
+
+    def _start(self, now: float, port: int) -> None:
+        self._working += 1
+        seconds = self.work_s * self.generator.uniform(0.7, 1.3)
+        self._at(now + seconds, self._answer, port)
+
+    def _answer(self, now: float, port: int) -> None:
+        self._working -= 1
+        self.calls_by_port[port].answered_at = now
+        if self._waiting:
+            self._start(now, self._waiting.pop(0))
+        receive_from_target(self.agent, from_target(port, data_bytes=9), now)
+
+    def _refuse(self, now: float, port: int) -> None:
+        receive_from_target(self.agent, from_target(port, data_bytes=9), now)
+        self._retry(now, port)
+
+    def _retry(self, now: float, port: int) -> None:
+        call = self.calls_by_port[port]
+        if call.tries < RETRIES:
+            call.tries += 1
+            self._at(now + 2 * ROUND_TRIP_S, self._open, call)
