Count uploads as bulk, as their bytes between zones cost the same

Cause: a route of type upload was placed like one with short requests, so its 40,000 bytes crossed zones for half a service time of waiting. Change: uploads are bulk; they stay not repeatable. Also tests that a view without a change keeps its revision, and that a catalog goes on from another balancer's view.

--- a/lycheeglade/route.py
+++ b/lycheeglade/route.py
@@ -24,7 +24,7 @@
     repeatable : bool
         Whether a request may run more than once.
     is_bulk : bool
-        Whether answers are long.
+        Whether requests or answers are long.
     """
 
     address: Address
--- a/lycheeglade/target_load.py
+++ b/lycheeglade/target_load.py
@@ -135,7 +135,8 @@
     Parameters
     ----------
     is_bulk : bool
-        Whether answers are long, so that traffic between zones costs more.
+        Whether requests or answers are long, so that traffic between zones
+        costs more.
     """
     usable = [t for t in targets if _is_usable(loads_by_agent.get(t.agent), now)]
     heard = [t for t in usable if _was_heard(loads_by_agent.get(t.agent))]
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -123,3 +123,42 @@
     catalog.apply(item("op/other", {"version": 9}))
     assert catalog.view(1).configuration == 0
     assert events == []
+
+
+@pytest.mark.parametrize(
+    ("kind", "repeatable", "is_bulk"),
+    [
+        ("safe", True, False),
+        ("download", True, True),
+        ("upload", False, True),
+        ("unsafe", False, False),
+    ],
+)
+def test_what_a_kind_of_route_allows(catalog, kind, repeatable, is_bulk):
+    catalog.apply(configuration(7, {**ROUTE, "type": kind}))
+    (route,) = catalog.view(100).routes_by_address.values()
+    assert (route.repeatable, route.is_bulk) == (repeatable, is_bulk)
+
+
+def test_change_of_unused_fields_keeps_the_view_and_its_revision(catalog):
+    catalog.apply(configuration(7, ROUTE))
+    catalog.apply(item("servers/i-1", TARGET))
+    view = catalog.view(100)
+    catalog.apply(item("servers/i-1", {**TARGET, "sequence": 9, "warmup-left-ms": 50}))
+    assert catalog.view(104) is view
+    catalog.apply(item("servers/i-1", {**TARGET, "state": "draining"}))
+    assert catalog.view(105).revision == 105
+
+
+def test_catalog_goes_on_from_a_view_of_another_balancer(catalog):
+    catalog.apply(configuration(7, ROUTE))
+    catalog.apply(item("servers/i-1", TARGET))
+    view = catalog.view(100)
+    follower = Catalog({"nadi-a": "viti-west"}, 7720, lambda event, **fields: None)
+    follower.restore(view)
+    assert follower.view(101) is view
+    follower.apply(item("servers/i-1", {}, deleted=True))
+    changed = follower.view(102)
+    assert changed.revision == 102
+    assert changed.routes_by_address == view.routes_by_address
+    assert not changed.targets_by_service
