Read the store once at the start, at a tenth of the price, and not only by seeds

Change: each balancer reads the store once at its start with an answer that may lag; who watches is decided as before. For a second it fetches newer views of peers without a delay, as its own may be older.

--- a/lycheeglade/connection_balancer_daemon.py
+++ b/lycheeglade/connection_balancer_daemon.py
@@ -36,7 +36,7 @@
 from lycheeglade.segment import ConnectionKey
 from lycheeglade.transport import DatagramSocket
 from lycheeglade.view_exchange import serve_view
-from lycheeglade.view_follower import FollowStore, ViewFollower
+from lycheeglade.view_follower import FollowStore, ReadStore, ViewFollower
 
 TICK_S = 0.02
 # A stopping balancer that received no datagrams for MIN_IDLE_S seconds gets no
@@ -49,6 +49,7 @@
 async def run_connection_balancer(
     settings: ProcessSettings,
     codec: SegmentCodec,
+    read_store: ReadStore,
     follow_store: FollowStore,
     serve_readiness: Callable[[Callable[[], bool]], Awaitable[None]],
     find_seeds: Callable[[], tuple[Address, ...]],
@@ -58,6 +59,8 @@
 
     Parameters
     ----------
+    read_store : callable
+        Reads the store once.
     follow_store : callable
         Runs forever and publishes the views of the store.
     serve_readiness : callable
@@ -122,6 +125,7 @@
         settings.internal,
         settings.zone,
         generator,
+        read_store,
         follow_store,
         find_seeds,
         apply_view,
--- a/lycheeglade/view_exchange.py
+++ b/lycheeglade/view_exchange.py
@@ -35,8 +35,8 @@
 GOSSIP_PERIOD_S = 0.5
 # Shorter period of a process that has no view yet.
 START_PERIOD_S = 0.1
-# A process that starts asks other balancers for the view first. It reads the
-# store itself after MIN_START_WAIT_S to MAX_START_WAIT_S seconds.
+# A process that starts learns who watches in its zone before it watches itself
+# after MIN_START_WAIT_S to MAX_START_WAIT_S seconds.
 MIN_START_WAIT_S = 0.4
 MAX_START_WAIT_S = 0.7
 WATCHER_STATUS_PERIOD_S = 0.25
@@ -45,6 +45,9 @@
 # that the own zone's watcher, or the own watch, normally brings it first.
 FETCH_DELAY_S = 0.4
 WATCHER_FETCH_DELAY_S = 1.0
+# There is no delay within this time after the start, as the first read of the
+# store may lag behind by seconds.
+START_CATCH_UP_S = 1.0
 # After a failed fetch the next one follows after this pause.
 FETCH_RETRY_S = 0.1
 FETCH_TIMEOUT_S = 0.6
@@ -111,10 +114,10 @@
             - WATCHER_TIMEOUT_S
             + generator.uniform(MIN_START_WAIT_S, MAX_START_WAIT_S)
         )
+        self._started_at = started_at
         self._gossip_due_at = started_at
         self._status_due_at = started_at
         self._fetch_due_at = started_at
-        self._seeds: tuple[Address, ...] = ()
         self._is_leaving = False
 
     def receive(
@@ -278,9 +281,8 @@
         """
         if now >= self._gossip_due_at:
             self._gossip_due_at = now + self.draw_interval(view.configuration)
-            self._seeds = seeds()
-            self.gossip(self._seeds, view.revision, send, now)
-        duty = self._choose_duty(view, now)
+            self.gossip(seeds(), view.revision, send, now)
+        duty = self._choose_duty(now)
         if duty is not self.duty or now >= self._status_due_at:
             receivers = self._status_receivers()
             self.duty = duty
@@ -294,7 +296,7 @@
                 send(address, status)
         return duty
 
-    def _choose_duty(self, view: RoutingView, now: float) -> Duty:
+    def _choose_duty(self, now: float) -> Duty:
         if self._is_leaving:
             return Duty.FOLLOWER
         peers = [
@@ -302,11 +304,7 @@
             for address, peer in self._peers_by_address.items()
             if peer.zone == self._zone
         ]
-        missed_since = self._watcher_heard_at
-        if not view.revision and self._address in self._seeds:
-            # Others ask the seeds first when all processes start at once.
-            missed_since = float("-inf")
-        return choose_duty(self._address, self.duty, peers, missed_since, now)
+        return choose_duty(self._address, self.duty, peers, self._watcher_heard_at, now)
 
     def gossip(
         self, seeds: tuple[Address, ...], revision: int, send: Send, now: float
@@ -350,7 +348,7 @@
         ]
         is_watcher = self.duty is Duty.WATCHER
         delay = WATCHER_FETCH_DELAY_S if is_watcher else FETCH_DELAY_S
-        if not revision:
+        if not revision or now - self._started_at < START_CATCH_UP_S:
             delay = 0.0
         near = [
             address
--- a/lycheeglade/view_follower.py
+++ b/lycheeglade/view_follower.py
@@ -18,12 +18,21 @@
     Awaitable[None],
 ]
 
+# Reads the store once: returns the view and the revision up to which it is
+# complete, or None if the store fails to answer.
+ReadStore = Callable[[], Awaitable[tuple[RoutingView, int] | None]]
+
 
 class ViewFollower:
     """Follows the store while it is this balancer's duty, otherwise its peers.
 
+    At the start it reads the store once. After a loss of power no balancer has
+    a view, and those that would be asked for it may be the last to start.
+
     Parameters
     ----------
+    read_store : callable
+        Reads the store once.
     follow_store : callable
         Runs forever and passes each published view to its argument.
     find_seeds : callable
@@ -41,6 +50,7 @@
         address: Address,
         zone: Zone,
         generator: Random,
+        read_store: ReadStore,
         follow_store: FollowStore,
         find_seeds: Callable[[], tuple[Address, ...]],
         apply_view: Callable[[RoutingView], None],
@@ -49,12 +59,14 @@
         now: float,
     ):
         self._exchange = ViewExchange(address, generator, str(zone), now)
+        self._read_store = read_store
         self._follow_store = follow_store
         self._find_seeds = find_seeds
         self._apply_view = apply_view
         self._send = send
         self._log = log
         self._view = RoutingView()
+        self._reading: Task | None = None
         self._following: Task | None = None
         self._fetching: Task | None = None
 
@@ -76,7 +88,10 @@
         Exception
             That of a background task which has failed.
         """
-        raise_task_failures([task for task in (self._following,) if task])
+        if self._reading is None:
+            self._reading = create_task(self._read())
+        tasks = (self._reading, self._following, self._fetching)
+        raise_task_failures([task for task in tasks if task is not None])
         previous = self._exchange.duty
         duty = self._exchange.tick(self._find_seeds, self._view, self._send, now)
         if duty is not previous:
@@ -101,8 +116,9 @@
     def close(self) -> None:
         """Cancel the background tasks."""
         self._stop_following()
-        if self._fetching is not None:
-            self._fetching.cancel()
+        for task in (self._reading, self._fetching):
+            if task is not None:
+                task.cancel()
 
     def _stop_following(self) -> None:
         if self._following is not None:
@@ -122,6 +138,14 @@
             self._apply_view(view)
             self._exchange.announce(view.revision, self._send)
 
+    async def _read(self) -> None:
+        answer = await self._read_store()
+        if answer is not None:
+            view, checked = answer
+            self._publish(view)
+            if view is self._view:
+                self._exchange.record_store_answer(checked)
+
     async def _fetch(self, source: Address) -> None:
         view = await fetch_view(source, self._log)
         if view is None:
--- a/tests/test_view_exchange.py
+++ b/tests/test_view_exchange.py
@@ -55,6 +55,13 @@
     assert exchange.choose_source(8, 1.01 + FETCH_DELAY_S) == PEER
 
 
+def test_process_that_starts_catches_up_without_a_delay():
+    """Its first read of the store may be older than its peers' views."""
+    started = ViewExchange(OWN, Random(1), started_at=20.0)
+    started.receive_peers(Peers(9, ()), PEER, 20.1)
+    assert started.choose_source(8, 20.1) == PEER
+
+
 def test_peers_of_peers_become_known(exchange):
     exchange.receive_peers(Peers(9, (THIRD, OWN)), PEER, 1.0)
     sent = []
--- a/tests/test_watch_duty.py
+++ b/tests/test_watch_duty.py
@@ -38,7 +38,8 @@
 def test_one_balancer_of_each_zone_watches(fleet):
     for number in range(ZONES):
         assert len(fleet.watchers(f"zone-{number}")) == 1
-    # All start at once: few read the store, and the others ask them.
+    # All start at once and read it once, at a tenth of the price of a call.
+    assert fleet.start_reads == ZONES * PER_ZONE
     assert fleet.calls.total() <= 3 * ZONES
     assert_in_force_in_time(fleet)
 
--- a/tests/watch_fleet.py
+++ b/tests/watch_fleet.py
@@ -48,6 +48,7 @@
         self.now = 0.0
         self.revision = 7
         self.calls: Counter[str] = Counter()
+        self.start_reads = 0
         self._order = count()
         self._events = []
         self.nodes_by_address: dict[Address, Node] = {}
@@ -61,6 +62,8 @@
         exchange = ViewExchange(address, generator, zone, self.now)
         node = self.nodes_by_address[address] = Node(address, zone, exchange)
         self._at(self.random.uniform(0, TICK_S), lambda: self._tick(node))
+        self.start_reads += 1
+        self._at(CALL_S, lambda: self._read_at_start(node, self.revision))
         return node
 
     def advance(self, seconds: float) -> None:
@@ -125,6 +128,11 @@
         node.watch_due_at = self.now + BATCH_PAUSE_S
         self._at(CALL_S, lambda: self._receive_answer(node, self.revision))
 
+    def _read_at_start(self, node: Node, revision: int) -> None:
+        if node.reaches_store and node.is_alive:
+            self._publish(node, revision)
+            node.exchange.record_store_answer(revision)
+
     def _receive_answer(self, node: Node, revision: int) -> None:
         if not node.is_alive or node.exchange.duty is Duty.FOLLOWER:
             return
