Make the limits that depend on the fleet's size checked settings

Connections in the tables, intervals of load requests and reports, reports a second and relayed queries can be set by an INI file, named as the second argument. Defaults are as before; what grows with the fleet follows from it. A bad value is refused at the start with option, value and what is allowed.

--- a/lycheeglade/connection_agent.py
+++ b/lycheeglade/connection_agent.py
@@ -29,7 +29,6 @@
 )
 from lycheeglade.segment import ConnectionKey, Segment, sequence_distance
 
-MAX_CONNECTIONS = 8000
 MAX_PENDING = 4096
 # Connections without segments for CONNECTION_IDLE_TIMEOUT_S seconds are
 # evicted.
@@ -262,7 +261,7 @@
     agent: ConnectionAgent, key: ConnectionKey, now: float
 ) -> LocalConnection:
     connection = agent.connections_by_key[key] = LocalConnection(now)
-    if len(agent.connections_by_key) > MAX_CONNECTIONS:
+    if len(agent.connections_by_key) > agent.limits.agent_connections:
         oldest = next(iter(agent.connections_by_key))
         _remove_connection(agent, oldest, now)
     return connection
--- a/lycheeglade/connection_agent_daemon.py
+++ b/lycheeglade/connection_agent_daemon.py
@@ -87,7 +87,11 @@
         record=log.record,
     )
     agent = ConnectionAgent(
-        settings.service, SystemRandom().getrandbits(63), actions, monotonic()
+        settings.service,
+        SystemRandom().getrandbits(63),
+        actions,
+        monotonic(),
+        settings.limits,
     )
     log("started", host=settings.host_id, role="agent", service=settings.service)
     readiness = create_task(serve_readiness(lambda: not stop.is_set()))
--- a/lycheeglade/connection_agent_state.py
+++ b/lycheeglade/connection_agent_state.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from lycheeglade.address import Address
+from lycheeglade.connection_limits import DEFAULT_LIMITS, ConnectionLimits
 from lycheeglade.opening_queue import OpeningQueue
 from lycheeglade.relay_message import ForwardSegment, LoadReport, Message
 from lycheeglade.search_relay import SearchRelay
@@ -103,6 +104,7 @@
     incarnation: int
     actions: ConnectionAgentActions
     started_at: float
+    limits: ConnectionLimits = DEFAULT_LIMITS
     slots: int = 1
     connections_by_key: OrderedDict[ConnectionKey, LocalConnection] = field(
         default_factory=OrderedDict
--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -39,7 +39,6 @@
 from lycheeglade.target_load import AgentLoad, rank_by_load
 from lycheeglade.view import State, Target
 
-MAX_CONNECTIONS = 20_000
 MAX_QUEUED_OPENINGS = 256
 # Connections without segments for CONNECTION_IDLE_TIMEOUT_S seconds are
 # evicted. A later segment starts a search for the connection.
@@ -60,7 +59,6 @@
 UNROUTED_LOG_INTERVAL_S = 1.0
 MAX_UNROUTED_SOURCES = 64
 OTHER_SOURCES = "others"
-LOAD_REQUEST_INTERVAL_S = 0.5
 # Interval for agents that were never heard: after a loss of power they start
 # at about the same time as the balancers.
 FIRST_REQUEST_INTERVAL_S = 0.1
@@ -180,7 +178,7 @@
     connection = connections.get(key)
     if connection is None:
         connection = connections[key] = Connection(now)
-        if len(connections) > MAX_CONNECTIONS:
+        if len(connections) > balancer.limits.balancer_connections:
             connections.popitem(last=False)
     else:
         connection.last_at = now
@@ -468,7 +466,8 @@
 def tick(balancer: ConnectionBalancer, now: float) -> None:
     """Run the periodic work; call it about 50 times a second."""
     _detect_pause(balancer, now)
-    if now - balancer.load_request_sent_at >= LOAD_REQUEST_INTERVAL_S:
+    interval = balancer.limits.load_request_interval_s
+    if now - balancer.load_request_sent_at >= interval:
         balancer.load_request_sent_at = now
         _evict_idle(balancer, now)
         balancer.first_request_sent_at = now
--- a/lycheeglade/connection_balancer_daemon.py
+++ b/lycheeglade/connection_balancer_daemon.py
@@ -109,6 +109,7 @@
         settings.internal,
         ConnectionBalancerActions(send, reset, log),
         generator,
+        settings.limits,
     )
 
     def apply_view(view: RoutingView) -> None:
--- a/lycheeglade/connection_balancer_state.py
+++ b/lycheeglade/connection_balancer_state.py
@@ -6,6 +6,7 @@
 from random import Random
 
 from lycheeglade.address import Address, Zone
+from lycheeglade.connection_limits import DEFAULT_LIMITS, ConnectionLimits
 from lycheeglade.relay_message import ForwardSegment, Message
 from lycheeglade.route import RoutingView
 from lycheeglade.segment import ConnectionKey, Segment
@@ -101,6 +102,7 @@
     address: Address
     actions: ConnectionBalancerActions
     generator: Random
+    limits: ConnectionLimits = DEFAULT_LIMITS
     view: RoutingView = field(default_factory=RoutingView)
     view_at: float = 0.0
     removed_by_agent: dict[Address, tuple[Target, str, float]] = field(
--- a/lycheeglade/connection_daemon.py
+++ b/lycheeglade/connection_daemon.py
@@ -15,6 +15,7 @@
 from typing import TypeVar
 
 from lycheeglade.address import Address, Zone
+from lycheeglade.connection_limits import DEFAULT_LIMITS, ConnectionLimits
 from lycheeglade.errors import PacketError
 from lycheeglade.logs import log_event
 from lycheeglade.segment import ConnectionKey, Segment
@@ -73,6 +74,7 @@
     caller_port: int
     upstream: Address | None = None
     service: str = ""
+    limits: ConnectionLimits = DEFAULT_LIMITS
 
 
 class EventLog:
--- a/lycheeglade/connection_load.py
+++ b/lycheeglade/connection_load.py
@@ -6,12 +6,8 @@
 
 # Balancers that sent nothing for BALANCER_TIMEOUT_S seconds get no reports.
 BALANCER_TIMEOUT_S = 3.0
-# Minimum interval between reports of a changed load, and interval between
-# reports of an unchanged load.
-MIN_REPORT_INTERVAL_S = 0.1
+# Interval between reports of an unchanged load.
 MAX_REPORT_INTERVAL_S = 0.4
-# Maximum number of report datagrams per second, over all balancers.
-MAX_REPORTS_PER_S = 100.0
 LOG_INTERVAL_S = 1.0
 MS_PER_S = 1000.0
 
@@ -67,8 +63,10 @@
 
 def report_load(agent: ConnectionAgent, now: float) -> None:
     """Report the load to balancers if a report is due."""
+    limits = agent.limits
     interval = max(
-        MIN_REPORT_INTERVAL_S, len(agent.last_heard_by_balancer) / MAX_REPORTS_PER_S
+        limits.report_interval_s,
+        len(agent.last_heard_by_balancer) / limits.reports_per_s,
     )
     if now - agent.reported_at < interval:
         return
--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -30,9 +30,8 @@
 # the search at the agents that have not answered.
 SEARCH_RETRY_S = 0.15
 # Up to MAX_DIRECT_QUERIES agents are queried directly. With more, one agent in
-# each group of MAX_RELAYED_QUERIES asks the others.
+# each group of `relayed_queries` asks the others.
 MAX_DIRECT_QUERIES = 8
-MAX_RELAYED_QUERIES = 40
 # From SEARCH_TIMEOUT_S seconds on, the search no longer waits for agents
 # whose target is silent, or which are unresponsive themselves.
 SEARCH_TIMEOUT_S = 0.4
@@ -96,10 +95,10 @@
         for agent in queried:
             forward_segment(balancer, agent, segment, now, search=True)
     else:
-        for first in range(0, len(queried), MAX_RELAYED_QUERIES):
-            _query_through_agent(
-                balancer, queried[first : first + MAX_RELAYED_QUERIES], segment, now
-            )
+        size = balancer.limits.relayed_queries
+        for first in range(0, len(queried), size):
+            group = queried[first : first + size]
+            _query_through_agent(balancer, group, segment, now)
 
 
 def _query_through_agent(
--- a/tests/test_search_relay.py
+++ b/tests/test_search_relay.py
@@ -10,7 +10,8 @@
     receive_message as receive_at_balancer,
 )
 from lycheeglade.connection_balancer import receive_segment
-from lycheeglade.connection_search import MAX_DIRECT_QUERIES, MAX_RELAYED_QUERIES
+from lycheeglade.connection_limits import MAX_RELAYED_QUERIES
+from lycheeglade.connection_search import MAX_DIRECT_QUERIES
 from lycheeglade.relay_message import (
     ConnectionNotHeld,
     ConnectionNotHeldBy,
