--- a/tests/placement_replay.py
+++ b/tests/placement_replay.py
@@ -10,7 +10,7 @@
 from heapq import heappop, heappush
 from random import Random
 
-from lycheeglade.target_load import AgentLoad, rank_by_load
+from lycheeglade.target_load import AgentLoad, expected_time, rank_by_load
 from tests.connections import OWN_ZONE, make_target
 
 QUEUE_LENGTH = 4
@@ -63,6 +63,12 @@
     return rank_by_load(targets, without_failures, OWN_ZONE, now, generator)[0].target
 
 
+def place_at_best_of_all(targets, loads, now, generator):
+    return min(
+        targets, key=lambda t: (expected_time(loads[t.agent], t.slots), t.target_id)
+    )
+
+
 def place_at_random(targets, loads, now, generator):
     return generator.choice(targets)
 
@@ -74,6 +80,8 @@
     place: Callable,
     seed: int = 1,
     failing: tuple[float, ...] = (),
+    balancers: int = BALANCERS,
+    report_s: float = REPORT_S,
 ) -> float:
     """Return the share of requests answered within `aim` seconds.
 
@@ -81,6 +89,10 @@
     ----------
     failing : tuple of float
         Shares of failed requests of the first targets.
+    balancers : int
+        Number of balancers that place requests, each by its own knowledge.
+    report_s : float
+        Seconds between load reports.
     """
     generator = Random(seed)
     targets = [make_target(number) for number in range(len(service_times))]
@@ -91,7 +103,7 @@
     for target, share in zip(replayed.values(), failing, strict=False):
         target.failing = share
     loads_by_balancer = [
-        {t.agent: AgentLoad() for t in targets} for _ in range(BALANCERS)
+        {t.agent: AgentLoad() for t in targets} for _ in range(balancers)
     ]
     events = [(at, number, at, 0) for number, at in enumerate(arrivals)]
     events.sort()
@@ -99,11 +111,11 @@
     in_time = 0
     while events:
         now, number, arrived_at, tries = heappop(events)
-        while reported_at + REPORT_S <= now:
-            reported_at += REPORT_S
+        while reported_at + report_s <= now:
+            reported_at += report_s
             for loads in loads_by_balancer:
                 _report(loads, replayed, reported_at)
-        loads = loads_by_balancer[generator.randrange(BALANCERS)]
+        loads = loads_by_balancer[generator.randrange(balancers)]
         agent = place(targets, loads, now, generator).agent
         loads[agent].recent_placements += 1
         answered_at = replayed[agent].offer(now, generator.uniform(0.5, 1.5))
