Report loads to balancers of other zones less often as these become more

Change: agents of other zones are asked once a second, and push to balancers of other zones at most 40 reports a second in all, replies included; within a zone all is as before. A target that falls silent is told to everybody.

--- a/lycheeglade/connection_agent.py
+++ b/lycheeglade/connection_agent.py
@@ -54,6 +54,10 @@
     if isinstance(message, LoadRequest):
         agent.last_heard_by_balancer[source] = now
         agent.slots = max(1, message.slots)
+        if message.is_near:
+            agent.far_reported_at_by_balancer.pop(source, None)
+        else:
+            agent.far_reported_at_by_balancer[source] = now
         agent.actions.send(source, make_report(agent, now))
     elif isinstance(message, ForwardSegment):
         agent.last_heard_by_balancer[message.balancer] = now
--- a/lycheeglade/connection_agent_state.py
+++ b/lycheeglade/connection_agent_state.py
@@ -98,6 +98,8 @@
     ----------
     held_openings_by_key : dict
         Opening segments of the connections in `opening_queue`.
+    far_reported_at_by_balancer : dict
+        Time of the latest load report to each balancer of another zone.
     """
 
     service: str
@@ -122,6 +124,7 @@
     )
     next_tag: int = 1
     last_heard_by_balancer: dict[Address, float] = field(default_factory=dict)
+    far_reported_at_by_balancer: dict[Address, float] = field(default_factory=dict)
     service_time: ServiceTime = field(
         default_factory=lambda: ServiceTime(UNKNOWN_SERVICE_TIME_S)
     )
--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -89,6 +89,7 @@
     for target_id, (target, _) in current.items():
         balancer.unannounced_removals_by_id.pop(target_id, None)
         load = balancer.loads_by_agent.setdefault(target.agent, AgentLoad())
+        load.is_near = target.zone == balancer.zone
         if load.slots != target.slots:
             load.slots = target.slots
             _send_load_request(balancer, target.agent, now)
@@ -458,9 +459,8 @@
 def _send_load_request(
     balancer: ConnectionBalancer, agent: Address, now: float
 ) -> None:
-    send_message(
-        balancer, agent, LoadRequest(balancer.loads_by_agent[agent].slots), now
-    )
+    load = balancer.loads_by_agent[agent]
+    send_message(balancer, agent, LoadRequest(load.slots, load.is_near), now)
 
 
 def tick(balancer: ConnectionBalancer, now: float) -> None:
@@ -471,8 +471,12 @@
         balancer.load_request_sent_at = now
         _evict_idle(balancer, now)
         balancer.first_request_sent_at = now
-        for agent in balancer.loads_by_agent:
-            _send_load_request(balancer, agent, now)
+        balancer.load_request_rounds += 1
+        for number, (agent, load) in enumerate(balancer.loads_by_agent.items()):
+            # Agents of other zones are asked in every other round: the bytes
+            # between zones grow with balancers times agents.
+            if load.is_near or (number + balancer.load_request_rounds) % 2:
+                _send_load_request(balancer, agent, now)
     elif now - balancer.first_request_sent_at >= FIRST_REQUEST_INTERVAL_S:
         balancer.first_request_sent_at = now
         for agent, load in balancer.loads_by_agent.items():
--- a/lycheeglade/connection_balancer_state.py
+++ b/lycheeglade/connection_balancer_state.py
@@ -124,6 +124,7 @@
     )
     load_request_sent_at: float = 0.0
     first_request_sent_at: float = 0.0
+    load_request_rounds: int = 0
     last_run_at: float = 0.0
 
 
--- a/lycheeglade/connection_limits.py
+++ b/lycheeglade/connection_limits.py
@@ -1,8 +1,8 @@
 """Limits that depend on the size of a fleet whose connections are carried.
 
 The defaults hold up to some hundred balancers, since what grows with the fleet
-follows from it: an agent spreads `reports_per_s` over the balancers that it
-hears, so that its reports get rarer as they become more.
+follows from it: an agent spreads its reports a second over the balancers that
+it hears, so that reports get rarer as these become more.
 """
 
 from dataclasses import dataclass
@@ -25,7 +25,11 @@
     report_interval_s : float
         Minimum seconds between an agent's reports of a changed load.
     reports_per_s : float
-        Maximum report datagrams per second of an agent, over all balancers.
+        Maximum report datagrams per second of an agent, over all balancers
+        of its zone.
+    far_reports_per_s : float
+        The same over all balancers of other zones. Replies to their requests
+        count.
     relayed_queries : int
         Agents that one agent asks for a balancer that searches a connection.
     """
@@ -35,6 +39,7 @@
     load_request_interval_s: float = 0.5
     report_interval_s: float = 0.1
     reports_per_s: float = 100.0
+    far_reports_per_s: float = 40.0
     relayed_queries: int = MAX_RELAYED_QUERIES
 
 
@@ -67,6 +72,9 @@
         ),
         section.get_float("report_interval_s", default.report_interval_s, 0.02, 2.0),
         section.get_float("reports_per_s", default.reports_per_s, 1.0, 10_000.0),
+        section.get_float(
+            "far_reports_per_s", default.far_reports_per_s, 1.0, 10_000.0
+        ),
         section.get_int("relayed_queries", default.relayed_queries, 1, 1_000),
     )
     section.refuse_unknown()
--- a/lycheeglade/connection_load.py
+++ b/lycheeglade/connection_load.py
@@ -64,27 +64,25 @@
 def report_load(agent: ConnectionAgent, now: float) -> None:
     """Report the load to balancers if a report is due."""
     limits = agent.limits
-    interval = max(
-        limits.report_interval_s,
-        len(agent.last_heard_by_balancer) / limits.reports_per_s,
-    )
+    far = len(agent.far_reported_at_by_balancer)
+    near = len(agent.last_heard_by_balancer) - far
+    interval = max(limits.report_interval_s, near / limits.reports_per_s)
     if now - agent.reported_at < interval:
         return
     report = make_report(agent, now)
-    is_unchanged = agent.last_report is not None and (
+    previous = agent.last_report
+    is_unchanged = previous is not None and (
         report.running,
         report.silent,
         report.leaving,
-    ) == (
-        agent.last_report.running,
-        agent.last_report.silent,
-        agent.last_report.leaving,
-    )
+    ) == (previous.running, previous.silent, previous.leaving)
     if is_unchanged and now - agent.reported_at < MAX_REPORT_INTERVAL_S:
         return
     agent.reported_at = now
     agent.last_report = report
-    _send_report(agent, report, now)
+    is_urgent = previous is not None and report.silent != previous.silent
+    far_interval = max(limits.report_interval_s, far / limits.far_reports_per_s)
+    _send_report(agent, report, now, 0.0 if is_urgent else far_interval)
 
 
 def log_load(agent: ConnectionAgent, now: float) -> None:
@@ -107,16 +105,30 @@
     )
 
 
-def _send_report(agent: ConnectionAgent, report: LoadReport, now: float) -> None:
-    """Send a load report to the balancers that recently sent a message."""
+def _send_report(
+    agent: ConnectionAgent, report: LoadReport, now: float, far_interval: float
+) -> None:
+    """Send a load report to the balancers that recently sent a message.
+
+    Parameters
+    ----------
+    far_interval : float
+        Minimum seconds between reports to a balancer of another zone.
+    """
+    far_reported_at = agent.far_reported_at_by_balancer
     for balancer, heard_at in list(agent.last_heard_by_balancer.items()):
         if now - heard_at > BALANCER_TIMEOUT_S:
             del agent.last_heard_by_balancer[balancer]
-        else:
-            agent.actions.send(balancer, report)
+            far_reported_at.pop(balancer, None)
+            continue
+        if balancer in far_reported_at:
+            if now - far_reported_at[balancer] < far_interval:
+                continue
+            far_reported_at[balancer] = now
+        agent.actions.send(balancer, report)
 
 
 def announce_exit(agent: ConnectionAgent, now: float) -> None:
     """Report to balancers that this process exits; its target may go on."""
     agent.is_leaving = True
-    _send_report(agent, make_report(agent, now), now)
+    _send_report(agent, make_report(agent, now), now, 0.0)
--- a/lycheeglade/relay_message.py
+++ b/lycheeglade/relay_message.py
@@ -78,9 +78,18 @@
 
 
 class LoadRequest(Struct, frozen=True, array_like=True, tag=4):
-    """A balancer requests load reports and states the target's slots."""
+    """A balancer requests load reports.
+
+    Attributes
+    ----------
+    slots : int
+        Slots of the target.
+    is_near : bool
+        Whether the balancer is in the target's zone.
+    """
 
     slots: int
+    is_near: bool = True
 
 
 class LoadReport(Struct, frozen=True, array_like=True, tag=5):
--- a/lycheeglade/target_load.py
+++ b/lycheeglade/target_load.py
@@ -53,12 +53,15 @@
     unanswered_since : float
         Time of the oldest message to the agent without an answer, None if
         all are answered.
+    is_near : bool
+        Whether the agent is in the balancer's zone.
     recent_placements : int
         Connections that this balancer has placed since the last report.
     """
 
     last_heard_at: float = float("-inf")
     reported_at: float = float("-inf")
+    is_near: bool = True
     unanswered_since: float | None = None
     recent_placements: int = 0
     service_time: float = UNKNOWN_SERVICE_TIME_S
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -76,3 +76,35 @@
         counts[balancers] = len(reports) / 2.0
     assert counts[60] <= DEFAULT_LIMITS.reports_per_s
     assert counts[5] <= 5 / DEFAULT_LIMITS.report_interval_s
+
+
+def test_balancers_of_other_zones_get_rarer_reports():
+    """With 59 balancers, most reports would cross zones."""
+    recorder = AgentRecorder()
+    agent = recorder.make()
+    near = [BALANCER._replace(ip=f"10.9.0.{number}") for number in range(10)]
+    far = [BALANCER._replace(ip=f"10.9.1.{number}") for number in range(49)]
+    for step in range(200):
+        now = 0.02 * (step + 1)
+        for balancer in near if step % 25 == 0 else ():
+            receive_message(agent, LoadRequest(1), balancer, now)
+        for balancer in far if step % 50 == 0 else ():
+            receive_message(agent, LoadRequest(1, is_near=False), balancer, now)
+        report_load(agent, now)
+    reports = [a for a, m in recorder.sent if isinstance(m, LoadReport)]
+    assert reports.count(near[0]) / 4.0 >= 2.0
+    # Those that ask once a second get an answer, and no more.
+    assert reports.count(far[0]) == 4
+
+
+def test_few_balancers_of_other_zones_get_reports_as_often_as_before():
+    recorder = AgentRecorder()
+    agent = recorder.make()
+    for number in range(4):
+        balancer = BALANCER._replace(ip=f"10.9.1.{number}")
+        receive_message(agent, LoadRequest(1, is_near=False), balancer, 0.0)
+    recorder.sent.clear()
+    for step in range(100):
+        agent.last_report = None
+        report_load(agent, 0.02 * (step + 1))
+    assert len(recorder.sent) / 4 / 2.0 >= 0.9 / DEFAULT_LIMITS.report_interval_s
