--- a/tests/test_connection_balancer.py
+++ b/tests/test_connection_balancer.py
@@ -4,14 +4,16 @@
 
 from lycheeglade.address import Address
 from lycheeglade.connection_balancer import (
-    MAX_OPENING_TRIES,
-    MIN_OPENING_TIMEOUT_S,
-    REMOVAL_GRACE_S,
     receive_message,
     receive_segment,
     tick,
     update_routing,
 )
+from lycheeglade.connection_opening import (
+    MAX_OPENING_TRIES,
+    MIN_OPENING_TIMEOUT_S,
+    REMOVAL_GRACE_S,
+)
 from lycheeglade.connection_search import SEARCH_TIMEOUT_S
 from lycheeglade.relay_message import ConnectionNotHeld, HomeFound, LoadRequest
 from lycheeglade.route import RoutingView
