--- a/tests/test_target_load.py
+++ b/tests/test_target_load.py
@@ -135,3 +135,32 @@
 def test_all_targets_that_fail_are_used():
     loads = {target.agent: AgentLoad(failing=0.5) for target in TARGETS}
     assert len(rank(loads)) == len(TARGETS)
+
+
+def test_callers_that_move_to_one_zone_use_the_other_zones_too():
+    near = [make_target(number) for number in range(4)]
+    far = [make_target(number, OTHER_ZONE) for number in range(4, 12)]
+    loads = {
+        target.agent: AgentLoad(last_heard_at=0.0, service_time=0.02, running=6)
+        for target in near
+    }
+    loads |= {
+        target.agent: AgentLoad(last_heard_at=0.0, service_time=0.02) for target in far
+    }
+    for seed in range(20):
+        assert rank(loads, near + far, seed=seed)[0].target in far
+
+
+def test_target_that_goes_down_and_up_is_avoided_while_it_is_down():
+    """It comes back under its old address and is used again at once."""
+    loads = {t.agent: AgentLoad(last_heard_at=0.0) for t in TARGETS}
+    flapping = loads[TARGETS[0].agent]
+    for cycle in range(5):
+        down_at = 2.0 * cycle
+        flapping.unanswered_since = down_at
+        late = down_at + RESPONSE_TIMEOUT_S + 0.01
+        for seed in range(10):
+            assert rank(loads, now=late, seed=seed)[0].target is not TARGETS[0]
+        flapping.unanswered_since = None
+        chosen = {rank(loads, now=late + 0.1, seed=s)[0].target for s in range(30)}
+        assert TARGETS[0] in chosen
