Let the balancer refuse a connection that waited, and only if it saw all copies

Cause: found by reading. While an opening waits at an agent, its caller repeats it, and after a change of the entry hosts in rotation the copy may come by another balancer and open the connection elsewhere. The agent, which knows nothing of that, would reset an open connection. Change: the agent tells the balancer, which resets only if the connection has no home and every copy that was due came by this balancer. Result: test_refusal_breaks_no_connection_that_a_copy_opened_elsewhere and three more; the agent's test now asserts that it resets nothing by itself.

--- a/lycheeglade/connection_agent.py
+++ b/lycheeglade/connection_agent.py
@@ -26,6 +26,7 @@
     LoadRequest,
     Message,
     OpeningHeld,
+    OpeningRefused,
 )
 from lycheeglade.segment import ConnectionKey, Segment, sequence_distance
 
@@ -162,9 +163,17 @@
 
 
 def _refuse_held(agent: ConnectionAgent, key: ConnectionKey, cause: str) -> None:
-    """Refuse a connection that waits, which no target has seen."""
+    """Forward a connection that waits, or let its balancer refuse it.
+
+    A copy of its opening may have come by another balancer meanwhile and have
+    opened the connection elsewhere, so this agent must not reset it.
+    """
     pending, segment = agent.held_openings_by_key.pop(key)
-    _forward_opening(agent, key, pending.message, segment, cause)
+    if pending.message.candidates:
+        _forward_opening(agent, key, pending.message, segment, cause)
+        return
+    agent.actions.log("passed-on", connection=key, cause=cause, candidates=0)
+    agent.actions.send(pending.message.balancer, OpeningRefused(key))
 
 
 def _is_next_candidate_faster(
--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -17,6 +17,7 @@
 )
 from lycheeglade.connection_opening import (
     handle_opening_held,
+    handle_opening_refused,
     receive_opening,
     record_accepted_opening,
     retry_openings,
@@ -35,6 +36,7 @@
     LoadRequest,
     Message,
     OpeningHeld,
+    OpeningRefused,
 )
 from lycheeglade.route import Route, RoutingView
 from lycheeglade.segment import ConnectionKey, Segment
@@ -219,6 +221,8 @@
         _handle_not_held_by(balancer, message, now)
     elif isinstance(message, OpeningHeld):
         handle_opening_held(balancer, message, source)
+    elif isinstance(message, OpeningRefused):
+        handle_opening_refused(balancer, message, source, now)
     elif isinstance(message, LoadReport):
         _handle_load_report(balancer, load, message, source, now)
 
--- a/lycheeglade/connection_balancer_state.py
+++ b/lycheeglade/connection_balancer_state.py
@@ -75,6 +75,11 @@
         Agents that the opening segment was sent to.
     held_by : Address, optional
         Agent at which the connection waits for a slot of the target.
+    opening_received_at : float
+        Time at which the caller's first opening segment arrived.
+    opening_copies : int
+        Number of the latest copy of the opening segment that arrived here, 0
+        for the first one, -1 before.
     """
 
     last_at: float
@@ -82,6 +87,8 @@
     tried_agents: list[Address] = field(default_factory=list)
     opening_sent_at: float = 0.0
     held_by: Address | None = None
+    opening_received_at: float = 0.0
+    opening_copies: int = -1
     opening: Segment | None = None
     queued_segments: list[Segment] = field(default_factory=list)
     search: Search | None = None
--- a/lycheeglade/connection_opening.py
+++ b/lycheeglade/connection_opening.py
@@ -16,7 +16,7 @@
     send_message,
 )
 from lycheeglade.opening_queue import MAX_HOLD_S
-from lycheeglade.relay_message import ForwardSegment, OpeningHeld
+from lycheeglade.relay_message import ForwardSegment, OpeningHeld, OpeningRefused
 from lycheeglade.route import Route, pick_service
 from lycheeglade.segment import ConnectionKey, Segment
 from lycheeglade.target_load import AgentLoad, rank_by_load
@@ -29,6 +29,10 @@
 OPENING_TIMEOUT_FACTOR = 4.0
 ACCEPT_DELAY_GAIN = 0.1
 MAX_OPENING_TRIES = 4
+# Callers repeat an opening segment after these times, give or take
+# COPY_MARGIN_S.
+COPY_DELAYS_S = (0.2, 0.6)
+COPY_MARGIN_S = 0.03
 # A target that is removed from the view while live, without draining first,
 # may be missing after a transient error of the platform. It stays usable for
 # REMOVAL_GRACE_S.
@@ -44,6 +48,9 @@
     now: float,
 ) -> None:
     """Place a new connection, or pass a copy of its opening to its home."""
+    if connection.opening_copies < 0:
+        connection.opening_received_at = now - _copy_delay(segment.acknowledgement)
+    connection.opening_copies = max(connection.opening_copies, segment.acknowledgement)
     if connection.homes:
         forward_segment(balancer, connection.homes[-1].agent, segment, now)
         return
@@ -58,6 +65,13 @@
     _place_opening(balancer, key, connection, route, now)
 
 
+def _copy_delay(copies: int) -> float:
+    """Return the seconds between an opening segment and that copy of it."""
+    if copies <= 0:
+        return 0.0
+    return COPY_DELAYS_S[min(copies, len(COPY_DELAYS_S)) - 1]
+
+
 def _is_held(balancer: ConnectionBalancer, connection: Connection, now: float) -> bool:
     """Return whether the connection waits at an agent that still answers."""
     if (
@@ -157,6 +171,37 @@
     return eligible
 
 
+def handle_opening_refused(
+    balancer: ConnectionBalancer, message: OpeningRefused, source: Address, now: float
+) -> None:
+    """Refuse a connection that got no turn at the agent where it waited.
+
+    Its caller is told only if all copies of the opening segment that were due
+    came by this balancer. Otherwise another balancer may have opened the
+    connection, which a reset would break.
+    """
+    connection = balancer.connections_by_key.get(message.key)
+    if connection is None or connection.homes or connection.held_by != source:
+        return
+    age = now - connection.opening_received_at
+    due = sum(age > delay + COPY_MARGIN_S for delay in COPY_DELAYS_S)
+    is_told = connection.opening_copies >= due
+    balancer.actions.log(
+        "refused",
+        connection=message.key,
+        cause="no-turn",
+        agent=source,
+        waited_s=age,
+        copies=connection.opening_copies,
+        is_told=is_told,
+    )
+    if is_told:
+        del balancer.connections_by_key[message.key]
+        balancer.actions.reset(message.key, 0)
+    else:
+        connection.held_by = None
+
+
 def handle_opening_held(
     balancer: ConnectionBalancer, message: OpeningHeld, source: Address
 ) -> None:
--- a/lycheeglade/relay_message.py
+++ b/lycheeglade/relay_message.py
@@ -179,6 +179,12 @@
     key: ConnectionKey
 
 
+class OpeningRefused(Struct, frozen=True, array_like=True, tag=10):
+    """A new connection that waited at the sender gets no turn there."""
+
+    key: ConnectionKey
+
+
 Message = (
     ForwardSegment
     | HomeFound
@@ -189,6 +195,7 @@
     | ConnectionNotHeldBy
     | ViewStatus
     | OpeningHeld
+    | OpeningRefused
 )
 
 _encoder = Encoder()
--- a/tests/opening_replay.py
+++ b/tests/opening_replay.py
@@ -16,7 +16,7 @@
     receive_message,
     tick,
 )
-from lycheeglade.relay_message import LoadRequest
+from lycheeglade.relay_message import LoadRequest, OpeningRefused
 from tests.connections import (
     BALANCER,
     AgentRecorder,
@@ -107,7 +107,11 @@
             else:
                 self._receive_request(now, segment.source.port)
         resets, self.recorder.resets[:] = list(self.recorder.resets), []
-        for key, _ in resets:
+        refused = [
+            m.key for _, m in self.recorder.sent if isinstance(m, OpeningRefused)
+        ]
+        self.recorder.sent.clear()
+        for key in [key for key, _ in resets] + refused:
             self._retry(now, key.caller.port)
 
     def _accept(self, now: float, port: int) -> None:
--- a/tests/test_connection_balancer.py
+++ b/tests/test_connection_balancer.py
@@ -15,7 +15,13 @@
     REMOVAL_GRACE_S,
 )
 from lycheeglade.connection_search import SEARCH_TIMEOUT_S
-from lycheeglade.relay_message import ConnectionNotHeld, HomeFound, LoadRequest
+from lycheeglade.relay_message import (
+    ConnectionNotHeld,
+    HomeFound,
+    LoadRequest,
+    OpeningHeld,
+    OpeningRefused,
+)
 from lycheeglade.route import RoutingView
 from lycheeglade.segment import ConnectionKey
 from lycheeglade.target_load import CRASH_TIMEOUT_S
@@ -332,3 +338,39 @@
     tick(balancer, 0.2)
     asked = {a for a, m in recorder.sent if isinstance(m, LoadRequest)}
     assert asked >= {target.agent for target in targets[10:]}
+
+
+def hold_opening(balancer, recorder, now):
+    receive_segment(balancer, opening(), now)
+    ((agent, _),) = recorder.pop_forwarded_segments()
+    receive_message(balancer, OpeningHeld(KEY), agent, now + 0.003)
+    return agent
+
+
+def test_opening_that_waits_is_placed_nowhere_else(balancer, recorder):
+    hold_opening(balancer, recorder, 1.0)
+    tick(balancer, 1.1)
+    receive_segment(balancer, opening(copies=1), 1.2)
+    tick(balancer, 1.3)
+    assert recorder.pop_forwarded_segments() == []
+
+
+def test_opening_that_gets_no_turn_is_refused_by_its_balancer(balancer, recorder):
+    agent = hold_opening(balancer, recorder, 1.0)
+    receive_segment(balancer, opening(copies=1), 1.2)
+    receive_message(balancer, OpeningRefused(KEY), agent, 1.5)
+    assert recorder.resets == [(KEY, 0)]
+
+
+def test_refusal_breaks_no_connection_that_a_copy_opened_elsewhere(balancer, recorder):
+    """The copy after 0.2 s did not come by this balancer."""
+    agent = hold_opening(balancer, recorder, 1.0)
+    receive_message(balancer, OpeningRefused(KEY), agent, 1.4)
+    assert recorder.resets == []
+
+
+def test_refusal_of_an_agent_that_is_not_waited_for_is_ignored(balancer, recorder):
+    agent = hold_opening(balancer, recorder, 1.0)
+    receive_message(balancer, HomeFound(KEY, 1000), agent, 1.01)
+    receive_message(balancer, OpeningRefused(KEY), agent, 1.02)
+    assert recorder.resets == []
--- a/tests/test_opening_queue.py
+++ b/tests/test_opening_queue.py
@@ -8,6 +8,7 @@
     queue_limit,
     target_limit,
 )
+from lycheeglade.relay_message import OpeningRefused
 from lycheeglade.segment import ConnectionKey
 from tests.connections import BALANCER, SERVICE, AgentRecorder, opening
 from tests.opening_replay import OpeningReplay, read_arrivals
@@ -97,8 +98,11 @@
         connection_agent.receive_message(agent, message, BALANCER, 0.0)
     for step in range(100):
         connection_agent.tick(agent, step * 0.02)
-    refused = {key.caller.port for key, _ in recorder.resets}
+    messages = [message for _, message in recorder.sent]
+    refused = {m.key.caller.port for m in messages if isinstance(m, OpeningRefused)}
     delivered = {segment.source.port for segment, _ in recorder.delivered}
     assert refused
+    # An open connection may have come of a copy; only a balancer knows.
+    assert recorder.resets == []
     assert refused | delivered == set(ports)
     assert not refused & delivered
