--- a/lycheeglade/connection_agent.py
+++ b/lycheeglade/connection_agent.py
@@ -40,6 +40,8 @@
 # target.
 MIN_ANSWER_TIME_S = 0.001
 TAG_SPACE = 1 << 32
+QUEUE_FULL = "queue-full"
+WAITED_TOO_LONG = "waited-too-long"
 # An opening segment is forwarded to the next candidate only if the expected
 # time here exceeds the candidate's time multiplied by this factor, plus this
 # cost. They cover the network delay to the candidate and the age of its
@@ -145,7 +147,7 @@
     refused = agent.opening_queue.hold(key, agent.slots, agent.service_time.mean, now)
     agent.actions.send(pending.message.balancer, OpeningHeld(key))
     for refused_key in refused:
-        _refuse_held(agent, refused_key, "queue-full")
+        _refuse_held(agent, refused_key, QUEUE_FULL)
     _admit_held(agent, now)
 
 
@@ -165,11 +167,13 @@
 def _refuse_held(agent: ConnectionAgent, key: ConnectionKey, cause: str) -> None:
     """Forward a connection that waits, or let its balancer refuse it.
 
-    A copy of its opening may have come by another balancer meanwhile and have
-    opened the connection elsewhere, so this agent must not reset it.
+    One that has waited as long as it may is not forwarded, since its caller
+    gives up before it could wait again. A copy of its opening may have come by
+    another balancer meanwhile and have opened the connection elsewhere, so
+    this agent must not reset it.
     """
     pending, segment = agent.held_openings_by_key.pop(key)
-    if pending.message.candidates:
+    if pending.message.candidates and cause == QUEUE_FULL:
         _forward_opening(agent, key, pending.message, segment, cause)
         return
     agent.actions.log("passed-on", connection=key, cause=cause, candidates=0)
@@ -478,7 +482,7 @@
             agent.failures.observe(now, True)
             _end_request(agent, key, now)
     for key in agent.opening_queue.expire(now):
-        _refuse_held(agent, key, "waited-too-long")
+        _refuse_held(agent, key, WAITED_TOO_LONG)
     _admit_held(agent, now)
     agent.searches.tick(now)
     _evict_idle(agent, now)
--- a/tests/test_opening_queue.py
+++ b/tests/test_opening_queue.py
@@ -10,7 +10,7 @@
 )
 from lycheeglade.relay_message import OpeningRefused
 from lycheeglade.segment import ConnectionKey
-from tests.connections import BALANCER, SERVICE, AgentRecorder, opening
+from tests.connections import BALANCER, SERVICE, AgentRecorder, data, opening
 from tests.opening_replay import OpeningReplay, read_arrivals
 
 KEYS = [ConnectionKey(opening(port).source, SERVICE) for port in range(40001, 40040)]
@@ -106,3 +106,25 @@
     assert recorder.resets == []
     assert refused | delivered == set(ports)
     assert not refused & delivered
+
+
+def test_only_what_finds_the_queue_full_goes_to_another_agent():
+    recorder = AgentRecorder()
+    agent = recorder.make()
+    other = opening().source._replace(ip="10.1.1.9")
+    for port in range(101, 106):
+        for segment in (opening(port), data(port)):
+            message = recorder.make_forward_segment(segment)
+            connection_agent.receive_message(agent, message, BALANCER, 0.0)
+    for port in range(1, 30):
+        message = recorder.make_forward_segment(
+            opening(port), candidates=(other,), costs=(9.0,)
+        )
+        connection_agent.receive_message(agent, message, BALANCER, 0.0)
+    forwarded = [m for a, m in recorder.sent if a == other]
+    recorder.sent.clear()
+    for step in range(100):
+        connection_agent.tick(agent, step * 0.02)
+    assert [m for a, m in recorder.sent if a == other] == []
+    assert any(isinstance(m, OpeningRefused) for _, m in recorder.sent)
+    assert len(forwarded) < 29
