--- a/lycheeglade/opening_queue.py
+++ b/lycheeglade/opening_queue.py
@@ -70,7 +70,9 @@
             del self.accepted_at_by_key[key]
         return len(self.accepted_at_by_key)
 
-    def has_room(self, running: int, slots: int, service_time: float, now: float):
+    def has_room(
+        self, running: int, slots: int, service_time: float, now: float
+    ) -> bool:
         """Return whether the target can take another new connection."""
         occupied = running + self.count_accepted(now)
         return occupied < target_limit(slots, service_time)
--- a/lycheeglade/view_follower.py
+++ b/lycheeglade/view_follower.py
@@ -74,7 +74,7 @@
         """Return the latest view."""
         return self._view
 
-    def receive(self, message: Peers | ViewStatus, source: Address, now: float):
+    def receive(self, message: Peers | ViewStatus, source: Address, now: float) -> None:
         """Process a message of another balancer."""
         revision = self._view.revision
         for address, reply in self._exchange.receive(message, source, revision, now):
