Answer a watch of the stand-in store with events and revision of one moment

The client's first watch does not wait. The stand-in collected the events before that wait and the revision after it, so that a change in between was missing in the answer and was never asked for again. Change: both are read after the wait. A test changes the store in that moment; it fails on the stand-in before.

--- a/tests/store_stand_in.py
+++ b/tests/store_stand_in.py
@@ -105,11 +105,16 @@
     async def _watch(self, after, wait_ms):
         if after < self.compacted_revision:
             return 410, {}
-        while not (events := [e for e in self.events if e["revision"] > after]):
+        while not self._events_after(after):
             try:
                 await wait_for(self.changed.wait(), wait_ms / 1000)
             except TimeoutError:
                 break
             if after < self.compacted_revision:
                 raise EOFError
+        # Events and revision belong together: both are read after the wait.
+        events = self._events_after(after)
         return 200, {"events": events, "current-rev": self.revision}
+
+    def _events_after(self, revision):
+        return [event for event in self.events if event["revision"] > revision]
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -128,3 +128,14 @@
             task.result()
         client.close()
         assert log == []
+
+
+async def test_change_as_a_watch_of_the_stand_in_ends_is_in_its_answer(store):
+    for wait_ms in (0, 1):
+        after = store.revision
+        watch = create_task(store._watch(after, wait_ms))
+        await sleep(0)
+        store.put("servers/i-8", TARGET)
+        _, answer = await watch
+        revisions = [event["revision"] for event in answer["events"]]
+        assert (answer["current-rev"] == after) == (revisions == [])
