--- a/lycheeglade/connection_agent.py
+++ b/lycheeglade/connection_agent.py
@@ -2,8 +2,9 @@
 
 The agent sees the segments of its target's connections in both directions.
 From them it derives which connections the target holds, which requests run
-and how long requests take. The agent queues nothing: the target has a short
-queue of its own and refuses at once what does not fit in it.
+and how long requests take. New connections wait here while the target is full
+(`opening_queue`). Requests never do: the target has a short queue of its own
+and refuses at once what does not fit in it.
 """
 
 from lycheeglade.address import Address
