Log the views that are dropped as too old, and where each view came from

Cause: a view that loses the comparison of revisions was dropped without a log line, so that logs couldn't tell a store that went back from a view that is merely late. Change: an event view-ignored with its source and both revisions; the event view names its source.

--- a/lycheeglade/connection_balancer_daemon.py
+++ b/lycheeglade/connection_balancer_daemon.py
@@ -112,9 +112,10 @@
         settings.limits,
     )
 
-    def apply_view(view: RoutingView) -> None:
+    def apply_view(view: RoutingView, source: str) -> None:
         log(
             "view",
+            source=source,
             revision=view.revision,
             configuration=view.configuration,
             routes=len(view.routes_by_address),
--- a/lycheeglade/view_follower.py
+++ b/lycheeglade/view_follower.py
@@ -2,6 +2,7 @@
 
 from asyncio import Task, create_task
 from collections.abc import Awaitable, Callable
+from functools import partial
 from random import Random
 from time import monotonic
 
@@ -11,6 +12,9 @@
 from lycheeglade.route import RoutingView
 from lycheeglade.view_exchange import ViewExchange, fetch_view
 
+# Source of the views that this process reads from the store itself.
+STORE = "store"
+
 # Follows the store: gets a view to start from, the revision up to which that
 # view is complete, and callbacks for newer views and for answers and failures.
 FollowStore = Callable[
@@ -38,7 +42,7 @@
     find_seeds : callable
         Returns the internal addresses of some balancers.
     apply_view : callable
-        Called with each newer view.
+        Called with each newer view and its source: a peer, or `STORE`.
     send : callable
         Sends a message to another balancer.
     now : float
@@ -53,7 +57,7 @@
         read_store: ReadStore,
         follow_store: FollowStore,
         find_seeds: Callable[[], tuple[Address, ...]],
-        apply_view: Callable[[RoutingView], None],
+        apply_view: Callable[[RoutingView, str], None],
         send: Callable[[Address, Message], None],
         log: Callable[..., None],
         now: float,
@@ -101,7 +105,10 @@
         elif self._following is None:
             self._following = create_task(
                 self._follow_store(
-                    self._view, self._exchange.checked, self._publish, self._observe
+                    self._view,
+                    self._exchange.checked,
+                    partial(self._publish, source=STORE),
+                    self._observe,
                 )
             )
         if self._fetching is None or self._fetching.done():
@@ -131,18 +138,28 @@
         else:
             self._exchange.record_store_answer(checked)
 
-    def _publish(self, view: RoutingView) -> None:
+    def _publish(self, view: RoutingView, source: str) -> None:
         # Without routes a view can't be used, and peers must not fetch it.
-        if view.configuration and view.revision > self._view.revision:
-            self._view = view
-            self._apply_view(view)
-            self._exchange.announce(view.revision, self._send)
+        if not view.configuration or view is self._view:
+            return
+        if view.revision <= self._view.revision:
+            if view.revision < self._view.revision:
+                self._log(
+                    "view-ignored",
+                    source=source,
+                    revision=view.revision,
+                    known=self._view.revision,
+                )
+            return
+        self._view = view
+        self._apply_view(view, source)
+        self._exchange.announce(view.revision, self._send)
 
     async def _read(self) -> None:
         answer = await self._read_store()
         if answer is not None:
             view, checked = answer
-            self._publish(view)
+            self._publish(view, STORE)
             if view is self._view:
                 self._exchange.record_store_answer(checked)
 
@@ -151,4 +168,4 @@
         if view is None:
             self._exchange.record_failed_fetch(monotonic())
         else:
-            self._publish(view)
+            self._publish(view, str(source))
