--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -5,7 +5,8 @@
 
 from catalog import CONFIGURATION_KEY, Catalog
 from lycheeglade.address import Address
-from store import HistoryGoneError, StoreClient, StoreError, WireEvents, follow_store
+from store import HistoryGoneError, StoreClient, StoreError, WireEvents
+from store_reader import follow_store
 from tests.store_stand_in import StoreStandIn
 from tests.test_catalog import ROUTE, TARGET
 
