--- a/tests/store_stand_in.py
+++ b/tests/store_stand_in.py
@@ -1,4 +1,9 @@
-"""Fake of the platform's store: items, ranges and watches over HTTP."""
+"""Fake of the platform's store: items, ranges and watches over HTTP.
+
+A test may take a copy of the store at any moment and put it back later. The
+store then has lost all later changes, gives out their revisions again and
+counts its era up, which each of its answers names.
+"""
 
 from asyncio import (
     CancelledError,
@@ -9,22 +14,52 @@
     wait_for,
 )
 from base64 import b64encode
+from collections.abc import Callable
+from dataclasses import dataclass
 from json import dumps
 from urllib.parse import parse_qs, urlsplit
 
 PAGE_SIZE = 2
+ERA_HEADER = "Store-Era"
+
+
+@dataclass(frozen=True)
+class StoreCopy:
+    """State of the store at one moment."""
+
+    revision: int
+    items_by_key: dict
+    events: tuple
+    compacted_revision: int
 
 
 class StoreStandIn:
-    """In-memory store with items by key and the history of their changes."""
+    """In-memory store with items by key and the history of their changes.
+
+    Attributes
+    ----------
+    era : int or str or None
+        Value of the answers' header; None if they have none.
+    stale : StoreCopy or None
+        What reads that may lag return, or None for the current state.
+    before_page : callable
+        Called before each page of a range is read.
+    loses_watch_answers : bool
+        Whether an answer to a watch is lost, and its connection stays open.
+    """
 
     def __init__(self):
         self.revision = 10
+        self.era = 1
+        self.stale: StoreCopy | None = None
+        self.before_page: Callable[[], None] = lambda: None
+        self.loses_watch_answers = False
         self.items_by_key = {}
         self.events = []
         self.calls = []
         self.compacted_revision = 0
         self.status = 200
+        self.restores = 0
         self.changed = Event()
         self._server = None
 
@@ -56,6 +91,27 @@
         self.changed.set()
         self.changed = Event()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy to which `restore` can go back."""
+        return StoreCopy(
+            self.revision,
+            dict(self.items_by_key),
+            tuple(self.events),
+            self.compacted_revision,
+        )
+
+    def restore(self, copy: StoreCopy, raise_era: bool = True) -> None:
+        """Lose all changes after `copy`, and cut the waiting watches."""
+        self.revision = copy.revision
+        self.items_by_key = dict(copy.items_by_key)
+        self.events = list(copy.events)
+        self.compacted_revision = copy.compacted_revision
+        if raise_era:
+            self.era += 1
+        self.restores += 1
+        self.changed.set()
+        self.changed = Event()
+
     def _append_event(self, event):
         self.events.append(event)
         self.changed.set()
@@ -65,9 +121,16 @@
         try:
             while True:
                 request = await reader.readuntil(b"\r\n\r\n")
-                status, body = await self._answer(request.split()[1].decode())
+                target = request.split()[1].decode()
+                era = self.era
+                status, body = await self._answer(target)
+                if self.loses_watch_answers and target.startswith("/kv-watch"):
+                    await reader.read()
+                    return
                 content = dumps(body).encode()
                 head = f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
+                if era is not None:
+                    head += f"{ERA_HEADER}: {era}\r\n"
                 head += f"Content-Length: {len(content)}\r\n\r\n"
                 writer.write(head.encode() + content)
         except (CancelledError, OSError, EOFError):
@@ -92,25 +155,30 @@
         return await self._watch(int(query["after"]), int(query["wait-ms"]))
 
     def _range(self, query):
+        self.before_page()
+        source = self
+        if self.stale is not None and query.get("allow-stale") == "1":
+            source = self.stale
         after = query.get("after", "")
         keys = [
             key
-            for key in sorted(self.items_by_key)
+            for key in sorted(source.items_by_key)
             if key.startswith(query["prefix"]) and key > after
         ]
-        items = [self.items_by_key[key] for key in keys[:PAGE_SIZE]]
+        items = [source.items_by_key[key] for key in keys[:PAGE_SIZE]]
         more = len(keys) > PAGE_SIZE
-        return {"items": items, "has-more": more, "current-rev": self.revision}
+        return {"items": items, "has-more": more, "current-rev": source.revision}
 
     async def _watch(self, after, wait_ms):
-        if after < self.compacted_revision:
+        if not self.compacted_revision <= after <= self.revision:
             return 410, {}
+        restores = self.restores
         while not self._events_after(after):
             try:
                 await wait_for(self.changed.wait(), wait_ms / 1000)
             except TimeoutError:
                 break
-            if after < self.compacted_revision:
+            if after < self.compacted_revision or self.restores != restores:
                 raise EOFError
         # Events and revision belong together: both are read after the wait.
         events = self._events_after(after)
