Follow a store that comes back from an older copy

What callers see: connections are opened at a target that has reported to be leaving (DRAIN), and routes are served or refused as an older configuration says (CONFIG), until the store's counter has passed what it was, or for good. Cause: a revision of the store was taken for a time. Views were compared by it in the follower, in the exchange between balancers and in the balancer, so that behind a store whose counter went back the wrong one won; a watch went on from a revision that meant something else. Change: StoreRevision is an era and a revision, ordered in this order, and travels in views, messages, checks and log lines. Each answer's era is read; a later one voids the revision and all is read again without leave to lag, an earlier one is dropped. Routes follow their own version, in views and between balancers, so that none goes back in a process. What was seen of a target goes before the copy: one that leaves does so for its lifetime, one whose entry was removed is left out for 5 s. A watcher of an earlier era counts as none. Messages of the former build decode, without an era; it ignores the new fields.

--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -62,7 +62,7 @@
 
 def update_routing(balancer: ConnectionBalancer, view: RoutingView, now: float) -> None:
     """Apply a view, unless it is older than the current one."""
-    if view.revision < balancer.view.revision:
+    if view.store < balancer.view.store:
         return
     previous, balancer.view = balancer.view, view
     balancer.view_at = balancer.view_at or now
--- a/lycheeglade/connection_balancer_daemon.py
+++ b/lycheeglade/connection_balancer_daemon.py
@@ -116,7 +116,7 @@
         log(
             "view",
             source=source,
-            revision=view.revision,
+            revision=view.store,
             configuration=view.configuration,
             routes=len(view.routes_by_address),
             targets=sum(map(len, view.targets_by_service.values())),
--- a/lycheeglade/connection_opening.py
+++ b/lycheeglade/connection_opening.py
@@ -120,7 +120,7 @@
             targets=len(eligible),
             wait_s=ranked[0].cost if ranked else 0.0,
             limit_s=route.timeout,
-            revision=balancer.view.revision,
+            revision=balancer.view.store,
         )
         balancer.opening_keys.discard(key)
         # An earlier copy may have opened the connection.
@@ -140,7 +140,7 @@
         report_age_s=now - load.reported_at,
         placements=load.recent_placements,
         targets=len(eligible),
-        revision=balancer.view.revision,
+        revision=balancer.view.store,
     )
     load.recent_placements += 1
     message = ForwardSegment(
--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -164,7 +164,7 @@
         asked=len(search.queried_agents),
         denied=len(search.denying_agents),
         after_s=now - search.started_at,
-        revision=balancer.view.revision,
+        revision=balancer.view.store,
     )
     acknowledgement = (
         connection.queued_segments[-1].acknowledgement
--- a/lycheeglade/relay_message.py
+++ b/lycheeglade/relay_message.py
@@ -8,6 +8,7 @@
 from lycheeglade.address import Address
 from lycheeglade.errors import PacketError
 from lycheeglade.segment import ConnectionKey
+from lycheeglade.store_revision import StoreRevision, ViewVersion
 
 
 class Duty(StrEnum):
@@ -130,16 +131,29 @@
 
 
 class Peers(Struct, frozen=True, array_like=True, tag=6):
-    """A balancer's revision of the view, and the balancers that it knows.
+    """The version of a balancer's view, and the balancers that it knows.
 
     Attributes
     ----------
+    revision : int
+        Revision of the sender's view, within `era`.
     addresses : tuple of Address
         A few random balancers that the sender knows.
+    era : int
+        Era of the store, 0 if unknown.
+    configuration : int
+        Version of the routes in the sender's view, 0 if unknown.
     """
 
     revision: int
     addresses: tuple[Address, ...]
+    era: int = 0
+    configuration: int = 0
+
+    @property
+    def version(self) -> ViewVersion:
+        """What the sender's view is based on."""
+        return ViewVersion(StoreRevision(self.era, self.revision), self.configuration)
 
 
 class ConnectionNotHeldBy(Struct, frozen=True, array_like=True, tag=7):
@@ -157,14 +171,19 @@
     zone : str
         Zone of the sender.
     revision : int
-        Revision of the latest change in the sender's view.
+        Revision of the latest change in the sender's view, within `era`.
     checked : int
-        Revision of the store up to which the view lacks no change.
+        Revision of the store up to which the view lacks no change, within
+        `era`.
     duty : Duty
         Whether the sender reads the store.
     neighbours : tuple of Address
         Other balancers of the receiver's zone, if the receiver is new to the
         sender.
+    era : int
+        Era of the store, 0 if unknown.
+    configuration : int
+        Version of the routes in the sender's view, 0 if unknown.
     """
 
     zone: str
@@ -172,6 +191,13 @@
     checked: int
     duty: Duty
     neighbours: tuple[Address, ...] = ()
+    era: int = 0
+    configuration: int = 0
+
+    @property
+    def version(self) -> ViewVersion:
+        """What the sender's view is based on."""
+        return ViewVersion(StoreRevision(self.era, self.revision), self.configuration)
 
 
 class OpeningHeld(Struct, frozen=True, array_like=True, tag=9):
--- a/lycheeglade/route.py
+++ b/lycheeglade/route.py
@@ -1,9 +1,10 @@
 """Routes: the services of connections, and properties of their requests."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from lycheeglade.address import Address
+from lycheeglade.store_revision import StoreRevision, ViewVersion
 from lycheeglade.view import Target
 
 DEFAULT_TIMEOUT_S = 5.0
@@ -40,14 +41,49 @@
 
     Attributes
     ----------
+    revision : int
+        Revision of the store whose targets these are, within `era`.
     configuration : int
-        Revision of the routes, 0 until any are known.
+        Version of the routes, 0 until any are known.
+    era : int
+        Era of the store; see `StoreRevision`.
     """
 
     revision: int = 0
     configuration: int = 0
     routes_by_address: Mapping[Address, Route] = field(default_factory=dict)
     targets_by_service: Mapping[str, Mapping[str, Target]] = field(default_factory=dict)
+    era: int = 0
+
+    @property
+    def store(self) -> StoreRevision:
+        """Revision of the store whose targets these are."""
+        return StoreRevision(self.era, self.revision)
+
+    @property
+    def version(self) -> ViewVersion:
+        """What this view is based on."""
+        return ViewVersion(self.store, self.configuration)
+
+
+def merge_views(known: RoutingView, received: RoutingView) -> RoutingView:
+    """Return the newer targets of two views with the newer routes.
+
+    Returns
+    -------
+    RoutingView
+        `known` itself if `received` has neither.
+    """
+    latest, other = known, received
+    if received.store > known.store:
+        latest, other = received, known
+    if other.configuration <= latest.configuration:
+        return latest
+    return replace(
+        latest,
+        configuration=other.configuration,
+        routes_by_address=other.routes_by_address,
+    )
 
 
 def pick_service(route: Route, flow_hash: int) -> str | None:
--- /dev/null
+++ b/lycheeglade/target_history.py
@@ -0,0 +1,146 @@
+"""What a process knows of targets beyond its view, against a restored store.
+
+A store that comes back from an older copy names targets as ready that have
+since left. Each target says within a few heartbeats what is true; until then
+what this process has seen itself goes before the copy. Targets that the copy
+lacks need nothing here: placement goes on using a target for a short time
+after its entry has disappeared, as after any outage of the store.
+"""
+
+from dataclasses import dataclass, field, replace
+
+from lycheeglade.route import RoutingView
+from lycheeglade.view import State, Target
+
+# A copy of the store is at most this many seconds old.
+REMOVAL_MEMORY_S = 60.0
+# The store removes the restored entry of a target that has ended within this
+# time. One that is still there then belongs to a living target.
+WITHHOLD_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Removal:
+    """The removal of a target's entry from the store.
+
+    Attributes
+    ----------
+    lifetime : int
+        Lifetime of the target whose entry it was.
+    at : float
+        Monotonic seconds.
+    """
+
+    lifetime: int
+    at: float
+
+
+@dataclass(slots=True)
+class TargetHistory:
+    """Targets that were seen to leave.
+
+    Attributes
+    ----------
+    leaving_by_id : dict of str to int
+        Lifetimes of targets that have announced that they leave.
+    removals_by_id : dict of str to Removal
+        Entries that disappeared within `REMOVAL_MEMORY_S`.
+    withheld_until_by_id : dict of str to float
+        Removed targets that the store names again since it was restored, and
+        the time until which they are not used, in monotonic seconds.
+    """
+
+    leaving_by_id: dict[str, int] = field(default_factory=dict)
+    removals_by_id: dict[str, Removal] = field(default_factory=dict)
+    withheld_until_by_id: dict[str, float] = field(default_factory=dict)
+
+    def record(self, previous: RoutingView, view: RoutingView, now: float) -> None:
+        """Record the changes from one view of the store to the next."""
+        before, after = _index_targets(previous), _index_targets(view)
+        is_restored = view.store.era > previous.store.era and before != {}
+        for target_id, removal in list(self.removals_by_id.items()):
+            if now - removal.at > REMOVAL_MEMORY_S:
+                del self.removals_by_id[target_id]
+        if is_restored:
+            for target_id, target in after.items():
+                removal = self.removals_by_id.get(target_id)
+                if removal is not None and target.lifetime <= removal.lifetime:
+                    self.withheld_until_by_id[target_id] = now + WITHHOLD_S
+        else:
+            self._record_removals(before, after, now)
+        for target_id, target in after.items():
+            if target.state is State.LEAVING:
+                self.leaving_by_id[target_id] = target.lifetime
+        known = after.keys() | self.removals_by_id.keys()
+        for target_id in self.leaving_by_id.keys() - known:
+            del self.leaving_by_id[target_id]
+
+    def _record_removals(
+        self, before: dict[str, Target], after: dict[str, Target], now: float
+    ) -> None:
+        for target_id in before.keys() - after.keys():
+            self.removals_by_id[target_id] = Removal(before[target_id].lifetime, now)
+            self.withheld_until_by_id.pop(target_id, None)
+        for target_id in after.keys() - before.keys():
+            # The entry was written again, by a living target.
+            self.removals_by_id.pop(target_id, None)
+
+    def is_due(self, now: float) -> bool:
+        """Return whether `correct` would return more targets than before."""
+        return any(until <= now for until in self.withheld_until_by_id.values())
+
+    def correct(self, view: RoutingView, now: float) -> RoutingView:
+        """Return `view` without what is known to be outdated in it.
+
+        Targets that are withheld are left out. A target that has announced
+        that it leaves does so for the rest of its lifetime.
+        """
+        for target_id, until in list(self.withheld_until_by_id.items()):
+            if until <= now:
+                del self.withheld_until_by_id[target_id]
+                self.removals_by_id.pop(target_id, None)
+        targets_by_service = {}
+        is_changed = False
+        for service, targets in view.targets_by_service.items():
+            corrected = {
+                target_id: self._correct_target(target)
+                for target_id, target in targets.items()
+                if not self._is_withheld(target)
+            }
+            is_changed = is_changed or corrected != targets
+            targets_by_service[service] = corrected
+        if not is_changed:
+            return view
+        return replace(view, targets_by_service=targets_by_service)
+
+    def find_kept_leaving(self, view: RoutingView) -> list[str]:
+        """Return the targets that leave though `view` says otherwise."""
+        return sorted(
+            target_id
+            for target_id, target in _index_targets(view).items()
+            if self._correct_target(target) is not target
+        )
+
+    def _is_withheld(self, target: Target) -> bool:
+        removal = self.removals_by_id.get(target.target_id)
+        return (
+            target.target_id in self.withheld_until_by_id
+            and removal is not None
+            and target.lifetime <= removal.lifetime
+        )
+
+    def _correct_target(self, target: Target) -> Target:
+        lifetime = self.leaving_by_id.get(target.target_id)
+        if target.state is State.LEAVING or lifetime is None:
+            return target
+        if target.lifetime > lifetime:
+            return target
+        return replace(target, state=State.LEAVING)
+
+
+def _index_targets(view: RoutingView) -> dict[str, Target]:
+    return {
+        target_id: target
+        for targets in view.targets_by_service.values()
+        for target_id, target in targets.items()
+    }
--- a/lycheeglade/view.py
+++ b/lycheeglade/view.py
@@ -48,6 +48,9 @@
         Number of requests that the upstream runs concurrently.
     connections : int
         Number of flows that the upstream holds at the same time.
+    lifetime : int
+        Start of the upstream's process in Unix milliseconds, or 0 if it is
+        not reported. A restart under the same ID starts a new lifetime.
     """
 
     target_id: str
@@ -59,6 +62,7 @@
     slots: int = 1
     connections: int = 2000
     state: State = State.LIVE
+    lifetime: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/lycheeglade/view_exchange.py
+++ b/lycheeglade/view_exchange.py
@@ -1,7 +1,7 @@
 """Lets balancers learn of changes of the view from each other.
 
-Balancers tell each other the revisions of their views and whether they read
-the store. One that is behind fetches the whole view from one that is ahead.
+Balancers tell each other the versions of their views and whether they read the
+store. One that is behind fetches the whole view from one that is ahead.
 """
 
 from asyncio import (
@@ -25,6 +25,7 @@
 from lycheeglade.address import Address
 from lycheeglade.relay_message import Duty, Message, Peers, ViewStatus
 from lycheeglade.route import RoutingView
+from lycheeglade.store_revision import StoreRevision, ViewVersion
 from lycheeglade.watch_duty import WATCHER_TIMEOUT_S, ZonePeer, choose_duty
 
 # Balancers named in a message; the receiver learns the others from others.
@@ -54,6 +55,8 @@
 MAX_VIEW_BYTES = 8 << 20
 COMPRESSION_LEVEL = 1
 
+NO_VIEW = ViewVersion()
+
 Send = Callable[[Address, Message], None]
 
 
@@ -63,6 +66,8 @@
 
     Attributes
     ----------
+    version : ViewVersion
+        The newest that it has reported.
     zone : str or None
         Its zone, or None until it has reported it.
     reported_at : float
@@ -70,7 +75,7 @@
     """
 
     heard_at: float
-    revision: int
+    version: ViewVersion
     ahead_since: float
     zone: str | None = None
     duty: Duty = Duty.FOLLOWER
@@ -78,7 +83,7 @@
 
 
 class ViewExchange:
-    """Balancers that this one knows, and the revisions of their views.
+    """Balancers that this one knows, and the versions of their views.
 
     Parameters
     ----------
@@ -91,7 +96,7 @@
     ----------
     duty : Duty
         Whether this balancer reads the store.
-    checked : int
+    checked : StoreRevision
         Revision of the store up to which this balancer's view is complete.
     """
 
@@ -103,7 +108,7 @@
         started_at: float = 0.0,
     ):
         self.duty = Duty.FOLLOWER
-        self.checked = 0
+        self.checked = StoreRevision()
         self._address = address
         self._generator = generator
         self._zone = zone
@@ -121,25 +126,29 @@
         self._is_leaving = False
 
     def receive(
-        self, message: Peers | ViewStatus, source: Address, revision: int, now: float
+        self,
+        message: Peers | ViewStatus,
+        source: Address,
+        version: ViewVersion,
+        now: float,
     ) -> list[tuple[Address, Message]]:
         """Process a message of another balancer; return what to send to whom.
 
-        A balancer that is new here, or whose view is behind `revision`, gets
+        A balancer that is new here, or whose view is behind `version`, gets
         the own status. So do balancers that `source` has named.
         """
         replies: list[tuple[Address, Message]] = []
         if isinstance(message, ViewStatus):
-            is_new = self.receive_status(message, source, revision, now)
-            status = self.make_status(revision)
+            is_new = self.receive_status(message, source, version, now)
+            status = self.make_status(version)
             replies += [(a, status) for a in self.find_strangers(message)]
         else:
             is_new = self.receive_peers(message, source, now)
             if is_new:
-                replies.append((source, self.make_peers(revision)))
-        if is_new or message.revision < revision:
+                replies.append((source, self.make_peers(version)))
+        if is_new or message.version.is_behind(version):
             newcomer = source if is_new else None
-            replies.append((source, self.make_status(revision, newcomer)))
+            replies.append((source, self.make_status(version, newcomer)))
         return replies
 
     def receive_peers(self, message: Peers, source: Address, now: float) -> bool:
@@ -151,21 +160,24 @@
             Whether `source` is new, so that it should get the own status.
         """
         is_new = source not in self._peers_by_address
-        self._record_revision(source, message.revision, now)
+        self._record_version(source, message.version, now)
         for address in message.addresses:
             if address != self._address:
                 self._reported_at_by_address[address] = now
         return is_new
 
     def receive_status(
-        self, status: ViewStatus, source: Address, revision: int, now: float
+        self, status: ViewStatus, source: Address, version: ViewVersion, now: float
     ) -> bool:
         """Record what another balancer's view is based on.
 
+        A watcher of an earlier era of the store has lost touch with it, or
+        can't read the era, and counts as a follower.
+
         Parameters
         ----------
-        revision : int
-            Revision of this balancer's view.
+        version : ViewVersion
+            Version of this balancer's view.
 
         Returns
         -------
@@ -174,33 +186,38 @@
         """
         known = self._peers_by_address.get(source)
         is_new = known is None or known.zone is None
-        peer = self._record_revision(source, status.revision, now)
-        resigns = peer.duty is Duty.WATCHER and status.duty is not Duty.WATCHER
+        peer = self._record_version(source, status.version, now)
+        is_outdated = status.era < version.store.era
+        duty = Duty.FOLLOWER if is_outdated else status.duty
+        resigns = peer.duty is Duty.WATCHER and duty is not Duty.WATCHER
         if resigns and status.zone == self._zone:
             # The others of its zone need not wait for its silence.
             self._watcher_heard_at = now - WATCHER_TIMEOUT_S
         peer.zone = status.zone
-        peer.duty = status.duty
+        peer.duty = duty
         peer.reported_at = now
-        if status.duty is Duty.WATCHER:
+        if duty is Duty.WATCHER:
             if status.zone == self._zone:
                 self._watcher_heard_at = now
-            if status.revision == revision:
-                self.checked = max(self.checked, status.checked)
+            if status.version.store == version.store:
+                checked = StoreRevision(status.era, status.checked)
+                self.checked = max(self.checked, checked)
         return is_new
 
-    def _record_revision(self, source: Address, revision: int, now: float) -> Peer:
+    def _record_version(
+        self, source: Address, version: ViewVersion, now: float
+    ) -> Peer:
         peer = self._peers_by_address.get(source)
         if peer is None:
-            peer = self._peers_by_address[source] = Peer(now, revision, now)
+            peer = self._peers_by_address[source] = Peer(now, version, now)
         else:
             peer.heard_at = now
-            if revision > peer.revision:
-                peer.revision = revision
+            if peer.version.is_behind(version):
+                peer.version = peer.version.combine(version)
                 peer.ahead_since = now
         return peer
 
-    def record_store_answer(self, checked: int) -> None:
+    def record_store_answer(self, checked: StoreRevision) -> None:
         """Record that the store answered, with all changes up to `checked`."""
         self.checked = max(self.checked, checked)
         if self.duty is Duty.TRYING:
@@ -217,8 +234,10 @@
         """Leave the store to the other balancers of the zone from now on."""
         self._is_leaving = True
 
-    def make_status(self, revision: int, newcomer: Address | None = None) -> ViewStatus:
-        """Return the status of this balancer, whose view has `revision`.
+    def make_status(
+        self, version: ViewVersion, newcomer: Address | None = None
+    ) -> ViewStatus:
+        """Return the status of this balancer, whose view has `version`.
 
         Parameters
         ----------
@@ -233,8 +252,16 @@
                 for address, peer in self._peers_by_address.items()
                 if zone is not None and peer.zone == zone and address != newcomer
             ]
-        chosen = neighbours[-MAX_NEIGHBOURS:]
-        return ViewStatus(self._zone, revision, self.checked, self.duty, tuple(chosen))
+        is_current = self.checked.era == version.store.era
+        return ViewStatus(
+            zone=self._zone,
+            revision=version.store.revision,
+            checked=self.checked.revision if is_current else 0,
+            duty=self.duty,
+            neighbours=tuple(neighbours[-MAX_NEIGHBOURS:]),
+            era=version.store.era,
+            configuration=version.configuration,
+        )
 
     def find_strangers(self, status: ViewStatus) -> list[Address]:
         """Return the balancers named in a status that are not known yet."""
@@ -244,9 +271,9 @@
             if address != self._address and address not in self._peers_by_address
         ]
 
-    def announce(self, revision: int, send: Send) -> None:
+    def announce(self, version: ViewVersion, send: Send) -> None:
         """Announce a newer view to the balancers that may lack it."""
-        status = self.make_status(revision)
+        status = self.make_status(version)
         for address in self._status_receivers():
             send(address, status)
 
@@ -281,7 +308,7 @@
         """
         if now >= self._gossip_due_at:
             self._gossip_due_at = now + self.draw_interval(view.configuration)
-            self.gossip(seeds(), view.revision, send, now)
+            self.gossip(seeds(), view.version, send, now)
         duty = self._choose_duty(now)
         if duty is not self.duty or now >= self._status_due_at:
             receivers = self._status_receivers()
@@ -291,7 +318,7 @@
                 FOLLOWER_STATUS_PERIOD_S if is_follower else WATCHER_STATUS_PERIOD_S
             )
             # A balancer that resigns tells those that follow it.
-            status = self.make_status(view.revision)
+            status = self.make_status(view.version)
             for address in {*receivers, *self._status_receivers()}:
                 send(address, status)
         return duty
@@ -307,9 +334,9 @@
         return choose_duty(self._address, self.duty, peers, self._watcher_heard_at, now)
 
     def gossip(
-        self, seeds: tuple[Address, ...], revision: int, send: Send, now: float
+        self, seeds: tuple[Address, ...], version: ViewVersion, send: Send, now: float
     ) -> None:
-        """Send the revision and some known balancers to a few others."""
+        """Send the version and some known balancers to a few others."""
         for address, peer in list(self._peers_by_address.items()):
             if now - peer.heard_at > PEER_TIMEOUT_S:
                 del self._peers_by_address[address]
@@ -320,21 +347,26 @@
         }
         known = {*self._peers_by_address, *self._reported_at_by_address, *seeds}
         known.discard(self._address)
-        message = self.make_peers(revision)
+        message = self.make_peers(version)
         chosen = self._generator.sample(sorted(known), min(GOSSIP_PEERS, len(known)))
-        if not revision:
+        if version == NO_VIEW:
             chosen = sorted({*chosen, *seeds} - {self._address})
         for address in chosen:
             send(address, message)
 
-    def make_peers(self, revision: int) -> Peers:
+    def make_peers(self, version: ViewVersion) -> Peers:
         """Return a message that names a few random balancers."""
         active = sorted(self._peers_by_address)
         chosen = self._generator.sample(active, min(MAX_REPORTED_PEERS, len(active)))
-        return Peers(revision, tuple(chosen))
+        return Peers(
+            revision=version.store.revision,
+            addresses=tuple(chosen),
+            era=version.store.era,
+            configuration=version.configuration,
+        )
 
-    def choose_source(self, revision: int, now: float) -> Address | None:
-        """Return a random balancer with a newer view than `revision`.
+    def choose_source(self, version: ViewVersion, now: float) -> Address | None:
+        """Return a random balancer with a newer view than `version`.
 
         Balancers of the own zone go first. Those of other zones only count
         once they have been ahead for a while.
@@ -344,11 +376,11 @@
         ahead = [
             (address, peer)
             for address, peer in self._peers_by_address.items()
-            if peer.revision > revision
+            if version.is_behind(peer.version)
         ]
         is_watcher = self.duty is Duty.WATCHER
         delay = WATCHER_FETCH_DELAY_S if is_watcher else FETCH_DELAY_S
-        if not revision or now - self._started_at < START_CATCH_UP_S:
+        if version == NO_VIEW or now - self._started_at < START_CATCH_UP_S:
             delay = 0.0
         near = [
             address
@@ -360,6 +392,15 @@
         ]
         return self._generator.choice(ready) if ready else None
 
+    def record_fetch(self, source: Address, version: ViewVersion) -> None:
+        """Record the version of the view that a peer has returned.
+
+        It may have restarted since it reported a newer one.
+        """
+        peer = self._peers_by_address.get(source)
+        if peer is not None:
+            peer.version = version
+
     def record_failed_fetch(self, now: float) -> None:
         """Record that a peer did not return its view."""
         self._fetch_due_at = now + FETCH_RETRY_S
--- a/lycheeglade/view_follower.py
+++ b/lycheeglade/view_follower.py
@@ -9,22 +9,31 @@
 from lycheeglade.address import Address, Zone
 from lycheeglade.connection_daemon import raise_task_failures
 from lycheeglade.relay_message import Duty, Message, Peers, ViewStatus
-from lycheeglade.route import RoutingView
+from lycheeglade.route import RoutingView, merge_views
+from lycheeglade.store_revision import StoreRevision
+from lycheeglade.target_history import TargetHistory
 from lycheeglade.view_exchange import ViewExchange, fetch_view
 
 # Source of the views that this process reads from the store itself.
 STORE = "store"
+# Source of a view that changes since a target is no longer withheld.
+HISTORY = "history"
 
 # Follows the store: gets a view to start from, the revision up to which that
 # view is complete, and callbacks for newer views and for answers and failures.
 FollowStore = Callable[
-    [RoutingView, int, Callable[[RoutingView], None], Callable[[int | None], None]],
+    [
+        RoutingView,
+        StoreRevision,
+        Callable[[RoutingView], None],
+        Callable[[StoreRevision | None], None],
+    ],
     Awaitable[None],
 ]
 
 # Reads the store once: returns the view and the revision up to which it is
 # complete, or None if the store fails to answer.
-ReadStore = Callable[[], Awaitable[tuple[RoutingView, int] | None]]
+ReadStore = Callable[[], Awaitable[tuple[RoutingView, StoreRevision] | None]]
 
 
 class ViewFollower:
@@ -33,6 +42,9 @@
     At the start it reads the store once. After a loss of power no balancer has
     a view, and those that would be asked for it may be the last to start.
 
+    Neither the routes nor what is known of a target go back, also if the store
+    returns from an older copy.
+
     Parameters
     ----------
     read_store : callable
@@ -70,18 +82,19 @@
         self._send = send
         self._log = log
         self._view = RoutingView()
+        self._history = TargetHistory()
         self._reading: Task | None = None
         self._following: Task | None = None
         self._fetching: Task | None = None
 
     def get_view(self) -> RoutingView:
-        """Return the latest view."""
+        """Return the latest view, as the store and the operators wrote it."""
         return self._view
 
     def receive(self, message: Peers | ViewStatus, source: Address, now: float) -> None:
         """Process a message of another balancer."""
-        revision = self._view.revision
-        for address, reply in self._exchange.receive(message, source, revision, now):
+        version = self._view.version
+        for address, reply in self._exchange.receive(message, source, version, now):
             self._send(address, reply)
 
     def tick(self, now: float) -> None:
@@ -112,9 +125,11 @@
                 )
             )
         if self._fetching is None or self._fetching.done():
-            source = self._exchange.choose_source(self._view.revision, now)
+            source = self._exchange.choose_source(self._view.version, now)
             if source is not None:
                 self._fetching = create_task(self._fetch(source))
+        if self._history.is_due(now):
+            self._apply_view(self._history.correct(self._view, now), HISTORY)
 
     def resign(self) -> None:
         """Leave the store to the others, since this process is stopping."""
@@ -132,7 +147,7 @@
             self._following.cancel()
             self._following = None
 
-    def _observe(self, checked: int | None) -> None:
+    def _observe(self, checked: StoreRevision | None) -> None:
         if checked is None:
             self._exchange.record_store_failure()
         else:
@@ -142,25 +157,47 @@
         # Without routes a view can't be used, and peers must not fetch it.
         if not view.configuration or view is self._view:
             return
-        if view.revision <= self._view.revision:
-            if view.revision < self._view.revision:
+        known = self._view
+        merged = merge_views(known, view)
+        if merged is known:
+            if view.store < known.store:
                 self._log(
                     "view-ignored",
                     source=source,
-                    revision=view.revision,
-                    known=self._view.revision,
+                    revision=view.store,
+                    known=known.store,
                 )
             return
-        self._view = view
-        self._apply_view(view, source)
-        self._exchange.announce(view.revision, self._send)
+        now = monotonic()
+        self._view = merged
+        self._history.record(known, merged, now)
+        corrected = self._history.correct(merged, now)
+        if known.configuration and merged.era != known.era:
+            self._log_era(known, view, corrected)
+        self._apply_view(corrected, source)
+        self._exchange.announce(merged.version, self._send)
+
+    def _log_era(
+        self, known: RoutingView, restored: RoutingView, corrected: RoutingView
+    ) -> None:
+        """Log what is kept against a store that came back from a copy."""
+        self._log(
+            "store-era",
+            era=restored.era,
+            known_era=known.era,
+            revision=restored.revision,
+            known_revision=known.revision,
+            configuration=corrected.configuration,
+            withheld=",".join(sorted(self._history.withheld_until_by_id)),
+            kept_leaving=",".join(self._history.find_kept_leaving(restored)),
+        )
 
     async def _read(self) -> None:
         answer = await self._read_store()
         if answer is not None:
             view, checked = answer
             self._publish(view, STORE)
-            if view is self._view:
+            if view.store == self._view.store:
                 self._exchange.record_store_answer(checked)
 
     async def _fetch(self, source: Address) -> None:
@@ -168,4 +205,5 @@
         if view is None:
             self._exchange.record_failed_fetch(monotonic())
         else:
+            self._exchange.record_fetch(source, view.version)
             self._publish(view, str(source))
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -5,6 +5,7 @@
 
 from catalog import CONFIGURATION_KEY, Catalog, WireItem
 from lycheeglade.address import Address, Zone
+from lycheeglade.store_revision import StoreRevision
 from lycheeglade.view import State
 
 TARGET = {
@@ -56,7 +57,7 @@
     unsafe = {**ROUTE, "prefix": "/80/", "type": "unsafe", "backends": SPLIT}
     del unsafe["service"]
     catalog.apply(configuration(7, ROUTE, unsafe))
-    view = catalog.view(100)
+    view = catalog.view(StoreRevision(1, 100))
     assert (view.revision, view.configuration) == (100, 7)
     route = view.routes_by_address[Address("198.18.0.1", 8443)]
     assert route.weights_by_service == {"s1": 1.0}
@@ -70,20 +71,20 @@
 def test_older_configuration_is_not_taken(catalog):
     catalog.apply(configuration(7, ROUTE))
     catalog.apply(configuration(6))
-    assert len(catalog.view(1).routes_by_address) == 1
+    assert len(catalog.view(StoreRevision(1, 1)).routes_by_address) == 1
 
 
 def test_targets(catalog):
     catalog.apply(item("servers/i-1", TARGET))
     catalog.apply(item("servers/i-2", {**TARGET, "state": "draining"}))
-    targets = catalog.view(1).targets_by_service["s1"]
+    targets = catalog.view(StoreRevision(1, 1)).targets_by_service["s1"]
     assert targets["i-1"].agent == Address("10.128.0.9", 7720)
     assert targets["i-1"].upstream == Address("10.128.0.9", 8080)
     assert targets["i-1"].zone == Zone("viti-west", "nadi-a")
     assert targets["i-1"].slots == 3
     assert targets["i-2"].state is State.LEAVING
     catalog.apply(WireItem("servers/i-1", deleted=True))
-    assert list(catalog.view(2).targets_by_service["s1"]) == ["i-2"]
+    assert list(catalog.view(StoreRevision(1, 2)).targets_by_service["s1"]) == ["i-2"]
 
 
 @pytest.mark.parametrize(
@@ -103,7 +104,7 @@
     catalog.apply(item("servers/i-1", TARGET))
     catalog.apply(item("servers/i-2", TARGET))
     catalog.apply(item("servers/i-1", value))
-    assert list(catalog.view(1).targets_by_service["s1"]) == ["i-2"]
+    assert list(catalog.view(StoreRevision(1, 1)).targets_by_service["s1"]) == ["i-2"]
     assert events == ["unreadable"]
 
 
@@ -115,13 +116,13 @@
 def test_unreadable_configuration_leaves_the_last_one_in_force(catalog, events):
     catalog.apply(configuration(7, ROUTE))
     catalog.apply(item(CONFIGURATION_KEY, {"version": 8, "routes": "none"}))
-    assert catalog.view(1).configuration == 7
+    assert catalog.view(StoreRevision(1, 1)).configuration == 7
     assert events == ["unreadable"]
 
 
 def test_other_keys_are_left_alone(catalog, events):
     catalog.apply(item("op/other", {"version": 9}))
-    assert catalog.view(1).configuration == 0
+    assert catalog.view(StoreRevision(1, 1)).configuration == 0
     assert events == []
 
 
@@ -136,29 +137,29 @@
 )
 def test_what_a_kind_of_route_allows(catalog, kind, repeatable, is_bulk):
     catalog.apply(configuration(7, {**ROUTE, "type": kind}))
-    (route,) = catalog.view(100).routes_by_address.values()
+    (route,) = catalog.view(StoreRevision(1, 100)).routes_by_address.values()
     assert (route.repeatable, route.is_bulk) == (repeatable, is_bulk)
 
 
 def test_change_of_unused_fields_keeps_the_view_and_its_revision(catalog):
     catalog.apply(configuration(7, ROUTE))
     catalog.apply(item("servers/i-1", TARGET))
-    view = catalog.view(100)
+    view = catalog.view(StoreRevision(1, 100))
     catalog.apply(item("servers/i-1", {**TARGET, "sequence": 9, "warmup-left-ms": 50}))
-    assert catalog.view(104) is view
+    assert catalog.view(StoreRevision(1, 104)) is view
     catalog.apply(item("servers/i-1", {**TARGET, "state": "draining"}))
-    assert catalog.view(105).revision == 105
+    assert catalog.view(StoreRevision(1, 105)).revision == 105
 
 
 def test_catalog_goes_on_from_a_view_of_another_balancer(catalog):
     catalog.apply(configuration(7, ROUTE))
     catalog.apply(item("servers/i-1", TARGET))
-    view = catalog.view(100)
+    view = catalog.view(StoreRevision(1, 100))
     follower = Catalog({"nadi-a": "viti-west"}, 7720, lambda event, **fields: None)
     follower.restore(view)
-    assert follower.view(101) is view
+    assert follower.view(StoreRevision(1, 101)) is view
     follower.apply(item("servers/i-1", {}, deleted=True))
-    changed = follower.view(102)
+    changed = follower.view(StoreRevision(1, 102))
     assert changed.revision == 102
     assert changed.routes_by_address == view.routes_by_address
     assert not changed.targets_by_service
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -6,10 +6,16 @@
 from catalog import CONFIGURATION_KEY, Catalog
 from lycheeglade.address import Address
 from store import HistoryGoneError, StoreClient, StoreError, WireEvents
+from store_era import EraReader
 from store_reader import follow_store
 from tests.store_stand_in import StoreStandIn
 from tests.test_catalog import ROUTE, TARGET
 
+
+def ignore_event(event, **fields):
+    pass
+
+
 # Covers the whole start, up to the wait for the first watch, on loopback.
 MAX_LOOP_STEPS = 120
 STOP_GRACE_S = 0.5
@@ -29,12 +35,10 @@
 @pytest.fixture
 async def follower(store):
     views = []
-    catalog = Catalog({"nadi-a": "viti-west"}, 7720, lambda event, **fields: None)
-    client = StoreClient(store.address)
+    catalog = Catalog({"nadi-a": "viti-west"}, 7720, ignore_event)
+    client = StoreClient(store.address, EraReader(ignore_event))
     task = create_task(
-        follow_store(
-            client, catalog, views.append, Random(1), lambda event, **fields: None
-        )
+        follow_store(client, catalog, views.append, Random(1), ignore_event)
     )
     yield views
     task.cancel()
@@ -85,7 +89,7 @@
 
 
 async def test_store_that_is_down_is_an_error(store):
-    client = StoreClient(store.address)
+    client = StoreClient(store.address, EraReader(ignore_event))
     store.status = 410
     with pytest.raises(HistoryGoneError):
         await client.get("/kv-watch?after=1&wait-ms=1&prefix=", WireEvents, 1.0)
@@ -99,7 +103,7 @@
 
 
 async def test_answer_that_does_not_come_is_an_error(store):
-    client = StoreClient(store.address)
+    client = StoreClient(store.address, EraReader(ignore_event))
     path = f"/kv-watch?after={store.revision}&wait-ms=5000&prefix="
     with pytest.raises(StoreError):
         await client.get(path, WireEvents, 0.1)
@@ -109,8 +113,8 @@
     """A balancer stops by cancelling its tasks, wherever they wait."""
     for steps in range(MAX_LOOP_STEPS):
         log = []
-        client = StoreClient(store.address)
-        catalog = Catalog({"nadi-a": "viti-west"}, 7720, lambda event, **fields: None)
+        client = StoreClient(store.address, EraReader(ignore_event))
+        catalog = Catalog({"nadi-a": "viti-west"}, 7720, ignore_event)
         task = create_task(
             follow_store(
                 client,
--- a/tests/test_view_exchange.py
+++ b/tests/test_view_exchange.py
@@ -7,6 +7,7 @@
 from lycheeglade.address import Address
 from lycheeglade.relay_message import Peers, decode_message, encode_message
 from lycheeglade.route import RoutingView
+from lycheeglade.store_revision import StoreRevision, ViewVersion
 from lycheeglade.view_exchange import (
     FETCH_DELAY_S,
     PEER_TIMEOUT_S,
@@ -24,6 +25,10 @@
 STOP_GRACE_S = 0.5
 
 
+def make_version(revision):
+    return ViewVersion(StoreRevision(0, revision), 0)
+
+
 @pytest.fixture
 def exchange():
     return ViewExchange(OWN, Random(1))
@@ -50,45 +55,55 @@
 
 def test_peer_that_stays_ahead_is_asked(exchange):
     exchange.receive_peers(Peers(9, ()), PEER, 1.0)
-    assert exchange.choose_source(9, 5.0) is None
-    assert exchange.choose_source(8, 1.0) is None
-    assert exchange.choose_source(8, 1.01 + FETCH_DELAY_S) == PEER
+    assert exchange.choose_source(make_version(9), 5.0) is None
+    assert exchange.choose_source(make_version(8), 1.0) is None
+    assert exchange.choose_source(make_version(8), 1.01 + FETCH_DELAY_S) == PEER
 
 
 def test_process_that_starts_catches_up_without_a_delay():
     """Its first read of the store may be older than its peers' views."""
     started = ViewExchange(OWN, Random(1), started_at=20.0)
     started.receive_peers(Peers(9, ()), PEER, 20.1)
-    assert started.choose_source(8, 20.1) == PEER
+    assert started.choose_source(make_version(8), 20.1) == PEER
 
 
 def test_peers_of_peers_become_known(exchange):
     exchange.receive_peers(Peers(9, (THIRD, OWN)), PEER, 1.0)
     sent = []
-    exchange.gossip((), 9, lambda address, message: sent.append(address), 1.1)
+    exchange.gossip(
+        (), make_version(9), lambda address, message: sent.append(address), 1.1
+    )
     assert sorted(sent) == [PEER, THIRD]
 
 
 def test_peer_that_is_silent_is_forgotten(exchange):
     exchange.receive_peers(Peers(9, ()), PEER, 1.0)
-    exchange.gossip((), 1, lambda address, message: None, 1.1 + PEER_TIMEOUT_S)
-    assert exchange.choose_source(1, 1.1 + PEER_TIMEOUT_S) is None
+    exchange.gossip(
+        (), make_version(1), lambda address, message: None, 1.1 + PEER_TIMEOUT_S
+    )
+    assert exchange.choose_source(make_version(1), 1.1 + PEER_TIMEOUT_S) is None
 
 
 def test_seeds_are_asked_and_never_oneself(exchange):
     sent = []
-    exchange.gossip((OWN,), 0, lambda address, message: sent.append(address), 1.0)
+    exchange.gossip(
+        (OWN,), make_version(0), lambda address, message: sent.append(address), 1.0
+    )
     assert sent == []
-    exchange.gossip((OWN, PEER), 1, lambda address, message: sent.append(address), 1.0)
+    exchange.gossip(
+        (OWN, PEER), make_version(1), lambda address, message: sent.append(address), 1.0
+    )
     assert sent == [PEER]
     # Without a view, all seeds are asked at once, and the first that has one
     # is the source.
     seeds = (OWN, PEER, THIRD, Address("10.1.0.4", 7720))
     sent.clear()
-    exchange.gossip(seeds, 0, lambda address, message: sent.append(address), 1.0)
+    exchange.gossip(
+        seeds, make_version(0), lambda address, message: sent.append(address), 1.0
+    )
     assert sorted(sent) == sorted(seeds[1:])
     exchange.receive_peers(Peers(9, ()), PEER, 1.1)
-    assert exchange.choose_source(0, 1.1) == PEER
+    assert exchange.choose_source(make_version(0), 1.1) == PEER
 
 
 def test_messages_are_read_as_they_were_written():
--- a/tests/test_view_follower.py
+++ b/tests/test_view_follower.py
@@ -2,6 +2,7 @@
 from random import Random
 
 from lycheeglade.address import Address, Zone
+from lycheeglade.store_revision import StoreRevision
 from lycheeglade.view_follower import ViewFollower
 from tests.connections import make_target, make_view
 
@@ -44,5 +45,9 @@
     (event,) = probe.events
     assert event == (
         "view-ignored",
-        {"source": "10.1.0.2:7720", "revision": 8, "known": 9},
+        {
+            "source": "10.1.0.2:7720",
+            "revision": StoreRevision(0, 8),
+            "known": StoreRevision(0, 9),
+        },
     )
--- a/tests/test_watch_duty.py
+++ b/tests/test_watch_duty.py
@@ -27,12 +27,19 @@
 
 def assert_in_force_in_time(fleet):
     changed_at = fleet.now
-    revision = fleet.change()
+    version = fleet.change()
     fleet.advance(SETTLE_S)
-    assert fleet.last_reached_at(revision) - changed_at <= CHANGE_BOUND_S
+    assert fleet.last_reached_at(version) - changed_at <= CHANGE_BOUND_S
+    assert_nothing_went_back(fleet)
+
+
+def assert_nothing_went_back(fleet):
     for node in fleet.nodes_by_address.values():
-        revisions = [seen for _, seen in node.history]
-        assert revisions == sorted(revisions)
+        versions = [seen for _, seen in node.history]
+        stores = [version.store for version in versions]
+        assert stores == sorted(stores)
+        configurations = [version.configuration for version in versions]
+        assert configurations == sorted(configurations)
 
 
 def test_one_balancer_of_each_zone_watches(fleet):
--- a/tests/watch_fleet.py
+++ b/tests/watch_fleet.py
@@ -1,14 +1,15 @@
 """Balancers that follow a store in virtual time, without sockets."""
 
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from heapq import heappop, heappush
 from itertools import count
 from random import Random
 
 from lycheeglade.address import Address
 from lycheeglade.relay_message import Duty, Peers, ViewStatus
-from lycheeglade.route import RoutingView
+from lycheeglade.route import RoutingView, merge_views
+from lycheeglade.store_revision import ViewVersion
 from lycheeglade.view_exchange import ViewExchange
 
 TICK_S = 0.02
@@ -26,18 +27,14 @@
     address: Address
     zone: str
     exchange: ViewExchange
-    revision: int = 0
+    view: RoutingView = field(default_factory=RoutingView)
     is_alive: bool = True
     reaches_store: bool = True
     store_is_silent: bool = False
     reaches_peers: bool = True
     watch_due_at: float | None = None
     fetching: bool = False
-    history: list[tuple[float, int]] = field(default_factory=list)
-
-    @property
-    def view(self) -> RoutingView:
-        return RoutingView(self.revision, self.revision)
+    history: list[tuple[float, ViewVersion]] = field(default_factory=list)
 
 
 class WatchFleet:
@@ -46,7 +43,7 @@
     def __init__(self, zones: int, per_zone: int, seed: int = 1):
         self.random = Random(seed)
         self.now = 0.0
-        self.revision = 7
+        self.view = RoutingView(revision=7, configuration=7, era=1)
         self.calls: Counter[str] = Counter()
         self.start_reads = 0
         self._order = count()
@@ -63,7 +60,7 @@
         node = self.nodes_by_address[address] = Node(address, zone, exchange)
         self._at(self.random.uniform(0, TICK_S), lambda: self._tick(node))
         self.start_reads += 1
-        self._at(CALL_S, lambda: self._read_at_start(node, self.revision))
+        self._at(CALL_S, lambda: self._read_at_start(node, self.view))
         return node
 
     def advance(self, seconds: float) -> None:
@@ -73,10 +70,23 @@
             action()
         self.now = end
 
-    def change(self) -> int:
-        """Change the store; return the new revision."""
-        self.revision += 1
-        return self.revision
+    def change(self, configuration: int | None = None) -> ViewVersion:
+        """Write a configuration, by default the next one."""
+        self.view = replace(
+            self.view,
+            revision=self.view.revision + 1,
+            configuration=configuration or self.view.configuration + 1,
+        )
+        return self.view.version
+
+    def restore(self, lost: int) -> None:
+        """Put the store back to a copy that lacks the last changes."""
+        self.view = replace(
+            self.view,
+            era=self.view.era + 1,
+            revision=self.view.revision - lost,
+            configuration=self.view.configuration - lost,
+        )
 
     def watchers(self, zone: str) -> list[Node]:
         return [
@@ -87,10 +97,13 @@
             and node.exchange.duty is Duty.WATCHER
         ]
 
-    def last_reached_at(self, revision: int) -> float:
-        """Return when the last live balancer had `revision`, or infinity."""
+    def last_reached_at(self, version: ViewVersion) -> float:
+        """Return when the last live balancer had `version`, or infinity."""
         return max(
-            next((at for at, seen in node.history if seen >= revision), float("inf"))
+            next(
+                (at for at, seen in node.history if not seen.is_behind(version)),
+                float("inf"),
+            )
             for node in self.nodes_by_address.values()
             if node.is_alive
         )
@@ -110,7 +123,7 @@
         elif node.watch_due_at is None:
             node.watch_due_at = self.now
         self._call_store(node)
-        source = node.exchange.choose_source(node.revision, self.now)
+        source = node.exchange.choose_source(node.view.version, self.now)
         if source is not None and not node.fetching:
             node.fetching = True
             self._at(FETCH_S, lambda: self._fetch(node, source))
@@ -120,39 +133,44 @@
         if node.watch_due_at is None or node.watch_due_at > self.now:
             return
         is_first = node.exchange.duty is Duty.TRYING
-        if not is_first and node.exchange.checked >= self.revision:
+        if not is_first and node.exchange.checked >= self.view.store:
             return
         if node.store_is_silent:
             return
         self.calls[node.zone] += 1
+        if node.exchange.checked.era < self.view.era:
+            # The answer names a new era; everything is read again.
+            self.calls[node.zone] += 1
         node.watch_due_at = self.now + BATCH_PAUSE_S
-        self._at(CALL_S, lambda: self._receive_answer(node, self.revision))
+        self._at(CALL_S, lambda: self._receive_answer(node, self.view))
 
-    def _read_at_start(self, node: Node, revision: int) -> None:
+    def _read_at_start(self, node: Node, view: RoutingView) -> None:
         if node.reaches_store and node.is_alive:
-            self._publish(node, revision)
-            node.exchange.record_store_answer(revision)
+            self._publish(node, view)
+            node.exchange.record_store_answer(view.store)
 
-    def _receive_answer(self, node: Node, revision: int) -> None:
+    def _receive_answer(self, node: Node, view: RoutingView) -> None:
         if not node.is_alive or node.exchange.duty is Duty.FOLLOWER:
             return
         if not node.reaches_store:
             node.exchange.record_store_failure()
             return
-        node.exchange.record_store_answer(revision)
-        self._publish(node, revision)
+        node.exchange.record_store_answer(view.store)
+        self._publish(node, view)
 
-    def _publish(self, node: Node, revision: int) -> None:
-        if revision > node.revision:
-            node.revision = revision
-            node.history.append((self.now, revision))
-            node.exchange.announce(revision, self._sender(node))
+    def _publish(self, node: Node, view: RoutingView) -> None:
+        merged = merge_views(node.view, view)
+        if merged is not node.view:
+            node.view = merged
+            node.history.append((self.now, merged.version))
+            node.exchange.announce(merged.version, self._sender(node))
 
     def _fetch(self, node: Node, source: Address) -> None:
         node.fetching = False
         peer = self.nodes_by_address[source]
         if self._can_send(node, peer):
-            self._publish(node, peer.revision)
+            node.exchange.record_fetch(source, peer.view.version)
+            self._publish(node, peer.view)
         else:
             node.exchange.record_failed_fetch(self.now)
 
@@ -179,6 +197,6 @@
             return
         send = self._sender(node)
         for address, reply in node.exchange.receive(
-            message, source, node.revision, self.now
+            message, source, node.view.version, self.now
         ):
             send(address, reply)
