Test what is kept against a restored store, and separate it from the follower

KnownView holds the views' merge and the history of targets without I/O, so that the fleet in virtual time goes by the same code as the follower.

--- /dev/null
+++ b/lycheeglade/known_view.py
@@ -0,0 +1,46 @@
+"""The view that a process goes by, from all the views that it receives."""
+
+from dataclasses import dataclass, field
+
+from lycheeglade.route import RoutingView, merge_views
+from lycheeglade.target_history import TargetHistory
+
+
+@dataclass(slots=True)
+class KnownView:
+    """The newest view so far, and what it no longer says of targets.
+
+    Attributes
+    ----------
+    view : RoutingView
+        Newest targets and newest routes, as they were written; other
+        balancers are given this one.
+    history : TargetHistory
+        Targets that were seen to leave.
+    """
+
+    view: RoutingView = field(default_factory=RoutingView)
+    history: TargetHistory = field(default_factory=TargetHistory)
+
+    def receive(self, view: RoutingView, now: float) -> bool:
+        """Take what is newer in `view`; return whether anything was.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        """
+        merged = merge_views(self.view, view)
+        if merged is self.view:
+            return False
+        self.history.record(self.view, merged, now)
+        self.view = merged
+        return True
+
+    def is_due(self, now: float) -> bool:
+        """Return whether `correct` would return more targets than before."""
+        return self.history.is_due(now)
+
+    def correct(self, now: float) -> RoutingView:
+        """Return the view by which connections are placed."""
+        return self.history.correct(self.view, now)
--- a/lycheeglade/view_follower.py
+++ b/lycheeglade/view_follower.py
@@ -8,10 +8,10 @@
 
 from lycheeglade.address import Address, Zone
 from lycheeglade.connection_daemon import raise_task_failures
+from lycheeglade.known_view import KnownView
 from lycheeglade.relay_message import Duty, Message, Peers, ViewStatus
-from lycheeglade.route import RoutingView, merge_views
+from lycheeglade.route import RoutingView
 from lycheeglade.store_revision import StoreRevision
-from lycheeglade.target_history import TargetHistory
 from lycheeglade.view_exchange import ViewExchange, fetch_view
 
 # Source of the views that this process reads from the store itself.
@@ -81,19 +81,18 @@
         self._apply_view = apply_view
         self._send = send
         self._log = log
-        self._view = RoutingView()
-        self._history = TargetHistory()
+        self._known = KnownView()
         self._reading: Task | None = None
         self._following: Task | None = None
         self._fetching: Task | None = None
 
     def get_view(self) -> RoutingView:
         """Return the latest view, as the store and the operators wrote it."""
-        return self._view
+        return self._known.view
 
     def receive(self, message: Peers | ViewStatus, source: Address, now: float) -> None:
         """Process a message of another balancer."""
-        version = self._view.version
+        version = self._known.view.version
         for address, reply in self._exchange.receive(message, source, version, now):
             self._send(address, reply)
 
@@ -110,7 +109,7 @@
         tasks = (self._reading, self._following, self._fetching)
         raise_task_failures([task for task in tasks if task is not None])
         previous = self._exchange.duty
-        duty = self._exchange.tick(self._find_seeds, self._view, self._send, now)
+        duty = self._exchange.tick(self._find_seeds, self._known.view, self._send, now)
         if duty is not previous:
             self._log("view-duty", duty=duty, checked=self._exchange.checked)
         if duty is Duty.FOLLOWER:
@@ -118,18 +117,18 @@
         elif self._following is None:
             self._following = create_task(
                 self._follow_store(
-                    self._view,
+                    self._known.view,
                     self._exchange.checked,
                     partial(self._publish, source=STORE),
                     self._observe,
                 )
             )
         if self._fetching is None or self._fetching.done():
-            source = self._exchange.choose_source(self._view.version, now)
+            source = self._exchange.choose_source(self._known.view.version, now)
             if source is not None:
                 self._fetching = create_task(self._fetch(source))
-        if self._history.is_due(now):
-            self._apply_view(self._history.correct(self._view, now), HISTORY)
+        if self._known.is_due(now):
+            self._apply_view(self._known.correct(now), HISTORY)
 
     def resign(self) -> None:
         """Leave the store to the others, since this process is stopping."""
@@ -155,41 +154,39 @@
 
     def _publish(self, view: RoutingView, source: str) -> None:
         # Without routes a view can't be used, and peers must not fetch it.
-        if not view.configuration or view is self._view:
+        if not view.configuration or view is self._known.view:
             return
-        known = self._view
-        merged = merge_views(known, view)
-        if merged is known:
-            if view.store < known.store:
+        now = monotonic()
+        previous = self._known.view
+        if not self._known.receive(view, now):
+            if view.store < previous.store:
                 self._log(
                     "view-ignored",
                     source=source,
                     revision=view.store,
-                    known=known.store,
+                    known=previous.store,
                 )
             return
-        now = monotonic()
-        self._view = merged
-        self._history.record(known, merged, now)
-        corrected = self._history.correct(merged, now)
-        if known.configuration and merged.era != known.era:
-            self._log_era(known, view, corrected)
+        corrected = self._known.correct(now)
+        if previous.configuration and corrected.era != previous.era:
+            self._log_era(previous, view, corrected)
         self._apply_view(corrected, source)
-        self._exchange.announce(merged.version, self._send)
+        self._exchange.announce(self._known.view.version, self._send)
 
     def _log_era(
-        self, known: RoutingView, restored: RoutingView, corrected: RoutingView
+        self, previous: RoutingView, restored: RoutingView, corrected: RoutingView
     ) -> None:
         """Log what is kept against a store that came back from a copy."""
+        history = self._known.history
         self._log(
             "store-era",
             era=restored.era,
-            known_era=known.era,
+            known_era=previous.era,
             revision=restored.revision,
-            known_revision=known.revision,
+            known_revision=previous.revision,
             configuration=corrected.configuration,
-            withheld=",".join(sorted(self._history.withheld_until_by_id)),
-            kept_leaving=",".join(self._history.find_kept_leaving(restored)),
+            withheld=",".join(sorted(history.withheld_until_by_id)),
+            kept_leaving=",".join(history.find_kept_leaving(restored)),
         )
 
     async def _read(self) -> None:
@@ -197,7 +194,7 @@
         if answer is not None:
             view, checked = answer
             self._publish(view, STORE)
-            if view.store == self._view.store:
+            if view.store == self._known.view.store:
                 self._exchange.record_store_answer(checked)
 
     async def _fetch(self, source: Address) -> None:
--- a/tests/store_stand_in.py
+++ b/tests/store_stand_in.py
@@ -57,6 +57,7 @@
         self.items_by_key = {}
         self.events = []
         self.calls = []
+        self.targets = []
         self.compacted_revision = 0
         self.status = 200
         self.restores = 0
@@ -122,15 +123,14 @@
             while True:
                 request = await reader.readuntil(b"\r\n\r\n")
                 target = request.split()[1].decode()
-                era = self.era
                 status, body = await self._answer(target)
                 if self.loses_watch_answers and target.startswith("/kv-watch"):
                     await reader.read()
                     return
                 content = dumps(body).encode()
                 head = f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
-                if era is not None:
-                    head += f"{ERA_HEADER}: {era}\r\n"
+                if self.era is not None:
+                    head += f"{ERA_HEADER}: {self.era}\r\n"
                 head += f"Content-Length: {len(content)}\r\n\r\n"
                 writer.write(head.encode() + content)
         except (CancelledError, OSError, EOFError):
@@ -143,6 +143,7 @@
         values_by_name = parse_qs(parts.query, keep_blank_values=True)
         query = {name: values[0] for name, values in values_by_name.items()}
         self.calls.append(parts.path)
+        self.targets.append(target)
         if self.status != 200:
             return self.status, {}
         if parts.path == "/kv-key":
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -163,3 +163,92 @@
         lambda: balancer.find_targets(State.LEAVING) == {"i-0"},
         STABILITY_S + CONFIG_APPLY_S,
     )
+
+
+async def test_older_configuration_of_a_copy_does_not_come_into_force(store, balancer):
+    copy = store.copy()
+    put_configuration(store, 9, SECOND_ROUTE.ip)
+    await wait_until(lambda: balancer.versions[-1] == 9)
+    store.restore(copy)
+    await wait_until(lambda: balancer.views[-1].era == store.era)
+    await sleep(10 * TICK_S)
+    assert list(balancer.views[-1].routes_by_address) == [SECOND_ROUTE]
+    put_configuration(store, 9, SECOND_ROUTE.ip)
+    put_configuration(store, 11, FIRST_ROUTE.ip)
+    await wait_until(lambda: balancer.versions[-1] == 11)
+    assert balancer.versions == sorted(balancer.versions)
+    (event,) = [fields for name, fields in balancer.events if name == "store-era"]
+    assert (event["known_era"], event["era"]) == (1, 2)
+    assert event["known_revision"] > event["revision"] == copy.revision
+    assert event["configuration"] == 9
+
+
+async def test_store_is_read_without_leave_to_lag_after_a_restore(store, balancer):
+    copy = store.copy()
+    put_target(store, 0, "draining")
+    await wait_until(lambda: balancer.find_targets(State.LEAVING) == {"i-0"})
+    store.stale = copy
+    store.targets.clear()
+    store.restore(copy)
+    await wait_until(lambda: balancer.views[-1].era == store.era)
+    assert any(target.startswith("/kv-range") for target in store.targets)
+    assert not any("allow-stale" in target for target in store.targets)
+
+
+async def test_refusal_that_names_a_new_era_voids_the_known_revision(store, balancer):
+    copy = store.copy()
+    for number in range(5, 9):
+        put_target(store, number)
+    await wait_until(lambda: len(balancer.find_targets(State.LIVE)) == 9)
+    store.status = 503
+    store.restore(copy)
+    await wait_until(lambda: store.calls[-2:] == ["/kv-range", "/kv-range"])
+    for number in range(4):
+        put_target(store, number, "draining")
+    put_target(store, 9)
+    store.status = 200
+    await wait_until(lambda: balancer.find_targets(State.LIVE) == {"i-4", "i-9"})
+
+
+async def test_answer_of_an_earlier_era_is_dropped_with_a_log_line(store, balancer):
+    store.era = 7
+    put_target(store, 5)
+    await wait_until(lambda: balancer.views[-1].era == 7)
+    store.era = 6
+    put_target(store, 0, "draining")
+    await wait_until(lambda: "store-lost" in dict(balancer.events))
+    assert "expected an answer of era 7, got 6" in str(dict(balancer.events))
+    assert balancer.find_targets(State.LEAVING) == set()
+    store.era = 7
+    await wait_until(lambda: balancer.find_targets(State.LEAVING) == {"i-0"})
+
+
+@pytest.mark.parametrize("header", [None, "", "two", "-1", "1.5"])
+async def test_answers_without_a_readable_era_leave_it_as_it_was(
+    store, balancer, header
+):
+    store.era = header
+    for number in (5, 6):
+        put_target(store, number)
+        await wait_until(
+            lambda: len(balancer.find_targets(State.LIVE)) > number  # noqa: B023
+        )
+    lines = [fields for name, fields in balancer.events if "unreadable" in name]
+    (line,) = lines
+    assert line["era"] == 1
+    assert line["expected"] == "Store-Era: a whole number"
+    assert balancer.views[-1].era == 1
+
+
+async def test_store_without_eras_is_followed(store):
+    store.era = None
+    following = FollowingBalancer(store)
+    task = create_task(following.run())
+    await wait_until(lambda: len(following.find_targets(State.LIVE)) == 5)
+    put_target(store, 5)
+    await wait_until(lambda: len(following.find_targets(State.LIVE)) == 6)
+    task.cancel()
+    await gather(task, return_exceptions=True)
+    following.follower.close()
+    names = [name for name, _ in following.events]
+    assert names.count("store-era-unreadable") == 1
--- a/tests/test_view_exchange.py
+++ b/tests/test_view_exchange.py
@@ -1,11 +1,20 @@
 from asyncio import CancelledError, Event, create_task, sleep, wait
+from dataclasses import replace
 from random import Random
 
 import pytest
+from msgspec.msgpack import Encoder
 
 from lycheeglade import view_exchange
 from lycheeglade.address import Address
-from lycheeglade.relay_message import Peers, decode_message, encode_message
+from lycheeglade.errors import PacketError
+from lycheeglade.relay_message import (
+    Duty,
+    Peers,
+    ViewStatus,
+    decode_message,
+    encode_message,
+)
 from lycheeglade.route import RoutingView
 from lycheeglade.store_revision import StoreRevision, ViewVersion
 from lycheeglade.view_exchange import (
@@ -150,3 +159,48 @@
         ended_by_itself += not is_cancelled
     server.close()
     assert 0 < ended_by_itself < MAX_LOOP_STEPS
+
+
+def test_messages_of_the_former_build_are_read_without_an_era():
+    encode = Encoder().encode
+    peers = decode_message(encode([6, 9, [list(PEER)]]))
+    assert (peers.revision, peers.era, peers.configuration) == (9, 0, 0)
+    status = decode_message(encode([8, "nadi-a", 9, 9, "watcher", []]))
+    assert status.version == make_version(9)
+
+
+def test_unknown_fields_and_messages_of_a_later_build_do_no_harm():
+    encode = Encoder().encode
+    peers = decode_message(encode([6, 9, [list(PEER)], 2, 5, "later"]))
+    assert peers == Peers(9, (PEER,), 2, 5)
+    with pytest.raises(PacketError):
+        decode_message(encode([99, "later"]))
+
+
+def test_peer_of_a_later_era_is_ahead_whatever_its_revision(exchange):
+    exchange.receive_peers(Peers(3, (), era=2), PEER, 1.0)
+    own = ViewVersion(StoreRevision(1, 500), 1)
+    assert exchange.choose_source(own, 1.01 + FETCH_DELAY_S) == PEER
+    assert exchange.choose_source(replace(own, store=StoreRevision(3, 1)), 5.0) is None
+
+
+def test_peer_with_a_newer_configuration_is_ahead(exchange):
+    exchange.receive_peers(Peers(3, (), era=1, configuration=9), PEER, 1.0)
+    own = ViewVersion(StoreRevision(2, 500), 8)
+    assert exchange.choose_source(own, 1.01 + FETCH_DELAY_S) == PEER
+    exchange.record_fetch(PEER, replace(own, configuration=7))
+    assert exchange.choose_source(own, 2.0) is None
+
+
+def test_watcher_of_an_earlier_era_counts_as_none():
+    """It may be cut off from the store, or of a build that reads no era."""
+    exchange = ViewExchange(OWN, Random(1), "nadi-a", started_at=0.0)
+    view = RoutingView(9, 1, era=2)
+    duties = set()
+    for step in range(100):
+        now = step / 50
+        status = ViewStatus("nadi-a", 500, 500, Duty.WATCHER, era=1)
+        exchange.receive(status, PEER, view.version, now)
+        duties.add(exchange.tick(tuple, view, lambda address, message: None, now))
+    assert duties == {Duty.FOLLOWER, Duty.TRYING}
+    assert exchange.checked == StoreRevision()
--- a/tests/watch_fleet.py
+++ b/tests/watch_fleet.py
@@ -7,8 +7,9 @@
 from random import Random
 
 from lycheeglade.address import Address
+from lycheeglade.known_view import KnownView
 from lycheeglade.relay_message import Duty, Peers, ViewStatus
-from lycheeglade.route import RoutingView, merge_views
+from lycheeglade.route import RoutingView
 from lycheeglade.store_revision import ViewVersion
 from lycheeglade.view_exchange import ViewExchange
 
@@ -27,7 +28,7 @@
     address: Address
     zone: str
     exchange: ViewExchange
-    view: RoutingView = field(default_factory=RoutingView)
+    known: KnownView = field(default_factory=KnownView)
     is_alive: bool = True
     reaches_store: bool = True
     store_is_silent: bool = False
@@ -36,6 +37,10 @@
     fetching: bool = False
     history: list[tuple[float, ViewVersion]] = field(default_factory=list)
 
+    @property
+    def view(self) -> RoutingView:
+        return self.known.view
+
 
 class WatchFleet:
     """Balancers in zones, the store that they read and their messages."""
@@ -159,11 +164,10 @@
         self._publish(node, view)
 
     def _publish(self, node: Node, view: RoutingView) -> None:
-        merged = merge_views(node.view, view)
-        if merged is not node.view:
-            node.view = merged
-            node.history.append((self.now, merged.version))
-            node.exchange.announce(merged.version, self._sender(node))
+        if node.known.receive(view, self.now):
+            version = node.view.version
+            node.history.append((self.now, version))
+            node.exchange.announce(version, self._sender(node))
 
     def _fetch(self, node: Node, source: Address) -> None:
         node.fetching = False
