--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -238,6 +238,9 @@
             self.promises.removed_at_by_address.pop(address, None)
         self.routes = dict(routes)
         self._version += 1
+        self._write_configuration()
+
+    def _write_configuration(self) -> None:
         self.store.put(
             "op/config",
             {
@@ -245,7 +248,7 @@
                 "routes": [
                     {"host": address.ip, "prefix": f"/{address.port}/", "type": "safe"}
                     | {"service": service, "timeout-ms": 1500}
-                    for address, service in routes.items()
+                    for address, service in self.routes.items()
                 ],
             },
         )
@@ -262,6 +265,7 @@
             self.network,
             self.promises,
             self.generator,
+            self._target_count,
         )
         self.targets_by_ip[agent.ip] = target
         self.publish_target(target, agent)
@@ -276,9 +280,31 @@
                 "zone": agent.zone,
                 "capacity": 1,
                 "state": "draining" if target.leaving else "ready",
+                "born": target.born,
             },
         )
 
+    def remove_entry(self, target: Target) -> None:
+        """Remove the registration of a target, unless the store lost it."""
+        key = f"servers/{target.target_id}"
+        if key in self.store.items_by_key:
+            self.store.delete(key)
+
+    def write_again(self) -> None:
+        """Write what the store may have lost, as operators and targets do.
+
+        Entries of targets that have ended are removed.
+        """
+        self._write_configuration()
+        published = {f"servers/{t.target_id}" for t in self.targets_by_ip.values()}
+        for key in self.store.items_by_key.keys() - published:
+            if key.startswith("servers/"):
+                self.store.delete(key)
+        agents_by_ip = {agent.ip: agent for agent in self.agents}
+        for ip, target in self.targets_by_ip.items():
+            if target.is_alive:
+                self.publish_target(target, agents_by_ip[ip])
+
     def choose_balancer(self, key: ConnectionKey) -> Address:
         """Return the balancer to which the fabric sends packets of `key`."""
         hosts = [host for host in self.balancers if host.is_ready] or self.balancers
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -17,6 +17,9 @@
 DRAIN_S = 4.0
 MAX_ROUTES = 5
 MAX_DELAY_S = 0.3
+MAX_COPY_AGE_S = 4.0
+MAX_AWAY_S = 1.0
+MAX_REWRITE_S = 1.0
 # Targets of one service that may be removed or replaced at the same time.
 MAX_UNAVAILABLE_TARGETS = 1
 # A service keeps at least this many targets when an address moves to the other
@@ -140,6 +143,27 @@
             deployment.store.status = 200
 
 
+async def restore_store(deployment: Deployment, generator: Random) -> None:
+    """Put the store back to a copy; what was lost is written again.
+
+    The copy is up to MAX_COPY_AGE_S seconds old, and the store is away for a
+    moment before it returns.
+    """
+    store = deployment.store
+    with deployment.promises.unplanned_fault(
+        *(host.ip for host in deployment.balancers)
+    ):
+        copy = store.copy()
+        await sleep(generator.uniform(MIN_FAULT_S, MAX_COPY_AGE_S))
+        status = store.status
+        store.status = 503
+        await sleep(generator.uniform(0.0, MAX_AWAY_S))
+        store.status = status
+        store.restore(copy)
+        await sleep(generator.uniform(0.0, MAX_REWRITE_S))
+        deployment.write_again()
+
+
 def _choose_target_host(deployment: Deployment, generator: Random) -> Host | None:
     """Return an agent whose target may be removed, or None.
 
@@ -170,7 +194,7 @@
         target = deployment.targets_by_ip[agent.ip]
         target.crash()
         await sleep(_draw_duration(generator))
-        deployment.store.delete(f"servers/{target.target_id}")
+        deployment.remove_entry(target)
         deployment.add_target(agent)
     deployment.unavailable_target_ips.discard(agent.ip)
 
@@ -183,7 +207,7 @@
     deployment.promises.draining_since_by_id[target.target_id] = deployment.now()
     await sleep(DRAIN_S)
     target.crash()
-    deployment.store.delete(f"servers/{target.target_id}")
+    deployment.remove_entry(target)
 
 
 async def replace_target(deployment: Deployment, generator: Random) -> None:
@@ -242,6 +266,7 @@
     harm_link,
     harm_store_link,
     harm_store,
+    restore_store,
     crash_target,
     replace_target,
     reuse_address,
--- a/soak/target.py
+++ b/soak/target.py
@@ -61,8 +61,10 @@
         network: Network,
         promises: PromiseChecker,
         generator: Random,
+        born: int,
     ):
         self.target_id = target_id
+        self.born = born
         self.service = service
         self.ip = app.ip
         self.app = app
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -10,7 +10,7 @@
 import sys
 sys.path[:0] = ["platform"]
 import main
-import catalog, store
+import store_reader
 import lycheeglade.connection_agent_daemon, lycheeglade.connection_balancer_daemon
 from lycheeglade.connection_daemon import EventLog
 log = EventLog("s1")
@@ -19,7 +19,7 @@
 assert "s1" in log.format()
 print(*sorted({name.partition(".")[0] for name in sys.modules}))
 """
-OWN_MODULES = {"main", "catalog", "store", "deployed_settings", "readiness", "wire"}
+OWN_MODULES = {path.stem for path in (ROOT / "platform").glob("*.py")}
 # The packages hdrh and pyhdrh belong to hdrhistogram.
 OWN_MODULES |= {"lycheeglade", "hdrh", "pyhdrh"}
 
--- a/tests/test_watch_duty.py
+++ b/tests/test_watch_duty.py
@@ -134,17 +134,17 @@
     assert choose_duty(OWN, Duty.FOLLOWER, peers, 1.0, late + 0.01) is Duty.TRYING
 
 
-# A watch and a whole read, by a zone's watcher and by one that takes its place.
+# A watch and a whole read, by a zone's watcher and by one after it.
 MAX_CALLS_PER_ZONE = 4
 
 
 def test_store_that_was_restored_is_followed_by_all_balancers_with_few_calls(fleet):
+    copy = fleet.view
     fleet.change()
-    fleet.change()
+    newest = fleet.change().configuration
     fleet.advance(SETTLE_S)
-    newest = fleet.view.configuration
     fleet.calls.clear()
-    fleet.restore(2)
+    fleet.restore(copy)
     fleet.advance(CHANGE_BOUND_S)
     for node in fleet.nodes_by_address.values():
         assert node.view.store == fleet.view.store
@@ -155,31 +155,37 @@
 
 
 def test_store_that_is_restored_twice_in_a_row_is_followed(fleet):
-    for _ in range(3):
-        fleet.change()
+    older = fleet.view
+    fleet.change()
+    copy = fleet.view
+    fleet.change()
     fleet.advance(SETTLE_S)
-    fleet.restore(1)
+    fleet.restore(copy)
     fleet.advance(0.1)
-    fleet.restore(2)
+    fleet.restore(older)
+    fleet.change(fleet.view.configuration + 2)
     assert_in_force_in_time(fleet)
 
 
 @pytest.mark.parametrize("link", ["store", "peers", "killed"])
 def test_restore_is_noticed_while_the_watchers_of_a_zone_are_cut_off(fleet, link):
-    fleet.change()
+    copy = fleet.view
+    newest = fleet.change().configuration
     fleet.advance(SETTLE_S)
     for watcher in fleet.watchers("zone-1"):
         watcher.store_is_silent = link == "store"
         watcher.reaches_peers = link != "peers"
         watcher.is_alive = link != "killed"
-    fleet.restore(1)
+    fleet.restore(copy)
+    fleet.change(newest)
     assert_in_force_in_time(fleet)
 
 
 def test_balancer_that_starts_after_a_restore_takes_the_newest_configuration(fleet):
+    copy = fleet.view
     newest = fleet.change().configuration
     fleet.advance(SETTLE_S)
-    fleet.restore(1)
+    fleet.restore(copy)
     fleet.advance(0.3)
     started = fleet.add(Address("10.1.9.9", 7720), "zone-2")
     fleet.advance(CHANGE_BOUND_S)
--- a/tests/watch_fleet.py
+++ b/tests/watch_fleet.py
@@ -1,6 +1,7 @@
 """Balancers that follow a store in virtual time, without sockets."""
 
 from collections import Counter
+from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 from heapq import heappop, heappush
 from itertools import count
@@ -11,8 +12,10 @@
 from lycheeglade.relay_message import Duty, Peers, ViewStatus
 from lycheeglade.route import RoutingView
 from lycheeglade.store_revision import ViewVersion
+from lycheeglade.view import Target
 from lycheeglade.view_exchange import ViewExchange
 
+SERVICE = "booth-sync"
 TICK_S = 0.02
 MESSAGE_DELAY_S = 0.002
 CALL_S = 0.005
@@ -84,15 +87,30 @@
         )
         return self.view.version
 
-    def restore(self, lost: int) -> None:
-        """Put the store back to a copy that lacks the last changes."""
+    def put_target(self, target: Target) -> None:
+        """Write a target's entry."""
+        self._write({**self._targets_by_id(), target.target_id: target})
+
+    def remove_target(self, target_id: str) -> None:
+        """Remove a target's entry, if there is one."""
+        targets_by_id = dict(self._targets_by_id())
+        if targets_by_id.pop(target_id, None) is not None:
+            self._write(targets_by_id)
+
+    def _targets_by_id(self) -> Mapping[str, Target]:
+        return self.view.targets_by_service.get(SERVICE, {})
+
+    def _write(self, targets_by_id: Mapping[str, Target]) -> None:
         self.view = replace(
             self.view,
-            era=self.view.era + 1,
-            revision=self.view.revision - lost,
-            configuration=self.view.configuration - lost,
+            revision=self.view.revision + 1,
+            targets_by_service={SERVICE: targets_by_id},
         )
 
+    def restore(self, copy: RoutingView) -> None:
+        """Put the store back to an earlier value of `view`."""
+        self.view = replace(copy, era=self.view.era + 1)
+
     def watchers(self, zone: str) -> list[Node]:
         return [
             node
