--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -97,6 +97,9 @@
         {**TARGET, "address": 5},
         {key: TARGET[key] for key in ("service", "zone")},
         {**TARGET, "capacity": "many"},
+        {**TARGET, "capacity": 10**30},
+        {**TARGET, "born": 10**30},
+        {**TARGET, "born": "today"},
         [],
     ],
 )
@@ -116,8 +119,9 @@
 def test_unreadable_configuration_leaves_the_last_one_in_force(catalog, events):
     catalog.apply(configuration(7, ROUTE))
     catalog.apply(item(CONFIGURATION_KEY, {"version": 8, "routes": "none"}))
+    catalog.apply(item(CONFIGURATION_KEY, {"version": 10**30, "routes": []}))
     assert catalog.view(StoreRevision(1, 1)).configuration == 7
-    assert events == ["unreadable"]
+    assert events == ["unreadable", "unreadable"]
 
 
 def test_other_keys_are_left_alone(catalog, events):
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -223,7 +223,7 @@
     await wait_until(lambda: balancer.find_targets(State.LEAVING) == {"i-0"})
 
 
-@pytest.mark.parametrize("header", [None, "", "two", "-1", "1.5"])
+@pytest.mark.parametrize("header", [None, "", "two", "-1", "1.5", "9" * 30])
 async def test_answers_without_a_readable_era_leave_it_as_it_was(
     store, balancer, header
 ):
