--- a/lycheeglade/connection_balancer_daemon.py
+++ b/lycheeglade/connection_balancer_daemon.py
@@ -35,8 +35,8 @@
 from lycheeglade.route import RoutingView
 from lycheeglade.segment import ConnectionKey
 from lycheeglade.transport import DatagramSocket
-from lycheeglade.view_exchange import serve_view
 from lycheeglade.view_follower import FollowStore, ReadStore, ViewFollower
+from lycheeglade.view_transfer import serve_view
 
 TICK_S = 0.02
 # A stopping balancer that received no datagrams for MIN_IDLE_S seconds gets no
--- a/lycheeglade/view_exchange.py
+++ b/lycheeglade/view_exchange.py
@@ -1,26 +1,13 @@
 """Lets balancers learn of changes of the view from each other.
 
 Balancers tell each other the versions of their views and whether they read the
-store. One that is behind fetches the whole view from one that is ahead.
+store. One that is behind fetches the whole view from one that is ahead
+(`view_transfer`).
 """
 
-from asyncio import (
-    Server,
-    StreamReader,
-    StreamWriter,
-    open_connection,
-    sleep,
-    start_server,
-    timeout,
-)
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
-from zlib import compress, decompressobj
-from zlib import error as CompressionError  # noqa: N812
-
-from msgspec import DecodeError, ValidationError
-from msgspec.msgpack import decode, encode
 
 from lycheeglade.address import Address
 from lycheeglade.relay_message import Duty, Message, Peers, ViewStatus
@@ -51,9 +38,6 @@
 START_CATCH_UP_S = 1.0
 # After a failed fetch the next one follows after this pause.
 FETCH_RETRY_S = 0.1
-FETCH_TIMEOUT_S = 0.6
-MAX_VIEW_BYTES = 8 << 20
-COMPRESSION_LEVEL = 1
 
 NO_VIEW = ViewVersion()
 
@@ -409,66 +393,3 @@
         """Return the seconds until the next exchange, with jitter."""
         base = GOSSIP_PERIOD_S if configuration else START_PERIOD_S
         return base * self._generator.uniform(0.8, 1.2)
-
-
-async def serve_view(address: Address, get_view: Callable[[], RoutingView]) -> Server:
-    """Start a server that sends the compressed view on each connection."""
-    encoded_view = RoutingView()
-    content = compress(encode(encoded_view), COMPRESSION_LEVEL)
-
-    async def send_view(reader: StreamReader, writer: StreamWriter) -> None:
-        nonlocal encoded_view, content
-        view = get_view()
-        if view is not encoded_view:
-            # Many balancers of a zone fetch each change at once.
-            encoded_view = view
-            content = compress(encode(view), COMPRESSION_LEVEL)
-        try:
-            writer.write(content)
-            async with timeout(FETCH_TIMEOUT_S):
-                await writer.drain()
-        except (OSError, TimeoutError):
-            # The peer retries with another balancer.
-            pass
-        finally:
-            writer.close()
-
-    return await start_server(send_view, address.ip, address.port)
-
-
-async def fetch_view(address: Address, log: Callable[..., None]) -> RoutingView | None:
-    """Return the view of the balancer at `address`.
-
-    Returns
-    -------
-    RoutingView or None
-        None if the fetch fails or the balancer has no view yet.
-    """
-    try:
-        async with timeout(FETCH_TIMEOUT_S):
-            view = await _fetch(address)
-            # Decoding a large view takes long: other tasks run first, and a
-            # cancellation that arrived meanwhile takes effect.
-            await sleep(0)
-    except (
-        OSError,
-        TimeoutError,
-        CompressionError,
-        DecodeError,
-        ValidationError,
-    ) as error:
-        log("view-not-fetched", peer=address, reason=repr(error))
-        return None
-    return view if view.configuration else None
-
-
-async def _fetch(address: Address) -> RoutingView:
-    reader, writer = await open_connection(address.ip, address.port)
-    try:
-        chunks = []
-        while chunk := await reader.read(MAX_VIEW_BYTES):
-            chunks.append(chunk)
-        content = decompressobj().decompress(b"".join(chunks), MAX_VIEW_BYTES)
-        return decode(content, type=RoutingView)
-    finally:
-        writer.close()
--- a/lycheeglade/view_follower.py
+++ b/lycheeglade/view_follower.py
@@ -12,7 +12,8 @@
 from lycheeglade.relay_message import Duty, Message, Peers, ViewStatus
 from lycheeglade.route import RoutingView
 from lycheeglade.store_revision import StoreRevision
-from lycheeglade.view_exchange import ViewExchange, fetch_view
+from lycheeglade.view_exchange import ViewExchange
+from lycheeglade.view_transfer import fetch_view
 
 # Source of the views that this process reads from the store itself.
 STORE = "store"
