Test placement against a view of a restored store

Targets that the copy lacks are used for the grace of an entry that lapsed, open connections stay where they are, and a view of an earlier era changes nothing.

--- a/tests/test_connection_balancer.py
+++ b/tests/test_connection_balancer.py
@@ -274,6 +274,39 @@
     ]
 
 
+def test_target_that_a_restored_copy_lacks_is_used_until_it_counts_as_gone(
+    balancer, recorder
+):
+    restored = replace(make_view(TARGETS[1:], revision=2), era=1)
+    update_routing(balancer, restored, 1.0)
+    receive_message(balancer, make_report(), AGENTS[0], 1.1)
+    busy = make_report(running=9, busy=1.0)
+    for agent in AGENTS[1:]:
+        receive_message(balancer, busy, agent, 1.1)
+    receive_segment(balancer, opening(port=1), 1.2)
+    assert [agent for agent, _ in recorder.pop_forwarded_segments()] == [AGENTS[0]]
+    for port in range(50):
+        receive_segment(balancer, opening(port=2 + port), 1.1 + REMOVAL_GRACE_S)
+    chosen = {agent for agent, _ in recorder.pop_forwarded_segments()}
+    assert AGENTS[0] not in chosen
+
+
+def test_open_connection_stays_where_it_is_after_a_restore(balancer, recorder):
+    receive_message(balancer, HomeFound(KEY, 1000), AGENTS[0], 0.0)
+    restored = replace(make_view(TARGETS[1:], revision=2), era=1)
+    update_routing(balancer, restored, 1.0)
+    recorder.pop_forwarded_segments()
+    receive_segment(balancer, data(), 1.0 + 2 * REMOVAL_GRACE_S)
+    assert [agent for agent, _ in recorder.pop_forwarded_segments()] == [AGENTS[0]]
+    assert recorder.resets == []
+
+
+def test_view_of_an_earlier_era_changes_nothing(balancer):
+    update_routing(balancer, replace(make_view([], revision=2), era=1), 0.5)
+    update_routing(balancer, make_view(TARGETS, revision=9), 0.6)
+    assert balancer.view.targets_by_service == {"booth-sync": {}}
+
+
 def test_older_view_changes_nothing(balancer):
     update_routing(balancer, make_view([], revision=4), 0.5)
     assert balancer.view.revision == 5
