Remember that a target leaves while a copy of the store lacks it

What callers see: connections are opened at a target that has reported to be leaving, if the store returns twice, first from a copy that lacks the target and then from one that has it as ready. Cause: what was known of a leaving target was forgotten as soon as no view had its entry; an entry of an earlier lifetime replaced it as well. Found by reading. Change: it is kept for 60 s after the entry was last there, with the latest lifetime seen. A target that reports no lifetime may still return after its entry has disappeared.

--- a/lycheeglade/target_history.py
+++ b/lycheeglade/target_history.py
@@ -13,20 +13,18 @@
 from lycheeglade.view import State, Target
 
 # A copy of the store is at most this many seconds old.
-REMOVAL_MEMORY_S = 60.0
+MEMORY_S = 60.0
 # The store removes the restored entry of a target that has ended within this
 # time. One that is still there then belongs to a living target.
 WITHHOLD_S = 5.0
 
 
 @dataclass(frozen=True, slots=True)
-class Removal:
-    """The removal of a target's entry from the store.
+class Sighting:
+    """What was last seen of one lifetime of a target.
 
     Attributes
     ----------
-    lifetime : int
-        Lifetime of the target whose entry it was.
     at : float
         Monotonic seconds.
     """
@@ -41,26 +39,25 @@
 
     Attributes
     ----------
-    leaving_by_id : dict of str to int
-        Lifetimes of targets that have announced that they leave.
-    removals_by_id : dict of str to Removal
-        Entries that disappeared within `REMOVAL_MEMORY_S`.
+    leaving_by_id : dict of str to Sighting
+        Targets that have announced that they leave, and when their entries
+        were last there.
+    removals_by_id : dict of str to Sighting
+        Targets whose entries disappeared within `MEMORY_S`, and when.
     withheld_until_by_id : dict of str to float
         Removed targets that the store names again since it was restored, and
         the time until which they are not used, in monotonic seconds.
     """
 
-    leaving_by_id: dict[str, int] = field(default_factory=dict)
-    removals_by_id: dict[str, Removal] = field(default_factory=dict)
+    leaving_by_id: dict[str, Sighting] = field(default_factory=dict)
+    removals_by_id: dict[str, Sighting] = field(default_factory=dict)
     withheld_until_by_id: dict[str, float] = field(default_factory=dict)
 
     def record(self, previous: RoutingView, view: RoutingView, now: float) -> None:
         """Record the changes from one view of the store to the next."""
         before, after = _index_targets(previous), _index_targets(view)
         is_restored = view.store.era > previous.store.era and before != {}
-        for target_id, removal in list(self.removals_by_id.items()):
-            if now - removal.at > REMOVAL_MEMORY_S:
-                del self.removals_by_id[target_id]
+        self.removals_by_id = _drop_old(self.removals_by_id, now)
         if is_restored:
             for target_id, target in after.items():
                 removal = self.removals_by_id.get(target_id)
@@ -69,18 +66,21 @@
         else:
             self._record_removals(before, after, now)
         for target_id, target in after.items():
-            if target.state is State.LEAVING:
-                self.leaving_by_id[target_id] = target.lifetime
-        known = after.keys() | self.removals_by_id.keys()
-        for target_id in self.leaving_by_id.keys() - known:
-            del self.leaving_by_id[target_id]
+            if self._correct_target(target).state is State.LEAVING:
+                seen = self.leaving_by_id.get(target_id)
+                lifetime = max(target.lifetime, seen.lifetime if seen else 0)
+                self.leaving_by_id[target_id] = Sighting(lifetime, now)
+        self.leaving_by_id = _drop_old(self.leaving_by_id, now)
 
     def _record_removals(
         self, before: dict[str, Target], after: dict[str, Target], now: float
     ) -> None:
         for target_id in before.keys() - after.keys():
-            self.removals_by_id[target_id] = Removal(before[target_id].lifetime, now)
+            self.removals_by_id[target_id] = Sighting(before[target_id].lifetime, now)
             self.withheld_until_by_id.pop(target_id, None)
+            if not before[target_id].lifetime:
+                # A later entry may be of a new process.
+                self.leaving_by_id.pop(target_id, None)
         for target_id in after.keys() - before.keys():
             # The entry was written again, by a living target.
             self.removals_by_id.pop(target_id, None)
@@ -130,14 +130,22 @@
         )
 
     def _correct_target(self, target: Target) -> Target:
-        lifetime = self.leaving_by_id.get(target.target_id)
-        if target.state is State.LEAVING or lifetime is None:
+        leaving = self.leaving_by_id.get(target.target_id)
+        if target.state is State.LEAVING or leaving is None:
             return target
-        if target.lifetime > lifetime:
+        if target.lifetime > leaving.lifetime:
             return target
         return replace(target, state=State.LEAVING)
 
 
+def _drop_old(seen_by_id: dict[str, Sighting], now: float) -> dict[str, Sighting]:
+    return {
+        target_id: seen
+        for target_id, seen in seen_by_id.items()
+        if now - seen.at <= MEMORY_S
+    }
+
+
 def _index_targets(view: RoutingView) -> dict[str, Target]:
     return {
         target_id: target
--- a/tests/test_target_history.py
+++ b/tests/test_target_history.py
@@ -5,7 +5,7 @@
 import pytest
 
 from lycheeglade.known_view import KnownView
-from lycheeglade.target_history import REMOVAL_MEMORY_S, WITHHOLD_S
+from lycheeglade.target_history import MEMORY_S, WITHHOLD_S
 from lycheeglade.view import State
 from tests.connections import make_target, make_view
 
@@ -63,9 +63,36 @@
     assert states(known, 4.0) == {"t2": State.LIVE}
 
 
+def test_earlier_lifetime_in_a_copy_does_not_hide_that_a_target_leaves(known):
+    later = replace(LEAVING, lifetime=900)
+    known.receive(view_at(1, 21, later), 1.0)
+    known.receive(view_at(2, 16, FIRST), 2.0)
+    known.receive(view_at(2, 17, replace(later, state=State.LIVE)), 3.0)
+    assert states(known, 3.0) == {"t1": State.LEAVING}
+
+
+def test_target_without_a_lifetime_may_return_after_it_has_left():
+    known = KnownView()
+    for revision, state in ((1, State.LIVE), (2, State.LEAVING), (3, None), (4, None)):
+        target = replace(make_target(1), state=state or State.LIVE)
+        targets = [] if revision == 3 else [target]
+        known.receive(view_at(1, revision, *targets), float(revision))
+    assert states(known, 5.0) == {"t1": State.LIVE}
+
+
+def test_target_that_leaves_is_remembered_across_a_copy_that_lacks_it(known):
+    known.receive(view_at(1, 21, LEAVING, SECOND), 1.0)
+    known.receive(view_at(2, 14, SECOND), 2.0)
+    known.receive(view_at(3, 16, FIRST, SECOND), 3.0)
+    assert states(known, 3.0) == {"t1": State.LEAVING, "t2": State.LIVE}
+    known.receive(view_at(3, 17, SECOND), 4.0)
+    known.receive(view_at(3, 18, SECOND, configuration=2), 4.1 + MEMORY_S)
+    assert not known.history.leaving_by_id
+
+
 def test_removal_is_forgotten_when_no_copy_is_that_old(known):
     known.receive(view_at(1, 21, SECOND), 1.0)
-    late = 1.1 + REMOVAL_MEMORY_S
+    late = 1.1 + MEMORY_S
     known.receive(view_at(2, 16, FIRST, SECOND), late)
     assert states(known, late) == {"t1": State.LIVE, "t2": State.LIVE}
     assert not known.history.removals_by_id
