Split what lets connections in from the agent of connections

Moved code is unchanged but for the names that other modules use now; the test that takes the queue away patches the new module.

--- a/lycheeglade/connection_agent.py
+++ b/lycheeglade/connection_agent.py
@@ -8,30 +8,37 @@
 """
 
 from lycheeglade.address import Address
+from lycheeglade.connection_admission import (
+    add_connection,
+    admit_held,
+    end_request,
+    forward_opening,
+    receive_opening,
+    refuse_held,
+    remove_connection,
+    start_request,
+)
 from lycheeglade.connection_agent_state import (
     ConnectionAgent,
     LocalConnection,
     PendingSegment,
 )
-from lycheeglade.connection_load import (
-    expected_answer_time,
-    log_load,
-    make_report,
-    report_load,
-    work_time,
+from lycheeglade.connection_delivery import (
+    MAX_PENDING,
+    deliver,
+    deliver_pending,
+    notify_balancers,
+    record_segment,
 )
+from lycheeglade.connection_load import log_load, make_report, report_load, work_time
 from lycheeglade.relay_message import (
     ConnectionNotHeld,
     ForwardSegment,
-    HomeFound,
     LoadRequest,
     Message,
-    OpeningHeld,
-    OpeningRefused,
 )
 from lycheeglade.segment import ConnectionKey, Segment, sequence_distance
 
-MAX_PENDING = 4096
 # Connections without segments for CONNECTION_IDLE_TIMEOUT_S seconds are
 # evicted.
 CONNECTION_IDLE_TIMEOUT_S = 60.0
@@ -40,15 +47,7 @@
 # Answers that take less than MIN_ANSWER_TIME_S seconds are refusals by a full
 # target.
 MIN_ANSWER_TIME_S = 0.001
-TAG_SPACE = 1 << 32
-QUEUE_FULL = "queue-full"
 WAITED_TOO_LONG = "waited-too-long"
-# An opening segment is forwarded to the next candidate only if the expected
-# time here exceeds the candidate's time multiplied by this factor, plus this
-# cost. They cover the network delay to the candidate and the age of its
-# reported load.
-FORWARD_COST_FACTOR = 1.5
-FORWARD_COST_S = 0.004
 
 
 def receive_message(
@@ -81,152 +80,14 @@
         agent.searches.search(key, message, now)
     connection = agent.connections_by_key.get(key)
     if segment.opens:
-        _receive_opening(agent, key, connection, pending, segment, now)
+        receive_opening(agent, key, connection, pending, segment, now)
     elif connection is None or not connection.is_open:
         _receive_unknown(agent, key, connection, pending, segment, now)
     else:
-        _record_segment(agent, key, connection, message, now)
+        record_segment(agent, key, connection, message, now)
         _receive_established(agent, key, connection, segment, now)
 
 
-def _receive_opening(
-    agent: ConnectionAgent,
-    key: ConnectionKey,
-    connection: LocalConnection | None,
-    pending: PendingSegment,
-    segment: Segment,
-    now: float,
-) -> None:
-    message = pending.message
-    if connection is None:
-        if message.service != agent.service:
-            _forward_opening(agent, key, message, segment, "other-service")
-            return
-        if key in agent.held_openings_by_key:
-            return
-        if _is_next_candidate_faster(agent, message, now):
-            _forward_opening(agent, key, message, segment, "busy")
-            return
-        if agent.held_openings_by_key or not _has_room(agent, now):
-            _hold_opening(agent, key, pending, segment, now)
-            return
-    _accept_opening(agent, key, pending, segment, now)
-
-
-def _accept_opening(
-    agent: ConnectionAgent,
-    key: ConnectionKey,
-    pending: PendingSegment,
-    segment: Segment,
-    now: float,
-) -> None:
-    """Deliver an opening segment to the target."""
-    connection = agent.connections_by_key.get(key)
-    if connection is None:
-        connection = _add_connection(agent, key, now)
-    if not connection.is_open:
-        agent.opening_queue.record_accepted(key, now)
-    _record_segment(agent, key, connection, pending.message, now)
-    _deliver_pending(agent, pending, segment, now)
-
-
-def _has_room(agent: ConnectionAgent, now: float) -> bool:
-    return agent.opening_queue.has_room(
-        len(agent.running_by_key), agent.slots, agent.service_time.mean, now
-    )
-
-
-def _hold_opening(
-    agent: ConnectionAgent,
-    key: ConnectionKey,
-    pending: PendingSegment,
-    segment: Segment,
-    now: float,
-) -> None:
-    """Let a new connection wait for a slot of the target."""
-    agent.held_openings_by_key[key] = pending, segment
-    refused = agent.opening_queue.hold(key, agent.slots, agent.service_time.mean, now)
-    agent.actions.send(pending.message.balancer, OpeningHeld(key))
-    for refused_key in refused:
-        _refuse_held(agent, refused_key, QUEUE_FULL)
-    _admit_held(agent, now)
-
-
-def _admit_held(agent: ConnectionAgent, now: float) -> None:
-    """Deliver connections that wait as far as the target has room."""
-    while agent.held_openings_by_key and _has_room(agent, now):
-        key = agent.opening_queue.take_next()
-        pending, segment = agent.held_openings_by_key.pop(key)
-        _accept_opening(agent, key, pending, segment, now)
-
-
-def _stop_holding(agent: ConnectionAgent, key: ConnectionKey) -> None:
-    agent.opening_queue.remove(key)
-    agent.held_openings_by_key.pop(key, None)
-
-
-def _refuse_held(agent: ConnectionAgent, key: ConnectionKey, cause: str) -> None:
-    """Forward a connection that waits, or let its balancer refuse it.
-
-    One that has waited as long as it may is not forwarded, since its caller
-    gives up before it could wait again. A copy of its opening may have come by
-    another balancer meanwhile and have opened the connection elsewhere, so
-    this agent must not reset it.
-    """
-    pending, segment = agent.held_openings_by_key.pop(key)
-    if pending.message.candidates and cause == QUEUE_FULL:
-        _forward_opening(agent, key, pending.message, segment, cause)
-        return
-    agent.actions.log("passed-on", connection=key, cause=cause, candidates=0)
-    agent.actions.send(pending.message.balancer, OpeningRefused(key))
-
-
-def _is_next_candidate_faster(
-    agent: ConnectionAgent, message: ForwardSegment, now: float
-) -> bool:
-    """Return whether the next candidate is expected to answer much sooner.
-
-    The agent decides anew since its own load figures are more recent than
-    those that the balancer used.
-    """
-    if not message.costs:
-        return False
-    candidate_time = message.costs[0] * FORWARD_COST_FACTOR + FORWARD_COST_S
-    return expected_answer_time(agent, now) > candidate_time
-
-
-def _forward_opening(
-    agent: ConnectionAgent,
-    key: ConnectionKey,
-    message: ForwardSegment,
-    segment: Segment,
-    cause: str,
-) -> None:
-    """Forward an opening segment to the next candidate, or refuse it.
-
-    A retransmitted opening segment that a balancer forwards to the
-    connection's home names no service and is never refused: the target may
-    hold the connection although a newly started agent does not know it.
-    """
-    agent.actions.log(
-        "passed-on", connection=key, cause=cause, candidates=len(message.candidates)
-    )
-    if message.candidates:
-        first, *rest = message.candidates
-        agent.actions.send(
-            first,
-            ForwardSegment(
-                balancer=message.balancer,
-                datagram=message.datagram,
-                service=message.service,
-                candidates=tuple(rest),
-                costs=tuple(message.costs[1:]),
-            ),
-        )
-    elif message.service and not segment.acknowledgement:
-        agent.actions.reset(key, 0)
-
-
 def _receive_unknown(
     agent: ConnectionAgent,
     key: ConnectionKey,
@@ -244,7 +105,7 @@
     """
     message = pending.message
     if connection is not None:
-        _record_segment(agent, key, connection, message, now)
+        record_segment(agent, key, connection, message, now)
         if segment.data_bytes:
             _receive_data(agent, key, connection, segment, now)
             return
@@ -253,67 +114,7 @@
         balancers.add(message.balancer)
         if len(agent.searching_balancers_by_key) > MAX_PENDING:
             agent.searching_balancers_by_key.popitem(last=False)
-    _deliver_pending(agent, pending, segment, now)
-
-
-def _deliver_pending(
-    agent: ConnectionAgent, pending: PendingSegment, segment: Segment, now: float
-) -> None:
-    tag = agent.next_tag
-    agent.next_tag = tag % (TAG_SPACE - 1) + 1
-    agent.pending_by_tag[tag] = pending
-    if len(agent.pending_by_tag) > MAX_PENDING:
-        agent.pending_by_tag.popitem(last=False)
-    _deliver(agent, segment, tag, now)
-
-
-def _deliver(agent: ConnectionAgent, segment: Segment, tag: int, now: float) -> None:
-    if segment.opens:
-        agent.silence.record_opening(segment, now)
-    elif tag and segment.data_bytes:
-        agent.silence.record_unknown_data(segment, now)
-    agent.actions.deliver(segment, tag)
-
-
-def _add_connection(
-    agent: ConnectionAgent, key: ConnectionKey, now: float
-) -> LocalConnection:
-    connection = agent.connections_by_key[key] = LocalConnection(now)
-    if len(agent.connections_by_key) > agent.limits.agent_connections:
-        oldest = next(iter(agent.connections_by_key))
-        _remove_connection(agent, oldest, now)
-    return connection
-
-
-def _remove_connection(agent: ConnectionAgent, key: ConnectionKey, now: float) -> None:
-    agent.connections_by_key.pop(key, None)
-    _stop_holding(agent, key)
-    _end_request(agent, key, now)
-
-
-def _record_segment(
-    agent: ConnectionAgent,
-    key: ConnectionKey,
-    connection: LocalConnection,
-    message: ForwardSegment,
-    now: float,
-) -> None:
-    connection.last_at = now
-    agent.connections_by_key.move_to_end(key)
-    if message.balancer not in connection.balancers or message.search:
-        connection.balancers.add(message.balancer)
-        if connection.is_open:
-            _send_home_found(agent, message.balancer, key, connection)
-
-
-def _send_home_found(
-    agent: ConnectionAgent,
-    balancer: Address,
-    key: ConnectionKey,
-    connection: LocalConnection,
-) -> None:
-    home_found = HomeFound(key, connection.sequence, connection.is_open)
-    agent.actions.send(balancer, home_found)
+    deliver_pending(agent, pending, segment, now)
 
 
 def _receive_established(
@@ -324,11 +125,11 @@
     now: float,
 ) -> None:
     if segment.resets or segment.finishes:
-        _end_request(agent, key, now)
+        end_request(agent, key, now)
     if segment.data_bytes:
         _receive_data(agent, key, connection, segment, now)
     else:
-        _deliver(agent, segment, 0, now)
+        deliver(agent, segment, 0, now)
 
 
 def _receive_data(
@@ -343,34 +144,8 @@
     if end is None or sequence_distance(end, segment.end) > 0:
         connection.data_end = segment.end
         if key not in agent.running_by_key:
-            _start_request(agent, key, connection, now)
-    _deliver(agent, segment, 0, now)
-
-
-def _start_request(
-    agent: ConnectionAgent, key: ConnectionKey, connection: LocalConnection, now: float
-) -> None:
-    """Record that a request of the connection runs at the target."""
-    agent.running_by_key[key] = now
-    _stop_holding(agent, key)
-    connection.concurrent_requests = len(agent.running_by_key)
-    if connection.concurrent_requests <= agent.slots:
-        agent.busy.add(now, 1)
-
-
-def _end_request(
-    agent: ConnectionAgent, key: ConnectionKey, now: float
-) -> float | None:
-    """Remove the running request and return its start time, if any.
-
-    The busy share counts at most as many requests as the target has slots.
-    """
-    started_at = agent.running_by_key.pop(key, None)
-    if started_at is not None:
-        if len(agent.running_by_key) < agent.slots:
-            agent.busy.add(now, -1)
-        _admit_held(agent, now)
-    return started_at
+            start_request(agent, key, connection, now)
+    deliver(agent, segment, 0, now)
 
 
 def _record_answer(
@@ -380,7 +155,7 @@
     now: float,
 ) -> None:
     """Update the service time and failure share from an answer."""
-    started_at = _end_request(agent, key, now)
+    started_at = end_request(agent, key, now)
     if started_at is None:
         return
     elapsed = now - started_at
@@ -409,7 +184,7 @@
         if segment.resets:
             agent.actions.answer(segment)
             return
-        connection = _add_connection(agent, key, now)
+        connection = add_connection(agent, key, now)
     connection.last_at = now
     if segment.opens:
         _record_opening_answer(agent, key, connection, segment)
@@ -419,11 +194,11 @@
     if segment.data_bytes:
         _record_answer(agent, key, connection, now)
     elif segment.finishes:
-        _end_request(agent, key, now)
+        end_request(agent, key, now)
     if segment.resets:
         if key in agent.running_by_key:
             agent.failures.observe(now, True)
-        _remove_connection(agent, key, now)
+        remove_connection(agent, key, now)
 
 
 def _record_opening_answer(
@@ -434,7 +209,7 @@
 ) -> None:
     if connection.sequence != segment.sequence:
         connection.sequence = segment.sequence
-        _notify_balancers(agent, key, connection)
+        notify_balancers(agent, key, connection)
 
 
 def _mark_open(
@@ -443,14 +218,7 @@
     if not connection.is_open:
         connection.is_open = True
         connection.balancers |= agent.searching_balancers_by_key.pop(key, set())
-        _notify_balancers(agent, key, connection)
-
-
-def _notify_balancers(
-    agent: ConnectionAgent, key: ConnectionKey, connection: LocalConnection
-) -> None:
-    for balancer in connection.balancers:
-        _send_home_found(agent, balancer, key, connection)
+        notify_balancers(agent, key, connection)
 
 
 def _receive_returned(agent: ConnectionAgent, segment: Segment, now: float) -> None:
@@ -461,16 +229,16 @@
     if segment.opens:
         if connection is not None and connection.is_open:
             return
-        _remove_connection(agent, key, now)
+        remove_connection(agent, key, now)
         if pending is not None:
-            _forward_opening(agent, key, pending.message, segment, "target-full")
+            forward_opening(agent, key, pending.message, segment, "target-full")
         return
     balancers = set()
     if pending is not None:
         balancers.add(pending.requester)
     if connection is not None:
         balancers |= connection.balancers
-        _remove_connection(agent, key, now)
+        remove_connection(agent, key, now)
     for balancer in balancers:
         agent.actions.send(balancer, ConnectionNotHeld(key, segment.acknowledgement))
 
@@ -481,10 +249,10 @@
         if now - started_at > ANSWER_TIMEOUT_S:
             agent.actions.log("no-answer", connection=key, waited=now - started_at)
             agent.failures.observe(now, True)
-            _end_request(agent, key, now)
+            end_request(agent, key, now)
     for key in agent.opening_queue.expire(now):
-        _refuse_held(agent, key, WAITED_TOO_LONG)
-    _admit_held(agent, now)
+        refuse_held(agent, key, WAITED_TOO_LONG)
+    admit_held(agent, now)
     agent.searches.tick(now)
     _evict_idle(agent, now)
     report_load(agent, now)
@@ -497,4 +265,4 @@
         key = next(iter(connections))
         if now - connections[key].last_at < CONNECTION_IDLE_TIMEOUT_S:
             return
-        _remove_connection(agent, key, now)
+        remove_connection(agent, key, now)
--- a/tests/test_opening_queue.py
+++ b/tests/test_opening_queue.py
@@ -1,6 +1,6 @@
 import pytest
 
-from lycheeglade import connection_agent
+from lycheeglade import connection_admission, connection_agent
 from lycheeglade.opening_queue import (
     FIRST_REQUEST_TIMEOUT_S,
     MAX_HOLD_S,
@@ -48,7 +48,7 @@
 
 def test_without_the_queue_callers_use_up_their_retries(monkeypatch):
     """The target refuses what exceeds its queue; callers return at once."""
-    monkeypatch.setattr(connection_agent, "_has_room", lambda agent, _: True)
+    monkeypatch.setattr(connection_admission, "_has_room", lambda agent, _: True)
     worths = [mean_worth(replay_return(target)) for target in range(TARGETS)]
     assert min(worths) < WORST_WINDOW
 
