Let the soak's store answer after the last of overlapping refusals

Traced: restore_store put back the status 429 that it had found while harm_store was refusing calls, so that the store refused all three balancers until the end of the round, outside of any span that the checks know of. A fault of the soak's own; the product's logs show store-lost with 429 from then to the end in each balancer. Refusals are blocks that may overlap; the new test fails with the former code's way of restoring the status.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -10,6 +10,8 @@
 )
 from asyncio import timeout as time_limit
 from asyncio.subprocess import Process
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from os import environ
 from pathlib import Path
@@ -101,6 +103,7 @@
         self._version = 0
         self._target_count = 0
         self._tasks = []
+        self._refusals: list[int] = []
         self._proxy = Address(self._ip(1), PROXY_PORT)
         self.balancers = [
             Host(f"balancer-{n}", "balancer", self._ip(10 + n), ZONES[n % len(ZONES)])
@@ -305,6 +308,20 @@
             if target.is_alive:
                 self.publish_target(target, agents_by_ip[ip])
 
+    @contextmanager
+    def refusing_store(self, status: int) -> Iterator[None]:
+        """Let the store refuse all calls while the block runs.
+
+        Blocks may overlap; the store answers again after the last one.
+        """
+        self._refusals.append(status)
+        self.store.status = status
+        try:
+            yield
+        finally:
+            self._refusals.remove(status)
+            self.store.status = self._refusals[-1] if self._refusals else 200
+
     def choose_balancer(self, key: ConnectionKey) -> Address:
         """Return the balancer to which the fabric sends packets of `key`."""
         hosts = [host for host in self.balancers if host.is_ready] or self.balancers
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -138,9 +138,8 @@
         if generator.random() < 0.5:
             deployment.store.compact_history()
         else:
-            deployment.store.status = generator.choice((429, 503))
-            await sleep(_draw_duration(generator))
-            deployment.store.status = 200
+            with deployment.refusing_store(generator.choice((429, 503))):
+                await sleep(_draw_duration(generator))
 
 
 async def restore_store(deployment: Deployment, generator: Random) -> None:
@@ -155,10 +154,8 @@
     ):
         copy = store.copy()
         await sleep(generator.uniform(MIN_FAULT_S, MAX_COPY_AGE_S))
-        status = store.status
-        store.status = 503
-        await sleep(generator.uniform(0.0, MAX_AWAY_S))
-        store.status = status
+        with deployment.refusing_store(503):
+            await sleep(generator.uniform(0.0, MAX_AWAY_S))
         store.restore(copy)
         await sleep(generator.uniform(0.0, MAX_REWRITE_S))
         deployment.write_again()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,12 +2,14 @@
 
 from asyncio import get_running_loop, sleep
 from collections import Counter
+from contextlib import ExitStack
 from random import Random
 
 import pytest
 
 from lycheeglade.address import Address
 from lycheeglade.segment import ConnectionKey
+from soak.deployment import Deployment
 from soak.network import LinkFault, Network
 from soak.packets import ACK, SYN, mark_returned, pack_segment
 from soak.promises import (
@@ -21,6 +23,7 @@
 from tests.faults import long_only
 from tests.test_connection_daemon import WORKER
 
+STORE_DOWN_STATUSES = (429, 503)
 FAULTS_S = 8.0
 LONG_FAULTS_S = 24.0
 # Seeds whose rounds reported a breach, with its cause. All causes but the last
@@ -51,6 +54,17 @@
     await check_round(seed, LONG_FAULTS_S, tmp_path)
 
 
+async def test_store_answers_after_the_last_of_overlapping_refusals(tmp_path):
+    deployment = Deployment(0, tmp_path, Random(1))
+    first_status, second_status = STORE_DOWN_STATUSES
+    with ExitStack() as first, ExitStack() as second:
+        first.enter_context(deployment.refusing_store(first_status))
+        second.enter_context(deployment.refusing_store(second_status))
+        first.close()
+        assert deployment.store.status == second_status
+    assert deployment.store.status == 200
+
+
 class FakeTarget:
     service = "feeds"
     target_id = "i-1"
