--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -21,6 +21,8 @@
 CONFIG_APPLY_S = 3.0
 # Time from the end of a disruption of the store until its bounds hold again.
 STABILITY_S = 4.0
+# In CONFIG_APPLY_S, of a balancer that doubles its pauses up to 1 s.
+MAX_REFUSED_CALLS = 9
 FIRST_ROUTE = Address("198.18.0.1", 8443)
 SECOND_ROUTE = Address("198.18.0.2", 8443)
 
@@ -252,3 +254,13 @@
     following.follower.close()
     names = [name for name, _ in following.events]
     assert names.count("store-era-unreadable") == 1
+
+
+async def test_refusals_after_a_restore_are_answered_with_rare_calls(store, balancer):
+    """Only a process without a view tries at short intervals."""
+    store.status = 503
+    store.restore(store.copy())
+    await wait_until(lambda: "/kv-range" in store.calls[-1:])
+    store.calls.clear()
+    await sleep(CONFIG_APPLY_S)
+    assert len(store.calls) <= MAX_REFUSED_CALLS
