--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -1,12 +1,13 @@
 """What a balancer believes of a store whose answers went back or are lost."""
 
 from asyncio import create_task, gather, sleep, timeout
+from functools import partial
 from random import Random
 from time import monotonic
 
 import pytest
 
-from catalog import CONFIGURATION_KEY
+from catalog import CONFIGURATION_KEY, Catalog
 from lycheeglade.address import Address, Zone
 from lycheeglade.view import State
 from lycheeglade.view_follower import ViewFollower
@@ -38,7 +39,8 @@
 
 
 def make_reader(store, log=lambda event, **fields: None):
-    return StoreReader(store.address, {"nadi-a": "viti-west"}, 7720, Random(1), log)
+    make_catalog = partial(Catalog, {"nadi-a": "viti-west"}, 7720, log)
+    return StoreReader(store.address, make_catalog, Random(1), log)
 
 
 class FollowingBalancer:
