--- a/lycheeglade/known_view.py
+++ b/lycheeglade/known_view.py
@@ -1,4 +1,4 @@
-"""The view that a process goes by, from all the views that it receives."""
+"""Merges the views that a process receives into the one that it uses."""
 
 from dataclasses import dataclass, field
 
@@ -8,15 +8,15 @@
 
 @dataclass(slots=True)
 class KnownView:
-    """The newest view so far, and what it no longer says of targets.
+    """The newest view so far, and the history of its targets.
 
     Attributes
     ----------
     view : RoutingView
-        Newest targets and newest routes, as they were written; other
-        balancers are given this one.
+        Newest targets and newest routes as they were published, which is
+        what other balancers fetch.
     history : TargetHistory
-        Targets that were seen to leave.
+        Targets that were observed to drain or to end.
     """
 
     view: RoutingView = field(default_factory=RoutingView)
--- a/lycheeglade/store_revision.py
+++ b/lycheeglade/store_revision.py
@@ -28,9 +28,9 @@
 class ViewVersion:
     """What a view is based on.
 
-    The targets follow the store, the routes their own version: a store that
-    has lost the latest configuration serves an older one until the operators
-    write again, which must not come into force.
+    Targets are ordered by the store's revision, routes by their own version:
+    a store that has lost the latest configuration serves an older one until
+    the operators write it again, and the older one must not be applied.
 
     Attributes
     ----------
--- a/lycheeglade/target_history.py
+++ b/lycheeglade/target_history.py
@@ -1,10 +1,10 @@
-"""What a process knows of targets beyond its view, against a restored store.
+"""Corrects the targets of a store that was restored from an older copy.
 
-A store that comes back from an older copy names targets as ready that have
-since left. Each target says within a few heartbeats what is true; until then
-what this process has seen itself goes before the copy. Targets that the copy
-lacks need nothing here: placement goes on using a target for a short time
-after its entry has disappeared, as after any outage of the store.
+Such a store lists targets as ready that have since started to drain or ended.
+Until the targets' next heartbeats have corrected the entries, the states that
+this process observed before the restore take precedence. Targets that the copy
+lacks are not handled here: placement keeps a target for a short time after its
+entry has disappeared, as after any outage of the store.
 """
 
 from dataclasses import dataclass, field, replace
@@ -21,7 +21,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Sighting:
-    """What was last seen of one lifetime of a target.
+    """Latest observation of one lifetime of a target.
 
     Attributes
     ----------
@@ -35,7 +35,7 @@
 
 @dataclass(slots=True)
 class TargetHistory:
-    """Targets that were seen to leave.
+    """Targets that were observed to drain or to end.
 
     Attributes
     ----------
@@ -90,10 +90,10 @@
         return any(until <= now for until in self.withheld_until_by_id.values())
 
     def correct(self, view: RoutingView, now: float) -> RoutingView:
-        """Return `view` without what is known to be outdated in it.
+        """Return `view` without the states that are known to be outdated.
 
-        Targets that are withheld are left out. A target that has announced
-        that it leaves does so for the rest of its lifetime.
+        Withheld targets are left out. A target that has started to drain
+        stays in that state for the rest of its lifetime.
         """
         for target_id, until in list(self.withheld_until_by_id.items()):
             if until <= now:
@@ -114,7 +114,7 @@
         return replace(view, targets_by_service=targets_by_service)
 
     def find_kept_leaving(self, view: RoutingView) -> list[str]:
-        """Return the targets that leave though `view` says otherwise."""
+        """Return the draining targets that `view` lists as ready."""
         return sorted(
             target_id
             for target_id, target in _index_targets(view).items()
--- a/lycheeglade/view_exchange.py
+++ b/lycheeglade/view_exchange.py
@@ -155,8 +155,8 @@
     ) -> bool:
         """Record what another balancer's view is based on.
 
-        A watcher of an earlier era of the store has lost touch with it, or
-        can't read the era, and counts as a follower.
+        A watcher of an earlier era of the store is cut off from it, or does
+        not support eras, and counts as a follower.
 
         Parameters
         ----------
--- a/lycheeglade/view_follower.py
+++ b/lycheeglade/view_follower.py
@@ -17,7 +17,7 @@
 
 # Source of the views that this process reads from the store itself.
 STORE = "store"
-# Source of a view that changes since a target is no longer withheld.
+# Source of a view that changes because a target is no longer withheld.
 HISTORY = "history"
 
 # Follows the store: gets a view to start from, the revision up to which that
@@ -43,8 +43,8 @@
     At the start it reads the store once. After a loss of power no balancer has
     a view, and those that would be asked for it may be the last to start.
 
-    Neither the routes nor what is known of a target go back, also if the store
-    returns from an older copy.
+    Routes and the states of targets never revert, even if the store was
+    restored from an older copy.
 
     Parameters
     ----------
@@ -88,7 +88,7 @@
         self._fetching: Task | None = None
 
     def get_view(self) -> RoutingView:
-        """Return the latest view, as the store and the operators wrote it."""
+        """Return the latest view as it was published."""
         return self._known.view
 
     def receive(self, message: Peers | ViewStatus, source: Address, now: float) -> None:
@@ -177,7 +177,7 @@
     def _log_era(
         self, previous: RoutingView, restored: RoutingView, corrected: RoutingView
     ) -> None:
-        """Log what is kept against a store that came back from a copy."""
+        """Log which states take precedence over the restored ones."""
         history = self._known.history
         self._log(
             "store-era",
