Compare the versions of views cheaply, and derive them in one place

Each balancer compares its version with those of all others 50 times a second. As ordered data classes that took 19.8 us at 59 balancers (3.1 us when revisions were plain numbers). StoreRevision and ViewVersion are named tuples now, as addresses are, and equal versions are passed over: 5.8 us (minimum of 9 repeats on a busy machine). Views and messages get their version from one mixin instead of three copies, and a status that names no stranger is answered without one being built. No decision changes.

--- a/lycheeglade/relay_message.py
+++ b/lycheeglade/relay_message.py
@@ -8,7 +8,7 @@
 from lycheeglade.address import Address
 from lycheeglade.errors import PacketError
 from lycheeglade.segment import ConnectionKey
-from lycheeglade.store_revision import StoreRevision, ViewVersion
+from lycheeglade.store_revision import Versioned
 
 
 class Duty(StrEnum):
@@ -130,7 +130,7 @@
     failing: float = 0.0
 
 
-class Peers(Struct, frozen=True, array_like=True, tag=6):
+class Peers(Versioned, Struct, frozen=True, array_like=True, tag=6):
     """The version of a balancer's view, and the balancers that it knows.
 
     Attributes
@@ -150,11 +150,6 @@
     era: int = 0
     configuration: int = 0
 
-    @property
-    def version(self) -> ViewVersion:
-        """What the sender's view is based on."""
-        return ViewVersion(StoreRevision(self.era, self.revision), self.configuration)
-
 
 class ConnectionNotHeldBy(Struct, frozen=True, array_like=True, tag=7):
     """The targets of the given agents do not hold the connection."""
@@ -163,7 +158,7 @@
     agents: tuple[Address, ...]
 
 
-class ViewStatus(Struct, frozen=True, array_like=True, tag=8):
+class ViewStatus(Versioned, Struct, frozen=True, array_like=True, tag=8):
     """What a balancer's view is based on.
 
     Attributes
@@ -194,11 +189,6 @@
     era: int = 0
     configuration: int = 0
 
-    @property
-    def version(self) -> ViewVersion:
-        """What the sender's view is based on."""
-        return ViewVersion(StoreRevision(self.era, self.revision), self.configuration)
-
 
 class OpeningHeld(Struct, frozen=True, array_like=True, tag=9):
     """The sender's target has no free slot; the new connection waits there."""
--- a/lycheeglade/route.py
+++ b/lycheeglade/route.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field, replace
 
 from lycheeglade.address import Address
-from lycheeglade.store_revision import StoreRevision, ViewVersion
+from lycheeglade.store_revision import Versioned
 from lycheeglade.view import Target
 
 DEFAULT_TIMEOUT_S = 5.0
@@ -36,7 +36,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RoutingView:
+class RoutingView(Versioned):
     """Routes and targets as published up to one revision.
 
     Attributes
@@ -55,16 +55,6 @@
     targets_by_service: Mapping[str, Mapping[str, Target]] = field(default_factory=dict)
     era: int = 0
 
-    @property
-    def store(self) -> StoreRevision:
-        """Revision of the store whose targets these are."""
-        return StoreRevision(self.era, self.revision)
-
-    @property
-    def version(self) -> ViewVersion:
-        """What this view is based on."""
-        return ViewVersion(self.store, self.configuration)
-
 
 def merge_views(known: RoutingView, received: RoutingView) -> RoutingView:
     """Return the newer targets of two views with the newer routes.
--- a/lycheeglade/store_revision.py
+++ b/lycheeglade/store_revision.py
@@ -1,10 +1,13 @@
-"""Revisions of a store that may come back from an older copy of itself."""
+"""Revisions of a store that may come back from an older copy of itself.
 
-from dataclasses import dataclass
+Each balancer compares its own with those of all others many times a second.
+Named tuples compare several times faster than data classes.
+"""
 
+from typing import NamedTuple
 
-@dataclass(frozen=True, slots=True, order=True)
-class StoreRevision:
+
+class StoreRevision(NamedTuple):
     """A revision of the store; one of a later era is always newer.
 
     Attributes
@@ -24,8 +27,7 @@
         return f"{self.era}/{self.revision}"
 
 
-@dataclass(frozen=True, slots=True)
-class ViewVersion:
+class ViewVersion(NamedTuple):
     """What a view is based on.
 
     Targets are ordered by the store's revision, routes by their own version:
@@ -53,3 +55,19 @@
             max(self.store, other.store),
             max(self.configuration, other.configuration),
         )
+
+
+class Versioned:
+    """Properties of types with an era, a revision and a configuration."""
+
+    __slots__ = ()
+
+    @property
+    def store(self) -> StoreRevision:
+        """Revision of the store on which the targets are based."""
+        return StoreRevision(self.era, self.revision)
+
+    @property
+    def version(self) -> ViewVersion:
+        """What the view is based on."""
+        return ViewVersion(self.store, self.configuration)
--- a/lycheeglade/view_exchange.py
+++ b/lycheeglade/view_exchange.py
@@ -124,8 +124,10 @@
         replies: list[tuple[Address, Message]] = []
         if isinstance(message, ViewStatus):
             is_new = self.receive_status(message, source, version, now)
-            status = self.make_status(version)
-            replies += [(a, status) for a in self.find_strangers(message)]
+            strangers = self.find_strangers(message)
+            if strangers:
+                status = self.make_status(version)
+                replies += [(address, status) for address in strangers]
         else:
             is_new = self.receive_peers(message, source, now)
             if is_new:
@@ -183,7 +185,7 @@
         if duty is Duty.WATCHER:
             if status.zone == self._zone:
                 self._watcher_heard_at = now
-            if status.version.store == version.store:
+            if status.store == version.store:
                 checked = StoreRevision(status.era, status.checked)
                 self.checked = max(self.checked, checked)
         return is_new
@@ -360,7 +362,7 @@
         ahead = [
             (address, peer)
             for address, peer in self._peers_by_address.items()
-            if version.is_behind(peer.version)
+            if peer.version != version and version.is_behind(peer.version)
         ]
         is_watcher = self.duty is Duty.WATCHER
         delay = WATCHER_FETCH_DELAY_S if is_watcher else FETCH_DELAY_S
--- a/tests/test_view_exchange.py
+++ b/tests/test_view_exchange.py
@@ -1,4 +1,3 @@
-from dataclasses import replace
 from random import Random
 
 import pytest
@@ -113,14 +112,14 @@
     exchange.receive_peers(Peers(3, (), era=2), PEER, 1.0)
     own = ViewVersion(StoreRevision(1, 500), 1)
     assert exchange.choose_source(own, 1.01 + FETCH_DELAY_S) == PEER
-    assert exchange.choose_source(replace(own, store=StoreRevision(3, 1)), 5.0) is None
+    assert exchange.choose_source(own._replace(store=StoreRevision(3, 1)), 5.0) is None
 
 
 def test_peer_with_a_newer_configuration_is_ahead(exchange):
     exchange.receive_peers(Peers(3, (), era=1, configuration=9), PEER, 1.0)
     own = ViewVersion(StoreRevision(2, 500), 8)
     assert exchange.choose_source(own, 1.01 + FETCH_DELAY_S) == PEER
-    exchange.record_fetch(PEER, replace(own, configuration=7))
+    exchange.record_fetch(PEER, own._replace(configuration=7))
     assert exchange.choose_source(own, 2.0) is None
 
 
