Decide in one place which lifetimes an observation of a target covers

Three comparisons of lifetimes become one function. A view that is the known one is refused by the merge already, so that the follower need not ask first; an attribute of a test's probe was unused. No decision changes.

--- a/lycheeglade/target_history.py
+++ b/lycheeglade/target_history.py
@@ -60,8 +60,7 @@
         self.removals_by_id = _drop_old(self.removals_by_id, now)
         if is_restored:
             for target_id, target in after.items():
-                removal = self.removals_by_id.get(target_id)
-                if removal is not None and target.lifetime <= removal.lifetime:
+                if _is_covered(target, self.removals_by_id):
                     self.withheld_until_by_id[target_id] = now + WITHHOLD_S
         else:
             self._record_removals(before, after, now)
@@ -122,20 +121,19 @@
         )
 
     def _is_withheld(self, target: Target) -> bool:
-        removal = self.removals_by_id.get(target.target_id)
-        return (
-            target.target_id in self.withheld_until_by_id
-            and removal is not None
-            and target.lifetime <= removal.lifetime
-        )
+        is_restored = target.target_id in self.withheld_until_by_id
+        return is_restored and _is_covered(target, self.removals_by_id)
 
     def _correct_target(self, target: Target) -> Target:
-        leaving = self.leaving_by_id.get(target.target_id)
-        if target.state is State.LEAVING or leaving is None:
-            return target
-        if target.lifetime > leaving.lifetime:
-            return target
-        return replace(target, state=State.LEAVING)
+        if target.state is State.LIVE and _is_covered(target, self.leaving_by_id):
+            return replace(target, state=State.LEAVING)
+        return target
+
+
+def _is_covered(target: Target, seen_by_id: dict[str, Sighting]) -> bool:
+    """Return whether this or a later lifetime of the target was observed."""
+    seen = seen_by_id.get(target.target_id)
+    return seen is not None and target.lifetime <= seen.lifetime
 
 
 def _drop_old(seen_by_id: dict[str, Sighting], now: float) -> dict[str, Sighting]:
--- a/lycheeglade/view_follower.py
+++ b/lycheeglade/view_follower.py
@@ -155,7 +155,7 @@
 
     def _publish(self, view: RoutingView, source: str) -> None:
         # Without routes a view can't be used, and peers must not fetch it.
-        if not view.configuration or view is self._known.view:
+        if not view.configuration:
             return
         now = monotonic()
         previous = self._known.view
--- a/tests/test_view_follower.py
+++ b/tests/test_view_follower.py
@@ -15,7 +15,6 @@
     def __init__(self):
         self.applied = []
         self.events = []
-        self.publish = None
         self.follower = ViewFollower(
             OWN,
             Zone("viti-west", "nadi-a"),
