Add the fields for evacuation, warmup and priorities to views and messages

The fields have defaults and are only appended, so that processes of the previous build can run beside new ones. No decision reads them yet.

--- a/lycheeglade/relay_message.py
+++ b/lycheeglade/relay_message.py
@@ -42,6 +42,16 @@
         that the receiver has to ask for an unknown connection.
     costs : tuple of float
         Expected seconds until each candidate answers a first request.
+    services : tuple of str
+        Services whose targets may receive the segment of a search, empty for
+        any.
+    priority : int
+        Priority of a new connection's requests; 0 is the highest.
+    aim_left : float
+        Seconds left in which a first answer has its full worth, 0 if both
+        times are unknown.
+    time_left : float
+        Seconds left until the caller gives up, 0 if both times are unknown.
     """
 
     balancer: Address
@@ -51,6 +61,10 @@
     candidates: tuple[Address, ...] = ()
     costs: tuple[float, ...] = ()
     is_relayed: bool = False
+    services: tuple[str, ...] = ()
+    priority: int = 0
+    aim_left: float = 0.0
+    time_left: float = 0.0
 
 
 class HomeFound(Struct, frozen=True, array_like=True, tag=2):
@@ -87,10 +101,17 @@
         Slots of the target.
     is_near : bool
         Whether the balancer is in the target's zone.
+    warmup_left : float
+        Seconds for which the target stays slow.
+    warmup_rate : float
+        New connections per second that it can handle meanwhile, 0 if no limit
+        is published.
     """
 
     slots: int
     is_near: bool = True
+    warmup_left: float = 0.0
+    warmup_rate: float = 0.0
 
 
 class LoadReport(Struct, frozen=True, array_like=True, tag=5):
--- a/lycheeglade/route.py
+++ b/lycheeglade/route.py
@@ -26,6 +26,12 @@
         Whether a request may run more than once.
     is_bulk : bool
         Whether requests or answers are long.
+    aim : float
+        Seconds within which an answer has its full worth, 0 if unknown.
+    priority : int
+        Priority of the requests; 0 is the highest.
+    regions : tuple of str, optional
+        Regions in which the requests may be served, None for any.
     """
 
     address: Address
@@ -33,6 +39,9 @@
     timeout: float = DEFAULT_TIMEOUT_S
     repeatable: bool = True
     is_bulk: bool = False
+    aim: float = 0.0
+    priority: int = 0
+    regions: tuple[str, ...] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +56,10 @@
         Version of the routes, 0 until any are known.
     era : int
         Era of the store; see `StoreRevision`.
+    evacuated_zones : tuple of str
+        Names of the zones whose targets get no new connections, sorted.
+    warmup_rates_by_service : mapping of str to float
+        New connections per second that a cold target of a service can handle.
     """
 
     revision: int = 0
@@ -54,6 +67,8 @@
     routes_by_address: Mapping[Address, Route] = field(default_factory=dict)
     targets_by_service: Mapping[str, Mapping[str, Target]] = field(default_factory=dict)
     era: int = 0
+    evacuated_zones: tuple[str, ...] = ()
+    warmup_rates_by_service: Mapping[str, float] = field(default_factory=dict)
 
 
 def merge_views(known: RoutingView, received: RoutingView) -> RoutingView:
--- a/lycheeglade/view.py
+++ b/lycheeglade/view.py
@@ -51,6 +51,8 @@
     lifetime : int
         Start of the upstream's process in Unix milliseconds, or 0 if it is
         not reported. A restart under the same ID starts a new lifetime.
+    warmup_left : float
+        Seconds for which the target stays slow, as last reported.
     """
 
     target_id: str
@@ -63,6 +65,7 @@
     connections: int = 2000
     state: State = State.LIVE
     lifetime: int = 0
+    warmup_left: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
