Search connections of a route that has changed its services at all agents

Callers saw their connections reset although the target served them: a balancer that had started after a change of a route's services asked only the agents of the services that the route named then (34 asked, 34 denied), and a connection of a former service was taken for lost.

A balancer now searches the services that it saw the route name within a connection's longest life, and until it has followed the routes for that time, the agents of all services. The message names the services whose targets may receive the segment; an agent of another service answers from its table, and only if it has run as long as the target or for a connection's longest life. Otherwise it stays silent: the caller waits, but an open connection is not reset. Agents of targets that have gone are no longer asked to deliver segments of other services.

The state machine of connections changes, removes and returns services.

--- a/lycheeglade/connection_agent.py
+++ b/lycheeglade/connection_agent.py
@@ -30,7 +30,14 @@
     notify_balancers,
     record_segment,
 )
-from lycheeglade.connection_load import log_load, make_report, report_load, work_time
+from lycheeglade.connection_limits import CONNECTION_LIFETIME_S
+from lycheeglade.connection_load import (
+    MS_PER_S,
+    log_load,
+    make_report,
+    report_load,
+    work_time,
+)
 from lycheeglade.relay_message import (
     ConnectionNotHeld,
     ForwardSegment,
@@ -42,6 +49,9 @@
 # Connections without segments for CONNECTION_IDLE_TIMEOUT_S seconds are
 # evicted.
 CONNECTION_IDLE_TIMEOUT_S = 60.0
+# On a host that has just got power, the target starts up to this time before
+# its agent.
+MAX_START_DELAY_S = 3.0
 # A request without an answer after ANSWER_TIMEOUT_S seconds counts as failed.
 ANSWER_TIMEOUT_S = 1.0
 # Answers that take less than MIN_ANSWER_TIME_S seconds are refusals by a full
@@ -57,6 +67,7 @@
     if isinstance(message, LoadRequest):
         agent.last_heard_by_balancer[source] = now
         agent.slots = max(1, message.slots)
+        agent.target_lifetime = message.lifetime
         if message.is_near:
             agent.far_reported_at_by_balancer.pop(source, None)
         else:
@@ -81,6 +92,15 @@
     connection = agent.connections_by_key.get(key)
     if segment.opens:
         receive_opening(agent, key, connection, pending, segment, now)
+    elif (
+        connection is None
+        and message.services
+        and agent.service not in message.services
+    ):
+        # The target must not receive a segment of another service.
+        if knows_all_connections(agent, now):
+            not_held = ConnectionNotHeld(key, segment.acknowledgement)
+            agent.actions.send(pending.requester, not_held)
     elif connection is None or not connection.is_open:
         _receive_unknown(agent, key, connection, pending, segment, now)
     else:
@@ -88,6 +108,21 @@
         _receive_established(agent, key, connection, segment, now)
 
 
+def knows_all_connections(agent: ConnectionAgent, now: float) -> bool:
+    """Return whether the table has all open connections of the target.
+
+    That is the case if this process has run for as long as a connection may
+    be open, or since the target started. A target whose start is not published
+    counts as started after this process.
+    """
+    if now - agent.started_at >= CONNECTION_LIFETIME_S:
+        return True
+    if agent.target_lifetime is None:
+        return False
+    started_ms = agent.started_unix_ms - MAX_START_DELAY_S * MS_PER_S
+    return not agent.target_lifetime or started_ms <= agent.target_lifetime
+
+
 def _receive_unknown(
     agent: ConnectionAgent,
     key: ConnectionKey,
--- a/lycheeglade/connection_agent_daemon.py
+++ b/lycheeglade/connection_agent_daemon.py
@@ -3,7 +3,7 @@
 from asyncio import create_task, get_running_loop, sleep
 from collections.abc import Awaitable, Callable
 from random import SystemRandom
-from time import monotonic
+from time import monotonic, time
 
 from lycheeglade.address import Address
 from lycheeglade.connection_agent import (
@@ -24,7 +24,7 @@
     raise_task_failures,
     run_until,
 )
-from lycheeglade.connection_load import announce_exit
+from lycheeglade.connection_load import MS_PER_S, announce_exit
 from lycheeglade.errors import PacketError
 from lycheeglade.relay_message import decode_message, encode_message
 from lycheeglade.segment import ConnectionKey, Segment
@@ -92,6 +92,7 @@
         actions,
         monotonic(),
         settings.limits,
+        time() * MS_PER_S,
     )
     log("started", host=settings.host_id, role="agent", service=settings.service)
     readiness = create_task(serve_readiness(lambda: not stop.is_set()))
--- a/lycheeglade/connection_agent_state.py
+++ b/lycheeglade/connection_agent_state.py
@@ -96,6 +96,11 @@
 
     Attributes
     ----------
+    started_unix_ms : float
+        Start of this process in Unix milliseconds.
+    target_lifetime : int, optional
+        Start of the target's process in Unix milliseconds, 0 if it is not
+        published, None before a balancer has sent it.
     held_openings_by_key : dict
         Opening segments of the connections in `opening_queue`.
     far_reported_at_by_balancer : dict
@@ -107,6 +112,8 @@
     actions: ConnectionAgentActions
     started_at: float
     limits: ConnectionLimits = DEFAULT_LIMITS
+    started_unix_ms: float = 0.0
+    target_lifetime: int | None = None
     slots: int = 1
     connections_by_key: OrderedDict[ConnectionKey, LocalConnection] = field(
         default_factory=OrderedDict
--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -26,6 +26,7 @@
     conclude_search,
     pick_home,
     queue_segment,
+    record_former_services,
     search_home,
 )
 from lycheeglade.relay_message import (
@@ -66,6 +67,7 @@
         return
     previous, balancer.view = balancer.view, view
     balancer.view_at = balancer.view_at or now
+    record_former_services(balancer, previous, now)
     current = {
         target_id: (target, service)
         for service, targets in view.targets_by_service.items()
@@ -83,8 +85,9 @@
         balancer.unannounced_removals_by_id.pop(target_id, None)
         load = balancer.loads_by_agent.setdefault(target.agent, AgentLoad())
         load.is_near = target.zone == balancer.zone
-        if load.slots != target.slots:
+        if (load.slots, load.lifetime) != (target.slots, target.lifetime):
             load.slots = target.slots
+            load.lifetime = target.lifetime
             _send_load_request(balancer, target.agent, now)
     if view.configuration and balancer.queued_openings:
         queued, balancer.queued_openings = balancer.queued_openings, []
@@ -323,7 +326,8 @@
     balancer: ConnectionBalancer, agent: Address, now: float
 ) -> None:
     load = balancer.loads_by_agent[agent]
-    send_message(balancer, agent, LoadRequest(load.slots, load.is_near), now)
+    request = LoadRequest(load.slots, load.is_near, lifetime=load.lifetime)
+    send_message(balancer, agent, request, now)
 
 
 def tick(balancer: ConnectionBalancer, now: float) -> None:
--- a/lycheeglade/connection_balancer_state.py
+++ b/lycheeglade/connection_balancer_state.py
@@ -100,6 +100,9 @@
 
     Attributes
     ----------
+    former_services_by_address : dict
+        Services that a route no longer names, by the route's address, and when
+        each was removed from it.
     unrouted_by_source : dict
         Refused segments to addresses without a route, by the caller's IP: the
         time of the first, their number and the latest connection.
@@ -118,6 +121,9 @@
     unannounced_removals_by_id: dict[str, tuple[Target, str, float]] = field(
         default_factory=dict
     )
+    former_services_by_address: dict[Address, dict[str, float]] = field(
+        default_factory=dict
+    )
     loads_by_agent: dict[Address, AgentLoad] = field(default_factory=dict)
     connections_by_key: OrderedDict[ConnectionKey, Connection] = field(
         default_factory=OrderedDict
--- a/lycheeglade/connection_limits.py
+++ b/lycheeglade/connection_limits.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 
 MAX_RELAYED_QUERIES = 40
+# Connections are open for up to CONNECTION_LIFETIME_S seconds.
+CONNECTION_LIFETIME_S = 60.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -4,8 +4,16 @@
 before the balancer started. The balancer then asks all agents whose target may
 hold the connection. If none does, it resets the connection so that the caller
 opens a new one.
+
+A connection stays with its target when its route changes its services. So the
+search covers the services that the route named within the longest life of a
+connection. A balancer that has not followed the routes for that time asks the
+agents of all services; those of a service that it cannot name answer from
+their tables only, since a segment must not reach a target of another service.
 """
 
+from msgspec.structs import replace
+
 from lycheeglade.address import Address
 from lycheeglade.connection_balancer_state import (
     Connection,
@@ -13,11 +21,11 @@
     Home,
     Search,
     abandon_connection,
-    forward_segment,
     send_message,
 )
+from lycheeglade.connection_limits import CONNECTION_LIFETIME_S
 from lycheeglade.relay_message import ForwardSegment
-from lycheeglade.route import Route
+from lycheeglade.route import Route, RoutingView
 from lycheeglade.segment import (
     SEQUENCE_SPACE,
     ConnectionKey,
@@ -35,9 +43,6 @@
 # From SEARCH_TIMEOUT_S seconds on, the search no longer waits for agents
 # whose target is silent, or which are unresponsive themselves.
 SEARCH_TIMEOUT_S = 0.4
-# Targets are included in searches for REMOVED_SEARCH_S seconds after they are
-# removed from the view.
-REMOVED_SEARCH_S = 60.0
 # The first view may lack entries that are missing only for a moment, so no
 # search ends in a reset until MIN_VIEW_AGE_S seconds after it.
 MIN_VIEW_AGE_S = 0.5
@@ -88,21 +93,65 @@
     elif now - search.queried_at < SEARCH_RETRY_S:
         return
     search.queried_at = now
-    agents = _searched_agents(balancer, route, now)
+    services = _searched_services(balancer, route, now)
+    agents = _searched_agents(balancer, services, now)
     search.queried_agents |= agents
     queried = sorted(agents - search.denying_agents)
+    query = ForwardSegment(
+        balancer.address, segment.datagram, search=True, services=services
+    )
     if len(queried) <= MAX_DIRECT_QUERIES:
         for agent in queried:
-            forward_segment(balancer, agent, segment, now, search=True)
+            send_message(balancer, agent, query, now)
     else:
         size = balancer.limits.relayed_queries
         for first in range(0, len(queried), size):
             group = queried[first : first + size]
-            _query_through_agent(balancer, group, segment, now)
+            _query_through_agent(balancer, group, query, now)
+
+
+def record_former_services(
+    balancer: ConnectionBalancer, previous: RoutingView, now: float
+) -> None:
+    """Record which services the routes of the current view name no longer."""
+    if previous.configuration == balancer.view.configuration:
+        return
+    routes = balancer.view.routes_by_address
+    for address, route in previous.routes_by_address.items():
+        current = routes.get(address)
+        if current is route:
+            continue
+        named = current.weights_by_service if current is not None else {}
+        removed = route.weights_by_service.keys() - named.keys()
+        if removed:
+            former = balancer.former_services_by_address.setdefault(address, {})
+            former.update(dict.fromkeys(removed, now))
+    for address, former in list(balancer.former_services_by_address.items()):
+        for service, removed_at in list(former.items()):
+            if now - removed_at > CONNECTION_LIFETIME_S:
+                del former[service]
+        if not former:
+            del balancer.former_services_by_address[address]
+
+
+def _searched_services(
+    balancer: ConnectionBalancer, route: Route, now: float
+) -> tuple[str, ...]:
+    """Return the services that the route names or is known to have named."""
+    former = balancer.former_services_by_address.get(route.address, {})
+    recent = {
+        service
+        for service, removed_at in former.items()
+        if now - removed_at <= CONNECTION_LIFETIME_S
+    }
+    return tuple(sorted(recent | route.weights_by_service.keys()))
 
 
 def _query_through_agent(
-    balancer: ConnectionBalancer, agents: list[Address], segment: Segment, now: float
+    balancer: ConnectionBalancer,
+    agents: list[Address],
+    query: ForwardSegment,
+    now: float,
 ) -> None:
     """Ask one of `agents` to query the others."""
     usable = [
@@ -113,26 +162,31 @@
         and not balancer.loads_by_agent[agent].leaving
     ]
     relay = balancer.generator.choice(usable or agents)
-    message = ForwardSegment(
-        balancer=balancer.address,
-        datagram=segment.datagram,
-        search=True,
-        candidates=tuple(agent for agent in agents if agent != relay),
-    )
-    send_message(balancer, relay, message, now)
+    candidates = tuple(agent for agent in agents if agent != relay)
+    send_message(balancer, relay, replace(query, candidates=candidates), now)
 
 
 def _searched_agents(
-    balancer: ConnectionBalancer, route: Route, now: float
+    balancer: ConnectionBalancer, services: tuple[str, ...], now: float
 ) -> set[Address]:
+    """Return the agents whose targets may hold a connection.
+
+    Parameters
+    ----------
+    services : tuple of str
+        Services that the connection's route is known to have named. They are
+        all of them if this balancer has followed the routes for
+        `CONNECTION_LIFETIME_S`.
+    """
+    knows_all_services = now - balancer.view_at > CONNECTION_LIFETIME_S
     agents = set()
-    for service in route.weights_by_service:
-        targets = balancer.view.targets_by_service.get(service, {})
-        agents.update(target.agent for target in targets.values())
-    for agent, (_, _, gone_at) in list(balancer.removed_by_agent.items()):
-        if now - gone_at > REMOVED_SEARCH_S:
+    for service, targets in balancer.view.targets_by_service.items():
+        if service in services or not knows_all_services:
+            agents.update(target.agent for target in targets.values())
+    for agent, (_, service, gone_at) in list(balancer.removed_by_agent.items()):
+        if now - gone_at > CONNECTION_LIFETIME_S:
             del balancer.removed_by_agent[agent]
-        else:
+        elif service in services or not knows_all_services:
             agents.add(agent)
     return agents
 
--- a/lycheeglade/relay_message.py
+++ b/lycheeglade/relay_message.py
@@ -106,12 +106,15 @@
     warmup_rate : float
         New connections per second that it can handle meanwhile, 0 if no limit
         is published.
+    lifetime : int
+        Start of the target's process in Unix milliseconds, 0 if unknown.
     """
 
     slots: int
     is_near: bool = True
     warmup_left: float = 0.0
     warmup_rate: float = 0.0
+    lifetime: int = 0
 
 
 class LoadReport(Struct, frozen=True, array_like=True, tag=5):
--- a/lycheeglade/search_relay.py
+++ b/lycheeglade/search_relay.py
@@ -68,7 +68,11 @@
         if len(self._searches_by_key) > MAX_PENDING_SEARCHES:
             self._searches_by_key.popitem(last=False)
         query = ForwardSegment(
-            message.balancer, message.datagram, search=True, is_relayed=True
+            message.balancer,
+            message.datagram,
+            search=True,
+            is_relayed=True,
+            services=message.services,
         )
         for agent in message.candidates:
             self._send(agent, query)
--- a/lycheeglade/target_load.py
+++ b/lycheeglade/target_load.py
@@ -59,6 +59,8 @@
         Whether the agent has reported that no request was measured yet.
     recent_placements : int
         Connections that this balancer has placed since the last report.
+    lifetime : int
+        Start of the target's process in Unix milliseconds, 0 if unknown.
     """
 
     last_heard_at: float = float("-inf")
@@ -75,6 +77,7 @@
     failing: float = 0.0
     incarnation: int = 0
     slots: int = 0
+    lifetime: int = 0
 
     def has_crashed(self, now: float) -> bool:
         """Return whether the agent's silence shows that it has crashed.
--- a/tests/test_connection_agent.py
+++ b/tests/test_connection_agent.py
@@ -4,11 +4,13 @@
 
 from lycheeglade.connection_agent import (
     ANSWER_TIMEOUT_S,
+    MAX_START_DELAY_S,
     receive_from_target,
     receive_message,
     tick,
 )
-from lycheeglade.connection_load import announce_exit
+from lycheeglade.connection_limits import CONNECTION_LIFETIME_S
+from lycheeglade.connection_load import MS_PER_S, announce_exit
 from lycheeglade.relay_message import (
     ConnectionNotHeld,
     ForwardSegment,
@@ -118,6 +120,45 @@
     assert message.key.caller.port == 5
 
 
+def search_other_service(agent, recorder, now):
+    recorder.sent.clear()
+    recorder.delivered.clear()
+    services = ("reel-depot",)
+    receive(agent, recorder, data(), now, search=True, services=services)
+    assert recorder.delivered == []
+    return [message for _, message in recorder.sent]
+
+
+def test_target_gets_no_segment_of_a_service_that_the_search_does_not_name(
+    agent, recorder
+):
+    """Its agent knows all its connections: it started before the target."""
+    receive_message(agent, LoadRequest(1, lifetime=1), BALANCER, 0.0)
+    assert search_other_service(agent, recorder, 1.0) == [ConnectionNotHeld(KEY, 1001)]
+
+
+def test_home_answers_a_search_that_does_not_name_its_service(agent, recorder):
+    open_connection(agent, recorder)
+    receive(agent, recorder, data(), 1.0, search=True, services=("reel-depot",))
+    assert recorder.sent == [(BALANCER, HomeFound(KEY, 1000))]
+    assert len(recorder.delivered) == 1
+
+
+@pytest.mark.parametrize(
+    ("started_late_s", "answers"),
+    [(MAX_START_DELAY_S - 0.1, True), (MAX_START_DELAY_S + 0.1, False)],
+)
+def test_agent_that_started_after_its_target_does_not_deny_from_its_table(
+    agent, recorder, started_late_s, answers
+):
+    """The target may hold connections that an earlier process let in."""
+    agent.started_unix_ms = 1e12 + started_late_s * MS_PER_S
+    assert search_other_service(agent, recorder, 0.5) == []
+    receive_message(agent, LoadRequest(1, lifetime=10**12), BALANCER, 0.6)
+    assert bool(search_other_service(agent, recorder, 0.7)) is answers
+    assert search_other_service(agent, recorder, CONNECTION_LIFETIME_S) != []
+
+
 def test_agent_that_started_anew_learns_its_connections(agent, recorder):
     """The target holds connections that opened before the agent started."""
     receive(agent, recorder, data(), 0.0, search=True)
--- a/tests/test_connection_balancer.py
+++ b/tests/test_connection_balancer.py
@@ -9,6 +9,7 @@
     tick,
     update_routing,
 )
+from lycheeglade.connection_limits import CONNECTION_LIFETIME_S
 from lycheeglade.connection_load import make_report as report_of
 from lycheeglade.connection_opening import (
     MAX_OPENING_TRIES,
@@ -29,6 +30,7 @@
 from lycheeglade.view import State
 from tests.connections import (
     CALLER,
+    ROUTE,
     SERVICE,
     AgentRecorder,
     BalancerRecorder,
@@ -152,6 +154,71 @@
     assert {agent for agent, _ in recorder.pop_forwarded_segments()} == set(AGENTS)
 
 
+def change_services(balancer, services, now, configuration=2):
+    """Let the route name other services; `reel-depot` has one target."""
+    view = make_view(TARGETS, (replace(ROUTE, weights_by_service=services),))
+    depot = make_target(4)
+    update_routing(
+        balancer,
+        replace(
+            view,
+            revision=4 + configuration,
+            configuration=configuration,
+            targets_by_service={
+                **view.targets_by_service,
+                "reel-depot": {depot.target_id: depot},
+            },
+        ),
+        now,
+    )
+    balancer.loads_by_agent[depot.agent].last_heard_at = now
+    return depot.agent
+
+
+def test_connection_of_a_service_that_its_route_no_longer_names_is_not_reset(recorder):
+    """Only the agents of the new service were asked, and denied it."""
+    restarted = recorder.make()
+    depot = change_services(restarted, {"reel-depot": 1.0}, 0.0)
+    recorder.sent.clear()
+    receive_segment(restarted, data(), 1.0)
+    forwarded_segments = recorder.pop_forwarded_segments()
+    assert {agent for agent, _ in forwarded_segments} == {*AGENTS, depot}
+    assert all(sent.services == ("reel-depot",) for _, sent in forwarded_segments)
+    receive_message(restarted, ConnectionNotHeld(KEY, 77), depot, 1.01)
+    tick(restarted, 1.02)
+    assert recorder.resets == []
+    receive_message(restarted, HomeFound(KEY, -1), AGENTS[1], 1.03)
+    assert [agent for agent, _ in recorder.pop_forwarded_segments()] == [AGENTS[1]]
+
+
+def test_targets_of_a_former_service_get_segments_for_a_lifetime(balancer, recorder):
+    depot = change_services(balancer, {"reel-depot": 1.0}, 1.0)
+    recorder.sent.clear()
+    receive_segment(balancer, data(), 2.0)
+    forwarded_segments = recorder.pop_forwarded_segments()
+    assert {sent.services for _, sent in forwarded_segments} == {
+        ("booth-sync", "reel-depot")
+    }
+    late = 1.1 + CONNECTION_LIFETIME_S
+    receive_segment(balancer, data(port=40002), late)
+    forwarded_segments = recorder.pop_forwarded_segments()
+    assert [agent for agent, _ in forwarded_segments] == [depot]
+    assert [sent.services for _, sent in forwarded_segments] == [("reel-depot",)]
+
+
+def test_services_of_a_route_that_was_removed_and_returned_are_searched(
+    balancer, recorder
+):
+    change_services(balancer, {"booth-sync": 1.0, "reel-depot": 1.0}, 1.0)
+    removed = replace(balancer.view, revision=7, configuration=3, routes_by_address={})
+    update_routing(balancer, removed, 2.0)
+    change_services(balancer, {"reel-depot": 1.0}, 3.0, configuration=4)
+    recorder.sent.clear()
+    receive_segment(balancer, data(), 3.1)
+    services = {sent.services for _, sent in recorder.pop_forwarded_segments()}
+    assert services == {("booth-sync", "reel-depot")}
+
+
 def test_connection_that_no_target_holds_is_reset(balancer, recorder):
     receive_segment(balancer, data(acknowledgement=77), 1.0)
     for agent in AGENTS[:2]:
--- a/tests/test_connection_machine.py
+++ b/tests/test_connection_machine.py
@@ -3,7 +3,8 @@
 The faults are lost packets, restarts and crashes. The machine checks that an
 open connection is reset only if its target lost it, that repeated requests of
 a caller reach the connection's home, and that a target gets no connection of
-another service.
+another service. The route changes its services, and is removed and returns,
+while connections are open.
 """
 
 from collections import deque
@@ -32,12 +33,14 @@
     ConnectionBalancer,
     ConnectionBalancerActions,
 )
+from lycheeglade.connection_load import MS_PER_S
 from lycheeglade.segment import Segment
 from tests.conftest import make_machine_settings
 from tests.connections import (
     BALANCER,
     CALLER,
     OWN_ZONE,
+    ROUTE,
     SERVICE,
     from_caller,
     make_target,
@@ -45,7 +48,18 @@
 )
 
 BALANCERS = [BALANCER, BALANCER._replace(ip="10.1.0.11")]
-TARGETS = [make_target(number) for number in range(3)]
+# The targets started before their agents.
+TARGETS_BY_SERVICE = {
+    service: [replace(make_target(number), lifetime=1) for number in numbers]
+    for service, numbers in (("booth-sync", range(3)), ("reel-depot", range(3, 5)))
+}
+SERVICES = list(TARGETS_BY_SERVICE)
+TARGETS = [target for targets in TARGETS_BY_SERVICE.values() for target in targets]
+SERVICE_BY_AGENT = {
+    target.agent: service
+    for service, targets in TARGETS_BY_SERVICE.items()
+    for target in targets
+}
 STEP_S = 0.25
 PORTS = st.integers(1, 4)
 
@@ -81,6 +95,10 @@
         self.open.clear()
         self.opening.clear()
 
+    def drop(self, key):
+        self.open.pop(key, None)
+        self.opening.pop(key, None)
+
     def _answer(self, key, **fields):
         return Segment(key.service, key.caller, **fields)
 
@@ -93,6 +111,9 @@
         self.queue = deque()
         self.drops = 0
         self.targets = {t.agent: FakeTarget(n) for n, t in enumerate(TARGETS)}
+        self.configuration = 1
+        self.services = SERVICES[:1]
+        self.named_services = set(self.services)
         self.segments = {}
         self.sequence_by_key = {}
         self.sent_by_key = {}
@@ -109,9 +130,30 @@
             send, self.on_reset, lambda event, **fields: None
         )
         balancer = ConnectionBalancer(OWN_ZONE, address, actions, self.generator)
-        update_routing(balancer, make_view(TARGETS), self.now - 1.0)
+        update_routing(balancer, self.make_view(), self.now - 1.0)
         return balancer
 
+    def make_view(self):
+        route = replace(ROUTE, weights_by_service=dict.fromkeys(self.services, 1.0))
+        view = make_view([], [route] if self.services else [])
+        return replace(
+            view,
+            revision=self.configuration,
+            configuration=self.configuration,
+            targets_by_service={
+                service: {target.target_id: target for target in targets}
+                for service, targets in TARGETS_BY_SERVICE.items()
+            },
+        )
+
+    def change_configuration(self, services):
+        self.services = services
+        self.named_services |= set(services)
+        self.configuration += 1
+        for balancer in self.balancers.values():
+            update_routing(balancer, self.make_view(), self.now)
+        self.run()
+
     def make_agent(self, address):
         actions = ConnectionAgentActions(
             send=lambda to, message: self.queue.append(
@@ -125,7 +167,13 @@
             record=lambda stage, seconds: None,
         )
         number = self.generator.getrandbits(32)
-        return ConnectionAgent("booth-sync", number, actions, self.now)
+        return ConnectionAgent(
+            SERVICE_BY_AGENT[address],
+            number,
+            actions,
+            self.now,
+            started_unix_ms=self.now * MS_PER_S,
+        )
 
     def to_agent(self, to, message, source):
         agent_receive(self.agents[to], message, source, self.now)
@@ -137,6 +185,7 @@
             self.to_agent(to, message, source)
 
     def deliver(self, address, segment, tag):
+        assert SERVICE_BY_AGENT[address] in self.named_services
         for sent in self.targets[address].receive(replace(segment, tag=tag)):
             self.queue.append((self.from_target, address, sent))
 
@@ -155,6 +204,9 @@
 
     def on_reset(self, key, acknowledgement):
         for target in self.targets.values():
+            if not self.services:
+                # Connections of a removed route may be reset.
+                target.drop(key)
             assert key not in target.open, f"{key} was reset while a target holds it"
         self.sequence_by_key.pop(key, None)
 
@@ -196,7 +248,7 @@
         """Send a request up to six times, and expect an answer."""
         key = self.key_of(port)
         homes = [t for t in self.targets.values() if key in t.open]
-        if key not in self.sequence_by_key or not homes:
+        if key not in self.sequence_by_key or not homes or not self.services:
             return
         self.answered.discard(key)
         sequence = self.sent_by_key[key] = self.sent_by_key.get(key, 0) + 100
@@ -207,10 +259,25 @@
             if key in self.answered:
                 return
             self.advance()
+        if self.is_unknown_to_its_agent(key):
+            return
         raise AssertionError(
             f"{key} got no answer to 6 copies although a target holds it"
         )
 
+    def is_unknown_to_its_agent(self, key):
+        """Return whether neither its agent nor its route names its target.
+
+        The agent started after the connection opened, and must not deliver a
+        segment of a route that does not name its service.
+        """
+        return any(
+            key in target.open
+            and SERVICE_BY_AGENT[address] not in self.services
+            and key not in self.agents[address].connections_by_key
+            for address, target in self.targets.items()
+        )
+
     @rule(count=st.integers(1, 4))
     def lose(self, count):
         self.drops = count
@@ -225,6 +292,23 @@
     def restart_agent(self, chosen):
         self.agents[chosen.agent] = self.make_agent(chosen.agent)
 
+    @rule(
+        services=st.sampled_from([SERVICES[:1], SERVICES[1:], SERVICES]),
+        is_removed=st.booleans(),
+        restarted=st.sampled_from([[], BALANCERS[:1], BALANCERS]),
+        port=PORTS,
+    )
+    def change_services(self, services, is_removed, restarted, port):
+        """Change the route; some balancers start after the change."""
+        if is_removed:
+            self.change_configuration([])
+            self.advance()
+        self.change_configuration(services)
+        for address in restarted:
+            self.balancers[address] = self.make_balancer(address)
+        self.run()
+        self.ask(port, 0)
+
     @precondition(lambda self: any(t.open for t in self.targets.values()))
     @rule(chosen=st.sampled_from(TARGETS))
     def crash_target(self, chosen):
