End searches without the agents of targets that have ended

Traced with a log of the agents that a search waits for: agents that had announced their exit, which searches give 5 s to return, and agents that were asked once, before their target had started.

An agent that is stopped now tries its target's port. If the port is closed, the target has ended, the agent does not return, and its last reports say so: searches do not wait for it, and connections there are reset at once. A balancer also repeats a search by itself, with pauses that double up to 1.2 s; before, it was repeated only when the caller retransmitted.

--- a/lycheeglade/connection_agent_daemon.py
+++ b/lycheeglade/connection_agent_daemon.py
@@ -1,6 +1,6 @@
 """Process of the agent that runs beside a target."""
 
-from asyncio import create_task, get_running_loop, sleep
+from asyncio import create_task, get_running_loop, open_connection, sleep, timeout
 from collections.abc import Awaitable, Callable
 from random import SystemRandom
 from time import monotonic, time
@@ -35,6 +35,24 @@
 # exits.
 STOP_TIMEOUT_S = 0.5
 LEAVING_REPORTS = 3
+CONNECT_TIMEOUT_S = 0.1
+
+
+async def accepts_connections(address: Address) -> bool:
+    """Return whether a process listens at `address`.
+
+    Only a refusal shows that none does. Without an answer within
+    `CONNECT_TIMEOUT_S`, a process counts as there.
+    """
+    try:
+        async with timeout(CONNECT_TIMEOUT_S):
+            _, writer = await open_connection(address.ip, address.port)
+    except ConnectionRefusedError:
+        return False
+    except (OSError, TimeoutError):
+        return True
+    writer.close()
+    return True
 
 
 async def run_connection_agent(
@@ -104,6 +122,7 @@
     await run_until(stop, tick, TICK_S)
     log("stopping", host=settings.host_id)
     stopped_at = monotonic()
+    agent.has_target_ended = not await accepts_connections(settings.upstream)
     # The report is repeated since datagrams may be lost: balancers must not
     # mistake the planned exit for a crash.
     for _ in range(LEAVING_REPORTS):
--- a/lycheeglade/connection_agent_state.py
+++ b/lycheeglade/connection_agent_state.py
@@ -144,6 +144,7 @@
     reported_at: float = 0.0
     last_report: LoadReport | None = None
     is_leaving: bool = False
+    has_target_ended: bool = False
     searches: SearchRelay | None = None
 
     def __post_init__(self):
--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -27,6 +27,7 @@
     pick_home,
     queue_segment,
     record_former_services,
+    repeat_search,
     search_home,
 )
 from lycheeglade.relay_message import (
@@ -198,6 +199,10 @@
         search_home(balancer, key, connection, route, segment, now)
         return
     load = balancer.loads_by_agent.get(home)
+    if load is not None and load.target_ended:
+        balancer.actions.log("reset", connection=key, cause="target-ended", agent=home)
+        abandon_connection(balancer, key, segment.acknowledgement)
+        return
     if route.repeatable and load is not None and load.has_crashed(now):
         # An agent that is silent without having announced its exit has
         # crashed. Requests that may not be repeated keep waiting: their answer
@@ -309,6 +314,7 @@
             incarnation=report.incarnation,
             silent=report.silent,
             leaving=report.leaving,
+            target_ended=report.target_ended,
         )
     load.incarnation = report.incarnation
     load.reported_at = now
@@ -320,6 +326,7 @@
     load.silent = report.silent
     load.leaving = report.leaving
     load.failing = report.failing
+    load.target_ended = report.target_ended
 
 
 def _send_load_request(
@@ -357,6 +364,7 @@
             balancer.searching_keys.discard(key)
         else:
             conclude_search(balancer, key, connection, now)
+            repeat_search(balancer, key, connection, now)
 
 
 def _evict_idle(balancer: ConnectionBalancer, now: float) -> None:
--- a/lycheeglade/connection_balancer_state.py
+++ b/lycheeglade/connection_balancer_state.py
@@ -36,10 +36,19 @@
 
 @dataclass(slots=True)
 class Search:
-    """Search for the home of a connection."""
+    """Search for the home of a connection.
+
+    Attributes
+    ----------
+    queried_at : float
+        Time of the latest query.
+    queries : int
+        Number of queries, each to all agents that had not answered.
+    """
 
     queried_at: float
     started_at: float
+    queries: int = 0
     queried_agents: set[Address] = field(default_factory=set)
     denying_agents: set[Address] = field(default_factory=set)
 
--- a/lycheeglade/connection_load.py
+++ b/lycheeglade/connection_load.py
@@ -58,6 +58,7 @@
         silent=agent.silence.is_silent(now),
         leaving=agent.is_leaving,
         failing=agent.failures.share(now),
+        target_ended=agent.has_target_ended,
     )
 
 
--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -35,8 +35,11 @@
 from lycheeglade.target_load import AgentLoad
 
 # A segment that arrives SEARCH_RETRY_S seconds after the last query repeats
-# the search at the agents that have not answered.
+# the search at the agents that have not answered. Without further segments the
+# balancer repeats it after this time, and after twice as long each time up to
+# MAX_SEARCH_RETRY_S: callers retransmit up to 1.6 s apart.
 SEARCH_RETRY_S = 0.15
+MAX_SEARCH_RETRY_S = 1.2
 # Up to MAX_DIRECT_QUERIES agents are queried directly. With more, one agent in
 # each group of `relayed_queries` asks the others.
 MAX_DIRECT_QUERIES = 8
@@ -93,6 +96,7 @@
     elif now - search.queried_at < SEARCH_RETRY_S:
         return
     search.queried_at = now
+    search.queries += 1
     services = _searched_services(balancer, route, now)
     agents = _searched_agents(balancer, services, now)
     search.queried_agents |= agents
@@ -110,6 +114,27 @@
             _query_through_agent(balancer, group, query, now)
 
 
+def repeat_search(
+    balancer: ConnectionBalancer,
+    key: ConnectionKey,
+    connection: Connection,
+    now: float,
+) -> None:
+    """Repeat a search that some agents have not answered, if it is due.
+
+    The query or its answer may have been lost, or the target may have started
+    after the query.
+    """
+    search = connection.search
+    route = balancer.view.routes_by_address.get(key.service)
+    if search is None or route is None or not connection.queued_segments:
+        return
+    pause = min(MAX_SEARCH_RETRY_S, SEARCH_RETRY_S * 2**search.queries)
+    if now - search.queried_at >= pause:
+        segment = connection.queued_segments[-1]
+        search_home(balancer, key, connection, route, segment, now)
+
+
 def record_former_services(
     balancer: ConnectionBalancer, previous: RoutingView, now: float
 ) -> None:
@@ -207,7 +232,7 @@
         return
     for agent in search.queried_agents - search.denying_agents:
         load = balancer.loads_by_agent.get(agent)
-        if load is None:
+        if load is None or load.target_ended:
             continue
         if not _is_unavailable(load, now) or now - search.started_at < SEARCH_TIMEOUT_S:
             return
--- a/lycheeglade/relay_message.py
+++ b/lycheeglade/relay_message.py
@@ -141,6 +141,9 @@
         Whether the agent's process is about to exit.
     failing : float
         Share of the recent requests that the target failed, 0 to 1.
+    target_ended : bool
+        Whether the target's process has ended. An agent of an ended target
+        does not return.
     """
 
     incarnation: int
@@ -152,6 +155,7 @@
     silent: bool = False
     leaving: bool = False
     failing: float = 0.0
+    target_ended: bool = False
 
 
 class Peers(Versioned, Struct, frozen=True, array_like=True, tag=6):
--- a/lycheeglade/target_load.py
+++ b/lycheeglade/target_load.py
@@ -61,6 +61,8 @@
         Connections that this balancer has placed since the last report.
     lifetime : int
         Start of the target's process in Unix milliseconds, 0 if unknown.
+    target_ended : bool
+        Whether the agent has reported that the target's process has ended.
     """
 
     last_heard_at: float = float("-inf")
@@ -78,6 +80,7 @@
     incarnation: int = 0
     slots: int = 0
     lifetime: int = 0
+    target_ended: bool = False
 
     def has_crashed(self, now: float) -> bool:
         """Return whether the agent's silence shows that it has crashed.
@@ -171,7 +174,7 @@
 
 def _is_usable(load: AgentLoad | None, now: float) -> bool:
     return load is None or not (
-        load.silent or load.leaving or load.is_unresponsive(now)
+        load.silent or load.leaving or load.target_ended or load.is_unresponsive(now)
     )
 
 
--- a/soak/target.py
+++ b/soak/target.py
@@ -3,6 +3,7 @@
 from asyncio import AbstractEventLoop, get_running_loop
 from dataclasses import dataclass, field
 from random import Random
+from socket import create_server
 
 from lycheeglade.address import Address
 from lycheeglade.segment import (
@@ -79,10 +80,13 @@
         self._loop: AbstractEventLoop = get_running_loop()
         self._busy_until = 0.0
         network.attach(app, self._receive)
+        # Agents see by this port whether the target has ended.
+        self._listener = create_server(tuple(app))
 
     def crash(self) -> None:
         """Discard all connections and ignore all further packets."""
         self.is_alive = False
+        self._listener.close()
         self._connections_by_key.clear()
 
     def _receive(self, datagram: bytes, source: Address) -> None:
--- a/tests/test_connection_balancer.py
+++ b/tests/test_connection_balancer.py
@@ -16,7 +16,7 @@
     MIN_OPENING_TIMEOUT_S,
     REMOVAL_GRACE_S,
 )
-from lycheeglade.connection_search import SEARCH_TIMEOUT_S
+from lycheeglade.connection_search import SEARCH_RETRY_S, SEARCH_TIMEOUT_S
 from lycheeglade.relay_message import (
     ConnectionNotHeld,
     HomeFound,
@@ -271,6 +271,43 @@
     assert recorder.resets == [(KEY, 77)]
 
 
+def test_search_does_not_wait_for_an_agent_whose_target_has_ended(balancer, recorder):
+    """After a loss of power, each search waited 5 s for its restart."""
+    report = make_report(leaving=True, target_ended=True)
+    receive_message(balancer, report, AGENTS[2], 0.9)
+    receive_segment(balancer, data(acknowledgement=77), 1.0)
+    for agent in AGENTS[:2]:
+        receive_message(balancer, ConnectionNotHeld(KEY, 77), agent, 1.01)
+    assert recorder.resets == [(KEY, 77)]
+
+
+def test_connection_whose_target_has_ended_is_reset_when_its_caller_speaks(
+    balancer, recorder
+):
+    receive_message(balancer, HomeFound(KEY, 1000), AGENTS[0], 0.0)
+    report = make_report(leaving=True, target_ended=True)
+    receive_message(balancer, report, AGENTS[0], 0.1)
+    assert recorder.resets == []
+    receive_segment(balancer, data(acknowledgement=77), 0.2)
+    assert recorder.resets == [(KEY, 77)]
+
+
+def test_search_is_repeated_although_its_caller_is_silent(balancer, recorder):
+    """A query was lost, and the caller's next copy comes after 1.6 s."""
+    receive_segment(balancer, data(), 1.0)
+    recorder.pop_forwarded_segments()
+    receive_message(balancer, ConnectionNotHeld(KEY, 77), AGENTS[0], 1.01)
+    tick(balancer, 1.0 + 2 * SEARCH_RETRY_S - 0.01)
+    assert recorder.pop_forwarded_segments() == []
+    tick(balancer, 1.0 + 2 * SEARCH_RETRY_S)
+    agents = [agent for agent, _ in recorder.pop_forwarded_segments()]
+    assert agents == AGENTS[1:]
+    receive_message(balancer, HomeFound(KEY, 1000), AGENTS[1], 1.4)
+    recorder.sent.clear()
+    tick(balancer, 3.0)
+    assert recorder.pop_forwarded_segments() == []
+
+
 def test_connection_of_a_crashed_agent_is_reset_when_its_caller_speaks(
     balancer, recorder
 ):
