Change the services of routes in the soak

Connections stay open while their route names another service. The check of the service allows what the route named when the connection began, and what it named until shortly before. Targets listen at their TCP port, by which agents see whether they have ended.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
+from math import inf
 from os import environ
 from pathlib import Path
 from random import Random
@@ -167,6 +168,8 @@
         for balancer in self.balancers:
             if balancer.store_link is not None:
                 balancer.store_link.stop()
+        for target in self.targets_by_ip.values():
+            target.close()
         self.store.stop()
         self.network.stop()
         await sleep(0)
@@ -233,12 +236,19 @@
             self.promises.record_breach("ENDED", host.name, f"exit code {code}")
 
     def publish_routes(self, routes: dict[Address, str]) -> None:
-        """Publish a configuration with `routes` and record removed routes."""
+        """Publish a configuration with `routes` and record its changes."""
         now = self.now()
         for address in self.routes.keys() - routes.keys():
             self.promises.removed_at_by_address[address] = now
+            self.promises.unnamed_at_by_route[address, self.routes[address]] = now
         for address in routes.keys() - self.routes.keys():
             self.promises.removed_at_by_address.pop(address, None)
+        for address, service in routes.items():
+            former = self.routes.get(address, service)
+            if former != service:
+                # Either service may be seen until the change is in force.
+                self.promises.unnamed_at_by_route[address, former] = now
+                self.promises.unnamed_at_by_route[address, service] = inf
         self.routes = dict(routes)
         self._version += 1
         self._write_configuration()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -253,6 +253,16 @@
     deployment.publish_routes(routes)
 
 
+async def change_services(deployment: Deployment, generator: Random) -> None:
+    """Let a route name the other service; its connections stay open."""
+    added = sorted(deployment.routes)[2:]
+    if not added:
+        return
+    address = generator.choice(added)
+    (service,) = {"feeds", "reels"} - {deployment.routes[address]}
+    deployment.publish_routes({**deployment.routes, address: service})
+
+
 FAULTS: tuple[Fault, ...] = (
     kill_process,
     pause_process,
@@ -268,6 +278,8 @@
     replace_target,
     reuse_address,
     change_routes,
+    change_services,
+    change_services,
 )
 
 
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -67,6 +67,8 @@
         self._fault_spans_by_ip: dict[str, list[list[float]]] = {}
         self.draining_since_by_id: dict[str, float] = {}
         self.removed_at_by_address: dict[Address, float] = {}
+        # When a route stopped naming a service, by address and service.
+        self.unnamed_at_by_route: dict[tuple[Address, str], float] = {}
 
     @contextmanager
     def unplanned_fault(self, *ips: str) -> Iterator[None]:
@@ -151,13 +153,21 @@
     def record_accepted(self, key: ConnectionKey, target) -> None:
         """Record that a target accepted the SYN of a connection."""
         record = self.records_by_key[key]
-        if record.service != target.service:
-            self.record_breach(
-                "ROUTE", key, f"accepted by a target of service {target.service}"
-            )
         stable = self.is_stable(
             record.first_balancer_ip, target.ip, since=record.began_at
         )
+        if record.service != target.service:
+            route = key.service, target.service
+            unnamed_at = self.unnamed_at_by_route.get(route)
+            is_overdue = (
+                unnamed_at is not None and record.began_at > unnamed_at + APPLY_S
+            )
+            if unnamed_at is None or (is_overdue and stable):
+                self.record_breach(
+                    "ROUTE" if unnamed_at is None else "CONFIG",
+                    key,
+                    f"accepted by a target of service {target.service}",
+                )
         draining_since = self.draining_since_by_id.get(target.target_id)
         if (
             draining_since is not None
--- a/soak/target.py
+++ b/soak/target.py
@@ -86,9 +86,13 @@
     def crash(self) -> None:
         """Discard all connections and ignore all further packets."""
         self.is_alive = False
-        self._listener.close()
+        self.close()
         self._connections_by_key.clear()
 
+    def close(self) -> None:
+        """Close the port by which agents see that the target is there."""
+        self._listener.close()
+
     def _receive(self, datagram: bytes, source: Address) -> None:
         if not self.is_alive:
             return
