Read evacuations and permitted regions from the store

The operators write op/evacuate/ZONE to move new connections away from a zone, and allowed-regions in routes and tenants to keep requests in some regions. The catalog translates both into RoutingView.evacuated_zones and Route.regions. Evacuations are read anew with the targets, since a deletion may have been missed. A malformed evacuation changes nothing; a malformed list of regions leaves the last configuration in force. Each logs one line with the received and the expected value. Placement does not use the fields yet.

--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -167,3 +167,171 @@
     assert changed.revision == 102
     assert changed.routes_by_address == view.routes_by_address
     assert not changed.targets_by_service
+
+
+REGIONS_BY_ZONE = {"nadi-a": "viti-west", "suva-a": "viti-east", "labasa-a": "vanua"}
+
+
+class LoggingCatalog(Catalog):
+    """A catalog of three regions that keeps the fields of its log lines."""
+
+    def __init__(self):
+        self.lines = []
+        super().__init__(
+            REGIONS_BY_ZONE, 7720, lambda event, **fields: self.lines.append(fields)
+        )
+
+    def evacuate(self, zone, value=None):
+        self.apply(item(f"op/evacuate/{zone}", {} if value is None else value))
+
+    def take_back(self, zone):
+        self.apply(WireItem(f"op/evacuate/{zone}", deleted=True))
+
+    def zones_at(self, revision, era=1):
+        return self.view(StoreRevision(era, revision)).evacuated_zones
+
+
+@pytest.fixture
+def regions_catalog():
+    return LoggingCatalog()
+
+
+def test_evacuation_is_in_the_view_until_it_is_taken_back(regions_catalog):
+    regions_catalog.apply(item("servers/i-1", TARGET))
+    before = regions_catalog.view(StoreRevision(1, 1))
+    assert before.evacuated_zones == ()
+    regions_catalog.evacuate("suva-a")
+    regions_catalog.evacuate("nadi-a")
+    during = regions_catalog.view(StoreRevision(1, 3))
+    assert (during.revision, during.evacuated_zones) == (3, ("nadi-a", "suva-a"))
+    assert during.targets_by_service == before.targets_by_service
+    assert regions_catalog.view(StoreRevision(1, 4)) is during
+    regions_catalog.take_back("suva-a")
+    assert regions_catalog.zones_at(5) == ("nadi-a",)
+    regions_catalog.take_back("nadi-a")
+    assert regions_catalog.zones_at(6) == ()
+    assert regions_catalog.lines == []
+
+
+def test_all_zones_may_be_evacuated(regions_catalog):
+    for zone in REGIONS_BY_ZONE:
+        regions_catalog.evacuate(zone)
+    assert regions_catalog.zones_at(1) == ("labasa-a", "nadi-a", "suva-a")
+
+
+@pytest.mark.parametrize("zone", ["", "moon", "viti-west/nadi-a"])
+def test_evacuation_of_an_unknown_zone_is_one_line(regions_catalog, zone):
+    regions_catalog.evacuate("suva-a")
+    regions_catalog.evacuate(zone)
+    assert regions_catalog.zones_at(1) == ("suva-a",)
+    (line,) = regions_catalog.lines
+    assert line["key"] == f"op/evacuate/{zone}"
+    assert f"got {zone!r}" in line["reason"]
+    assert "nadi-a" in line["reason"]
+    regions_catalog.take_back(zone)
+    assert regions_catalog.zones_at(2) == ("suva-a",)
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff\x00", b"{", [], "yes", 1])
+def test_evacuation_with_an_unreadable_value_changes_nothing(regions_catalog, value):
+    regions_catalog.evacuate("suva-a")
+    regions_catalog.evacuate("suva-a", value)
+    regions_catalog.evacuate("nadi-a", value)
+    assert regions_catalog.zones_at(1) == ("suva-a",)
+    first, second = regions_catalog.lines
+    assert first["key"] == "op/evacuate/suva-a"
+    assert second["key"] == "op/evacuate/nadi-a"
+    assert "expected {}, got " in first["reason"]
+
+
+def test_evacuation_whose_value_is_no_base64_changes_nothing(regions_catalog):
+    regions_catalog.evacuate("suva-a")
+    regions_catalog.apply(WireItem("op/evacuate/suva-a", "a"))
+    assert regions_catalog.zones_at(1) == ("suva-a",)
+    assert "got 'a'" in regions_catalog.lines[0]["reason"]
+
+
+def test_evacuations_are_read_anew_with_the_targets(regions_catalog):
+    """A deletion that was missed would otherwise stay without effect."""
+    for zone in ("nadi-a", "suva-a"):
+        regions_catalog.evacuate(zone)
+    assert regions_catalog.zones_at(2) == ("nadi-a", "suva-a")
+    regions_catalog.clear_targets()
+    regions_catalog.evacuate("suva-a", b"{")
+    assert regions_catalog.zones_at(1, era=2) == ("suva-a",)
+
+
+def test_catalog_goes_on_from_the_evacuations_of_a_view(regions_catalog):
+    regions_catalog.apply(configuration(7, ROUTE))
+    regions_catalog.evacuate("suva-a")
+    view = regions_catalog.view(StoreRevision(1, 100))
+    follower = LoggingCatalog()
+    follower.restore(view)
+    assert follower.view(StoreRevision(1, 101)) is view
+    follower.take_back("suva-a")
+    assert follower.zones_at(102) == ()
+
+
+def regions_of(catalog, route, tenants=None):
+    value = {"version": 7, "routes": [{**ROUTE, **route}]}
+    if tenants is not None:
+        value["tenants"] = tenants
+    catalog.apply(item(CONFIGURATION_KEY, value))
+    (translated,) = catalog.view(StoreRevision(1, 1)).routes_by_address.values()
+    return translated.regions
+
+
+@pytest.mark.parametrize(
+    ("route", "tenants", "regions"),
+    [
+        ({}, None, None),
+        ({"allowed-regions": []}, None, None),
+        ({"allowed-regions": None}, None, None),
+        ({"allowed-regions": ["vanua", "viti-east"]}, None, ("vanua", "viti-east")),
+        ({"tenant": "a"}, None, None),
+        ({"tenant": "b"}, [{"name": "a", "allowed-regions": ["vanua"]}], None),
+        ({"tenant": "a"}, [{"name": "a"}], None),
+        ({"tenant": "a"}, [{"name": "a", "allowed-regions": []}], None),
+        (
+            {"tenant": "a"},
+            [{"name": "a", "allowed-regions": ["vanua"]}, {"name": "b"}],
+            ("vanua",),
+        ),
+        (
+            {"tenant": "a", "allowed-regions": ["viti-east"]},
+            [{"name": "a"}],
+            ("viti-east",),
+        ),
+        (
+            {"tenant": "a", "allowed-regions": ["viti-east", "vanua"]},
+            [{"name": "a", "allowed-regions": ["vanua", "viti-west"]}],
+            ("vanua",),
+        ),
+        (
+            {"tenant": "a", "allowed-regions": ["viti-east"]},
+            [{"name": "a", "allowed-regions": ["vanua"]}],
+            (),
+        ),
+    ],
+)
+def test_route_permits_the_regions_of_itself_and_its_tenant(
+    regions_catalog, route, tenants, regions
+):
+    assert regions_of(regions_catalog, route, tenants) == regions
+    assert regions_catalog.lines == []
+
+
+@pytest.mark.parametrize("value", ["vanua", {"vanua": True}, 5, True, ["vanua", 5]])
+def test_malformed_list_of_regions_leaves_the_last_configuration(
+    regions_catalog, value
+):
+    assert regions_of(regions_catalog, {"allowed-regions": ["vanua"]}) == ("vanua",)
+    assert regions_of(regions_catalog, {"allowed-regions": value}) == ("vanua",)
+    tenants = [{"name": "a", "allowed-regions": value}]
+    assert regions_of(regions_catalog, {"tenant": "a"}, tenants) == ("vanua",)
+    for line, owner in zip(
+        regions_catalog.lines, ("route 198.18.0.1:/8443/", "tenant a"), strict=True
+    ):
+        reason = str(line["reason"])
+        assert f"allowed-regions of {owner}: expected a list" in reason
+        assert f"got {value!r}" in reason
