--- a/lycheeglade/known_view.py
+++ b/lycheeglade/known_view.py
@@ -2,13 +2,14 @@
 
 from dataclasses import dataclass, field
 
+from lycheeglade.evacuation_history import EvacuationHistory
 from lycheeglade.route import RoutingView, merge_views
 from lycheeglade.target_history import TargetHistory
 
 
 @dataclass(slots=True)
 class KnownView:
-    """The newest view so far, and the history of its targets.
+    """The newest view so far, and the history of its targets and evacuations.
 
     Attributes
     ----------
@@ -17,10 +18,13 @@
         what other balancers fetch.
     history : TargetHistory
         Targets that were observed to drain or to end.
+    evacuations : EvacuationHistory
+        Evacuations that a restored store lacks.
     """
 
     view: RoutingView = field(default_factory=RoutingView)
     history: TargetHistory = field(default_factory=TargetHistory)
+    evacuations: EvacuationHistory = field(default_factory=EvacuationHistory)
 
     def receive(self, view: RoutingView, now: float) -> bool:
         """Take what is newer in `view`; return whether anything was.
@@ -34,13 +38,15 @@
         if merged is self.view:
             return False
         self.history.record(self.view, merged, now)
+        self.evacuations.record(self.view, merged, now)
         self.view = merged
         return True
 
     def is_due(self, now: float) -> bool:
-        """Return whether `correct` would return more targets than before."""
-        return self.history.is_due(now)
+        """Return whether `correct` would return another view than before."""
+        return self.history.is_due(now) or self.evacuations.is_due(now)
 
     def correct(self, now: float) -> RoutingView:
         """Return the view by which connections are placed."""
-        return self.history.correct(self.view, now)
+        view = self.history.correct(self.view, now)
+        return self.evacuations.correct(view, now)
--- a/lycheeglade/route.py
+++ b/lycheeglade/route.py
@@ -74,6 +74,9 @@
 def merge_views(known: RoutingView, received: RoutingView) -> RoutingView:
     """Return the newer targets of two views with the newer routes.
 
+    The evacuated zones belong to the targets: both follow the store's
+    revision.
+
     Returns
     -------
     RoutingView
--- a/lycheeglade/view_follower.py
+++ b/lycheeglade/view_follower.py
@@ -17,7 +17,8 @@
 
 # Source of the views that this process reads from the store itself.
 STORE = "store"
-# Source of a view that changes because a target is no longer withheld.
+# Source of a view that changes because a target is no longer withheld, or an
+# evacuation is no longer kept.
 HISTORY = "history"
 
 # Follows the store: gets a view to start from, the revision up to which that
@@ -44,7 +45,8 @@
     a view, and those that would be asked for it may be the last to start.
 
     Routes and the states of targets never revert, even if the store was
-    restored from an older copy.
+    restored from an older copy. An evacuation that the copy lacks is kept for
+    a time.
 
     Parameters
     ----------
@@ -188,6 +190,7 @@
             configuration=corrected.configuration,
             withheld=",".join(sorted(history.withheld_until_by_id)),
             kept_leaving=",".join(history.find_kept_leaving(restored)),
+            kept_evacuated=",".join(sorted(self._known.evacuations.kept_until_by_zone)),
         )
 
     async def _read(self) -> None:
--- a/tests/test_restore_machine.py
+++ b/tests/test_restore_machine.py
@@ -1,7 +1,8 @@
 """State machine of balancers before a store that returns from older copies.
 
-Operators and targets write, and write again what the store lost; watchers are
-killed and cut off from the store or their peers; processes start.
+Operators and targets write, and write again what the store lost; operators
+evacuate zones; watchers are killed and cut off from the store or their peers;
+processes start.
 """
 
 from collections import Counter
@@ -18,6 +19,7 @@
 )
 
 from lycheeglade.address import Address
+from lycheeglade.evacuation_history import KEEP_S
 from lycheeglade.relay_message import Duty
 from lycheeglade.view import State
 from tests.conftest import make_machine_settings
@@ -32,6 +34,8 @@
 LEASE_S = 2.4
 # What was lost is written again within this time after a restore.
 REWRITE_S = 1.5
+# Time between two checks.
+CHECK_S = 0.1
 # The shortest time within which the users want a change in force.
 CONFIG_APPLY_S = 3.0
 # Calls of one zone for each event of the machine: a watch and a whole read by
@@ -55,6 +59,10 @@
         self.events = 0
         self.left_by_node = {}
         self.newest_by_node = Counter()
+        self.evacuated_zones = set()
+        self.ended_evacuations = set()
+        self.evacuated_by_node = {}
+        self.era_by_node = {}
         for number in range(4):
             self.put(replace(make_target(number), lifetime=1000 + number))
         self.copies.append(self.fleet.view)
@@ -72,7 +80,7 @@
         """Let time pass while ended targets' entries run out."""
         end = self.fleet.now + seconds
         while self.fleet.now < end:
-            self.fleet.advance(min(0.1, end - self.fleet.now))
+            self.fleet.advance(min(CHECK_S, end - self.fleet.now))
             for target_id, ended_at in list(self.ended_at_by_id.items()):
                 if self.fleet.now - ended_at >= LEASE_S:
                     self.fleet.remove_target(target_id)
@@ -82,6 +90,8 @@
         self.events += 1
         if self.fleet.view.configuration != self.configuration:
             self.fleet.change(self.configuration)
+        if {*self.fleet.view.evacuated_zones} != self.evacuated_zones:
+            self.fleet.evacuate(self.evacuated_zones)
         stored = self.fleet.view.targets_by_service[SERVICE]
         for target_id, target in self.targets_by_id.items():
             if stored.get(target_id) != target:
@@ -93,6 +103,15 @@
         self.configuration += 2
         self.fleet.change(self.configuration)
 
+    @rule(zones=st.sets(st.integers(0, ZONES - 1)))
+    def evacuate(self, zones):
+        """Begin the evacuations of `zones` and end all others."""
+        self.events += 1
+        names = {f"zone-{number}" for number in zones}
+        self.ended_evacuations |= self.evacuated_zones - names
+        self.evacuated_zones = names
+        self.fleet.evacuate(names)
+
     @rule(data=st.data())
     def drain_target(self, data):
         target = self.choose_target(data)
@@ -185,6 +204,9 @@
         for node in self.nodes():
             view = node.known.correct(self.fleet.now)
             assert view.configuration == self.configuration
+            kept = node.known.evacuations.kept_until_by_zone.keys()
+            assert {*view.evacuated_zones} - kept == self.evacuated_zones - kept
+            assert self.evacuated_zones <= {*view.evacuated_zones}
             states = view.targets_by_service.get(SERVICE, {})
             withheld = node.known.history.withheld_until_by_id
             assert states.keys() <= stored.keys()
@@ -211,6 +233,19 @@
                     left.add(lifetime)
                 else:
                     assert lifetime not in left
+            self.check_evacuations(node, view)
+
+    def check_evacuations(self, node, view):
+        """Check that each evacuation ends by its operators or after a time."""
+        era, changed_at = self.era_by_node.get(id(node), (0, 0.0))
+        if view.era != era:
+            changed_at = self.fleet.now
+            self.era_by_node[id(node)] = view.era, changed_at
+        zones = {*view.evacuated_zones}
+        lost = self.evacuated_by_node.get(id(node), set()) - zones
+        if lost - self.ended_evacuations:
+            assert self.fleet.now - changed_at >= KEEP_S - CHECK_S
+        self.evacuated_by_node[id(node)] = zones
 
 
 # Shrinking a failure would take minutes.
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -9,6 +9,7 @@
 
 from catalog import CONFIGURATION_KEY, Catalog
 from lycheeglade.address import Address, Zone
+from lycheeglade.evacuation_history import KEEP_S
 from lycheeglade.view import State
 from lycheeglade.view_follower import ViewFollower
 from store_reader import StoreReader
@@ -24,6 +25,7 @@
 STABILITY_S = 4.0
 # In CONFIG_APPLY_S, of a balancer that doubles its pauses up to 1 s.
 MAX_REFUSED_CALLS = 9
+EVACUATION_KEY = "op/evacuate/nadi-a"
 FIRST_ROUTE = Address("198.18.0.1", 8443)
 SECOND_ROUTE = Address("198.18.0.2", 8443)
 
@@ -76,6 +78,9 @@
             self.follower.tick(monotonic())
             await sleep(TICK_S)
 
+    def is_evacuated(self):
+        return bool(self.views) and self.views[-1].evacuated_zones == ("nadi-a",)
+
     def find_targets(self, state):
         targets_by_service = self.views[-1].targets_by_service if self.views else {}
         return {
@@ -266,3 +271,75 @@
     store.calls.clear()
     await sleep(CONFIG_APPLY_S)
     assert len(store.calls) <= MAX_REFUSED_CALLS
+
+
+async def test_evacuation_of_the_store_comes_into_force_and_ends(store, balancer):
+    store.put(EVACUATION_KEY, {})
+    await wait_until(balancer.is_evacuated)
+    assert len(balancer.find_targets(State.LIVE)) == 5
+    store.delete(EVACUATION_KEY)
+    await wait_until(lambda: not balancer.is_evacuated())
+
+
+async def test_evacuation_outlives_a_restore_that_lacks_it(store, balancer):
+    """Without it, openings would reach the zone until it is written again."""
+    copy = store.copy()
+    store.put(EVACUATION_KEY, {})
+    await wait_until(balancer.is_evacuated)
+    seen = len(balancer.views)
+    store.restore(copy)
+    put_target(store, 0, "draining")
+    # The next watch may begin after the restore, at a revision that the store
+    # has given out again, and then shows the new era only when its wait ends.
+    await wait_until(
+        lambda: balancer.find_targets(State.LEAVING) == {"i-0"},
+        STABILITY_S + CONFIG_APPLY_S,
+    )
+    (event,) = [fields for name, fields in balancer.events if name == "store-era"]
+    assert event["kept_evacuated"] == "nadi-a"
+    store.put(EVACUATION_KEY, {})
+    await wait_until(
+        lambda: balancer.follower.get_view().evacuated_zones == ("nadi-a",)
+    )
+    await sleep(KEEP_S)
+    assert all(view.evacuated_zones == ("nadi-a",) for view in balancer.views[seen:])
+    store.delete(EVACUATION_KEY)
+    await wait_until(lambda: not balancer.is_evacuated())
+
+
+async def test_evacuation_that_nobody_writes_again_ends_after_a_restore(
+    store, balancer
+):
+    copy = store.copy()
+    store.put(EVACUATION_KEY, {})
+    await wait_until(balancer.is_evacuated)
+    store.restore(copy)
+    restored_at = monotonic()
+    await wait_until(lambda: balancer.views[-1].era == store.era)
+    await wait_until(lambda: not balancer.is_evacuated(), KEEP_S + CONFIG_APPLY_S)
+    assert monotonic() - restored_at >= KEEP_S
+
+
+async def test_evacuation_that_a_copy_reintroduces_is_obeyed(store, balancer):
+    store.put(EVACUATION_KEY, {})
+    await wait_until(balancer.is_evacuated)
+    copy = store.copy()
+    store.delete(EVACUATION_KEY)
+    await wait_until(lambda: not balancer.is_evacuated())
+    store.restore(copy)
+    await wait_until(balancer.is_evacuated)
+
+
+async def test_evacuation_that_ends_in_a_gap_of_the_history_ends(store, balancer):
+    """The deletion is in no watch, and the store is read anew."""
+    store.put(EVACUATION_KEY, {})
+    await wait_until(balancer.is_evacuated)
+    store.delete(EVACUATION_KEY)
+    store.compact_history()
+    await wait_until(lambda: not balancer.is_evacuated())
+
+
+async def test_evacuation_is_read_at_the_start(store):
+    store.put(EVACUATION_KEY, {})
+    view, _ = await make_reader(store).read_view()
+    assert view.evacuated_zones == ("nadi-a",)
--- a/tests/test_view_transfer.py
+++ b/tests/test_view_transfer.py
@@ -1,12 +1,16 @@
-from asyncio import CancelledError, Event, create_task, sleep, wait
+from asyncio import CancelledError, Event, create_task, sleep, start_server, wait
+from dataclasses import replace
+from zlib import compress
 
 import pytest
+from msgspec import to_builtins
+from msgspec.msgpack import encode
 
 from lycheeglade import view_transfer
 from lycheeglade.address import Address
 from lycheeglade.route import RoutingView
 from lycheeglade.view_transfer import fetch_view, serve_view
-from tests.connections import make_target, make_view
+from tests.connections import ROUTE, make_target, make_view
 
 PEER = Address("10.1.0.2", 7720)
 # Covers a whole fetch on loopback.
@@ -26,6 +30,49 @@
     assert events == ["view-not-fetched"]
 
 
+async def fetch_from(content):
+    """Return the view that a balancer which sends `content` gives."""
+
+    async def send(reader, writer):
+        writer.write(compress(encode(content)))
+        writer.close()
+
+    server = await start_server(send, "127.0.0.1", 0)
+    address = Address(*server.sockets[0].getsockname()[:2])
+    view = await fetch_view(address, lambda event, **fields: None)
+    server.close()
+    return view
+
+
+async def test_evacuated_zones_and_regions_pass_between_processes():
+    route = replace(ROUTE, regions=("vanua",))
+    view = replace(make_view([], [route]), evacuated_zones=("nadi-a", "suva-a"))
+    assert await fetch_from(view) == view
+
+
+async def test_view_of_an_earlier_build_is_understood():
+    """It names no evacuated zones, no regions and no warmup."""
+    view = make_view([make_target(1)])
+    content = to_builtins(view, str_keys=False, builtin_types=())
+    for name in ("evacuated_zones", "warmup_rates_by_service"):
+        del content[name]
+    for route in content["routes_by_address"].values():
+        for name in ("aim", "priority", "regions"):
+            del route[name]
+    for targets in content["targets_by_service"].values():
+        for target in targets.values():
+            del target["warmup_left"]
+    assert await fetch_from(content) == view
+
+
+async def test_fields_of_a_later_build_are_ignored():
+    """An earlier build receives the fields that this one has appended."""
+    view = replace(make_view([make_target(1)]), evacuated_zones=("nadi-a",))
+    content = to_builtins(view, str_keys=False, builtin_types=())
+    content["later_field"] = {"a": 1}
+    assert await fetch_from(content) == view
+
+
 async def test_process_that_knows_nothing_gives_nothing():
     server = await serve_view(Address("127.0.0.1", 0), RoutingView)
     address = Address(*server.sockets[0].getsockname()[:2])
--- a/tests/watch_fleet.py
+++ b/tests/watch_fleet.py
@@ -1,7 +1,7 @@
 """Balancers that follow a store in virtual time, without sockets."""
 
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
 from heapq import heappop, heappush
 from itertools import count
@@ -107,6 +107,14 @@
             targets_by_service={SERVICE: targets_by_id},
         )
 
+    def evacuate(self, zones: Iterable[str]) -> None:
+        """Write the evacuations of just these zones."""
+        self.view = replace(
+            self.view,
+            revision=self.view.revision + 1,
+            evacuated_zones=tuple(sorted(zones)),
+        )
+
     def restore(self, copy: RoutingView) -> None:
         """Put the store back to an earlier value of `view`."""
         self.view = replace(copy, era=self.view.era + 1)
