Exclude evacuated zones and other regions from placement

Openings reached targets of evacuated zones and of regions that their route does not permit, since nothing read the fields. The decision which targets may get a new connection is now a module, eligibility, with the reason why there are none: the refused event names evacuated or region next to no-target. An opening from a caller address that is used again does not follow the earlier connection to a home in an excluded zone; copies of an opening and open connections do. The balancer logs the begin and end of each evacuation and has the gauge lycheeglade_evacuated_zones.

--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -66,6 +66,7 @@
         return
     previous, balancer.view = balancer.view, view
     balancer.view_at = balancer.view_at or now
+    _log_evacuations(balancer, previous)
     current = {
         target_id: (target, service)
         for service, targets in view.targets_by_service.items()
@@ -92,6 +93,23 @@
             receive_segment(balancer, segment, now)
 
 
+def _log_evacuations(balancer: ConnectionBalancer, previous: RoutingView) -> None:
+    """Log the zones whose evacuation began or ended after `previous`."""
+    view = balancer.view
+    for zone in sorted({*previous.evacuated_zones} ^ {*view.evacuated_zones}):
+        balancer.actions.log(
+            "evacuation",
+            zone=zone,
+            cause="begun" if zone in view.evacuated_zones else "ended",
+            revision=view.store,
+            targets=sum(
+                target.zone.name == zone and target.state is State.LIVE
+                for targets in view.targets_by_service.values()
+                for target in targets.values()
+            ),
+        )
+
+
 def receive_segment(balancer: ConnectionBalancer, segment: Segment, now: float) -> None:
     """Process a segment from a caller."""
     _detect_pause(balancer, now)
--- a/lycheeglade/connection_balancer_daemon.py
+++ b/lycheeglade/connection_balancer_daemon.py
@@ -122,6 +122,7 @@
             targets=sum(map(len, view.targets_by_service.values())),
         )
         update_routing(balancer, view, monotonic())
+        log.set_gauge("evacuated_zones", len(balancer.view.evacuated_zones))
 
     follower = ViewFollower(
         settings.internal,
--- a/lycheeglade/connection_daemon.py
+++ b/lycheeglade/connection_daemon.py
@@ -100,6 +100,7 @@
         self._left_out_by_event: Counter[str] = Counter()
         self._lost_by_event = Counter() if lost_by_event is None else lost_by_event
         self._counts_by_event: Counter[tuple[str, str]] = Counter()
+        self._gauges_by_name: dict[str, float] = {}
         self._metrics = None
 
     def __call__(self, event: str, count: int = 1, **fields: object) -> None:
@@ -141,12 +142,20 @@
             self._metrics = Metrics()
         self._metrics.record(self._service, ANY_KIND, stage, seconds)
 
+    def set_gauge(self, name: str, value: float) -> None:
+        """Set a metric that may rise and fall."""
+        self._gauges_by_name[name] = value
+
     def format(self) -> str:
-        """Return all counts and latencies in the Prometheus text format."""
+        """Return all metrics in the Prometheus text format."""
         lines = [
             f'lycheeglade_events_total{{event="{event}",cause="{cause}"}} {count}'
             for (event, cause), count in sorted(self._counts_by_event.items())
         ]
+        lines += [
+            f"lycheeglade_{name} {value:g}"
+            for name, value in sorted(self._gauges_by_name.items())
+        ]
         if self._metrics is not None:
             for summary in self._metrics.percentiles():
                 labels = f'service="{summary.service}",stage="{summary.stage}"'
--- a/lycheeglade/connection_opening.py
+++ b/lycheeglade/connection_opening.py
@@ -1,9 +1,9 @@
 """Placement of new connections by a balancer.
 
 Load patterns: a target or agent that has just crashed, whose connections are
-tried elsewhere without waiting for the caller; targets that a transient error
-of the platform removes from the view; and a wait at all targets that is longer
-than callers wait, which is refused at once.
+tried elsewhere without waiting for the caller; and a wait at all targets that
+is longer than callers wait, which is refused at once. Which targets are
+eligible is decided in `eligibility`.
 """
 
 from xxhash import xxh3_64_intdigest
@@ -15,12 +15,12 @@
     forward_segment,
     send_message,
 )
+from lycheeglade.eligibility import find_eligible, is_excluded
 from lycheeglade.opening_queue import MAX_HOLD_S
 from lycheeglade.relay_message import ForwardSegment, OpeningHeld, OpeningRefused
 from lycheeglade.route import Route, pick_service
 from lycheeglade.segment import ConnectionKey, Segment
 from lycheeglade.target_load import AgentLoad, rank_by_load
-from lycheeglade.view import State, Target
 
 # An opening segment is also sent to another agent if the first one has not
 # accepted the connection within this minimum, or within this multiple of the
@@ -33,10 +33,8 @@
 # COPY_MARGIN_S.
 COPY_DELAYS_S = (0.2, 0.6)
 COPY_MARGIN_S = 0.03
-# A target that is removed from the view while live, without draining first,
-# may be missing after a transient error of the platform. It stays usable for
-# REMOVAL_GRACE_S.
-REMOVAL_GRACE_S = 2.0
+# A caller abandons an attempt to open a connection after this time.
+ATTEMPT_TIMEOUT_S = 1.4
 
 
 def receive_opening(
@@ -48,6 +46,13 @@
     now: float,
 ) -> None:
     """Place a new connection, or pass a copy of its opening to its home."""
+    if connection.homes and _is_new_attempt(connection, segment, now):
+        connection.opening_copies = -1
+        if _is_home_excluded(balancer, connection, route):
+            # It gets no other connection from the same caller address either.
+            connection.homes = []
+            connection.tried_agents = []
+            connection.held_by = None
     if connection.opening_copies < 0:
         connection.opening_received_at = now - _copy_delay(segment.acknowledgement)
     connection.opening_copies = max(connection.opening_copies, segment.acknowledgement)
@@ -65,6 +70,35 @@
     _place_opening(balancer, key, connection, route, now)
 
 
+def _is_new_attempt(connection: Connection, segment: Segment, now: float) -> bool:
+    """Return whether the caller uses the address of an earlier connection.
+
+    Otherwise the segment is a copy of the opening of that connection.
+    """
+    is_first = segment.acknowledgement == 0
+    earlier = connection.opening
+    if earlier is None:
+        return is_first
+    if now - connection.opening_received_at > ATTEMPT_TIMEOUT_S:
+        return True
+    return is_first and segment.sequence != earlier.sequence
+
+
+def _is_home_excluded(
+    balancer: ConnectionBalancer, connection: Connection, route: Route
+) -> bool:
+    agent = connection.homes[-1].agent
+    targets = [
+        target
+        for targets in balancer.view.targets_by_service.values()
+        for target in targets.values()
+        if target.agent == agent
+    ]
+    if agent in balancer.removed_by_agent:
+        targets.append(balancer.removed_by_agent[agent][0])
+    return any(is_excluded(balancer.view, route, target) for target in targets)
+
+
 def _copy_delay(copies: int) -> float:
     """Return the seconds between an opening segment and that copy of it."""
     if copies <= 0:
@@ -99,7 +133,15 @@
     """Send an opening segment to the best target that was not tried yet."""
     segment = connection.opening
     service = pick_service(route, xxh3_64_intdigest(str(key).encode()))
-    eligible = _eligible_targets(balancer, service, now)
+    eligibility = find_eligible(
+        balancer.view,
+        route,
+        service,
+        balancer.unannounced_removals_by_id.values(),
+        balancer.loads_by_agent,
+        now,
+    )
+    eligible = eligibility.targets
     untried = [
         t for t in eligible if t.agent not in connection.tried_agents
     ] or eligible
@@ -115,7 +157,7 @@
         balancer.actions.log(
             "refused",
             connection=key,
-            cause="overload" if ranked else "no-target",
+            cause=eligibility.cause or "overload",
             service=service,
             targets=len(eligible),
             wait_s=ranked[0].cost if ranked else 0.0,
@@ -153,24 +195,6 @@
     send_message(balancer, first.agent, message, now)
 
 
-def _eligible_targets(
-    balancer: ConnectionBalancer, service: str | None, now: float
-) -> list[Target]:
-    """Return the targets that may get a new connection of `service`.
-
-    Targets that vanished from the view less than `REMOVAL_GRACE_S` ago are
-    included if their agents sent a message since.
-    """
-    targets = balancer.view.targets_by_service.get(service, {})
-    eligible = [t for t in targets.values() if t.state is State.LIVE]
-    for target, name, gone_at in balancer.unannounced_removals_by_id.values():
-        if name == service and now - gone_at < REMOVAL_GRACE_S:
-            load = balancer.loads_by_agent.get(target.agent)
-            if load is not None and load.last_heard_at > gone_at:
-                eligible.append(target)
-    return eligible
-
-
 def handle_opening_refused(
     balancer: ConnectionBalancer, message: OpeningRefused, source: Address, now: float
 ) -> None:
--- a/tests/test_connection_balancer.py
+++ b/tests/test_connection_balancer.py
@@ -13,9 +13,9 @@
 from lycheeglade.connection_opening import (
     MAX_OPENING_TRIES,
     MIN_OPENING_TIMEOUT_S,
-    REMOVAL_GRACE_S,
 )
 from lycheeglade.connection_search import SEARCH_TIMEOUT_S
+from lycheeglade.eligibility import REMOVAL_GRACE_S
 from lycheeglade.relay_message import (
     ConnectionNotHeld,
     HomeFound,
--- a/tests/test_event_log.py
+++ b/tests/test_event_log.py
@@ -60,6 +60,14 @@
     assert not lost
 
 
+def test_gauge_shows_its_latest_value():
+    log = EventLog()
+    assert "evacuated_zones" not in log.format()
+    log.set_gauge("evacuated_zones", 2)
+    log.set_gauge("evacuated_zones", 0)
+    assert "\nlycheeglade_evacuated_zones 0\n" in "\n" + log.format()
+
+
 def make_record(event):
     return makeLogRecord({"msg": "%s", "args": (event,), "event_fields": {}})
 
