--- a/lycheeglade/eligibility.py
+++ b/lycheeglade/eligibility.py
@@ -77,6 +77,8 @@
                 live.append(target)
     if not live:
         return Eligibility(cause=Cause.NO_TARGET)
+    if route.regions is None and not view.evacuated_zones:
+        return Eligibility(tuple(live))
     permitted = [target for target in live if _is_region_permitted(route, target)]
     if not permitted:
         return Eligibility(cause=Cause.REGION)
