Test that an evacuation is in force in time amid faults

A fleet of 60 balancers in virtual time: watchers of two zones are killed or cut off from the store as the key is written, or the store has just been restored from a copy without it.

--- a/tests/test_evacuation_history.py
+++ b/tests/test_evacuation_history.py
@@ -6,10 +6,15 @@
 
 from lycheeglade.evacuation_history import KEEP_S
 from lycheeglade.known_view import KnownView
+from lycheeglade.opening_queue import MAX_HOLD_S
 from tests.connections import make_target, make_view
+from tests.watch_fleet import WatchFleet
 
 TARGETS = [make_target(1), make_target(2)]
 NADI, SUVA = "nadi-a", "suva-a"
+# Time after the store's acknowledgement from which on no opening may reach a
+# target of an evacuated zone. Agents hold openings for part of it.
+EVACUATE_S = 5.0
 
 
 class Balancer:
@@ -151,3 +156,34 @@
     balancer.receive(2.0, 1, 22, NADI, SUVA, configuration=7)
     assert balancer.known.view.configuration == 9
     assert balancer.zones_at(2.0) == (NADI, SUVA)
+
+
+def zones_in_fleet(fleet):
+    return {
+        node.known.correct(fleet.now).evacuated_zones
+        for node in fleet.nodes_by_address.values()
+        if node.is_alive
+    }
+
+
+@pytest.mark.parametrize("fault", ["none", "killed", "cut-off", "restored"])
+def test_evacuation_is_in_force_in_all_balancers_in_time(fault):
+    """Watchers that fail as it is written must not delay it too long."""
+    fleet = WatchFleet(zones=6, per_zone=10)
+    fleet.advance(5.0)
+    copy = fleet.view
+    fleet.evacuate([NADI])
+    if fault == "restored":
+        fleet.advance(EVACUATE_S - MAX_HOLD_S)
+        fleet.restore(copy)
+        fleet.advance(1.5)
+        assert zones_in_fleet(fleet) == {(NADI,)}
+        fleet.evacuate([NADI])
+    for node in [*fleet.watchers("zone-1"), *fleet.watchers("zone-2")]:
+        node.is_alive = fault != "killed"
+        node.reaches_store = fault != "cut-off"
+    fleet.advance(EVACUATE_S - MAX_HOLD_S)
+    assert zones_in_fleet(fleet) == {(NADI,)}
+    fleet.evacuate([])
+    fleet.advance(EVACUATE_S)
+    assert zones_in_fleet(fleet) == {()}
