Wait for crashed agents of a search for one round trip only

After a loss of power, the agents of targets that do not come back stay among the asked for 60 s. An agent that has been silent for 1.2 s is still asked, but waited for 0.15 s.

--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -46,6 +46,10 @@
 # From SEARCH_TIMEOUT_S seconds on, the search no longer waits for agents
 # whose target is silent, or which are unresponsive themselves.
 SEARCH_TIMEOUT_S = 0.4
+# An agent that counts as crashed is still asked, since its answers may only
+# have been lost or late. One that lives answers within this time, also through
+# another agent.
+CRASHED_SEARCH_TIMEOUT_S = 0.15
 # The first view may lack entries that are missing only for a moment, so no
 # search ends in a reset until MIN_VIEW_AGE_S seconds after it.
 MIN_VIEW_AGE_S = 0.5
@@ -234,7 +238,11 @@
         load = balancer.loads_by_agent.get(agent)
         if load is None or load.target_ended:
             continue
-        if not _is_unavailable(load, now) or now - search.started_at < SEARCH_TIMEOUT_S:
+        if not _is_unavailable(load, now):
+            return
+        has_crashed = load.has_crashed(now)
+        timeout = CRASHED_SEARCH_TIMEOUT_S if has_crashed else SEARCH_TIMEOUT_S
+        if now - search.started_at < timeout:
             return
     balancer.actions.log(
         "reset",
--- a/tests/test_connection_balancer.py
+++ b/tests/test_connection_balancer.py
@@ -15,7 +15,11 @@
     MAX_OPENING_TRIES,
     MIN_OPENING_TIMEOUT_S,
 )
-from lycheeglade.connection_search import SEARCH_RETRY_S, SEARCH_TIMEOUT_S
+from lycheeglade.connection_search import (
+    CRASHED_SEARCH_TIMEOUT_S,
+    SEARCH_RETRY_S,
+    SEARCH_TIMEOUT_S,
+)
 from lycheeglade.eligibility import REMOVAL_GRACE_S
 from lycheeglade.relay_message import (
     ConnectionNotHeld,
@@ -292,6 +296,22 @@
     assert recorder.resets == [(KEY, 77)]
 
 
+def test_crashed_agent_holds_up_a_search_for_one_round_trip_only(balancer, recorder):
+    """After a loss of power, each lost connection waited 0.4 s for it."""
+    for step in range(1, 21):
+        tick(balancer, step / 10)
+        for agent in AGENTS[:2]:
+            receive_message(balancer, make_report(), agent, step / 10)
+    receive_segment(balancer, data(acknowledgement=77), 2.0)
+    asked = [agent for agent, _ in recorder.pop_forwarded_segments()]
+    assert asked == AGENTS
+    for agent in AGENTS[:2]:
+        receive_message(balancer, ConnectionNotHeld(KEY, 77), agent, 2.01)
+    assert recorder.resets == []
+    tick(balancer, 2.01 + CRASHED_SEARCH_TIMEOUT_S)
+    assert recorder.resets == [(KEY, 77)]
+
+
 def test_search_is_repeated_although_its_caller_is_silent(balancer, recorder):
     """A query was lost, and the caller's next copy comes after 1.6 s."""
     receive_segment(balancer, data(), 1.0)
