Order openings at a full target by aim and priority

Low priorities and openings that were late already took slots from others that could be answered in time.

Openings whose remaining times are known now go by aim, priority and arrival, with a share for each lower priority. One is refused as soon as its expected wait exceeds its remaining time, and none is delivered after its caller has given up. The requests at the target are limited by the aim. Openings of unknown times are treated as before. A test passes its stub of _has_room any arguments, since that function now also takes the aim.

--- a/lycheeglade/connection_admission.py
+++ b/lycheeglade/connection_admission.py
@@ -11,10 +11,14 @@
 )
 from lycheeglade.connection_delivery import deliver_pending, record_segment
 from lycheeglade.connection_load import expected_answer_time
+from lycheeglade.opening_order import GIVE_UP_MARGIN_S
+from lycheeglade.opening_times import is_timed, may_have_copies, reduce_times
 from lycheeglade.relay_message import ForwardSegment, OpeningHeld, OpeningRefused
 from lycheeglade.segment import ConnectionKey, Segment
 
 QUEUE_FULL = "queue-full"
+TOO_LATE = "too-late"
+WAITED_TOO_LONG = "waited-too-long"
 # An opening segment is forwarded to the next candidate only if the expected
 # time here exceeds the candidate's time multiplied by this factor, plus this
 # cost. They cover the network delay to the candidate and the age of its
@@ -38,16 +42,42 @@
             forward_opening(agent, key, message, segment, "other-service")
             return
         if key in agent.held_openings_by_key:
+            _receive_copy(agent, key, message)
             return
         if _is_next_candidate_faster(agent, message, now):
             forward_opening(agent, key, message, segment, "busy")
             return
-        if agent.held_openings_by_key or not _has_room(agent, now):
+        if (
+            agent.held_openings_by_key
+            or _is_expiring(message)
+            or not _has_room(agent, now, _aim_of(message))
+        ):
             _hold_opening(agent, key, pending, segment, now)
             return
     _accept_opening(agent, key, pending, segment, now)
 
 
+def _receive_copy(
+    agent: ConnectionAgent, key: ConnectionKey, message: ForwardSegment
+) -> None:
+    """Let another balancer know that a copy's connection waits here.
+
+    It would otherwise place the connection at another target too.
+    """
+    pending, _ = agent.held_openings_by_key[key]
+    if is_timed(pending.message) and message.balancer != pending.message.balancer:
+        agent.searching_balancers_by_key.setdefault(key, set()).add(message.balancer)
+        agent.actions.send(message.balancer, OpeningHeld(key))
+
+
+def _aim_of(message: ForwardSegment) -> float | None:
+    return message.aim_left if is_timed(message) else None
+
+
+def _is_expiring(message: ForwardSegment) -> bool:
+    return is_timed(message) and message.time_left <= GIVE_UP_MARGIN_S
+
+
 def _accept_opening(
     agent: ConnectionAgent,
     key: ConnectionKey,
@@ -65,9 +95,9 @@
     deliver_pending(agent, pending, segment, now)
 
 
-def _has_room(agent: ConnectionAgent, now: float) -> bool:
+def _has_room(agent: ConnectionAgent, now: float, aim: float | None = None) -> bool:
     return agent.opening_queue.has_room(
-        len(agent.running_by_key), agent.slots, agent.service_time.mean, now
+        len(agent.running_by_key), agent.slots, agent.service_time.mean, now, aim
     )
 
 
@@ -80,19 +110,41 @@
 ) -> None:
     """Let a new connection wait for a slot of the target."""
     agent.held_openings_by_key[key] = pending, segment
-    refused = agent.opening_queue.hold(key, agent.slots, agent.service_time.mean, now)
+    refused = agent.opening_queue.hold(
+        key, agent.slots, agent.service_time.mean, now, pending.message
+    )
     agent.actions.send(pending.message.balancer, OpeningHeld(key))
     for refused_key in refused:
-        refuse_held(agent, refused_key, QUEUE_FULL)
+        refuse_held(agent, refused_key, QUEUE_FULL, now)
+    refuse_hopeless(agent, now)
     admit_held(agent, now)
 
 
 def admit_held(agent: ConnectionAgent, now: float) -> None:
     """Deliver connections that wait as far as the target has room."""
-    while agent.held_openings_by_key and _has_room(agent, now):
+    # An opening whose caller gives up is never delivered.
+    for key in agent.opening_queue.order.take_expired(now):
+        refuse_held(agent, key, WAITED_TOO_LONG, now)
+    while agent.held_openings_by_key and _has_room(agent, now, _next_aim(agent, now)):
         key = agent.opening_queue.take_next()
         pending, segment = agent.held_openings_by_key.pop(key)
+        _record_hold(agent, pending, now)
         _accept_opening(agent, key, pending, segment, now)
+        copies_from = agent.searching_balancers_by_key.pop(key, set())
+        agent.connections_by_key[key].balancers |= copies_from
+
+
+def _next_aim(agent: ConnectionAgent, now: float) -> float | None:
+    return agent.opening_queue.next_aim(
+        len(agent.running_by_key), agent.slots, agent.service_time.mean, now
+    )
+
+
+def _record_hold(agent: ConnectionAgent, pending: PendingSegment, now: float) -> None:
+    """Record how long an opening was held, by its priority."""
+    if is_timed(pending.message):
+        stage = f"held-{pending.message.priority}"
+        agent.actions.record(stage, now - pending.received_at)
 
 
 def _stop_holding(agent: ConnectionAgent, key: ConnectionKey) -> None:
@@ -100,7 +152,18 @@
     agent.held_openings_by_key.pop(key, None)
 
 
-def refuse_held(agent: ConnectionAgent, key: ConnectionKey, cause: str) -> None:
+def refuse_hopeless(agent: ConnectionAgent, now: float) -> None:
+    """Refuse connections whose expected wait exceeds their remaining time."""
+    hopeless = agent.opening_queue.take_hopeless(
+        len(agent.running_by_key), agent.slots, agent.service_time.mean, now
+    )
+    for key in hopeless:
+        refuse_held(agent, key, TOO_LATE, now)
+
+
+def refuse_held(
+    agent: ConnectionAgent, key: ConnectionKey, cause: str, now: float
+) -> None:
     """Forward a connection that waits, or let its balancer refuse it.
 
     One that has waited as long as it may is not forwarded, since its caller
@@ -109,11 +172,32 @@
     this agent must not reset it.
     """
     pending, segment = agent.held_openings_by_key.pop(key)
-    if pending.message.candidates and cause == QUEUE_FULL:
-        forward_opening(agent, key, pending.message, segment, cause)
+    message = pending.message
+    held = now - pending.received_at
+    _record_hold(agent, pending, now)
+    for balancer in agent.searching_balancers_by_key.pop(key, set()):
+        agent.actions.send(balancer, OpeningRefused(key))
+    can_forward = cause == QUEUE_FULL or (
+        cause == TOO_LATE and _can_wait_elsewhere(message, held)
+    )
+    if message.candidates and can_forward:
+        forward_opening(agent, key, message, segment, cause, held)
         return
-    agent.actions.log("passed-on", connection=key, cause=cause, candidates=0)
-    agent.actions.send(pending.message.balancer, OpeningRefused(key))
+    agent.actions.log(
+        "passed-on",
+        connection=key,
+        cause=cause,
+        candidates=0,
+        priority=message.priority,
+        held_s=held,
+    )
+    agent.actions.send(message.balancer, OpeningRefused(key))
+
+
+def _can_wait_elsewhere(message: ForwardSegment, held: float) -> bool:
+    """Return whether the next candidate is expected to answer in time."""
+    answer_time = message.costs[0] if message.costs else 0.0
+    return message.time_left - held > answer_time + GIVE_UP_MARGIN_S
 
 
 def _is_next_candidate_faster(
@@ -136,18 +220,32 @@
     message: ForwardSegment,
     segment: Segment,
     cause: str,
+    held: float = 0.0,
 ) -> None:
     """Forward an opening segment to the next candidate, or refuse it.
 
     A retransmitted opening segment that a balancer forwards to the
     connection's home names no service and is never refused: the target may
-    hold the connection although a newly started agent does not know it.
+    hold the connection although a newly started agent does not know it. Nor
+    does this agent reset a connection whose caller may have repeated its
+    opening segment: only the balancer knows whether the copy came by it.
+
+    Parameters
+    ----------
+    held : float
+        Seconds since the arrival of `message`.
     """
     agent.actions.log(
-        "passed-on", connection=key, cause=cause, candidates=len(message.candidates)
+        "passed-on",
+        connection=key,
+        cause=cause,
+        candidates=len(message.candidates),
+        priority=message.priority,
+        held_s=held,
     )
     if message.candidates:
         first, *rest = message.candidates
+        aim_left, time_left = reduce_times(message.aim_left, message.time_left, held)
         agent.actions.send(
             first,
             ForwardSegment(
@@ -156,8 +254,15 @@
                 service=message.service,
                 candidates=tuple(rest),
                 costs=tuple(message.costs[1:]),
+                priority=message.priority,
+                aim_left=aim_left,
+                time_left=time_left,
             ),
         )
+    elif may_have_copies(message, held):
+        # The balancer takes a refusal only from the agent that holds it.
+        agent.actions.send(message.balancer, OpeningHeld(key))
+        agent.actions.send(message.balancer, OpeningRefused(key))
     elif message.service and not segment.acknowledgement:
         agent.actions.reset(key, 0)
 
--- a/lycheeglade/connection_agent.py
+++ b/lycheeglade/connection_agent.py
@@ -9,12 +9,14 @@
 
 from lycheeglade.address import Address
 from lycheeglade.connection_admission import (
+    WAITED_TOO_LONG,
     add_connection,
     admit_held,
     end_request,
     forward_opening,
     receive_opening,
     refuse_held,
+    refuse_hopeless,
     remove_connection,
     start_request,
 )
@@ -47,7 +49,6 @@
 # Answers that take less than MIN_ANSWER_TIME_S seconds are refusals by a full
 # target.
 MIN_ANSWER_TIME_S = 0.001
-WAITED_TOO_LONG = "waited-too-long"
 
 
 def receive_message(
@@ -66,7 +67,8 @@
         agent.last_heard_by_balancer[message.balancer] = now
         segment = agent.actions.decode(message.datagram)
         requester = source if message.is_relayed else message.balancer
-        _receive_forwarded(agent, PendingSegment(message, requester), segment, now)
+        pending = PendingSegment(message, requester, now)
+        _receive_forwarded(agent, pending, segment, now)
     elif isinstance(message, ConnectionNotHeld):
         agent.searches.handle_not_held(message, source)
 
@@ -231,7 +233,8 @@
             return
         remove_connection(agent, key, now)
         if pending is not None:
-            forward_opening(agent, key, pending.message, segment, "target-full")
+            held = now - pending.received_at
+            forward_opening(agent, key, pending.message, segment, "target-full", held)
         return
     balancers = set()
     if pending is not None:
@@ -251,7 +254,8 @@
             agent.failures.observe(now, True)
             end_request(agent, key, now)
     for key in agent.opening_queue.expire(now):
-        refuse_held(agent, key, WAITED_TOO_LONG)
+        refuse_held(agent, key, WAITED_TOO_LONG, now)
+    refuse_hopeless(agent, now)
     admit_held(agent, now)
     agent.searches.tick(now)
     _evict_idle(agent, now)
--- a/lycheeglade/connection_agent_state.py
+++ b/lycheeglade/connection_agent_state.py
@@ -84,10 +84,13 @@
     ----------
     requester : Address
         Process that is notified if the target does not hold the connection.
+    received_at : float
+        Time of its arrival.
     """
 
     message: ForwardSegment
     requester: Address
+    received_at: float
 
 
 @dataclass(slots=True)
--- a/lycheeglade/connection_load.py
+++ b/lycheeglade/connection_load.py
@@ -1,5 +1,7 @@
 """Load of an agent's target, and its reports to balancers."""
 
+from collections.abc import Mapping
+
 from lycheeglade.connection_agent_state import ConnectionAgent, LocalConnection
 from lycheeglade.relay_message import LoadReport
 from lycheeglade.target_load import AgentLoad, expected_time
@@ -85,6 +87,11 @@
     _send_report(agent, report, now, 0.0 if is_urgent else far_interval)
 
 
+def _format_counts(counts_by_priority: Mapping[int, int]) -> str:
+    counts = counts_by_priority.items()
+    return ",".join(f"{priority}:{count}" for priority, count in counts)
+
+
 def log_load(agent: ConnectionAgent, now: float) -> None:
     """Log the load every `LOG_INTERVAL_S` seconds."""
     if now - agent.logged_at < LOG_INTERVAL_S:
@@ -99,6 +106,7 @@
         connections=report.connections,
         finished=agent.finished,
         held=len(agent.held_openings_by_key),
+        held_by_priority=_format_counts(agent.opening_queue.order.count_by_priority()),
         balancers=len(agent.last_heard_by_balancer),
         silent=report.silent,
         failing=report.failing,
--- a/tests/opening_replay.py
+++ b/tests/opening_replay.py
@@ -16,6 +16,7 @@
     receive_message,
     tick,
 )
+from lycheeglade.opening_times import times_left
 from lycheeglade.relay_message import LoadRequest, OpeningRefused
 from tests.connections import (
     BALANCER,
@@ -48,26 +49,79 @@
     return arrivals[target::targets]
 
 
+def read_arrivals_by_priority(name: str) -> dict[int, list[int]]:
+    """Return the recorded openings of each priority, by tenths of a second."""
+    lines = (DATA / f"{name}.txt").read_text().splitlines()
+    rows = [line.split(":") for line in lines if not line.startswith("#")]
+    return {
+        int(priority): [int(number) for number in numbers.split()]
+        for priority, numbers in rows
+    }
+
+
+@dataclass(frozen=True)
+class Kind:
+    """A kind of requests.
+
+    Attributes
+    ----------
+    work_s : float
+        Seconds that a request takes at a target of normal speed.
+    aim_s : float
+        Seconds within which an answer has its full worth, 0 if unknown.
+    timeout_s : float
+        Seconds after which the caller abandons a request.
+    """
+
+    work_s: float
+    priority: int = 0
+    worth: float = 1.0
+    aim_s: float = 0.0
+    timeout_s: float = float("inf")
+
+
 @dataclass
 class Call:
     """A caller's request, over all connections that it opens for it."""
 
     arrived_at: float
+    kind: Kind
     tries: int = 0
     answered_at: float = float("inf")
 
 
 class OpeningReplay:
-    """One agent, its target and the callers."""
-
-    def __init__(self, arrivals: list[float], slots: int, work_s: float, seed: int = 1):
+    """One agent, its target and the callers.
+
+    Parameters
+    ----------
+    calls : list of Call
+        Requests in the order of their arrival.
+    slowness : float
+        Factor of the time that the target takes for a request.
+    is_timed : bool
+        Whether the balancer sends priorities and remaining times.
+    """
+
+    def __init__(
+        self,
+        calls: list[Call],
+        slots: int,
+        seed: int = 1,
+        slowness: float = 1.0,
+        is_timed: bool = True,
+    ):
         self.generator = Random(seed)
         self.slots = slots
-        self.work_s = work_s
+        self.slowness = slowness
+        self.is_timed = is_timed
         self.recorder = AgentRecorder()
         self.agent = self.recorder.make()
         receive_message(self.agent, LoadRequest(slots), BALANCER, 0.0)
-        self.calls = [Call(at) for at in arrivals]
+        self.calls = calls
+        self.refusals = 0
+        self.opened_at_by_port: dict[int, float] = {}
+        self.delivered_at_by_port: dict[int, float] = {}
         self.calls_by_port: dict[int, Call] = {}
         self._ports = count(2000)
         self._order = count()
@@ -76,7 +130,7 @@
         self._waiting: list[int] = []
         for call in self.calls:
             self._at(call.arrived_at, self._open, call)
-        for number in range(int((arrivals[-1] + 8.0) / TICK_S)):
+        for number in range(int((calls[-1].arrived_at + 8.0) / TICK_S)):
             self._at(number * TICK_S, self._tick)
 
     def run(self) -> list[Call]:
@@ -92,7 +146,17 @@
     def _open(self, now: float, call: Call) -> None:
         port = next(self._ports)
         self.calls_by_port[port] = call
-        message = self.recorder.make_forward_segment(opening(port))
+        self.opened_at_by_port[port] = now
+        kind = call.kind
+        times = {}
+        if self.is_timed:
+            aim_left, time_left = times_left(kind.aim_s, kind.timeout_s, 0.0)
+            times = {
+                "priority": kind.priority,
+                "aim_left": aim_left,
+                "time_left": time_left,
+            }
+        message = self.recorder.make_forward_segment(opening(port), **times)
         receive_message(self.agent, message, BALANCER, now)
 
     def _tick(self, now: float) -> None:
@@ -103,6 +167,7 @@
         delivered, self.recorder.delivered[:] = list(self.recorder.delivered), []
         for segment, _ in delivered:
             if segment.opens:
+                self.delivered_at_by_port[segment.source.port] = now
                 self._at(now, self._accept, segment.source.port)
             else:
                 self._receive_request(now, segment.source.port)
@@ -112,6 +177,7 @@
         ]
         self.recorder.sent.clear()
         for key in [key for key, _ in resets] + refused:
+            self.refusals += 1
             self._retry(now, key.caller.port)
 
     def _accept(self, now: float, port: int) -> None:
@@ -133,7 +199,8 @@
 
     def _start(self, now: float, port: int) -> None:
         self._working += 1
-        seconds = self.work_s * self.generator.uniform(0.7, 1.3)
+        work_s = self.calls_by_port[port].kind.work_s * self.slowness
+        seconds = work_s * self.generator.uniform(0.7, 1.3)
         self._at(now + seconds, self._answer, port)
 
     def _answer(self, now: float, port: int) -> None:
@@ -149,6 +216,7 @@
 
     def _retry(self, now: float, port: int) -> None:
         call = self.calls_by_port[port]
-        if call.tries < RETRIES:
+        is_abandoned = now - call.arrived_at >= call.kind.timeout_s
+        if call.tries < RETRIES and not is_abandoned:
             call.tries += 1
             self._at(now + 2 * ROUND_TRIP_S, self._open, call)
--- a/tests/test_opening_queue.py
+++ b/tests/test_opening_queue.py
@@ -11,7 +11,7 @@
 from lycheeglade.relay_message import OpeningRefused
 from lycheeglade.segment import ConnectionKey
 from tests.connections import BALANCER, SERVICE, AgentRecorder, data, opening
-from tests.opening_replay import OpeningReplay, read_arrivals
+from tests.opening_replay import Call, Kind, OpeningReplay, read_arrivals
 
 KEYS = [ConnectionKey(opening(port).source, SERVICE) for port in range(40001, 40040)]
 SLOTS = 4
@@ -28,7 +28,8 @@
 
 def replay_return(target):
     arrivals = read_arrivals("return-after-power-loss", TARGETS, target)
-    return OpeningReplay(arrivals, SLOTS, WORK_S, seed=target).run()
+    calls = [Call(at, Kind(WORK_S)) for at in arrivals]
+    return OpeningReplay(calls, SLOTS, seed=target).run()
 
 
 def mean_worth(calls):
@@ -48,7 +49,7 @@
 
 def test_without_the_queue_callers_use_up_their_retries(monkeypatch):
     """The target refuses what exceeds its queue; callers return at once."""
-    monkeypatch.setattr(connection_admission, "_has_room", lambda agent, _: True)
+    monkeypatch.setattr(connection_admission, "_has_room", lambda agent, *_: True)
     worths = [mean_worth(replay_return(target)) for target in range(TARGETS)]
     assert min(worths) < WORST_WINDOW
 
