Tell agents the priority and the remaining times of openings

Agents order openings by aim and priority where messages carry them, and no balancer did. Balancers now fill the fields from the route and from the time of the caller's first opening segment, and place no opening whose caller has given up. Copies that come at once show how old an opening is.

Openings that waited at an agent that restarts were suppressed at their balancers for 1.2 s, and lost. A report of a new incarnation now makes them eligible for another try, for routes with an aim.

--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -20,6 +20,7 @@
     handle_opening_refused,
     receive_opening,
     record_accepted_opening,
+    release_held_openings,
     retry_openings,
 )
 from lycheeglade.connection_search import (
@@ -307,6 +308,8 @@
             silent=report.silent,
             leaving=report.leaving,
         )
+    if load.incarnation not in (0, report.incarnation):
+        release_held_openings(balancer, source)
     load.incarnation = report.incarnation
     load.reported_at = now
     load.recent_placements = 0
--- a/lycheeglade/connection_opening.py
+++ b/lycheeglade/connection_opening.py
@@ -16,6 +16,12 @@
     send_message,
 )
 from lycheeglade.opening_queue import MAX_HOLD_S
+from lycheeglade.opening_times import (
+    CALLER_ATTEMPT_S,
+    COPY_DELAYS_S,
+    COPY_MARGIN_S,
+    times_left,
+)
 from lycheeglade.relay_message import ForwardSegment, OpeningHeld, OpeningRefused
 from lycheeglade.route import Route, pick_service
 from lycheeglade.segment import ConnectionKey, Segment
@@ -29,10 +35,6 @@
 OPENING_TIMEOUT_FACTOR = 4.0
 ACCEPT_DELAY_GAIN = 0.1
 MAX_OPENING_TRIES = 4
-# Callers repeat an opening segment after these times, give or take
-# COPY_MARGIN_S.
-COPY_DELAYS_S = (0.2, 0.6)
-COPY_MARGIN_S = 0.03
 # A target that is removed from the view while live, without draining first,
 # may be missing after a transient error of the platform. It stays usable for
 # REMOVAL_GRACE_S.
@@ -48,8 +50,16 @@
     now: float,
 ) -> None:
     """Place a new connection, or pass a copy of its opening to its home."""
+    sent_at = now - _copy_delay(segment.acknowledgement)
+    if _is_new_attempt(connection, route, segment, now):
+        connection.opening_copies = -1
+        connection.tried_agents.clear()
+        connection.held_by = None
     if connection.opening_copies < 0:
-        connection.opening_received_at = now - _copy_delay(segment.acknowledgement)
+        connection.opening_received_at = sent_at
+    elif route.aim > 0.0:
+        # A balancer that was paused or had no view gets all copies at once.
+        connection.opening_received_at = min(connection.opening_received_at, sent_at)
     connection.opening_copies = max(connection.opening_copies, segment.acknowledgement)
     if connection.homes:
         forward_segment(balancer, connection.homes[-1].agent, segment, now)
@@ -65,6 +75,23 @@
     _place_opening(balancer, key, connection, route, now)
 
 
+def _is_new_attempt(
+    connection: Connection, route: Route, segment: Segment, now: float
+) -> bool:
+    """Return whether the caller opens a connection anew from the same port.
+
+    This matters for routes with an aim, whose openings get no time once the
+    caller has given up.
+    """
+    age = now - connection.opening_received_at
+    return (
+        route.aim > 0.0
+        and connection.opening_copies >= 0
+        and not segment.acknowledgement
+        and age > CALLER_ATTEMPT_S
+    )
+
+
 def _copy_delay(copies: int) -> float:
     """Return the seconds between an opening segment and that copy of it."""
     if copies <= 0:
@@ -98,6 +125,14 @@
 ) -> None:
     """Send an opening segment to the best target that was not tried yet."""
     segment = connection.opening
+    age = now - connection.opening_received_at
+    aim_left, time_left = times_left(route.aim, route.timeout, age)
+    if time_left < 0.0:
+        balancer.actions.log(
+            "refused", connection=key, cause="too-late", waited_s=age, is_told=False
+        )
+        balancer.opening_keys.discard(key)
+        return
     service = pick_service(route, xxh3_64_intdigest(str(key).encode()))
     eligible = _eligible_targets(balancer, service, now)
     untried = [
@@ -149,6 +184,9 @@
         service=service,
         candidates=tuple(place.target.agent for place in ranked[1:]),
         costs=tuple(place.cost for place in ranked[1:]),
+        priority=route.priority,
+        aim_left=aim_left,
+        time_left=time_left,
     )
     send_message(balancer, first.agent, message, now)
 
@@ -212,6 +250,21 @@
         balancer.opening_keys.discard(message.key)
 
 
+def release_held_openings(balancer: ConnectionBalancer, agent: Address) -> None:
+    """Try openings elsewhere that waited at an agent which has restarted.
+
+    The new process knows nothing of them, and their callers may not repeat
+    them in time.
+    """
+    for key, connection in balancer.connections_by_key.items():
+        if connection.held_by != agent or connection.homes:
+            continue
+        route = balancer.view.routes_by_address.get(key.service)
+        if route is not None and route.aim > 0.0:
+            connection.held_by = None
+            balancer.opening_keys.add(key)
+
+
 def retry_openings(balancer: ConnectionBalancer, now: float) -> None:
     """Send openings that no agent has accepted in time to other agents.
 
