Reset a refused opening only if no other try or copy may have opened it

A balancer took the number of the latest copy for the number of copies that came by it, and ignored that it had sent an opening to another agent before. Agents refuse openings with an aim within milliseconds, while an earlier try or the first segment, by another balancer, may have opened the connection.

For routes with an aim, the caller is now told only if no earlier copy was missed and no other try is open.

--- a/lycheeglade/connection_balancer_state.py
+++ b/lycheeglade/connection_balancer_state.py
@@ -80,6 +80,11 @@
     opening_copies : int
         Number of the latest copy of the opening segment that arrived here, 0
         for the first one, -1 before.
+    has_missed_copy : bool
+        Whether an opening segment before one that arrived here did not.
+    unresolved_tries : int
+        Times that the opening segment was sent to an agent, less the refusals
+        that came of it.
     """
 
     last_at: float
@@ -89,6 +94,8 @@
     held_by: Address | None = None
     opening_received_at: float = 0.0
     opening_copies: int = -1
+    has_missed_copy: bool = False
+    unresolved_tries: int = 0
     opening: Segment | None = None
     queued_segments: list[Segment] = field(default_factory=list)
     search: Search | None = None
--- a/lycheeglade/connection_opening.py
+++ b/lycheeglade/connection_opening.py
@@ -53,6 +53,8 @@
     sent_at = now - _copy_delay(segment.acknowledgement)
     if _is_new_attempt(connection, route, segment, now):
         connection.opening_copies = -1
+        connection.has_missed_copy = False
+        connection.unresolved_tries = 0
         connection.tried_agents.clear()
         connection.held_by = None
     if connection.opening_copies < 0:
@@ -60,6 +62,8 @@
     elif route.aim > 0.0:
         # A balancer that was paused or had no view gets all copies at once.
         connection.opening_received_at = min(connection.opening_received_at, sent_at)
+    if segment.acknowledgement > connection.opening_copies + 1:
+        connection.has_missed_copy = True
     connection.opening_copies = max(connection.opening_copies, segment.acknowledgement)
     if connection.homes:
         forward_segment(balancer, connection.homes[-1].agent, segment, now)
@@ -164,6 +168,7 @@
         return
     first = ranked[0].target
     connection.tried_agents.append(first.agent)
+    connection.unresolved_tries += 1
     connection.opening_sent_at = now
     load = balancer.loads_by_agent.setdefault(first.agent, AgentLoad())
     balancer.actions.log(
@@ -216,7 +221,9 @@
 
     Its caller is told only if all copies of the opening segment that were due
     came by this balancer. Otherwise another balancer may have opened the
-    connection, which a reset would break.
+    connection, which a reset would break. On routes with an aim, agents refuse
+    while another agent may still accept an earlier try, so that the caller is
+    told only if no other try is open, and if no earlier copy was missed.
     """
     connection = balancer.connections_by_key.get(message.key)
     if connection is None or connection.homes or connection.held_by != source:
@@ -224,6 +231,10 @@
     age = now - connection.opening_received_at
     due = sum(age > delay + COPY_MARGIN_S for delay in COPY_DELAYS_S)
     is_told = connection.opening_copies >= due
+    connection.unresolved_tries -= 1
+    route = balancer.view.routes_by_address.get(message.key.service)
+    if route is not None and route.aim > 0.0:
+        is_told &= not connection.has_missed_copy and not connection.unresolved_tries
     balancer.actions.log(
         "refused",
         connection=message.key,
--- a/tests/test_timed_openings.py
+++ b/tests/test_timed_openings.py
@@ -127,6 +127,33 @@
     assert recorder.resets == []
 
 
+def test_refusal_of_all_tries_reaches_the_caller(balancer, recorder):
+    agent = hold_opening(balancer, recorder, 1.0)
+    receive_message(balancer, OpeningRefused(KEY), agent, 1.1)
+    assert recorder.resets == [(KEY, 0)]
+
+
+def test_refused_copy_does_not_reset_what_the_first_opening_opened(balancer, recorder):
+    """The first opening segment came by another balancer."""
+    receive_segment(balancer, opening(copies=1), 1.2)
+    ((agent, _),) = recorder.pop_forwarded_segments()
+    receive_message(balancer, OpeningHeld(KEY), agent, 1.203)
+    receive_message(balancer, OpeningRefused(KEY), agent, 1.204)
+    assert recorder.resets == []
+
+
+def test_refused_try_does_not_reset_what_an_earlier_try_opened(balancer, recorder):
+    """The first agent accepted the opening, but its message was lost."""
+    receive_segment(balancer, opening(), 1.0)
+    recorder.sent.clear()
+    tick(balancer, 1.0 + MIN_OPENING_TIMEOUT_S)
+    ((second, _),) = recorder.pop_forwarded_segments()
+    receive_message(balancer, OpeningHeld(KEY), second, 1.034)
+    receive_message(balancer, OpeningRefused(KEY), second, 1.035)
+    assert recorder.resets == []
+    assert recorder.events[-1][1]["is_told"] is False
+
+
 def fill_target(agent, recorder, ports):
     """Start a request of each port at the target, and measure its time."""
     agent.service_time.observe(WORK_S)
