--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -68,6 +68,51 @@
     assert not split.repeatable
 
 
+def test_aim_and_priority_of_a_route(catalog, events):
+    plain = {**ROUTE, "prefix": "/80/"}
+    del plain["aim-ms"], plain["priority"]
+    catalog.apply(configuration(7, ROUTE, plain))
+    routes = catalog.view(StoreRevision(1, 1)).routes_by_address
+    route = routes[Address("198.18.0.1", 8443)]
+    assert (route.aim, route.priority) == (0.225, 2)
+    route = routes[Address("198.18.0.1", 80)]
+    assert (route.aim, route.priority) == (0.0, 0)
+    assert events == []
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("aim-ms", "225"),
+        ("aim-ms", -1),
+        ("aim-ms", None),
+        ("aim-ms", True),
+        ("aim-ms", 1e9),
+        ("priority", 1.5),
+        ("priority", -1),
+        ("priority", "high"),
+        ("priority", [1]),
+        ("priority", False),
+        ("priority", 1 << 70),
+    ],
+)
+def test_unreadable_aim_or_priority_does_not_cost_the_route(field, value):
+    """A typed field would make the whole configuration unreadable."""
+    lines = []
+    catalog = Catalog({}, 7720, lambda event, **fields: lines.append((event, fields)))
+    catalog.apply(configuration(7, {**ROUTE, field: value}))
+    routes = catalog.view(StoreRevision(1, 1)).routes_by_address
+    route = routes[Address("198.18.0.1", 8443)]
+    assert route.timeout == 2.0
+    expected = (0.0, 2) if field == "aim-ms" else (0.225, 0)
+    assert (route.aim, route.priority) == expected
+    ((event, fields),) = lines
+    assert event == "route-field-ignored"
+    assert fields["field"] == field
+    assert fields["got"] == repr(value)
+    assert fields["expected"]
+
+
 def test_older_configuration_is_not_taken(catalog):
     catalog.apply(configuration(7, ROUTE))
     catalog.apply(configuration(6))
