Replay two kinds of requests against the previous order of openings

The replay knew one kind of requests and no priority. It now replays a burst on slow targets and a return on fewer targets with two kinds, and checks that the higher priority is served no worse, that no worth is lost on the whole, and that the lower priority gets its share of the admissions.

--- a/tests/opening_replay.py
+++ b/tests/opening_replay.py
@@ -5,6 +5,7 @@
 whose connection is reset, opens another connection.
 """
 
+from collections import Counter
 from dataclasses import dataclass
 from heapq import heappop, heappush
 from itertools import count
@@ -16,8 +17,10 @@
     receive_message,
     tick,
 )
+from lycheeglade.opening_queue import OpeningQueue
 from lycheeglade.opening_times import times_left
 from lycheeglade.relay_message import LoadRequest, OpeningRefused
+from lycheeglade.segment import ConnectionKey
 from tests.connections import (
     BALANCER,
     AgentRecorder,
@@ -90,6 +93,33 @@
     answered_at: float = float("inf")
 
 
+class ObservedQueue(OpeningQueue):
+    """Counts the admissions while openings of several priorities wait.
+
+    Attributes
+    ----------
+    contested : Counter
+        Admissions while openings of a priority and of a higher one waited.
+    won : Counter
+        Those of them that went to that priority.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.contested: Counter[int] = Counter()
+        self.won: Counter[int] = Counter()
+
+    def take_next(self) -> ConnectionKey | None:
+        priorities = self.order.count_by_priority()
+        opening_by_key = dict(self.order.openings_by_key)
+        key = super().take_next()
+        lower = [p for p in priorities if p > min(priorities)]
+        self.contested.update(lower)
+        if key in opening_by_key and opening_by_key[key].priority in lower:
+            self.won[opening_by_key[key].priority] += 1
+        return key
+
+
 class OpeningReplay:
     """One agent, its target and the callers.
 
@@ -118,10 +148,9 @@
         self.recorder = AgentRecorder()
         self.agent = self.recorder.make()
         receive_message(self.agent, LoadRequest(slots), BALANCER, 0.0)
+        self.queue = self.agent.opening_queue = ObservedQueue()
         self.calls = calls
         self.refusals = 0
-        self.opened_at_by_port: dict[int, float] = {}
-        self.delivered_at_by_port: dict[int, float] = {}
         self.calls_by_port: dict[int, Call] = {}
         self._ports = count(2000)
         self._order = count()
@@ -146,7 +175,6 @@
     def _open(self, now: float, call: Call) -> None:
         port = next(self._ports)
         self.calls_by_port[port] = call
-        self.opened_at_by_port[port] = now
         kind = call.kind
         times = {}
         if self.is_timed:
@@ -167,7 +195,6 @@
         delivered, self.recorder.delivered[:] = list(self.recorder.delivered), []
         for segment, _ in delivered:
             if segment.opens:
-                self.delivered_at_by_port[segment.source.port] = now
                 self._at(now, self._accept, segment.source.port)
             else:
                 self._receive_request(now, segment.source.port)
@@ -220,3 +247,38 @@
         if call.tries < RETRIES and not is_abandoned:
             call.tries += 1
             self._at(now + 2 * ROUND_TRIP_S, self._open, call)
+
+
+def replay_service(
+    recording: str,
+    kinds_by_priority: dict[int, Kind],
+    slowness_by_target: list[float],
+    slots: int,
+    is_timed: bool,
+) -> list[OpeningReplay]:
+    """Return the replays of recorded openings at each target of a service.
+
+    Targets get openings in proportion to their speed, drawn at random: the
+    balancers place by the expected wait.
+    """
+    generator = Random(1)
+    arrivals = sorted(
+        ((number + position / count) * BIN_S, priority)
+        for priority, counts in read_arrivals_by_priority(recording).items()
+        for number, count in enumerate(counts)
+        for position in range(count)
+    )
+    targets = range(len(slowness_by_target))
+    weights = [1.0 / slowness for slowness in slowness_by_target]
+    calls_by_target: dict[int, list[Call]] = {target: [] for target in targets}
+    for arrived_at, priority in arrivals:
+        (target,) = generator.choices(targets, weights)
+        call = Call(arrived_at, kinds_by_priority[priority])
+        calls_by_target[target].append(call)
+    replays = [
+        OpeningReplay(calls, slots, target, slowness_by_target[target], is_timed)
+        for target, calls in calls_by_target.items()
+    ]
+    for replay in replays:
+        replay.run()
+    return replays
--- a/tests/test_opening_queue.py
+++ b/tests/test_opening_queue.py
@@ -1,6 +1,9 @@
+from dataclasses import dataclass
+
 import pytest
 
 from lycheeglade import connection_admission, connection_agent
+from lycheeglade.opening_order import ADMISSIONS_PER_LOWER_TURN
 from lycheeglade.opening_queue import (
     FIRST_REQUEST_TIMEOUT_S,
     MAX_HOLD_S,
@@ -11,7 +14,13 @@
 from lycheeglade.relay_message import OpeningRefused
 from lycheeglade.segment import ConnectionKey
 from tests.connections import BALANCER, SERVICE, AgentRecorder, data, opening
-from tests.opening_replay import Call, Kind, OpeningReplay, read_arrivals
+from tests.opening_replay import (
+    Call,
+    Kind,
+    OpeningReplay,
+    read_arrivals,
+    replay_service,
+)
 
 KEYS = [ConnectionKey(opening(port).source, SERVICE) for port in range(40001, 40040)]
 SLOTS = 4
@@ -129,3 +138,83 @@
     assert [m for a, m in recorder.sent if a == other] == []
     assert any(isinstance(m, OpeningRefused) for _, m in recorder.sent)
     assert len(forwarded) < 29
+
+
+# Kinds of requests. An answer after the aim has a tenth of its worth.
+KINDS = {
+    1: Kind(work_s=0.039, priority=1, worth=2.0, aim_s=0.352, timeout_s=2.0),
+    2: Kind(work_s=0.030, priority=2, worth=1.0, aim_s=0.303, timeout_s=2.0),
+}
+LATE_SHARE = 0.1
+# The higher priority alone needs 30 % of the slots at most, and may have three
+# of four, so that most of it must be answered within its aim.
+MIN_IN_AIM = 2 / 3
+# A sixth of 46 targets is five times slower; a quarter of them stays down. The
+# others have just started.
+LOADS = {
+    "burst-on-slow-targets": [5.0] * 8 + [1.0] * 38,
+    "return-on-fewer-targets": [1.6] * 34,
+}
+
+
+@dataclass(frozen=True)
+class Result:
+    """Shares of the requests of one kind, and their worth."""
+
+    in_aim: float
+    late: float
+    unanswered: float
+    worth: float
+
+
+def summarize(calls, kind):
+    times = [call.answered_at - call.arrived_at for call in calls if call.kind is kind]
+    in_aim = sum(time <= kind.aim_s for time in times)
+    late = sum(kind.aim_s < time <= kind.timeout_s for time in times)
+    return Result(
+        in_aim / len(times),
+        late / len(times),
+        1.0 - (in_aim + late) / len(times),
+        kind.worth * (in_aim + LATE_SHARE * late),
+    )
+
+
+def replay_load(recording, is_timed):
+    """Return the result of each priority, and the queues of all targets."""
+    slowness = LOADS[recording]
+    replays = replay_service(recording, KINDS, slowness, slots=1, is_timed=is_timed)
+    calls = [call for replay in replays for call in replay.calls]
+    results = {p: summarize(calls, kind) for p, kind in KINDS.items()}
+    print(recording, "by aim" if is_timed else "latest first")
+    for priority, result in results.items():
+        print(
+            f"  priority {priority}: {result.in_aim:.3f} in aim, {result.late:.3f}"
+            f" late, {result.unanswered:.3f} unanswered, worth {result.worth:.0f}"
+        )
+    print(f"  refusals: {sum(replay.refusals for replay in replays)}")
+    return results, [replay.queue for replay in replays]
+
+
+@pytest.mark.parametrize("recording", LOADS)
+def test_more_requests_than_slots_are_served_by_worth(recording):
+    """The latest opening went next, whatever it carried.
+
+    The higher priority is never served worse, no worth is lost on the whole,
+    and the lower priority gets its share.
+    """
+    before, _ = replay_load(recording, is_timed=False)
+    results, queues = replay_load(recording, is_timed=True)
+    assert results[1].in_aim >= results[2].in_aim
+    assert results[1].in_aim >= before[1].in_aim
+    assert results[1].in_aim >= MIN_IN_AIM
+    worths = [sum(r.worth for r in each.values()) for each in (results, before)]
+    assert worths[0] >= worths[1]
+    assert sum(queue.contested[2] for queue in queues) > 100
+    for queue in queues:
+        assert queue.won[2] >= queue.contested[2] // ADMISSIONS_PER_LOWER_TURN
+
+
+def test_latest_first_answers_too_few_of_the_higher_priority():
+    """Shows that `MIN_IN_AIM` holds because of the order."""
+    results, _ = replay_load("return-on-fewer-targets", is_timed=False)
+    assert results[1].in_aim < MIN_IN_AIM
