Let no request wait at a target that needs half of the aim for each

One request was always let in beside those that run, so that a target of one slot and 150 ms answered nothing within an aim of 303 ms. Now as many are let in as keep the slots busy or start within half of the aim.

A copy by a balancer of the previous build is not told that its connection waits: that balancer would reset the connection after a refusal.

--- a/lycheeglade/connection_admission.py
+++ b/lycheeglade/connection_admission.py
@@ -62,10 +62,14 @@
 ) -> None:
     """Let another balancer know that a copy's connection waits here.
 
-    It would otherwise place the connection at another target too.
+    It would otherwise place the connection at another target too. A balancer
+    of the previous build would reset the connection after a refusal, without
+    regard to the segments that came by other balancers.
     """
-    pending, _ = agent.held_openings_by_key[key]
-    if is_timed(pending.message) and message.balancer != pending.message.balancer:
+    held, _ = agent.held_openings_by_key[key]
+    if message.balancer == held.message.balancer:
+        return
+    if is_timed(message) and is_timed(held.message):
         agent.searching_balancers_by_key.setdefault(key, set()).add(message.balancer)
         agent.actions.send(message.balancer, OpeningHeld(key))
 
@@ -129,9 +133,11 @@
         key = agent.opening_queue.take_next()
         pending, segment = agent.held_openings_by_key.pop(key)
         _record_hold(agent, pending, now)
-        _accept_opening(agent, key, pending, segment, now)
         copies_from = agent.searching_balancers_by_key.pop(key, set())
-        agent.connections_by_key[key].balancers |= copies_from
+        _accept_opening(agent, key, pending, segment, now)
+        connection = agent.connections_by_key.get(key)
+        if connection is not None:
+            connection.balancers |= copies_from
 
 
 def _next_aim(agent: ConnectionAgent, now: float) -> float | None:
--- a/lycheeglade/opening_queue.py
+++ b/lycheeglade/opening_queue.py
@@ -30,13 +30,15 @@
 # start within this time.
 MAX_TARGET_WAIT_S = 0.06
 MIN_EXTRA_REQUESTS = 4
-# At a slow target, an opening with an aim gets no more of them than those
-# that are expected to start within this share of the aim, and one at least,
-# which is delivered while another runs. Four requests at a target that takes
+# For an opening with an aim, these are no more than those that are expected to
+# start within this share of the aim: four requests at a target that takes
 # 150 ms would use up an aim of 303 ms. A fifth of the aim instead of half of
 # it lost 3 % of the worth in the replay of a burst: openings turned late here.
 AIM_SHARE_AT_TARGET = 0.5
-MIN_EXTRA_REQUESTS_WITH_AIM = 1
+# A slot may be idle for this share of a request's time while the next one is
+# delivered. With one request in front instead, no opening can be answered
+# within its aim by a target that needs more than half of it.
+MAX_IDLE_SHARE = 0.25
 # A new connection waits at most this long. A caller that is refused then comes
 # back sooner than one that hears nothing.
 MAX_HOLD_S = 1.2
@@ -58,7 +60,8 @@
     extra = max(MIN_EXTRA_REQUESTS, int(slots * MAX_TARGET_WAIT_S / service_time))
     if aim is not None:
         in_time = int(slots * AIM_SHARE_AT_TARGET * aim / service_time)
-        extra = min(extra, max(MIN_EXTRA_REQUESTS_WITH_AIM, in_time))
+        idle = slots * EXCHANGE_S / service_time
+        extra = min(extra, max(in_time, int(idle + 1.0 - MAX_IDLE_SHARE)))
     return slots + extra
 
 
--- a/tests/test_opening_order.py
+++ b/tests/test_opening_order.py
@@ -291,6 +291,12 @@
         receive_message(agent, message, BALANCER, 0.0)
     key = next(iter(agent.held_openings_by_key))
     recorder.sent.clear()
+    # A balancer of the previous build names no times and is not told.
+    message = recorder.make_forward_segment(
+        opening(key.caller.port, copies=1), balancer=OTHER_BALANCER
+    )
+    receive_message(agent, message, OTHER_BALANCER, 0.2)
+    assert recorder.sent == []
     message = recorder.make_forward_segment(
         opening(key.caller.port, copies=1),
         **{**times, "balancer": OTHER_BALANCER, "time_left": CALLER_ATTEMPT_S - 0.2},
--- a/tests/test_opening_queue.py
+++ b/tests/test_opening_queue.py
@@ -70,6 +70,16 @@
     assert queue_limit(4, 0.08) > queue_limit(1, 0.08) > 0
 
 
+def test_limit_leaves_time_for_an_answer_within_the_aim():
+    """With four more requests, each opening at a slow target was late."""
+    assert target_limit(1, 0.03, 0.303) == target_limit(1, 0.03) == 5
+    assert target_limit(1, 0.08, 0.303) == 2
+    assert target_limit(1, 0.2, 0.303) == 1
+    # A late opening has no aim left; the slots are kept busy all the same.
+    assert target_limit(1, 0.01, 0.0) == 2
+    assert target_limit(4, 0.03, -0.1) == 6
+
+
 def test_latest_goes_first_and_the_oldest_is_refused_when_it_is_full():
     queue = OpeningQueue()
     limit = queue_limit(1, 0.25)
