--- a/tests/test_timed_openings.py
+++ b/tests/test_timed_openings.py
@@ -283,3 +283,50 @@
     receive_timed(agent, agent_recorder, 101, 0.0, priority=2)
     finish(agent, 1, 0.04)
     assert ("held-2", 0.04) in records
+
+
+def test_opening_survives_the_restart_of_the_agent_where_it_waits(balancer, recorder):
+    """The balancer suppressed the caller's copies for 1.2 s."""
+    recorders = {address: AgentRecorder() for address in AGENTS}
+    agents = {address: each.make() for address, each in recorders.items()}
+    delivered = []
+
+    def exchange(now):
+        for address, message in recorder.pop_forwarded_segments():
+            each = recorders[address]
+            each.segments_by_datagram[message.datagram] = opening()
+            connection_agent.receive_message(agents[address], message, BALANCER, now)
+        for address, each in recorders.items():
+            for segment, _ in each.delivered:
+                delivered.append((address, segment.key_from_caller))
+                answer = from_target(segment.source.port, opens=True, sequence=1000)
+                connection_agent.receive_from_target(agents[address], answer, now)
+            each.delivered.clear()
+            for to, message in each.sent:
+                if to == BALANCER:
+                    receive_message(balancer, message, address, now)
+            each.sent.clear()
+
+    for address, each in recorders.items():
+        fill_target(agents[address], each, range(1, 6))
+        report = make_report(service_time=WORK_S, running=5)
+        receive_message(balancer, report, address, 0.9)
+    receive_segment(balancer, opening(), 1.0)
+    exchange(1.0)
+    (holder,) = [a for a, agent in agents.items() if agent.held_openings_by_key]
+    agents[holder] = recorders[holder].make()
+    agents[holder].incarnation = 2
+    for address, agent in agents.items():
+        if address != holder:
+            for port in range(1, 6):
+                finish(agent, port, 1.1)
+    connection_agent.tick(agents[holder], 1.1)
+    receive_message(balancer, make_report(incarnation=2), holder, 1.1)
+    for now in (1.12, 1.14, 1.16, 1.18):
+        tick(balancer, now)
+        exchange(now)
+    receive_segment(balancer, opening(copies=1), 1.2)
+    exchange(1.2)
+    homes = {address for address, key in delivered if key == KEY}
+    assert len(homes) == 1
+    assert holder not in homes
