--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -20,6 +20,7 @@
     handle_opening_refused,
     receive_opening,
     record_accepted_opening,
+    release_held_openings,
     retry_openings,
 )
 from lycheeglade.connection_search import (
@@ -334,6 +335,8 @@
             leaving=report.leaving,
             target_ended=report.target_ended,
         )
+    if load.incarnation not in (0, report.incarnation):
+        release_held_openings(balancer, source)
     load.incarnation = report.incarnation
     load.reported_at = now
     load.recent_placements = 0
--- a/lycheeglade/connection_opening.py
+++ b/lycheeglade/connection_opening.py
@@ -17,6 +17,12 @@
 )
 from lycheeglade.eligibility import find_eligible, is_excluded
 from lycheeglade.opening_queue import MAX_HOLD_S
+from lycheeglade.opening_times import (
+    CALLER_ATTEMPT_S,
+    COPY_DELAYS_S,
+    COPY_MARGIN_S,
+    times_left,
+)
 from lycheeglade.relay_message import ForwardSegment, OpeningHeld, OpeningRefused
 from lycheeglade.route import Route, pick_service
 from lycheeglade.segment import ConnectionKey, Segment
@@ -29,12 +35,6 @@
 OPENING_TIMEOUT_FACTOR = 4.0
 ACCEPT_DELAY_GAIN = 0.1
 MAX_OPENING_TRIES = 4
-# Callers repeat an opening segment after these times, give or take
-# COPY_MARGIN_S.
-COPY_DELAYS_S = (0.2, 0.6)
-COPY_MARGIN_S = 0.03
-# A caller abandons an attempt to open a connection after this time.
-ATTEMPT_TIMEOUT_S = 1.4
 
 
 def receive_opening(
@@ -46,15 +46,18 @@
     now: float,
 ) -> None:
     """Place a new connection, or pass a copy of its opening to its home."""
-    if connection.homes and _is_new_attempt(connection, segment, now):
-        connection.opening_copies = -1
-        if _is_home_excluded(balancer, connection, route):
-            # It gets no other connection from the same caller address either.
-            connection.homes = []
-            connection.tried_agents = []
-            connection.held_by = None
+    sent_at = now - _copy_delay(segment.acknowledgement)
+    if (connection.homes or route.aim > 0.0) and _is_new_attempt(
+        connection, segment, now
+    ):
+        _forget_attempt(balancer, connection, route)
     if connection.opening_copies < 0:
-        connection.opening_received_at = now - _copy_delay(segment.acknowledgement)
+        connection.opening_received_at = sent_at
+    elif route.aim > 0.0:
+        # A balancer that was paused or had no view gets all copies at once.
+        connection.opening_received_at = min(connection.opening_received_at, sent_at)
+    if segment.acknowledgement > connection.opening_copies + 1:
+        connection.has_missed_copy = True
     connection.opening_copies = max(connection.opening_copies, segment.acknowledgement)
     if connection.homes:
         forward_segment(balancer, connection.homes[-1].agent, segment, now)
@@ -79,7 +82,7 @@
     earlier = connection.opening
     if earlier is None:
         return is_first
-    if now - connection.opening_received_at > ATTEMPT_TIMEOUT_S:
+    if now - connection.opening_received_at > CALLER_ATTEMPT_S:
         return True
     return is_first and segment.sequence != earlier.sequence
 
@@ -99,6 +102,24 @@
     return any(is_excluded(balancer.view, route, target) for target in targets)
 
 
+def _forget_attempt(
+    balancer: ConnectionBalancer, connection: Connection, route: Route
+) -> None:
+    """Prepare the entry of an earlier connection for a new one."""
+    connection.opening_copies = -1
+    is_excluded_home = connection.homes and _is_home_excluded(
+        balancer, connection, route
+    )
+    if is_excluded_home:
+        # It gets no other connection from the same caller address either.
+        connection.homes = []
+    if is_excluded_home or route.aim > 0.0:
+        connection.has_missed_copy = False
+        connection.unresolved_tries = 0
+        connection.tried_agents = []
+        connection.held_by = None
+
+
 def _copy_delay(copies: int) -> float:
     """Return the seconds between an opening segment and that copy of it."""
     if copies <= 0:
@@ -132,6 +153,14 @@
 ) -> None:
     """Send an opening segment to the best target that was not tried yet."""
     segment = connection.opening
+    age = now - connection.opening_received_at
+    aim_left, time_left = times_left(route.aim, route.timeout, age)
+    if time_left < 0.0:
+        balancer.actions.log(
+            "refused", connection=key, cause="too-late", waited_s=age, is_told=False
+        )
+        balancer.opening_keys.discard(key)
+        return
     service = pick_service(route, xxh3_64_intdigest(str(key).encode()))
     eligibility = find_eligible(
         balancer.view,
@@ -171,6 +200,7 @@
         return
     first = ranked[0].target
     connection.tried_agents.append(first.agent)
+    connection.unresolved_tries += 1
     connection.opening_sent_at = now
     load = balancer.loads_by_agent.setdefault(first.agent, AgentLoad())
     balancer.actions.log(
@@ -191,6 +221,9 @@
         service=service,
         candidates=tuple(place.target.agent for place in ranked[1:]),
         costs=tuple(place.cost for place in ranked[1:]),
+        priority=route.priority,
+        aim_left=aim_left,
+        time_left=time_left,
     )
     send_message(balancer, first.agent, message, now)
 
@@ -202,7 +235,9 @@
 
     Its caller is told only if all copies of the opening segment that were due
     came by this balancer. Otherwise another balancer may have opened the
-    connection, which a reset would break.
+    connection, which a reset would break. On routes with an aim, agents refuse
+    while another agent may still accept an earlier try, so that the caller is
+    told only if no other try is open, and if no earlier copy was missed.
     """
     connection = balancer.connections_by_key.get(message.key)
     if connection is None or connection.homes or connection.held_by != source:
@@ -210,6 +245,10 @@
     age = now - connection.opening_received_at
     due = sum(age > delay + COPY_MARGIN_S for delay in COPY_DELAYS_S)
     is_told = connection.opening_copies >= due
+    connection.unresolved_tries -= 1
+    route = balancer.view.routes_by_address.get(message.key.service)
+    if route is not None and route.aim > 0.0:
+        is_told &= not connection.has_missed_copy and not connection.unresolved_tries
     balancer.actions.log(
         "refused",
         connection=message.key,
@@ -236,6 +275,21 @@
         balancer.opening_keys.discard(message.key)
 
 
+def release_held_openings(balancer: ConnectionBalancer, agent: Address) -> None:
+    """Try openings elsewhere that waited at an agent which has restarted.
+
+    The new process knows nothing of them, and their callers may not repeat
+    them in time.
+    """
+    for key, connection in balancer.connections_by_key.items():
+        if connection.held_by != agent or connection.homes:
+            continue
+        route = balancer.view.routes_by_address.get(key.service)
+        if route is not None and route.aim > 0.0:
+            connection.held_by = None
+            balancer.opening_keys.add(key)
+
+
 def retry_openings(balancer: ConnectionBalancer, now: float) -> None:
     """Send openings that no agent has accepted in time to other agents.
 
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -12,7 +12,8 @@
     tick,
     update_routing,
 )
-from lycheeglade.connection_opening import ATTEMPT_TIMEOUT_S, MIN_OPENING_TIMEOUT_S
+from lycheeglade.connection_opening import MIN_OPENING_TIMEOUT_S
+from lycheeglade.opening_times import CALLER_ATTEMPT_S
 from lycheeglade.relay_message import HomeFound
 from lycheeglade.segment import ConnectionKey
 from lycheeglade.store_revision import StoreRevision
@@ -201,7 +202,7 @@
     open_in(zones, OWN_ZONE)
     targets = [t for t in TARGETS if not is_removed or t.zone != OWN_ZONE]
     zones.update(OWN_ZONE, targets=targets, now=0.3)
-    now = 0.2 + 2 * ATTEMPT_TIMEOUT_S
+    now = 0.2 + 2 * CALLER_ATTEMPT_S
     zones.open(now, copies=copies)
     ((agent, message),) = zones.recorder.pop_forwarded_segments()
     assert {agent, *message.candidates} <= agents_in(OTHER_ZONE, FAR_ZONE)
