Limit the openings that reach a cold target

The agent of a cold target now counts the opening segments of different connections in a sliding window (module warmup) and forwards or holds those beyond the limit. It learns the warmup from the balancers' load requests, which are sent as soon as a target is known. Balancers rank a cold target by its capacity, and leave out those that report a full window.

--- a/lycheeglade/connection_admission.py
+++ b/lycheeglade/connection_admission.py
@@ -15,6 +15,7 @@
 from lycheeglade.segment import ConnectionKey, Segment
 
 QUEUE_FULL = "queue-full"
+COLD = "cold"
 # An opening segment is forwarded to the next candidate only if the expected
 # time here exceeds the candidate's time multiplied by this factor, plus this
 # cost. They cover the network delay to the candidate and the age of its
@@ -39,12 +40,18 @@
             return
         if key in agent.held_openings_by_key:
             return
+        if message.candidates and not agent.warmup.admits(key, now):
+            forward_opening(agent, key, message, segment, COLD)
+            return
         if _is_next_candidate_faster(agent, message, now):
             forward_opening(agent, key, message, segment, "busy")
             return
         if agent.held_openings_by_key or not _has_room(agent, now):
             _hold_opening(agent, key, pending, segment, now)
             return
+    elif not agent.warmup.admits(key, now):
+        # The caller sends another copy, or has its answer already.
+        return
     _accept_opening(agent, key, pending, segment, now)
 
 
@@ -61,16 +68,27 @@
         connection = add_connection(agent, key, now)
     if not connection.is_open:
         agent.opening_queue.record_accepted(key, now)
+    agent.warmup.record(key, now)
     record_segment(agent, key, connection, pending.message, now)
     deliver_pending(agent, pending, segment, now)
 
 
 def _has_room(agent: ConnectionAgent, now: float) -> bool:
-    return agent.opening_queue.has_room(
+    return agent.warmup.has_room(now) and agent.opening_queue.has_room(
         len(agent.running_by_key), agent.slots, agent.service_time.mean, now
     )
 
 
+def _hold_service_time(agent: ConnectionAgent, now: float) -> float:
+    """Return the service time by which openings get their turn, in seconds.
+
+    Those for a cold target get it as the window allows, however quick the
+    target is.
+    """
+    interval = agent.warmup.seconds_per_opening(now)
+    return max(agent.service_time.mean, agent.slots * interval)
+
+
 def _hold_opening(
     agent: ConnectionAgent,
     key: ConnectionKey,
@@ -80,7 +98,8 @@
 ) -> None:
     """Let a new connection wait for a slot of the target."""
     agent.held_openings_by_key[key] = pending, segment
-    refused = agent.opening_queue.hold(key, agent.slots, agent.service_time.mean, now)
+    service_time = _hold_service_time(agent, now)
+    refused = agent.opening_queue.hold(key, agent.slots, service_time, now)
     agent.actions.send(pending.message.balancer, OpeningHeld(key))
     for refused_key in refused:
         refuse_held(agent, refused_key, QUEUE_FULL)
--- a/lycheeglade/connection_agent.py
+++ b/lycheeglade/connection_agent.py
@@ -57,6 +57,7 @@
     if isinstance(message, LoadRequest):
         agent.last_heard_by_balancer[source] = now
         agent.slots = max(1, message.slots)
+        _learn_warmup(agent, message, now)
         if message.is_near:
             agent.far_reported_at_by_balancer.pop(source, None)
         else:
@@ -71,6 +72,19 @@
         agent.searches.handle_not_held(message, source)
 
 
+def _learn_warmup(agent: ConnectionAgent, message: LoadRequest, now: float) -> None:
+    agent.warmup.learn(message.warmup_left, message.warmup_rate, now)
+    is_missing = agent.warmup_bounds is None and message.warmup_rate > 0.0
+    if is_missing and not agent.has_logged_missing_bounds:
+        agent.has_logged_missing_bounds = True
+        agent.actions.log(
+            "warmup-invalid",
+            key="settings",
+            got="no bounds.warmup-overage or no bounds.warmup-slack",
+            expected=f"both, for {message.warmup_rate:g} connections per second",
+        )
+
+
 def _receive_forwarded(
     agent: ConnectionAgent, pending: PendingSegment, segment: Segment, now: float
 ) -> None:
--- a/lycheeglade/connection_agent_daemon.py
+++ b/lycheeglade/connection_agent_daemon.py
@@ -92,6 +92,7 @@
         actions,
         monotonic(),
         settings.limits,
+        warmup_bounds=settings.warmup_bounds,
     )
     log("started", host=settings.host_id, role="agent", service=settings.service)
     readiness = create_task(serve_readiness(lambda: not stop.is_set()))
--- a/lycheeglade/connection_agent_state.py
+++ b/lycheeglade/connection_agent_state.py
@@ -13,6 +13,7 @@
 from lycheeglade.service_time import FailureRate, RunningAverage, ServiceTime
 from lycheeglade.target_load import UNKNOWN_SERVICE_TIME_S
 from lycheeglade.target_silence import TargetSilence
+from lycheeglade.warmup import WarmupBounds, WarmupWindow
 
 BUSY_WINDOW_S = 2.0
 
@@ -100,6 +101,9 @@
         Opening segments of the connections in `opening_queue`.
     far_reported_at_by_balancer : dict
         Time of the latest load report to each balancer of another zone.
+    has_reported_full_window : bool
+        Whether the latest load report said that a cold target can take no
+        opening at present.
     """
 
     service: str
@@ -138,7 +142,12 @@
     last_report: LoadReport | None = None
     is_leaving: bool = False
     searches: SearchRelay | None = None
+    warmup_bounds: WarmupBounds | None = None
+    warmup: WarmupWindow | None = None
+    has_reported_full_window: bool = False
+    has_logged_missing_bounds: bool = False
 
     def __post_init__(self):
         self.searches = SearchRelay(self.actions.send)
+        self.warmup = WarmupWindow(self.started_at, self.warmup_bounds)
         self.busy = RunningAverage(self.started_at, BUSY_WINDOW_S)
--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -7,6 +7,7 @@
 """
 
 from lycheeglade.address import Address
+from lycheeglade.cold_targets import learn_warmup, warmup_left
 from lycheeglade.connection_balancer_state import (
     Connection,
     ConnectionBalancer,
@@ -79,11 +80,14 @@
             if target.state is State.LIVE:
                 balancer.unannounced_removals_by_id[target_id] = (target, service, now)
             balancer.actions.log("target-gone", target=target_id, service=service)
-    for target_id, (target, _) in current.items():
+    is_restored = view.era > previous.era
+    for target_id, (target, service) in current.items():
         balancer.unannounced_removals_by_id.pop(target_id, None)
         load = balancer.loads_by_agent.setdefault(target.agent, AgentLoad())
         load.is_near = target.zone == balancer.zone
-        if load.slots != target.slots:
+        rate = view.warmup_rates_by_service.get(service, 0.0)
+        is_warmup_new = learn_warmup(load, target, rate, now, is_restored)
+        if load.slots != target.slots or is_warmup_new:
             load.slots = target.slots
             _send_load_request(balancer, target.agent, now)
     if view.configuration and balancer.queued_openings:
@@ -323,7 +327,10 @@
     balancer: ConnectionBalancer, agent: Address, now: float
 ) -> None:
     load = balancer.loads_by_agent[agent]
-    send_message(balancer, agent, LoadRequest(load.slots, load.is_near), now)
+    message = LoadRequest(
+        load.slots, load.is_near, warmup_left(load, now), load.warmup_rate
+    )
+    send_message(balancer, agent, message, now)
 
 
 def tick(balancer: ConnectionBalancer, now: float) -> None:
--- a/lycheeglade/connection_balancer_daemon.py
+++ b/lycheeglade/connection_balancer_daemon.py
@@ -6,6 +6,7 @@
 from time import monotonic
 
 from lycheeglade.address import Address
+from lycheeglade.cold_targets import ServedView
 from lycheeglade.connection_balancer import (
     receive_message,
     receive_segment,
@@ -110,7 +111,9 @@
         ConnectionBalancerActions(send, reset, log),
         generator,
         settings.limits,
+        warmup_overage=settings.warmup_overage or 1.0,
     )
+    served_view = ServedView()
 
     def apply_view(view: RoutingView, source: str) -> None:
         log(
@@ -136,7 +139,13 @@
         monotonic(),
     )
     log("started", host=settings.host_id, role="balancer")
-    server = await serve_view(settings.internal, follower.get_view)
+
+    def get_view() -> RoutingView:
+        return served_view.get(
+            follower.get_view(), balancer.loads_by_agent, monotonic()
+        )
+
+    server = await serve_view(settings.internal, get_view)
     tasks = [
         create_task(
             serve_readiness(
--- a/lycheeglade/connection_balancer_state.py
+++ b/lycheeglade/connection_balancer_state.py
@@ -103,6 +103,8 @@
     unrouted_by_source : dict
         Refused segments to addresses without a route, by the caller's IP: the
         time of the first, their number and the latest connection.
+    warmup_overage : float
+        Factor by which a cold target may get more than its rate.
     """
 
     zone: Zone
@@ -133,6 +135,7 @@
     first_request_sent_at: float = 0.0
     load_request_rounds: int = 0
     last_run_at: float = 0.0
+    warmup_overage: float = 1.0
 
 
 def forward_segment(
--- a/lycheeglade/connection_daemon.py
+++ b/lycheeglade/connection_daemon.py
@@ -19,6 +19,7 @@
 from lycheeglade.errors import PacketError
 from lycheeglade.logs import log_event
 from lycheeglade.segment import ConnectionKey, Segment
+from lycheeglade.warmup import WarmupBounds
 
 logger = getLogger(__name__)
 
@@ -65,6 +66,10 @@
         Address at which an agent's target receives packets.
     service : str
         Service of an agent's target.
+    warmup_overage : float, optional
+        Factor by which a cold target may get more than its rate.
+    warmup_slack : float, optional
+        New connections that it may get in addition, in any second.
     """
 
     host_id: str
@@ -75,6 +80,15 @@
     upstream: Address | None = None
     service: str = ""
     limits: ConnectionLimits = DEFAULT_LIMITS
+    warmup_overage: float | None = None
+    warmup_slack: float | None = None
+
+    @property
+    def warmup_bounds(self) -> WarmupBounds | None:
+        """Bounds for a cold target, None unless both are set."""
+        if self.warmup_overage is None or self.warmup_slack is None:
+            return None
+        return WarmupBounds(self.warmup_overage, self.warmup_slack)
 
 
 class EventLog:
--- a/lycheeglade/connection_load.py
+++ b/lycheeglade/connection_load.py
@@ -2,7 +2,12 @@
 
 from lycheeglade.connection_agent_state import ConnectionAgent, LocalConnection
 from lycheeglade.relay_message import LoadReport
-from lycheeglade.target_load import AgentLoad, expected_time
+from lycheeglade.target_load import (
+    FULL_BUSY,
+    MAX_BUSY,
+    AgentLoad,
+    expected_time,
+)
 
 # Balancers that sent nothing for BALANCER_TIMEOUT_S seconds get no reports.
 BALANCER_TIMEOUT_S = 3.0
@@ -30,6 +35,18 @@
     return min(elapsed, (now - agent.last_finished_at) * agent.slots)
 
 
+def _reported_busy_share(agent: ConnectionAgent, now: float) -> float:
+    """Return the busy share as reported.
+
+    The value 1 tells balancers that a cold target can take no opening at
+    present. Any other cold target reports less.
+    """
+    share = _busy_share(agent, now)
+    if not agent.warmup.is_cold(now):
+        return share
+    return min(share, MAX_BUSY) if agent.warmup.has_room(now) else FULL_BUSY
+
+
 def _count_requests(agent: ConnectionAgent) -> int:
     """Return the number of requests here, and of connections that wait."""
     return len(agent.running_by_key) + len(agent.held_openings_by_key)
@@ -53,7 +70,7 @@
         service=agent.service,
         running=_count_requests(agent),
         service_time=agent.service_time.mean if agent.service_time.is_measured else 0.0,
-        busy=_busy_share(agent, now),
+        busy=_reported_busy_share(agent, now),
         connections=len(agent.connections_by_key),
         silent=agent.silence.is_silent(now),
         leaving=agent.is_leaving,
@@ -71,15 +88,23 @@
         return
     report = make_report(agent, now)
     previous = agent.last_report
+    is_full = agent.warmup.is_cold(now) and not agent.warmup.has_room(now)
     is_unchanged = previous is not None and (
         report.running,
         report.silent,
         report.leaving,
-    ) == (previous.running, previous.silent, previous.leaving)
+        is_full,
+    ) == (
+        previous.running,
+        previous.silent,
+        previous.leaving,
+        agent.has_reported_full_window,
+    )
     if is_unchanged and now - agent.reported_at < MAX_REPORT_INTERVAL_S:
         return
     agent.reported_at = now
     agent.last_report = report
+    agent.has_reported_full_window = is_full
     is_urgent = previous is not None and report.silent != previous.silent
     far_interval = max(limits.report_interval_s, far / limits.far_reports_per_s)
     _send_report(agent, report, now, 0.0 if is_urgent else far_interval)
@@ -91,17 +116,20 @@
         return
     agent.logged_at = now
     report = make_report(agent, now)
+    is_cold = agent.warmup.is_cold(now)
     agent.actions.log(
         "load",
         running=report.running,
         service_ms=report.service_time * MS_PER_S,
-        busy=report.busy,
+        busy=_busy_share(agent, now),
         connections=report.connections,
         finished=agent.finished,
         held=len(agent.held_openings_by_key),
         balancers=len(agent.last_heard_by_balancer),
         silent=report.silent,
         failing=report.failing,
+        cold=is_cold,
+        cold_held=len(agent.held_openings_by_key) if is_cold else 0,
     )
 
 
--- a/lycheeglade/connection_opening.py
+++ b/lycheeglade/connection_opening.py
@@ -110,6 +110,7 @@
         now,
         balancer.generator,
         route.is_bulk,
+        balancer.warmup_overage,
     )
     if not ranked or ranked[0].cost > route.timeout:
         balancer.actions.log(
--- a/lycheeglade/route.py
+++ b/lycheeglade/route.py
@@ -82,12 +82,20 @@
     latest, other = known, received
     if received.store > known.store:
         latest, other = received, known
-    if other.configuration <= latest.configuration:
+    if other.configuration < latest.configuration:
         return latest
+    if other.configuration == latest.configuration:
+        # Balancers of earlier builds pass on the same configuration without
+        # the rates.
+        rates = latest.warmup_rates_by_service or other.warmup_rates_by_service
+        if latest.warmup_rates_by_service == rates:
+            return latest
+        return replace(latest, warmup_rates_by_service=rates)
     return replace(
         latest,
         configuration=other.configuration,
         routes_by_address=other.routes_by_address,
+        warmup_rates_by_service=other.warmup_rates_by_service,
     )
 
 
--- a/lycheeglade/target_load.py
+++ b/lycheeglade/target_load.py
@@ -17,6 +17,7 @@
 
 from lycheeglade.address import Address, Zone
 from lycheeglade.view import Target
+from lycheeglade.warmup import WINDOW_S
 
 # Targets compared for a new connection (power of d choices).
 SAMPLE_SIZE = 3
@@ -31,6 +32,11 @@
 RESTART_TIMEOUT_S = 5.0
 UNKNOWN_SERVICE_TIME_S = 0.03
 MAX_BUSY = 0.95
+# Busy share by which an agent reports that its cold target can take no opening
+# at present.
+FULL_BUSY = 1.0
+# Keeps the cost of a cold target finite.
+MIN_OPENINGS_PER_S = 1e-6
 # Delay of a caller by a failed request: the time until the failure shows, and
 # the time to open another connection.
 FAILURE_COST_S = 0.3
@@ -59,6 +65,15 @@
         Whether the agent has reported that no request was measured yet.
     recent_placements : int
         Connections that this balancer has placed since the last report.
+    lifetime : int
+        Latest known lifetime of the target, -1 before any is known.
+    warmup_known : float
+        Largest `warmup_left` that the view had in this lifetime, in seconds.
+    cold_until : float
+        End of the target's warmup.
+    warmup_rate : float
+        New connections per second that the cold target can handle, 0 if no
+        limit is published.
     """
 
     last_heard_at: float = float("-inf")
@@ -75,6 +90,25 @@
     failing: float = 0.0
     incarnation: int = 0
     slots: int = 0
+    lifetime: int = -1
+    warmup_known: float = 0.0
+    cold_until: float = float("-inf")
+    warmup_rate: float = 0.0
+
+    def is_cold(self, now: float) -> bool:
+        """Return whether the target is cold and its openings are limited."""
+        return self.warmup_rate > 0.0 and now < self.cold_until
+
+    def takes_no_opening(self, now: float) -> bool:
+        """Return whether the openings of a cold target have used its limit.
+
+        A report that is older than the limit's window tells nothing.
+        """
+        return (
+            self.is_cold(now)
+            and self.busy >= FULL_BUSY
+            and now - self.reported_at < WINDOW_S
+        )
 
     def has_crashed(self, now: float) -> bool:
         """Return whether the agent's silence shows that it has crashed.
@@ -128,6 +162,7 @@
     now: float,
     generator: Random,
     is_bulk: bool = False,
+    warmup_overage: float = 1.0,
 ) -> list[RankedTarget]:
     """Return a random few of `targets` for a new connection, best first.
 
@@ -141,18 +176,30 @@
     A target without a measured request counts as quick as the quickest that
     it is compared with. If it counted as slower, it would never be tried.
 
+    Cold targets that can take no opening at present are left out if there are
+    others. If all that are compared are cold, one that is not is added: the
+    cold ones may have reached their limits meanwhile.
+
     Parameters
     ----------
     is_bulk : bool
         Whether requests or answers are long, so that traffic between zones
         costs more.
+    warmup_overage : float
+        Factor by which a cold target may get more than its rate.
     """
     usable = [t for t in targets if _is_usable(loads_by_agent.get(t.agent), now)]
     heard = [t for t in usable if _was_heard(loads_by_agent.get(t.agent))]
     usable = heard or usable or list(targets)
+    usable = [
+        t for t in usable if not _takes_no_opening(loads_by_agent.get(t.agent), now)
+    ] or usable
     chosen = generator.sample(usable, min(SAMPLE_SIZE, len(usable)))
     in_own_zone = [target for target in usable if target.zone == zone]
     chosen += generator.sample(in_own_zone, min(SAMPLE_SIZE, len(in_own_zone)))
+    if all(_is_cold(loads_by_agent.get(t.agent), now) for t in chosen):
+        warm = [t for t in usable if not _is_cold(loads_by_agent.get(t.agent), now)]
+        chosen += generator.sample(warm, min(1, len(warm)))
     zone_cost = OTHER_ZONE_BULK_COST if is_bulk else OTHER_ZONE_COST
     loads = [loads_by_agent.get(target.agent) or AgentLoad() for target in chosen]
     assumed_time = min(
@@ -160,7 +207,14 @@
         default=UNKNOWN_SERVICE_TIME_S,
     )
     ranked_by_agent = {
-        target.agent: _estimate_cost(target, load, zone, zone_cost, assumed_time)
+        target.agent: _estimate_cost(
+            target,
+            load,
+            zone,
+            zone_cost,
+            assumed_time,
+            _seconds_per_opening(load, warmup_overage, now),
+        )
         for target, load in zip(chosen, loads, strict=True)
     }
     return sorted(ranked_by_agent.values(), key=lambda place: place.cost)
@@ -176,10 +230,45 @@
     return load is not None and load.last_heard_at > float("-inf")
 
 
+def _is_cold(load: AgentLoad | None, now: float) -> bool:
+    return load is not None and load.is_cold(now)
+
+
+def _takes_no_opening(load: AgentLoad | None, now: float) -> bool:
+    return load is not None and load.takes_no_opening(now)
+
+
+def _seconds_per_opening(load: AgentLoad, overage: float, now: float) -> float:
+    """Return the interval of a cold target's openings, 0 if not cold."""
+    if not load.is_cold(now):
+        return 0.0
+    return 1.0 / max(load.warmup_rate * overage, MIN_OPENINGS_PER_S)
+
+
+def _expected_cold_time(load: AgentLoad, slots: int, interval: float) -> float:
+    """Return the expected seconds until a cold target's first answer.
+
+    Openings take their turns at least `interval` seconds apart, whatever the
+    number of slots. The busy share is not used: the openings are limited by
+    their number, and a steady wait would leave part of the limit unused.
+    """
+    limited = replace(load, service_time=max(load.service_time, interval), busy=0.0)
+    return max(expected_time(limited, slots), interval * (1 + load.recent_placements))
+
+
 def _estimate_cost(
-    target: Target, load: AgentLoad, zone: Zone, zone_cost: float, assumed_time: float
+    target: Target,
+    load: AgentLoad,
+    zone: Zone,
+    zone_cost: float,
+    assumed_time: float,
+    seconds_per_opening: float,
 ) -> RankedTarget:
     if load.is_unmeasured:
         load = replace(load, service_time=assumed_time)
     extra_cost = load.service_time * zone_cost if target.zone != zone else 0.0
-    return RankedTarget(target, expected_time(load, target.slots) + extra_cost)
+    if seconds_per_opening:
+        time = _expected_cold_time(load, target.slots, seconds_per_opening)
+    else:
+        time = expected_time(load, target.slots)
+    return RankedTarget(target, time + extra_cost)
