--- a/tests/test_deployed_settings.py
+++ b/tests/test_deployed_settings.py
@@ -49,3 +49,34 @@
     with pytest.raises(OptionError, match=name) as caught:
         parse_settings(text, "boot.conf")
     assert value.split(":")[-1] in str(caught.value)
+
+
+def test_bounds_of_cold_targets():
+    text = TEXT + "\nbounds.warmup-overage=1.5\nbounds.warmup-slack=5\n"
+    settings = parse_settings(text, "boot.conf")
+    assert (settings.warmup_overage, settings.warmup_slack) == (1.5, 5.0)
+    assert settings.invalid_bounds == ()
+
+
+def test_bounds_are_optional():
+    settings = parse_settings(TEXT, "boot.conf")
+    assert (settings.warmup_overage, settings.warmup_slack) == (None, None)
+    assert settings.invalid_bounds == ()
+
+
+@pytest.mark.parametrize("value", ["many", "-1", "nan", "inf", "1e30"])
+def test_invalid_bound_counts_as_missing_and_is_named(value):
+    """A process must not fail to start because of an optional value."""
+    text = TEXT + f"\nbounds.warmup-overage={value}\nbounds.warmup-slack={value}\n"
+    settings = parse_settings(text, "boot.conf")
+    assert (settings.warmup_overage, settings.warmup_slack) == (None, None)
+    assert settings.invalid_bounds == (
+        f"bounds.warmup-overage={value}",
+        f"bounds.warmup-slack={value}",
+    )
+
+
+def test_overage_of_zero_is_invalid_and_slack_of_zero_is_not():
+    text = TEXT + "\nbounds.warmup-overage=0\nbounds.warmup-slack=0\n"
+    settings = parse_settings(text, "boot.conf")
+    assert (settings.warmup_overage, settings.warmup_slack) == (None, 0.0)
