--- a/tests/test_connection_daemon.py
+++ b/tests/test_connection_daemon.py
@@ -94,9 +94,10 @@
     folder: Path
     address: Address
 
-    async def start(self, role, ip, stdout=None):
+    async def start(self, role, ip, stdout=None, more_settings=""):
         path = self.folder / f"{role}.conf"
-        path.write_text(format_settings(role, role, ip, self.address, service="s1"))
+        text = format_settings(role, role, ip, self.address, service="s1")
+        path.write_text(text + more_settings)
         return await create_subprocess_exec(
             sys.executable,
             str(ROOT / "platform" / "main.py"),
@@ -252,6 +253,38 @@
     assert deployment.caller.segments[-1].resets
 
 
+async def test_cold_target_gets_no_more_openings_than_its_limit(deployment):
+    """Nothing that the store and the settings say of it reached the agent."""
+    route = {"host": "198.18.0.1", "prefix": "/443/", "type": "safe", "service": "s1"}
+    deployment.store.put(
+        CONFIGURATION_KEY,
+        {"version": 2, "routes": [{**route, "timeout-ms": 1500}]}
+        | {"services": [{"name": "s1", "warmup-per-s": 2}]},
+    )
+    deployment.store.put(
+        "servers/i-1",
+        {"service": "s1", "address": f"{AGENT_IP}:{APP_PORT}", "zone": "nadi-a"}
+        | {"capacity": 1, "state": "ready", "born": 1, "warmup-left-ms": 30000},
+    )
+    started = []
+    try:
+        for role, ip in IP_BY_ROLE.items():
+            bounds = "bounds.warmup-overage=1.5\nbounds.warmup-slack=1\n"
+            started.append(await deployment.start(role, ip, more_settings=bounds))
+            await wait_ready(ip)
+        # The agent counts the second before its start as full.
+        await sleep(1.2)
+        for port in range(42000, 42030):
+            deployment.send(make_key(port), SYN, 100)
+        await sleep(0.7)
+        opened = {s.key_from_caller for s in deployment.target.segments if s.opens}
+        assert len(opened) == 4
+    finally:
+        for process in started:
+            process.kill()
+            await process.wait()
+
+
 async def test_log_that_nobody_reads_holds_up_no_request(deployment):
     """The pipe of the log fills up, since its reader does nothing."""
     read_end, write_end = pipe()
