Look for full cold targets only among the sampled ones

Placement looked at the window of every target for each opening. It now looks at the others only if a sampled target is at its limit.

--- a/lycheeglade/target_load.py
+++ b/lycheeglade/target_load.py
@@ -191,12 +191,12 @@
     usable = [t for t in targets if _is_usable(loads_by_agent.get(t.agent), now)]
     heard = [t for t in usable if _was_heard(loads_by_agent.get(t.agent))]
     usable = heard or usable or list(targets)
-    usable = [
-        t for t in usable if not _takes_no_opening(loads_by_agent.get(t.agent), now)
-    ] or usable
-    chosen = generator.sample(usable, min(SAMPLE_SIZE, len(usable)))
-    in_own_zone = [target for target in usable if target.zone == zone]
-    chosen += generator.sample(in_own_zone, min(SAMPLE_SIZE, len(in_own_zone)))
+    chosen = _sample(usable, zone, generator)
+    if any(_takes_no_opening(loads_by_agent.get(t.agent), now) for t in chosen):
+        usable = [
+            t for t in usable if not _takes_no_opening(loads_by_agent.get(t.agent), now)
+        ] or usable
+        chosen = _sample(usable, zone, generator)
     if all(_is_cold(loads_by_agent.get(t.agent), now) for t in chosen):
         warm = [t for t in usable if not _is_cold(loads_by_agent.get(t.agent), now)]
         chosen += generator.sample(warm, min(1, len(warm)))
@@ -220,6 +220,13 @@
     return sorted(ranked_by_agent.values(), key=lambda place: place.cost)
 
 
+def _sample(usable: list[Target], zone: Zone, generator: Random) -> list[Target]:
+    """Return a few random targets, and a few of the zone."""
+    chosen = generator.sample(usable, min(SAMPLE_SIZE, len(usable)))
+    in_own_zone = [target for target in usable if target.zone == zone]
+    return chosen + generator.sample(in_own_zone, min(SAMPLE_SIZE, len(in_own_zone)))
+
+
 def _is_usable(load: AgentLoad | None, now: float) -> bool:
     return load is None or not (
         load.silent or load.leaving or load.is_unresponsive(now)
