Replay the end of the warmup and restarts of cold agents

No test covered the moment at which all balancers stop limiting the cold zone, nor agents that restart while their targets are at the limit.

--- a/tests/test_warmup_placement.py
+++ b/tests/test_warmup_placement.py
@@ -78,3 +78,25 @@
     forwarded = run(WORK_S, OVERLOAD).counts["passed-on", "cold"]
     monkeypatch.setattr(AgentLoad, "takes_no_opening", lambda load, now: False)
     assert forwarded < 0.6 * run(WORK_S, OVERLOAD).counts["passed-on", "cold"]
+
+
+def test_end_of_the_warmup_causes_no_rush():
+    """All balancers see the end of the limit at about the same time."""
+    replay = WarmupReplay(WORK_S, WORK_S, RATE, BOUNDS)
+    replay.run(FULL_LOAD, FULL_S, COLD_S, warmup_s=1.0)
+    refused = replay.counts["refusals"] + replay.counts["refused", "no-turn"]
+    assert refused == 0
+    assert most_in_a_second(replay) < 2 * FULL_LOAD / TARGETS
+
+
+def test_agents_of_cold_targets_that_restart_under_load():
+    """Each new agent counts the window as full once it is told.
+
+    Before that it admits at most the slack, in addition to what the previous
+    process had admitted.
+    """
+    replay = WarmupReplay(WORK_S, WORK_S, RATE, BOUNDS)
+    replay.at(FULL_S + 1.5, replay.restart_cold_agents)
+    replay.run(OVERLOAD, FULL_S, COLD_S)
+    assert LIMIT <= most_in_a_second(replay) <= LIMIT + BOUNDS.slack
+    assert answers_per_s(replay, is_cold=False) >= 0.95 * WARM_CAPACITY
--- a/tests/warmup_replay.py
+++ b/tests/warmup_replay.py
@@ -68,7 +68,7 @@
         Seconds that a request takes at a cold and at any other target.
     rate : float
         Published rate of the cold targets, 0 for none.
-    bounds : WarmupBounds, optional
+    bounds : WarmupBounds
         Settings of all agents and balancers.
     """
 
@@ -80,6 +80,7 @@
         self.counts = Counter()
         self.segments_by_datagram = {}
         self.rate = rate
+        self.bounds = bounds
         zones = [COLD_ZONE] * COLD_TARGETS + [
             ZONES[1 + number % 3] for number in range(TARGETS - COLD_TARGETS)
         ]
@@ -88,14 +89,14 @@
             t.agent: ReplayedTarget(cold_work_s if t.zone == COLD_ZONE else work_s)
             for t in self.targets
         }
-        self.agents = {t.agent: self.make_agent(t.agent, bounds) for t in self.targets}
+        self.agents = {t.agent: self.make_agent(t.agent) for t in self.targets}
         addresses = [Address(f"10.1.0.{n + 1}", 7720) for n in range(balancers)]
         self.balancers = {
-            address: self.make_balancer(address, ZONES[n % len(ZONES)], bounds)
+            address: self.make_balancer(address, ZONES[n % len(ZONES)])
             for n, address in enumerate(addresses)
         }
 
-    def make_agent(self, address, bounds):
+    def make_agent(self, address):
         actions = ConnectionAgentActions(
             send=lambda to, message: self.at(HOP_S, self.receive, to, message, address),
             deliver=lambda segment, tag: self.deliver(address, segment),
@@ -105,16 +106,22 @@
             log=self.log,
             record=lambda stage, seconds: None,
         )
-        return ConnectionAgent("booth-sync", 1, actions, 0.0, warmup_bounds=bounds)
+        return ConnectionAgent(
+            "booth-sync",
+            next(self.order),
+            actions,
+            self.now,
+            warmup_bounds=self.bounds,
+        )
 
-    def make_balancer(self, address, zone, bounds):
+    def make_balancer(self, address, zone):
         actions = ConnectionBalancerActions(
             lambda to, message: self.at(HOP_S, self.receive, to, message, address),
             self.reset,
             self.log,
         )
         generator = Random(self.generator.random())
-        overage = bounds.overage if bounds else 1.0
+        overage = self.bounds.overage
         return ConnectionBalancer(
             zone, address, actions, generator, warmup_overage=overage
         )
@@ -192,22 +199,32 @@
     def update_routing(self, balancer, view):
         update_routing(balancer, view, self.now)
 
-    def tick(self, act, state):
-        act(state, self.now)
-        self.at(TICK_S, self.tick, act, state)
+    def tick_agent(self, address):
+        tick_agent(self.agents[address], self.now)
+        self.at(TICK_S, self.tick_agent, address)
+
+    def tick_balancer(self, balancer):
+        tick_balancer(balancer, self.now)
+        self.at(TICK_S, self.tick_balancer, balancer)
+
+    def restart_cold_agents(self):
+        """Replace the agents of the cold zone by new processes."""
+        for target in self.targets:
+            if target.zone == COLD_ZONE:
+                self.agents[target.agent] = self.make_agent(target.agent)
 
-    def run(self, requests_per_s, full_s, cold_s):
+    def run(self, requests_per_s, full_s, cold_s, warmup_s=WARMUP_S):
         """Run with the other zones alone, then with the cold zone too.
 
         The counts of the first part are discarded.
         """
         warm = [t for t in self.targets if t.zone != COLD_ZONE]
         self.publish(warm, 1)
-        for agent in self.agents.values():
-            self.at(self.generator.uniform(0.0, TICK_S), self.tick, tick_agent, agent)
+        for address in self.agents:
+            self.at(self.generator.uniform(0.0, TICK_S), self.tick_agent, address)
         for balancer in self.balancers.values():
             delay = self.generator.uniform(0.0, TICK_S)
-            self.at(delay, self.tick, tick_balancer, balancer)
+            self.at(delay, self.tick_balancer, balancer)
         arrival, port = 0.2, 1
         while arrival < full_s + cold_s:
             self.at(arrival, self.send, opening(port))
@@ -218,7 +235,7 @@
         for target in self.replayed_by_agent.values():
             target.answered = 0
         cold = [
-            replace(t, warmup_left=WARMUP_S, lifetime=1)
+            replace(t, warmup_left=warmup_s, lifetime=1)
             for t in self.targets
             if t.zone == COLD_ZONE
         ]
