--- a/lycheeglade/connection_admission.py
+++ b/lycheeglade/connection_admission.py
@@ -1,7 +1,8 @@
 """Connections and requests at the agent's target, and those that wait for it.
 
 A new connection is delivered, held while the target is full (`opening_queue`),
-or forwarded to the next candidate. `warmup` limits those for a cold target. The end of a request admits one that waits.
+or forwarded to the next candidate. `warmup` limits those for a cold target.
+The end of a request admits one that waits.
 """
 
 from lycheeglade.connection_agent_state import (
