--- a/lycheeglade/connection_admission.py
+++ b/lycheeglade/connection_admission.py
@@ -1,7 +1,8 @@
 """Connections and requests at the agent's target, and those that wait for it.
 
 A new connection is delivered, held while the target is full (`opening_queue`),
-or forwarded to the next candidate. The end of a request admits one that waits.
+or forwarded to the next candidate. `warmup` limits those for a cold target.
+The end of a request admits one that waits.
 """
 
 from lycheeglade.connection_agent_state import (
@@ -19,6 +20,7 @@
 QUEUE_FULL = "queue-full"
 TOO_LATE = "too-late"
 WAITED_TOO_LONG = "waited-too-long"
+COLD = "cold"
 # An opening segment is forwarded to the next candidate only if the expected
 # time here exceeds the candidate's time multiplied by this factor, plus this
 # cost. They cover the network delay to the candidate and the age of its
@@ -44,6 +46,9 @@
         if key in agent.held_openings_by_key:
             _receive_copy(agent, key, message)
             return
+        if message.candidates and not agent.warmup.admits(key, now):
+            forward_opening(agent, key, message, segment, COLD)
+            return
         if _is_next_candidate_faster(agent, message, now):
             forward_opening(agent, key, message, segment, "busy")
             return
@@ -54,6 +59,9 @@
         ):
             _hold_opening(agent, key, pending, segment, now)
             return
+    elif not agent.warmup.admits(key, now):
+        # The caller sends another copy, or has its answer already.
+        return
     _accept_opening(agent, key, pending, segment, now)
 
 
@@ -95,16 +103,27 @@
         connection = add_connection(agent, key, now)
     if not connection.is_open:
         agent.opening_queue.record_accepted(key, now)
+    agent.warmup.record(key, now)
     record_segment(agent, key, connection, pending.message, now)
     deliver_pending(agent, pending, segment, now)
 
 
 def _has_room(agent: ConnectionAgent, now: float, aim: float | None = None) -> bool:
-    return agent.opening_queue.has_room(
+    return agent.warmup.has_room(now) and agent.opening_queue.has_room(
         len(agent.running_by_key), agent.slots, agent.service_time.mean, now, aim
     )
 
 
+def _hold_service_time(agent: ConnectionAgent, now: float) -> float:
+    """Return the service time by which openings get their turn, in seconds.
+
+    Those for a cold target get it as the window allows, however quick the
+    target is.
+    """
+    interval = agent.warmup.seconds_per_opening(now)
+    return max(agent.service_time.mean, agent.slots * interval)
+
+
 def _hold_opening(
     agent: ConnectionAgent,
     key: ConnectionKey,
@@ -114,8 +133,9 @@
 ) -> None:
     """Let a new connection wait for a slot of the target."""
     agent.held_openings_by_key[key] = pending, segment
+    service_time = _hold_service_time(agent, now)
     refused = agent.opening_queue.hold(
-        key, agent.slots, agent.service_time.mean, now, pending.message
+        key, agent.slots, service_time, now, pending.message
     )
     agent.actions.send(pending.message.balancer, OpeningHeld(key))
     for refused_key in refused:
@@ -142,7 +162,7 @@
 
 def _next_aim(agent: ConnectionAgent, now: float) -> float | None:
     return agent.opening_queue.next_aim(
-        len(agent.running_by_key), agent.slots, agent.service_time.mean, now
+        len(agent.running_by_key), agent.slots, _hold_service_time(agent, now), now
     )
 
 
@@ -161,7 +181,7 @@
 def refuse_hopeless(agent: ConnectionAgent, now: float) -> None:
     """Refuse connections whose expected wait exceeds their remaining time."""
     hopeless = agent.opening_queue.take_hopeless(
-        len(agent.running_by_key), agent.slots, agent.service_time.mean, now
+        len(agent.running_by_key), agent.slots, _hold_service_time(agent, now), now
     )
     for key in hopeless:
         refuse_held(agent, key, TOO_LATE, now)
--- a/lycheeglade/connection_agent_daemon.py
+++ b/lycheeglade/connection_agent_daemon.py
@@ -111,6 +111,7 @@
         monotonic(),
         settings.limits,
         time() * MS_PER_S,
+        warmup_bounds=settings.warmup_bounds,
     )
     log("started", host=settings.host_id, role="agent", service=settings.service)
     readiness = create_task(serve_readiness(lambda: not stop.is_set()))
--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -7,6 +7,7 @@
 """
 
 from lycheeglade.address import Address
+from lycheeglade.cold_targets import learn_warmup, warmup_left
 from lycheeglade.connection_balancer_state import (
     Connection,
     ConnectionBalancer,
@@ -84,11 +85,15 @@
             if target.state is State.LIVE:
                 balancer.unannounced_removals_by_id[target_id] = (target, service, now)
             balancer.actions.log("target-gone", target=target_id, service=service)
-    for target_id, (target, _) in current.items():
+    is_restored = view.era > previous.era
+    for target_id, (target, service) in current.items():
         balancer.unannounced_removals_by_id.pop(target_id, None)
         load = balancer.loads_by_agent.setdefault(target.agent, AgentLoad())
         load.is_near = target.zone == balancer.zone
-        if (load.slots, load.lifetime) != (target.slots, target.lifetime):
+        rate = view.warmup_rates_by_service.get(service, 0.0)
+        known = load.slots, load.lifetime
+        is_warmup_new = learn_warmup(load, target, rate, now, is_restored)
+        if known != (target.slots, load.lifetime) or is_warmup_new:
             load.slots = target.slots
             load.lifetime = target.lifetime
             _send_load_request(balancer, target.agent, now)
@@ -354,7 +359,13 @@
     balancer: ConnectionBalancer, agent: Address, now: float
 ) -> None:
     load = balancer.loads_by_agent[agent]
-    request = LoadRequest(load.slots, load.is_near, lifetime=load.lifetime)
+    request = LoadRequest(
+        load.slots,
+        load.is_near,
+        warmup_left(load, now),
+        load.warmup_rate,
+        max(load.lifetime, 0),
+    )
     send_message(balancer, agent, request, now)
 
 
