--- a/lycheeglade/opening_queue.py
+++ b/lycheeglade/opening_queue.py
@@ -32,8 +32,7 @@
 MIN_EXTRA_REQUESTS = 4
 # For an opening with an aim, these are no more than those that are expected to
 # start within this share of the aim: four requests at a target that takes
-# 150 ms would use up an aim of 303 ms. A fifth of the aim instead of half of
-# it lost 3 % of the worth in the replay of a burst: openings turned late here.
+# 150 ms would use up an aim of 303 ms.
 AIM_SHARE_AT_TARGET = 0.5
 # A slot may be idle for this share of a request's time while the next one is
 # delivered. With one request in front instead, no opening can be answered
