Deny no connection of a target whose start is unknown

Cause: a load request of an earlier build has no start of the target, and its default of 0 counted as a target younger than the agent. An agent that had restarted beside its target denied connections of other services from its empty table, and a balancer reset them although the target served them. The same held for a target that publishes no start.

Change: an unknown start shows nothing, and requests without it leave the known one.

Result: the new test failed in both cases before and passes. Searches among services whose targets publish no start wait up to 60 s for restarted agents.

--- a/lycheeglade/connection_agent.py
+++ b/lycheeglade/connection_agent.py
@@ -68,7 +68,8 @@
     if isinstance(message, LoadRequest):
         agent.last_heard_by_balancer[source] = now
         agent.slots = max(1, message.slots)
-        agent.target_lifetime = message.lifetime
+        # A balancer of an earlier build names no start of the target.
+        agent.target_lifetime = message.lifetime or agent.target_lifetime
         if message.is_near:
             agent.far_reported_at_by_balancer.pop(source, None)
         else:
@@ -114,15 +115,13 @@
     """Return whether the table has all open connections of the target.
 
     That is the case if this process has run for as long as a connection may
-    be open, or since the target started. A target whose start is not published
-    counts as started after this process.
+    be open, or since the target started. A target whose start is unknown may
+    have started before this process.
     """
     if now - agent.started_at >= CONNECTION_LIFETIME_S:
         return True
-    if agent.target_lifetime is None:
-        return False
     started_ms = agent.started_unix_ms - MAX_START_DELAY_S * MS_PER_S
-    return not agent.target_lifetime or started_ms <= agent.target_lifetime
+    return started_ms <= agent.target_lifetime
 
 
 def _receive_unknown(
--- a/lycheeglade/connection_agent_state.py
+++ b/lycheeglade/connection_agent_state.py
@@ -101,9 +101,9 @@
     ----------
     started_unix_ms : float
         Start of this process in Unix milliseconds.
-    target_lifetime : int, optional
-        Start of the target's process in Unix milliseconds, 0 if it is not
-        published, None before a balancer has sent it.
+    target_lifetime : int
+        Start of the target's process in Unix milliseconds, 0 if no balancer
+        has named it.
     held_openings_by_key : dict
         Opening segments of the connections in `opening_queue`.
     far_reported_at_by_balancer : dict
@@ -116,7 +116,7 @@
     started_at: float
     limits: ConnectionLimits = DEFAULT_LIMITS
     started_unix_ms: float = 0.0
-    target_lifetime: int | None = None
+    target_lifetime: int = 0
     slots: int = 1
     connections_by_key: OrderedDict[ConnectionKey, LocalConnection] = field(
         default_factory=OrderedDict
--- a/tests/test_connection_agent.py
+++ b/tests/test_connection_agent.py
@@ -159,6 +159,17 @@
     assert search_other_service(agent, recorder, CONNECTION_LIFETIME_S) != []
 
 
+@pytest.mark.parametrize("lifetimes", [(0,), (10**12, 0)])
+def test_agent_denies_no_connection_if_the_start_of_its_target_is_unknown(
+    agent, recorder, lifetimes
+):
+    """A request of an earlier build reset connections older than the agent."""
+    agent.started_unix_ms = 1e12 + 10 * MS_PER_S
+    for lifetime in lifetimes:
+        receive_message(agent, LoadRequest(1, lifetime=lifetime), BALANCER, 0.1)
+    assert search_other_service(agent, recorder, 0.2) == []
+
+
 def test_agent_that_started_anew_learns_its_connections(agent, recorder):
     """The target holds connections that opened before the agent started."""
     receive(agent, recorder, data(), 0.0, search=True)
