Deny no connection for a lifetime after the agent's table was full

Cause: a full table discards its oldest connection, which the target may still hold. The agent denied it from its table to searches of balancers that do not name its service, and the balancer reset it.

Change: after a discard, the agent does not answer such searches from its table for as long as a connection may be open.

Result: the new test failed before and passes.

--- a/lycheeglade/connection_admission.py
+++ b/lycheeglade/connection_admission.py
@@ -281,6 +281,7 @@
     if len(agent.connections_by_key) > agent.limits.agent_connections:
         oldest = next(iter(agent.connections_by_key))
         remove_connection(agent, oldest, now)
+        agent.discarded_at = now
     return connection
 
 
--- a/lycheeglade/connection_agent.py
+++ b/lycheeglade/connection_agent.py
@@ -116,8 +116,11 @@
 
     That is the case if this process has run for as long as a connection may
     be open, or since the target started. A target whose start is unknown may
-    have started before this process.
+    have started before this process. A table that was full lacks connections
+    for as long as these may be open.
     """
+    if now - agent.discarded_at < CONNECTION_LIFETIME_S:
+        return False
     if now - agent.started_at >= CONNECTION_LIFETIME_S:
         return True
     started_ms = agent.started_unix_ms - MAX_START_DELAY_S * MS_PER_S
--- a/lycheeglade/connection_agent_state.py
+++ b/lycheeglade/connection_agent_state.py
@@ -104,6 +104,8 @@
     target_lifetime : int
         Start of the target's process in Unix milliseconds, 0 if no balancer
         has named it.
+    discarded_at : float
+        Time at which the full table last discarded a connection.
     held_openings_by_key : dict
         Opening segments of the connections in `opening_queue`.
     far_reported_at_by_balancer : dict
@@ -117,6 +119,7 @@
     limits: ConnectionLimits = DEFAULT_LIMITS
     started_unix_ms: float = 0.0
     target_lifetime: int = 0
+    discarded_at: float = float("-inf")
     slots: int = 1
     connections_by_key: OrderedDict[ConnectionKey, LocalConnection] = field(
         default_factory=OrderedDict
--- a/tests/test_connection_agent.py
+++ b/tests/test_connection_agent.py
@@ -170,6 +170,17 @@
     assert search_other_service(agent, recorder, 0.2) == []
 
 
+def test_agent_denies_no_connection_that_its_full_table_discarded(agent, recorder):
+    """Its target holds the connection, which the balancer reset."""
+    agent.limits = replace(agent.limits, agent_connections=1)
+    started = CONNECTION_LIFETIME_S
+    open_connection(agent, recorder, started)
+    receive(agent, recorder, opening(port=5), started + 1.0)
+    assert KEY not in agent.connections_by_key
+    assert search_other_service(agent, recorder, started + 2.0) == []
+    assert search_other_service(agent, recorder, 2.0 * started + 1.0) != []
+
+
 def test_agent_that_started_anew_learns_its_connections(agent, recorder):
     """The target holds connections that opened before the agent started."""
     receive(agent, recorder, data(), 0.0, search=True)
