Keep the connections of a host's next target

Cause: an agent reports as it stops that its target has ended. The mark stayed until the first report of the next target's agent, and a delayed report of the earlier process set it again. Meanwhile the balancer reset connections that the next target had opened, and searches did not wait for its agent.

Change: a found home and a later start of the target in the view remove the mark. Reports of the agent's previous process are ignored.

Result: the three new tests failed before and pass.

--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -89,6 +89,8 @@
         load = balancer.loads_by_agent.setdefault(target.agent, AgentLoad())
         load.is_near = target.zone == balancer.zone
         if (load.slots, load.lifetime) != (target.slots, target.lifetime):
+            if target.lifetime > load.lifetime:
+                load.target_ended = False
             load.slots = target.slots
             load.lifetime = target.lifetime
             _send_load_request(balancer, target.agent, now)
@@ -257,6 +259,10 @@
 def _handle_home_found(
     balancer: ConnectionBalancer, message: HomeFound, source: Address, now: float
 ) -> None:
+    load = balancer.loads_by_agent.get(source)
+    if load is not None:
+        # The host has another target, whose agent has not reported yet.
+        load.target_ended = False
     connection = _get_or_add_connection(balancer, message.key, now)
     homes = [home for home in connection.homes if home.agent != source]
     sequence = message.sequence
@@ -326,6 +332,9 @@
 ) -> None:
     if load is None:
         return
+    if load.previous_incarnation and load.previous_incarnation == report.incarnation:
+        # The report was delayed and overtaken by those of the present process.
+        return
     if load.incarnation != report.incarnation or load.silent != report.silent:
         balancer.actions.log(
             "agent",
@@ -336,6 +345,7 @@
             target_ended=report.target_ended,
         )
     if load.incarnation not in (0, report.incarnation):
+        load.previous_incarnation = load.incarnation
         release_held_openings(balancer, source)
     load.incarnation = report.incarnation
     load.reported_at = now
--- a/lycheeglade/target_load.py
+++ b/lycheeglade/target_load.py
@@ -59,6 +59,8 @@
         Whether the agent has reported that no request was measured yet.
     recent_placements : int
         Connections that this balancer has placed since the last report.
+    previous_incarnation : int
+        Identifies the agent's process before the present one, 0 if unknown.
     lifetime : int
         Start of the target's process in Unix milliseconds, 0 if unknown.
     target_ended : bool
@@ -78,6 +80,7 @@
     leaving: bool = False
     failing: float = 0.0
     incarnation: int = 0
+    previous_incarnation: int = 0
     slots: int = 0
     lifetime: int = 0
     target_ended: bool = False
--- a/tests/test_connection_balancer.py
+++ b/tests/test_connection_balancer.py
@@ -296,6 +296,40 @@
     assert recorder.resets == [(KEY, 77)]
 
 
+def test_next_target_of_a_host_keeps_its_connections_before_the_first_report(
+    balancer, recorder
+):
+    """They were reset because the target before it had ended."""
+    report = make_report(leaving=True, target_ended=True)
+    receive_message(balancer, report, AGENTS[0], 0.1)
+    receive_message(balancer, HomeFound(KEY, 1000), AGENTS[0], 0.5)
+    receive_segment(balancer, data(acknowledgement=1001), 0.6)
+    assert recorder.resets == []
+    assert [agent for agent, _ in recorder.pop_forwarded_segments()] == [AGENTS[0]]
+
+
+def test_search_waits_for_the_next_target_of_a_host(balancer, recorder):
+    """The end of the target before it was reported, its own start not yet."""
+    report = make_report(leaving=True, target_ended=True)
+    receive_message(balancer, report, AGENTS[2], 0.1)
+    targets = [*TARGETS[:2], replace(TARGETS[2], lifetime=2)]
+    update_routing(balancer, make_view(targets, revision=6), 0.5)
+    receive_segment(balancer, data(acknowledgement=77), 1.1)
+    for agent in AGENTS[:2]:
+        receive_message(balancer, ConnectionNotHeld(KEY, 77), agent, 1.11)
+    assert recorder.resets == []
+
+
+def test_late_report_of_an_ended_target_resets_nothing(balancer, recorder):
+    """It arrives after the first report of the agent of the next target."""
+    receive_message(balancer, make_report(incarnation=2), AGENTS[0], 0.5)
+    receive_message(balancer, HomeFound(KEY, 1000), AGENTS[0], 0.6)
+    late = make_report(incarnation=1, leaving=True, target_ended=True)
+    receive_message(balancer, late, AGENTS[0], 0.7)
+    receive_segment(balancer, data(acknowledgement=1001), 0.8)
+    assert recorder.resets == []
+
+
 def test_crashed_agent_holds_up_a_search_for_one_round_trip_only(balancer, recorder):
     """After a loss of power, each lost connection waited 0.4 s for it."""
     for step in range(1, 21):
