Refuse no held connection that the target answers already

Cause: an agent that restarted held a copy of an opening that its previous process had delivered. When the target answered, the entry of the held opening stayed. Its refusal later made the balancer reset the connection, also on routes without an aim. A further copy took the opening out of the queue only, and the next admission ended the agent with KeyError: None.

Change: the target's answer ends the hold, and the balancers that wait are told where the connection is.

Result: the new test failed in both cases before and passes.

--- a/lycheeglade/connection_admission.py
+++ b/lycheeglade/connection_admission.py
@@ -4,6 +4,7 @@
 or forwarded to the next candidate. The end of a request admits one that waits.
 """
 
+from lycheeglade.address import Address
 from lycheeglade.connection_agent_state import (
     ConnectionAgent,
     LocalConnection,
@@ -158,6 +159,24 @@
     agent.held_openings_by_key.pop(key, None)
 
 
+def withdraw_held(agent: ConnectionAgent, key: ConnectionKey) -> set[Address]:
+    """Stop holding a connection that the target answers already.
+
+    An earlier process of the agent has delivered its opening.
+
+    Returns
+    -------
+    set of Address
+        Balancers that wait for the connection.
+    """
+    held = agent.held_openings_by_key.get(key)
+    if held is None:
+        return set()
+    _stop_holding(agent, key)
+    copies_from = agent.searching_balancers_by_key.pop(key, set())
+    return {held[0].message.balancer, *copies_from}
+
+
 def refuse_hopeless(agent: ConnectionAgent, now: float) -> None:
     """Refuse connections whose expected wait exceeds their remaining time."""
     hopeless = agent.opening_queue.take_hopeless(
--- a/lycheeglade/connection_agent.py
+++ b/lycheeglade/connection_agent.py
@@ -19,6 +19,7 @@
     refuse_hopeless,
     remove_connection,
     start_request,
+    withdraw_held,
 )
 from lycheeglade.connection_agent_state import (
     ConnectionAgent,
@@ -223,7 +224,9 @@
         if segment.resets:
             agent.actions.answer(segment)
             return
+        balancers = withdraw_held(agent, key)
         connection = add_connection(agent, key, now)
+        connection.balancers |= balancers
     connection.last_at = now
     if segment.opens:
         _record_opening_answer(agent, key, connection, segment)
--- a/tests/test_timed_openings.py
+++ b/tests/test_timed_openings.py
@@ -330,3 +330,25 @@
     homes = {address for address, key in delivered if key == KEY}
     assert len(homes) == 1
     assert holder not in homes
+
+
+@pytest.mark.parametrize("times", [{}, {"aim_left": 0.0, "time_left": 0.0}])
+def test_held_opening_that_the_target_answers_is_not_refused(
+    agent, agent_recorder, times
+):
+    """The target got it from an earlier process of the agent.
+
+    The refusal reset the connection, and a copy of the opening left an entry
+    that stopped this process.
+    """
+    key = KEY._replace(caller=opening(101).source)
+    receive_timed(agent, agent_recorder, 101, 0.2, **times)
+    answer = from_target(101, opens=True, sequence=1000)
+    connection_agent.receive_from_target(agent, answer, 0.21)
+    assert (BALANCER, HomeFound(key, 1000, is_open=False)) in agent_recorder.sent
+    receive_timed(agent, agent_recorder, 101, 0.22, **times)
+    assert agent.held_openings_by_key == {}
+    for port in range(1, 6):
+        finish(agent, port, 0.3)
+    connection_agent.tick(agent, 1.7)
+    assert (BALANCER, OpeningRefused(key)) not in agent_recorder.sent
