Search all agents after a version of the routes that was not seen

Cause: a balancer that is cut off, or fetches the newest view after two quick changes, misses a version of the configuration. It asked no agents of the services that only this version named, and reset connections that another balancer had opened meanwhile. The same held if the first view had no routes, since the time was counted from that view.

Change: the 60 s in which all agents are asked start with the first routes, and anew with a version that does not follow directly on the one known.

Result: the two new tests failed before and pass.

--- a/lycheeglade/connection_balancer_state.py
+++ b/lycheeglade/connection_balancer_state.py
@@ -116,6 +116,9 @@
 
     Attributes
     ----------
+    routes_known_at : float
+        Time of the first routes, or of the latest that followed on a version
+        unknown here.
     former_services_by_address : dict
         Services that a route no longer names, by the route's address, and when
         each was removed from it.
@@ -131,6 +134,7 @@
     limits: ConnectionLimits = DEFAULT_LIMITS
     view: RoutingView = field(default_factory=RoutingView)
     view_at: float = 0.0
+    routes_known_at: float = float("-inf")
     removed_by_agent: dict[Address, tuple[Target, str, float]] = field(
         default_factory=dict
     )
--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -145,6 +145,10 @@
     """Record which services the routes of the current view name no longer."""
     if previous.configuration == balancer.view.configuration:
         return
+    version = balancer.view.configuration
+    if not previous.configuration or version > previous.configuration + 1:
+        # A version that was never seen here may have named other services.
+        balancer.routes_known_at = now
     routes = balancer.view.routes_by_address
     for address, route in previous.routes_by_address.items():
         current = routes.get(address)
@@ -205,9 +209,9 @@
     services : tuple of str
         Services that the connection's route is known to have named. They are
         all of them if this balancer has followed the routes for
-        `CONNECTION_LIFETIME_S`.
+        `CONNECTION_LIFETIME_S`, without missing a version.
     """
-    knows_all_services = now - balancer.view_at > CONNECTION_LIFETIME_S
+    knows_all_services = now - balancer.routes_known_at > CONNECTION_LIFETIME_S
     agents = set()
     for service, targets in balancer.view.targets_by_service.items():
         if service in services or not knows_all_services:
--- a/tests/test_connection_balancer.py
+++ b/tests/test_connection_balancer.py
@@ -210,6 +210,32 @@
     assert [sent.services for _, sent in forwarded_segments] == [("reel-depot",)]
 
 
+def test_services_of_a_version_that_was_not_seen_are_searched(balancer, recorder):
+    """Another balancer opened the connection while it was in force."""
+    change_services(balancer, {"booth-sync": 1.0}, 1.0)
+    seen_at = 2.0 + CONNECTION_LIFETIME_S
+    depot = change_services(balancer, {"booth-sync": 1.0}, seen_at, configuration=4)
+    recorder.sent.clear()
+    receive_segment(balancer, data(), seen_at + 1.0)
+    agents = {agent for agent, _ in recorder.pop_forwarded_segments()}
+    assert agents == {*AGENTS, depot}
+    known_at = seen_at + CONNECTION_LIFETIME_S + 0.1
+    receive_segment(balancer, data(port=40002), known_at)
+    agents = {agent for agent, _ in recorder.pop_forwarded_segments()}
+    assert agents == set(AGENTS)
+
+
+def test_services_of_routes_that_came_after_the_first_view_are_searched(recorder):
+    """The first view had targets only; other balancers had older routes."""
+    balancer = recorder.make(replace(make_view(TARGETS), configuration=0), 1.0)
+    known_at = 2.0 + CONNECTION_LIFETIME_S
+    depot = change_services(balancer, {"booth-sync": 1.0}, known_at, configuration=1)
+    recorder.sent.clear()
+    receive_segment(balancer, data(), known_at + 1.0)
+    agents = {agent for agent, _ in recorder.pop_forwarded_segments()}
+    assert agents == {*AGENTS, depot}
+
+
 def test_services_of_a_route_that_was_removed_and_returned_are_searched(
     balancer, recorder
 ):
