Reset no refused opening whose copy may have come early

Cause: callers repeat an opening segment up to 0.03 s before or after its time. A balancer counted a copy as due only 0.03 s after that time, and reset an opening that was refused within the 0.06 s before, although another balancer may have opened the connection by that copy.

Change: a copy counts from the earliest time at which it may be sent. This holds for routes without an aim too: a refusal in these 0.06 s is then not told to the caller, if the copy has not come.

--- a/lycheeglade/connection_opening.py
+++ b/lycheeglade/connection_opening.py
@@ -233,17 +233,18 @@
 ) -> None:
     """Refuse a connection that got no turn at the agent where it waited.
 
-    Its caller is told only if all copies of the opening segment that were due
-    came by this balancer. Otherwise another balancer may have opened the
-    connection, which a reset would break. On routes with an aim, agents refuse
-    while another agent may still accept an earlier try, so that the caller is
-    told only if no other try is open, and if no earlier copy was missed.
+    Its caller is told only if all copies of the opening segment that it may
+    have sent came by this balancer. Otherwise another balancer may have
+    opened the connection, which a reset would break. On routes with an aim,
+    agents refuse while another agent may still accept an earlier try, so that
+    the caller is told only if no other try is open, and if no earlier copy was
+    missed.
     """
     connection = balancer.connections_by_key.get(message.key)
     if connection is None or connection.homes or connection.held_by != source:
         return
     age = now - connection.opening_received_at
-    due = sum(age > delay + COPY_MARGIN_S for delay in COPY_DELAYS_S)
+    due = sum(age > delay - COPY_MARGIN_S for delay in COPY_DELAYS_S)
     is_told = connection.opening_copies >= due
     connection.unresolved_tries -= 1
     route = balancer.view.routes_by_address.get(message.key.service)
--- a/tests/test_timed_openings.py
+++ b/tests/test_timed_openings.py
@@ -154,6 +154,13 @@
     assert recorder.events[-1][1]["is_told"] is False
 
 
+def test_refusal_does_not_reset_what_an_early_copy_opened(balancer, recorder):
+    """The copy came by another balancer, up to 0.03 s before its time."""
+    agent = hold_opening(balancer, recorder, 1.0)
+    receive_message(balancer, OpeningRefused(KEY), agent, 1.19)
+    assert recorder.resets == []
+
+
 def fill_target(agent, recorder, ports):
     """Start a request of each port at the target, and measure its time."""
     agent.service_time.observe(WORK_S)
