Leave the reset of returned openings with an aim to the balancer

Cause: if the target returned an opening that was less than 0.17 s old and no candidate was left, the agent reset the connection itself. It does not know that an earlier try of the balancer may have opened it at another agent.

Change: on routes with an aim the agent always tells the balancer, which resets only if no other try is open.

Result: the new test failed before and passes.

--- a/lycheeglade/connection_admission.py
+++ b/lycheeglade/connection_admission.py
@@ -13,7 +13,7 @@
 from lycheeglade.connection_delivery import deliver_pending, record_segment
 from lycheeglade.connection_load import expected_answer_time
 from lycheeglade.opening_order import GIVE_UP_MARGIN_S
-from lycheeglade.opening_times import is_timed, may_have_copies, reduce_times
+from lycheeglade.opening_times import is_timed, reduce_times
 from lycheeglade.relay_message import ForwardSegment, OpeningHeld, OpeningRefused
 from lycheeglade.segment import ConnectionKey, Segment
 
@@ -252,8 +252,8 @@
     A retransmitted opening segment that a balancer forwards to the
     connection's home names no service and is never refused: the target may
     hold the connection although a newly started agent does not know it. Nor
-    does this agent reset a connection whose caller may have repeated its
-    opening segment: only the balancer knows whether the copy came by it.
+    does this agent reset a connection whose times are known: only the balancer
+    knows whether a copy or another try may have opened it elsewhere.
 
     Parameters
     ----------
@@ -284,7 +284,7 @@
                 time_left=time_left,
             ),
         )
-    elif may_have_copies(message, held):
+    elif is_timed(message):
         # The balancer takes a refusal only from the agent that holds it.
         agent.actions.send(message.balancer, OpeningHeld(key))
         agent.actions.send(message.balancer, OpeningRefused(key))
--- a/lycheeglade/opening_times.py
+++ b/lycheeglade/opening_times.py
@@ -52,15 +52,3 @@
         return 0.0, 0.0
     remaining = time_left - elapsed
     return aim_left - elapsed, remaining if remaining > 0.0 else EXPIRED_S
-
-
-def may_have_copies(message: ForwardSegment, elapsed: float) -> bool:
-    """Return whether the caller may have repeated an opening segment.
-
-    Parameters
-    ----------
-    elapsed : float
-        Seconds since the arrival of `message`.
-    """
-    age = CALLER_ATTEMPT_S - message.time_left + elapsed
-    return is_timed(message) and age > COPY_DELAYS_S[0] - COPY_MARGIN_S
--- a/tests/test_timed_openings.py
+++ b/tests/test_timed_openings.py
@@ -275,6 +275,21 @@
     ]
 
 
+def test_returned_try_does_not_reset_what_an_earlier_try_opened(agent, agent_recorder):
+    """The balancer's first try was accepted late by another agent."""
+    for port in range(1, 6):
+        finish(agent, port, 0.03)
+    receive_timed(agent, agent_recorder, 101, 0.04, time_left=ATTEMPT_S - 0.03)
+    ((segment, tag),) = agent_recorder.delivered
+    returned = replace(segment, returned=True, tag=tag)
+    connection_agent.receive_from_target(agent, returned, 0.041)
+    assert agent_recorder.resets == []
+    assert agent_recorder.sent[-1] == (
+        BALANCER,
+        OpeningRefused(returned.key_from_caller),
+    )
+
+
 def test_load_names_the_openings_held_by_priority(agent, agent_recorder):
     for port, priority in ((101, 2), (102, 1), (103, 2)):
         receive_timed(agent, agent_recorder, port, 0.0, priority=priority)
