Bound the holds of an opening at several agents in a row

Cause: an agent with a full queue passed an opening on whatever time it had been held before. Without an aim it waited up to 1.2 s at each of six agents, and reached a target 6.6 s after its placement, also in a zone that had been evacuated meanwhile.

Change: ForwardSegment.held sums the holds. After 1.4 s, when the caller has given up, a full queue refuses the opening instead of passing it on, so that the holds end within 2.6 s.

--- a/lycheeglade/connection_admission.py
+++ b/lycheeglade/connection_admission.py
@@ -13,7 +13,7 @@
 from lycheeglade.connection_delivery import deliver_pending, record_segment
 from lycheeglade.connection_load import expected_answer_time
 from lycheeglade.opening_order import GIVE_UP_MARGIN_S
-from lycheeglade.opening_times import is_timed, reduce_times
+from lycheeglade.opening_times import CALLER_ATTEMPT_S, is_timed, reduce_times
 from lycheeglade.relay_message import ForwardSegment, OpeningHeld, OpeningRefused
 from lycheeglade.segment import ConnectionKey, Segment
 
@@ -128,6 +128,7 @@
 def admit_held(agent: ConnectionAgent, now: float) -> None:
     """Deliver connections that wait as far as the target has room."""
     # An opening whose caller gives up is never delivered.
+    # An opening whose caller gives up is never delivered.
     for key in agent.opening_queue.order.take_expired(now):
         refuse_held(agent, key, WAITED_TOO_LONG, now)
     while agent.held_openings_by_key and _has_room(agent, now, _next_aim(agent, now)):
@@ -202,9 +203,12 @@
     _record_hold(agent, pending, now)
     for balancer in agent.searching_balancers_by_key.pop(key, set()):
         agent.actions.send(balancer, OpeningRefused(key))
-    can_forward = cause == QUEUE_FULL or (
-        cause == TOO_LATE and _can_wait_elsewhere(message, held)
-    )
+    if cause == QUEUE_FULL:
+        # Holds at several agents in a row would outlast the caller, and the
+        # time after which an evacuation is in force.
+        can_forward = message.held + held < CALLER_ATTEMPT_S
+    else:
+        can_forward = cause == TOO_LATE and _can_wait_elsewhere(message, held)
     if message.candidates and can_forward:
         forward_opening(agent, key, message, segment, cause, held)
         return
@@ -282,6 +286,7 @@
                 priority=message.priority,
                 aim_left=aim_left,
                 time_left=time_left,
+                held=message.held + held,
             ),
         )
     elif is_timed(message):
--- a/lycheeglade/relay_message.py
+++ b/lycheeglade/relay_message.py
@@ -52,6 +52,8 @@
         times are unknown.
     time_left : float
         Seconds left until the caller gives up, 0 if both times are unknown.
+    held : float
+        Seconds for which other agents have held a new connection.
     """
 
     balancer: Address
@@ -65,6 +67,7 @@
     priority: int = 0
     aim_left: float = 0.0
     time_left: float = 0.0
+    held: float = 0.0
 
 
 class HomeFound(Struct, frozen=True, array_like=True, tag=2):
--- a/tests/test_opening_queue.py
+++ b/tests/test_opening_queue.py
@@ -11,9 +11,16 @@
     queue_limit,
     target_limit,
 )
-from lycheeglade.relay_message import OpeningRefused
+from lycheeglade.relay_message import ForwardSegment, OpeningRefused
 from lycheeglade.segment import ConnectionKey
-from tests.connections import BALANCER, SERVICE, AgentRecorder, data, opening
+from tests.connections import (
+    BALANCER,
+    SERVICE,
+    AgentRecorder,
+    data,
+    from_target,
+    opening,
+)
 from tests.opening_replay import (
     Call,
     Kind,
@@ -150,6 +157,41 @@
     assert len(forwarded) < 29
 
 
+def test_holds_at_several_agents_end_before_an_evacuation_is_in_force():
+    """Full queues passed an opening on for as long as it had candidates."""
+    key = opening(1).key_from_caller
+    others = tuple(opening().source._replace(ip=f"10.1.1.{n}") for n in range(2, 7))
+    now = 0.0
+    fields = {"candidates": others}
+    for _ in range(len(others) + 1):
+        recorder = AgentRecorder()
+        agent = recorder.make(now)
+        for port in range(101, 106):
+            for segment in (opening(port), data(port)):
+                message = recorder.make_forward_segment(segment)
+                connection_agent.receive_message(agent, message, BALANCER, now)
+        message = recorder.make_forward_segment(opening(1), **fields)
+        connection_agent.receive_message(agent, message, BALANCER, now)
+        assert key in agent.held_openings_by_key
+        now += MAX_HOLD_S - 0.1
+        for port in range(201, 250):
+            message = recorder.make_forward_segment(opening(port))
+            connection_agent.receive_message(agent, message, BALANCER, now)
+        assert key not in agent.held_openings_by_key
+        forwarded = [
+            m
+            for _, m in recorder.sent
+            if isinstance(m, ForwardSegment) and m.datagram == opening(1).datagram
+        ]
+        if not forwarded:
+            break
+        (message,) = forwarded
+        fields = {"candidates": message.candidates, "held": message.held}
+    assert (BALANCER, OpeningRefused(key)) in recorder.sent
+    # The order takes 5 s, of which the balancers need a part to learn of it.
+    assert now < 3.0
+
+
 # Kinds of requests. An answer after the aim has a tenth of its worth.
 KINDS = {
     1: Kind(work_s=0.039, priority=1, worth=2.0, aim_s=0.352, timeout_s=2.0),
