Deliver no opening after its hold when an agent was paused

Cause: an opening without an aim was refused after 1.2 s by the periodic work only. After a pause of the agent the target's answer may be processed first, and it admitted the opening, also into a zone that was evacuated meanwhile.

Change: each admission first refuses the openings that have waited as long as they may. An opening that ends its hold between two runs of the periodic work is thus refused instead of admitted.

--- a/lycheeglade/connection_admission.py
+++ b/lycheeglade/connection_admission.py
@@ -128,8 +128,8 @@
 def admit_held(agent: ConnectionAgent, now: float) -> None:
     """Deliver connections that wait as far as the target has room."""
     # An opening whose caller gives up is never delivered.
-    # An opening whose caller gives up is never delivered.
-    for key in agent.opening_queue.order.take_expired(now):
+    # An opening that has waited as long as it may is never delivered.
+    for key in agent.opening_queue.expire(now):
         refuse_held(agent, key, WAITED_TOO_LONG, now)
     while agent.held_openings_by_key and _has_room(agent, now, _next_aim(agent, now)):
         key = agent.opening_queue.take_next()
--- a/tests/test_opening_queue.py
+++ b/tests/test_opening_queue.py
@@ -192,6 +192,23 @@
     assert now < 3.0
 
 
+def test_opening_that_waited_too_long_is_not_delivered_after_a_pause():
+    """An answer of the target comes before the periodic work."""
+    recorder = AgentRecorder()
+    agent = recorder.make()
+    for port in range(101, 106):
+        for segment in (opening(port), data(port)):
+            message = recorder.make_forward_segment(segment)
+            connection_agent.receive_message(agent, message, BALANCER, 0.0)
+    message = recorder.make_forward_segment(opening(1))
+    connection_agent.receive_message(agent, message, BALANCER, 0.0)
+    recorder.delivered.clear()
+    answer = from_target(101, data_bytes=9)
+    connection_agent.receive_from_target(agent, answer, 6.0)
+    assert recorder.delivered == []
+    assert (BALANCER, OpeningRefused(opening(1).key_from_caller)) in recorder.sent
+
+
 # Kinds of requests. An answer after the aim has a tenth of its worth.
 KINDS = {
     1: Kind(work_s=0.039, priority=1, worth=2.0, aim_s=0.352, timeout_s=2.0),
