Place a copy of a new opening elsewhere if its old home is evacuated

Cause: a connection that a search had found has no opening here. If its caller used the port again and the first opening segment was lost, the copy counted as one of the old connection and went to the old home, also in an evacuated zone.

Result: the new test failed before and passes.

--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -197,7 +197,7 @@
     connections = balancer.connections_by_key
     connection = connections.get(key)
     if connection is None:
-        connection = connections[key] = Connection(now)
+        connection = connections[key] = Connection(now, opening_received_at=now)
         if len(connections) > balancer.limits.balancer_connections:
             connections.popitem(last=False)
     else:
--- a/lycheeglade/connection_balancer_state.py
+++ b/lycheeglade/connection_balancer_state.py
@@ -85,7 +85,8 @@
     held_by : Address, optional
         Agent at which the connection waits for a slot of the target.
     opening_received_at : float
-        Time at which the caller's first opening segment arrived.
+        Time at which the caller's first opening segment arrived, or of the
+        first other segment if none came by this balancer.
     opening_copies : int
         Number of the latest copy of the opening segment that arrived here, 0
         for the first one, -1 before.
--- a/lycheeglade/connection_opening.py
+++ b/lycheeglade/connection_opening.py
@@ -78,13 +78,11 @@
 
     Otherwise the segment is a copy of the opening of that connection.
     """
-    is_first = segment.acknowledgement == 0
-    earlier = connection.opening
-    if earlier is None:
-        return is_first
     if now - connection.opening_received_at > CALLER_ATTEMPT_S:
         return True
-    return is_first and segment.sequence != earlier.sequence
+    is_first = segment.acknowledgement == 0
+    earlier = connection.opening
+    return is_first and (earlier is None or segment.sequence != earlier.sequence)
 
 
 def _is_home_excluded(
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -213,6 +213,18 @@
     assert [first for first, _ in forwarded] == [agent] * 2
 
 
+def test_copy_of_a_new_opening_does_not_go_to_a_home_that_a_search_found(zones):
+    """The first opening segment was lost; the home's zone is evacuated."""
+    receive_segment(zones.balancer, data(), 0.2)
+    (agent, *_) = agents_in(OWN_ZONE)
+    receive_message(zones.balancer, HomeFound(KEY, 1000), agent, 0.21)
+    zones.update(OWN_ZONE, now=0.3)
+    zones.recorder.sent.clear()
+    zones.open(0.2 + 2 * CALLER_ATTEMPT_S, copies=1)
+    ((agent, message),) = zones.recorder.pop_forwarded_segments()
+    assert {agent, *message.candidates} <= agents_in(OTHER_ZONE, FAR_ZONE)
+
+
 def test_duplicate_of_an_opening_goes_to_the_home(zones):
     """The network may deliver a datagram twice."""
     home = open_in(zones, OWN_ZONE)
