Look up the targets of a home instead of listing all of them

Cause: an opening segment from a caller address that is used again compared the home's agent with all targets of the view, also without evacuations, so that the work for a segment grew with the fleet.

Change: each view is indexed once by agent.

Result: the new test failed before and passes.

--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -84,7 +84,9 @@
             if target.state is State.LIVE:
                 balancer.unannounced_removals_by_id[target_id] = (target, service, now)
             balancer.actions.log("target-gone", target=target_id, service=service)
+    balancer.targets_by_agent = {}
     for target_id, (target, _) in current.items():
+        balancer.targets_by_agent.setdefault(target.agent, []).append(target)
         balancer.unannounced_removals_by_id.pop(target_id, None)
         load = balancer.loads_by_agent.setdefault(target.agent, AgentLoad())
         load.is_near = target.zone == balancer.zone
@@ -405,11 +407,7 @@
         if now - connections[key].last_at < CONNECTION_IDLE_TIMEOUT_S:
             break
         del connections[key]
-    known = {
-        target.agent
-        for targets in balancer.view.targets_by_service.values()
-        for target in targets.values()
-    }
     for agent in list(balancer.loads_by_agent):
-        if agent not in known and agent not in balancer.removed_by_agent:
+        is_known = agent in balancer.targets_by_agent
+        if not is_known and agent not in balancer.removed_by_agent:
             del balancer.loads_by_agent[agent]
--- a/lycheeglade/connection_balancer_state.py
+++ b/lycheeglade/connection_balancer_state.py
@@ -117,6 +117,8 @@
 
     Attributes
     ----------
+    targets_by_agent : dict
+        Targets of the current view.
     routes_known_at : float
         Time of the first routes, or of the latest that followed on a version
         unknown here.
@@ -136,6 +138,7 @@
     view: RoutingView = field(default_factory=RoutingView)
     view_at: float = 0.0
     routes_known_at: float = float("-inf")
+    targets_by_agent: dict[Address, list[Target]] = field(default_factory=dict)
     removed_by_agent: dict[Address, tuple[Target, str, float]] = field(
         default_factory=dict
     )
--- a/lycheeglade/connection_opening.py
+++ b/lycheeglade/connection_opening.py
@@ -89,12 +89,7 @@
     balancer: ConnectionBalancer, connection: Connection, route: Route
 ) -> bool:
     agent = connection.homes[-1].agent
-    targets = [
-        target
-        for targets in balancer.view.targets_by_service.values()
-        for target in targets.values()
-        if target.agent == agent
-    ]
+    targets = list(balancer.targets_by_agent.get(agent, ()))
     if agent in balancer.removed_by_agent:
         targets.append(balancer.removed_by_agent[agent][0])
     return any(is_excluded(balancer.view, route, target) for target in targets)
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -225,6 +225,25 @@
     assert {agent, *message.candidates} <= agents_in(OTHER_ZONE, FAR_ZONE)
 
 
+class Unlisted(dict):
+    """Targets by service that may be looked up only."""
+
+    def values(self):
+        raise AssertionError("all targets were listed")
+
+
+def test_opening_of_a_used_address_does_not_list_all_targets(zones):
+    """The work for a segment grew with the fleet."""
+    open_in(zones, OWN_ZONE)
+    zones.update(OWN_ZONE, now=0.3)
+    view = zones.balancer.view
+    targets_by_service = Unlisted(view.targets_by_service)
+    zones.balancer.view = replace(view, targets_by_service=targets_by_service)
+    zones.open(0.2 + 2 * CALLER_ATTEMPT_S)
+    ((agent, _),) = zones.recorder.pop_forwarded_segments()
+    assert agent in agents_in(OTHER_ZONE, FAR_ZONE)
+
+
 def test_duplicate_of_an_opening_goes_to_the_home(zones):
     """The network may deliver a datagram twice."""
     home = open_in(zones, OWN_ZONE)
