Drop the recorded times of openings that no longer wait

Cause: the time at which an opening becomes late was kept until then, also if the opening had left. With an aim of up to 10 minutes the record grew with all openings held in that time.

Change: the records are compacted once most of them belong to openings that have left.

Result: the new test failed before (2020 records for 20 openings) and passes.

--- a/lycheeglade/opening_order.py
+++ b/lycheeglade/opening_order.py
@@ -15,7 +15,7 @@
 from collections import Counter
 from collections.abc import Collection
 from dataclasses import dataclass, field
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 
 from lycheeglade.relay_message import ForwardSegment
 from lycheeglade.segment import ConnectionKey
@@ -30,6 +30,9 @@
 # While several priorities wait, each lower one gets at least one of this many
 # admissions. With more lower priorities than fit, all get equal shares.
 ADMISSIONS_PER_LOWER_TURN = 4
+# Recorded times are compacted once more than half of them, and more than this
+# number, belong to openings that no longer wait: an aim may be minutes long.
+MIN_COMPACTED = 64
 
 
 def _admissions_per_turn(lower: Collection[int]) -> int:
@@ -124,8 +127,16 @@
         if opening is not None:
             del self.openings_by_number[opening.number]
             self._extract(opening)
+            if len(self._aims) > 2 * len(self.openings_by_number) + MIN_COMPACTED:
+                self._compact()
         return opening
 
+    def _compact(self) -> None:
+        """Drop the times of openings that no longer wait."""
+        for times in (self._aims, self._ends):
+            times[:] = [pair for pair in times if pair[1] in self.openings_by_number]
+            heapify(times)
+
     def _insert(self, opening: TimedOpening) -> None:
         numbers = self.numbers_by_group.setdefault(opening.group, [])
         insort(numbers, opening.number)
--- a/tests/test_opening_order.py
+++ b/tests/test_opening_order.py
@@ -92,6 +92,19 @@
     assert order.take_hopeless(1.4, 0.0, now) == KEYS[1:11]
 
 
+def test_times_of_openings_that_left_are_not_kept_for_a_long_aim():
+    """The aim's record stayed until the aim had passed."""
+    order = OpeningOrder()
+    kept = range(20)
+    for port in kept:
+        order.add(port, make_message(1, aim_left=600.0), MAX_HOLD_S, 0.0)
+    for port in range(100, 2100):
+        order.add(port, make_message(1, aim_left=600.0), MAX_HOLD_S, 0.0)
+        assert order.take().key == port
+    assert len(order._aims) < 200
+    assert sorted(order.take_expired(MAX_HOLD_S)) == [*kept]
+
+
 def test_wait_of_a_lower_priority_counts_its_share():
     """Behind many higher ones it would be refused, though it gets its turn."""
     order = make_order((2, AIM_S), *[(1, AIM_S)] * 30)
