Forget targets that were removed from the view

Cause: targets that vanished while live were kept until they returned, and each opening went through all of them. Removed agents were forgotten during a search only.

Result: the new test failed before and passes.

--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -15,6 +15,7 @@
     forward_segment,
     send_message,
 )
+from lycheeglade.connection_limits import CONNECTION_LIFETIME_S
 from lycheeglade.connection_opening import (
     handle_opening_held,
     handle_opening_refused,
@@ -31,6 +32,7 @@
     repeat_search,
     search_home,
 )
+from lycheeglade.eligibility import REMOVAL_GRACE_S
 from lycheeglade.relay_message import (
     ConnectionNotHeld,
     ConnectionNotHeldBy,
@@ -407,7 +409,18 @@
         if now - connections[key].last_at < CONNECTION_IDLE_TIMEOUT_S:
             break
         del connections[key]
+    _forget_removals(balancer, now)
     for agent in list(balancer.loads_by_agent):
         is_known = agent in balancer.targets_by_agent
         if not is_known and agent not in balancer.removed_by_agent:
             del balancer.loads_by_agent[agent]
+
+
+def _forget_removals(balancer: ConnectionBalancer, now: float) -> None:
+    """Forget targets that were removed from the view long enough ago."""
+    for target_id, (_, _, gone_at) in list(balancer.unannounced_removals_by_id.items()):
+        if now - gone_at >= REMOVAL_GRACE_S:
+            del balancer.unannounced_removals_by_id[target_id]
+    for agent, (_, _, gone_at) in list(balancer.removed_by_agent.items()):
+        if now - gone_at > CONNECTION_LIFETIME_S:
+            del balancer.removed_by_agent[agent]
--- a/tests/test_connection_balancer.py
+++ b/tests/test_connection_balancer.py
@@ -425,6 +425,17 @@
     assert [agent for agent, _ in recorder.pop_forwarded_segments()] == [AGENTS[0]]
 
 
+def test_targets_that_are_gone_for_long_are_not_kept(balancer, recorder):
+    """Each opening went through all targets that had ever vanished."""
+    update_routing(balancer, make_view([], revision=6), 1.0)
+    tick(balancer, 1.0 + REMOVAL_GRACE_S)
+    assert balancer.unannounced_removals_by_id == {}
+    assert balancer.removed_by_agent.keys() == set(AGENTS)
+    tick(balancer, 1.1 + CONNECTION_LIFETIME_S)
+    assert balancer.removed_by_agent == {}
+    assert balancer.loads_by_agent == {}
+
+
 def test_leaving_target_gets_no_new_connection(balancer, recorder):
     targets = [*TARGETS[:2], make_target(3, state=State.LEAVING)]
     update_routing(balancer, make_view(targets, revision=6), 0.5)
