End the search for an earlier connection of an address that opens anew

Cause: a search went on while its caller opened another connection from the same port. Its end reset the new connection if the home's message arrived after the last denial.

Change: an opening segment ends the search and discards its segments.

A segment that was discarded because of a late copy of its own opening waits for its caller's next copy.

--- a/lycheeglade/connection_opening.py
+++ b/lycheeglade/connection_opening.py
@@ -46,6 +46,10 @@
     now: float,
 ) -> None:
     """Place a new connection, or pass a copy of its opening to its home."""
+    # A search concerns an earlier connection of the caller's address. Its end
+    # must not reset this one.
+    connection.search = None
+    connection.queued_segments = []
     sent_at = now - _copy_delay(segment.acknowledgement)
     if (connection.homes or route.aim > 0.0) and _is_new_attempt(
         connection, segment, now
--- a/tests/test_connection_balancer.py
+++ b/tests/test_connection_balancer.py
@@ -372,6 +372,17 @@
     assert recorder.resets == [(KEY, 77)]
 
 
+def test_search_does_not_reset_the_next_connection_of_its_address(balancer, recorder):
+    """Its target has answered the caller; the home's message is on its way."""
+    receive_segment(balancer, data(acknowledgement=77), 1.0)
+    for agent in AGENTS[:2]:
+        receive_message(balancer, ConnectionNotHeld(KEY, 77), agent, 1.01)
+    receive_segment(balancer, opening(), 1.1)
+    receive_message(balancer, ConnectionNotHeld(KEY, 77), AGENTS[2], 1.11)
+    tick(balancer, 3.0)
+    assert recorder.resets == []
+
+
 def test_search_is_repeated_although_its_caller_is_silent(balancer, recorder):
     """A query was lost, and the caller's next copy comes after 1.6 s."""
     receive_segment(balancer, data(), 1.0)
