Report no target as ended that answers again

Cause: an agent checks its target's port once as it stops. A target that started anew before the agent's exit was still reported as ended, and balancers reset the connections that it had opened since.

Change: any segment of the target takes the mark back.

Result: the new test failed before and passes.

--- a/lycheeglade/connection_agent.py
+++ b/lycheeglade/connection_agent.py
@@ -215,6 +215,8 @@
 def receive_from_target(agent: ConnectionAgent, segment: Segment, now: float) -> None:
     """Process a segment that the target sent or returned."""
     agent.silence.record_answer()
+    # Another process of the target may have started while this one stops.
+    agent.has_target_ended = False
     if segment.returned:
         _receive_returned(agent, segment, now)
         return
--- a/tests/test_connection_agent.py
+++ b/tests/test_connection_agent.py
@@ -383,6 +383,17 @@
     assert recorder.sent[-1][1].leaving
 
 
+def test_target_that_answers_is_not_reported_as_ended(agent, recorder):
+    """It started anew while its agent stopped; its connections were reset."""
+    receive_message(agent, LoadRequest(1), BALANCER, 0.0)
+    agent.has_target_ended = True
+    announce_exit(agent, 1.0)
+    open_connection(agent, recorder, 1.1)
+    tick(agent, 1.2)
+    reports = [m for _, m in recorder.sent if isinstance(m, LoadReport)]
+    assert [report.target_ended for report in reports] == [False]
+
+
 def test_busy_agent_hands_an_opening_to_a_much_better_place(agent, recorder):
     for port in range(1, 5):
         receive(agent, recorder, opening(port=port), 0.0)
