End searches whose callers are silent without a reset

Cause: a search was repeated until its entry was evicted after 60 s. An agent that answered late ended it with a reset, which hit the connection that the caller had opened from the same port by another balancer meanwhile.

Change: a search ends 2 s after the latest segment, since callers retransmit up to 1.6 s apart. A later segment starts another one. A search that was just ended by a reset is no longer repeated in the same run.

--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -398,8 +398,8 @@
         if connection is None or connection.search is None:
             balancer.searching_keys.discard(key)
         else:
-            conclude_search(balancer, key, connection, now)
             repeat_search(balancer, key, connection, now)
+            conclude_search(balancer, key, connection, now)
 
 
 def _evict_idle(balancer: ConnectionBalancer, now: float) -> None:
--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -40,6 +40,9 @@
 # MAX_SEARCH_RETRY_S: callers retransmit up to 1.6 s apart.
 SEARCH_RETRY_S = 0.15
 MAX_SEARCH_RETRY_S = 1.2
+# A search ends without a reset this long after the latest segment: its caller
+# has given up, and may use the port again by another balancer.
+MAX_CALLER_SILENCE_S = 2.0
 # Up to MAX_DIRECT_QUERIES agents are queried directly. With more, one agent in
 # each group of `relayed_queries` asks the others.
 MAX_DIRECT_QUERIES = 8
@@ -124,12 +127,16 @@
     connection: Connection,
     now: float,
 ) -> None:
-    """Repeat a search that some agents have not answered, if it is due.
+    """Repeat a search that some agents have not answered, or end it.
 
     The query or its answer may have been lost, or the target may have started
     after the query.
     """
     search = connection.search
+    if search is not None and now - connection.last_at > MAX_CALLER_SILENCE_S:
+        connection.search = None
+        connection.queued_segments = []
+        return
     route = balancer.view.routes_by_address.get(key.service)
     if search is None or route is None or not connection.queued_segments:
         return
--- a/tests/test_connection_balancer.py
+++ b/tests/test_connection_balancer.py
@@ -399,6 +399,25 @@
     assert recorder.pop_forwarded_segments() == []
 
 
+def test_search_of_a_silent_caller_resets_no_later_connection(balancer, recorder):
+    """The caller used its port again, and another balancer placed it."""
+    receive_segment(balancer, data(), 1.0)
+    for agent in AGENTS[:2]:
+        receive_message(balancer, ConnectionNotHeld(KEY, 77), agent, 1.01)
+    for step in range(1, 40):
+        receive_message(balancer, make_report(), AGENTS[2], 1.0 + step / 10)
+        tick(balancer, 1.0 + step / 10)
+    recorder.sent.clear()
+    tick(balancer, 5.0)
+    assert recorder.pop_forwarded_segments() == []
+    receive_message(balancer, ConnectionNotHeld(KEY, 77), AGENTS[2], 5.0)
+    assert recorder.resets == []
+    # It is searched again if the caller has not given up.
+    receive_segment(balancer, data(), 5.1)
+    agents = [agent for agent, _ in recorder.pop_forwarded_segments()]
+    assert agents == AGENTS
+
+
 def test_connection_of_a_crashed_agent_is_reset_when_its_caller_speaks(
     balancer, recorder
 ):
