Record former services also if the version of the routes stays

Cause: a configuration that is written again with its version and other services is applied, but the services that it no longer names were not recorded. Searches left out their agents, and open connections were reset.

Change: the routes are compared with each view. Those of this balancer's own catalog are identical objects, so that only changed ones are examined.

Result: the new test failed before and passes.

--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -150,13 +150,12 @@
     balancer: ConnectionBalancer, previous: RoutingView, now: float
 ) -> None:
     """Record which services the routes of the current view name no longer."""
-    if previous.configuration == balancer.view.configuration:
-        return
     version = balancer.view.configuration
     if not previous.configuration or version > previous.configuration + 1:
         # A version that was never seen here may have named other services.
         balancer.routes_known_at = now
     routes = balancer.view.routes_by_address
+    # A version may be written again with other services.
     for address, route in previous.routes_by_address.items():
         current = routes.get(address)
         if current is route:
--- a/tests/test_connection_balancer.py
+++ b/tests/test_connection_balancer.py
@@ -210,6 +210,20 @@
     assert [sent.services for _, sent in forwarded_segments] == [("reel-depot",)]
 
 
+def test_former_services_of_a_version_that_was_written_again_are_searched(
+    balancer, recorder
+):
+    """Only the agents of the new service were asked, and denied it."""
+    late = 1.0 + CONNECTION_LIFETIME_S
+    change_services(balancer, {"reel-depot": 1.0}, late, configuration=1)
+    view = replace(balancer.view, revision=9)
+    update_routing(balancer, view, late)
+    recorder.sent.clear()
+    receive_segment(balancer, data(), late + 1.0)
+    services = {sent.services for _, sent in recorder.pop_forwarded_segments()}
+    assert services == {("booth-sync", "reel-depot")}
+
+
 def test_services_of_a_version_that_was_not_seen_are_searched(balancer, recorder):
     """Another balancer opened the connection while it was in force."""
     change_services(balancer, {"booth-sync": 1.0}, 1.0)
