Treat a returned opening that was held like other held openings

Cause: an opening that was held, delivered and returned by a full target was passed on without regard to its holds. On routes without an aim the last agent reset it, although a copy may have opened the connection by another balancer while it was held.

If it was held for so long that a copy may exist, the balancer decides on the reset, also on routes without an aim.

--- a/lycheeglade/connection_admission.py
+++ b/lycheeglade/connection_admission.py
@@ -13,7 +13,13 @@
 from lycheeglade.connection_delivery import deliver_pending, record_segment
 from lycheeglade.connection_load import expected_answer_time
 from lycheeglade.opening_order import GIVE_UP_MARGIN_S
-from lycheeglade.opening_times import CALLER_ATTEMPT_S, is_timed, reduce_times
+from lycheeglade.opening_times import (
+    CALLER_ATTEMPT_S,
+    COPY_DELAYS_S,
+    COPY_MARGIN_S,
+    is_timed,
+    reduce_times,
+)
 from lycheeglade.relay_message import ForwardSegment, OpeningHeld, OpeningRefused
 from lycheeglade.segment import ConnectionKey, Segment
 
@@ -203,13 +209,10 @@
     _record_hold(agent, pending, now)
     for balancer in agent.searching_balancers_by_key.pop(key, set()):
         agent.actions.send(balancer, OpeningRefused(key))
-    if cause == QUEUE_FULL:
-        # Holds at several agents in a row would outlast the caller, and the
-        # time after which an evacuation is in force.
-        can_forward = message.held + held < CALLER_ATTEMPT_S
-    else:
-        can_forward = cause == TOO_LATE and _can_wait_elsewhere(message, held)
-    if message.candidates and can_forward:
+    can_forward = cause == QUEUE_FULL or (
+        cause == TOO_LATE and _can_wait_elsewhere(message, held)
+    )
+    if _can_hold_again(message, held) and can_forward:
         forward_opening(agent, key, message, segment, cause, held)
         return
     agent.actions.log(
@@ -223,6 +226,15 @@
     agent.actions.send(message.balancer, OpeningRefused(key))
 
 
+def _can_hold_again(message: ForwardSegment, held: float) -> bool:
+    """Return whether there is a candidate that may hold the connection too.
+
+    Holds at several agents in a row would outlast the caller, and the time
+    after which an evacuation is in force.
+    """
+    return bool(message.candidates) and message.held + held < CALLER_ATTEMPT_S
+
+
 def _can_wait_elsewhere(message: ForwardSegment, held: float) -> bool:
     """Return whether the next candidate is expected to answer in time."""
     answer_time = message.costs[0] if message.costs else 0.0
@@ -256,23 +268,26 @@
     A retransmitted opening segment that a balancer forwards to the
     connection's home names no service and is never refused: the target may
     hold the connection although a newly started agent does not know it. Nor
-    does this agent reset a connection whose times are known: only the balancer
-    knows whether a copy or another try may have opened it elsewhere.
+    does this agent reset a connection whose times are known, or that was held
+    for so long that its caller may have repeated the opening segment: only the
+    balancer knows whether a copy or another try may have opened it elsewhere.
 
     Parameters
     ----------
     held : float
         Seconds since the arrival of `message`.
     """
+    can_forward = _can_hold_again(message, held)
+    total_held = message.held + held
     agent.actions.log(
         "passed-on",
         connection=key,
         cause=cause,
-        candidates=len(message.candidates),
+        candidates=len(message.candidates) if can_forward else 0,
         priority=message.priority,
         held_s=held,
     )
-    if message.candidates:
+    if can_forward:
         first, *rest = message.candidates
         aim_left, time_left = reduce_times(message.aim_left, message.time_left, held)
         agent.actions.send(
@@ -286,10 +301,10 @@
                 priority=message.priority,
                 aim_left=aim_left,
                 time_left=time_left,
-                held=message.held + held,
+                held=total_held,
             ),
         )
-    elif is_timed(message):
+    elif is_timed(message) or total_held > COPY_DELAYS_S[0] - COPY_MARGIN_S:
         # The balancer takes a refusal only from the agent that holds it.
         agent.actions.send(message.balancer, OpeningHeld(key))
         agent.actions.send(message.balancer, OpeningRefused(key))
--- a/tests/test_opening_queue.py
+++ b/tests/test_opening_queue.py
@@ -1,4 +1,4 @@
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import pytest
 
@@ -11,7 +11,7 @@
     queue_limit,
     target_limit,
 )
-from lycheeglade.relay_message import ForwardSegment, OpeningRefused
+from lycheeglade.relay_message import ForwardSegment, OpeningHeld, OpeningRefused
 from lycheeglade.segment import ConnectionKey
 from tests.connections import (
     BALANCER,
@@ -192,6 +192,45 @@
     assert now < 3.0
 
 
+def return_held_opening(**fields):
+    """Return the recorder of an agent whose target returns a held opening."""
+    recorder = AgentRecorder()
+    agent = recorder.make()
+    for port in range(101, 106):
+        for segment in (opening(port), data(port)):
+            message = recorder.make_forward_segment(segment)
+            connection_agent.receive_message(agent, message, BALANCER, 0.0)
+    message = recorder.make_forward_segment(opening(1), **fields)
+    connection_agent.receive_message(agent, message, BALANCER, 0.0)
+    recorder.delivered.clear()
+    for port in range(101, 106):
+        answer = from_target(port, data_bytes=9)
+        connection_agent.receive_from_target(agent, answer, 1.0)
+    ((segment, tag),) = recorder.delivered
+    recorder.sent.clear()
+    returned = replace(segment, returned=True, tag=tag)
+    connection_agent.receive_from_target(agent, returned, 1.01)
+    return recorder
+
+
+def test_returned_opening_is_not_held_again_after_its_caller_gave_up():
+    """It was passed on for as long as it had candidates."""
+    other = opening().source._replace(ip="10.1.1.9")
+    forwarded = return_held_opening(candidates=(other,)).sent
+    assert [address for address, _ in forwarded] == [other]
+    sent = return_held_opening(candidates=(other,), held=1.1).sent
+    key = opening(1).key_from_caller
+    assert sent == [(BALANCER, OpeningHeld(key)), (BALANCER, OpeningRefused(key))]
+
+
+def test_returned_opening_without_aim_does_not_reset_its_copys_connection():
+    """A copy may have opened the connection by another balancer."""
+    recorder = return_held_opening()
+    key = opening(1).key_from_caller
+    assert recorder.resets == []
+    assert recorder.sent[-1] == (BALANCER, OpeningRefused(key))
+
+
 def test_opening_that_waited_too_long_is_not_delivered_after_a_pause():
     """An answer of the target comes before the periodic work."""
     recorder = AgentRecorder()
