--- a/lycheeglade/connection_admission.py
+++ b/lycheeglade/connection_admission.py
@@ -5,6 +5,7 @@
 The end of a request admits one that waits.
 """
 
+from lycheeglade.address import Address
 from lycheeglade.connection_agent_state import (
     ConnectionAgent,
     LocalConnection,
@@ -13,7 +14,13 @@
 from lycheeglade.connection_delivery import deliver_pending, record_segment
 from lycheeglade.connection_load import expected_answer_time
 from lycheeglade.opening_order import GIVE_UP_MARGIN_S
-from lycheeglade.opening_times import is_timed, may_have_copies, reduce_times
+from lycheeglade.opening_times import (
+    CALLER_ATTEMPT_S,
+    COPY_DELAYS_S,
+    COPY_MARGIN_S,
+    is_timed,
+    reduce_times,
+)
 from lycheeglade.relay_message import ForwardSegment, OpeningHeld, OpeningRefused
 from lycheeglade.segment import ConnectionKey, Segment
 
@@ -147,7 +154,8 @@
 def admit_held(agent: ConnectionAgent, now: float) -> None:
     """Deliver connections that wait as far as the target has room."""
     # An opening whose caller gives up is never delivered.
-    for key in agent.opening_queue.order.take_expired(now):
+    # An opening that has waited as long as it may is never delivered.
+    for key in agent.opening_queue.expire(now):
         refuse_held(agent, key, WAITED_TOO_LONG, now)
     while agent.held_openings_by_key and _has_room(agent, now, _next_aim(agent, now)):
         key = agent.opening_queue.take_next()
@@ -178,6 +186,24 @@
     agent.held_openings_by_key.pop(key, None)
 
 
+def withdraw_held(agent: ConnectionAgent, key: ConnectionKey) -> set[Address]:
+    """Stop holding a connection that the target answers already.
+
+    An earlier process of the agent has delivered its opening.
+
+    Returns
+    -------
+    set of Address
+        Balancers that wait for the connection.
+    """
+    held = agent.held_openings_by_key.get(key)
+    if held is None:
+        return set()
+    _stop_holding(agent, key)
+    copies_from = agent.searching_balancers_by_key.pop(key, set())
+    return {held[0].message.balancer, *copies_from}
+
+
 def refuse_hopeless(agent: ConnectionAgent, now: float) -> None:
     """Refuse connections whose expected wait exceeds their remaining time."""
     hopeless = agent.opening_queue.take_hopeless(
@@ -206,7 +232,7 @@
     can_forward = cause == QUEUE_FULL or (
         cause == TOO_LATE and _can_wait_elsewhere(message, held)
     )
-    if message.candidates and can_forward:
+    if _can_hold_again(message, held) and can_forward:
         forward_opening(agent, key, message, segment, cause, held)
         return
     agent.actions.log(
@@ -220,6 +246,15 @@
     agent.actions.send(message.balancer, OpeningRefused(key))
 
 
+def _can_hold_again(message: ForwardSegment, held: float) -> bool:
+    """Return whether there is a candidate that may hold the connection too.
+
+    Holds at several agents in a row would outlast the caller, and the time
+    after which an evacuation is in force.
+    """
+    return bool(message.candidates) and message.held + held < CALLER_ATTEMPT_S
+
+
 def _can_wait_elsewhere(message: ForwardSegment, held: float) -> bool:
     """Return whether the next candidate is expected to answer in time."""
     answer_time = message.costs[0] if message.costs else 0.0
@@ -253,23 +288,26 @@
     A retransmitted opening segment that a balancer forwards to the
     connection's home names no service and is never refused: the target may
     hold the connection although a newly started agent does not know it. Nor
-    does this agent reset a connection whose caller may have repeated its
-    opening segment: only the balancer knows whether the copy came by it.
+    does this agent reset a connection whose times are known, or that was held
+    for so long that its caller may have repeated the opening segment: only the
+    balancer knows whether a copy or another try may have opened it elsewhere.
 
     Parameters
     ----------
     held : float
         Seconds since the arrival of `message`.
     """
+    can_forward = _can_hold_again(message, held)
+    total_held = message.held + held
     agent.actions.log(
         "passed-on",
         connection=key,
         cause=cause,
-        candidates=len(message.candidates),
+        candidates=len(message.candidates) if can_forward else 0,
         priority=message.priority,
         held_s=held,
     )
-    if message.candidates:
+    if can_forward:
         first, *rest = message.candidates
         aim_left, time_left = reduce_times(message.aim_left, message.time_left, held)
         agent.actions.send(
@@ -283,9 +321,10 @@
                 priority=message.priority,
                 aim_left=aim_left,
                 time_left=time_left,
+                held=total_held,
             ),
         )
-    elif may_have_copies(message, held):
+    elif is_timed(message) or total_held > COPY_DELAYS_S[0] - COPY_MARGIN_S:
         # The balancer takes a refusal only from the agent that holds it.
         agent.actions.send(message.balancer, OpeningHeld(key))
         agent.actions.send(message.balancer, OpeningRefused(key))
@@ -301,6 +340,7 @@
     if len(agent.connections_by_key) > agent.limits.agent_connections:
         oldest = next(iter(agent.connections_by_key))
         remove_connection(agent, oldest, now)
+        agent.discarded_at = now
     return connection
 
 
--- a/lycheeglade/connection_agent.py
+++ b/lycheeglade/connection_agent.py
@@ -19,6 +19,7 @@
     refuse_hopeless,
     remove_connection,
     start_request,
+    withdraw_held,
 )
 from lycheeglade.connection_agent_state import (
     ConnectionAgent,
@@ -68,7 +69,8 @@
     if isinstance(message, LoadRequest):
         agent.last_heard_by_balancer[source] = now
         agent.slots = max(1, message.slots)
-        agent.target_lifetime = message.lifetime
+        # A balancer of an earlier build names no start of the target.
+        agent.target_lifetime = message.lifetime or agent.target_lifetime
         _learn_warmup(agent, message, now)
         if message.is_near:
             agent.far_reported_at_by_balancer.pop(source, None)
@@ -128,15 +130,16 @@
     """Return whether the table has all open connections of the target.
 
     That is the case if this process has run for as long as a connection may
-    be open, or since the target started. A target whose start is not published
-    counts as started after this process.
+    be open, or since the target started. A target whose start is unknown may
+    have started before this process. A table that was full lacks connections
+    for as long as these may be open.
     """
+    if now - agent.discarded_at < CONNECTION_LIFETIME_S:
+        return False
     if now - agent.started_at >= CONNECTION_LIFETIME_S:
         return True
-    if agent.target_lifetime is None:
-        return False
     started_ms = agent.started_unix_ms - MAX_START_DELAY_S * MS_PER_S
-    return not agent.target_lifetime or started_ms <= agent.target_lifetime
+    return started_ms <= agent.target_lifetime
 
 
 def _receive_unknown(
@@ -226,6 +229,8 @@
 def receive_from_target(agent: ConnectionAgent, segment: Segment, now: float) -> None:
     """Process a segment that the target sent or returned."""
     agent.silence.record_answer()
+    # Another process of the target may have started while this one stops.
+    agent.has_target_ended = False
     if segment.returned:
         _receive_returned(agent, segment, now)
         return
@@ -235,7 +240,9 @@
         if segment.resets:
             agent.actions.answer(segment)
             return
+        balancers = withdraw_held(agent, key)
         connection = add_connection(agent, key, now)
+        connection.balancers |= balancers
     connection.last_at = now
     if segment.opens:
         _record_opening_answer(agent, key, connection, segment)
--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -16,6 +16,7 @@
     forward_segment,
     send_message,
 )
+from lycheeglade.connection_limits import CONNECTION_LIFETIME_S
 from lycheeglade.connection_opening import (
     handle_opening_held,
     handle_opening_refused,
@@ -33,6 +34,7 @@
     repeat_search,
     search_home,
 )
+from lycheeglade.eligibility import REMOVAL_GRACE_S
 from lycheeglade.relay_message import (
     ConnectionNotHeld,
     ConnectionNotHeldBy,
@@ -87,7 +89,9 @@
                 balancer.unannounced_removals_by_id[target_id] = (target, service, now)
             balancer.actions.log("target-gone", target=target_id, service=service)
     is_restored = view.era > previous.era
+    balancer.targets_by_agent = {}
     for target_id, (target, service) in current.items():
+        balancer.targets_by_agent.setdefault(target.agent, []).append(target)
         balancer.unannounced_removals_by_id.pop(target_id, None)
         load = balancer.loads_by_agent.setdefault(target.agent, AgentLoad())
         load.is_near = target.zone == balancer.zone
@@ -95,8 +99,9 @@
         known = load.slots, load.lifetime
         is_warmup_new = learn_warmup(load, target, rate, now, is_restored)
         if known != (target.slots, load.lifetime) or is_warmup_new:
+            if load.lifetime > known[1]:
+                load.target_ended = False
             load.slots = target.slots
-            load.lifetime = target.lifetime
             _send_load_request(balancer, target.agent, now)
     if view.configuration and balancer.queued_openings:
         queued, balancer.queued_openings = balancer.queued_openings, []
@@ -201,7 +206,7 @@
     connections = balancer.connections_by_key
     connection = connections.get(key)
     if connection is None:
-        connection = connections[key] = Connection(now)
+        connection = connections[key] = Connection(now, opening_received_at=now)
         if len(connections) > balancer.limits.balancer_connections:
             connections.popitem(last=False)
     else:
@@ -263,6 +268,10 @@
 def _handle_home_found(
     balancer: ConnectionBalancer, message: HomeFound, source: Address, now: float
 ) -> None:
+    load = balancer.loads_by_agent.get(source)
+    if load is not None:
+        # The host has another target, whose agent has not reported yet.
+        load.target_ended = False
     connection = _get_or_add_connection(balancer, message.key, now)
     homes = [home for home in connection.homes if home.agent != source]
     sequence = message.sequence
@@ -332,6 +341,9 @@
 ) -> None:
     if load is None:
         return
+    if load.previous_incarnation and load.previous_incarnation == report.incarnation:
+        # The report was delayed and overtaken by those of the present process.
+        return
     if load.incarnation != report.incarnation or load.silent != report.silent:
         balancer.actions.log(
             "agent",
@@ -342,6 +354,7 @@
             target_ended=report.target_ended,
         )
     if load.incarnation not in (0, report.incarnation):
+        load.previous_incarnation = load.incarnation
         release_held_openings(balancer, source)
     load.incarnation = report.incarnation
     load.reported_at = now
@@ -399,8 +412,8 @@
         if connection is None or connection.search is None:
             balancer.searching_keys.discard(key)
         else:
-            conclude_search(balancer, key, connection, now)
             repeat_search(balancer, key, connection, now)
+            conclude_search(balancer, key, connection, now)
 
 
 def _evict_idle(balancer: ConnectionBalancer, now: float) -> None:
@@ -410,11 +423,18 @@
         if now - connections[key].last_at < CONNECTION_IDLE_TIMEOUT_S:
             break
         del connections[key]
-    known = {
-        target.agent
-        for targets in balancer.view.targets_by_service.values()
-        for target in targets.values()
-    }
+    _forget_removals(balancer, now)
     for agent in list(balancer.loads_by_agent):
-        if agent not in known and agent not in balancer.removed_by_agent:
+        is_known = agent in balancer.targets_by_agent
+        if not is_known and agent not in balancer.removed_by_agent:
             del balancer.loads_by_agent[agent]
+
+
+def _forget_removals(balancer: ConnectionBalancer, now: float) -> None:
+    """Forget targets that were removed from the view long enough ago."""
+    for target_id, (_, _, gone_at) in list(balancer.unannounced_removals_by_id.items()):
+        if now - gone_at >= REMOVAL_GRACE_S:
+            del balancer.unannounced_removals_by_id[target_id]
+    for agent, (_, _, gone_at) in list(balancer.removed_by_agent.items()):
+        if now - gone_at > CONNECTION_LIFETIME_S:
+            del balancer.removed_by_agent[agent]
--- a/lycheeglade/connection_balancer_state.py
+++ b/lycheeglade/connection_balancer_state.py
@@ -88,7 +88,8 @@
     held_by : Address, optional
         Agent at which the connection waits for a slot of the target.
     opening_received_at : float
-        Time at which the caller's first opening segment arrived.
+        Time at which the caller's first opening segment arrived, or of the
+        first other segment if none came by this balancer.
     opening_copies : int
         Number of the latest copy of the opening segment that arrived here, 0
         for the first one, -1 before.
@@ -119,6 +120,11 @@
 
     Attributes
     ----------
+    targets_by_agent : dict
+        Targets of the current view.
+    routes_known_at : float
+        Time of the first routes, or of the latest that followed on a version
+        unknown here.
     former_services_by_address : dict
         Services that a route no longer names, by the route's address, and when
         each was removed from it.
@@ -138,6 +144,8 @@
     limits: ConnectionLimits = DEFAULT_LIMITS
     view: RoutingView = field(default_factory=RoutingView)
     view_at: float = 0.0
+    routes_known_at: float = float("-inf")
+    targets_by_agent: dict[Address, list[Target]] = field(default_factory=dict)
     removed_by_agent: dict[Address, tuple[Target, str, float]] = field(
         default_factory=dict
     )
--- a/lycheeglade/connection_opening.py
+++ b/lycheeglade/connection_opening.py
@@ -46,6 +46,10 @@
     now: float,
 ) -> None:
     """Place a new connection, or pass a copy of its opening to its home."""
+    # A search concerns an earlier connection of the caller's address. Its end
+    # must not reset this one.
+    connection.search = None
+    connection.queued_segments = []
     sent_at = now - _copy_delay(segment.acknowledgement)
     if (connection.homes or route.aim > 0.0) and _is_new_attempt(
         connection, segment, now
@@ -78,25 +82,18 @@
 
     Otherwise the segment is a copy of the opening of that connection.
     """
-    is_first = segment.acknowledgement == 0
-    earlier = connection.opening
-    if earlier is None:
-        return is_first
     if now - connection.opening_received_at > CALLER_ATTEMPT_S:
         return True
-    return is_first and segment.sequence != earlier.sequence
+    is_first = segment.acknowledgement == 0
+    earlier = connection.opening
+    return is_first and (earlier is None or segment.sequence != earlier.sequence)
 
 
 def _is_home_excluded(
     balancer: ConnectionBalancer, connection: Connection, route: Route
 ) -> bool:
     agent = connection.homes[-1].agent
-    targets = [
-        target
-        for targets in balancer.view.targets_by_service.values()
-        for target in targets.values()
-        if target.agent == agent
-    ]
+    targets = list(balancer.targets_by_agent.get(agent, ()))
     if agent in balancer.removed_by_agent:
         targets.append(balancer.removed_by_agent[agent][0])
     return any(is_excluded(balancer.view, route, target) for target in targets)
@@ -234,17 +231,18 @@
 ) -> None:
     """Refuse a connection that got no turn at the agent where it waited.
 
-    Its caller is told only if all copies of the opening segment that were due
-    came by this balancer. Otherwise another balancer may have opened the
-    connection, which a reset would break. On routes with an aim, agents refuse
-    while another agent may still accept an earlier try, so that the caller is
-    told only if no other try is open, and if no earlier copy was missed.
+    Its caller is told only if all copies of the opening segment that it may
+    have sent came by this balancer. Otherwise another balancer may have
+    opened the connection, which a reset would break. On routes with an aim,
+    agents refuse while another agent may still accept an earlier try, so that
+    the caller is told only if no other try is open, and if no earlier copy was
+    missed.
     """
     connection = balancer.connections_by_key.get(message.key)
     if connection is None or connection.homes or connection.held_by != source:
         return
     age = now - connection.opening_received_at
-    due = sum(age > delay + COPY_MARGIN_S for delay in COPY_DELAYS_S)
+    due = sum(age > delay - COPY_MARGIN_S for delay in COPY_DELAYS_S)
     is_told = connection.opening_copies >= due
     connection.unresolved_tries -= 1
     route = balancer.view.routes_by_address.get(message.key.service)
--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -40,6 +40,9 @@
 # MAX_SEARCH_RETRY_S: callers retransmit up to 1.6 s apart.
 SEARCH_RETRY_S = 0.15
 MAX_SEARCH_RETRY_S = 1.2
+# A search ends without a reset this long after the latest segment: its caller
+# has given up, and may use the port again by another balancer.
+MAX_CALLER_SILENCE_S = 2.0
 # Up to MAX_DIRECT_QUERIES agents are queried directly. With more, one agent in
 # each group of `relayed_queries` asks the others.
 MAX_DIRECT_QUERIES = 8
@@ -133,12 +136,16 @@
     connection: Connection,
     now: float,
 ) -> None:
-    """Repeat a search that some agents have not answered, if it is due.
+    """Repeat a search that some agents have not answered, or end it.
 
     The query or its answer may have been lost, or the target may have started
     after the query.
     """
     search = connection.search
+    if search is not None and now - connection.last_at > MAX_CALLER_SILENCE_S:
+        connection.search = None
+        connection.queued_segments = []
+        return
     route = balancer.view.routes_by_address.get(key.service)
     if search is None or route is None or not connection.queued_segments:
         return
@@ -152,9 +159,12 @@
     balancer: ConnectionBalancer, previous: RoutingView, now: float
 ) -> None:
     """Record which services the routes of the current view name no longer."""
-    if previous.configuration == balancer.view.configuration:
-        return
+    version = balancer.view.configuration
+    if not previous.configuration or version > previous.configuration + 1:
+        # A version that was never seen here may have named other services.
+        balancer.routes_known_at = now
     routes = balancer.view.routes_by_address
+    # A version may be written again with other services.
     for address, route in previous.routes_by_address.items():
         current = routes.get(address)
         if current is route:
@@ -214,9 +224,9 @@
     services : tuple of str
         Services that the connection's route is known to have named. They are
         all of them if this balancer has followed the routes for
-        `CONNECTION_LIFETIME_S`.
+        `CONNECTION_LIFETIME_S`, without missing a version.
     """
-    knows_all_services = now - balancer.view_at > CONNECTION_LIFETIME_S
+    knows_all_services = now - balancer.routes_known_at > CONNECTION_LIFETIME_S
     agents = set()
     for service, targets in balancer.view.targets_by_service.items():
         if service in services or not knows_all_services:
--- a/lycheeglade/target_load.py
+++ b/lycheeglade/target_load.py
@@ -65,6 +65,8 @@
         Whether the agent has reported that no request was measured yet.
     recent_placements : int
         Connections that this balancer has placed since the last report.
+    previous_incarnation : int
+        Identifies the agent's process before the present one, 0 if unknown.
     lifetime : int
         Start of the target's process in Unix milliseconds, 0 if it is not
         published, -1 before any is known.
@@ -96,6 +98,7 @@
     leaving: bool = False
     failing: float = 0.0
     incarnation: int = 0
+    previous_incarnation: int = 0
     slots: int = 0
     lifetime: int = -1
     warmup_known: float = 0.0
--- a/tests/test_connection_agent.py
+++ b/tests/test_connection_agent.py
@@ -159,6 +159,28 @@
     assert search_other_service(agent, recorder, CONNECTION_LIFETIME_S) != []
 
 
+@pytest.mark.parametrize("lifetimes", [(0,), (10**12, 0)])
+def test_agent_denies_no_connection_if_the_start_of_its_target_is_unknown(
+    agent, recorder, lifetimes
+):
+    """A request of an earlier build reset connections older than the agent."""
+    agent.started_unix_ms = 1e12 + 10 * MS_PER_S
+    for lifetime in lifetimes:
+        receive_message(agent, LoadRequest(1, lifetime=lifetime), BALANCER, 0.1)
+    assert search_other_service(agent, recorder, 0.2) == []
+
+
+def test_agent_denies_no_connection_that_its_full_table_discarded(agent, recorder):
+    """Its target holds the connection, which the balancer reset."""
+    agent.limits = replace(agent.limits, agent_connections=1)
+    started = CONNECTION_LIFETIME_S
+    open_connection(agent, recorder, started)
+    receive(agent, recorder, opening(port=5), started + 1.0)
+    assert KEY not in agent.connections_by_key
+    assert search_other_service(agent, recorder, started + 2.0) == []
+    assert search_other_service(agent, recorder, 2.0 * started + 1.0) != []
+
+
 def test_agent_that_started_anew_learns_its_connections(agent, recorder):
     """The target holds connections that opened before the agent started."""
     receive(agent, recorder, data(), 0.0, search=True)
@@ -361,6 +383,17 @@
     assert recorder.sent[-1][1].leaving
 
 
+def test_target_that_answers_is_not_reported_as_ended(agent, recorder):
+    """It started anew while its agent stopped; its connections were reset."""
+    receive_message(agent, LoadRequest(1), BALANCER, 0.0)
+    agent.has_target_ended = True
+    announce_exit(agent, 1.0)
+    open_connection(agent, recorder, 1.1)
+    tick(agent, 1.2)
+    reports = [m for _, m in recorder.sent if isinstance(m, LoadReport)]
+    assert [report.target_ended for report in reports] == [False]
+
+
 def test_busy_agent_hands_an_opening_to_a_much_better_place(agent, recorder):
     for port in range(1, 5):
         receive(agent, recorder, opening(port=port), 0.0)
--- a/tests/test_connection_balancer.py
+++ b/tests/test_connection_balancer.py
@@ -210,6 +210,46 @@
     assert [sent.services for _, sent in forwarded_segments] == [("reel-depot",)]
 
 
+def test_former_services_of_a_version_that_was_written_again_are_searched(
+    balancer, recorder
+):
+    """Only the agents of the new service were asked, and denied it."""
+    late = 1.0 + CONNECTION_LIFETIME_S
+    change_services(balancer, {"reel-depot": 1.0}, late, configuration=1)
+    view = replace(balancer.view, revision=9)
+    update_routing(balancer, view, late)
+    recorder.sent.clear()
+    receive_segment(balancer, data(), late + 1.0)
+    services = {sent.services for _, sent in recorder.pop_forwarded_segments()}
+    assert services == {("booth-sync", "reel-depot")}
+
+
+def test_services_of_a_version_that_was_not_seen_are_searched(balancer, recorder):
+    """Another balancer opened the connection while it was in force."""
+    change_services(balancer, {"booth-sync": 1.0}, 1.0)
+    seen_at = 2.0 + CONNECTION_LIFETIME_S
+    depot = change_services(balancer, {"booth-sync": 1.0}, seen_at, configuration=4)
+    recorder.sent.clear()
+    receive_segment(balancer, data(), seen_at + 1.0)
+    agents = {agent for agent, _ in recorder.pop_forwarded_segments()}
+    assert agents == {*AGENTS, depot}
+    known_at = seen_at + CONNECTION_LIFETIME_S + 0.1
+    receive_segment(balancer, data(port=40002), known_at)
+    agents = {agent for agent, _ in recorder.pop_forwarded_segments()}
+    assert agents == set(AGENTS)
+
+
+def test_services_of_routes_that_came_after_the_first_view_are_searched(recorder):
+    """The first view had targets only; other balancers had older routes."""
+    balancer = recorder.make(replace(make_view(TARGETS), configuration=0), 1.0)
+    known_at = 2.0 + CONNECTION_LIFETIME_S
+    depot = change_services(balancer, {"booth-sync": 1.0}, known_at, configuration=1)
+    recorder.sent.clear()
+    receive_segment(balancer, data(), known_at + 1.0)
+    agents = {agent for agent, _ in recorder.pop_forwarded_segments()}
+    assert agents == {*AGENTS, depot}
+
+
 def test_services_of_a_route_that_was_removed_and_returned_are_searched(
     balancer, recorder
 ):
@@ -296,6 +336,40 @@
     assert recorder.resets == [(KEY, 77)]
 
 
+def test_next_target_of_a_host_keeps_its_connections_before_the_first_report(
+    balancer, recorder
+):
+    """They were reset because the target before it had ended."""
+    report = make_report(leaving=True, target_ended=True)
+    receive_message(balancer, report, AGENTS[0], 0.1)
+    receive_message(balancer, HomeFound(KEY, 1000), AGENTS[0], 0.5)
+    receive_segment(balancer, data(acknowledgement=1001), 0.6)
+    assert recorder.resets == []
+    assert [agent for agent, _ in recorder.pop_forwarded_segments()] == [AGENTS[0]]
+
+
+def test_search_waits_for_the_next_target_of_a_host(balancer, recorder):
+    """The end of the target before it was reported, its own start not yet."""
+    report = make_report(leaving=True, target_ended=True)
+    receive_message(balancer, report, AGENTS[2], 0.1)
+    targets = [*TARGETS[:2], replace(TARGETS[2], lifetime=2)]
+    update_routing(balancer, make_view(targets, revision=6), 0.5)
+    receive_segment(balancer, data(acknowledgement=77), 1.1)
+    for agent in AGENTS[:2]:
+        receive_message(balancer, ConnectionNotHeld(KEY, 77), agent, 1.11)
+    assert recorder.resets == []
+
+
+def test_late_report_of_an_ended_target_resets_nothing(balancer, recorder):
+    """It arrives after the first report of the agent of the next target."""
+    receive_message(balancer, make_report(incarnation=2), AGENTS[0], 0.5)
+    receive_message(balancer, HomeFound(KEY, 1000), AGENTS[0], 0.6)
+    late = make_report(incarnation=1, leaving=True, target_ended=True)
+    receive_message(balancer, late, AGENTS[0], 0.7)
+    receive_segment(balancer, data(acknowledgement=1001), 0.8)
+    assert recorder.resets == []
+
+
 def test_crashed_agent_holds_up_a_search_for_one_round_trip_only(balancer, recorder):
     """After a loss of power, each lost connection waited 0.4 s for it."""
     for step in range(1, 21):
@@ -334,6 +408,17 @@
     assert recorder.resets == ([(KEY, 77)] if is_reset else [])
 
 
+def test_search_does_not_reset_the_next_connection_of_its_address(balancer, recorder):
+    """Its target has answered the caller; the home's message is on its way."""
+    receive_segment(balancer, data(acknowledgement=77), 1.0)
+    for agent in AGENTS[:2]:
+        receive_message(balancer, ConnectionNotHeld(KEY, 77), agent, 1.01)
+    receive_segment(balancer, opening(), 1.1)
+    receive_message(balancer, ConnectionNotHeld(KEY, 77), AGENTS[2], 1.11)
+    tick(balancer, 3.0)
+    assert recorder.resets == []
+
+
 def test_search_is_repeated_although_its_caller_is_silent(balancer, recorder):
     """A query was lost, and the caller's next copy comes after 1.6 s."""
     receive_segment(balancer, data(), 1.0)
@@ -350,6 +435,25 @@
     assert recorder.pop_forwarded_segments() == []
 
 
+def test_search_of_a_silent_caller_resets_no_later_connection(balancer, recorder):
+    """The caller used its port again, and another balancer placed it."""
+    receive_segment(balancer, data(), 1.0)
+    for agent in AGENTS[:2]:
+        receive_message(balancer, ConnectionNotHeld(KEY, 77), agent, 1.01)
+    for step in range(1, 40):
+        receive_message(balancer, make_report(), AGENTS[2], 1.0 + step / 10)
+        tick(balancer, 1.0 + step / 10)
+    recorder.sent.clear()
+    tick(balancer, 5.0)
+    assert recorder.pop_forwarded_segments() == []
+    receive_message(balancer, ConnectionNotHeld(KEY, 77), AGENTS[2], 5.0)
+    assert recorder.resets == []
+    # It is searched again if the caller has not given up.
+    receive_segment(balancer, data(), 5.1)
+    agents = [agent for agent, _ in recorder.pop_forwarded_segments()]
+    assert agents == AGENTS
+
+
 def test_connection_of_a_crashed_agent_is_reset_when_its_caller_speaks(
     balancer, recorder
 ):
@@ -387,6 +491,17 @@
     assert [agent for agent, _ in recorder.pop_forwarded_segments()] == [AGENTS[0]]
 
 
+def test_targets_that_are_gone_for_long_are_not_kept(balancer, recorder):
+    """Each opening went through all targets that had ever vanished."""
+    update_routing(balancer, make_view([], revision=6), 1.0)
+    tick(balancer, 1.0 + REMOVAL_GRACE_S)
+    assert balancer.unannounced_removals_by_id == {}
+    assert balancer.removed_by_agent.keys() == set(AGENTS)
+    tick(balancer, 1.1 + CONNECTION_LIFETIME_S)
+    assert balancer.removed_by_agent == {}
+    assert balancer.loads_by_agent == {}
+
+
 def test_leaving_target_gets_no_new_connection(balancer, recorder):
     targets = [*TARGETS[:2], make_target(3, state=State.LEAVING)]
     update_routing(balancer, make_view(targets, revision=6), 0.5)
--- a/tests/test_timed_openings.py
+++ b/tests/test_timed_openings.py
@@ -154,6 +154,13 @@
     assert recorder.events[-1][1]["is_told"] is False
 
 
+def test_refusal_does_not_reset_what_an_early_copy_opened(balancer, recorder):
+    """The copy came by another balancer, up to 0.03 s before its time."""
+    agent = hold_opening(balancer, recorder, 1.0)
+    receive_message(balancer, OpeningRefused(KEY), agent, 1.19)
+    assert recorder.resets == []
+
+
 def fill_target(agent, recorder, ports):
     """Start a request of each port at the target, and measure its time."""
     agent.service_time.observe(WORK_S)
@@ -268,6 +275,21 @@
     ]
 
 
+def test_returned_try_does_not_reset_what_an_earlier_try_opened(agent, agent_recorder):
+    """The balancer's first try was accepted late by another agent."""
+    for port in range(1, 6):
+        finish(agent, port, 0.03)
+    receive_timed(agent, agent_recorder, 101, 0.04, time_left=ATTEMPT_S - 0.03)
+    ((segment, tag),) = agent_recorder.delivered
+    returned = replace(segment, returned=True, tag=tag)
+    connection_agent.receive_from_target(agent, returned, 0.041)
+    assert agent_recorder.resets == []
+    assert agent_recorder.sent[-1] == (
+        BALANCER,
+        OpeningRefused(returned.key_from_caller),
+    )
+
+
 def test_load_names_the_openings_held_by_priority(agent, agent_recorder):
     for port, priority in ((101, 2), (102, 1), (103, 2)):
         receive_timed(agent, agent_recorder, port, 0.0, priority=priority)
@@ -330,3 +352,25 @@
     homes = {address for address, key in delivered if key == KEY}
     assert len(homes) == 1
     assert holder not in homes
+
+
+@pytest.mark.parametrize("times", [{}, {"aim_left": 0.0, "time_left": 0.0}])
+def test_held_opening_that_the_target_answers_is_not_refused(
+    agent, agent_recorder, times
+):
+    """The target got it from an earlier process of the agent.
+
+    The refusal reset the connection, and a copy of the opening left an entry
+    that stopped this process.
+    """
+    key = KEY._replace(caller=opening(101).source)
+    receive_timed(agent, agent_recorder, 101, 0.2, **times)
+    answer = from_target(101, opens=True, sequence=1000)
+    connection_agent.receive_from_target(agent, answer, 0.21)
+    assert (BALANCER, HomeFound(key, 1000, is_open=False)) in agent_recorder.sent
+    receive_timed(agent, agent_recorder, 101, 0.22, **times)
+    assert agent.held_openings_by_key == {}
+    for port in range(1, 6):
+        finish(agent, port, 0.3)
+    connection_agent.tick(agent, 1.7)
+    assert (BALANCER, OpeningRefused(key)) not in agent_recorder.sent
