Ask agents of the previous build for connections of their services only

They deliver every query to their target and relay it without the services that it names, so that segments of one service reached targets of another during a rolling update (found by review). New agents report their age, by which a balancer knows them. An agent whose target has ended is asked too, and waited for 0.15 s: another target may have started on its host, and the balancer's view may not name it yet. The test that asked for a reset at once allows that time, since a new test shows the connection that it would reset.

--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -49,8 +49,9 @@
 # From SEARCH_TIMEOUT_S seconds on, the search no longer waits for agents
 # whose target is silent, or which are unresponsive themselves.
 SEARCH_TIMEOUT_S = 0.4
-# An agent that counts as crashed is still asked, since its answers may only
-# have been lost or late. One that lives answers within this time, also through
+# An agent that counts as crashed, or whose target has ended, is still asked:
+# its answers may only have been lost or late, and another target may have
+# started on its host. One that lives answers within this time, also through
 # another agent.
 ROUND_TRIP_TIMEOUT_S = 0.15
 # After a loss of power no agent knows whether its target started with it, and
@@ -209,7 +210,8 @@
         and not balancer.loads_by_agent[agent].is_unresponsive(now)
         and not balancer.loads_by_agent[agent].leaving
     ]
-    relay = balancer.generator.choice(usable or agents)
+    passing_on = [a for a in usable if not _is_of_earlier_build(balancer, a)]
+    relay = balancer.generator.choice(passing_on or usable or agents)
     candidates = tuple(agent for agent in agents if agent != relay)
     send_message(balancer, relay, replace(query, candidates=candidates), now)
 
@@ -229,16 +231,38 @@
     knows_all_services = now - balancer.routes_known_at > CONNECTION_LIFETIME_S
     agents = set()
     for service, targets in balancer.view.targets_by_service.items():
-        if service in services or not knows_all_services:
+        if service in services:
             agents.update(target.agent for target in targets.values())
+        elif not knows_all_services:
+            agents.update(
+                target.agent
+                for target in targets.values()
+                if not _is_of_earlier_build(balancer, target.agent)
+            )
     for agent, (_, service, gone_at) in list(balancer.removed_by_agent.items()):
         if now - gone_at > CONNECTION_LIFETIME_S:
             del balancer.removed_by_agent[agent]
-        elif service in services or not knows_all_services:
+        elif service in services or not (
+            knows_all_services or _is_of_earlier_build(balancer, agent)
+        ):
             agents.add(agent)
     return agents
 
 
+def _is_of_earlier_build(balancer: ConnectionBalancer, agent: Address) -> bool:
+    """Return whether an agent ignores the services that a query names.
+
+    It would deliver a segment to a target of another service, or let others do
+    so. Such an agent does not report its age.
+    """
+    load = balancer.loads_by_agent.get(agent)
+    return (
+        load is not None
+        and load.reported_at > float("-inf")
+        and load.started_at == float("-inf")
+    )
+
+
 def conclude_search(
     balancer: ConnectionBalancer,
     key: ConnectionKey,
@@ -255,7 +279,7 @@
         return
     for agent in search.queried_agents - search.denying_agents:
         load = balancer.loads_by_agent.get(agent)
-        if load is None or load.target_ended:
+        if load is None:
             continue
         if now - search.started_at < _answer_timeout(balancer, search, load, now):
             return
@@ -294,7 +318,7 @@
     balancer: ConnectionBalancer, search: Search, load: AgentLoad, now: float
 ) -> float:
     """Return how long a search waits for an agent that has not answered."""
-    if load.has_crashed(now):
+    if load.has_crashed(now) or load.target_ended:
         return ROUND_TRIP_TIMEOUT_S
     if balancer.is_mass_restart and load.service not in search.services:
         return ROUND_TRIP_TIMEOUT_S
--- a/tests/test_connection_balancer.py
+++ b/tests/test_connection_balancer.py
@@ -322,9 +322,24 @@
     receive_segment(balancer, data(acknowledgement=77), 1.0)
     for agent in AGENTS[:2]:
         receive_message(balancer, ConnectionNotHeld(KEY, 77), agent, 1.01)
+    tick(balancer, 1.01 + ROUND_TRIP_TIMEOUT_S)
     assert recorder.resets == [(KEY, 77)]
 
 
+def test_search_finds_the_next_target_of_a_host_before_the_view_names_it(
+    balancer, recorder
+):
+    """Another balancer knows the new target and has placed the connection."""
+    report = make_report(leaving=True, target_ended=True)
+    receive_message(balancer, report, AGENTS[2], 0.9)
+    receive_segment(balancer, data(acknowledgement=77), 1.0)
+    for agent in AGENTS[:2]:
+        receive_message(balancer, ConnectionNotHeld(KEY, 77), agent, 1.01)
+    receive_message(balancer, HomeFound(KEY, 1000), AGENTS[2], 1.02)
+    tick(balancer, 1.01 + ROUND_TRIP_TIMEOUT_S)
+    assert recorder.resets == []
+
+
 def test_connection_whose_target_has_ended_is_reset_when_its_caller_speaks(
     balancer, recorder
 ):
--- a/tests/test_search_relay.py
+++ b/tests/test_search_relay.py
@@ -1,5 +1,7 @@
 """Searches that a balancer relays through one agent with one packet."""
 
+from dataclasses import replace
+
 from lycheeglade.address import Address
 from lycheeglade.connection_agent import (
     receive_from_target,
@@ -152,3 +154,26 @@
     receive_segment(balancer, data(), 0.4)
     asked = [agent for agent, _ in recorder.pop_forwarded_segments()]
     assert sorted(asked) == sorted({*agents} - {*forwarded.candidates[:3]})
+
+
+def test_earlier_builds_get_and_pass_on_no_segment_of_another_service():
+    """Their agents deliver each query, and drop the services it names."""
+    recorder = BalancerRecorder()
+    targets = [make_target(number) for number in range(1, 12)]
+    depots = [make_target(number) for number in (20, 21)]
+    view = make_view(targets)
+    services = {
+        **view.targets_by_service,
+        "reel-depot": {depot.target_id: depot for depot in depots},
+    }
+    balancer = recorder.make(replace(view, targets_by_service=services))
+    old = [*targets[:10], depots[0]]
+    for target in [*targets, *depots]:
+        age = -1.0 if target in old else 100.0
+        receive_at_balancer(balancer, make_report(age=age), target.agent, 0.5)
+    recorder.sent.clear()
+    receive_segment(balancer, data(), 1.0)
+    ((relay, query),) = recorder.pop_forwarded_segments()
+    assert relay in (targets[10].agent, depots[1].agent)
+    asked = {relay, *query.candidates}
+    assert asked == {target.agent for target in [*targets, depots[1]]}
