Stop deployments of the soak that have started only in part

If an address was in use, the start of a round ended with OSError, and stop then failed with AttributeError for the sockets that had not been opened, which hid the cause. Each socket now registers its stop once it is open.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -11,7 +11,7 @@
 from asyncio import timeout as time_limit
 from asyncio.subprocess import Process
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass
 from math import inf
 from os import environ
@@ -104,6 +104,8 @@
         self._version = 0
         self._target_count = 0
         self._tasks = []
+        # Stops the sockets that have been opened.
+        self._started = ExitStack()
         self._refusals: list[int] = []
         self._proxy = Address(self._ip(1), PROXY_PORT)
         self.balancers = [
@@ -130,10 +132,13 @@
     async def start(self) -> None:
         """Start all components, the callers once all balancers are ready."""
         await self.network.start(self._proxy)
+        self._started.callback(self.network.stop)
         store = Address(*await self.store.start(self._ip(2), STORE_PORT))
+        self._started.callback(self.store.stop)
         for balancer in self.balancers:
             balancer.store_link = StoreLink(store)
             await balancer.store_link.start(Address(balancer.ip, STORE_PORT))
+            self._started.callback(balancer.store_link.stop)
         self.publish_routes({Address("198.18.0.1", 443): "feeds"})
         self.publish_routes({**self.routes, Address("198.18.0.2", 443): "reels"})
         for agent in self.agents:
@@ -155,7 +160,10 @@
             self._tasks.append(create_task(caller.run()))
 
     async def stop(self) -> None:
-        """Stop all tasks, processes, links and sockets of the deployment."""
+        """Stop all tasks, processes, links and sockets of the deployment.
+
+        It may have started only in part.
+        """
         for task in self._tasks:
             task.cancel()
         await gather(*self._tasks, return_exceptions=True)
@@ -165,13 +173,9 @@
                 await host.process.wait()
             if host.log is not None:
                 host.log.close()
-        for balancer in self.balancers:
-            if balancer.store_link is not None:
-                balancer.store_link.stop()
         for target in self.targets_by_ip.values():
             target.close()
-        self.store.stop()
-        self.network.stop()
+        self._started.close()
         await sleep(0)
 
     def check_tasks(self) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,12 +4,13 @@
 from collections import Counter
 from contextlib import ExitStack
 from random import Random
+from socket import SOCK_DGRAM, SOCK_STREAM, socket
 
 import pytest
 
 from lycheeglade.address import Address
 from lycheeglade.segment import ConnectionKey
-from soak.deployment import Deployment
+from soak.deployment import PROXY_PORT, STORE_PORT, Deployment
 from soak.network import LinkFault, Network
 from soak.packets import ACK, SYN, mark_returned, pack_segment
 from soak.promises import (
@@ -21,8 +22,16 @@
 )
 from soak.round import run_round
 from tests.faults import long_only
+from tests.platform_process import APP_PORT
 from tests.test_connection_daemon import WORKER
 
+# Last octet, port and type of sockets that a deployment opens at its start.
+STARTED_SOCKETS = {
+    "proxy": (1, PROXY_PORT, SOCK_DGRAM),
+    "store": (2, STORE_PORT, SOCK_STREAM),
+    "store-link": (11, STORE_PORT, SOCK_STREAM),
+    "target": (21, APP_PORT, SOCK_STREAM),
+}
 STORE_DOWN_STATUSES = (429, 503)
 FAULTS_S = 8.0
 LONG_FAULTS_S = 24.0
@@ -54,6 +63,30 @@
     await check_round(seed, LONG_FAULTS_S, tmp_path)
 
 
+@pytest.mark.parametrize("name", STARTED_SOCKETS)
+async def test_address_in_use_at_the_start_is_reported(name, tmp_path):
+    """`stop` failed with AttributeError for what had not been started."""
+    number, port, kind = STARTED_SOCKETS[name]
+    slot = FIRST_SLOT + WORKER
+    with socket(type=kind) as occupied:
+        occupied.bind((f"127.9.{slot}.{number}", port))
+        if kind == SOCK_STREAM:
+            occupied.listen()
+        with pytest.raises(OSError, match="in use"):
+            await run_round(1, 0.0, tmp_path, slot)
+
+
+async def test_processes_are_stopped_if_a_later_one_fails_to_start(tmp_path):
+    (tmp_path / "agent-2.conf").mkdir()
+    deployment = Deployment(FIRST_SLOT + WORKER, tmp_path, Random(1))
+    with pytest.raises(IsADirectoryError):
+        await deployment.start()
+    await deployment.stop()
+    processes = [host.process for host in deployment.hosts if host.process]
+    assert processes
+    assert all(process.returncode is not None for process in processes)
+
+
 async def test_store_answers_after_the_last_of_overlapping_refusals(tmp_path):
     deployment = Deployment(0, tmp_path, Random(1))
     first_status, second_status = STORE_DOWN_STATUSES
