Evacuate zones in the soak and check that openings avoid them

No fault of the soak evacuated a zone, so EVAC was not checked under overlapping faults. The operator now evacuates one zone at a time, in which each service keeps targets outside, and writes it again after a restore. The time begins anew when the store was away.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -45,6 +45,7 @@
 BALANCERS = 3
 SERVICES = ("feeds", "feeds", "feeds", "reels", "reels")
 CALLERS = 12
+EVACUATION_PREFIX = "op/evacuate/"
 STORE_PORT, PROXY_PORT = 7600, 7601
 SERVICE_TIMES_S = (0.005, 0.01)
 READY_POLL_S = 0.5
@@ -56,6 +57,7 @@
 # The processes that it started may have stalled too.
 STALL_S = 0.3
 STALL_POLL_S = 0.05
+STORE_POLL_S = 0.05
 
 
 @dataclass(slots=True)
@@ -99,6 +101,7 @@
         self.routes: dict[Address, str] = {}
         # Addresses of agents whose target is being removed or replaced.
         self.unavailable_target_ips: set[str] = set()
+        self.evacuated_zone = ""
         self._slot = slot
         self._folder = folder
         self._version = 0
@@ -276,6 +279,7 @@
         target = Target(
             f"i-{self._target_count}",
             agent.service,
+            agent.zone,
             Address(agent.ip, APP_PORT),
             Address(agent.ip, OUTBOUND_PORT),
             self.generator.choice(SERVICE_TIMES_S),
@@ -294,7 +298,7 @@
             {
                 "service": target.service,
                 "address": f"{target.app.ip}:{target.app.port}",
-                "zone": agent.zone,
+                "zone": target.zone,
                 "capacity": 1,
                 "state": "draining" if target.leaving else "ready",
                 "born": target.born,
@@ -307,12 +311,29 @@
         if key in self.store.items_by_key:
             self.store.delete(key)
 
+    async def wait_for_store(self) -> None:
+        """Wait until the store accepts writes, as operators do."""
+        while self.store.status != 200:
+            await sleep(STORE_POLL_S)
+
+    def write_evacuation(self) -> None:
+        """Let the store name just the evacuated zone, if there is one."""
+        zones = (self.evacuated_zone,) if self.evacuated_zone else ()
+        keys = {f"{EVACUATION_PREFIX}{zone}" for zone in zones}
+        for key in self.store.items_by_key.keys() - keys:
+            if key.startswith(EVACUATION_PREFIX):
+                self.store.delete(key)
+        for key in keys:
+            self.store.put(key, {})
+        self.promises.evacuated_since_by_zone = dict.fromkeys(zones, self.now())
+
     def write_again(self) -> None:
         """Write what the store may have lost, as operators and targets do.
 
-        Entries of targets that have ended are removed.
+        Entries of targets and evacuations that have ended are removed.
         """
         self._write_configuration()
+        self.write_evacuation()
         published = {f"servers/{t.target_id}" for t in self.targets_by_ip.values()}
         for key in self.store.items_by_key.keys() - published:
             if key.startswith("servers/"):
@@ -335,6 +356,9 @@
         finally:
             self._refusals.remove(status)
             self.store.status = self._refusals[-1] if self._refusals else 200
+            # The time to evacuate a zone begins again: the store was away.
+            zones = self.promises.evacuated_since_by_zone
+            zones.update(dict.fromkeys(zones, self.now()))
 
     def choose_balancer(self, key: ConnectionKey) -> Address:
         """Return the balancer to which the fabric sends packets of `key`."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,9 +7,10 @@
 from signal import SIGCONT, SIGHUP, SIGKILL, SIGSTOP
 
 from lycheeglade.address import Address
-from soak.deployment import Deployment, Host
+from soak.deployment import SERVICES, Deployment, Host
 from soak.network import LinkFault
 from soak.store_link import LinkState
+from tests.platform_process import ZONES
 
 MIN_GAP_S, MAX_GAP_S = 0.2, 2.5
 MIN_FAULT_S, MAX_FAULT_S = 0.3, 5.0
@@ -20,6 +21,8 @@
 MAX_COPY_AGE_S = 4.0
 MAX_AWAY_S = 1.0
 MAX_REWRITE_S = 1.0
+# Longer than the time within which an evacuation comes into force.
+MIN_EVACUATION_S, MAX_EVACUATION_S = 6.5, 10.0
 # Targets of one service that may be removed or replaced at the same time.
 MAX_UNAVAILABLE_TARGETS = 1
 # A service keeps at least this many targets when an address moves to the other
@@ -161,11 +164,39 @@
         deployment.write_again()
 
 
+def _available_services(
+    deployment: Deployment, evacuated_zone: str, removed: Host | None = None
+) -> set[str]:
+    """Return the services with a target outside a zone, not on `removed`."""
+    return {
+        agent.service
+        for agent in deployment.agents
+        if agent is not removed
+        and agent.zone != evacuated_zone
+        and agent.ip not in deployment.unavailable_target_ips
+    }
+
+
+async def evacuate_zone(deployment: Deployment, generator: Random) -> None:
+    """Evacuate a zone for some seconds; services keep targets outside."""
+    zones = [z for z in ZONES if _available_services(deployment, z) == {*SERVICES}]
+    if deployment.evacuated_zone or not zones:
+        return
+    deployment.evacuated_zone = generator.choice(zones)
+    await deployment.wait_for_store()
+    deployment.write_evacuation()
+    await sleep(generator.uniform(MIN_EVACUATION_S, MAX_EVACUATION_S))
+    await deployment.wait_for_store()
+    deployment.evacuated_zone = ""
+    deployment.write_evacuation()
+
+
 def _choose_target_host(deployment: Deployment, generator: Random) -> Host | None:
     """Return an agent whose target may be removed, or None.
 
     At most MAX_UNAVAILABLE_TARGETS targets of a service are removed at the
-    same time, so that the service stays available.
+    same time, and one stays outside the evacuated zone, so that the service
+    stays available.
     """
     unavailable = [
         a.service
@@ -177,6 +208,8 @@
         for agent in deployment.agents
         if agent.ip not in deployment.unavailable_target_ips
         and unavailable.count(agent.service) < MAX_UNAVAILABLE_TARGETS
+        and agent.service
+        in _available_services(deployment, deployment.evacuated_zone, agent)
     ]
     return generator.choice(hosts) if hosts else None
 
@@ -280,6 +313,8 @@
     change_routes,
     change_services,
     change_services,
+    evacuate_zone,
+    evacuate_zone,
 )
 
 
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -17,6 +17,7 @@
 STABILITY_S = 4.0
 DRAIN_S = 3.0
 APPLY_S = 3.0
+EVACUATE_S = 5.0
 FLOW_TIMEOUT_S = 2.0
 FLOW_PACKETS = 3
 ALL_HOSTS = ""
@@ -35,6 +36,8 @@
     stray_times : list of float
         Times of packets that reached other targets since the last packet that
         reached `target`.
+    sent_at_by_packet : dict of bytes to float
+        When the caller sent each packet, without marks.
     """
 
     service: str
@@ -43,7 +46,7 @@
     target: object = None
     latest_balancer_ip: str = ""
     stray_times: list[float] = field(default_factory=list)
-    sent: set[bytes] = field(default_factory=set)
+    sent_at_by_packet: dict[bytes, float] = field(default_factory=dict)
     answered: set[bytes] = field(default_factory=set)
     runs: Counter = field(default_factory=Counter)
     refused: bool = False
@@ -66,6 +69,8 @@
         self.records_by_key: dict[ConnectionKey, ConnectionRecord] = {}
         self._fault_spans_by_ip: dict[str, list[list[float]]] = {}
         self.draining_since_by_id: dict[str, float] = {}
+        # When the store acknowledged the evacuation of a zone.
+        self.evacuated_since_by_zone: dict[str, float] = {}
         self.removed_at_by_address: dict[Address, float] = {}
         # When a route stopped naming a service, by address and service.
         self.unnamed_at_by_route: dict[tuple[Address, str], float] = {}
@@ -106,7 +111,7 @@
         record = self.records_by_key[key]
         record.latest_balancer_ip = balancer_ip
         record.first_balancer_ip = record.first_balancer_ip or balancer_ip
-        record.sent.add(strip_marks(datagram))
+        record.sent_at_by_packet[strip_marks(datagram)] = self._clock()
 
     def record_delivery(self, key: ConnectionKey, target, datagram: bytes) -> None:
         """Record that a packet of a caller reached a target.
@@ -115,7 +120,7 @@
         targets for FLOW_TIMEOUT_S seconds while the connection is open.
         """
         record = self.records_by_key.get(key)
-        if record is None or strip_marks(datagram) not in record.sent:
+        if record is None or strip_marks(datagram) not in record.sent_at_by_packet:
             self.record_breach(
                 "UNASKED", key, "target received a packet that the caller did not send"
             )
@@ -150,9 +155,10 @@
         """Record that a target closed a connection as either end asked."""
         self.records_by_key[key].is_closed = True
 
-    def record_accepted(self, key: ConnectionKey, target) -> None:
+    def record_accepted(self, key: ConnectionKey, target, datagram: bytes) -> None:
         """Record that a target accepted the SYN of a connection."""
         record = self.records_by_key[key]
+        self._check_evacuation(key, target, datagram)
         stable = self.is_stable(
             record.first_balancer_ip, target.ip, since=record.began_at
         )
@@ -181,6 +187,26 @@
         if removed_at is not None and record.began_at > removed_at + APPLY_S and stable:
             self.record_breach("CONFIG", key, "accepted through a removed route")
 
+    def _check_evacuation(self, key: ConnectionKey, target, datagram: bytes) -> None:
+        """Check that the zone of a target that accepted a SYN may get it."""
+        record = self.records_by_key[key]
+        evacuated_since = self.evacuated_since_by_zone.get(target.zone)
+        if evacuated_since is None:
+            return
+        sent_at = record.sent_at_by_packet.get(strip_marks(datagram), record.began_at)
+        self.counts["evacuated-zone-opened"] += 1
+        ips = (record.first_balancer_ip, record.latest_balancer_ip, target.ip)
+        if sent_at > evacuated_since + EVACUATE_S and self.is_stable(
+            *ips, since=record.began_at
+        ):
+            elapsed = sent_at - evacuated_since
+            self.record_breach(
+                "EVAC",
+                key,
+                f"sent {elapsed:.3f} s after the evacuation of {target.zone}, "
+                f"accepted by {target.target_id}",
+            )
+
     def record_run(self, key: ConnectionKey, sequence: int) -> None:
         """Record that a target started to process a request."""
         record = self.records_by_key[key]
--- a/soak/target.py
+++ b/soak/target.py
@@ -56,6 +56,7 @@
         self,
         target_id: str,
         service: str,
+        zone: str,
         app: Address,
         outbound: Address,
         service_time_s: float,
@@ -67,6 +68,7 @@
         self.target_id = target_id
         self.born = born
         self.service = service
+        self.zone = zone
         self.ip = app.ip
         self.app = app
         self.is_alive = True
@@ -100,7 +102,7 @@
         key = segment.key_from_caller
         self._promises.record_delivery(key, self, datagram)
         if segment.opens:
-            self._open(key)
+            self._open(key, datagram)
             return
         connection = self._connections_by_key.get(key)
         if connection is None or not self._is_acceptable(connection, segment):
@@ -126,10 +128,10 @@
         distance = sequence_distance(connection.sequence, segment.acknowledgement)
         return 0 < distance <= MAX_AHEAD
 
-    def _open(self, key: ConnectionKey) -> None:
+    def _open(self, key: ConnectionKey, datagram: bytes) -> None:
         connection = self._connections_by_key.get(key)
         if connection is None:
-            self._promises.record_accepted(key, self)
+            self._promises.record_accepted(key, self, datagram)
             connection = TargetConnection(self._generator.randrange(SEQUENCE_SPACE))
             self._connections_by_key[key] = connection
         if not connection.is_open:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,6 +15,7 @@
 from soak.packets import ACK, SYN, mark_returned, pack_segment
 from soak.promises import (
     DRAIN_S,
+    EVACUATE_S,
     FLOW_TIMEOUT_S,
     STABILITY_S,
     ConnectionRecord,
@@ -101,6 +102,7 @@
 class FakeTarget:
     service = "feeds"
     target_id = "i-1"
+    zone = "nadi-a"
     ip = "127.9.0.20"
     is_alive = True
 
@@ -119,7 +121,7 @@
     def open(self):
         target = FakeTarget()
         self.promises.record_delivery(KEY, target, self.opening)
-        self.promises.record_accepted(KEY, target)
+        self.promises.record_accepted(KEY, target, self.opening)
         self.promises.record_opened(KEY, target)
         return target
 
@@ -188,6 +190,49 @@
     assert watched.rules() == {"DRAIN": 1}
 
 
+def test_opening_at_a_target_of_an_evacuated_zone_is_found(watched):
+    watched.promises.evacuated_since_by_zone["nadi-a"] = watched.now - EVACUATE_S
+    watched.open()
+    assert watched.rules() == {}
+    watched.now += 0.1
+    # The caller's copy is accepted instead of its first opening segment.
+    watched.promises.record_sent(KEY, "127.9.0.10", watched.opening)
+    watched.promises.record_accepted(KEY, FakeTarget(), watched.opening)
+    assert watched.rules() == {"EVAC": 1}
+
+
+def test_opening_at_a_target_outside_the_evacuated_zone_is_well(watched):
+    watched.promises.evacuated_since_by_zone["nadi-b"] = 0.0
+    watched.open()
+    assert watched.rules() == {}
+
+
+async def test_time_to_evacuate_begins_again_after_the_store_was_away(tmp_path):
+    deployment = Deployment(0, tmp_path, Random(1))
+    deployment.evacuated_zone = "nadi-a"
+    deployment.write_evacuation()
+    since = deployment.promises.evacuated_since_by_zone["nadi-a"]
+    with deployment.refusing_store(503):
+        await sleep(0.01)
+    assert deployment.promises.evacuated_since_by_zone["nadi-a"] > since
+
+
+async def test_evacuation_is_written_again_after_a_restore_and_ends(tmp_path):
+    deployment = Deployment(0, tmp_path, Random(1))
+    before = deployment.store.copy()
+    deployment.evacuated_zone = "nadi-a"
+    deployment.write_evacuation()
+    during = deployment.store.copy()
+    deployment.store.restore(before)
+    deployment.write_again()
+    assert "op/evacuate/nadi-a" in deployment.store.items_by_key
+    deployment.evacuated_zone = ""
+    deployment.store.restore(during)
+    deployment.write_again()
+    assert "op/evacuate/nadi-a" not in deployment.store.items_by_key
+    assert deployment.promises.evacuated_since_by_zone == {}
+
+
 def test_opening_of_another_service_and_by_a_dropped_route_are_found(watched):
     watched.promises.removed_at_by_address[KEY.service] = watched.now - 10.0
     watched.record.service = "reels"
