Evacuate zones of the soak for 9 to 15 s

With 6.5 to 10 s, most evacuations ended within the stability window of another fault or soon after the 5 s.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -22,7 +22,7 @@
 MAX_AWAY_S = 1.0
 MAX_REWRITE_S = 1.0
 # Longer than the time within which an evacuation comes into force.
-MIN_EVACUATION_S, MAX_EVACUATION_S = 6.5, 10.0
+MIN_EVACUATION_S, MAX_EVACUATION_S = 9.0, 15.0
 # Targets of one service that may be removed or replaced at the same time.
 MAX_UNAVAILABLE_TARGETS = 1
 # A service keeps at least this many targets when an address moves to the other
