Let faults of the soak wait until a restarted process handles signals

The host now stays reserved until the process answers at its readiness port. An unplanned fault still ends after 1.5 s.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -35,7 +35,9 @@
     DATAGRAM_PORT,
     OUTBOUND_PORT,
     PATH_VARIABLE,
+    READY_PORT,
     ZONES,
+    fetch,
     format_settings,
     is_ready,
 )
@@ -224,6 +226,14 @@
             stderr=host.log,
         )
 
+    async def wait_started(self, host: Host) -> None:
+        """Wait until a process handles signals, or has exited."""
+        async with time_limit(START_S):
+            while host.process.returncode is None:
+                if await fetch(host.ip, READY_PORT, "/ready"):
+                    return
+                await sleep(STALL_POLL_S)
+
     async def stop_process(self, host: Host) -> None:
         """Stop a process with SIGTERM and check its exit.
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -64,6 +64,7 @@
             await sleep(_draw_duration(generator))
             await deployment.start_process(host)
             await sleep(READINESS_DELAY_S)
+        await deployment.wait_started(host)
 
 
 async def pause_process(deployment: Deployment, generator: Random) -> None:
@@ -85,6 +86,7 @@
         await deployment.stop_process(host)
         await deployment.start_process(host)
         await sleep(READINESS_DELAY_S)
+        await deployment.wait_started(host)
 
 
 async def send_hangup(deployment: Deployment, generator: Random) -> None:
@@ -268,6 +270,7 @@
     await deployment.start_process(agent)
     deployment.add_target(agent)
     await sleep(READINESS_DELAY_S)
+    await deployment.wait_started(agent)
     agent.is_busy = False
     deployment.unavailable_target_ips.discard(agent.ip)
 
