Publish an aim and a priority for the routes of the soak

The soak's routes had neither, so the order of waiting openings was not exercised under faults. The two services have different ones now.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -46,6 +46,11 @@
 ROOT = Path(__file__).parent.parent
 BALANCERS = 3
 SERVICES = ("feeds", "feeds", "feeds", "reels", "reels")
+# Fields of a service's routes: its requests are worth most within their aim.
+ROUTE_FIELDS_BY_SERVICE = {
+    "feeds": {"aim-ms": 303, "priority": 1},
+    "reels": {"aim-ms": 352, "priority": 0},
+}
 CALLERS = 12
 EVACUATION_PREFIX = "op/evacuate/"
 STORE_PORT, PROXY_PORT = 7600, 7601
@@ -278,6 +283,7 @@
                 "routes": [
                     {"host": address.ip, "prefix": f"/{address.port}/", "type": "safe"}
                     | {"service": service, "timeout-ms": 1500}
+                    | ROUTE_FIELDS_BY_SERVICE[service]
                     for address, service in self.routes.items()
                 ],
             },
