Publish warmups in the soak and open bursts to cold targets

No target of the soak was cold. As the soak's load is a few openings per second, 40 more follow within a second of each such start.

--- a/soak/caller.py
+++ b/soak/caller.py
@@ -48,7 +48,7 @@
 
 
 class Caller:
-    """A caller that opens one connection at a time and sends requests on it.
+    """A caller that opens connections and sends requests on them.
 
     Parameters
     ----------
@@ -80,14 +80,15 @@
     async def run(self) -> None:
         """Open one connection after another until the task is cancelled."""
         while True:
-            await self._run_connection()
+            requests = self._generator.choice((1, LONG_CONNECTION_REQUESTS))
+            await self.run_connection(*self._choose_route(), requests)
             await sleep(self._generator.uniform(0.0, MAX_PAUSE_S))
 
-    async def _run_connection(self) -> None:
+    async def run_connection(self, route: Address, service: str, requests: int) -> None:
+        """Open a connection and send requests on it."""
         self._port = FIRST_PORT + (self._port + 1 - FIRST_PORT) % (
             LAST_PORT - FIRST_PORT
         )
-        route, service = self._choose_route()
         key = ConnectionKey(Address(self._address.ip, self._port), route)
         connection = Connection(key, self._generator.randrange(SEQUENCE_SPACE))
         now = get_running_loop().time()
@@ -97,7 +98,7 @@
             if not await self._open(connection):
                 self._promises.counts["not-opened"] += 1
                 return
-            for _ in range(self._generator.choice((1, LONG_CONNECTION_REQUESTS))):
+            for _ in range(requests):
                 if not await self._send_request(connection):
                     self._promises.counts["unanswered"] += 1
                     self._send(connection, RST, connection.sequence)
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -51,6 +51,17 @@
     "feeds": {"aim-ms": 303, "priority": 1},
     "reels": {"aim-ms": 352, "priority": 0},
 }
+# A cold target may accept WARMUP_PER_S x OVERAGE + SLACK openings in a second,
+# which the share of one of two targets in a burst exceeds.
+WARMUP_S = 2.0
+WARMUP_PER_S = 2.0
+WARMUP_OVERAGE = 1.5
+WARMUP_SLACK = 5
+WARMUP_SETTINGS = (
+    f"bounds.warmup-overage={WARMUP_OVERAGE}\nbounds.warmup-slack={WARMUP_SLACK}\n"
+)
+PUBLISH_PERIOD_S = 0.5
+BURST_CONNECTIONS, BURST_S = 40, 1.0
 CALLERS = 12
 EVACUATION_PREFIX = "op/evacuate/"
 STORE_PORT, PROXY_PORT = 7600, 7601
@@ -114,6 +125,7 @@
         self._version = 0
         self._target_count = 0
         self._tasks = []
+        self._callers: list[Caller] = []
         # Stops the sockets that have been opened.
         self._started = ExitStack()
         self._refusals: list[int] = []
@@ -167,6 +179,7 @@
                 self._choose_route,
                 self.generator,
             )
+            self._callers.append(caller)
             self._tasks.append(create_task(caller.run()))
 
     async def stop(self) -> None:
@@ -213,6 +226,7 @@
                 host.zone,
                 seeds,
             )
+            + WARMUP_SETTINGS
         )
         if host.log is None:
             host.log = (self._folder / f"{host.name}.log").open("ab")
@@ -286,10 +300,14 @@
                     | ROUTE_FIELDS_BY_SERVICE[service]
                     for address, service in self.routes.items()
                 ],
+                "services": [
+                    {"name": name, "warmup-per-s": WARMUP_PER_S}
+                    for name in ROUTE_FIELDS_BY_SERVICE
+                ],
             },
         )
 
-    def add_target(self, agent: Host) -> None:
+    def add_target(self, agent: Host, warmup_s: float = 0.0) -> None:
         """Start a target on an agent's host and publish it in the store."""
         self._target_count += 1
         target = Target(
@@ -303,10 +321,32 @@
             self.promises,
             self.generator,
             self._target_count,
+            warmup_s,
         )
         self.targets_by_ip[agent.ip] = target
         self.publish_target(target, agent)
 
+    async def load_cold_target(self, agent: Host) -> None:
+        """Open many connections to the service of a cold target."""
+        routes = [(a, s) for a, s in sorted(self.routes.items()) if s == agent.service]
+        openings = [
+            self._open_later(*self.generator.choice(routes))
+            for _ in range(BURST_CONNECTIONS)
+        ]
+        await gather(*openings, self._publish_warmup(agent))
+
+    async def _open_later(self, route: Address, service: str) -> None:
+        await sleep(self.generator.uniform(0.0, BURST_S))
+        await self.generator.choice(self._callers).run_connection(route, service, 1)
+
+    async def _publish_warmup(self, agent: Host) -> None:
+        """Publish the remaining warmup of a target until it ends."""
+        target = self.targets_by_ip[agent.ip]
+        while target.is_alive and target.warmup_left_ms:
+            await sleep(PUBLISH_PERIOD_S)
+            if target.is_alive:
+                self.publish_target(target, agent)
+
     def publish_target(self, target: Target, agent: Host) -> None:
         """Write the registration of a target to the store."""
         self.store.put(
@@ -318,6 +358,7 @@
                 "capacity": 1,
                 "state": "draining" if target.leaving else "ready",
                 "born": target.born,
+                "warmup-left-ms": target.warmup_left_ms,
             },
         )
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,7 +7,7 @@
 from signal import SIGCONT, SIGHUP, SIGKILL, SIGSTOP
 
 from lycheeglade.address import Address
-from soak.deployment import SERVICES, Deployment, Host
+from soak.deployment import SERVICES, WARMUP_S, Deployment, Host
 from soak.network import LinkFault
 from soak.store_link import LinkState
 from tests.platform_process import ZONES
@@ -227,8 +227,9 @@
         target.crash()
         await sleep(_draw_duration(generator))
         deployment.remove_entry(target)
-        deployment.add_target(agent)
+        deployment.add_target(agent, WARMUP_S)
     deployment.unavailable_target_ips.discard(agent.ip)
+    await deployment.load_cold_target(agent)
 
 
 async def _drain_target(deployment: Deployment, agent: Host) -> None:
@@ -249,8 +250,9 @@
         return
     deployment.unavailable_target_ips.add(agent.ip)
     await _drain_target(deployment, agent)
-    deployment.add_target(agent)
+    deployment.add_target(agent, WARMUP_S)
     deployment.unavailable_target_ips.discard(agent.ip)
+    await deployment.load_cold_target(agent)
 
 
 async def reuse_address(deployment: Deployment, generator: Random) -> None:
@@ -268,8 +270,8 @@
     await deployment.stop_process(agent)
     (agent.service,) = set(served) - {agent.service}
     await deployment.start_process(agent)
-    deployment.add_target(agent)
-    await sleep(READINESS_DELAY_S)
+    deployment.add_target(agent, WARMUP_S)
+    await deployment.load_cold_target(agent)
     await deployment.wait_started(agent)
     agent.is_busy = False
     deployment.unavailable_target_ips.discard(agent.ip)
--- a/soak/target.py
+++ b/soak/target.py
@@ -64,6 +64,7 @@
         promises: PromiseChecker,
         generator: Random,
         born: int,
+        warmup_s: float = 0.0,
     ):
         self.target_id = target_id
         self.born = born
@@ -81,10 +82,16 @@
         self._connections_by_key: dict[ConnectionKey, TargetConnection] = {}
         self._loop: AbstractEventLoop = get_running_loop()
         self._busy_until = 0.0
+        self._warm_at = self._loop.time() + warmup_s
         network.attach(app, self._receive)
         # Agents see by this port whether the target has ended.
         self._listener = create_server(tuple(app))
 
+    @property
+    def warmup_left_ms(self) -> int:
+        """Time for which the target stays cold."""
+        return max(0, round(1000.0 * (self._warm_at - self._loop.time())))
+
     def crash(self) -> None:
         """Discard all connections and ignore all further packets."""
         self.is_alive = False
