--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -52,10 +52,8 @@
 }
 # A cold target may accept WARMUP_PER_S x OVERAGE + SLACK openings in a second,
 # which the share of one of two targets in a burst exceeds.
-WARMUP_S = 2.0
-WARMUP_PER_S = 2.0
-WARMUP_OVERAGE, WARMUP_SLACK = 1.5, 5
-BURST_CONNECTIONS, BURST_S = 80, WARMUP_S
+WARMUP_S, WARMUP_PER_S, WARMUP_OVERAGE, WARMUP_SLACK = 2.0, 2.0, 1.5, 5
+BURST_CONNECTIONS = 80
 # Connections between two updates of the target's entry.
 PUBLISH_EVERY = 20
 CALLERS = 12
@@ -319,14 +317,11 @@
         self.publish_target(target, agent)
 
     async def load_cold_target(self, agent: Host) -> None:
-        """Open many connections to a cold target's service.
-
-        Meanwhile, the target publishes its remaining warmup.
-        """
+        """Open connections to the service of a cold target that warms up."""
         target = self.targets_by_ip[agent.ip]
         connections = []
         for _ in range(BURST_CONNECTIONS):
-            await sleep(BURST_S / BURST_CONNECTIONS)
+            await sleep(WARMUP_S / BURST_CONNECTIONS)
             routes = [r for r in sorted(self.routes.items()) if r[1] == agent.service]
             caller, route = map(self.generator.choice, (self._callers, routes))
             connections.append(create_task(caller.run_connection(*route, 1)))
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -21,7 +21,6 @@
 MAX_COPY_AGE_S = 4.0
 MAX_AWAY_S = 1.0
 MAX_REWRITE_S = 1.0
-STORE_RETRY_S = 0.05
 # Longer than the time within which an evacuation comes into force.
 MIN_EVACUATION_S, MAX_EVACUATION_S = 9.0, 15.0
 # Targets of one service that may be removed or replaced at the same time.
@@ -189,7 +188,7 @@
     seconds = generator.uniform(MIN_EVACUATION_S, MAX_EVACUATION_S)
     for written, pause in ((zone, seconds), ("", 0.0)):
         while deployment.store.status != 200:
-            await sleep(STORE_RETRY_S)
+            await sleep(MIN_GAP_S)
         deployment.write_evacuation(written)
         await sleep(pause)
 
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -190,10 +190,7 @@
     def _check_evacuation(self, key: ConnectionKey, target, datagram: bytes) -> None:
         """Check that the zone of a target that accepted a SYN may get it."""
         record = self.records_by_key[key]
-        began_at = self.evacuated_since_by_zone.get(target.zone)
-        if began_at is None:
-            return
-        self.counts["evacuated-zone-opened"] += 1
+        began_at = self.evacuated_since_by_zone.get(target.zone, float("inf"))
         sent_at = record.sent_at_by_packet.get(strip_marks(datagram), record.began_at)
         elapsed = sent_at - began_at
         ips = (record.first_balancer_ip, record.latest_balancer_ip, target.ip)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -172,7 +172,6 @@
     watched.open()
     assert watched.rules() == {}
     watched.now += 0.1
-    # The caller's copy is accepted instead of its first opening segment.
     watched.promises.record_sent(KEY, "127.9.0.10", watched.opening)
     watched.promises.record_accepted(KEY, FakeTarget(), watched.opening)
     assert watched.rules() == {"EVAC": 1}
