Begin the faults of the soak once the agents handle signals

The start waited for the balancers alone. In the round of test_soak.py on a loaded machine (20 on 7 cores), SIGTERM ended agent-4 (ENDED, exit code -15), which fits an agent that was still starting.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -54,8 +54,7 @@
 # which the share of one of two targets in a burst exceeds.
 WARMUP_S, WARMUP_PER_S, WARMUP_OVERAGE, WARMUP_SLACK = 2.0, 2.0, 1.5, 5
 BURST_CONNECTIONS = 80
-# Connections between two updates of the target's entry.
-PUBLISH_EVERY = 20
+PUBLISH_EVERY = 20  # Connections between two updates of the target's entry.
 CALLERS = 12
 EVACUATION_PREFIX = "op/evacuate/"
 STORE_PORT, PROXY_PORT = 7600, 7601
@@ -162,6 +161,7 @@
         self._tasks.append(create_task(self._watch_stalls()))
         async with time_limit(START_S):
             await self._wait_ready()
+            await gather(*map(self.wait_started, self.agents))
         for number in range(CALLERS):
             caller = Caller(
                 Address(self._ip(100 + number), DATAGRAM_PORT),
