Check in the soak that cold targets are not overloaded

Nothing checked FAILBACK on running processes. A cold target may accept 8 openings of different connections within any second: warmup-per-s 2, times 1.5, plus 5. No fault of a host excuses more; only stalls of the soak itself do, since they deliver several windows at once.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -4,7 +4,7 @@
 contradicts it is recorded as a breach.
 """
 
-from collections import Counter
+from collections import Counter, defaultdict, deque
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -18,6 +18,9 @@
 DRAIN_S = 3.0
 APPLY_S = 3.0
 EVACUATE_S = 5.0
+WARMUP_WINDOW_S = 1.0
+# WARMUP_PER_S x WARMUP_OVERAGE + WARMUP_SLACK of the deployment.
+MAX_COLD_OPENINGS = 8
 FLOW_TIMEOUT_S = 2.0
 FLOW_PACKETS = 3
 ALL_HOSTS = ""
@@ -71,6 +74,10 @@
         self.draining_since_by_id: dict[str, float] = {}
         # When the store acknowledged the evacuation of a zone.
         self.evacuated_since_by_zone: dict[str, float] = {}
+        # When each cold target accepted its latest openings.
+        self._cold_openings_by_id: dict[str, deque[float]] = defaultdict(
+            lambda: deque(maxlen=MAX_COLD_OPENINGS + 1)
+        )
         self.removed_at_by_address: dict[Address, float] = {}
         # When a route stopped naming a service, by address and service.
         self.unnamed_at_by_route: dict[tuple[Address, str], float] = {}
@@ -159,6 +166,8 @@
         """Record that a target accepted the SYN of a connection."""
         record = self.records_by_key[key]
         self._check_evacuation(key, target, datagram)
+        if target.warmup_left_ms:
+            self._check_warmup(key, target)
         stable = self.is_stable(
             record.first_balancer_ip, target.ip, since=record.began_at
         )
@@ -197,6 +206,16 @@
         if elapsed > EVACUATE_S and self.is_stable(*ips, since=record.began_at):
             self.record_breach("EVAC", key, f"{elapsed:.3f} s, at {target.target_id}")
 
+    def _check_warmup(self, key: ConnectionKey, target) -> None:
+        """Check how many openings a cold target accepted in a second."""
+        times = self._cold_openings_by_id[target.target_id]
+        times.append(self._clock())
+        self.counts["cold-opened"] += 1
+        is_over = len(times) == times.maxlen and times[-1] - times[0] < WARMUP_WINDOW_S
+        # A stall of the soak may deliver the openings of two windows at once.
+        if is_over and self.is_stable():
+            self.record_breach("FAILBACK", key, f"above the limit, {target.target_id}")
+
     def record_run(self, key: ConnectionKey, sequence: int) -> None:
         """Record that a target started to process a request."""
         record = self.records_by_key[key]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,6 +17,7 @@
     DRAIN_S,
     EVACUATE_S,
     FLOW_TIMEOUT_S,
+    MAX_COLD_OPENINGS,
     STABILITY_S,
     ConnectionRecord,
     PromiseChecker,
@@ -79,6 +80,7 @@
     service = "feeds"
     target_id = "i-1"
     zone = "nadi-a"
+    warmup_left_ms = 0
     ip = "127.9.0.20"
     is_alive = True
 
@@ -177,6 +179,16 @@
     assert watched.rules() == {"EVAC": 1}
 
 
+def test_openings_above_the_limit_of_a_cold_target_are_found(watched):
+    target = FakeTarget()
+    target.warmup_left_ms = 1000
+    for elapsed in (*[0.1] * MAX_COLD_OPENINGS, 0.35, 0.02):
+        assert watched.rules() == {}
+        watched.now += elapsed
+        watched.promises.record_accepted(KEY, target, watched.opening)
+    assert watched.rules() == {"FAILBACK": 1}
+
+
 async def test_evacuation_is_written_again_after_a_restore_and_ends(tmp_path):
     deployment = Deployment(0, tmp_path, Random(1))
     since_by_zone = deployment.promises.evacuated_since_by_zone
