--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -11,7 +11,7 @@
 from asyncio import timeout as time_limit
 from asyncio.subprocess import Process
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass
 from math import inf
 from os import environ
@@ -35,7 +35,9 @@
     DATAGRAM_PORT,
     OUTBOUND_PORT,
     PATH_VARIABLE,
+    READY_PORT,
     ZONES,
+    fetch,
     format_settings,
     is_ready,
 )
@@ -44,7 +46,17 @@
 ROOT = Path(__file__).parent.parent
 BALANCERS = 3
 SERVICES = ("feeds", "feeds", "feeds", "reels", "reels")
+ROUTE_FIELDS_BY_SERVICE = {
+    "feeds": {"aim-ms": 303, "priority": 1},
+    "reels": {"aim-ms": 352, "priority": 0},
+}
+# A cold target may accept WARMUP_PER_S x OVERAGE + SLACK openings in a second,
+# which the share of one of two targets in a burst exceeds.
+WARMUP_S, WARMUP_PER_S, WARMUP_OVERAGE, WARMUP_SLACK = 2.0, 2.0, 1.5, 5
+BURST_CONNECTIONS = 80
+PUBLISH_EVERY = 20  # Connections between two updates of the target's entry.
 CALLERS = 12
+EVACUATION_PREFIX = "op/evacuate/"
 STORE_PORT, PROXY_PORT = 7600, 7601
 SERVICE_TIMES_S = (0.005, 0.01)
 READY_POLL_S = 0.5
@@ -99,11 +111,14 @@
         self.routes: dict[Address, str] = {}
         # Addresses of agents whose target is being removed or replaced.
         self.unavailable_target_ips: set[str] = set()
+        self.evacuated_zone = ""
         self._slot = slot
         self._folder = folder
         self._version = 0
         self._target_count = 0
         self._tasks = []
+        self._callers: list[Caller] = []
+        self._started = ExitStack()
         self._refusals: list[int] = []
         self._proxy = Address(self._ip(1), PROXY_PORT)
         self.balancers = [
@@ -130,10 +145,13 @@
     async def start(self) -> None:
         """Start all components, the callers once all balancers are ready."""
         await self.network.start(self._proxy)
+        self._started.callback(self.network.stop)
         store = Address(*await self.store.start(self._ip(2), STORE_PORT))
+        self._started.callback(self.store.stop)
         for balancer in self.balancers:
             balancer.store_link = StoreLink(store)
             await balancer.store_link.start(Address(balancer.ip, STORE_PORT))
+            self._started.callback(balancer.store_link.stop)
         self.publish_routes({Address("198.18.0.1", 443): "feeds"})
         self.publish_routes({**self.routes, Address("198.18.0.2", 443): "reels"})
         for agent in self.agents:
@@ -143,6 +161,7 @@
         self._tasks.append(create_task(self._watch_stalls()))
         async with time_limit(START_S):
             await self._wait_ready()
+            await gather(*map(self.wait_started, self.agents))
         for number in range(CALLERS):
             caller = Caller(
                 Address(self._ip(100 + number), DATAGRAM_PORT),
@@ -152,10 +171,11 @@
                 self._choose_route,
                 self.generator,
             )
+            self._callers.append(caller)
             self._tasks.append(create_task(caller.run()))
 
     async def stop(self) -> None:
-        """Stop all tasks, processes, links and sockets of the deployment."""
+        """Stop the deployment, which may have started only in part."""
         for task in self._tasks:
             task.cancel()
         await gather(*self._tasks, return_exceptions=True)
@@ -165,13 +185,9 @@
                 await host.process.wait()
             if host.log is not None:
                 host.log.close()
-        for balancer in self.balancers:
-            if balancer.store_link is not None:
-                balancer.store_link.stop()
         for target in self.targets_by_ip.values():
             target.close()
-        self.store.stop()
-        self.network.stop()
+        self._started.close()
         await sleep(0)
 
     def check_tasks(self) -> None:
@@ -199,6 +215,8 @@
                 host.zone,
                 seeds,
             )
+            + f"bounds.warmup-overage={WARMUP_OVERAGE}\n"
+            + f"bounds.warmup-slack={WARMUP_SLACK}\n"
         )
         if host.log is None:
             host.log = (self._folder / f"{host.name}.log").open("ab")
@@ -217,6 +235,14 @@
             stderr=host.log,
         )
 
+    async def wait_started(self, host: Host) -> None:
+        """Wait until a process handles signals, or has exited."""
+        async with time_limit(START_S):
+            while host.process.returncode is None and not await fetch(
+                host.ip, READY_PORT, "/ready"
+            ):
+                await sleep(STALL_POLL_S)
+
     async def stop_process(self, host: Host) -> None:
         """Stop a process with SIGTERM and check its exit.
 
@@ -261,17 +287,23 @@
                 "routes": [
                     {"host": address.ip, "prefix": f"/{address.port}/", "type": "safe"}
                     | {"service": service, "timeout-ms": 1500}
+                    | ROUTE_FIELDS_BY_SERVICE[service]
                     for address, service in self.routes.items()
                 ],
+                "services": [
+                    {"name": name, "warmup-per-s": WARMUP_PER_S}
+                    for name in ROUTE_FIELDS_BY_SERVICE
+                ],
             },
         )
 
-    def add_target(self, agent: Host) -> None:
+    def add_target(self, agent: Host, warmup_s: float = 0.0) -> None:
         """Start a target on an agent's host and publish it in the store."""
         self._target_count += 1
         target = Target(
             f"i-{self._target_count}",
             agent.service,
+            agent.zone,
             Address(agent.ip, APP_PORT),
             Address(agent.ip, OUTBOUND_PORT),
             self.generator.choice(SERVICE_TIMES_S),
@@ -279,10 +311,24 @@
             self.promises,
             self.generator,
             self._target_count,
+            warmup_s,
         )
         self.targets_by_ip[agent.ip] = target
         self.publish_target(target, agent)
 
+    async def load_cold_target(self, agent: Host) -> None:
+        """Open connections to the service of a cold target that warms up."""
+        target = self.targets_by_ip[agent.ip]
+        connections = []
+        for _ in range(BURST_CONNECTIONS):
+            await sleep(WARMUP_S / BURST_CONNECTIONS)
+            routes = [r for r in sorted(self.routes.items()) if r[1] == agent.service]
+            caller, route = map(self.generator.choice, (self._callers, routes))
+            connections.append(create_task(caller.run_connection(*route, 1)))
+            if target.is_alive and len(connections) % PUBLISH_EVERY == 0:
+                self.publish_target(target, agent)
+        await gather(*connections)
+
     def publish_target(self, target: Target, agent: Host) -> None:
         """Write the registration of a target to the store."""
         self.store.put(
@@ -290,10 +336,11 @@
             {
                 "service": target.service,
                 "address": f"{target.app.ip}:{target.app.port}",
-                "zone": agent.zone,
+                "zone": target.zone,
                 "capacity": 1,
                 "state": "draining" if target.leaving else "ready",
                 "born": target.born,
+                "warmup-left-ms": target.warmup_left_ms,
             },
         )
 
@@ -303,12 +350,24 @@
         if key in self.store.items_by_key:
             self.store.delete(key)
 
+    def write_evacuation(self, zone: str) -> None:
+        """Let the store name `zone` alone as evacuated, or none if empty."""
+        self.evacuated_zone = zone
+        for key in list(self.store.items_by_key):
+            if key.startswith(EVACUATION_PREFIX) and not (zone and key.endswith(zone)):
+                self.store.delete(key)
+        self.promises.evacuated_since_by_zone.clear()
+        if zone:
+            self.store.put(f"{EVACUATION_PREFIX}{zone}", {})
+            self.promises.evacuated_since_by_zone[zone] = self.now()
+
     def write_again(self) -> None:
         """Write what the store may have lost, as operators and targets do.
 
-        Entries of targets that have ended are removed.
+        Entries of targets and evacuations that have ended are removed.
         """
         self._write_configuration()
+        self.write_evacuation(self.evacuated_zone)
         published = {f"servers/{t.target_id}" for t in self.targets_by_ip.values()}
         for key in self.store.items_by_key.keys() - published:
             if key.startswith("servers/"):
@@ -331,6 +390,9 @@
         finally:
             self._refusals.remove(status)
             self.store.status = self._refusals[-1] if self._refusals else 200
+            # The time to evacuate a zone begins again: the store was away.
+            zones = self.promises.evacuated_since_by_zone
+            zones.update(dict.fromkeys(zones, self.now()))
 
     def choose_balancer(self, key: ConnectionKey) -> Address:
         """Return the balancer to which the fabric sends packets of `key`."""
--- a/soak/target.py
+++ b/soak/target.py
@@ -56,6 +56,7 @@
         self,
         target_id: str,
         service: str,
+        zone: str,
         app: Address,
         outbound: Address,
         service_time_s: float,
@@ -63,10 +64,12 @@
         promises: PromiseChecker,
         generator: Random,
         born: int,
+        warmup_s: float = 0.0,
     ):
         self.target_id = target_id
         self.born = born
         self.service = service
+        self.zone = zone
         self.ip = app.ip
         self.app = app
         self.is_alive = True
@@ -79,10 +82,16 @@
         self._connections_by_key: dict[ConnectionKey, TargetConnection] = {}
         self._loop: AbstractEventLoop = get_running_loop()
         self._busy_until = 0.0
+        self._warm_at = self._loop.time() + warmup_s
         network.attach(app, self._receive)
         # Agents see by this port whether the target has ended.
         self._listener = create_server(tuple(app))
 
+    @property
+    def warmup_left_ms(self) -> int:
+        """Time for which the target stays cold."""
+        return max(0, round(1000.0 * (self._warm_at - self._loop.time())))
+
     def crash(self) -> None:
         """Discard all connections and ignore all further packets."""
         self.is_alive = False
@@ -100,7 +109,7 @@
         key = segment.key_from_caller
         self._promises.record_delivery(key, self, datagram)
         if segment.opens:
-            self._open(key)
+            self._open(key, datagram)
             return
         connection = self._connections_by_key.get(key)
         if connection is None or not self._is_acceptable(connection, segment):
@@ -126,10 +135,10 @@
         distance = sequence_distance(connection.sequence, segment.acknowledgement)
         return 0 < distance <= MAX_AHEAD
 
-    def _open(self, key: ConnectionKey) -> None:
+    def _open(self, key: ConnectionKey, datagram: bytes) -> None:
         connection = self._connections_by_key.get(key)
         if connection is None:
-            self._promises.record_accepted(key, self)
+            self._promises.record_accepted(key, self, datagram)
             connection = TargetConnection(self._generator.randrange(SEQUENCE_SPACE))
             self._connections_by_key[key] = connection
         if not connection.is_open:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,17 +4,20 @@
 from collections import Counter
 from contextlib import ExitStack
 from random import Random
+from socket import create_server
 
 import pytest
 
 from lycheeglade.address import Address
 from lycheeglade.segment import ConnectionKey
-from soak.deployment import Deployment
+from soak.deployment import STORE_PORT, Deployment
 from soak.network import LinkFault, Network
 from soak.packets import ACK, SYN, mark_returned, pack_segment
 from soak.promises import (
     DRAIN_S,
+    EVACUATE_S,
     FLOW_TIMEOUT_S,
+    MAX_COLD_OPENINGS,
     STABILITY_S,
     ConnectionRecord,
     PromiseChecker,
@@ -54,6 +57,14 @@
     await check_round(seed, LONG_FAULTS_S, tmp_path)
 
 
+async def test_address_in_use_at_the_start_is_reported(tmp_path):
+    """`stop` failed with AttributeError for what had not been started."""
+    slot = FIRST_SLOT + WORKER
+    occupied = create_server((f"127.9.{slot}.11", STORE_PORT))
+    with occupied, pytest.raises(OSError, match="in use"):
+        await run_round(1, 0.0, tmp_path, slot)
+
+
 async def test_store_answers_after_the_last_of_overlapping_refusals(tmp_path):
     deployment = Deployment(0, tmp_path, Random(1))
     first_status, second_status = STORE_DOWN_STATUSES
@@ -68,6 +79,8 @@
 class FakeTarget:
     service = "feeds"
     target_id = "i-1"
+    zone = "nadi-a"
+    warmup_left_ms = 0
     ip = "127.9.0.20"
     is_alive = True
 
@@ -86,7 +99,7 @@
     def open(self):
         target = FakeTarget()
         self.promises.record_delivery(KEY, target, self.opening)
-        self.promises.record_accepted(KEY, target)
+        self.promises.record_accepted(KEY, target, self.opening)
         self.promises.record_opened(KEY, target)
         return target
 
@@ -155,6 +168,46 @@
     assert watched.rules() == {"DRAIN": 1}
 
 
+def test_opening_at_a_target_of_an_evacuated_zone_is_found(watched):
+    began_at = watched.now - EVACUATE_S
+    watched.promises.evacuated_since_by_zone |= {"nadi-b": 0.0, "nadi-a": began_at}
+    watched.open()
+    assert watched.rules() == {}
+    watched.now += 0.1
+    watched.promises.record_sent(KEY, "127.9.0.10", watched.opening)
+    watched.promises.record_accepted(KEY, FakeTarget(), watched.opening)
+    assert watched.rules() == {"EVAC": 1}
+
+
+def test_openings_above_the_limit_of_a_cold_target_are_found(watched):
+    target = FakeTarget()
+    target.warmup_left_ms = 1000
+    for elapsed in (*[0.1] * MAX_COLD_OPENINGS, 0.35, 0.02):
+        assert watched.rules() == {}
+        watched.now += elapsed
+        watched.promises.record_accepted(KEY, target, watched.opening)
+    assert watched.rules() == {"FAILBACK": 1}
+
+
+async def test_evacuation_is_written_again_after_a_restore_and_ends(tmp_path):
+    deployment = Deployment(0, tmp_path, Random(1))
+    since_by_zone = deployment.promises.evacuated_since_by_zone
+    before = deployment.store.copy()
+    deployment.write_evacuation("nadi-a")
+    during, since = deployment.store.copy(), since_by_zone["nadi-a"]
+    with deployment.refusing_store(503):
+        await sleep(0.01)
+    assert since_by_zone["nadi-a"] > since
+    deployment.store.restore(before)
+    deployment.write_again()
+    assert "op/evacuate/nadi-a" in deployment.store.items_by_key
+    deployment.write_evacuation("")
+    deployment.store.restore(during)
+    deployment.write_again()
+    assert "op/evacuate/nadi-a" not in deployment.store.items_by_key
+    assert since_by_zone == {}
+
+
 def test_opening_of_another_service_and_by_a_dropped_route_are_found(watched):
     watched.promises.removed_at_by_address[KEY.service] = watched.now - 10.0
     watched.record.service = "reels"
