Reset no connection of a target that has only closed its port

A closed port now counts only once the target's entry is gone, or while the whole fleet has restarted. An agent counts as crashed only if four messages stayed without an answer; unresponsive agents are asked each 0.1 s until then.

--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -60,7 +60,8 @@
 MAX_UNROUTED_SOURCES = 64
 OTHER_SOURCES = "others"
 # Interval for agents that were never heard: after a loss of power they start
-# at about the same time as the balancers.
+# at about the same time as the balancers. The same holds for unresponsive
+# agents, until they count as crashed.
 FIRST_REQUEST_INTERVAL_S = 0.1
 # A gap of more than MIN_PAUSE_S seconds between two runs means that this
 # process was paused.
@@ -229,7 +230,7 @@
         search_home(balancer, key, connection, route, segment, now)
         return
     load = balancer.loads_by_agent.get(home)
-    if load is not None and load.target_ended:
+    if load is not None and load.target_ended and home not in balancer.targets_by_agent:
         balancer.actions.log("reset", connection=key, cause="target-ended", agent=home)
         abandon_connection(balancer, key, segment.acknowledgement)
         return
@@ -402,7 +403,8 @@
     elif now - balancer.first_request_sent_at >= FIRST_REQUEST_INTERVAL_S:
         balancer.first_request_sent_at = now
         for agent, load in balancer.loads_by_agent.items():
-            if load.last_heard_at == float("-inf"):
+            is_new = load.last_heard_at == float("-inf")
+            if is_new or (load.is_unresponsive(now) and not load.has_crashed(now)):
                 _send_load_request(balancer, agent, now)
     detect_mass_restart(balancer, now)
     retry_openings(balancer, now)
--- a/lycheeglade/connection_balancer_state.py
+++ b/lycheeglade/connection_balancer_state.py
@@ -192,8 +192,11 @@
 ) -> None:
     """Send a message to an agent and start its response deadline."""
     load = balancer.loads_by_agent.get(agent)
-    if load is not None and load.unanswered_since is None:
-        load.unanswered_since = now
+    if load is not None:
+        if load.unanswered_since is None:
+            load.unanswered_since = now
+            load.unanswered_messages = 0
+        load.unanswered_messages += 1
     balancer.actions.send(agent, message)
 
 
--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -281,7 +281,9 @@
         load = balancer.loads_by_agent.get(agent)
         if load is None:
             continue
-        if now - search.started_at < _answer_timeout(balancer, search, load, now):
+        if now - search.started_at < _answer_timeout(
+            balancer, search, agent, load, now
+        ):
             return
     balancer.actions.log(
         "reset",
@@ -315,12 +317,21 @@
 
 
 def _answer_timeout(
-    balancer: ConnectionBalancer, search: Search, load: AgentLoad, now: float
+    balancer: ConnectionBalancer,
+    search: Search,
+    agent: Address,
+    load: AgentLoad,
+    now: float,
 ) -> float:
     """Return how long a search waits for an agent that has not answered."""
-    if load.has_crashed(now) or load.target_ended:
+    if load.has_crashed(now):
         return ROUND_TRIP_TIMEOUT_S
-    if balancer.is_mass_restart and load.service not in search.services:
+    # A target that drains may close its port before its last connections.
+    has_ended = load.target_ended and (
+        balancer.is_mass_restart or agent not in balancer.targets_by_agent
+    )
+    is_uncertain = balancer.is_mass_restart and load.service not in search.services
+    if has_ended or is_uncertain:
         return ROUND_TRIP_TIMEOUT_S
     return SEARCH_TIMEOUT_S if _is_unavailable(load, now) else float("inf")
 
--- a/lycheeglade/target_load.py
+++ b/lycheeglade/target_load.py
@@ -27,6 +27,9 @@
 # After CRASH_TIMEOUT_S seconds without an answer, the agent's connections are
 # abandoned.
 CRASH_TIMEOUT_S = 1.2
+# Balancers repeat their requests to an unresponsive agent, so that this many
+# are out before CRASH_TIMEOUT_S has passed.
+MIN_UNANSWERED = 4
 # An agent that has announced its exit has RESTART_TIMEOUT_S seconds to start
 # again.
 RESTART_TIMEOUT_S = 5.0
@@ -59,6 +62,8 @@
     unanswered_since : float
         Time of the oldest message to the agent without an answer, None if
         all are answered.
+    unanswered_messages : int
+        Messages to the agent since its latest one.
     is_near : bool
         Whether the agent is in the balancer's zone.
     is_unmeasured : bool
@@ -89,6 +94,7 @@
     reported_at: float = float("-inf")
     is_near: bool = True
     unanswered_since: float | None = None
+    unanswered_messages: int = 0
     recent_placements: int = 0
     service_time: float = UNKNOWN_SERVICE_TIME_S
     is_unmeasured: bool = False
@@ -127,12 +133,15 @@
         """Return whether the agent's silence shows that it has crashed.
 
         The time-out is `CRASH_TIMEOUT_S`, or `RESTART_TIMEOUT_S` after an
-        announced exit.
+        announced exit. Single datagrams may be lost, so `MIN_UNANSWERED`
+        messages must have stayed without an answer.
         """
         if self.unanswered_since is None:
             return False
-        return now - self.unanswered_since > (
-            RESTART_TIMEOUT_S if self.leaving else CRASH_TIMEOUT_S
+        timeout = RESTART_TIMEOUT_S if self.leaving else CRASH_TIMEOUT_S
+        return (
+            self.unanswered_messages >= MIN_UNANSWERED
+            and now - self.unanswered_since > timeout
         )
 
     def is_unresponsive(self, now: float) -> bool:
