--- a/lycheeglade/connection_admission.py
+++ b/lycheeglade/connection_admission.py
@@ -77,9 +77,10 @@
 ) -> None:
     """Let another balancer know that a copy's connection waits here.
 
-    It would otherwise place the connection at another target too. A balancer
-    of the previous build would reset the connection after a refusal, without
-    regard to the segments that came by other balancers.
+    It would otherwise place the connection at another target too. Openings
+    without times are left unanswered: a balancer of the previous build sends
+    those, and would reset the connection after a refusal although segments
+    came by other balancers.
     """
     held, _ = agent.held_openings_by_key[key]
     if message.balancer == held.message.balancer:
--- a/lycheeglade/connection_opening.py
+++ b/lycheeglade/connection_opening.py
@@ -108,7 +108,7 @@
         balancer, connection, route
     )
     if is_excluded_home:
-        # It gets no other connection from the same caller address either.
+        # A reused caller address must not lead to an excluded home either.
         connection.homes = []
     if is_excluded_home or route.aim > 0.0:
         connection.has_missed_copy = False
--- a/lycheeglade/opening_order.py
+++ b/lycheeglade/opening_order.py
@@ -21,8 +21,8 @@
 from lycheeglade.segment import ConnectionKey
 
 # An opening is refused this long before its caller gives up. The time covers
-# the interval between two runs of the agent's periodic work, and the way of
-# the refusal or of the target's answer to the caller.
+# the interval between two runs of the agent's periodic work, and the network
+# delay of the refusal or of the target's answer.
 GIVE_UP_MARGIN_S = 0.06
 # Time from the delivery of an opening until the target has the first request,
 # and until the answer has reached the caller.
@@ -85,9 +85,13 @@
         The openings that wait.
     numbers_by_group : dict
         Their numbers in ascending order, without empty groups.
+    openings_by_number : dict
+        The same openings by their position in the order of arrival.
+    latest_number : int
+        Number of the opening that arrived last.
     passed_over_by_priority : Counter
-        Admissions of others since each lower priority's turn, less those
-        that it got before its turn.
+        How far each lower priority is behind its share: rises with each
+        admission of another priority, and falls with its own.
     """
 
     openings_by_key: dict[ConnectionKey, TimedOpening] = field(default_factory=dict)
--- a/lycheeglade/opening_queue.py
+++ b/lycheeglade/opening_queue.py
@@ -35,8 +35,8 @@
 # 150 ms would use up an aim of 303 ms.
 AIM_SHARE_AT_TARGET = 0.5
 # A slot may be idle for this share of a request's time while the next one is
-# delivered. With one request in front instead, no opening can be answered
-# within its aim by a target that needs more than half of it.
+# delivered. A request that waits at the target to prevent this would make the
+# one behind it late if the target needs more than half of the aim for each.
 MAX_IDLE_SHARE = 0.25
 # A new connection waits at most this long. A caller that is refused then comes
 # back sooner than one that hears nothing.
