Wait a round trip for stopped agents after a mass restart

While the whole fleet has just restarted, a search waits for them for 0.15 s. A test fails without the change.

--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -56,9 +56,10 @@
 ROUND_TRIP_TIMEOUT_S = 0.15
 # After a loss of power no agent knows whether its target started with it, and
 # those of other services would hold up the searches of all callers for
-# CONNECTION_LIFETIME_S. So if more than this share of the agents has started
-# within this time, a search waits for them for a round trip only. Planned
-# restarts go in turn and do not reach the share.
+# CONNECTION_LIFETIME_S; those that are stopped, for RESTART_TIMEOUT_S. So if
+# more than this share of the agents has started within this time, a search
+# waits for them for a round trip only. Planned restarts go in turn and do not
+# reach the share.
 MASS_RESTART_SHARE = 0.75
 MASS_RESTART_AGE_S = 5.0
 MASS_RESTART_INTERVAL_S = 0.1
@@ -327,11 +328,10 @@
     if load.has_crashed(now):
         return ROUND_TRIP_TIMEOUT_S
     # A target that drains may close its port before its last connections.
-    has_ended = load.target_ended and (
-        balancer.is_mass_restart or agent not in balancer.targets_by_agent
-    )
-    is_uncertain = balancer.is_mass_restart and load.service not in search.services
-    if has_ended or is_uncertain:
+    if load.target_ended and agent not in balancer.targets_by_agent:
+        return ROUND_TRIP_TIMEOUT_S
+    is_other_service = load.service not in search.services
+    if balancer.is_mass_restart and (load.leaving or is_other_service):
         return ROUND_TRIP_TIMEOUT_S
     return SEARCH_TIMEOUT_S if _is_unavailable(load, now) else float("inf")
 
--- a/tests/test_connection_search.py
+++ b/tests/test_connection_search.py
@@ -301,6 +301,22 @@
     assert recorder.resets == ([(KEY, 77)] if is_reset else [])
 
 
+@pytest.mark.parametrize(("age", "is_reset"), [(2.0, True), (100.0, False)])
+def test_agent_that_is_stopped_holds_up_no_search_after_a_mass_restart(
+    balancer, recorder, age, is_reset
+):
+    """After a loss of power, each search waited 5 s for its return."""
+    for agent in AGENTS:
+        report = make_report(age=age, leaving=agent == AGENTS[2])
+        receive_message(balancer, report, agent, 0.9)
+    tick(balancer, 0.95)
+    receive_segment(balancer, data(acknowledgement=77), 1.0)
+    for agent in AGENTS[:2]:
+        receive_message(balancer, ConnectionNotHeld(KEY, 77), agent, 1.01)
+    tick(balancer, 1.01 + ROUND_TRIP_TIMEOUT_S)
+    assert recorder.resets == ([(KEY, 77)] if is_reset else [])
+
+
 def test_search_does_not_reset_the_next_connection_of_its_address(balancer, recorder):
     """Its target has answered the caller; the home's message is on its way."""
     receive_segment(balancer, data(acknowledgement=77), 1.0)
