Drop a parameter and a branch that searches no longer use

Searches build their queries themselves, so that forward_segment needs no flag for them. A stopping agent that has crashed is decided on before the other silent ones, so that the second look at it could only be false. No decision changes.

--- a/lycheeglade/connection_balancer_state.py
+++ b/lycheeglade/connection_balancer_state.py
@@ -180,10 +180,9 @@
     agent: Address,
     segment: Segment,
     now: float,
-    search: bool = False,
 ) -> None:
     """Send a caller's segment to an agent."""
-    message = ForwardSegment(balancer.address, segment.datagram, search)
+    message = ForwardSegment(balancer.address, segment.datagram)
     send_message(balancer, agent, message, now)
 
 
--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -333,11 +333,7 @@
     is_other_service = load.service not in search.services
     if balancer.is_mass_restart and (load.leaving or is_other_service):
         return ROUND_TRIP_TIMEOUT_S
-    return SEARCH_TIMEOUT_S if _is_unavailable(load, now) else float("inf")
-
-
-def _is_unavailable(load: AgentLoad, now: float) -> bool:
-    """Return whether a search no longer waits for an agent's answer."""
-    if load.leaving:
-        return load.has_crashed(now)
-    return load.silent or load.is_unresponsive(now)
+    is_silent = load.silent or load.is_unresponsive(now)
+    if is_silent and not load.leaving:
+        return SEARCH_TIMEOUT_S
+    return float("inf")
