--- a/tests/connections.py
+++ b/tests/connections.py
@@ -8,14 +8,14 @@
     ConnectionAgent,
     ConnectionAgentActions,
 )
-from lycheeglade.connection_balancer import update_routing
+from lycheeglade.connection_balancer import receive_message, update_routing
 from lycheeglade.connection_balancer_state import (
     ConnectionBalancer,
     ConnectionBalancerActions,
 )
 from lycheeglade.relay_message import ForwardSegment, LoadReport
 from lycheeglade.route import Route, RoutingView
-from lycheeglade.segment import Segment
+from lycheeglade.segment import ConnectionKey, Segment
 from lycheeglade.view import State, Target
 
 OWN_ZONE = Zone("viti-west", "nadi-a")
@@ -23,6 +23,7 @@
 CALLER = Address("100.64.0.7", 40001)
 SERVICE = Address("198.18.0.1", 443)
 BALANCER = Address("10.1.0.10", 7720)
+KEY = ConnectionKey(CALLER, SERVICE)
 ROUTE = Route(SERVICE, {"booth-sync": 1.0}, timeout=1.5)
 
 
@@ -39,6 +40,10 @@
     )
 
 
+TARGETS = [make_target(number) for number in (1, 2, 3)]
+AGENTS = [target.agent for target in TARGETS]
+
+
 def make_view(targets, routes=(ROUTE,), revision=5, service="booth-sync"):
     return RoutingView(
         revision,
@@ -105,6 +110,14 @@
             update_routing(balancer, view, now)
         return balancer
 
+    def make_heard(self):
+        """Return a balancer of `TARGETS` that has heard their agents."""
+        balancer = self.make(make_view(TARGETS))
+        for agent in AGENTS:
+            receive_message(balancer, make_report(), agent, 0.0)
+        self.sent.clear()
+        return balancer
+
     def pop_forwarded_segments(self):
         """Return the `ForwardSegment` messages sent; clear the record."""
         sent, self.sent[:] = list(self.sent), []
--- a/tests/test_connection_balancer.py
+++ b/tests/test_connection_balancer.py
@@ -28,8 +28,11 @@
 from lycheeglade.target_load import CRASH_TIMEOUT_S, MIN_UNANSWERED
 from lycheeglade.view import State
 from tests.connections import (
+    AGENTS,
     CALLER,
+    KEY,
     SERVICE,
+    TARGETS,
     AgentRecorder,
     BalancerRecorder,
     data,
@@ -39,10 +42,6 @@
     opening,
 )
 
-KEY = ConnectionKey(CALLER, SERVICE)
-TARGETS = [make_target(number) for number in (1, 2, 3)]
-AGENTS = [target.agent for target in TARGETS]
-
 
 @pytest.fixture
 def recorder():
@@ -51,11 +50,7 @@
 
 @pytest.fixture
 def balancer(recorder):
-    made = recorder.make(make_view(TARGETS))
-    for agent in AGENTS:
-        receive_message(made, make_report(), agent, 0.0)
-    recorder.sent.clear()
-    return made
+    return recorder.make_heard()
 
 
 def test_opening_goes_to_one_agent(balancer, recorder):
--- a/tests/test_connection_search.py
+++ b/tests/test_connection_search.py
@@ -20,11 +20,12 @@
     ConnectionNotHeld,
     HomeFound,
 )
-from lycheeglade.segment import ConnectionKey
 from tests.connections import (
+    AGENTS,
     CALLER,
+    KEY,
     ROUTE,
-    SERVICE,
+    TARGETS,
     BalancerRecorder,
     data,
     make_report,
@@ -33,10 +34,6 @@
     opening,
 )
 
-KEY = ConnectionKey(CALLER, SERVICE)
-TARGETS = [make_target(number) for number in (1, 2, 3)]
-AGENTS = [target.agent for target in TARGETS]
-
 
 @pytest.fixture
 def recorder():
@@ -45,11 +42,7 @@
 
 @pytest.fixture
 def balancer(recorder):
-    made = recorder.make(make_view(TARGETS))
-    for agent in AGENTS:
-        receive_message(made, make_report(), agent, 0.0)
-    recorder.sent.clear()
-    return made
+    return recorder.make_heard()
 
 
 def test_unknown_connection_is_searched_and_its_segments_follow(balancer, recorder):
