Log why a search gave agents up, and answers that contradict a reset

Now given_up counts the agents that had not answered, by reason; reset-contradicted names a home whose answer arrived after the reset; refusals without a route count the established segments and give the age of the view. No decision changes.

--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -12,6 +12,7 @@
     Connection,
     ConnectionBalancer,
     Home,
+    UnroutedSegments,
     abandon_connection,
     forward_segment,
     send_message,
@@ -66,6 +67,9 @@
 # A gap of more than MIN_PAUSE_S seconds between two runs means that this
 # process was paused.
 MIN_PAUSE_S = 0.5
+# An agent's answer within MAX_ANSWER_DELAY_S seconds of a reset concerns the
+# connection that was reset; later, the caller may have reused its port.
+MAX_ANSWER_DELAY_S = 2.0
 
 
 def update_routing(balancer: ConnectionBalancer, view: RoutingView, now: float) -> None:
@@ -182,22 +186,26 @@
     source = key.caller.ip
     if source not in refusals and len(refusals) >= MAX_UNROUTED_SOURCES:
         source = OTHER_SOURCES
-    first_at, count, _ = refusals.get(source, (now, 0, key))
-    refusals[source] = (first_at, count + 1, key)
+    refused = refusals.setdefault(source, UnroutedSegments(now, key))
+    refused.latest = key
+    refused.count += 1
+    refused.established += not segment.opens
 
 
 def _log_unrouted(balancer: ConnectionBalancer, now: float) -> None:
-    for source, (first_at, count, latest) in list(balancer.unrouted_by_source.items()):
-        if now - first_at < UNROUTED_LOG_INTERVAL_S:
+    for source, refused in list(balancer.unrouted_by_source.items()):
+        if now - refused.first_at < UNROUTED_LOG_INTERVAL_S:
             continue
         del balancer.unrouted_by_source[source]
         balancer.actions.log(
             "refused",
             source=source,
-            latest=latest,
+            latest=refused.latest,
             cause="no-route",
             configuration=balancer.view.configuration,
-            count=count,
+            view_age_s=now - balancer.view_at,
+            count=refused.count,
+            established=refused.established,
         )
 
 
@@ -232,14 +240,21 @@
     load = balancer.loads_by_agent.get(home)
     if load is not None and load.target_ended and home not in balancer.targets_by_agent:
         balancer.actions.log("reset", connection=key, cause="target-ended", agent=home)
-        abandon_connection(balancer, key, segment.acknowledgement)
+        abandon_connection(balancer, key, segment.acknowledgement, now)
         return
     if route.repeatable and load is not None and load.has_crashed(now):
         # An agent that is silent without having announced its exit has
         # crashed. Requests that may not be repeated keep waiting: their answer
         # may still arrive.
-        balancer.actions.log("reset", connection=key, cause="agent-lost", agent=home)
-        abandon_connection(balancer, key, segment.acknowledgement)
+        balancer.actions.log(
+            "reset",
+            connection=key,
+            cause="agent-lost",
+            agent=home,
+            silent_s=now - load.unanswered_since,
+            unanswered=load.unanswered_messages,
+        )
+        abandon_connection(balancer, key, segment.acknowledgement, now)
         return
     forward_segment(balancer, home, segment, now)
 
@@ -273,6 +288,8 @@
     if load is not None:
         # The host has another target, whose agent has not reported yet.
         load.target_ended = False
+    if message.is_open:
+        _log_contradicted_reset(balancer, message.key, source, now)
     connection = _get_or_add_connection(balancer, message.key, now)
     homes = [home for home in connection.homes if home.agent != source]
     sequence = message.sequence
@@ -298,6 +315,17 @@
         forward_segment(balancer, pick_home(connection, segment), segment, now)
 
 
+def _log_contradicted_reset(
+    balancer: ConnectionBalancer, key: ConnectionKey, agent: Address, now: float
+) -> None:
+    """Log that a connection lives which this balancer reset as lost."""
+    reset_at = balancer.reset_at_by_key.pop(key, None)
+    if reset_at is not None and now - reset_at < MAX_ANSWER_DELAY_S:
+        balancer.actions.log(
+            "reset-contradicted", connection=key, agent=agent, after_s=now - reset_at
+        )
+
+
 def _handle_not_held(
     balancer: ConnectionBalancer,
     message: ConnectionNotHeld,
@@ -317,7 +345,7 @@
             balancer.actions.log(
                 "reset", connection=message.key, cause=cause, agent=source
             )
-            abandon_connection(balancer, message.key, message.acknowledgement)
+            abandon_connection(balancer, message.key, message.acknowledgement, now)
         return
     if connection.search is not None:
         connection.search.denying_agents.add(source)
--- a/lycheeglade/connection_balancer_state.py
+++ b/lycheeglade/connection_balancer_state.py
@@ -13,6 +13,8 @@
 from lycheeglade.target_load import AgentLoad
 from lycheeglade.view import Target
 
+MAX_RECORDED_RESETS = 1024
+
 
 @dataclass(frozen=True, slots=True)
 class ConnectionBalancerActions:
@@ -114,6 +116,24 @@
     search: Search | None = None
 
 
+@dataclass(slots=True)
+class UnroutedSegments:
+    """Refused segments of one caller's IP to addresses without a route.
+
+    Attributes
+    ----------
+    latest : ConnectionKey
+        Connection of the latest segment.
+    established : int
+        Segments that did not open a connection.
+    """
+
+    first_at: float
+    latest: ConnectionKey
+    count: int = 0
+    established: int = 0
+
+
 @dataclass(slots=True)
 class ConnectionBalancer:
     """State of one balancer.
@@ -131,8 +151,9 @@
     is_mass_restart : bool
         Whether most agents have started a short time ago.
     unrouted_by_source : dict
-        Refused segments to addresses without a route, by the caller's IP: the
-        time of the first, their number and the latest connection.
+        Refused segments to addresses without a route, by the caller's IP.
+    reset_at_by_key : dict
+        Times of the latest resets of connections as lost.
     warmup_overage : float
         Factor by which a cold target may get more than its rate.
     """
@@ -163,8 +184,9 @@
     opening_keys: set[ConnectionKey] = field(default_factory=set)
     accept_delay: float = 0.0
     queued_openings: list[Segment] = field(default_factory=list)
-    unrouted_by_source: dict[str, tuple[float, int, ConnectionKey]] = field(
-        default_factory=dict
+    unrouted_by_source: dict[str, UnroutedSegments] = field(default_factory=dict)
+    reset_at_by_key: OrderedDict[ConnectionKey, float] = field(
+        default_factory=OrderedDict
     )
     load_request_sent_at: float = 0.0
     first_request_sent_at: float = 0.0
@@ -200,8 +222,14 @@
 
 
 def abandon_connection(
-    balancer: ConnectionBalancer, key: ConnectionKey, acknowledgement: int
+    balancer: ConnectionBalancer,
+    key: ConnectionKey,
+    acknowledgement: int,
+    now: float,
 ) -> None:
     """Drop a lost connection and reset it towards its caller."""
     balancer.connections_by_key.pop(key, None)
+    balancer.reset_at_by_key[key] = now
+    if len(balancer.reset_at_by_key) > MAX_RECORDED_RESETS:
+        balancer.reset_at_by_key.popitem(last=False)
     balancer.actions.reset(key, acknowledgement)
--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -12,6 +12,9 @@
 their tables only, since a segment must not reach a target of another service.
 """
 
+from collections import Counter
+from dataclasses import dataclass
+
 from msgspec.structs import replace
 
 from lycheeglade.address import Address
@@ -32,7 +35,6 @@
     Segment,
     sequence_distance,
 )
-from lycheeglade.target_load import AgentLoad
 
 # A segment that arrives SEARCH_RETRY_S seconds after the last query repeats
 # the search at the agents that have not answered. Without further segments the
@@ -69,6 +71,22 @@
 MAX_QUEUED_SEGMENTS = 16
 
 
+@dataclass(frozen=True, slots=True)
+class AnswerLimit:
+    """How long a search waits for an agent that has not answered.
+
+    Attributes
+    ----------
+    seconds : float
+        Time since the start of the search.
+    cause : str
+        Why the wait ends, empty if it does not.
+    """
+
+    seconds: float
+    cause: str = ""
+
+
 def pick_home(connection: Connection, segment: Segment) -> Address | None:
     """Return the agent whose target's segments the caller acknowledges.
 
@@ -278,21 +296,21 @@
     search = connection.search
     if search is None or now - balancer.view_at < MIN_VIEW_AGE_S:
         return
+    given_up: Counter[str] = Counter()
     for agent in search.queried_agents - search.denying_agents:
-        load = balancer.loads_by_agent.get(agent)
-        if load is None:
-            continue
-        if now - search.started_at < _answer_timeout(
-            balancer, search, agent, load, now
-        ):
+        limit = _answer_limit(balancer, search, agent, now)
+        if now - search.started_at < limit.seconds:
             return
+        given_up[limit.cause] += 1
     balancer.actions.log(
         "reset",
         connection=key,
         cause="nowhere-found",
         asked=len(search.queried_agents),
         denied=len(search.denying_agents),
+        given_up=",".join(f"{cause}:{n}" for cause, n in sorted(given_up.items())),
         after_s=now - search.started_at,
+        view_age_s=now - balancer.view_at,
         revision=balancer.view.store,
     )
     acknowledgement = (
@@ -300,7 +318,7 @@
         if connection.queued_segments
         else 0
     )
-    abandon_connection(balancer, key, acknowledgement)
+    abandon_connection(balancer, key, acknowledgement, now)
 
 
 def detect_mass_restart(balancer: ConnectionBalancer, now: float) -> None:
@@ -317,23 +335,25 @@
     balancer.is_mass_restart = young > MASS_RESTART_SHARE * len(ages)
 
 
-def _answer_timeout(
-    balancer: ConnectionBalancer,
-    search: Search,
-    agent: Address,
-    load: AgentLoad,
-    now: float,
-) -> float:
+def _answer_limit(
+    balancer: ConnectionBalancer, search: Search, agent: Address, now: float
+) -> AnswerLimit:
     """Return how long a search waits for an agent that has not answered."""
+    load = balancer.loads_by_agent.get(agent)
+    if load is None:
+        return AnswerLimit(0.0, "forgotten")
     if load.has_crashed(now):
-        return ROUND_TRIP_TIMEOUT_S
+        return AnswerLimit(ROUND_TRIP_TIMEOUT_S, "crashed")
     # A target that drains may close its port before its last connections.
     if load.target_ended and agent not in balancer.targets_by_agent:
-        return ROUND_TRIP_TIMEOUT_S
+        return AnswerLimit(ROUND_TRIP_TIMEOUT_S, "ended")
     is_other_service = load.service not in search.services
     if balancer.is_mass_restart and (load.leaving or is_other_service):
-        return ROUND_TRIP_TIMEOUT_S
-    is_silent = load.silent or load.is_unresponsive(now)
-    if is_silent and not load.leaving:
-        return SEARCH_TIMEOUT_S
-    return float("inf")
+        return AnswerLimit(ROUND_TRIP_TIMEOUT_S, "mass-restart")
+    if load.leaving:
+        return AnswerLimit(float("inf"))
+    if load.silent:
+        return AnswerLimit(SEARCH_TIMEOUT_S, "silent")
+    if load.is_unresponsive(now):
+        return AnswerLimit(SEARCH_TIMEOUT_S, "unresponsive")
+    return AnswerLimit(float("inf"))
--- a/tests/test_connection_balancer.py
+++ b/tests/test_connection_balancer.py
@@ -365,7 +365,17 @@
     tick(balancer, 2.1)
     (fields,) = [fields for event, fields in recorder.events if event == "refused"]
     assert (fields["source"], fields["count"]) == (CALLER.ip, 300)
-    assert fields["cause"] == "no-route"
+    assert (fields["cause"], fields["established"]) == ("no-route", 0)
+
+
+def test_refused_segment_of_an_open_connection_is_told_from_an_opening(recorder):
+    """The log showed a reset of an open connection like a scan of addresses."""
+    balancer = recorder.make(make_view(TARGETS), now=1.0)
+    elsewhere = Address("198.18.9.9", 1)
+    receive_segment(balancer, replace(data(), destination=elsewhere), 1.5)
+    tick(balancer, 2.6)
+    (fields,) = [fields for event, fields in recorder.events if event == "refused"]
+    assert (fields["established"], fields["view_age_s"]) == (1, 1.6)
 
 
 def test_agents_that_were_never_heard_get_no_connection(recorder):
--- a/tests/test_connection_search.py
+++ b/tests/test_connection_search.py
@@ -272,6 +272,35 @@
     assert recorder.resets == [(KEY, 77)]
 
 
+def test_reset_names_why_agents_were_given_up(balancer, recorder):
+    """The log showed a reset by time-out like one by denial."""
+    for step in range(1, 21):
+        tick(balancer, step / 10)
+        for agent in AGENTS[:2]:
+            receive_message(balancer, make_report(), agent, step / 10)
+    receive_segment(balancer, data(), 2.0)
+    for agent in AGENTS[:2]:
+        receive_message(balancer, ConnectionNotHeld(KEY, 77), agent, 2.01)
+    tick(balancer, 2.01 + ROUND_TRIP_TIMEOUT_S)
+    [fields] = [fields for event, fields in recorder.events if event == "reset"]
+    assert fields["denied"] == 2
+    assert fields["given_up"] == "crashed:1"
+
+
+@pytest.mark.parametrize(("delay", "is_logged"), [(0.5, True), (2.5, False)])
+def test_answer_of_the_home_after_the_reset_is_logged(
+    balancer, recorder, delay, is_logged
+):
+    """Nothing in the log showed that a connection was reset that lived."""
+    receive_segment(balancer, data(), 1.0)
+    for agent in AGENTS:
+        receive_message(balancer, ConnectionNotHeld(KEY, 77), agent, 1.01)
+    assert recorder.resets
+    receive_message(balancer, HomeFound(KEY, 1000), AGENTS[0], 1.01 + delay)
+    events = [event for event, _ in recorder.events]
+    assert ("reset-contradicted" in events) is is_logged
+
+
 @pytest.mark.parametrize(("young", "is_reset"), [(3, False), (4, True)])
 def test_agents_of_other_services_hold_up_no_search_after_a_mass_restart(
     recorder, young, is_reset
