--- a/tests/test_connection_balancer.py
+++ b/tests/test_connection_balancer.py
@@ -369,7 +369,7 @@
 
 
 def test_refused_segment_of_an_open_connection_is_told_from_an_opening(recorder):
-    """The log showed a reset of an open connection like a scan of addresses."""
+    """The log showed both alike: a reset, and a scan of addresses."""
     balancer = recorder.make(make_view(TARGETS), now=1.0)
     elsewhere = Address("198.18.9.9", 1)
     receive_segment(balancer, replace(data(), destination=elsewhere), 1.5)
