--- /dev/null
+++ b/tests/test_false_resets.py
@@ -0,0 +1,154 @@
+"""Open connections whose targets hold them, and what must not reset them.
+
+The balancer and the agents are the real ones. Each test names the condition
+under which a balancer took an agent that lives for one that is gone.
+"""
+
+from random import Random
+
+import pytest
+
+from lycheeglade.connection_balancer import receive_message
+from lycheeglade.relay_message import HomeFound
+from tests.connection_fleet import Fleet
+from tests.connections import KEY
+
+FAR = 2  # index of an agent in another zone
+CALL_INTERVAL_S = 0.04
+
+
+def call_steadily(fleet, start, end):
+    """Let the connection's caller send data from `start` to `end`."""
+    for number in range(round((end - start) / CALL_INTERVAL_S)):
+        fleet.call(start + number * CALL_INTERVAL_S, sequence=8 + 100 * number)
+
+
+def hold(fleet, number=FAR, is_known=True):
+    """Let a target hold the connection, and its agent and balancer know it."""
+    home = fleet.agents[number]
+    home.held.add(KEY)
+    if is_known:
+        receive_message(
+            fleet.balancer, HomeFound(KEY, 1000), home.address, fleet.now or 1e-6
+        )
+    return home
+
+
+def make_lossy(fleet, share, seed):
+    generator = Random(seed)
+    fleet.is_lost = lambda source, to: generator.random() < share
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_late_answers_and_a_few_lost_ones_reset_nothing(seed):
+    """The link's queue was half full; one lost answer looked like a crash."""
+    fleet = Fleet()
+    hold(fleet)
+    make_lossy(fleet, 0.03, seed)
+    fleet.delay = lambda now: 0.22
+    call_steadily(fleet, 1.0, 20.0)
+    fleet.run(20.0)
+    assert not fleet.is_reset()
+
+
+@pytest.mark.parametrize("peak", [0.25, 0.5, 0.75])
+def test_answers_that_get_late_reset_nothing(peak):
+    """The queue of the balancer's link grew, and agents counted as crashed."""
+    fleet = Fleet()
+    hold(fleet)
+    # The delay grows by half of the time that passes.
+    fleet.delay = lambda now: min(peak, max(0.005, (now - 3.0) / 2))
+    call_steadily(fleet, 1.0, 10.0)
+    fleet.run(10.0)
+    assert not fleet.is_reset()
+
+
+@pytest.mark.parametrize("offset", [0.0, 0.1, 0.2, 0.3, 0.4])
+@pytest.mark.parametrize("pause", [0.3, 0.45])
+def test_short_pause_of_the_balancer_resets_nothing(offset, pause):
+    """It read callers' segments before the agents' answers."""
+    fleet = Fleet()
+    hold(fleet)
+    call_steadily(fleet, 1.0, 8.0)
+    for cycle in range(4):
+        start = 2.0 + offset + cycle * 1.3
+        fleet.run(start)
+        fleet.paused_until = start + pause
+    fleet.run(8.0)
+    assert not fleet.is_reset()
+
+
+@pytest.mark.parametrize("offset", [0.0, 0.25, 0.5, 0.75])
+@pytest.mark.parametrize("length", [0.4, 0.8])
+def test_short_loss_of_all_datagrams_resets_nothing(offset, length):
+    """A link that was full for a moment made all far agents look crashed."""
+    fleet = Fleet()
+    hold(fleet)
+    start = 3.0 + offset
+    fleet.is_lost = lambda source, to: start <= fleet.now < start + length
+    call_steadily(fleet, 1.0, 6.0)
+    fleet.run(6.0)
+    assert not fleet.is_reset()
+
+
+def test_balancer_that_starts_while_an_agent_restarts_resets_nothing():
+    """It had not heard that the agent would be back."""
+    fleet = Fleet()
+    fleet.run(3.0)
+    home = hold(fleet, is_known=False)
+    home.restart(3.0, seconds=3.0)
+    fleet.run(3.1)
+    fleet.start_balancer()
+    fleet.call(3.2)
+    for number in range(1, 6):
+        fleet.call(3.2 + number * 0.5)
+    fleet.run(5.9)
+    assert not fleet.is_reset()
+    fleet.run(7.0)
+    home_is_found = any(event == "found" for _, event, _ in fleet.logged)
+    assert home_is_found
+
+
+@pytest.mark.parametrize("length", [0.9, 1.1])
+def test_agent_that_answers_after_a_second_ends_no_search(length):
+    """It was given up after 0.8 s, though it did not count as crashed."""
+    fleet = Fleet(agents=8)
+    home = hold(fleet, is_known=False)
+    fleet.is_lost = lambda source, to: (
+        home.address in (source, to) and 3.0 <= fleet.now < 3.0 + length
+    )
+    for number in range(6):
+        fleet.call(3.0 + number * 0.4)
+    fleet.run(6.0)
+    assert not fleet.is_reset()
+
+
+def test_target_that_works_on_the_requests_of_a_restarted_agent_is_not_lost():
+    """Two requests took over 0.6 s each, and the agent knew neither."""
+    fleet = Fleet()
+    fleet.run(2.0)
+    home = hold(fleet, is_known=False)
+    home.held.add(KEY._replace(caller=KEY.caller._replace(port=40002)))
+    home.service_time = 2.5
+    home.restart(2.0, seconds=1.0)
+    for number in range(4):
+        fleet.call(3.2 + number * 0.4)
+        fleet.call(3.2 + number * 0.4, port=40002)
+    fleet.run(8.0)
+    assert fleet.resets == []
+
+
+@pytest.mark.parametrize("interval", [0.2, 0.4])
+def test_agents_that_restart_in_turn_reset_nothing(interval):
+    """The last ones were given up at once, as after a loss of power."""
+    fleet = Fleet()
+    fleet.run(2.0)
+    home = hold(fleet, number=11, is_known=False)
+    for number, agent in enumerate(fleet.agents):
+        agent.restart(2.0 + number * interval, seconds=1.2)
+    stopped_at = 2.0 + 11 * interval
+    for number in range(8):
+        fleet.call(stopped_at + 0.1 + number * 0.2)
+    fleet.run(stopped_at + 3.0)
+    assert not fleet.is_reset()
+    assert KEY in home.held
