Tell a crashed agent from a balancer that hears all agents late

Callers saw resets of open connections (agent-lost) while their agents lived. A home was given up after 1.2 s of silence and four unanswered messages, and forwarded segments, which no agent answers, counted as messages. An agent of another zone is heard once a second, so that 0.4 s of delay, pause or loss at the balancer sufficed.

Now only load requests count, each only if the balancer heard another agent before it sent the next one. The mean answer time and four deviations (RFC 6298) are added to the time-out. A balancer that is paused or cut off hears nobody, and one whose queues are long sees long answer times, so that neither can find a crash.

--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -7,7 +7,14 @@
 """
 
 from lycheeglade.address import Address
-from lycheeglade.cold_targets import learn_warmup, warmup_left
+from lycheeglade.agent_probe import (
+    has_crashed,
+    record_answer_time,
+    record_message,
+    request_loads,
+    send_load_request,
+)
+from lycheeglade.cold_targets import learn_warmup
 from lycheeglade.connection_balancer_state import (
     Connection,
     ConnectionBalancer,
@@ -15,7 +22,6 @@
     UnroutedSegments,
     abandon_connection,
     forward_segment,
-    send_message,
 )
 from lycheeglade.connection_limits import CONNECTION_LIFETIME_S
 from lycheeglade.connection_opening import (
@@ -41,7 +47,6 @@
     ConnectionNotHeldBy,
     HomeFound,
     LoadReport,
-    LoadRequest,
     Message,
     OpeningHeld,
     OpeningRefused,
@@ -60,10 +65,6 @@
 UNROUTED_LOG_INTERVAL_S = 1.0
 MAX_UNROUTED_SOURCES = 64
 OTHER_SOURCES = "others"
-# Interval for agents that were never heard: after a loss of power they start
-# at about the same time as the balancers. The same holds for unresponsive
-# agents, until they count as crashed.
-FIRST_REQUEST_INTERVAL_S = 0.1
 # A gap of more than MIN_PAUSE_S seconds between two runs means that this
 # process was paused.
 MIN_PAUSE_S = 0.5
@@ -107,7 +108,7 @@
             if load.lifetime > known[1]:
                 load.target_ended = False
             load.slots = target.slots
-            _send_load_request(balancer, target.agent, now)
+            send_load_request(balancer, target.agent, now)
     if view.configuration and balancer.queued_openings:
         queued, balancer.queued_openings = balancer.queued_openings, []
         for segment in queued:
@@ -242,7 +243,7 @@
         balancer.actions.log("reset", connection=key, cause="target-ended", agent=home)
         abandon_connection(balancer, key, segment.acknowledgement, now)
         return
-    if route.repeatable and load is not None and load.has_crashed(now):
+    if route.repeatable and load is not None and has_crashed(balancer, load, now):
         # An agent that is silent without having announced its exit has
         # crashed. Requests that may not be repeated keep waiting: their answer
         # may still arrive.
@@ -252,7 +253,8 @@
             cause="agent-lost",
             agent=home,
             silent_s=now - load.unanswered_since,
-            unanswered=load.unanswered_messages,
+            unanswered=load.witnessed_requests,
+            answer_time_s=balancer.answer_time.limit,
         )
         abandon_connection(balancer, key, segment.acknowledgement, now)
         return
@@ -265,8 +267,7 @@
     """Process a message from an agent."""
     load = balancer.loads_by_agent.get(source)
     if load is not None:
-        load.last_heard_at = now
-        load.unanswered_since = None
+        record_message(balancer, load, now)
     if isinstance(message, HomeFound):
         _handle_home_found(balancer, message, source, now)
     elif isinstance(message, ConnectionNotHeld):
@@ -373,6 +374,7 @@
     if load.previous_incarnation and load.previous_incarnation == report.incarnation:
         # The report was delayed and overtaken by those of the present process.
         return
+    record_answer_time(balancer, load, report, now)
     if load.incarnation != report.incarnation or load.silent != report.silent:
         balancer.actions.log(
             "agent",
@@ -400,40 +402,12 @@
     load.started_at = now - report.age if report.age >= 0.0 else float("-inf")
 
 
-def _send_load_request(
-    balancer: ConnectionBalancer, agent: Address, now: float
-) -> None:
-    load = balancer.loads_by_agent[agent]
-    request = LoadRequest(
-        load.slots,
-        load.is_near,
-        warmup_left(load, now),
-        load.warmup_rate,
-        max(load.lifetime, 0),
-    )
-    send_message(balancer, agent, request, now)
-
-
 def tick(balancer: ConnectionBalancer, now: float) -> None:
     """Run the periodic work; call it about 50 times a second."""
     _detect_pause(balancer, now)
-    interval = balancer.limits.load_request_interval_s
-    if now - balancer.load_request_sent_at >= interval:
-        balancer.load_request_sent_at = now
+    if now - balancer.load_request_sent_at >= balancer.limits.load_request_interval_s:
         _evict_idle(balancer, now)
-        balancer.first_request_sent_at = now
-        balancer.load_request_rounds += 1
-        for number, (agent, load) in enumerate(balancer.loads_by_agent.items()):
-            # Agents of other zones are asked in every other round: the bytes
-            # between zones grow with balancers times agents.
-            if load.is_near or (number + balancer.load_request_rounds) % 2:
-                _send_load_request(balancer, agent, now)
-    elif now - balancer.first_request_sent_at >= FIRST_REQUEST_INTERVAL_S:
-        balancer.first_request_sent_at = now
-        for agent, load in balancer.loads_by_agent.items():
-            is_new = load.last_heard_at == float("-inf")
-            if is_new or (load.is_unresponsive(now) and not load.has_crashed(now)):
-                _send_load_request(balancer, agent, now)
+    request_loads(balancer, now)
     detect_mass_restart(balancer, now)
     retry_openings(balancer, now)
     _log_unrouted(balancer, now)
--- a/lycheeglade/connection_balancer_state.py
+++ b/lycheeglade/connection_balancer_state.py
@@ -6,6 +6,7 @@
 from random import Random
 
 from lycheeglade.address import Address, Zone
+from lycheeglade.answer_time import AnswerTime
 from lycheeglade.connection_limits import DEFAULT_LIMITS, ConnectionLimits
 from lycheeglade.relay_message import ForwardSegment, Message
 from lycheeglade.route import RoutingView
@@ -154,6 +155,10 @@
         Refused segments to addresses without a route, by the caller's IP.
     reset_at_by_key : dict
         Times of the latest resets of connections as lost.
+    agent_heard_at : float
+        Time of the latest message from any agent.
+    probed_at : float
+        Time of the latest load requests to unresponsive agents.
     warmup_overage : float
         Factor by which a cold target may get more than its rate.
     """
@@ -188,8 +193,11 @@
     reset_at_by_key: OrderedDict[ConnectionKey, float] = field(
         default_factory=OrderedDict
     )
+    agent_heard_at: float = float("-inf")
+    answer_time: AnswerTime = field(default_factory=AnswerTime)
     load_request_sent_at: float = 0.0
     first_request_sent_at: float = 0.0
+    probed_at: float = 0.0
     load_request_rounds: int = 0
     mass_restart_checked_at: float = 0.0
     is_mass_restart: bool = False
@@ -217,6 +225,8 @@
         if load.unanswered_since is None:
             load.unanswered_since = now
             load.unanswered_messages = 0
+            load.unanswered_requests = 0
+            load.witnessed_requests = 0
         load.unanswered_messages += 1
     balancer.actions.send(agent, message)
 
--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -18,6 +18,7 @@
 from msgspec.structs import replace
 
 from lycheeglade.address import Address
+from lycheeglade.agent_probe import has_crashed
 from lycheeglade.connection_balancer_state import (
     Connection,
     ConnectionBalancer,
@@ -342,7 +343,7 @@
     load = balancer.loads_by_agent.get(agent)
     if load is None:
         return AnswerLimit(0.0, "forgotten")
-    if load.has_crashed(now):
+    if has_crashed(balancer, load, now):
         return AnswerLimit(ROUND_TRIP_TIMEOUT_S, "crashed")
     # A target that drains may close its port before its last connections.
     if load.target_ended and agent not in balancer.targets_by_agent:
--- a/lycheeglade/target_load.py
+++ b/lycheeglade/target_load.py
@@ -28,8 +28,9 @@
 # abandoned.
 CRASH_TIMEOUT_S = 1.2
 # Balancers repeat their requests to an unresponsive agent, so that this many
-# are out before CRASH_TIMEOUT_S has passed.
-MIN_UNANSWERED = 4
+# are out before CRASH_TIMEOUT_S has passed. With a tenth of the answers lost,
+# all of them are lost once in a million times.
+MIN_UNANSWERED = 6
 # An agent that has announced its exit has RESTART_TIMEOUT_S seconds to start
 # again.
 RESTART_TIMEOUT_S = 5.0
@@ -64,6 +65,16 @@
         all are answered.
     unanswered_messages : int
         Messages to the agent since its latest one.
+    unanswered_requests : int
+        Load requests among them.
+    witnessed_requests : int
+        Load requests among them, after which the balancer heard another agent
+        before the next one.
+    last_request_at : float
+        Time of the latest load request.
+    requested_at : float
+        Time of the oldest load request since the agent's latest report, None
+        if there is none.
     is_near : bool
         Whether the agent is in the balancer's zone.
     is_unmeasured : bool
@@ -95,6 +106,10 @@
     is_near: bool = True
     unanswered_since: float | None = None
     unanswered_messages: int = 0
+    unanswered_requests: int = 0
+    witnessed_requests: int = 0
+    last_request_at: float = float("-inf")
+    requested_at: float | None = None
     recent_placements: int = 0
     service_time: float = UNKNOWN_SERVICE_TIME_S
     is_unmeasured: bool = False
@@ -129,20 +144,28 @@
             and now - self.reported_at < WINDOW_S
         )
 
-    def has_crashed(self, now: float) -> bool:
+    def has_crashed(self, now: float, answer_time: float = 0.0) -> bool:
         """Return whether the agent's silence shows that it has crashed.
 
         The time-out is `CRASH_TIMEOUT_S`, or `RESTART_TIMEOUT_S` after an
         announced exit. Single datagrams may be lost, so `MIN_UNANSWERED`
-        messages must have stayed without an answer.
+        load requests must have stayed without an answer, and without an
+        announced exit the balancer must have heard other agents after each.
+
+        Parameters
+        ----------
+        answer_time : float
+            Seconds that the agents take to answer the balancer at present.
         """
         if self.unanswered_since is None:
             return False
-        timeout = RESTART_TIMEOUT_S if self.leaving else CRASH_TIMEOUT_S
-        return (
-            self.unanswered_messages >= MIN_UNANSWERED
-            and now - self.unanswered_since > timeout
-        )
+        silence = now - self.unanswered_since - answer_time
+        if self.leaving:
+            return (
+                self.unanswered_requests >= MIN_UNANSWERED
+                and silence > RESTART_TIMEOUT_S
+            )
+        return self.witnessed_requests >= MIN_UNANSWERED and silence > CRASH_TIMEOUT_S
 
     def is_unresponsive(self, now: float) -> bool:
         """Return whether no answer came within `RESPONSE_TIMEOUT_S`."""
--- a/tests/test_false_resets.py
+++ b/tests/test_false_resets.py
@@ -152,3 +152,27 @@
     fleet.run(stopped_at + 3.0)
     assert not fleet.is_reset()
     assert KEY in home.held
+
+
+@pytest.mark.parametrize("share", [0.2, 0.4])
+@pytest.mark.parametrize("seed", [2, 3])
+def test_lost_datagrams_reset_nothing(share, seed):
+    """The balancer's link was full; four lost messages were a crash."""
+    fleet = Fleet()
+    hold(fleet)
+    make_lossy(fleet, share, seed)
+    call_steadily(fleet, 1.0, 20.0)
+    fleet.run(20.0)
+    assert not fleet.is_reset()
+
+
+@pytest.mark.parametrize(("delay", "limit"), [(0.005, 1.4), (0.2, 2.2)])
+def test_connection_of_a_crashed_agent_is_still_reset_soon(delay, limit):
+    fleet = Fleet()
+    home = hold(fleet)
+    fleet.delay = lambda now: delay
+    call_steadily(fleet, 1.0, 10.0)
+    fleet.run(5.0)
+    home.stop()
+    fleet.run(5.0 + limit)
+    assert fleet.is_reset()
