Let a search wait for an agent until it counts as crashed

A search gave up agents that had not answered for 0.8 s, and reset connections that their targets held: an agent that answers after 0.9 or 1.1 s lost its connection (given_up=unresponsive). That time-out is meant for placements, where a mistake costs nothing. Now a search waits until the agent counts as crashed.

The callers of an agent that has just crashed wait up to 0.4 s longer for the end of a search; those of an agent that crashed 1.2 s ago or earlier as before.

--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -50,7 +50,7 @@
 # each group of `relayed_queries` asks the others.
 MAX_DIRECT_QUERIES = 8
 # From SEARCH_TIMEOUT_S seconds on, the search no longer waits for agents
-# whose target is silent, or which are unresponsive themselves.
+# whose target is silent.
 SEARCH_TIMEOUT_S = 0.4
 # An agent that counts as crashed, or whose target has ended, is still asked:
 # its answers may only have been lost or late, and another target may have
@@ -355,6 +355,4 @@
         return AnswerLimit(float("inf"))
     if load.silent:
         return AnswerLimit(SEARCH_TIMEOUT_S, "silent")
-    if load.is_unresponsive(now):
-        return AnswerLimit(SEARCH_TIMEOUT_S, "unresponsive")
     return AnswerLimit(float("inf"))
