Let a new balancer wait for an agent that restarts

A balancer that started while an agent restarted had not heard its announced exit. It gave the agent up as crashed after 1.2 s and reset the connections of its target, which serves on (given_up=crashed). Balancers and agents are both restarted by plan, also at the same time.

Now an agent that was never heard has the 5 s of one that announced its exit, as long as the view names its target. It does not if most agents have just started, as after a loss of power: there the search still ends 1.6 s after the balancer's start at the latest, like before. A caller whose target's host was lost within the last seconds waits up to 5 s at a balancer that has started since then, until the store removes the entry; at others nothing changes.

--- a/lycheeglade/agent_probe.py
+++ b/lycheeglade/agent_probe.py
@@ -19,12 +19,23 @@
 PROBE_INTERVAL_S = 0.05
 
 
-def has_crashed(balancer: ConnectionBalancer, load: AgentLoad, now: float) -> bool:
+def has_crashed(balancer: ConnectionBalancer, agent: Address, now: float) -> bool:
     """Return whether an agent's silence shows that it has crashed.
 
-    The time that other agents take to answer is added to the time-out.
+    The time that other agents take to answer is added to the time-out. An
+    agent that was never heard may have announced its exit before this process
+    started. After a loss of power no agent has, and those that do not return
+    would hold up the searches of all callers.
     """
-    return load.has_crashed(now, balancer.answer_time.limit)
+    load = balancer.loads_by_agent.get(agent)
+    if load is None:
+        return False
+    may_restart = (
+        load.last_heard_at == float("-inf")
+        and agent in balancer.targets_by_agent
+        and not balancer.is_mass_restart
+    )
+    return load.has_crashed(now, balancer.answer_time.limit, may_restart)
 
 
 def record_message(balancer: ConnectionBalancer, load: AgentLoad, now: float) -> None:
@@ -110,7 +121,7 @@
             continue
         if not load.is_unresponsive(now):
             responsive.append(agent)
-        elif not has_crashed(balancer, load, now):
+        elif not has_crashed(balancer, agent, now):
             send_load_request(balancer, agent, now)
             is_probing = True
     if is_probing and responsive and not was_heard:
--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -243,7 +243,7 @@
         balancer.actions.log("reset", connection=key, cause="target-ended", agent=home)
         abandon_connection(balancer, key, segment.acknowledgement, now)
         return
-    if route.repeatable and load is not None and has_crashed(balancer, load, now):
+    if route.repeatable and has_crashed(balancer, home, now):
         # An agent that is silent without having announced its exit has
         # crashed. Requests that may not be repeated keep waiting: their answer
         # may still arrive.
--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -343,7 +343,7 @@
     load = balancer.loads_by_agent.get(agent)
     if load is None:
         return AnswerLimit(0.0, "forgotten")
-    if has_crashed(balancer, load, now):
+    if has_crashed(balancer, agent, now):
         return AnswerLimit(ROUND_TRIP_TIMEOUT_S, "crashed")
     # A target that drains may close its port before its last connections.
     if load.target_ended and agent not in balancer.targets_by_agent:
--- a/lycheeglade/target_load.py
+++ b/lycheeglade/target_load.py
@@ -31,8 +31,8 @@
 # are out before CRASH_TIMEOUT_S has passed. With a tenth of the answers lost,
 # all of them are lost once in a million times.
 MIN_UNANSWERED = 6
-# An agent that has announced its exit has RESTART_TIMEOUT_S seconds to start
-# again.
+# An agent that has announced its exit, or that a balancer has not heard since
+# its own start, has RESTART_TIMEOUT_S seconds to start again.
 RESTART_TIMEOUT_S = 5.0
 UNKNOWN_SERVICE_TIME_S = 0.03
 MAX_BUSY = 0.95
@@ -144,28 +144,30 @@
             and now - self.reported_at < WINDOW_S
         )
 
-    def has_crashed(self, now: float, answer_time: float = 0.0) -> bool:
+    def has_crashed(
+        self, now: float, answer_time: float = 0.0, may_restart: bool = False
+    ) -> bool:
         """Return whether the agent's silence shows that it has crashed.
 
-        The time-out is `CRASH_TIMEOUT_S`, or `RESTART_TIMEOUT_S` after an
-        announced exit. Single datagrams may be lost, so `MIN_UNANSWERED`
-        load requests must have stayed without an answer, and without an
-        announced exit the balancer must have heard other agents after each.
+        The time-out is `CRASH_TIMEOUT_S`, or `RESTART_TIMEOUT_S` if the agent
+        may return. Single datagrams may be lost, so `MIN_UNANSWERED` load
+        requests must have stayed without an answer, and without an announced
+        exit the balancer must have heard other agents after each.
 
         Parameters
         ----------
         answer_time : float
             Seconds that the agents take to answer the balancer at present.
+        may_restart : bool
+            Whether the agent may restart though it has not announced its exit
+            here.
         """
         if self.unanswered_since is None:
             return False
         silence = now - self.unanswered_since - answer_time
-        if self.leaving:
-            return (
-                self.unanswered_requests >= MIN_UNANSWERED
-                and silence > RESTART_TIMEOUT_S
-            )
-        return self.witnessed_requests >= MIN_UNANSWERED and silence > CRASH_TIMEOUT_S
+        requests = self.unanswered_requests if self.leaving else self.witnessed_requests
+        timeout = RESTART_TIMEOUT_S if self.leaving or may_restart else CRASH_TIMEOUT_S
+        return requests >= MIN_UNANSWERED and silence > timeout
 
     def is_unresponsive(self, now: float) -> bool:
         """Return whether no answer came within `RESPONSE_TIMEOUT_S`."""
--- a/tests/test_false_resets.py
+++ b/tests/test_false_resets.py
@@ -176,3 +176,18 @@
     home.stop()
     fleet.run(5.0 + limit)
     assert fleet.is_reset()
+
+
+def test_search_after_a_loss_of_power_waits_for_no_agent_that_stays_away():
+    """The store still names its target, which did not start again."""
+    fleet = Fleet()
+    fleet.run(3.0)
+    for agent in fleet.agents[:-2]:
+        agent.start(3.0)
+    for agent in fleet.agents[-2:]:
+        agent.stop()
+    fleet.start_balancer()
+    for number in range(8):
+        fleet.call(3.1 + number * 0.2)
+    fleet.run(4.6)
+    assert fleet.is_reset()
