Check a silent target's port before searches give it up

An agent that had restarted did not know its target's connections. Two requests on them that took over 0.6 s left two segments without an answer, so the agent reported its target as silent, and searches of other balancers reset the connections after 0.4 s (given_up=silent). A target acknowledges every second packet only, so that silence alone shows nothing.

Now the agent checks while its target is silent, each 0.5 s, whether a process listens at its port, as it does when it stops. The report names the target as ended if the port is closed, and only then does a search stop waiting; never for a target that drains, which may have closed its port only. A target that is frozen keeps its connections.

Cost: one connection to the target each 0.5 s while it is silent.

--- a/lycheeglade/connection_agent.py
+++ b/lycheeglade/connection_agent.py
@@ -55,6 +55,8 @@
 # On a host that has just got power, the target starts up to this time before
 # its agent.
 MAX_START_DELAY_S = 3.0
+# While the target is silent, its port is checked at this interval.
+PORT_CHECK_INTERVAL_S = 0.5
 # A request without an answer after ANSWER_TIMEOUT_S seconds counts as failed.
 ANSWER_TIMEOUT_S = 1.0
 # Answers that take less than MIN_ANSWER_TIME_S seconds are refusals by a full
@@ -231,6 +233,7 @@
     agent.silence.record_answer()
     # Another process of the target may have started while this one stops.
     agent.has_target_ended = False
+    agent.is_port_closed = False
     if segment.returned:
         _receive_returned(agent, segment, now)
         return
@@ -319,6 +322,21 @@
     log_load(agent, now)
 
 
+def is_port_check_due(agent: ConnectionAgent, now: float) -> bool:
+    """Return whether to check if a process listens at the target's port.
+
+    Only the check tells a target that has ended from one that works on long
+    requests.
+    """
+    if not agent.silence.is_silent(now):
+        agent.is_port_closed = False
+        return False
+    if now - agent.port_checked_at < PORT_CHECK_INTERVAL_S:
+        return False
+    agent.port_checked_at = now
+    return True
+
+
 def _evict_idle(agent: ConnectionAgent, now: float) -> None:
     connections = agent.connections_by_key
     while connections:
--- a/lycheeglade/connection_agent_daemon.py
+++ b/lycheeglade/connection_agent_daemon.py
@@ -7,6 +7,7 @@
 
 from lycheeglade.address import Address
 from lycheeglade.connection_agent import (
+    is_port_check_due,
     receive_from_target,
     receive_message,
 )
@@ -115,9 +116,16 @@
     )
     log("started", host=settings.host_id, role="agent", service=settings.service)
     readiness = create_task(serve_readiness(lambda: not stop.is_set()))
+    port_check = None
+
+    async def check_port() -> None:
+        agent.is_port_closed = not await accepts_connections(settings.upstream)
 
     def tick(now: float) -> None:
+        nonlocal port_check
         raise_task_failures([readiness])
+        if is_port_check_due(agent, now):
+            port_check = create_task(check_port())
         tick_agent(agent, now)
 
     await run_until(stop, tick, TICK_S)
@@ -134,3 +142,5 @@
         tick_agent(agent, monotonic())
     log("stopped", host=settings.host_id)
     readiness.cancel()
+    if port_check is not None:
+        port_check.cancel()
--- a/lycheeglade/connection_agent_state.py
+++ b/lycheeglade/connection_agent_state.py
@@ -111,6 +111,9 @@
         Opening segments of the connections in `opening_queue`.
     far_reported_at_by_balancer : dict
         Time of the latest load report to each balancer of another zone.
+    is_port_closed : bool
+        Whether no process listened at the target's port since the target has
+        become silent.
     has_reported_full_window : bool
         Whether the latest load report said that a cold target can take no
         opening at present.
@@ -155,6 +158,8 @@
     last_report: LoadReport | None = None
     is_leaving: bool = False
     has_target_ended: bool = False
+    is_port_closed: bool = False
+    port_checked_at: float = float("-inf")
     searches: SearchRelay | None = None
     warmup_bounds: WarmupBounds | None = None
     warmup: WarmupWindow | None = None
--- a/lycheeglade/connection_load.py
+++ b/lycheeglade/connection_load.py
@@ -67,6 +67,7 @@
 
 def make_report(agent: ConnectionAgent, now: float) -> LoadReport:
     """Return a report of the current load."""
+    silent = agent.silence.is_silent(now)
     return LoadReport(
         incarnation=agent.incarnation,
         service=agent.service,
@@ -74,10 +75,10 @@
         service_time=agent.service_time.mean if agent.service_time.is_measured else 0.0,
         busy=_reported_busy_share(agent, now),
         connections=len(agent.connections_by_key),
-        silent=agent.silence.is_silent(now),
+        silent=silent,
         leaving=agent.is_leaving,
         failing=agent.failures.share(now),
-        target_ended=agent.has_target_ended,
+        target_ended=agent.has_target_ended or (silent and agent.is_port_closed),
         age=now - agent.started_at,
     )
 
@@ -96,11 +97,13 @@
     is_unchanged = previous is not None and (
         report.running,
         report.silent,
+        report.target_ended,
         report.leaving,
         is_full,
     ) == (
         previous.running,
         previous.silent,
+        previous.target_ended,
         previous.leaving,
         agent.has_reported_full_window,
     )
@@ -109,7 +112,10 @@
     agent.reported_at = now
     agent.last_report = report
     agent.has_reported_full_window = is_full
-    is_urgent = previous is not None and report.silent != previous.silent
+    is_urgent = previous is not None and (report.silent, report.target_ended) != (
+        previous.silent,
+        previous.target_ended,
+    )
     far_interval = max(limits.report_interval_s, far / limits.far_reports_per_s)
     _send_report(agent, report, now, 0.0 if is_urgent else far_interval)
 
--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -36,6 +36,7 @@
     Segment,
     sequence_distance,
 )
+from lycheeglade.view import State
 
 # A segment that arrives SEARCH_RETRY_S seconds after the last query repeats
 # the search at the agents that have not answered. Without further segments the
@@ -50,7 +51,8 @@
 # each group of `relayed_queries` asks the others.
 MAX_DIRECT_QUERIES = 8
 # From SEARCH_TIMEOUT_S seconds on, the search no longer waits for agents
-# whose target is silent.
+# whose target is silent and does not listen. One that only is silent may work
+# on a long request.
 SEARCH_TIMEOUT_S = 0.4
 # An agent that counts as crashed, or whose target has ended, is still asked:
 # its answers may only have been lost or late, and another target may have
@@ -322,6 +324,12 @@
     abandon_connection(balancer, key, acknowledgement, now)
 
 
+def _is_draining(balancer: ConnectionBalancer, agent: Address) -> bool:
+    """Return whether the agent's target may have closed its port only."""
+    targets = balancer.targets_by_agent.get(agent, ())
+    return any(target.state is not State.LIVE for target in targets)
+
+
 def detect_mass_restart(balancer: ConnectionBalancer, now: float) -> None:
     """Update whether most agents have started a short time ago."""
     if now - balancer.mass_restart_checked_at < MASS_RESTART_INTERVAL_S:
@@ -353,6 +361,6 @@
         return AnswerLimit(ROUND_TRIP_TIMEOUT_S, "mass-restart")
     if load.leaving:
         return AnswerLimit(float("inf"))
-    if load.silent:
+    if load.silent and load.target_ended and not _is_draining(balancer, agent):
         return AnswerLimit(SEARCH_TIMEOUT_S, "silent")
     return AnswerLimit(float("inf"))
--- a/lycheeglade/relay_message.py
+++ b/lycheeglade/relay_message.py
@@ -145,7 +145,7 @@
     failing : float
         Share of the recent requests that the target failed, 0 to 1.
     target_ended : bool
-        Whether the target's process has ended. An agent of an ended target
+        Whether the target's process has ended. If the agent also exits, it
         does not return.
     age : float
         Seconds since the agent's process started, -1 if not reported.
--- a/lycheeglade/target_silence.py
+++ b/lycheeglade/target_silence.py
@@ -2,7 +2,9 @@
 
 After a power failure, callers continue connections that are lost. A target
 that is down returns none of their packets, so without this detection no
-balancer would reset these connections.
+balancer would reset these connections. A target that works on long requests
+sends nothing either, so the agent then checks whether a process listens at the
+target's port.
 """
 
 from collections.abc import Hashable
--- a/tests/connection_fleet.py
+++ b/tests/connection_fleet.py
@@ -8,6 +8,7 @@
 
 from lycheeglade.address import Address
 from lycheeglade.connection_agent import (
+    is_port_check_due,
     receive_from_target,
 )
 from lycheeglade.connection_agent import receive_message as agent_receive
@@ -57,6 +58,7 @@
         self.address = self.target.agent
         self.held = set()
         self.service_time = 0.02
+        self.has_target_ended = False
         self.incarnation = 0
         self.agent = None
         self.start(STARTED_AT)
@@ -92,10 +94,14 @@
 
     def tick(self, now):
         if self.agent is not None:
+            if is_port_check_due(self.agent, now):
+                self.agent.is_port_closed = self.has_target_ended
             tick_agent(self.agent, now)
 
     def _deliver(self, segment, tag):
         key = segment.key_from_caller
+        if self.has_target_ended:
+            return
         if key not in self.held:
             self._send(replace(segment, tag=tag, returned=True), 0.001)
         elif segment.data_bytes:
--- a/tests/test_false_resets.py
+++ b/tests/test_false_resets.py
@@ -191,3 +191,16 @@
         fleet.call(3.1 + number * 0.2)
     fleet.run(4.6)
     assert fleet.is_reset()
+
+
+def test_connection_of_a_target_that_has_ended_is_reset():
+    """Its agent lives, and its entry is still in the store."""
+    fleet = Fleet()
+    fleet.run(2.0)
+    home = hold(fleet, is_known=False)
+    home.has_target_ended = True
+    for number in range(10):
+        fleet.call(2.0 + number * 0.2)
+        fleet.call(2.0 + number * 0.2, port=40002)
+    fleet.run(3.2)
+    assert fleet.is_reset()
