Do not take agents that restart in turn for a loss of power

Where more than three quarters of the agents restarted by plan within 5 s, in turn, balancers took that for a loss of power. Searches then waited 0.15 s for an agent that was just stopping, and reset the connections of its target (given_up=mass-restart).

Now an agent whose earlier process announced its exit to this balancer does not count as started by a loss of power, and the short wait holds only for agents that have just started themselves. A balancer that starts in the middle of such a series has heard no announcement; it still takes it for a loss of power, and gives up agents that were never heard after 1.2 s.

--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -386,6 +386,7 @@
         )
     if load.incarnation not in (0, report.incarnation):
         load.previous_incarnation = load.incarnation
+        load.was_exit_announced = load.leaving
         release_held_openings(balancer, source)
     load.incarnation = report.incarnation
     load.reported_at = now
--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -36,6 +36,7 @@
     Segment,
     sequence_distance,
 )
+from lycheeglade.target_load import AgentLoad
 from lycheeglade.view import State
 
 # A segment that arrives SEARCH_RETRY_S seconds after the last query repeats
@@ -63,8 +64,8 @@
 # those of other services would hold up the searches of all callers for
 # CONNECTION_LIFETIME_S; those that are stopped, for RESTART_TIMEOUT_S. So if
 # more than this share of the agents has started within this time, a search
-# waits for them for a round trip only. Planned restarts go in turn and do not
-# reach the share.
+# waits for those of them that have just started for a round trip only. Planned
+# restarts are announced and do not count.
 MASS_RESTART_SHARE = 0.75
 MASS_RESTART_AGE_S = 5.0
 MASS_RESTART_INTERVAL_S = 0.1
@@ -335,13 +336,19 @@
     if now - balancer.mass_restart_checked_at < MASS_RESTART_INTERVAL_S:
         return
     balancer.mass_restart_checked_at = now
-    ages = [
-        now - load.started_at
+    heard = [
+        load
         for load in balancer.loads_by_agent.values()
         if load.last_heard_at > float("-inf")
     ]
-    young = sum(age < MASS_RESTART_AGE_S for age in ages)
-    balancer.is_mass_restart = young > MASS_RESTART_SHARE * len(ages)
+    young = sum(
+        _has_just_started(load, now) and not load.was_exit_announced for load in heard
+    )
+    balancer.is_mass_restart = young > MASS_RESTART_SHARE * len(heard)
+
+
+def _has_just_started(load: AgentLoad, now: float) -> bool:
+    return now - load.started_at < MASS_RESTART_AGE_S
 
 
 def _answer_limit(
@@ -357,7 +364,11 @@
     if load.target_ended and agent not in balancer.targets_by_agent:
         return AnswerLimit(ROUND_TRIP_TIMEOUT_S, "ended")
     is_other_service = load.service not in search.services
-    if balancer.is_mass_restart and (load.leaving or is_other_service):
+    if (
+        balancer.is_mass_restart
+        and _has_just_started(load, now)
+        and (load.leaving or is_other_service)
+    ):
         return AnswerLimit(ROUND_TRIP_TIMEOUT_S, "mass-restart")
     if load.leaving:
         return AnswerLimit(float("inf"))
