Bound the requests of a balancer that hears no agent

Now it returns to its regular requests, at most two a second for each agent, after 2.5 s. Agents that announced their exit are asked 10 times a second, as before the requests became more frequent.

--- a/lycheeglade/agent_probe.py
+++ b/lycheeglade/agent_probe.py
@@ -12,11 +12,15 @@
 from lycheeglade.relay_message import LoadReport, LoadRequest
 from lycheeglade.target_load import AgentLoad
 
-# Interval for agents that were never heard: after a loss of power they start
-# at about the same time as the balancers.
+# Interval for agents that were never heard, since after a loss of power they
+# start at about the same time as the balancers, and for agents that announced
+# their exit.
 FIRST_REQUEST_INTERVAL_S = 0.1
-# Interval for unresponsive agents, until they count as crashed.
+# Interval for other unresponsive agents, until they count as crashed. A
+# balancer that hears no agent cannot tell; after MAX_PROBE_S seconds it only
+# sends its regular requests.
 PROBE_INTERVAL_S = 0.05
+MAX_PROBE_S = 2.5
 
 
 def has_crashed(balancer: ConnectionBalancer, agent: Address, now: float) -> bool:
@@ -89,7 +93,11 @@
     if now - balancer.first_request_sent_at >= FIRST_REQUEST_INTERVAL_S:
         balancer.first_request_sent_at = now
         for agent, load in balancer.loads_by_agent.items():
-            if load.last_heard_at == float("-inf"):
+            if load.last_heard_at == float("-inf") or (
+                load.leaving
+                and load.is_unresponsive(now)
+                and not has_crashed(balancer, agent, now)
+            ):
                 send_load_request(balancer, agent, now)
     if now - balancer.probed_at >= PROBE_INTERVAL_S:
         _probe_unresponsive(balancer, now)
@@ -117,11 +125,13 @@
     balancer.probed_at = now
     responsive, is_probing = [], False
     for agent, load in balancer.loads_by_agent.items():
-        if load.last_heard_at == float("-inf"):
+        if load.last_heard_at == float("-inf") or load.leaving:
             continue
         if not load.is_unresponsive(now):
             responsive.append(agent)
-        elif not has_crashed(balancer, agent, now):
+        elif now - load.unanswered_since < MAX_PROBE_S and not has_crashed(
+            balancer, agent, now
+        ):
             send_load_request(balancer, agent, now)
             is_probing = True
     if is_probing and responsive and not was_heard:
--- a/tests/test_false_resets.py
+++ b/tests/test_false_resets.py
@@ -204,3 +204,16 @@
         fleet.call(2.0 + number * 0.2, port=40002)
     fleet.run(3.2)
     assert fleet.is_reset()
+
+
+def test_balancer_that_is_cut_off_does_not_fill_its_link():
+    """It cannot tell a crash, and would ask all agents 20 times a second."""
+    fleet = Fleet()
+    fleet.run(3.0)
+    sent = []
+    fleet.is_lost = lambda source, to: (
+        source != fleet.balancer.address or sent.append(fleet.now) or True
+    )
+    fleet.run(10.0)
+    late = [at for at in sent if at > 6.0]
+    assert len(late) / 4.0 <= 2.0 * len(fleet.agents)
