--- a/tests/test_false_resets.py
+++ b/tests/test_false_resets.py
@@ -217,3 +217,29 @@
     fleet.run(10.0)
     late = [at for at in sent if at > 6.0]
     assert len(late) / 4.0 <= 2.0 * len(fleet.agents)
+
+
+@pytest.mark.parametrize("interval", [0.15, 1.0])
+@pytest.mark.parametrize("service_time", [0.02, 1.5])
+@pytest.mark.parametrize("seed", range(2))
+def test_restarts_of_agents_and_balancers_reset_nothing(interval, service_time, seed):
+    """A series at each, at the same time, while datagrams are lost."""
+    generator = Random(seed)
+    fleet = Fleet(agents=24, seed=seed)
+    make_lossy(fleet, 0.05, seed)
+    fleet.delay = lambda now: 0.05 * (0.5 + generator.random())
+    for number in range(40):
+        port = 41000 + number
+        home = fleet.agents[number % len(fleet.agents)]
+        home.held.add(KEY._replace(caller=KEY.caller._replace(port=port)))
+        home.service_time = service_time
+        at = 2.0 + generator.uniform(0.0, 3.0)
+        while at < 20.0:
+            fleet.call(at, port=port, sequence=round(at * 1000))
+            at += generator.choice([0.05, 0.2, 0.4, 1.0, 1.6])
+    for number, agent in enumerate(generator.sample(fleet.agents, 24)):
+        agent.restart(4.0 + number * interval, generator.uniform(0.8, 2.5))
+    for at in range(5, 20, 4):
+        fleet.at(at, fleet.start_balancer)
+    fleet.run(20.0)
+    assert fleet.resets == []
