--- a/lycheeglade/agent_probe.py
+++ b/lycheeglade/agent_probe.py
@@ -123,16 +123,30 @@
     """
     was_heard = balancer.agent_heard_at >= balancer.probed_at
     balancer.probed_at = now
-    responsive, is_probing = [], False
-    for agent, load in balancer.loads_by_agent.items():
-        if load.last_heard_at == float("-inf") or load.leaving:
-            continue
-        if not load.is_unresponsive(now):
-            responsive.append(agent)
-        elif now - load.unanswered_since < MAX_PROBE_S and not has_crashed(
-            balancer, agent, now
-        ):
-            send_load_request(balancer, agent, now)
-            is_probing = True
-    if is_probing and responsive and not was_heard:
-        send_load_request(balancer, balancer.generator.choice(responsive), now)
+    unresponsive = [
+        agent
+        for agent, load in balancer.loads_by_agent.items()
+        if load.unanswered_since is not None and load.is_unresponsive(now)
+    ]
+    probed = [agent for agent in unresponsive if _is_probed(balancer, agent, now)]
+    for agent in probed:
+        send_load_request(balancer, agent, now)
+    if probed and not was_heard:
+        responsive = [
+            agent
+            for agent, load in balancer.loads_by_agent.items()
+            if load.last_heard_at > float("-inf") and not load.is_unresponsive(now)
+        ]
+        if responsive:
+            send_load_request(balancer, balancer.generator.choice(responsive), now)
+
+
+def _is_probed(balancer: ConnectionBalancer, agent: Address, now: float) -> bool:
+    """Return whether an unresponsive agent is asked in quick succession."""
+    load = balancer.loads_by_agent[agent]
+    return (
+        load.last_heard_at > float("-inf")
+        and not load.leaving
+        and now - load.unanswered_since < MAX_PROBE_S
+        and not has_crashed(balancer, agent, now)
+    )
