Spread an agent's reports of its exit over 0.3 s

An agent that stopped by plan sent three reports within 0.04 s. A balancer whose link was full for 0.1 s got none, took the exit for a crash after 1.2 s and reset the connections of a target that served on (agent-lost, then one search after another). Now five reports go out over 0.3 s, while the agent still forwards segments and admits openings. It stops 0.26 s later than before, within the 0.5 s that it takes where requests run.

--- a/lycheeglade/connection_agent_daemon.py
+++ b/lycheeglade/connection_agent_daemon.py
@@ -35,7 +35,9 @@
 # Running requests have STOP_TIMEOUT_S seconds to finish before the process
 # exits.
 STOP_TIMEOUT_S = 0.5
-LEAVING_REPORTS = 3
+# Pauses after the reports of the exit. A balancer that gets none of them takes
+# the exit for a crash, and its link may be full for a moment.
+EXIT_REPORT_PAUSES_S = (0.02, 0.04, 0.08, 0.16, 0.02)
 CONNECT_TIMEOUT_S = 0.1
 
 
@@ -132,11 +134,12 @@
     log("stopping", host=settings.host_id)
     stopped_at = monotonic()
     agent.has_target_ended = not await accepts_connections(settings.upstream)
-    # The report is repeated since datagrams may be lost: balancers must not
-    # mistake the planned exit for a crash.
-    for _ in range(LEAVING_REPORTS):
-        announce_exit(agent, monotonic())
-        await sleep(TICK_S)
+    for pause in EXIT_REPORT_PAUSES_S:
+        reported_at = monotonic()
+        announce_exit(agent, reported_at)
+        while monotonic() - reported_at < pause:
+            await sleep(TICK_S)
+            tick_agent(agent, monotonic())
     while agent.running_by_key and monotonic() - stopped_at < STOP_TIMEOUT_S:
         await sleep(TICK_S)
         tick_agent(agent, monotonic())
--- a/tests/connection_fleet.py
+++ b/tests/connection_fleet.py
@@ -13,6 +13,7 @@
 )
 from lycheeglade.connection_agent import receive_message as agent_receive
 from lycheeglade.connection_agent import tick as tick_agent
+from lycheeglade.connection_agent_daemon import EXIT_REPORT_PAUSES_S
 from lycheeglade.connection_agent_state import (
     ConnectionAgent,
     ConnectionAgentActions,
@@ -44,7 +45,6 @@
 # an agent's reports to one balancer as rare as in a fleet of their number.
 OTHER_BALANCERS = 58
 OTHER_REQUEST_INTERVAL_S = 1.0
-LEAVING_REPORTS = 3
 STARTED_AT = -100.0
 
 
@@ -79,11 +79,12 @@
 
     def restart(self, at, seconds):
         """Restart the agent's process by plan."""
-        for copy in range(LEAVING_REPORTS):
-            now = at + copy * TICK_S
-            self.fleet.at(now, lambda now=now: announce_exit(self.agent, now))
-        self.fleet.at(at + LEAVING_REPORTS * TICK_S, self.stop)
-        self.fleet.at(at + seconds, lambda: self.start(at + seconds))
+        back_at = at + seconds
+        for pause in EXIT_REPORT_PAUSES_S:
+            self.fleet.at(at, lambda: announce_exit(self.agent, self.fleet.now))
+            at += pause
+        self.fleet.at(at, self.stop)
+        self.fleet.at(back_at, lambda: self.start(back_at))
 
     def stop(self):
         self.agent = None
--- a/tests/test_false_resets.py
+++ b/tests/test_false_resets.py
@@ -243,3 +243,15 @@
         fleet.at(at, fleet.start_balancer)
     fleet.run(20.0)
     assert fleet.resets == []
+
+
+@pytest.mark.parametrize("length", [0.1, 0.25])
+def test_exit_whose_first_reports_are_lost_is_no_crash(length):
+    """The link of the balancer was full while an agent stopped by plan."""
+    fleet = Fleet()
+    home = hold(fleet)
+    call_steadily(fleet, 1.0, 8.0)
+    home.restart(3.0, seconds=2.5)
+    fleet.is_lost = lambda source, to: 3.0 <= fleet.now < 3.0 + length
+    fleet.run(8.0)
+    assert not fleet.is_reset()
