Tell planned restarts from a loss of power by the targets

A balancer that started amid a quick series of agents' restarts had heard no announcement. All agents that it heard were new, so that it took the series for a loss of power, gave up those that were still stopped after 1.2 s and reset connections of their targets (given_up=crashed).

A loss of power ends the targets too. An agent that sees its target send segments of a connection whose opening it has not seen knows that the target is older than itself, and its reports say so in one more field, which earlier builds ignore. Such an agent does not count as started by a loss of power.

--- a/lycheeglade/connection_agent.py
+++ b/lycheeglade/connection_agent.py
@@ -278,6 +278,8 @@
 ) -> None:
     if not connection.is_open:
         connection.is_open = True
+        if connection.sequence < 0:
+            agent.is_target_older = True
         connection.balancers |= agent.searching_balancers_by_key.pop(key, set())
         notify_balancers(agent, key, connection)
 
--- a/lycheeglade/connection_agent_state.py
+++ b/lycheeglade/connection_agent_state.py
@@ -114,6 +114,9 @@
     is_port_closed : bool
         Whether no process listened at the target's port since the target has
         become silent.
+    is_target_older : bool
+        Whether the target holds connections that opened before this process
+        started.
     has_reported_full_window : bool
         Whether the latest load report said that a cold target can take no
         opening at present.
@@ -159,6 +162,7 @@
     is_leaving: bool = False
     has_target_ended: bool = False
     is_port_closed: bool = False
+    is_target_older: bool = False
     port_checked_at: float = float("-inf")
     searches: SearchRelay | None = None
     warmup_bounds: WarmupBounds | None = None
--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -386,9 +386,10 @@
         )
     if load.incarnation not in (0, report.incarnation):
         load.previous_incarnation = load.incarnation
-        load.was_exit_announced = load.leaving
+        load.is_restart_planned = load.leaving
         release_held_openings(balancer, source)
     load.incarnation = report.incarnation
+    load.is_restart_planned |= report.is_target_older
     load.reported_at = now
     load.recent_placements = 0
     load.running = report.running
--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -65,7 +65,7 @@
 # CONNECTION_LIFETIME_S; those that are stopped, for RESTART_TIMEOUT_S. So if
 # more than this share of the agents has started within this time, a search
 # waits for those of them that have just started for a round trip only. Planned
-# restarts are announced and do not count.
+# restarts do not count: they are announced, and the targets outlive them.
 MASS_RESTART_SHARE = 0.75
 MASS_RESTART_AGE_S = 5.0
 MASS_RESTART_INTERVAL_S = 0.1
@@ -342,7 +342,7 @@
         if load.last_heard_at > float("-inf")
     ]
     young = sum(
-        _has_just_started(load, now) and not load.was_exit_announced for load in heard
+        _has_just_started(load, now) and not load.is_restart_planned for load in heard
     )
     balancer.is_mass_restart = young > MASS_RESTART_SHARE * len(heard)
 
--- a/lycheeglade/relay_message.py
+++ b/lycheeglade/relay_message.py
@@ -149,6 +149,9 @@
         does not return.
     age : float
         Seconds since the agent's process started, -1 if not reported.
+    is_target_older : bool
+        Whether the target holds connections that opened before the agent's
+        process started.
     """
 
     incarnation: int
@@ -162,6 +165,7 @@
     failing: float = 0.0
     target_ended: bool = False
     age: float = -1.0
+    is_target_older: bool = False
 
 
 class Peers(Versioned, Struct, frozen=True, array_like=True, tag=6):
--- a/lycheeglade/target_load.py
+++ b/lycheeglade/target_load.py
@@ -99,8 +99,9 @@
         Service of the agent's target, as reported.
     started_at : float
         Start of the agent's process, -inf if it is not reported.
-    was_exit_announced : bool
-        Whether the agent's process before the present one announced its exit.
+    is_restart_planned : bool
+        Whether the agent's process before the present one announced its exit,
+        or its target has outlived that process.
     """
 
     last_heard_at: float = float("-inf")
@@ -130,7 +131,7 @@
     target_ended: bool = False
     service: str = ""
     started_at: float = float("-inf")
-    was_exit_announced: bool = False
+    is_restart_planned: bool = False
 
     def is_cold(self, now: float) -> bool:
         """Return whether the target is cold and its openings are limited."""
--- a/tests/test_false_resets.py
+++ b/tests/test_false_resets.py
@@ -255,3 +255,23 @@
     fleet.is_lost = lambda source, to: 3.0 <= fleet.now < 3.0 + length
     fleet.run(8.0)
     assert not fleet.is_reset()
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_balancer_that_starts_amid_a_quick_series_of_restarts_resets_nothing(seed):
+    """All agents that it heard were new to it, as after a loss of power."""
+    generator = Random(seed)
+    fleet = Fleet(agents=16, seed=seed)
+    for number in range(32):
+        port = 41000 + number
+        home = fleet.agents[number % len(fleet.agents)]
+        home.held.add(KEY._replace(caller=KEY.caller._replace(port=port)))
+        at = 2.0 + generator.uniform(0.0, 1.0)
+        while at < 10.0:
+            fleet.call(at, port=port, sequence=round(at * 1000))
+            at += generator.choice([0.05, 0.2, 0.4, 1.0])
+    for number, agent in enumerate(fleet.agents):
+        agent.restart(3.0 + number * 0.1, seconds=1.0 if number < 14 else 4.0)
+    fleet.at(5.0, fleet.start_balancer)
+    fleet.run(10.0)
+    assert fleet.resets == []
