--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -53,7 +53,8 @@
 MAX_DIRECT_QUERIES = 8
 # From SEARCH_TIMEOUT_S seconds on, the search no longer waits for agents
 # whose target is silent and does not listen. One that only is silent may work
-# on a long request.
+# on a long request. After a loss of power, the same holds for agents that were
+# never heard and are unresponsive.
 SEARCH_TIMEOUT_S = 0.4
 # An agent that counts as crashed, or whose target has ended, is still asked:
 # its answers may only have been lost or late, and another target may have
@@ -370,6 +371,9 @@
         and (load.leaving or is_other_service)
     ):
         return AnswerLimit(ROUND_TRIP_TIMEOUT_S, "mass-restart")
+    was_heard = load.last_heard_at > float("-inf")
+    if balancer.is_mass_restart and not was_heard and load.is_unresponsive(now):
+        return AnswerLimit(SEARCH_TIMEOUT_S, "unresponsive")
     if load.leaving:
         return AnswerLimit(float("inf"))
     if load.silent and load.target_ended and not _is_draining(balancer, agent):
--- a/tests/test_false_resets.py
+++ b/tests/test_false_resets.py
@@ -189,7 +189,7 @@
     fleet.start_balancer()
     for number in range(8):
         fleet.call(3.1 + number * 0.2)
-    fleet.run(4.6)
+    fleet.run(4.0)
     assert fleet.is_reset()
 
 
