--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -18,6 +18,7 @@
 from msgspec.structs import replace
 
 from lycheeglade.address import Address
+from lycheeglade.agent_probe import has_crashed
 from lycheeglade.connection_balancer_state import (
     Connection,
     ConnectionBalancer,
@@ -35,6 +36,8 @@
     Segment,
     sequence_distance,
 )
+from lycheeglade.target_load import AgentLoad
+from lycheeglade.view import State
 
 # A segment that arrives SEARCH_RETRY_S seconds after the last query repeats
 # the search at the agents that have not answered. Without further segments the
@@ -49,7 +52,9 @@
 # each group of `relayed_queries` asks the others.
 MAX_DIRECT_QUERIES = 8
 # From SEARCH_TIMEOUT_S seconds on, the search no longer waits for agents
-# whose target is silent, or which are unresponsive themselves.
+# whose target is silent and does not listen. One that only is silent may work
+# on a long request. After a loss of power, the same holds for agents that were
+# never heard and are unresponsive.
 SEARCH_TIMEOUT_S = 0.4
 # An agent that counts as crashed, or whose target has ended, is still asked:
 # its answers may only have been lost or late, and another target may have
@@ -60,8 +65,8 @@
 # those of other services would hold up the searches of all callers for
 # CONNECTION_LIFETIME_S; those that are stopped, for RESTART_TIMEOUT_S. So if
 # more than this share of the agents has started within this time, a search
-# waits for them for a round trip only. Planned restarts go in turn and do not
-# reach the share.
+# waits for those of them that have just started for a round trip only. Planned
+# restarts do not count: they are announced, and the targets outlive them.
 MASS_RESTART_SHARE = 0.75
 MASS_RESTART_AGE_S = 5.0
 MASS_RESTART_INTERVAL_S = 0.1
@@ -321,18 +326,30 @@
     abandon_connection(balancer, key, acknowledgement, now)
 
 
+def _is_draining(balancer: ConnectionBalancer, agent: Address) -> bool:
+    """Return whether the agent's target may have closed its port only."""
+    targets = balancer.targets_by_agent.get(agent, ())
+    return any(target.state is not State.LIVE for target in targets)
+
+
 def detect_mass_restart(balancer: ConnectionBalancer, now: float) -> None:
     """Update whether most agents have started a short time ago."""
     if now - balancer.mass_restart_checked_at < MASS_RESTART_INTERVAL_S:
         return
     balancer.mass_restart_checked_at = now
-    ages = [
-        now - load.started_at
+    heard = [
+        load
         for load in balancer.loads_by_agent.values()
         if load.last_heard_at > float("-inf")
     ]
-    young = sum(age < MASS_RESTART_AGE_S for age in ages)
-    balancer.is_mass_restart = young > MASS_RESTART_SHARE * len(ages)
+    young = sum(
+        _has_just_started(load, now) and not load.is_restart_planned for load in heard
+    )
+    balancer.is_mass_restart = young > MASS_RESTART_SHARE * len(heard)
+
+
+def _has_just_started(load: AgentLoad, now: float) -> bool:
+    return now - load.started_at < MASS_RESTART_AGE_S
 
 
 def _answer_limit(
@@ -342,18 +359,23 @@
     load = balancer.loads_by_agent.get(agent)
     if load is None:
         return AnswerLimit(0.0, "forgotten")
-    if load.has_crashed(now):
+    if has_crashed(balancer, agent, now):
         return AnswerLimit(ROUND_TRIP_TIMEOUT_S, "crashed")
     # A target that drains may close its port before its last connections.
     if load.target_ended and agent not in balancer.targets_by_agent:
         return AnswerLimit(ROUND_TRIP_TIMEOUT_S, "ended")
     is_other_service = load.service not in search.services
-    if balancer.is_mass_restart and (load.leaving or is_other_service):
+    if (
+        balancer.is_mass_restart
+        and _has_just_started(load, now)
+        and (load.leaving or is_other_service)
+    ):
         return AnswerLimit(ROUND_TRIP_TIMEOUT_S, "mass-restart")
+    was_heard = load.last_heard_at > float("-inf")
+    if balancer.is_mass_restart and not was_heard and load.is_unresponsive(now):
+        return AnswerLimit(SEARCH_TIMEOUT_S, "unresponsive")
     if load.leaving:
         return AnswerLimit(float("inf"))
-    if load.silent:
+    if load.silent and load.target_ended and not _is_draining(balancer, agent):
         return AnswerLimit(SEARCH_TIMEOUT_S, "silent")
-    if load.is_unresponsive(now):
-        return AnswerLimit(SEARCH_TIMEOUT_S, "unresponsive")
     return AnswerLimit(float("inf"))
--- a/lycheeglade/relay_message.py
+++ b/lycheeglade/relay_message.py
@@ -145,10 +145,13 @@
     failing : float
         Share of the recent requests that the target failed, 0 to 1.
     target_ended : bool
-        Whether the target's process has ended. An agent of an ended target
+        Whether the target's process has ended. If the agent also exits, it
         does not return.
     age : float
         Seconds since the agent's process started, -1 if not reported.
+    is_target_older : bool
+        Whether the target holds connections that opened before the agent's
+        process started.
     """
 
     incarnation: int
@@ -162,6 +165,7 @@
     failing: float = 0.0
     target_ended: bool = False
     age: float = -1.0
+    is_target_older: bool = False
 
 
 class Peers(Versioned, Struct, frozen=True, array_like=True, tag=6):
--- a/lycheeglade/target_load.py
+++ b/lycheeglade/target_load.py
@@ -28,10 +28,11 @@
 # abandoned.
 CRASH_TIMEOUT_S = 1.2
 # Balancers repeat their requests to an unresponsive agent, so that this many
-# are out before CRASH_TIMEOUT_S has passed.
-MIN_UNANSWERED = 4
-# An agent that has announced its exit has RESTART_TIMEOUT_S seconds to start
-# again.
+# are out before CRASH_TIMEOUT_S has passed. With a tenth of the answers lost,
+# all of them are lost once in a million times.
+MIN_UNANSWERED = 6
+# An agent that has announced its exit, or that a balancer has not heard since
+# its own start, has RESTART_TIMEOUT_S seconds to start again.
 RESTART_TIMEOUT_S = 5.0
 UNKNOWN_SERVICE_TIME_S = 0.03
 MAX_BUSY = 0.95
@@ -64,6 +65,16 @@
         all are answered.
     unanswered_messages : int
         Messages to the agent since its latest one.
+    unanswered_requests : int
+        Load requests among them.
+    witnessed_requests : int
+        Load requests among them, after which the balancer heard another agent
+        before the next one.
+    last_request_at : float
+        Time of the latest load request.
+    requested_at : float
+        Time of the oldest load request since the agent's latest report, None
+        if there is none.
     is_near : bool
         Whether the agent is in the balancer's zone.
     is_unmeasured : bool
@@ -88,6 +99,9 @@
         Service of the agent's target, as reported.
     started_at : float
         Start of the agent's process, -inf if it is not reported.
+    is_restart_planned : bool
+        Whether the agent's process before the present one announced its exit,
+        or its target has outlived that process.
     """
 
     last_heard_at: float = float("-inf")
@@ -95,6 +109,10 @@
     is_near: bool = True
     unanswered_since: float | None = None
     unanswered_messages: int = 0
+    unanswered_requests: int = 0
+    witnessed_requests: int = 0
+    last_request_at: float = float("-inf")
+    requested_at: float | None = None
     recent_placements: int = 0
     service_time: float = UNKNOWN_SERVICE_TIME_S
     is_unmeasured: bool = False
@@ -113,6 +131,7 @@
     target_ended: bool = False
     service: str = ""
     started_at: float = float("-inf")
+    is_restart_planned: bool = False
 
     def is_cold(self, now: float) -> bool:
         """Return whether the target is cold and its openings are limited."""
@@ -129,20 +148,30 @@
             and now - self.reported_at < WINDOW_S
         )
 
-    def has_crashed(self, now: float) -> bool:
+    def has_crashed(
+        self, now: float, answer_time: float = 0.0, may_restart: bool = False
+    ) -> bool:
         """Return whether the agent's silence shows that it has crashed.
 
-        The time-out is `CRASH_TIMEOUT_S`, or `RESTART_TIMEOUT_S` after an
-        announced exit. Single datagrams may be lost, so `MIN_UNANSWERED`
-        messages must have stayed without an answer.
+        The time-out is `CRASH_TIMEOUT_S`, or `RESTART_TIMEOUT_S` if the agent
+        may return. Single datagrams may be lost, so `MIN_UNANSWERED` load
+        requests must have stayed without an answer, and without an announced
+        exit the balancer must have heard other agents after each.
+
+        Parameters
+        ----------
+        answer_time : float
+            Seconds that the agents take to answer the balancer at present.
+        may_restart : bool
+            Whether the agent may restart though it has not announced its exit
+            here.
         """
         if self.unanswered_since is None:
             return False
-        timeout = RESTART_TIMEOUT_S if self.leaving else CRASH_TIMEOUT_S
-        return (
-            self.unanswered_messages >= MIN_UNANSWERED
-            and now - self.unanswered_since > timeout
-        )
+        silence = now - self.unanswered_since - answer_time
+        requests = self.unanswered_requests if self.leaving else self.witnessed_requests
+        timeout = RESTART_TIMEOUT_S if self.leaving or may_restart else CRASH_TIMEOUT_S
+        return requests >= MIN_UNANSWERED and silence > timeout
 
     def is_unresponsive(self, now: float) -> bool:
         """Return whether no answer came within `RESPONSE_TIMEOUT_S`."""
