List resets by an outdated view as known red

A search ends by the denials of the agents that it asked, also if the view has gained a target meanwhile: a connection that another balancer placed there is reset. A balancer that starts reads the store with leave to lag; with a copy that lacks a connection's route it resets it at its first segment, and with one that lacks its target 0.5 s after the view.

Seen on the real decision code, and on the real processes before the stand-in store: there, a restarted balancer without peers reset the connection in each run, with asked=0 in the log for the missing target.

--- a/tests/test_connection_daemon.py
+++ b/tests/test_connection_daemon.py
@@ -8,8 +8,10 @@
     sleep,
 )
 from asyncio import timeout as time_limit
+from base64 import b64decode
 from contextlib import suppress
 from dataclasses import dataclass
+from json import loads
 from os import close, environ, pipe, read, set_blocking, write
 from pathlib import Path
 from select import select
@@ -324,3 +326,77 @@
             await process.wait()
         close(read_end)
         close(write_end)
+
+
+def put_routes(deployment, version, *ports):
+    route = {"host": "198.18.0.1", "type": "safe", "service": "s1", "timeout-ms": 1500}
+    routes = [{**route, "prefix": f"/{port}/"} for port in ports]
+    deployment.store.put(CONFIGURATION_KEY, {"version": version, "routes": routes})
+
+
+async def restart_balancer(deployment, processes):
+    processes["balancer"].send_signal(SIGTERM)
+    assert await processes["balancer"].wait() == 0
+    processes["balancer"] = await deployment.start("balancer", BALANCER_IP)
+
+
+async def retransmit_until_answered(deployment, key):
+    """Return the first segment that the caller gets for its request."""
+    count = len(deployment.caller.segments)
+    async with time_limit(10):
+        while len(deployment.caller.segments) == count:
+            deployment.send(key, ACK, 101, TARGET_SEQUENCE + 1, b"question")
+            await sleep(0.05)
+    return deployment.caller.segments[count]
+
+
+async def test_restarted_balancer_resets_no_connection_of_a_route_it_lacks(
+    deployment, processes
+):
+    """The copy that it read at its start was older than the route."""
+    deployment.store.stale = deployment.store.copy()
+    put_routes(deployment, 2, 443, 444)
+    key = make_key(40006, service_port=444)
+    await wait_for_route(deployment, key)
+    await open_connection_from(deployment, key)
+    await restart_balancer(deployment, processes)
+    answer = await retransmit_until_answered(deployment, key)
+    assert answer.datagram.endswith(b"answer")
+
+
+async def wait_for_route(deployment, key):
+    """Wait until the balancer accepts connections to a new address."""
+    async with time_limit(5):
+        while True:
+            count = len(deployment.caller.segments)
+            probe = key._replace(caller=key.caller._replace(port=key.caller.port + 50))
+            deployment.send(probe, SYN, 100)
+            await wait_until(lambda: len(deployment.caller.segments) > count)  # noqa: B023
+            if deployment.caller.segments[-1].opens:
+                return
+            await sleep(0.05)
+
+
+async def test_restarted_balancer_resets_no_connection_of_a_target_it_lacks(
+    deployment, processes
+):
+    """The copy lacked the target's entry, and no watch was answered."""
+    entry = deployment.store.items_by_key["servers/i-1"]
+    deployment.store.delete("servers/i-1")
+    deployment.store.stale = deployment.store.copy()
+    deployment.store.put("servers/i-1", loads(b64decode(entry["value"])))
+    key = make_key(40007)
+    await open_connection_from(deployment, key)
+    deployment.store.loses_watch_answers = True
+    await restart_balancer(deployment, processes)
+    await wait_ready(BALANCER_IP)
+    count = len(deployment.caller.segments)
+    ready_at = monotonic()
+    while monotonic() - ready_at < 2.0:
+        deployment.send(key, ACK, 101, TARGET_SEQUENCE + 1, b"question")
+        await sleep(0.1)
+    deployment.store.loses_watch_answers = False
+    answer = await retransmit_until_answered(deployment, key)
+    segments = deployment.caller.segments[count:]
+    assert not any(segment.resets for segment in segments)
+    assert answer.datagram.endswith(b"answer")
