Ask targets that the view gains during a search

An open connection was reset if its balancer learned of its target while it searched: another balancer, whose view was newer, had placed the connection there. The search ended by the denials of the agents that it had asked at its start; a repetition would have asked the new one, but it comes 0.15 s after the query at the earliest.

A search now ends only if it has asked all agents that the present view names, and asks the missing ones at once. It costs no message unless the view has gained a target.

Both tests of tests/test_view_currency.py failed before, with a reset 0.03 s after the segment, and pass.

--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -130,6 +130,17 @@
         balancer.searching_keys.add(key)
     elif now - search.queried_at < SEARCH_RETRY_S:
         return
+    _query_agents(balancer, search, route, segment, now)
+
+
+def _query_agents(
+    balancer: ConnectionBalancer,
+    search: Search,
+    route: Route,
+    segment: Segment,
+    now: float,
+) -> None:
+    """Send the query to all agents that have not denied the connection."""
     search.queried_at = now
     search.queries += 1
     services = _searched_services(balancer, route, now)
@@ -302,6 +313,8 @@
         if now - search.started_at < limit.seconds:
             return
         given_up[limit.cause] += 1
+    if _query_new_agents(balancer, key, connection, now):
+        return
     balancer.actions.log(
         "reset",
         connection=key,
@@ -321,6 +334,33 @@
     abandon_connection(balancer, key, acknowledgement, now)
 
 
+def _query_new_agents(
+    balancer: ConnectionBalancer,
+    key: ConnectionKey,
+    connection: Connection,
+    now: float,
+) -> bool:
+    """Ask the agents that the view has gained since the last query.
+
+    Another balancer may have known their targets sooner, and have placed the
+    connection there.
+
+    Returns
+    -------
+    bool
+        Whether there are any.
+    """
+    search = connection.search
+    route = balancer.view.routes_by_address.get(key.service)
+    if route is None or not connection.queued_segments:
+        return False
+    services = _searched_services(balancer, route, now)
+    if _searched_agents(balancer, services, now) <= search.queried_agents:
+        return False
+    _query_agents(balancer, search, route, connection.queued_segments[-1], now)
+    return True
+
+
 def detect_mass_restart(balancer: ConnectionBalancer, now: float) -> None:
     """Update whether most agents have started a short time ago."""
     if now - balancer.mass_restart_checked_at < MASS_RESTART_INTERVAL_S:
