Reset nothing by a first view that may be old

Callers saw open connections reset by a balancer that had just been restarted or added. At its start it reads the store with leave to lag by seconds, and decided by that copy: segments to an address whose route was newer were reset at once, also those that had queued before the view, and from 0.5 s on searches ended without the targets that were newer.

The exchange now tells as of when the own view is known to be complete: since the own watch has answered, or since a balancer that reads the store reported while no known balancer was ahead. A copy no longer counts as an answer of the store. Until then segments to unknown addresses are held, and searches do not end in a reset. Openings to known routes are placed as before, and readiness does not wait. No call to the store and no message is added.

tests/watch_fleet.py follows the changed signature of record_store_answer, and can show an older copy at a start; no existing test is changed.

--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -11,6 +11,7 @@
 from lycheeglade.connection_balancer_state import (
     Connection,
     ConnectionBalancer,
+    HeldSegment,
     Home,
     UnroutedSegments,
     abandon_connection,
@@ -27,6 +28,7 @@
     retry_openings,
 )
 from lycheeglade.connection_search import (
+    MAX_CALLER_SILENCE_S,
     conclude_search,
     detect_mass_restart,
     pick_home,
@@ -50,8 +52,10 @@
 from lycheeglade.segment import ConnectionKey, Segment
 from lycheeglade.target_load import UNKNOWN_SERVICE_TIME_S, AgentLoad
 from lycheeglade.view import State
+from lycheeglade.view_currency import is_view_confirmed
 
 MAX_QUEUED_OPENINGS = 256
+MAX_HELD_SEGMENTS = 256
 # Connections without segments for CONNECTION_IDLE_TIMEOUT_S seconds are
 # evicted. A later segment starts a search for the connection.
 CONNECTION_IDLE_TIMEOUT_S = 60.0
@@ -112,6 +116,7 @@
         queued, balancer.queued_openings = balancer.queued_openings, []
         for segment in queued:
             receive_segment(balancer, segment, now)
+    _release_held_segments(balancer, now)
 
 
 def _log_evacuations(balancer: ConnectionBalancer, previous: RoutingView) -> None:
@@ -141,7 +146,10 @@
     key = segment.key_from_caller
     route = balancer.view.routes_by_address.get(segment.destination)
     if route is None:
-        _refuse_unrouted(balancer, key, segment, now)
+        if is_view_confirmed(balancer, now):
+            _refuse_unrouted(balancer, key, segment, now)
+        else:
+            _hold_segment(balancer, segment, now)
         return
     if segment.opens:
         connection = _get_or_add_connection(balancer, key, now)
@@ -192,6 +200,25 @@
     refused.established += not segment.opens
 
 
+def _hold_segment(balancer: ConnectionBalancer, segment: Segment, now: float) -> None:
+    """Hold a segment until the view is confirmed; discard copies."""
+    held = balancer.held_segments
+    is_copy = any(each.segment.datagram == segment.datagram for each in held)
+    if not is_copy and len(held) < MAX_HELD_SEGMENTS:
+        held.append(HeldSegment(segment, now))
+
+
+def _release_held_segments(balancer: ConnectionBalancer, now: float) -> None:
+    """Process the held segments again.
+
+    Those whose callers may have given up are discarded.
+    """
+    held, balancer.held_segments = balancer.held_segments, []
+    for each in held:
+        if now - each.received_at <= MAX_CALLER_SILENCE_S:
+            receive_segment(balancer, each.segment, now)
+
+
 def _log_unrouted(balancer: ConnectionBalancer, now: float) -> None:
     for source, refused in list(balancer.unrouted_by_source.items()):
         if now - refused.first_at < UNROUTED_LOG_INTERVAL_S:
@@ -437,6 +464,7 @@
     detect_mass_restart(balancer, now)
     retry_openings(balancer, now)
     _log_unrouted(balancer, now)
+    _release_held_segments(balancer, now)
     for key in list(balancer.searching_keys):
         connection = balancer.connections_by_key.get(key)
         if connection is None or connection.search is None:
--- a/lycheeglade/connection_balancer_daemon.py
+++ b/lycheeglade/connection_balancer_daemon.py
@@ -36,6 +36,7 @@
 from lycheeglade.route import RoutingView
 from lycheeglade.segment import ConnectionKey
 from lycheeglade.transport import DatagramSocket
+from lycheeglade.view_currency import NEVER
 from lycheeglade.view_follower import FollowStore, ReadStore, ViewFollower
 from lycheeglade.view_transfer import serve_view
 
@@ -111,6 +112,7 @@
         ConnectionBalancerActions(send, reset, log),
         generator,
         settings.limits,
+        current_as_of=NEVER,
         warmup_overage=settings.warmup_overage or 1.0,
     )
     served_view = ServedView()
@@ -158,6 +160,7 @@
     def tick(now: float) -> None:
         raise_task_failures(tasks)
         follower.tick(now)
+        balancer.current_as_of = follower.current_as_of
         tick_balancer(balancer, now)
 
     await run_until(stop, tick, TICK_S)
--- a/lycheeglade/connection_balancer_state.py
+++ b/lycheeglade/connection_balancer_state.py
@@ -134,6 +134,14 @@
     established: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class HeldSegment:
+    """Segment to an address that the view does not know, maybe for its age."""
+
+    segment: Segment
+    received_at: float
+
+
 @dataclass(slots=True)
 class ConnectionBalancer:
     """State of one balancer.
@@ -142,6 +150,9 @@
     ----------
     targets_by_agent : dict
         Targets of the current view.
+    current_as_of : float
+        Time as of which the view is known to lack no change; negative
+        infinity before any is known, infinity if the view is always current.
     routes_known_at : float
         Time of the first routes, or of the latest that followed on a version
         unknown here.
@@ -150,6 +161,8 @@
         each was removed from it.
     is_mass_restart : bool
         Whether most agents have started a short time ago.
+    held_segments : list of HeldSegment
+        Segments that wait until it is known whether they have a route.
     unrouted_by_source : dict
         Refused segments to addresses without a route, by the caller's IP.
     reset_at_by_key : dict
@@ -165,6 +178,7 @@
     limits: ConnectionLimits = DEFAULT_LIMITS
     view: RoutingView = field(default_factory=RoutingView)
     view_at: float = 0.0
+    current_as_of: float = float("inf")
     routes_known_at: float = float("-inf")
     targets_by_agent: dict[Address, list[Target]] = field(default_factory=dict)
     removed_by_agent: dict[Address, tuple[Target, str, float]] = field(
@@ -184,6 +198,7 @@
     opening_keys: set[ConnectionKey] = field(default_factory=set)
     accept_delay: float = 0.0
     queued_openings: list[Segment] = field(default_factory=list)
+    held_segments: list[HeldSegment] = field(default_factory=list)
     unrouted_by_source: dict[str, UnroutedSegments] = field(default_factory=dict)
     reset_at_by_key: OrderedDict[ConnectionKey, float] = field(
         default_factory=OrderedDict
--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -35,6 +35,7 @@
     Segment,
     sequence_distance,
 )
+from lycheeglade.view_currency import is_view_confirmed
 
 # A segment that arrives SEARCH_RETRY_S seconds after the last query repeats
 # the search at the agents that have not answered. Without further segments the
@@ -307,6 +308,8 @@
     search = connection.search
     if search is None or now - balancer.view_at < MIN_VIEW_AGE_S:
         return
+    if not is_view_confirmed(balancer, now):
+        return
     given_up: Counter[str] = Counter()
     for agent in search.queried_agents - search.denying_agents:
         limit = _answer_limit(balancer, search, agent, now)
--- a/lycheeglade/view_exchange.py
+++ b/lycheeglade/view_exchange.py
@@ -82,6 +82,10 @@
         Whether this balancer reads the store.
     checked : StoreRevision
         Revision of the store up to which this balancer's view is complete.
+    current_as_of : float
+        Time as of which this balancer's view is known to lack no change, in
+        monotonic seconds, negative infinity if it never was. Balancers that
+        read the store tell it: this one, or others in their status.
     """
 
     def __init__(
@@ -93,6 +97,7 @@
     ):
         self.duty = Duty.FOLLOWER
         self.checked = StoreRevision()
+        self.current_as_of = float("-inf")
         self._address = address
         self._generator = generator
         self._zone = zone
@@ -188,6 +193,7 @@
             if status.store == version.store:
                 checked = StoreRevision(status.era, status.checked)
                 self.checked = max(self.checked, checked)
+            self._update_currency(version)
         return is_new
 
     def _record_version(
@@ -203,9 +209,26 @@
                 peer.ahead_since = now
         return peer
 
-    def record_store_answer(self, checked: StoreRevision) -> None:
+    def _update_currency(self, version: ViewVersion) -> None:
+        """Update `current_as_of` of this balancer's view, of `version`."""
+        peers = self._peers_by_address.values()
+        if any(version.is_behind(peer.version) for peer in peers):
+            return
+        for peer in peers:
+            if peer.duty is Duty.WATCHER:
+                self.current_as_of = max(self.current_as_of, peer.reported_at)
+
+    def record_copy(self, checked: StoreRevision) -> None:
+        """Record that the view has all changes up to `checked`.
+
+        It was read from a copy of the store that may be seconds old.
+        """
+        self.checked = max(self.checked, checked)
+
+    def record_store_answer(self, checked: StoreRevision, now: float) -> None:
         """Record that the store answered, with all changes up to `checked`."""
         self.checked = max(self.checked, checked)
+        self.current_as_of = max(self.current_as_of, now)
         if self.duty is Duty.TRYING:
             self.duty = Duty.WATCHER
             self._status_due_at = float("-inf")
@@ -259,6 +282,7 @@
 
     def announce(self, version: ViewVersion, send: Send) -> None:
         """Announce a newer view to the balancers that may lack it."""
+        self._update_currency(version)
         status = self.make_status(version)
         for address in self._status_receivers():
             send(address, status)
--- a/lycheeglade/view_follower.py
+++ b/lycheeglade/view_follower.py
@@ -93,6 +93,11 @@
         """Return the latest view as it was published."""
         return self._known.view
 
+    @property
+    def current_as_of(self) -> float:
+        """Time as of which the view is known to lack no change."""
+        return self._exchange.current_as_of
+
     def receive(self, message: Peers | ViewStatus, source: Address, now: float) -> None:
         """Process a message of another balancer."""
         version = self._known.view.version
@@ -153,7 +158,7 @@
         if checked is None:
             self._exchange.record_store_failure()
         else:
-            self._exchange.record_store_answer(checked)
+            self._exchange.record_store_answer(checked, monotonic())
 
     def _publish(self, view: RoutingView, source: str) -> None:
         # Without routes a view can't be used, and peers must not fetch it.
@@ -199,7 +204,7 @@
             view, checked = answer
             self._publish(view, STORE)
             if view.store == self._known.view.store:
-                self._exchange.record_store_answer(checked)
+                self._exchange.record_copy(checked)
 
     async def _fetch(self, source: Address) -> None:
         view = await fetch_view(source, self._log)
--- a/tests/watch_fleet.py
+++ b/tests/watch_fleet.py
@@ -46,7 +46,14 @@
 
 
 class WatchFleet:
-    """Balancers in zones, the store that they read and their messages."""
+    """Balancers in zones, the store that they read and their messages.
+
+    Attributes
+    ----------
+    copy : RoutingView or None
+        What reads at a start return, as they may lag, or None for the
+        current state.
+    """
 
     def __init__(self, zones: int, per_zone: int, seed: int = 1):
         self.random = Random(seed)
@@ -54,6 +61,7 @@
         self.view = RoutingView(revision=7, configuration=7, era=1)
         self.calls: Counter[str] = Counter()
         self.start_reads = 0
+        self.copy: RoutingView | None = None
         self._order = count()
         self._events = []
         self.nodes_by_address: dict[Address, Node] = {}
@@ -68,7 +76,7 @@
         node = self.nodes_by_address[address] = Node(address, zone, exchange)
         self._at(self.random.uniform(0, TICK_S), lambda: self._tick(node))
         self.start_reads += 1
-        self._at(CALL_S, lambda: self._read_at_start(node, self.view))
+        self._at(CALL_S, lambda: self._read_at_start(node, self.copy or self.view))
         return node
 
     def advance(self, seconds: float) -> None:
@@ -178,7 +186,7 @@
     def _read_at_start(self, node: Node, view: RoutingView) -> None:
         if node.reaches_store and node.is_alive:
             self._publish(node, view)
-            node.exchange.record_store_answer(view.store)
+            node.exchange.record_copy(view.store)
 
     def _receive_answer(self, node: Node, view: RoutingView) -> None:
         if not node.is_alive or node.exchange.duty is Duty.FOLLOWER:
@@ -186,7 +194,7 @@
         if not node.reaches_store:
             node.exchange.record_store_failure()
             return
-        node.exchange.record_store_answer(view.store)
+        node.exchange.record_store_answer(view.store, self.now)
         self._publish(node, view)
 
     def _publish(self, node: Node, view: RoutingView) -> None:
