Keep the arrival time of a segment that is held again

Each run of the periodic work took a held segment for one that had just arrived, so that it was never discarded: a reset could reach the next connection of its caller's port. The test now runs the periodic work several times; it failed before with one reset, and passes.

--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -143,13 +143,19 @@
         if len(balancer.queued_openings) < MAX_QUEUED_OPENINGS:
             balancer.queued_openings.append(segment)
         return
+    _route_segment(balancer, segment, now, now)
+
+
+def _route_segment(
+    balancer: ConnectionBalancer, segment: Segment, received_at: float, now: float
+) -> None:
     key = segment.key_from_caller
     route = balancer.view.routes_by_address.get(segment.destination)
     if route is None:
         if is_view_confirmed(balancer, now):
             _refuse_unrouted(balancer, key, segment, now)
         else:
-            _hold_segment(balancer, segment, now)
+            _hold_segment(balancer, segment, received_at)
         return
     if segment.opens:
         connection = _get_or_add_connection(balancer, key, now)
@@ -200,12 +206,14 @@
     refused.established += not segment.opens
 
 
-def _hold_segment(balancer: ConnectionBalancer, segment: Segment, now: float) -> None:
+def _hold_segment(
+    balancer: ConnectionBalancer, segment: Segment, received_at: float
+) -> None:
     """Hold a segment until the view is confirmed; discard copies."""
     held = balancer.held_segments
     is_copy = any(each.segment.datagram == segment.datagram for each in held)
     if not is_copy and len(held) < MAX_HELD_SEGMENTS:
-        held.append(HeldSegment(segment, now))
+        held.append(HeldSegment(segment, received_at))
 
 
 def _release_held_segments(balancer: ConnectionBalancer, now: float) -> None:
@@ -216,7 +224,7 @@
     held, balancer.held_segments = balancer.held_segments, []
     for each in held:
         if now - each.received_at <= MAX_CALLER_SILENCE_S:
-            receive_segment(balancer, each.segment, now)
+            _route_segment(balancer, each.segment, each.received_at, now)
 
 
 def _log_unrouted(balancer: ConnectionBalancer, now: float) -> None:
--- a/tests/test_view_currency.py
+++ b/tests/test_view_currency.py
@@ -124,7 +124,8 @@
     started, recorder
 ):
     receive_segment(started, to_new_route(data()), 1.1)
-    tick(started, 1.2 + MAX_CALLER_SILENCE_S)
+    for step in range(1, 12):
+        tick(started, 1.1 + step * MAX_CALLER_SILENCE_S / 10)
     started.current_as_of = 1.3 + MAX_CALLER_SILENCE_S
     tick(started, 1.3 + MAX_CALLER_SILENCE_S)
     assert recorder.resets == []
