Reset no connection to an address whose route may not have arrived

An open connection was reset when its next segment came by a balancer whose view was some 0.03 s older: another balancer of the zone, the first to get a configuration with a new route, had opened it. Segments change their balancer when one is restarted or added.

At once as before are refused: openings, and segments of connections that were known here or whose address had a route here within a connection's lifetime. A watcher counts as current while it watches. No message and no call is added.

--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -52,7 +52,11 @@
 from lycheeglade.segment import ConnectionKey, Segment
 from lycheeglade.target_load import UNKNOWN_SERVICE_TIME_S, AgentLoad
 from lycheeglade.view import State
-from lycheeglade.view_currency import is_view_confirmed
+from lycheeglade.view_currency import (
+    MAX_SPREAD_S,
+    is_view_confirmed,
+    is_view_current,
+)
 
 MAX_QUEUED_OPENINGS = 256
 MAX_HELD_SEGMENTS = 256
@@ -152,7 +156,7 @@
     key = segment.key_from_caller
     route = balancer.view.routes_by_address.get(segment.destination)
     if route is None:
-        if is_view_confirmed(balancer, now):
+        if _is_known_unrouted(balancer, key, segment, received_at, now):
             _refuse_unrouted(balancer, key, segment, now)
         else:
             _hold_segment(balancer, segment, received_at)
@@ -164,6 +168,26 @@
         _receive_established(balancer, key, route, segment, now)
 
 
+def _is_known_unrouted(
+    balancer: ConnectionBalancer,
+    key: ConnectionKey,
+    segment: Segment,
+    received_at: float,
+    now: float,
+) -> bool:
+    """Return whether it is known that no route leads to a segment's address.
+
+    Another balancer may already know a route, and have opened the connection.
+    """
+    if segment.opens:
+        return is_view_confirmed(balancer, now)
+    was_routed = (
+        key in balancer.connections_by_key
+        or segment.destination in balancer.former_services_by_address
+    )
+    return was_routed or is_view_current(balancer, received_at + MAX_SPREAD_S, now)
+
+
 def _detect_pause(balancer: ConnectionBalancer, now: float) -> None:
     """Discard the agents' response deadlines after a pause of this process.
 
--- a/lycheeglade/view_exchange.py
+++ b/lycheeglade/view_exchange.py
@@ -209,12 +209,15 @@
                 peer.ahead_since = now
         return peer
 
+    def _is_behind(self, version: ViewVersion) -> bool:
+        peers = self._peers_by_address.values()
+        return any(version.is_behind(peer.version) for peer in peers)
+
     def _update_currency(self, version: ViewVersion) -> None:
         """Update `current_as_of` of this balancer's view, of `version`."""
-        peers = self._peers_by_address.values()
-        if any(version.is_behind(peer.version) for peer in peers):
+        if self._is_behind(version):
             return
-        for peer in peers:
+        for peer in self._peers_by_address.values():
             if peer.duty is Duty.WATCHER:
                 self.current_as_of = max(self.current_as_of, peer.reported_at)
 
@@ -323,6 +326,9 @@
         if duty is not self.duty or now >= self._status_due_at:
             receivers = self._status_receivers()
             self.duty = duty
+            if duty is Duty.WATCHER and not self._is_behind(view.version):
+                # The watch returns each change at once.
+                self.current_as_of = now
             is_follower = duty is Duty.FOLLOWER
             self._status_due_at = now + (
                 FOLLOWER_STATUS_PERIOD_S if is_follower else WATCHER_STATUS_PERIOD_S
