End no search by a view that is older than its segment

An open connection was reset when its next segment came by a balancer whose view was some 0.03 s older than that of the balancer which had opened it to a new target: the agents of all other targets denied it, and the search ended before the view arrived.

A search now ends in a reset only if the view is known to be complete as of its first segment. The zone's watcher tells it with each of its reports, every 0.25 s. Segments to addresses without a route are refused 0.3 s sooner by the same rule.

--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -35,7 +35,7 @@
     Segment,
     sequence_distance,
 )
-from lycheeglade.view_currency import is_view_confirmed
+from lycheeglade.view_currency import is_view_current
 
 # A segment that arrives SEARCH_RETRY_S seconds after the last query repeats
 # the search at the agents that have not answered. Without further segments the
@@ -308,7 +308,7 @@
     search = connection.search
     if search is None or now - balancer.view_at < MIN_VIEW_AGE_S:
         return
-    if not is_view_confirmed(balancer, now):
+    if not is_view_current(balancer, search.started_at, now):
         return
     given_up: Counter[str] = Counter()
     for agent in search.queried_agents - search.denying_agents:
--- a/lycheeglade/view_currency.py
+++ b/lycheeglade/view_currency.py
@@ -13,8 +13,10 @@
 # takes its first view for current after this time, so that the callers of lost
 # connections are told at last.
 MAX_COPY_AGE_S = 5.0
-# A change reaches all balancers of a zone within this time.
+# A change reaches all balancers within MAX_SPREAD_S, and those of one zone
+# within MAX_ZONE_SPREAD_S of each other.
 MAX_SPREAD_S = 0.6
+MAX_ZONE_SPREAD_S = 0.3
 NEVER = float("-inf")
 
 
@@ -26,7 +28,11 @@
 
 
 def is_view_current(balancer: ConnectionBalancer, at: float, now: float) -> bool:
-    """Return whether the view lacks no change made before the time `at`."""
+    """Return whether the view lacks no change made before the time `at`.
+
+    Without word of a balancer that reads the store, that is assumed of changes
+    that are so old that they would have reached this zone.
+    """
     if not is_view_confirmed(balancer, now):
         return False
-    return balancer.current_as_of >= at or now - at >= MAX_SPREAD_S
+    return balancer.current_as_of >= at or now - at >= MAX_ZONE_SPREAD_S
