List resets by a balancer that never saw the target as known red

A target that drains goes on for some seconds after its entry has been removed. A balancer that starts then asks all agents of the view, but not this one, and resets its open connections 0.5 s after its first view (asked=0 in the log of the test, on the real processes). Those that saw the entry ask for 60 s.

--- a/tests/test_connection_daemon.py
+++ b/tests/test_connection_daemon.py
@@ -38,8 +38,8 @@
 ROOT = Path(__file__).parent.parent
 # Each pytest-xdist worker uses its own addresses.
 WORKER = int(environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
-STORE_IP, BALANCER_IP, AGENT_IP, CALLER_IP = (
-    f"127.8.{WORKER}.{n}" for n in (1, 2, 3, 4)
+STORE_IP, BALANCER_IP, AGENT_IP, CALLER_IP, ADDED_IP = (
+    f"127.8.{WORKER}.{n}" for n in (1, 2, 3, 4, 5)
 )
 METRICS_PORT = 9464
 FULL_PIPE_S = 5.0
@@ -96,9 +96,9 @@
     folder: Path
     address: Address
 
-    async def start(self, role, ip, stdout=None, more_settings=""):
-        path = self.folder / f"{role}.conf"
-        text = format_settings(role, role, ip, self.address, service="s1")
+    async def start(self, role, ip, stdout=None, more_settings="", seeds=()):
+        path = self.folder / f"{ip}.conf"
+        text = format_settings(role, role, ip, self.address, "s1", seeds=seeds)
         path.write_text(text + more_settings)
         return await create_subprocess_exec(
             sys.executable,
@@ -108,9 +108,9 @@
             stdout=stdout,
         )
 
-    def send(self, key, flags, sequence, ack=0, content=b""):
+    def send(self, key, flags, sequence, ack=0, content=b"", ip=BALANCER_IP):
         datagram = pack_segment(flags, key, sequence, ack, content)
-        self.caller.transport.sendto(datagram, (BALANCER_IP, DATAGRAM_PORT))
+        self.caller.transport.sendto(datagram, (ip, DATAGRAM_PORT))
 
 
 async def wait_until(condition):
@@ -340,12 +340,12 @@
     processes["balancer"] = await deployment.start("balancer", BALANCER_IP)
 
 
-async def retransmit_until_answered(deployment, key):
+async def retransmit_until_answered(deployment, key, ip=BALANCER_IP):
     """Return the first segment that the caller gets for its request."""
     count = len(deployment.caller.segments)
     async with time_limit(10):
         while len(deployment.caller.segments) == count:
-            deployment.send(key, ACK, 101, TARGET_SEQUENCE + 1, b"question")
+            deployment.send(key, ACK, 101, TARGET_SEQUENCE + 1, b"question", ip)
             await sleep(0.05)
     return deployment.caller.segments[count]
 
@@ -400,3 +400,21 @@
     segments = deployment.caller.segments[count:]
     assert not any(segment.resets for segment in segments)
     assert answer.datagram.endswith(b"answer")
+
+
+async def test_added_balancer_resets_no_connection_of_a_target_that_left_the_view(
+    deployment, processes
+):
+    """A draining target goes on after its entry has been removed."""
+    key = make_key(40008)
+    await open_connection_from(deployment, key)
+    deployment.store.delete("servers/i-1")
+    await sleep(0.5)
+    added = await deployment.start("balancer", ADDED_IP, seeds=(BALANCER_IP,))
+    try:
+        await wait_ready(ADDED_IP)
+        answer = await retransmit_until_answered(deployment, key, ADDED_IP)
+        assert answer.datagram.endswith(b"answer")
+    finally:
+        added.kill()
+        await added.wait()
