Search targets that left the view before a balancer started

A balancer that was restarted or added reset open connections of a target whose entry had been removed shortly before: one that ended its last connections, or whose entry the store had lost for a moment. Its agent was not asked, while the balancers that had seen the entry ask it for 60 s.

The view that a balancer serves to others now names the targets that it has seen leaving, with the time since. A balancer that starts fetches one view of a balancer that reads the store, also if it is not behind, and searches the named targets for the rest of their 60 s. It counts its view as current only then, or after 1 s. That is one fetch more at a start, from the zone's watcher, and no call to the store. Builds without the list ignore it.

Not covered: a balancer without a peer that has seen the entry, as after a restart of all.

--- a/lycheeglade/connection_balancer_daemon.py
+++ b/lycheeglade/connection_balancer_daemon.py
@@ -33,7 +33,8 @@
     decode_message,
     encode_message,
 )
-from lycheeglade.route import RoutingView
+from lycheeglade.removed_targets import ServedRemovals, inherit_removals
+from lycheeglade.route import RemovedTarget, RoutingView
 from lycheeglade.segment import ConnectionKey
 from lycheeglade.transport import DatagramSocket
 from lycheeglade.view_currency import NEVER
@@ -116,6 +117,7 @@
         warmup_overage=settings.warmup_overage or 1.0,
     )
     served_view = ServedView()
+    served_removals = ServedRemovals()
 
     def apply_view(view: RoutingView, source: str) -> None:
         log(
@@ -129,6 +131,9 @@
         update_routing(balancer, view, monotonic())
         log.set_gauge("evacuated_zones", len(balancer.view.evacuated_zones))
 
+    def inherit(removed: tuple[RemovedTarget, ...]) -> None:
+        inherit_removals(balancer, removed, monotonic())
+
     follower = ViewFollower(
         settings.internal,
         settings.zone,
@@ -140,13 +145,14 @@
         send,
         log,
         monotonic(),
+        inherit,
     )
     log("started", host=settings.host_id, role="balancer")
 
     def get_view() -> RoutingView:
-        return served_view.get(
-            follower.get_view(), balancer.loads_by_agent, monotonic()
-        )
+        now = monotonic()
+        view = served_view.get(follower.get_view(), balancer.loads_by_agent, now)
+        return served_removals.get(view, balancer.removed_by_agent, now)
 
     server = await serve_view(settings.internal, get_view)
     tasks = [
--- a/lycheeglade/route.py
+++ b/lycheeglade/route.py
@@ -44,6 +44,21 @@
     regions: tuple[str, ...] | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class RemovedTarget:
+    """Target whose entry the store no longer has.
+
+    Attributes
+    ----------
+    gone_for : float
+        Seconds since it was removed from the view.
+    """
+
+    target: Target
+    service: str
+    gone_for: float
+
+
 @dataclass(frozen=True, slots=True)
 class RoutingView(Versioned):
     """Routes and targets as published up to one revision.
@@ -60,6 +75,9 @@
         Names of the zones whose targets get no new connections, sorted.
     warmup_rates_by_service : mapping of str to float
         New connections per second that a cold target of a service can handle.
+    removed_targets : tuple of RemovedTarget
+        Targets that were removed from the view of the balancer that serves
+        it, empty in the view that a balancer uses.
     """
 
     revision: int = 0
@@ -69,6 +87,7 @@
     era: int = 0
     evacuated_zones: tuple[str, ...] = ()
     warmup_rates_by_service: Mapping[str, float] = field(default_factory=dict)
+    removed_targets: tuple[RemovedTarget, ...] = ()
 
 
 def merge_views(known: RoutingView, received: RoutingView) -> RoutingView:
--- a/lycheeglade/view_exchange.py
+++ b/lycheeglade/view_exchange.py
@@ -40,6 +40,7 @@
 FETCH_RETRY_S = 0.1
 
 NO_VIEW = ViewVersion()
+NEVER = float("-inf")
 
 Send = Callable[[Address, Message], None]
 
@@ -97,7 +98,7 @@
     ):
         self.duty = Duty.FOLLOWER
         self.checked = StoreRevision()
-        self.current_as_of = float("-inf")
+        self.current_as_of = NEVER
         self._address = address
         self._generator = generator
         self._zone = zone
@@ -113,6 +114,7 @@
         self._status_due_at = started_at
         self._fetch_due_at = started_at
         self._is_leaving = False
+        self._has_fetched = False
 
     def receive(
         self,
@@ -193,7 +195,7 @@
             if status.store == version.store:
                 checked = StoreRevision(status.era, status.checked)
                 self.checked = max(self.checked, checked)
-            self._update_currency(version)
+            self.update_currency(version)
         return is_new
 
     def _record_version(
@@ -213,13 +215,21 @@
         peers = self._peers_by_address.values()
         return any(version.is_behind(peer.version) for peer in peers)
 
-    def _update_currency(self, version: ViewVersion) -> None:
-        """Update `current_as_of` of this balancer's view, of `version`."""
+    def update_currency(self, version: ViewVersion) -> None:
+        """Update `current_as_of` of this balancer's view, of `version`.
+
+        A balancer that starts first fetches the view of one that reads the
+        store, which names the targets that have left it.
+        """
         if self._is_behind(version):
             return
-        for peer in self._peers_by_address.values():
-            if peer.duty is Duty.WATCHER:
-                self.current_as_of = max(self.current_as_of, peer.reported_at)
+        peers = self._peers_by_address.values()
+        reported_at = max(
+            (peer.reported_at for peer in peers if peer.duty is Duty.WATCHER),
+            default=NEVER,
+        )
+        if self._has_fetched or reported_at - self._started_at >= START_CATCH_UP_S:
+            self.current_as_of = max(self.current_as_of, reported_at)
 
     def record_copy(self, checked: StoreRevision) -> None:
         """Record that the view has all changes up to `checked`.
@@ -285,7 +295,7 @@
 
     def announce(self, version: ViewVersion, send: Send) -> None:
         """Announce a newer view to the balancers that may lack it."""
-        self._update_currency(version)
+        self.update_currency(version)
         status = self.make_status(version)
         for address in self._status_receivers():
             send(address, status)
@@ -382,7 +392,10 @@
         )
 
     def choose_source(self, version: ViewVersion, now: float) -> Address | None:
-        """Return a random balancer with a newer view than `version`.
+        """Return a random balancer whose view to fetch, or None.
+
+        That is one with a newer view than `version`, or any that reads the
+        store if this balancer has started and has fetched none yet.
 
         Balancers of the own zone go first. Those of other zones only count
         once they have been ahead for a while.
@@ -406,13 +419,28 @@
         ready = near or [
             address for address, peer in ahead if now - peer.ahead_since >= delay
         ]
+        ready = ready or self._find_first_sources(now)
         return self._generator.choice(ready) if ready else None
 
+    def _find_first_sources(self, now: float) -> list[Address]:
+        """Return the balancers whose view a balancer that starts fetches.
+
+        That is done even if they are not ahead, for the targets that have left
+        their view.
+        """
+        if self._has_fetched or now - self._started_at >= START_CATCH_UP_S:
+            return []
+        peers = self._peers_by_address.items()
+        watchers = [(a, peer) for a, peer in peers if peer.duty is Duty.WATCHER]
+        near = [address for address, peer in watchers if peer.zone == self._zone]
+        return near or [address for address, _ in watchers]
+
     def record_fetch(self, source: Address, version: ViewVersion) -> None:
         """Record the version of the view that a peer has returned.
 
         It may have restarted since it reported a newer one.
         """
+        self._has_fetched = True
         peer = self._peers_by_address.get(source)
         if peer is not None:
             peer.version = version
--- a/lycheeglade/view_follower.py
+++ b/lycheeglade/view_follower.py
@@ -2,6 +2,7 @@
 
 from asyncio import Task, create_task
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from functools import partial
 from random import Random
 from time import monotonic
@@ -10,7 +11,7 @@
 from lycheeglade.connection_daemon import raise_task_failures
 from lycheeglade.known_view import KnownView
 from lycheeglade.relay_message import Duty, Message, Peers, ViewStatus
-from lycheeglade.route import RoutingView
+from lycheeglade.route import RemovedTarget, RoutingView
 from lycheeglade.store_revision import StoreRevision
 from lycheeglade.view_exchange import ViewExchange
 from lycheeglade.view_transfer import fetch_view
@@ -62,6 +63,8 @@
         Sends a message to another balancer.
     now : float
         Monotonic seconds.
+    inherit_removals : callable
+        Called with the targets that a peer has seen leaving the view.
     """
 
     def __init__(
@@ -76,6 +79,9 @@
         send: Callable[[Address, Message], None],
         log: Callable[..., None],
         now: float,
+        inherit_removals: Callable[[tuple[RemovedTarget, ...]], None] = (
+            lambda removed: None
+        ),
     ):
         self._exchange = ViewExchange(address, generator, str(zone), now)
         self._read_store = read_store
@@ -84,6 +90,7 @@
         self._apply_view = apply_view
         self._send = send
         self._log = log
+        self._inherit_removals = inherit_removals
         self._known = KnownView()
         self._reading: Task | None = None
         self._following: Task | None = None
@@ -212,4 +219,6 @@
             self._exchange.record_failed_fetch(monotonic())
         else:
             self._exchange.record_fetch(source, view.version)
-            self._publish(view, str(source))
+            self._inherit_removals(view.removed_targets)
+            self._publish(replace(view, removed_targets=()), str(source))
+            self._exchange.update_currency(self._known.view.version)
--- /dev/null
+++ b/tests/test_removed_targets.py
@@ -0,0 +1,114 @@
+"""Targets that have left the view, and balancers that start afterwards."""
+
+from dataclasses import replace
+from random import Random
+
+import pytest
+from msgspec.msgpack import decode, encode
+
+from lycheeglade.address import Address
+from lycheeglade.connection_balancer import (
+    receive_message,
+    receive_segment,
+    tick,
+    update_routing,
+)
+from lycheeglade.connection_limits import CONNECTION_LIFETIME_S
+from lycheeglade.relay_message import ConnectionNotHeld, Duty, ViewStatus
+from lycheeglade.removed_targets import ServedRemovals, inherit_removals
+from lycheeglade.route import RoutingView
+from lycheeglade.view_exchange import START_CATCH_UP_S, ViewExchange
+from tests.connections import (
+    AGENTS,
+    KEY,
+    TARGETS,
+    BalancerRecorder,
+    data,
+    make_report,
+    make_view,
+)
+
+OWN = Address("10.1.0.1", 7720)
+PEER = Address("10.1.0.2", 7720)
+VIEW = make_view(TARGETS[:2], revision=6)
+
+
+@pytest.fixture
+def recorder():
+    return BalancerRecorder()
+
+
+def make_removed(gone_for=10.0):
+    """Return what a balancer serves that saw the third target leave."""
+    old = BalancerRecorder().make(make_view(TARGETS), 1.0)
+    update_routing(old, VIEW, 2.0)
+    return ServedRemovals().get(VIEW, old.removed_by_agent, 2.0 + gone_for)
+
+
+def test_target_that_left_before_the_start_is_searched(recorder):
+    balancer = recorder.make(VIEW, 50.0)
+    inherit_removals(balancer, make_removed().removed_targets, 50.0)
+    for agent in AGENTS:
+        receive_message(balancer, make_report(), agent, 50.1)
+    recorder.sent.clear()
+    receive_segment(balancer, data(), 51.0)
+    asked = [agent for agent, _ in recorder.pop_forwarded_segments()]
+    assert asked == AGENTS
+    for agent in AGENTS[:2]:
+        receive_message(balancer, ConnectionNotHeld(KEY, 77), agent, 51.01)
+    tick(balancer, 51.3)
+    assert recorder.resets == []
+
+
+def test_inherited_target_is_forgotten_with_its_last_connections(recorder):
+    """Passed on again and again, it would be searched forever."""
+    balancer = recorder.make(VIEW, 50.0)
+    inherit_removals(balancer, make_removed(50.0).removed_targets, 50.0)
+    late = 50.0 + CONNECTION_LIFETIME_S - 50.0 + 0.1
+    served = ServedRemovals().get(VIEW, balancer.removed_by_agent, late)
+    assert served.removed_targets == ()
+
+
+def test_list_is_made_anew_for_a_new_view_and_after_a_while():
+    served = ServedRemovals()
+    balancer = BalancerRecorder().make(make_view(TARGETS), 1.0)
+    assert served.get(VIEW, balancer.removed_by_agent, 1.0) is VIEW
+    update_routing(balancer, VIEW, 2.0)
+    first = served.get(VIEW, balancer.removed_by_agent, 2.0)
+    assert served.get(VIEW, balancer.removed_by_agent, 2.1) is first
+    (removed,) = served.get(VIEW, balancer.removed_by_agent, 4.0).removed_targets
+    assert (removed.target, removed.gone_for) == (TARGETS[2], 2.0)
+    newer = replace(VIEW, revision=7)
+    assert served.get(newer, balancer.removed_by_agent, 4.0).revision == 7
+
+
+def test_views_of_builds_with_and_without_the_list_are_read():
+    view = make_removed()
+    assert decode(encode(view), type=RoutingView) == view
+    fields = decode(encode(view))
+    del fields["removed_targets"]
+    assert decode(encode(fields), type=RoutingView) == VIEW
+    fields["later"] = 1
+    assert decode(encode(fields), type=RoutingView) == VIEW
+
+
+def test_balancer_that_starts_fetches_one_view_although_it_is_not_behind():
+    """Only this brings it the targets that left the view."""
+    exchange = ViewExchange(OWN, Random(1), "nadi-a", started_at=20.0)
+    status = ViewStatus("nadi-a", 6, 6, Duty.WATCHER, configuration=1)
+    exchange.receive(status, PEER, VIEW.version, 20.1)
+    assert exchange.current_as_of == float("-inf")
+    assert exchange.choose_source(VIEW.version, 20.1) == PEER
+    exchange.record_fetch(PEER, VIEW.version)
+    exchange.update_currency(VIEW.version)
+    assert exchange.current_as_of == 20.1
+    assert exchange.choose_source(VIEW.version, 20.2) is None
+
+
+def test_view_that_can_not_be_fetched_holds_up_no_search_for_long():
+    exchange = ViewExchange(OWN, Random(1), "nadi-a", started_at=20.0)
+    late = 20.0 + START_CATCH_UP_S
+    status = ViewStatus("nadi-a", 6, 6, Duty.WATCHER, configuration=1)
+    exchange.receive(status, PEER, VIEW.version, late)
+    assert exchange.choose_source(VIEW.version, late) is None
+    assert exchange.current_as_of == late
