List resets while a zone's watcher is disturbed as known red

If the watcher gets no answer of the store, or does not reach its peers, views of the zone are up to 1 s apart in virtual time, longer than a search waits for word of a watcher.

--- a/tests/test_view_lag.py
+++ b/tests/test_view_lag.py
@@ -99,6 +99,15 @@
             return HomeFound(key, 1000)
         return ConnectionNotHeld(key, 77)
 
+    def disturb_watchers(self, trouble):
+        """Disturb the links of the zone's watchers."""
+        for watcher in self.fleet.watchers(ZONE):
+            watcher.store_is_silent = trouble == "silent-store"
+            watcher.reaches_store = trouble != "refusing-store"
+            watcher.reaches_peers = trouble != "cut-off-peers"
+            if trouble == "refusing-store":
+                watcher.exchange.record_store_failure()
+
     def send_to_those_behind(self, version, destination):
         """Send segments of open connections until all have `version`.
 
@@ -140,6 +149,20 @@
     assert zone.find_resets() == []
 
 
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("trouble", ["silent-store", "refusing-store", "cut-off-peers"])
+def test_new_target_is_searched_although_the_watcher_is_disturbed(trouble, seed):
+    """The others followed it, and took their view for current too early."""
+    zone = ZoneOfBalancers(seed, NEW_TARGET)
+    zone.put_routes(ROUTE)
+    zone.advance(0.3)
+    zone.disturb_watchers(trouble)
+    zone.fleet.put_target(NEW_TARGET)
+    sent = zone.send_to_those_behind(zone.fleet.view.version, ROUTE.address)
+    assert sent
+    assert zone.find_resets() == []
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_connection_of_a_target_that_others_know_already_is_not_reset(seed):
     zone = ZoneOfBalancers(seed, NEW_TARGET)
