Let searches wait longer while a newer view is on its way

A zone's watcher that gets no answer of the store, or does not reach its peers, keeps the others behind for up to 1 s, until they follow another zone or another watcher. Searches waited only 0.3 s for word of a watcher, and then reset connections of a new target that a balancer ahead of them had opened.

A search now waits up to 1.2 s if its balancer knows of a newer view, or if a watcher of its zone is known, which reports every 0.25 s while it is there. If none is known, as while the store is down, 0.3 s remain.

--- a/lycheeglade/connection_balancer_daemon.py
+++ b/lycheeglade/connection_balancer_daemon.py
@@ -167,6 +167,8 @@
         raise_task_failures(tasks)
         follower.tick(now)
         balancer.current_as_of = follower.current_as_of
+        if balancer.searching_keys or balancer.held_segments:
+            balancer.is_view_awaited = follower.is_awaiting_view()
         tick_balancer(balancer, now)
 
     await run_until(stop, tick, TICK_S)
--- a/lycheeglade/connection_balancer_state.py
+++ b/lycheeglade/connection_balancer_state.py
@@ -153,6 +153,9 @@
     current_as_of : float
         Time as of which the view is known to lack no change; negative
         infinity before any is known, infinity if the view is always current.
+    is_view_awaited : bool
+        Whether a newer view is known to exist, or a balancer of this zone that
+        reads the store should report soon.
     routes_known_at : float
         Time of the first routes, or of the latest that followed on a version
         unknown here.
@@ -179,6 +182,7 @@
     view: RoutingView = field(default_factory=RoutingView)
     view_at: float = 0.0
     current_as_of: float = float("inf")
+    is_view_awaited: bool = False
     routes_known_at: float = float("-inf")
     targets_by_agent: dict[Address, list[Target]] = field(default_factory=dict)
     removed_by_agent: dict[Address, tuple[Target, str, float]] = field(
--- a/lycheeglade/view_currency.py
+++ b/lycheeglade/view_currency.py
@@ -17,6 +17,9 @@
 # within MAX_ZONE_SPREAD_S of each other.
 MAX_SPREAD_S = 0.6
 MAX_ZONE_SPREAD_S = 0.3
+# A balancer that is known to be behind, or whose zone has lost its watcher,
+# has the newer view within this time.
+MAX_CATCH_UP_S = 1.2
 NEVER = float("-inf")
 
 
@@ -35,4 +38,7 @@
     """
     if not is_view_confirmed(balancer, now):
         return False
-    return balancer.current_as_of >= at or now - at >= MAX_ZONE_SPREAD_S
+    if balancer.current_as_of >= at:
+        return True
+    limit = MAX_CATCH_UP_S if balancer.is_view_awaited else MAX_ZONE_SPREAD_S
+    return now - at >= limit
--- a/lycheeglade/view_exchange.py
+++ b/lycheeglade/view_exchange.py
@@ -215,6 +215,17 @@
         peers = self._peers_by_address.values()
         return any(version.is_behind(peer.version) for peer in peers)
 
+    def is_awaiting_view(self, version: ViewVersion) -> bool:
+        """Return whether others have or should bring a newer view.
+
+        That is so if one is known to have it, or if the zone has a watcher,
+        which reports often.
+        """
+        return self._is_behind(version) or any(
+            peer.duty is Duty.WATCHER and peer.zone == self._zone
+            for peer in self._peers_by_address.values()
+        )
+
     def update_currency(self, version: ViewVersion) -> None:
         """Update `current_as_of` of this balancer's view, of `version`.
 
--- a/lycheeglade/view_follower.py
+++ b/lycheeglade/view_follower.py
@@ -105,6 +105,10 @@
         """Time as of which the view is known to lack no change."""
         return self._exchange.current_as_of
 
+    def is_awaiting_view(self) -> bool:
+        """Return whether other balancers have or should bring a newer view."""
+        return self._exchange.is_awaiting_view(self._known.view.version)
+
     def receive(self, message: Peers | ViewStatus, source: Address, now: float) -> None:
         """Process a message of another balancer."""
         version = self._known.view.version
--- a/tests/test_view_lag.py
+++ b/tests/test_view_lag.py
@@ -75,6 +75,7 @@
         if balancer.view is not node.view:
             update_routing(balancer, node.view, now)
         balancer.current_as_of = node.exchange.current_as_of
+        balancer.is_view_awaited = node.exchange.is_awaiting_view(node.view.version)
         due = [each for each in self.answers if each[0] <= now]
         self.answers = [each for each in self.answers if each[0] > now]
         for _, receiver, agent, message in due:
