Fetch no view for its removals if all balancers start together

After a loss of power, each balancer fetched the view of its zone's first watcher, which knows no target that has left. Now only one does that has heard a watcher within 0.4 s of its start: before that, no process that started with it reads the store. Starts are up to 0.3 s apart, so that some may still fetch.

The new test failed before: it chose a source. The test of a view that can't be fetched now hears the watcher early, as the fetch depends on it.

--- a/lycheeglade/view_exchange.py
+++ b/lycheeglade/view_exchange.py
@@ -115,6 +115,7 @@
         self._fetch_due_at = started_at
         self._is_leaving = False
         self._has_fetched = False
+        self._has_older_watcher = False
 
     def receive(
         self,
@@ -195,6 +196,9 @@
             if status.store == version.store:
                 checked = StoreRevision(status.era, status.checked)
                 self.checked = max(self.checked, checked)
+            if now - self._started_at < MIN_START_WAIT_S:
+                # It watched before this process could have.
+                self._has_older_watcher = True
             self.update_currency(version)
         return is_new
 
@@ -229,8 +233,8 @@
     def update_currency(self, version: ViewVersion) -> None:
         """Update `current_as_of` of this balancer's view, of `version`.
 
-        A balancer that starts first fetches the view of one that reads the
-        store, which names the targets that have left it.
+        A balancer that starts first fetches the view of one that has read the
+        store before, which names the targets that have left it.
         """
         if self._is_behind(version):
             return
@@ -239,7 +243,7 @@
             (peer.reported_at for peer in peers if peer.duty is Duty.WATCHER),
             default=NEVER,
         )
-        if self._has_fetched or reported_at - self._started_at >= START_CATCH_UP_S:
+        if not self._lacks_removals(reported_at):
             self.current_as_of = max(self.current_as_of, reported_at)
 
     def record_copy(self, checked: StoreRevision) -> None:
@@ -433,13 +437,21 @@
         ready = ready or self._find_first_sources(now)
         return self._generator.choice(ready) if ready else None
 
+    def _lacks_removals(self, now: float) -> bool:
+        """Return whether targets may have left that only others have known.
+
+        If all balancers have started together, none has.
+        """
+        is_starting = now - self._started_at < START_CATCH_UP_S
+        return is_starting and self._has_older_watcher and not self._has_fetched
+
     def _find_first_sources(self, now: float) -> list[Address]:
         """Return the balancers whose view a balancer that starts fetches.
 
         That is done even if they are not ahead, for the targets that have left
         their view.
         """
-        if self._has_fetched or now - self._started_at >= START_CATCH_UP_S:
+        if not self._lacks_removals(now):
             return []
         peers = self._peers_by_address.items()
         watchers = [(a, peer) for a, peer in peers if peer.duty is Duty.WATCHER]
--- a/tests/test_removed_targets.py
+++ b/tests/test_removed_targets.py
@@ -17,7 +17,11 @@
 from lycheeglade.relay_message import ConnectionNotHeld, Duty, ViewStatus
 from lycheeglade.removed_targets import ServedRemovals, inherit_removals
 from lycheeglade.route import RoutingView
-from lycheeglade.view_exchange import START_CATCH_UP_S, ViewExchange
+from lycheeglade.view_exchange import (
+    MIN_START_WAIT_S,
+    START_CATCH_UP_S,
+    ViewExchange,
+)
 from tests.connections import (
     AGENTS,
     KEY,
@@ -105,10 +109,22 @@
     assert exchange.choose_source(VIEW.version, 20.2) is None
 
 
+def test_balancers_that_start_together_fetch_no_view_without_need():
+    """After a loss of power, all of a zone would fetch it at once."""
+    exchange = ViewExchange(OWN, Random(1), "nadi-a", started_at=20.0)
+    status = ViewStatus("nadi-a", 6, 6, Duty.WATCHER, configuration=1)
+    first_at = 20.1 + MIN_START_WAIT_S
+    exchange.receive(status, PEER, VIEW.version, first_at)
+    assert exchange.choose_source(VIEW.version, first_at) is None
+    assert exchange.current_as_of == first_at
+
+
 def test_view_that_can_not_be_fetched_holds_up_no_search_for_long():
     exchange = ViewExchange(OWN, Random(1), "nadi-a", started_at=20.0)
     late = 20.0 + START_CATCH_UP_S
     status = ViewStatus("nadi-a", 6, 6, Duty.WATCHER, configuration=1)
+    exchange.receive(status, PEER, VIEW.version, 20.1)
+    assert exchange.current_as_of == float("-inf")
     exchange.receive(status, PEER, VIEW.version, late)
     assert exchange.choose_source(VIEW.version, late) is None
     assert exchange.current_as_of == late
