--- a/lycheeglade/connection_balancer_daemon.py
+++ b/lycheeglade/connection_balancer_daemon.py
@@ -166,6 +166,8 @@
     def tick(now: float) -> None:
         raise_task_failures(tasks)
         follower.tick(now)
+        if balancer.current_as_of == NEVER < follower.current_as_of:
+            log("view-current", view_age_s=now - balancer.view_at)
         balancer.current_as_of = follower.current_as_of
         if balancer.searching_keys or balancer.held_segments:
             balancer.is_view_awaited = follower.is_awaiting_view()
