--- a/tests/test_connection_daemon.py
+++ b/tests/test_connection_daemon.py
@@ -408,8 +408,10 @@
     """A draining target goes on after its entry has been removed."""
     key = make_key(40008)
     await open_connection_from(deployment, key)
+    # The second watch waits for changes, so that the deletion is seen at once.
+    await wait_until(lambda: deployment.store.calls.count("/kv-watch") > 1)
     deployment.store.delete("servers/i-1")
-    await sleep(0.5)
+    await sleep(0.1)
     added = await deployment.start("balancer", ADDED_IP, seeds=(BALANCER_IP,))
     try:
         await wait_ready(ADDED_IP)
