--- a/tests/test_view_currency.py
+++ b/tests/test_view_currency.py
@@ -1,6 +1,7 @@
 """Resets by a balancer whose view lacks routes or targets that others know."""
 
 from dataclasses import replace
+from random import Random
 
 import pytest
 
@@ -12,8 +13,16 @@
     update_routing,
 )
 from lycheeglade.connection_search import MAX_CALLER_SILENCE_S, MIN_VIEW_AGE_S
-from lycheeglade.relay_message import ConnectionNotHeld, HomeFound
+from lycheeglade.relay_message import (
+    ConnectionNotHeld,
+    Duty,
+    HomeFound,
+    Peers,
+    ViewStatus,
+)
+from lycheeglade.store_revision import StoreRevision, ViewVersion
 from lycheeglade.view_currency import MAX_COPY_AGE_S, MAX_SPREAD_S, NEVER
+from lycheeglade.view_exchange import ViewExchange
 from tests.connections import (
     AGENTS,
     KEY,
@@ -203,3 +212,48 @@
     assert len(confirmed_at) == len(added)
     limit = MAX_CONFIRMATION_S if lost == "none" else MAX_LONE_CONFIRMATION_S
     assert max(confirmed_at.values()) - started_at <= limit
+
+
+PEER = Address("10.1.0.2", 7720)
+OTHER_PEER = Address("10.1.0.3", 7720)
+OWN_VERSION = ViewVersion(StoreRevision(2, 6), 3)
+
+
+@pytest.fixture
+def exchange():
+    return ViewExchange(Address("10.1.0.1", 7720), Random(1), "nadi-a", 20.0)
+
+
+def make_status(duty=Duty.WATCHER, revision=6, era=2, configuration=3):
+    return ViewStatus("nadi-a", revision, 6, duty, (), era, configuration)
+
+
+@pytest.mark.parametrize(
+    "status",
+    [
+        make_status(Duty.FOLLOWER),
+        make_status(Duty.TRYING),
+        make_status(era=1, revision=900),
+        make_status(revision=7),
+        make_status(configuration=4),
+        make_status(era=3, revision=1),
+    ],
+)
+def test_status_that_does_not_show_the_view_current_confirms_nothing(exchange, status):
+    """Followers may have started from the same copy."""
+    exchange.record_copy(OWN_VERSION.store)
+    exchange.receive(status, PEER, OWN_VERSION, 25.0)
+    exchange.announce(OWN_VERSION, lambda address, message: None)
+    assert exchange.current_as_of == NEVER
+
+
+def test_watcher_confirms_no_view_that_another_balancer_is_ahead_of(exchange):
+    exchange.receive(make_status(), PEER, OWN_VERSION, 25.0)
+    assert exchange.current_as_of == 25.0
+    ahead = Peers(7, (), 2, 3)
+    exchange.receive(ahead, OTHER_PEER, OWN_VERSION, 25.1)
+    exchange.receive(make_status(), PEER, OWN_VERSION, 25.2)
+    assert exchange.current_as_of == 25.0
+    newer = OWN_VERSION._replace(store=StoreRevision(2, 7))
+    exchange.announce(newer, lambda address, message: None)
+    assert exchange.current_as_of == 25.2
