--- a/lycheeglade/view_currency.py
+++ b/lycheeglade/view_currency.py
@@ -24,7 +24,7 @@
 
 
 def is_view_confirmed(balancer: ConnectionBalancer, now: float) -> bool:
-    """Return whether the view has been current since this process started."""
+    """Return whether the view has been known to be current at some time."""
     if balancer.current_as_of > NEVER:
         return True
     return now - balancer.view_at >= MAX_COPY_AGE_S
