--- a/lycheeglade/view_exchange.py
+++ b/lycheeglade/view_exchange.py
@@ -40,6 +40,7 @@
 FETCH_RETRY_S = 0.1
 
 NO_VIEW = ViewVersion()
+NEVER = float("-inf")
 
 Send = Callable[[Address, Message], None]
 
@@ -82,6 +83,10 @@
         Whether this balancer reads the store.
     checked : StoreRevision
         Revision of the store up to which this balancer's view is complete.
+    current_as_of : float
+        Time as of which this balancer's view is known to lack no change, in
+        monotonic seconds, negative infinity if it never was. Balancers that
+        read the store tell it: this one, or others in their status.
     """
 
     def __init__(
@@ -93,6 +98,7 @@
     ):
         self.duty = Duty.FOLLOWER
         self.checked = StoreRevision()
+        self.current_as_of = NEVER
         self._address = address
         self._generator = generator
         self._zone = zone
@@ -108,6 +114,8 @@
         self._status_due_at = started_at
         self._fetch_due_at = started_at
         self._is_leaving = False
+        self._has_fetched = False
+        self._has_older_watcher = False
 
     def receive(
         self,
@@ -188,6 +196,10 @@
             if status.store == version.store:
                 checked = StoreRevision(status.era, status.checked)
                 self.checked = max(self.checked, checked)
+            if now - self._started_at < MIN_START_WAIT_S:
+                # It watched before this process could have.
+                self._has_older_watcher = True
+            self.update_currency(version)
         return is_new
 
     def _record_version(
@@ -203,9 +215,48 @@
                 peer.ahead_since = now
         return peer
 
-    def record_store_answer(self, checked: StoreRevision) -> None:
+    def _is_behind(self, version: ViewVersion) -> bool:
+        peers = self._peers_by_address.values()
+        return any(version.is_behind(peer.version) for peer in peers)
+
+    def is_awaiting_view(self, version: ViewVersion) -> bool:
+        """Return whether others have or should bring a newer view.
+
+        That is so if one is known to have it, or if the zone has a watcher,
+        which reports often.
+        """
+        return self._is_behind(version) or any(
+            peer.duty is Duty.WATCHER and peer.zone == self._zone
+            for peer in self._peers_by_address.values()
+        )
+
+    def update_currency(self, version: ViewVersion) -> None:
+        """Update `current_as_of` of this balancer's view, of `version`.
+
+        A balancer that starts first fetches the view of one that has read the
+        store before, which names the targets that have left it.
+        """
+        if self._is_behind(version):
+            return
+        peers = self._peers_by_address.values()
+        reported_at = max(
+            (peer.reported_at for peer in peers if peer.duty is Duty.WATCHER),
+            default=NEVER,
+        )
+        if not self._lacks_removals(reported_at):
+            self.current_as_of = max(self.current_as_of, reported_at)
+
+    def record_copy(self, checked: StoreRevision) -> None:
+        """Record that the view has all changes up to `checked`.
+
+        It was read from a copy of the store that may be seconds old.
+        """
+        self.checked = max(self.checked, checked)
+
+    def record_store_answer(self, checked: StoreRevision, now: float) -> None:
         """Record that the store answered, with all changes up to `checked`."""
         self.checked = max(self.checked, checked)
+        self.current_as_of = max(self.current_as_of, now)
         if self.duty is Duty.TRYING:
             self.duty = Duty.WATCHER
             self._status_due_at = float("-inf")
@@ -259,6 +310,7 @@
 
     def announce(self, version: ViewVersion, send: Send) -> None:
         """Announce a newer view to the balancers that may lack it."""
+        self.update_currency(version)
         status = self.make_status(version)
         for address in self._status_receivers():
             send(address, status)
@@ -299,6 +351,9 @@
         if duty is not self.duty or now >= self._status_due_at:
             receivers = self._status_receivers()
             self.duty = duty
+            if duty is Duty.WATCHER and not self._is_behind(view.version):
+                # The watch returns each change at once.
+                self.current_as_of = now
             is_follower = duty is Duty.FOLLOWER
             self._status_due_at = now + (
                 FOLLOWER_STATUS_PERIOD_S if is_follower else WATCHER_STATUS_PERIOD_S
@@ -352,7 +407,10 @@
         )
 
     def choose_source(self, version: ViewVersion, now: float) -> Address | None:
-        """Return a random balancer with a newer view than `version`.
+        """Return a random balancer whose view to fetch, or None.
+
+        That is one with a newer view than `version`, or any that reads the
+        store if this balancer has started and has fetched none yet.
 
         Balancers of the own zone go first. Those of other zones only count
         once they have been ahead for a while.
@@ -376,13 +434,36 @@
         ready = near or [
             address for address, peer in ahead if now - peer.ahead_since >= delay
         ]
+        ready = ready or self._find_first_sources(now)
         return self._generator.choice(ready) if ready else None
 
+    def _lacks_removals(self, now: float) -> bool:
+        """Return whether targets may have left that only others have known.
+
+        If all balancers have started together, none has.
+        """
+        is_starting = now - self._started_at < START_CATCH_UP_S
+        return is_starting and self._has_older_watcher and not self._has_fetched
+
+    def _find_first_sources(self, now: float) -> list[Address]:
+        """Return the balancers whose view a balancer that starts fetches.
+
+        That is done even if they are not ahead, for the targets that have left
+        their view.
+        """
+        if not self._lacks_removals(now):
+            return []
+        peers = self._peers_by_address.items()
+        watchers = [(a, peer) for a, peer in peers if peer.duty is Duty.WATCHER]
+        near = [address for address, peer in watchers if peer.zone == self._zone]
+        return near or [address for address, _ in watchers]
+
     def record_fetch(self, source: Address, version: ViewVersion) -> None:
         """Record the version of the view that a peer has returned.
 
         It may have restarted since it reported a newer one.
         """
+        self._has_fetched = True
         peer = self._peers_by_address.get(source)
         if peer is not None:
             peer.version = version
