Test that a silent store is followed again in time

Callers got answers by a configuration that the store had replaced: it was written at the return of a store that had been silent for 1 s, and was in force 4.6 s after the return instead of 4 s.

The stand-in store can now fall silent: it accepts connections and calls, and what was open meanwhile is never answered, also not later.

A watch waits 4 s and is given up after 5 s. One that was sent as the silence began, or up to 0.5 s later after the pause that follows changes, hangs for the rest of that time, in all zones at once where the same change has aligned their watches.

--- a/tests/store_stand_in.py
+++ b/tests/store_stand_in.py
@@ -2,7 +2,8 @@
 
 A test may take a copy of the store at any moment and put it back later. The
 store then has lost all later changes, gives out their revisions again and
-counts its era up, which each of its answers names.
+counts its era up, which each of its answers names. It may also fall silent: a
+connection that was open meanwhile never returns an answer again.
 """
 
 from asyncio import (
@@ -46,6 +47,8 @@
         Called before each page of a range is read.
     loses_watch_answers : bool
         Whether an answer to a watch is lost, and its connection stays open.
+    status : int or None
+        Status of all answers, 200 to serve the calls; None for no answers.
     """
 
     def __init__(self):
@@ -54,6 +57,7 @@
         self.stale: StoreCopy | None = None
         self.before_page: Callable[[], None] = lambda: None
         self.loses_watch_answers = False
+        self._silences = 0
         self.items_by_key = {}
         self.events = []
         self.calls = []
@@ -64,6 +68,15 @@
         self.changed = Event()
         self._server = None
 
+    @property
+    def status(self) -> int | None:
+        return self._status
+
+    @status.setter
+    def status(self, status: int | None) -> None:
+        self._status = status
+        self._silences += status is None
+
     async def start(self, host="127.0.0.1", port=0):
         self._server = await start_server(self._serve, host, port)
         return self._server.sockets[0].getsockname()[:2]
@@ -119,12 +132,15 @@
         self.changed = Event()
 
     async def _serve(self, reader: StreamReader, writer: StreamWriter):
+        silences = self._silences
         try:
             while True:
                 request = await reader.readuntil(b"\r\n\r\n")
                 target = request.split()[1].decode()
+                was_silent = self.status is None
                 status, body = await self._answer(target)
-                if self.loses_watch_answers and target.startswith("/kv-watch"):
+                is_lost = self.loses_watch_answers and target.startswith("/kv-watch")
+                if is_lost or was_silent or self._silences != silences:
                     await reader.read()
                     return
                 content = dumps(body).encode()
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -174,6 +174,29 @@
     )
 
 
+@pytest.mark.parametrize("pauses", [False, True])
+@pytest.mark.parametrize("silent_s", [0.0, 1.0, 3.3])
+async def test_store_that_was_silent_is_followed_again_in_time(
+    store, balancer, silent_s, pauses
+):
+    """A watch that was sent just before the end of the silence hung for 5 s.
+
+    It was sent as the silence began, or after the pause that follows changes.
+    """
+    put_target(store, 5)
+    await wait_until(lambda: len(balancer.find_targets(State.LIVE)) == 6)
+    if not pauses:
+        store.calls.clear()
+        await wait_until(lambda: "/kv-watch" in store.calls)
+    store.status = None
+    await sleep(silent_s)
+    store.status = 200
+    put_configuration(store, 4, SECOND_ROUTE.ip)
+    await wait_until(lambda: balancer.versions[-1] == 4, STABILITY_S)
+    put_target(store, 0, "draining")
+    await wait_until(lambda: balancer.find_targets(State.LEAVING) == {"i-0"})
+
+
 async def test_older_configuration_of_a_copy_does_not_come_into_force(store, balancer):
     copy = store.copy()
     put_configuration(store, 9, SECOND_ROUTE.ip)
