Cut a stand-in watch whose history goes as its wait ends

The stand-in checked whether the history was gone only after a wait that a change had ended. A watch whose wait ran out in the same moment was answered as if nothing had been dropped, with the revision after it, so that the follower never read the missing items. The first watch of a follower has a wait of 0, and the test drops the history right after it.

The check now follows each wait.

--- a/tests/store_stand_in.py
+++ b/tests/store_stand_in.py
@@ -190,11 +190,12 @@
         if not self.compacted_revision <= after <= self.revision:
             return 410, {}
         restores = self.restores
-        while not self._events_after(after):
+        has_ended = False
+        while not has_ended and not self._events_after(after):
             try:
                 await wait_for(self.changed.wait(), wait_ms / 1000)
             except TimeoutError:
-                break
+                has_ended = True
             if after < self.compacted_revision or self.restores != restores:
                 raise EOFError
         # Events and revision belong together: both are read after the wait.
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -78,6 +78,15 @@
     await wait_until(lambda: target_count(follower[-1]) == 4)
 
 
+async def test_history_that_is_gone_as_a_wait_ends_is_not_passed_over(store):
+    """The stand-in answered such a watch as if nothing had been dropped."""
+    watch = create_task(store._watch(store.revision, 0))
+    await sleep(0)
+    store.compact_history()
+    with pytest.raises(EOFError):
+        await watch
+
+
 async def test_store_that_refuses_is_asked_again(store, follower):
     await wait_until(lambda: store.calls[-1:] == ["/kv-watch"])
     store.status = 503
