Check open connections in the soak while the store lags or is away

The soak checked that no open connection is reset or delivered elsewhere, but not where a report from the field needs it: all reads of its store were current, and a fault of the store, or of a balancer's link to it, suspended the check at these balancers for its time and 4 s.

- Reads with allow-stale=1 now show the store of up to 2 s ago.
- restart_in_turn restarts all balancers, or all agents, one after the other, each with a change of routes up to 2 s before its start.
- harm_store can also let the store fall silent.
- Faults of the store are recorded apart from those of hosts.
They suspend what depends on the store (CONFIG, DRAIN, EVAC) as before, and no longer FLOW.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -10,6 +10,7 @@
 )
 from asyncio import timeout as time_limit
 from asyncio.subprocess import Process
+from collections import deque
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass
@@ -41,7 +42,7 @@
     format_settings,
     is_ready,
 )
-from tests.store_stand_in import StoreStandIn
+from tests.store_stand_in import StoreCopy, StoreStandIn
 
 ROOT = Path(__file__).parent.parent
 BALANCERS = 3
@@ -59,6 +60,10 @@
 EVACUATION_PREFIX = "op/evacuate/"
 STORE_PORT, PROXY_PORT = 7600, 7601
 SERVICE_TIMES_S = (0.005, 0.01)
+# Lag of the store's reads that may lag; shorter than the time within which a
+# configuration comes into force.
+MAX_LAG_S = 2.0
+COPY_PERIOD_S = 0.1
 READY_POLL_S = 0.5
 MISSES_UNTIL_UNREADY = 2
 READY_TIMEOUT_S = 0.4
@@ -119,7 +124,8 @@
         self._tasks = []
         self._callers: list[Caller] = []
         self._started = ExitStack()
-        self._refusals: list[int] = []
+        self._refusals: list[int | None] = []
+        self._copies: deque[StoreCopy] = deque(maxlen=round(MAX_LAG_S / COPY_PERIOD_S))
         self._proxy = Address(self._ip(1), PROXY_PORT)
         self.balancers = [
             Host(f"balancer-{n}", "balancer", self._ip(10 + n), ZONES[n % len(ZONES)])
@@ -159,6 +165,7 @@
         await gather(*map(self.start_process, self.hosts))
         self._tasks.append(create_task(self._poll_readiness()))
         self._tasks.append(create_task(self._watch_stalls()))
+        self._tasks.append(create_task(self._age_copies()))
         async with time_limit(START_S):
             await self._wait_ready()
             await gather(*map(self.wait_started, self.agents))
@@ -377,11 +384,29 @@
             if target.is_alive:
                 self.publish_target(target, agents_by_ip[ip])
 
+    def restore_store(self, copy: StoreCopy) -> None:
+        """Put the store back to `copy`; reads that may lag don't show more."""
+        self.store.restore(copy)
+        self._copies.clear()
+        self.store.stale = copy
+
+    async def _age_copies(self) -> None:
+        """Let reads that may lag show the store of up to MAX_LAG_S ago."""
+        while True:
+            self._copies.append(self.store.copy())
+            self.store.stale = self._copies[0]
+            await sleep(COPY_PERIOD_S)
+
     @contextmanager
-    def refusing_store(self, status: int) -> Iterator[None]:
+    def refusing_store(self, status: int | None) -> Iterator[None]:
         """Let the store refuse all calls while the block runs.
 
         Blocks may overlap; the store answers again after the last one.
+
+        Parameters
+        ----------
+        status : int or None
+            Status of the refusals, or None for a store that is silent.
         """
         self._refusals.append(status)
         self.store.status = status
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,13 +1,13 @@
 """Faults and planned maintenance, drawn from a seeded generator."""
 
 from asyncio import create_task, gather, sleep
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 from contextlib import contextmanager
 from random import Random
 from signal import SIGCONT, SIGHUP, SIGKILL, SIGSTOP
 
 from lycheeglade.address import Address
-from soak.deployment import SERVICES, WARMUP_S, Deployment, Host
+from soak.deployment import MAX_LAG_S, SERVICES, WARMUP_S, Deployment, Host
 from soak.network import LinkFault
 from soak.store_link import LinkState
 from tests.platform_process import ZONES
@@ -34,10 +34,10 @@
 
 @contextmanager
 def _reserve_idle_host(
-    deployment: Deployment, generator: Random
+    hosts: Sequence[Host], generator: Random
 ) -> Iterator[Host | None]:
     """Reserve a random idle host, or yield None if all hosts are busy."""
-    idle = [host for host in deployment.hosts if not host.is_busy]
+    idle = [host for host in hosts if not host.is_busy]
     host = generator.choice(idle) if idle else None
     if host is None:
         yield None
@@ -55,7 +55,7 @@
 
 async def kill_process(deployment: Deployment, generator: Random) -> None:
     """Kill a process with SIGKILL and start it again after a random delay."""
-    with _reserve_idle_host(deployment, generator) as host:
+    with _reserve_idle_host(deployment.hosts, generator) as host:
         if host is None:
             return
         with deployment.promises.unplanned_fault(host.ip):
@@ -69,7 +69,7 @@
 
 async def pause_process(deployment: Deployment, generator: Random) -> None:
     """Pause a process with SIGSTOP for a random time and resume it."""
-    with _reserve_idle_host(deployment, generator) as host:
+    with _reserve_idle_host(deployment.hosts, generator) as host:
         if host is None:
             return
         with deployment.promises.unplanned_fault(host.ip):
@@ -80,15 +80,42 @@
 
 async def restart_process(deployment: Deployment, generator: Random) -> None:
     """Restart a process as in planned maintenance."""
-    with _reserve_idle_host(deployment, generator) as host:
+    await _restart(deployment, generator, deployment.hosts)
+
+
+async def _restart(
+    deployment: Deployment,
+    generator: Random,
+    hosts: Sequence[Host],
+    meanwhile: Fault | None = None,
+) -> None:
+    """Restart the process of an idle host of `hosts`."""
+    with _reserve_idle_host(hosts, generator) as host:
         if host is None:
             return
         await deployment.stop_process(host)
+        if meanwhile is not None:
+            await meanwhile(deployment, generator)
         await deployment.start_process(host)
         await sleep(READINESS_DELAY_S)
         await deployment.wait_started(host)
 
 
+async def restart_in_turn(deployment: Deployment, generator: Random) -> None:
+    """Restart all hosts of a role in turn, each with a change of routes.
+
+    Connections of a new route may be open when a balancer starts with a copy
+    of the store that lacks the route.
+    """
+
+    async def use_new_routes(deployment: Deployment, generator: Random) -> None:
+        await change_routes(deployment, generator)
+        await sleep(generator.uniform(0.0, MAX_LAG_S))
+
+    for host in generator.choice((deployment.balancers, deployment.agents)):
+        await _restart(deployment, generator, [host], use_new_routes)
+
+
 async def send_hangup(deployment: Deployment, generator: Random) -> None:
     """Send SIGHUP to all idle hosts, whose processes reload their settings."""
     for host in deployment.hosts:
@@ -127,7 +154,7 @@
     count = generator.randint(1, len(deployment.balancers))
     hosts = generator.sample(deployment.balancers, count)
     state = generator.choice([s for s in LinkState if s is not LinkState.GOOD])
-    with deployment.promises.unplanned_fault(*(host.ip for host in hosts)):
+    with deployment.promises.store_fault(*(host.ip for host in hosts)):
         for host in hosts:
             host.store_link.set_state(state)
         await sleep(_draw_duration(generator))
@@ -136,14 +163,12 @@
 
 
 async def harm_store(deployment: Deployment, generator: Random) -> None:
-    """Make the store reject all requests, or compact its history."""
-    with deployment.promises.unplanned_fault(
-        *(host.ip for host in deployment.balancers)
-    ):
+    """Make the store reject all requests, fall silent, or drop its history."""
+    with deployment.promises.store_fault(*(host.ip for host in deployment.balancers)):
         if generator.random() < 0.5:
             deployment.store.compact_history()
         else:
-            with deployment.refusing_store(generator.choice((429, 503))):
+            with deployment.refusing_store(generator.choice((429, 503, None, None))):
                 await sleep(_draw_duration(generator))
 
 
@@ -161,7 +186,7 @@
         await sleep(generator.uniform(MIN_FAULT_S, MAX_COPY_AGE_S))
         with deployment.refusing_store(503):
             await sleep(generator.uniform(0.0, MAX_AWAY_S))
-        store.restore(copy)
+        deployment.restore_store(copy)
         await sleep(generator.uniform(0.0, MAX_REWRITE_S))
         deployment.write_again()
 
@@ -306,6 +331,8 @@
     pause_process,
     restart_process,
     restart_process,
+    restart_in_turn,
+    restart_in_turn,
     send_hangup,
     harm_link,
     harm_link,
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -6,7 +6,7 @@
 
 from collections import Counter, defaultdict, deque
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from contextlib import AbstractContextManager, contextmanager
 from dataclasses import dataclass, field
 
 from lycheeglade.address import Address
@@ -24,6 +24,8 @@
 FLOW_TIMEOUT_S = 2.0
 FLOW_PACKETS = 3
 ALL_HOSTS = ""
+# Prefix of a host's IP address for the faults of its access to the store.
+STORE_OF = "store of "
 
 
 @dataclass(slots=True)
@@ -93,9 +95,22 @@
         finally:
             span[1] = self._clock()
 
+    def store_fault(self, *ips: str) -> AbstractContextManager[None]:
+        """Record a fault of the store, or of the access of hosts to it."""
+        return self.unplanned_fault(*(STORE_OF + ip for ip in ips))
+
     def is_stable(self, *ips: str, since: float | None = None) -> bool:
+        """Return whether hosts and their store had no unplanned fault.
+
+        `are_hosts_stable` gives the window that counts.
+        """
+        stores = (STORE_OF + ip for ip in ips)
+        return self.are_hosts_stable(*ips, *stores, since=since)
+
+    def are_hosts_stable(self, *ips: str, since: float | None = None) -> bool:
         """Return whether hosts had no unplanned fault in the stability window.
 
+        Open connections don't depend on the store, whose faults do not count.
         The window begins STABILITY_S seconds before `since`, or before the
         current time if `since` is None, and ends at the current time.
         """
@@ -142,7 +157,7 @@
             if (
                 is_overdue
                 and len(record.stray_times) >= FLOW_PACKETS
-                and self.is_stable(*ips)
+                and self.are_hosts_stable(*ips)
             ):
                 self.record_breach("FLOW", key, "packets reach only other targets")
 
@@ -256,5 +271,5 @@
         is_removed = key.service in self.removed_at_by_address
         ips = (sender, record.latest_balancer_ip, record.target.ip)
         is_open = record.target.is_alive and not record.is_closed
-        if is_open and not is_removed and self.is_stable(*ips):
+        if is_open and not is_removed and self.are_hosts_stable(*ips):
             self.record_breach("FLOW", key, f"reset by {sender}")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,6 @@
 """Short rounds of the soak, some with seeds that failed before."""
 
-from asyncio import get_running_loop, sleep
+from asyncio import create_task, get_running_loop, sleep
 from collections import Counter
 from contextlib import ExitStack
 from random import Random
@@ -10,7 +10,7 @@
 
 from lycheeglade.address import Address
 from lycheeglade.segment import ConnectionKey
-from soak.deployment import STORE_PORT, Deployment
+from soak.deployment import COPY_PERIOD_S, MAX_LAG_S, STORE_PORT, Deployment
 from soak.network import LinkFault, Network
 from soak.packets import ACK, SYN, mark_returned, pack_segment
 from soak.promises import (
@@ -76,6 +76,19 @@
     assert deployment.store.status == 200
 
 
+async def test_reads_that_may_lag_show_the_store_as_it_was(tmp_path):
+    deployment = Deployment(0, tmp_path, Random(1))
+    deployment.write_evacuation("nadi-a")
+    aging = create_task(deployment._age_copies())
+    await sleep(COPY_PERIOD_S / 2)
+    deployment.write_evacuation("")
+    await sleep(2 * COPY_PERIOD_S)
+    assert "op/evacuate/nadi-a" in deployment.store.stale.items_by_key
+    await sleep(MAX_LAG_S)
+    assert "op/evacuate/nadi-a" not in deployment.store.stale.items_by_key
+    aging.cancel()
+
+
 class FakeTarget:
     service = "feeds"
     target_id = "i-1"
@@ -130,6 +143,14 @@
     assert watched.rules() == {"FLOW": 1}
 
 
+def test_reset_of_an_open_connection_is_found_while_the_store_is_away(watched):
+    watched.open()
+    with watched.promises.store_fault("127.9.0.10", "127.9.0.20"):
+        watched.promises.record_reset(KEY, "127.9.0.10")
+        assert watched.rules() == {"FLOW": 1}
+        assert not watched.promises.is_stable("127.9.0.10")
+
+
 def test_packets_that_reach_other_targets_only_are_found(watched):
     watched.open()
     data = pack_segment(ACK, KEY, 8, 1, b"question")
