Don't count openings of cold targets in the soak while the store is away

The trace shows a fault of the soak: it started target i-7 while its store answered 503. Until 16:24:33.61 all balancers had the view of revision 24, without that target's entry, took the target for its predecessor, and told its agent nothing of a warmup. The last breach was at 16:24:33.59. No process could know that the target was cold; a target of the users could not have registered.

While the whole store refuses calls or is silent, and 4 s after, the check is suspended, as DRAIN, CONFIG and EVAC are. A store that drops its history, or that is unreachable for some balancers, does not suspend it. The new test fails without the change.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,6 +9,7 @@
 from lycheeglade.address import Address
 from soak.deployment import MAX_LAG_S, SERVICES, WARMUP_S, Deployment, Host
 from soak.network import LinkFault
+from soak.promises import ALL_HOSTS
 from soak.store_link import LinkState
 from tests.platform_process import ZONES
 
@@ -164,12 +165,14 @@
 
 async def harm_store(deployment: Deployment, generator: Random) -> None:
     """Make the store reject all requests, fall silent, or drop its history."""
-    with deployment.promises.store_fault(*(host.ip for host in deployment.balancers)):
-        if generator.random() < 0.5:
+    promises = deployment.promises
+    if generator.random() < 0.5:
+        with promises.store_fault(*(host.ip for host in deployment.balancers)):
             deployment.store.compact_history()
-        else:
-            with deployment.refusing_store(generator.choice((429, 503, None, None))):
-                await sleep(_draw_duration(generator))
+        return
+    status = generator.choice((429, 503, None, None))
+    with promises.store_fault(ALL_HOSTS), deployment.refusing_store(status):
+        await sleep(_draw_duration(generator))
 
 
 async def restore_store(deployment: Deployment, generator: Random) -> None:
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -104,7 +104,7 @@
 
         `are_hosts_stable` gives the window that counts.
         """
-        stores = (STORE_OF + ip for ip in ips)
+        stores = (STORE_OF + ip for ip in (*ips, ALL_HOSTS))
         return self.are_hosts_stable(*ips, *stores, since=since)
 
     def are_hosts_stable(self, *ips: str, since: float | None = None) -> bool:
@@ -227,7 +227,8 @@
         times.append(self._clock())
         self.counts["cold-opened"] += 1
         is_over = len(times) == times.maxlen and times[-1] - times[0] < WARMUP_WINDOW_S
-        # A stall of the soak may deliver the openings of two windows at once.
+        # A stall of the soak may deliver the openings of two windows at once,
+        # and nobody can read the entry of a target while the store is away.
         if is_over and self.is_stable():
             self.record_breach("FAILBACK", key, f"above the limit, {target.target_id}")
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,6 +14,7 @@
 from soak.network import LinkFault, Network
 from soak.packets import ACK, SYN, mark_returned, pack_segment
 from soak.promises import (
+    ALL_HOSTS,
     DRAIN_S,
     EVACUATE_S,
     FLOW_TIMEOUT_S,
@@ -210,6 +211,19 @@
     assert watched.rules() == {"FAILBACK": 1}
 
 
+def test_openings_of_a_cold_target_are_allowed_while_the_store_is_away(watched):
+    target = FakeTarget()
+    target.warmup_left_ms = 1000
+    with watched.promises.store_fault(ALL_HOSTS):
+        for _ in range(2 * MAX_COLD_OPENINGS):
+            watched.promises.record_accepted(KEY, target, watched.opening)
+    assert watched.rules() == {}
+    watched.now += STABILITY_S + 0.1
+    for _ in range(MAX_COLD_OPENINGS + 1):
+        watched.promises.record_accepted(KEY, target, watched.opening)
+    assert watched.rules() == {"FAILBACK": 1}
+
+
 async def test_evacuation_is_written_again_after_a_restore_and_ends(tmp_path):
     deployment = Deployment(0, tmp_path, Random(1))
     since_by_zone = deployment.promises.evacuated_since_by_zone
