Test that agents that restart in turn are no loss of power

16:27:42.2 agent-0 started, planned as all that follow 16:27:43.6 agent-1 started 16:27:44.8 agent-4 started 16:27:45.8 agent-2 started 16:27:46.1 balancer-0 stops; its connections move to the others 16:27:46.3, 46.9 the two connections open at the target of agent-4 16:27:46.9 agent-3 started 16:27:47.06 agent-4 stops, with an announcement 16:27:47.1 balancer-1 and balancer-2 search for the two connections 16:27:47.70 both reset: cause=nowhere-found asked=5 denied=0 given_up=mass-restart:4,silent:1 after_s=0.53 and 0.56 16:27:49.17 agent-4 started

More than three quarters of the agents had started within 5 s, so that a search gave up the agent that had announced its exit after 0.15 s instead of 5 s. The comment on the rule says that planned restarts do not reach the share; two overlapping ones, or one of five agents within 5 s, do.

--- a/tests/test_connection_search.py
+++ b/tests/test_connection_search.py
@@ -339,6 +339,23 @@
     assert recorder.resets == ([(KEY, 77)] if is_reset else [])
 
 
+def test_restart_of_all_agents_in_turn_is_no_mass_restart(balancer, recorder):
+    """Open connections of the agent that was away were reset after 0.15 s."""
+    for number, agent in enumerate(AGENTS):
+        leaving = make_report(incarnation=1, age=100.0, leaving=True)
+        receive_message(balancer, leaving, agent, 1.0 + number)
+        started = make_report(incarnation=2, age=0.1)
+        receive_message(balancer, started, agent, 1.5 + number)
+    leaving = make_report(incarnation=2, age=0.5, leaving=True)
+    receive_message(balancer, leaving, AGENTS[2], 3.9)
+    tick(balancer, 3.95)
+    receive_segment(balancer, data(acknowledgement=77), 4.0)
+    for agent in AGENTS[:2]:
+        receive_message(balancer, ConnectionNotHeld(KEY, 77), agent, 4.01)
+    tick(balancer, 4.01 + ROUND_TRIP_TIMEOUT_S)
+    assert recorder.resets == []
+
+
 def test_search_does_not_reset_the_next_connection_of_its_address(balancer, recorder):
     """Its target has answered the caller; the home's message is on its way."""
     receive_segment(balancer, data(acknowledgement=77), 1.0)
