Don't take announced restarts of agents for a loss of power

Searches gave up the agent that was away after 0.15 s, as after a loss of power.

After a loss of power no agent has announced its exit. So a start counts in the detection only if the agent's process before it did not: the balancer has the announcement from the last load report of that process. If that report was lost, or the balancer has started since, the start counts as before.

What remains: a balancer that starts while agents restart in turn knows none of their former processes, and can still take them for a loss of power.

--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -384,6 +384,7 @@
         )
     if load.incarnation not in (0, report.incarnation):
         load.previous_incarnation = load.incarnation
+        load.is_planned_start = load.leaving
         release_held_openings(balancer, source)
     load.incarnation = report.incarnation
     load.reported_at = now
--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -60,8 +60,8 @@
 # those of other services would hold up the searches of all callers for
 # CONNECTION_LIFETIME_S; those that are stopped, for RESTART_TIMEOUT_S. So if
 # more than this share of the agents has started within this time, a search
-# waits for them for a round trip only. Planned restarts go in turn and do not
-# reach the share.
+# waits for them for a round trip only. Planned restarts, which are announced,
+# do not count: the targets go on beside them.
 MASS_RESTART_SHARE = 0.75
 MASS_RESTART_AGE_S = 5.0
 MASS_RESTART_INTERVAL_S = 0.1
@@ -322,17 +322,20 @@
 
 
 def detect_mass_restart(balancer: ConnectionBalancer, now: float) -> None:
-    """Update whether most agents have started a short time ago."""
+    """Update whether most agents have started unplanned, a short time ago."""
     if now - balancer.mass_restart_checked_at < MASS_RESTART_INTERVAL_S:
         return
     balancer.mass_restart_checked_at = now
-    ages = [
-        now - load.started_at
+    loads = [
+        load
         for load in balancer.loads_by_agent.values()
         if load.last_heard_at > float("-inf")
     ]
-    young = sum(age < MASS_RESTART_AGE_S for age in ages)
-    balancer.is_mass_restart = young > MASS_RESTART_SHARE * len(ages)
+    young = sum(
+        now - load.started_at < MASS_RESTART_AGE_S and not load.is_planned_start
+        for load in loads
+    )
+    balancer.is_mass_restart = young > MASS_RESTART_SHARE * len(loads)
 
 
 def _answer_limit(
--- a/lycheeglade/target_load.py
+++ b/lycheeglade/target_load.py
@@ -88,6 +88,8 @@
         Service of the agent's target, as reported.
     started_at : float
         Start of the agent's process, -inf if it is not reported.
+    is_planned_start : bool
+        Whether the agent's process before the present one announced its exit.
     """
 
     last_heard_at: float = float("-inf")
@@ -113,6 +115,7 @@
     target_ended: bool = False
     service: str = ""
     started_at: float = float("-inf")
+    is_planned_start: bool = False
 
     def is_cold(self, now: float) -> bool:
         """Return whether the target is cold and its openings are limited."""
