Place the opening of a reused caller address anew

Callers saw: a target resets a connection, and its caller opens another one from the same port within 60 s. The opening and its copies get no answer, and the attempt fails after 1.4 s.

Cause: the balancer's entry of the former connection keeps its home, and an opening goes to a known home without naming a service. The agent there has removed the connection at the reset and drops openings that name none.

Change: the homes are dropped if the former connection is known to be over, and the opening is placed like any other. It is over if the sequence number is not that of the known opening, or if more than CALLER_ATTEMPT_S has passed and the segment is a first opening or no opening is known. A copy with the known number is a copy of the present opening, however late it arrives (a pause), and goes to the home as before; so does a first opening on a connection that is known from a search for less than CALLER_ATTEMPT_S. One rule serves routes with and without an aim.

--- a/lycheeglade/connection_opening.py
+++ b/lycheeglade/connection_opening.py
@@ -51,10 +51,9 @@
     connection.search = None
     connection.queued_segments = []
     sent_at = now - _copy_delay(segment.acknowledgement)
-    if (connection.homes or route.aim > 0.0) and _is_new_attempt(
-        connection, segment, now
-    ):
-        _forget_attempt(balancer, connection, route)
+    if _may_be_new_attempt(connection, segment, now):
+        is_over = _is_former_attempt_over(connection, segment, now)
+        _forget_attempt(balancer, connection, route, is_over)
     if connection.opening_copies < 0:
         connection.opening_received_at = sent_at
     elif route.aim > 0.0:
@@ -64,6 +63,7 @@
         connection.has_missed_copy = True
     connection.opening_copies = max(connection.opening_copies, segment.acknowledgement)
     if connection.homes:
+        connection.opening = connection.opening or segment
         forward_segment(balancer, connection.homes[-1].agent, segment, now)
         return
     if connection.tried_agents and now - connection.opening_sent_at < _opening_timeout(
@@ -77,16 +77,34 @@
     _place_opening(balancer, key, connection, route, now)
 
 
-def _is_new_attempt(connection: Connection, segment: Segment, now: float) -> bool:
-    """Return whether the caller uses the address of an earlier connection.
+def _may_be_new_attempt(connection: Connection, segment: Segment, now: float) -> bool:
+    """Return whether the caller may use the address of an earlier connection.
 
     Otherwise the segment is a copy of the opening of that connection.
     """
     if now - connection.opening_received_at > CALLER_ATTEMPT_S:
         return True
-    is_first = segment.acknowledgement == 0
     earlier = connection.opening
-    return is_first and (earlier is None or segment.sequence != earlier.sequence)
+    if earlier is None:
+        return segment.acknowledgement == 0
+    return segment.sequence != earlier.sequence
+
+
+def _is_former_attempt_over(
+    connection: Connection, segment: Segment, now: float
+) -> bool:
+    """Return whether a new attempt shows that the former connection is over.
+
+    All copies of an opening have its sequence number, and the first one is
+    sent once. Without this evidence, the segment may be a delayed copy of the
+    opening of the present connection: of one that this process read after a
+    pause, or of one that is known here from a search only.
+    """
+    earlier = connection.opening
+    if earlier is not None and segment.sequence != earlier.sequence:
+        return True
+    is_overdue = now - connection.opening_received_at > CALLER_ATTEMPT_S
+    return is_overdue and (earlier is None or segment.acknowledgement == 0)
 
 
 def _is_home_excluded(
@@ -100,21 +118,25 @@
 
 
 def _forget_attempt(
-    balancer: ConnectionBalancer, connection: Connection, route: Route
+    balancer: ConnectionBalancer,
+    connection: Connection,
+    route: Route,
+    is_over: bool,
 ) -> None:
-    """Prepare the entry of an earlier connection for a new one."""
-    connection.opening_copies = -1
-    is_excluded_home = connection.homes and _is_home_excluded(
-        balancer, connection, route
-    )
-    if is_excluded_home:
-        # A reused caller address must not lead to an excluded home either.
+    """Prepare the entry of an earlier connection for a new one.
+
+    If the earlier connection is known to be over, its homes are dropped: an
+    agent that no longer knows it would drop the opening segment. A reused
+    caller address must not lead to an excluded home either.
+    """
+    if is_over or (connection.homes and _is_home_excluded(balancer, connection, route)):
         connection.homes = []
-    if is_excluded_home or route.aim > 0.0:
-        connection.has_missed_copy = False
-        connection.unresolved_tries = 0
-        connection.tried_agents = []
-        connection.held_by = None
+    connection.opening = None
+    connection.opening_copies = -1
+    connection.has_missed_copy = False
+    connection.unresolved_tries = 0
+    connection.tried_agents = []
+    connection.held_by = None
 
 
 def _copy_delay(copies: int) -> float:
--- a/tests/test_connection_balancer.py
+++ b/tests/test_connection_balancer.py
@@ -107,6 +107,38 @@
     assert [agent for agent, _ in recorder.pop_forwarded_segments()] == [AGENTS[2]]
 
 
+def test_copy_that_was_delayed_by_a_pause_goes_to_the_home(balancer, recorder):
+    """Another target must not get it while the connection is open."""
+    receive_segment(balancer, opening(), 0.0)
+    recorder.pop_forwarded_segments()
+    receive_message(balancer, HomeFound(KEY, 1000), AGENTS[2], 0.01)
+    receive_segment(balancer, opening(copies=1), 5.0)
+    receive_segment(balancer, data(), 5.0)
+    assert [agent for agent, _ in recorder.pop_forwarded_segments()] == [AGENTS[2]] * 2
+
+
+def test_first_copy_after_a_search_goes_to_the_home(balancer, recorder):
+    """It may be the delayed opening of the connection that was found."""
+    receive_message(balancer, HomeFound(KEY, 1000), AGENTS[2], 0.0)
+    receive_segment(balancer, opening(), 1.0)
+    receive_segment(balancer, opening(copies=1), 1.2)
+    receive_segment(balancer, data(), 1.3)
+    assert [agent for agent, _ in recorder.pop_forwarded_segments()] == [AGENTS[2]] * 3
+
+
+@pytest.mark.parametrize("copies", [0, 1])
+def test_opening_with_another_sequence_number_is_placed_anew(
+    balancer, recorder, copies
+):
+    """It went to the home of the former connection, whose agent dropped it."""
+    receive_segment(balancer, opening(), 0.0)
+    recorder.pop_forwarded_segments()
+    receive_message(balancer, HomeFound(KEY, 1000), AGENTS[2], 0.01)
+    receive_segment(balancer, replace(opening(copies=copies), sequence=8), 1.0)
+    [(_, forwarded)] = recorder.pop_forwarded_segments()
+    assert forwarded.service == "booth-sync"
+
+
 def test_caller_chooses_between_two_halves(balancer, recorder):
     receive_message(balancer, HomeFound(KEY, 1000), AGENTS[0], 0.0)
     receive_message(balancer, HomeFound(KEY, 700_000), AGENTS[1], 0.0)
