Show resets of connections whose caller's address was used before

Simulates balancers, agents, targets and callers in virtual time, with an observer at callers and targets. The unit tests show the single steps.

--- /dev/null
+++ b/tests/test_former_connections.py
@@ -0,0 +1,151 @@
+"""Connections of a caller's address that is used again within a minute."""
+
+from dataclasses import replace
+
+import pytest
+
+from lycheeglade.connection_agent import receive_from_target
+from lycheeglade.connection_agent import receive_message as agent_receive
+from lycheeglade.connection_balancer import (
+    receive_message,
+    receive_segment,
+    tick,
+)
+from lycheeglade.relay_message import ConnectionNotHeld, HomeFound
+from lycheeglade.target_load import CRASH_TIMEOUT_S
+from tests.connection_fleet import Fleet, roll
+from tests.connections import (
+    AGENTS,
+    BALANCER,
+    KEY,
+    AgentRecorder,
+    BalancerRecorder,
+    data,
+    from_target,
+    make_report,
+    opening,
+)
+
+FORMER_SEQUENCE = 1000
+SEQUENCE = 3_000_000_000
+SEGMENT = data(acknowledgement=SEQUENCE + 1)
+
+
+@pytest.fixture
+def recorder():
+    return BalancerRecorder()
+
+
+@pytest.fixture
+def balancer(recorder):
+    """Return a balancer that knows the home of a former connection."""
+    balancer = recorder.make_heard()
+    receive_message(balancer, HomeFound(KEY, FORMER_SEQUENCE), AGENTS[0], 0.0)
+    return balancer
+
+
+def forwarded_to(recorder):
+    return [agent for agent, _ in recorder.pop_forwarded_segments()]
+
+
+def test_segment_that_acknowledges_another_target_is_searched(balancer, recorder):
+    """It went to the former home, which does not hold the connection."""
+    receive_segment(balancer, SEGMENT, 10.0)
+    recorder.pop_forwarded_segments()
+    receive_message(balancer, HomeFound(KEY, SEQUENCE), AGENTS[1], 10.01)
+    receive_segment(balancer, SEGMENT, 10.1)
+    assert forwarded_to(recorder) == [AGENTS[1]] * 2
+
+
+def test_denial_by_a_former_home_does_not_reset_the_connection(balancer, recorder):
+    """Another balancer's search made the former home deny the connection."""
+    denial = ConnectionNotHeld(KEY, SEGMENT.acknowledgement)
+    receive_message(balancer, denial, AGENTS[0], 10.0)
+    assert recorder.resets == []
+
+
+def test_denial_by_a_home_that_has_restarted_does_not_reset_at_once(recorder):
+    """Its agent cannot tell which connection of the address it has found."""
+    balancer = recorder.make_heard()
+    receive_message(balancer, HomeFound(KEY, -1), AGENTS[0], 0.0)
+    denial = ConnectionNotHeld(KEY, SEGMENT.acknowledgement)
+    receive_message(balancer, denial, AGENTS[0], 10.0)
+    assert recorder.resets == []
+
+
+def test_late_segment_of_a_former_connection_resets_nothing(recorder):
+    """No target holds its connection, but one holds the present one."""
+    balancer = recorder.make_heard()
+    receive_message(balancer, HomeFound(KEY, SEQUENCE), AGENTS[0], 1.0)
+    receive_segment(balancer, data(acknowledgement=FORMER_SEQUENCE + 1), 1.1)
+    for agent in AGENTS:
+        denial = ConnectionNotHeld(KEY, FORMER_SEQUENCE + 1)
+        receive_message(balancer, denial, agent, 1.12)
+    tick(balancer, 1.2)
+    assert recorder.resets == []
+
+
+def test_connection_that_is_lost_after_a_former_one_is_reset(balancer, recorder):
+    """Its caller must not wait until it gives up."""
+    for now in (10.0, 10.2):
+        receive_segment(balancer, SEGMENT, now)
+        for agent in AGENTS:
+            denial = ConnectionNotHeld(KEY, SEGMENT.acknowledgement)
+            receive_message(balancer, denial, agent, now + 0.01)
+    assert (KEY, SEGMENT.acknowledgement) in recorder.resets
+
+
+def test_long_connection_is_forwarded_without_further_searches(balancer, recorder):
+    """A target may send more than a balancer expects of a connection."""
+    receive_segment(balancer, SEGMENT, 10.0)
+    receive_message(balancer, HomeFound(KEY, FORMER_SEQUENCE), AGENTS[0], 10.01)
+    recorder.pop_forwarded_segments()
+    receive_segment(balancer, SEGMENT, 10.1)
+    assert forwarded_to(recorder) == [AGENTS[0]]
+
+
+def test_crash_of_a_target_that_its_caller_did_not_choose_resets_nothing(recorder):
+    """Two targets answered copies of the opening; the other one lives."""
+    balancer = recorder.make_heard()
+    receive_message(balancer, HomeFound(KEY, SEQUENCE, is_open=False), AGENTS[0], 1.0)
+    now = 1.0
+    while now < 1.5 + CRASH_TIMEOUT_S:
+        now += 0.1
+        tick(balancer, now)
+        for agent in AGENTS[1:]:
+            receive_message(balancer, make_report(), agent, now)
+    receive_segment(balancer, SEGMENT, now)
+    assert recorder.resets == []
+
+
+def test_agent_does_not_claim_a_connection_that_it_takes_for_a_former_one():
+    """Its balancer would send the connection's segments here."""
+    recorder = AgentRecorder()
+    agent = recorder.make()
+    message = recorder.make_forward_segment(opening())
+    agent_receive(agent, message, BALANCER, 0.0)
+    receive_from_target(agent, from_target(opens=True, sequence=FORMER_SEQUENCE), 0.0)
+    receive_from_target(
+        agent, from_target(sequence=FORMER_SEQUENCE + 1, data_bytes=9), 0.1
+    )
+    recorder.sent.clear()
+    query = recorder.make_forward_segment(SEGMENT, search=True)
+    agent_receive(agent, query, BALANCER, 10.0)
+    assert recorder.sent == []
+    ((_, tag),) = recorder.delivered[1:]
+    receive_from_target(
+        agent,
+        replace(SEGMENT, returned=True, tag=tag),
+        10.0,
+    )
+    assert recorder.sent == [
+        (BALANCER, ConnectionNotHeld(KEY, SEGMENT.acknowledgement))
+    ]
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_planned_restarts_break_no_connection_of_a_reused_address(seed):
+    """Balancers that knew former homes reset the present connections."""
+    fleet = Fleet(seed, reuse_share=0.5, slow_share=0.3)
+    roll(fleet, 60.0)
+    assert fleet.violations == []
