Search for a connection that its known home cannot hold

Callers saw: after a caller's address is used again within 60 s, an open connection is reset (target-lost-connection) though its target holds it.

Cause: a balancer that did not get the new connection's opening (its segments moved there with a change of the rotation) keeps the home of the former connection. It sent the segments there, and reset the connection once the former home denied it. It did so also when another balancer's search made the former home deny it, and when a late segment of the former connection was returned.

Why this works: the caller acknowledges bytes of its own target, and targets start at random sequence numbers. A segment whose acknowledgement is more than 2^24 from a home's first number (a chance of 0.8 % for another connection) does not go there, but starts a search. A denial counts against a home only if it concerns its connection. An answer to the search is used even if it does not match the segment: the target may have sent more than 2^24 bytes. A search that nobody answers resets nothing while another connection of the address has a home here; the home is dropped, and the next segment's search decides.

--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -6,6 +6,8 @@
 the connection opened.
 """
 
+from dataclasses import replace
+
 from lycheeglade.address import Address
 from lycheeglade.cold_targets import learn_warmup, warmup_left
 from lycheeglade.connection_balancer_state import (
@@ -29,6 +31,8 @@
 from lycheeglade.connection_search import (
     conclude_search,
     detect_mass_restart,
+    is_acknowledged,
+    matches_home,
     pick_home,
     queue_segment,
     record_former_services,
@@ -298,8 +302,17 @@
         sequence = next(
             (home.sequence for home in connection.homes if home.agent == source), -1
         )
-    homes.append(Home(source, sequence, message.is_open))
-    connection.homes = homes
+    home = Home(source, sequence, message.is_open)
+    queued = connection.queued_segments
+    is_other = bool(queued) and not any(matches_home(home, each) for each in queued)
+    if is_other and home.is_open:
+        # The agent has found the connection, so that the known number is that
+        # of a former one, or the target has sent very much.
+        home = replace(home, sequence=-1)
+    connection.homes = [*homes, home]
+    if is_other and not home.is_open:
+        record_accepted_opening(balancer, message.key, connection, now)
+        return
     if connection.search is not None:
         balancer.actions.log(
             "found",
@@ -310,9 +323,10 @@
         )
     connection.search = None
     record_accepted_opening(balancer, message.key, connection, now)
-    queued, connection.queued_segments = connection.queued_segments, []
+    connection.queued_segments = []
     for segment in queued:
-        forward_segment(balancer, pick_home(connection, segment), segment, now)
+        agent = pick_home(connection, segment) or source
+        forward_segment(balancer, agent, segment, now)
 
 
 def _log_contradicted_reset(
@@ -335,7 +349,13 @@
     connection = balancer.connections_by_key.get(message.key)
     if connection is None:
         return
-    known = [home for home in connection.homes if home.agent == source]
+    # The segment that the target returned may be of a former connection, or
+    # the known home may be that of one.
+    known = [
+        home
+        for home in connection.homes
+        if home.agent == source and is_acknowledged(home, message.acknowledgement)
+    ]
     if known:
         connection.homes.remove(known[0])
         # If the target never confirmed the connection as open, the caller may
--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -69,6 +69,9 @@
 # search ends in a reset until MIN_VIEW_AGE_S seconds after it.
 MIN_VIEW_AGE_S = 0.5
 MAX_QUEUED_SEGMENTS = 16
+# A segment whose acknowledgement is further than this from the first sequence
+# number of a home probably belongs to another connection of the address.
+MAX_SEQUENCE_DISTANCE = 1 << 24
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,20 +94,35 @@
     """Return the agent whose target's segments the caller acknowledges.
 
     Homes that hold the connection go before those that may only accept it.
+    None of them is returned if the caller acknowledges another target's
+    segments: they belong to a former connection of its address, or the caller
+    chose another answer to its opening.
     """
-    homes = [home for home in connection.homes if home.is_open] or connection.homes
+    matching = [home for home in connection.homes if matches_home(home, segment)]
+    homes = [home for home in matching if home.is_open] or matching
     if not homes:
         return None
-    if len(homes) == 1:
-        return homes[0].agent
 
     def gap(home: Home) -> int:
+        if home.sequence < 0:
+            return SEQUENCE_SPACE
         ahead = sequence_distance(home.sequence, segment.acknowledgement)
         return ahead if ahead >= 0 else SEQUENCE_SPACE
 
     return min(homes, key=gap).agent
 
 
+def matches_home(home: Home, segment: Segment) -> bool:
+    """Return whether a caller's segment may concern the home's connection."""
+    return not segment.acknowledges or is_acknowledged(home, segment.acknowledgement)
+
+
+def is_acknowledged(home: Home, acknowledgement: int) -> bool:
+    """Return whether a caller may have got the home's sequence number."""
+    distance = sequence_distance(home.sequence, acknowledgement)
+    return home.sequence < 0 or abs(distance) <= MAX_SEQUENCE_DISTANCE
+
+
 def queue_segment(connection: Connection, segment: Segment) -> None:
     """Queue a segment until the connection is found; discard copies."""
     if any(
@@ -302,6 +320,14 @@
         if now - search.started_at < limit.seconds:
             return
         given_up[limit.cause] += 1
+    if connection.homes:
+        # The segment was a late one of a former connection, or the home is
+        # that of a former connection. In the second case, the next segment
+        # starts a search that may end in a reset.
+        connection.homes = []
+        connection.search = None
+        connection.queued_segments = []
+        return
     balancer.actions.log(
         "reset",
         connection=key,
