Don't claim a connection that the target holds for a former one

Callers saw: after a caller's address is used again within 60 s, an open connection is reset (target-lost-connection) though its target holds it.

Cause: an agent keeps an entry for up to 60 s after its connection ended, and takes any segment with the same addresses as one of it. So it answered a search for the new connection with HomeFound, and delivered the segment without a tag. The balancer took it for the home, got the target's return as a denial, and reset the connection before the real home answered. A returned segment of another connection also removed the agent's entry.

Why this works: the agent sees all that its target sends, and a caller acknowledges nearly all of it (16 packets of 1,200 bytes are in flight at most). A segment whose acknowledgement is further than 2^16 from there belongs to another connection. It goes to the target with a tag, as one of an unknown connection does, and is denied if the target returns it. If the known connection has finished it is denied at once, since a target answers data of an ended connection with a reset. Without anything seen from the target (an agent that has restarted) all is as before.

--- a/lycheeglade/connection_agent.py
+++ b/lycheeglade/connection_agent.py
@@ -55,6 +55,9 @@
 # On a host that has just got power, the target starts up to this time before
 # its agent.
 MAX_START_DELAY_S = 3.0
+# A caller's segment belongs to another connection of its address if its
+# acknowledgement is further than this from what the target has sent.
+MAX_UNACKNOWLEDGED_BYTES = 1 << 16
 # A request without an answer after ANSWER_TIMEOUT_S seconds counts as failed.
 ANSWER_TIMEOUT_S = 1.0
 # Answers that take less than MIN_ANSWER_TIME_S seconds are refusals by a full
@@ -119,6 +122,8 @@
         if knows_all_connections(agent, now):
             not_held = ConnectionNotHeld(key, segment.acknowledgement)
             agent.actions.send(pending.requester, not_held)
+    elif connection is not None and _is_of_other_connection(connection, segment):
+        _receive_other(agent, key, connection, pending, segment, now)
     elif connection is None or not connection.is_open:
         _receive_unknown(agent, key, connection, pending, segment, now)
     else:
@@ -126,6 +131,18 @@
         _receive_established(agent, key, connection, segment, now)
 
 
+def _is_of_other_connection(connection: LocalConnection, segment: Segment) -> bool:
+    """Return whether a segment belongs to another connection of its address.
+
+    Targets start at random sequence numbers, and the agent sees all that its
+    target sends.
+    """
+    if connection.sent_end is None or not segment.acknowledges:
+        return False
+    distance = sequence_distance(connection.sent_end, segment.acknowledgement)
+    return abs(distance) > MAX_UNACKNOWLEDGED_BYTES
+
+
 def knows_all_connections(agent: ConnectionAgent, now: float) -> bool:
     """Return whether the table has all open connections of the target.
 
@@ -171,6 +188,26 @@
     deliver_pending(agent, pending, segment, now)
 
 
+def _receive_other(
+    agent: ConnectionAgent,
+    key: ConnectionKey,
+    connection: LocalConnection,
+    pending: PendingSegment,
+    segment: Segment,
+    now: float,
+) -> None:
+    """Deny a segment of another connection than the one that is known here.
+
+    The target returns it, too, but may answer data with a reset instead if
+    the known connection has ended.
+    """
+    if connection.has_finished:
+        not_held = ConnectionNotHeld(key, segment.acknowledgement)
+        agent.actions.send(pending.requester, not_held)
+    else:
+        deliver_pending(agent, pending, segment, now)
+
+
 def _receive_established(
     agent: ConnectionAgent,
     key: ConnectionKey,
@@ -244,6 +281,7 @@
         connection = add_connection(agent, key, now)
         connection.balancers |= balancers
     connection.last_at = now
+    _record_sent(connection, segment)
     if segment.opens:
         _record_opening_answer(agent, key, connection, segment)
     else:
@@ -259,6 +297,14 @@
         remove_connection(agent, key, now)
 
 
+def _record_sent(connection: LocalConnection, segment: Segment) -> None:
+    """Record how far the target has sent."""
+    end = connection.sent_end
+    if end is None or sequence_distance(end, segment.end) > 0:
+        connection.sent_end = segment.end
+    connection.has_finished |= segment.finishes
+
+
 def _record_opening_answer(
     agent: ConnectionAgent,
     key: ConnectionKey,
@@ -267,6 +313,8 @@
 ) -> None:
     if connection.sequence != segment.sequence:
         connection.sequence = segment.sequence
+        connection.sent_end = segment.end
+        connection.has_finished = False
         notify_balancers(agent, key, connection)
 
 
@@ -295,7 +343,7 @@
     balancers = set()
     if pending is not None:
         balancers.add(pending.requester)
-    if connection is not None:
+    if connection is not None and not _is_of_other_connection(connection, segment):
         balancers |= connection.balancers
         remove_connection(agent, key, now)
     for balancer in balancers:
--- a/lycheeglade/connection_agent_state.py
+++ b/lycheeglade/connection_agent_state.py
@@ -64,6 +64,10 @@
         connection.
     data_end : int, optional
         Sequence number after the furthest data seen from the caller.
+    sent_end : int, optional
+        Sequence number after the furthest segment seen from the target.
+    has_finished : bool
+        Whether the target has closed its side.
     concurrent_requests : int
         Number of requests at the target when the latest one of this
         connection arrived, including that one.
@@ -74,6 +78,8 @@
     sequence: int = -1
     is_open: bool = False
     data_end: int | None = None
+    sent_end: int | None = None
+    has_finished: bool = False
     concurrent_requests: int = 0
 
 
