Don't reset a connection for the denial of an unidentified home

Callers saw: after a caller's address is used again within 60 s, an open connection is reset (target-lost-connection) though its target holds it.

Cause: an agent that has restarted reports the home of an open connection without the target's first sequence number. A balancer cannot tell such a home from that of a later connection of the address, sent segments there, and reset the connection when the home denied it.

Why this works: the segments that started the search show which connection was found, so that their acknowledgement serves as the home's number. Where there were none, a denial drops the home, and the caller's next copy starts a search, which finds the home or resets the connection 0.2 s later.

--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -305,10 +305,12 @@
     home = Home(source, sequence, message.is_open)
     queued = connection.queued_segments
     is_other = bool(queued) and not any(matches_home(home, each) for each in queued)
-    if is_other and home.is_open:
-        # The agent has found the connection, so that the known number is that
-        # of a former one, or the target has sent very much.
-        home = replace(home, sequence=-1)
+    acknowledged = [each.acknowledgement for each in queued if each.acknowledges]
+    if home.is_open and acknowledged and (is_other or home.sequence < 0):
+        # The agent has found the connection of these segments. It does not
+        # know the number, or it is that of a former connection, or the target
+        # has sent very much.
+        home = replace(home, sequence=acknowledged[-1])
     connection.homes = [*homes, home]
     if is_other and not home.is_open:
         record_accepted_opening(balancer, message.key, connection, now)
@@ -359,8 +361,10 @@
     if known:
         connection.homes.remove(known[0])
         # If the target never confirmed the connection as open, the caller may
-        # have accepted the answer of another target: no reset.
-        if known[0].is_open and not connection.homes:
+        # have accepted the answer of another target. If the home's sequence
+        # number is unknown, it may be that of a former connection.
+        is_certain = known[0].is_open and known[0].sequence >= 0
+        if is_certain and not connection.homes:
             cause = "target-lost-connection"
             balancer.actions.log(
                 "reset", connection=message.key, cause=cause, agent=source
