Let the known number of a home follow the caller's acknowledgements

Callers saw: as before, with targets whose first sequence numbers are within 2^24 of each other (one pair in 128): an open connection of a used address is reset for the denial of a former home.

Cause: a segment was taken for one of a home if its acknowledgement was within 2^24 of the target's first number, as far as a long download may get.

Why this works: the number that a balancer keeps of a home moves with the acknowledgements of the segments that it sends there, so that 2^18 is enough (one pair in 8,192). A connection that got further while its segments came by another balancer is searched once. The number of an unidentified home stays unknown.

Result: test_initial_number_near_that_of_a_former_home_is_told_apart failed before and passes.

--- a/lycheeglade/connection_balancer_state.py
+++ b/lycheeglade/connection_balancer_state.py
@@ -65,7 +65,8 @@
     Attributes
     ----------
     sequence : int
-        Initial sequence number of the target, -1 if unknown.
+        Initial sequence number of the target, or a later one that the caller
+        has acknowledged, -1 if unknown.
     is_open : bool
         Whether the target holds the connection.
     """
--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -13,9 +13,9 @@
 """
 
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-from msgspec.structs import replace
+from msgspec.structs import replace as replace_message
 
 from lycheeglade.address import Address
 from lycheeglade.connection_balancer_state import (
@@ -69,9 +69,10 @@
 # search ends in a reset until MIN_VIEW_AGE_S seconds after it.
 MIN_VIEW_AGE_S = 0.5
 MAX_QUEUED_SEGMENTS = 16
-# A segment whose acknowledgement is further than this from the first sequence
-# number of a home probably belongs to another connection of the address.
-MAX_SEQUENCE_DISTANCE = 1 << 24
+# A segment whose acknowledgement is further than this from the sequence number
+# known of a home belongs to another connection of the address, or to one whose
+# segments came by another balancer meanwhile.
+MAX_SEQUENCE_DISTANCE = 1 << 18
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,7 +97,8 @@
     Homes that hold the connection go before those that may only accept it.
     None of them is returned if the caller acknowledges another target's
     segments: they belong to a former connection of its address, or the caller
-    chose another answer to its opening.
+    chose another answer to its opening. The sequence number of the one that is
+    returned follows the caller's acknowledgements.
     """
     matching = [home for home in connection.homes if matches_home(home, segment)]
     homes = [home for home in matching if home.is_open] or matching
@@ -109,7 +111,13 @@
         ahead = sequence_distance(home.sequence, segment.acknowledgement)
         return ahead if ahead >= 0 else SEQUENCE_SPACE
 
-    return min(homes, key=gap).agent
+    home = min(homes, key=gap)
+    if segment.acknowledges and home.sequence >= 0:
+        distance = sequence_distance(home.sequence, segment.acknowledgement)
+        if abs(distance) > MAX_SEQUENCE_DISTANCE // 2:
+            following = replace(home, sequence=segment.acknowledgement)
+            connection.homes[connection.homes.index(home)] = following
+    return home.agent
 
 
 def matches_home(home: Home, segment: Segment) -> bool:
@@ -250,7 +258,8 @@
     passing_on = [a for a in usable if not _is_of_earlier_build(balancer, a)]
     relay = balancer.generator.choice(passing_on or usable or agents)
     candidates = tuple(agent for agent in agents if agent != relay)
-    send_message(balancer, relay, replace(query, candidates=candidates), now)
+    query = replace_message(query, candidates=candidates)
+    send_message(balancer, relay, query, now)
 
 
 def _searched_agents(
--- a/tests/test_former_connections.py
+++ b/tests/test_former_connections.py
@@ -68,6 +68,7 @@
     """Its agent cannot tell which connection of the address it has found."""
     balancer = recorder.make_heard()
     receive_message(balancer, HomeFound(KEY, -1), AGENTS[0], 0.0)
+    receive_segment(balancer, SEGMENT, 9.9)
     denial = ConnectionNotHeld(KEY, SEGMENT.acknowledgement)
     receive_message(balancer, denial, AGENTS[0], 10.0)
     assert recorder.resets == []
@@ -104,6 +105,22 @@
     assert forwarded_to(recorder) == [AGENTS[0]]
 
 
+def test_download_of_any_length_stays_with_its_home(balancer, recorder):
+    """The acknowledgements get far from the target's initial number."""
+    for step in range(1, 200):
+        acknowledgement = FORMER_SEQUENCE + step * 20_000
+        receive_segment(balancer, data(acknowledgement=acknowledgement), step / 500)
+    assert set(forwarded_to(recorder)) == {AGENTS[0]}
+    assert balancer.connections_by_key[KEY].search is None
+
+
+def test_initial_number_near_that_of_a_former_home_is_told_apart(balancer, recorder):
+    """Within 2^24, segments went to the former home, and then a reset came."""
+    segment = data(acknowledgement=FORMER_SEQUENCE + 704_000)
+    receive_segment(balancer, segment, 10.0)
+    assert len(forwarded_to(recorder)) == len(AGENTS)
+
+
 def test_crash_of_a_target_that_its_caller_did_not_choose_resets_nothing(recorder):
     """Two targets answered copies of the opening; the other one lives."""
     balancer = recorder.make_heard()
