--- a/tests/test_former_connections.py
+++ b/tests/test_former_connections.py
@@ -160,6 +160,25 @@
     ]
 
 
+def test_agent_does_not_report_a_half_open_connection_as_open():
+    """Its balancers preferred it to the target that the caller had chosen.
+
+    They reset the connection once this target returned a segment of it.
+    """
+    recorder = AgentRecorder()
+    agent = recorder.make()
+    message = recorder.make_forward_segment(opening())
+    agent_receive(agent, message, BALANCER, 0.0)
+    receive_from_target(agent, from_target(opens=True, sequence=FORMER_SEQUENCE), 0.0)
+    receive_from_target(
+        agent, from_target(sequence=FORMER_SEQUENCE + 1, data_bytes=9), 0.1
+    )
+    recorder.sent.clear()
+    agent_receive(agent, message, BALANCER, 10.0)
+    receive_from_target(agent, from_target(opens=True, sequence=SEQUENCE), 10.0)
+    assert recorder.sent == [(BALANCER, HomeFound(KEY, SEQUENCE, is_open=False))]
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_planned_restarts_break_no_connection_of_a_reused_address(seed):
     """Balancers that knew former homes reset the present connections."""
