Report a connection as open only once its own target's segments show it

Callers saw: a connection from an address used within the last 60 s is reset (target-lost-connection) though its target holds it, if two targets answered copies of its opening.

Cause: an agent keeps the entry of the former connection, and took its state over when its target accepted a new one. It reported a connection as open whose opening the target had only answered. Balancers prefer an open home to the one that the caller chose, and reset the connection for its denial.

Change: an answer to an opening with another sequence number begins a new connection in the agent's table.

--- a/lycheeglade/connection_agent.py
+++ b/lycheeglade/connection_agent.py
@@ -281,10 +281,10 @@
         connection = add_connection(agent, key, now)
         connection.balancers |= balancers
     connection.last_at = now
-    _record_sent(connection, segment)
     if segment.opens:
-        _record_opening_answer(agent, key, connection, segment)
+        _record_opening_answer(agent, key, connection, segment, now)
     else:
+        _record_sent(connection, segment)
         _mark_open(agent, key, connection)
     agent.actions.answer(segment)
     if segment.data_bytes:
@@ -310,12 +310,21 @@
     key: ConnectionKey,
     connection: LocalConnection,
     segment: Segment,
+    now: float,
 ) -> None:
-    if connection.sequence != segment.sequence:
-        connection.sequence = segment.sequence
-        connection.sent_end = segment.end
-        connection.has_finished = False
-        notify_balancers(agent, key, connection)
+    """Record that the target accepted a connection, unless it is a copy.
+
+    A former connection of the address ends with it.
+    """
+    if connection.sequence == segment.sequence:
+        return
+    end_request(agent, key, now)
+    connection.is_open = False
+    connection.data_end = None
+    connection.has_finished = False
+    connection.sequence = segment.sequence
+    connection.sent_end = segment.end
+    notify_balancers(agent, key, connection)
 
 
 def _mark_open(
