Let the crashed target's number differ from the one that is acknowledged

The test gave the target that the caller had not chosen the number that the caller acknowledges, so that it asked for a reset to be withheld that is due.

--- a/tests/test_former_connections.py
+++ b/tests/test_former_connections.py
@@ -124,7 +124,9 @@
 def test_crash_of_a_target_that_its_caller_did_not_choose_resets_nothing(recorder):
     """Two targets answered copies of the opening; the other one lives."""
     balancer = recorder.make_heard()
-    receive_message(balancer, HomeFound(KEY, SEQUENCE, is_open=False), AGENTS[0], 1.0)
+    receive_message(
+        balancer, HomeFound(KEY, FORMER_SEQUENCE, is_open=False), AGENTS[0], 1.0
+    )
     now = 1.0
     while now < 1.5 + CRASH_TIMEOUT_S:
         now += 0.1
