--- a/tests/test_former_connections.py
+++ b/tests/test_former_connections.py
@@ -181,6 +181,30 @@
     assert recorder.sent == [(BALANCER, HomeFound(KEY, SEQUENCE, is_open=False))]
 
 
+def test_agent_does_not_report_a_former_connection_for_a_new_opening():
+    """A balancer that searched the new connection took it for its home."""
+    recorder = AgentRecorder()
+    agent = recorder.make()
+    message = recorder.make_forward_segment(opening())
+    agent_receive(agent, message, BALANCER, 0.0)
+    receive_from_target(agent, from_target(opens=True, sequence=FORMER_SEQUENCE), 0.0)
+    receive_from_target(
+        agent, from_target(sequence=FORMER_SEQUENCE + 1, data_bytes=9), 0.1
+    )
+    recorder.sent.clear()
+    other_balancer = BALANCER._replace(ip="10.1.0.11")
+    copy = recorder.make_forward_segment(opening(copies=1), balancer=other_balancer)
+    agent_receive(agent, copy, other_balancer, 0.2)
+    assert recorder.sent == [(other_balancer, HomeFound(KEY, FORMER_SEQUENCE))]
+    recorder.sent.clear()
+    third_balancer = BALANCER._replace(ip="10.1.0.12")
+    new_opening = recorder.make_forward_segment(
+        replace(opening(), sequence=8, datagram=b"new"), balancer=third_balancer
+    )
+    agent_receive(agent, new_opening, third_balancer, 10.0)
+    assert recorder.sent == []
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_planned_restarts_break_no_connection_of_a_reused_address(seed):
     """Balancers that knew former homes reset the present connections."""
