Don't report a former connection's home for a new opening

Callers saw: a connection from an address used within the last 60 s is reset (target-lost-connection) though its target holds it, where links delay datagrams differently.

Cause: an agent reports an open connection to each further balancer that forwards a segment of it, also for the opening of a new connection of the same address. If the new connection lives at another target, a balancer that searches it took the report for the answer.

Change: an opening with another sequence number than the known connection's ends that one in the agent's table. A copy is still answered at once. If the agent started after the connection opened, it does not know that number, and reports the connection with the target's next segment.

--- a/lycheeglade/connection_admission.py
+++ b/lycheeglade/connection_admission.py
@@ -109,6 +109,10 @@
     connection = agent.connections_by_key.get(key)
     if connection is None:
         connection = add_connection(agent, key, now)
+    if connection.opening_sequence != segment.sequence:
+        # The caller has ended the connection that is known here.
+        connection.opening_sequence = segment.sequence
+        connection.is_open = False
     if not connection.is_open:
         agent.opening_queue.record_accepted(key, now)
     agent.warmup.record(key, now)
--- a/lycheeglade/connection_agent_state.py
+++ b/lycheeglade/connection_agent_state.py
@@ -62,6 +62,8 @@
     is_open : bool
         Whether a segment of the target has shown that it holds the
         connection.
+    opening_sequence : int, optional
+        Sequence number of the caller's opening segment, if one came here.
     data_end : int, optional
         Sequence number after the furthest data seen from the caller.
     sent_end : int, optional
@@ -77,6 +79,7 @@
     balancers: set[Address] = field(default_factory=set)
     sequence: int = -1
     is_open: bool = False
+    opening_sequence: int | None = None
     data_end: int | None = None
     sent_end: int | None = None
     has_finished: bool = False
