Let the target decide on a segment that no search brought

An agent denied a segment far from what its target has sent, once the target had finished the connection. If the balancer knows the home, the segment is more likely an old copy of one of that connection, and a denial would reset it. Now only searches are denied without the target. No failure of this kind was seen; the test covers both cases.

--- a/lycheeglade/connection_agent.py
+++ b/lycheeglade/connection_agent.py
@@ -199,9 +199,10 @@
     """Deny a segment of another connection than the one that is known here.
 
     The target returns it, too, but may answer data with a reset instead if
-    the known connection has ended.
+    the known connection has ended. Without a search, the balancer takes it
+    for a segment of that connection, so that the target decides.
     """
-    if connection.has_finished:
+    if connection.has_finished and pending.message.search:
         not_held = ConnectionNotHeld(key, segment.acknowledgement)
         agent.actions.send(pending.requester, not_held)
     else:
--- a/tests/test_former_connections.py
+++ b/tests/test_former_connections.py
@@ -205,6 +205,25 @@
     assert recorder.sent == []
 
 
+@pytest.mark.parametrize("search", [False, True])
+def test_target_with_a_finished_connection_gets_no_search_for_another(search):
+    """A target answers data of an ended connection with a reset."""
+    recorder = AgentRecorder()
+    agent = recorder.make()
+    message = recorder.make_forward_segment(opening())
+    agent_receive(agent, message, BALANCER, 0.0)
+    receive_from_target(agent, from_target(opens=True, sequence=FORMER_SEQUENCE), 0.0)
+    finish = from_target(sequence=FORMER_SEQUENCE + 1, finishes=True)
+    receive_from_target(agent, finish, 0.1)
+    recorder.delivered.clear()
+    recorder.sent.clear()
+    query = recorder.make_forward_segment(SEGMENT, search=search)
+    agent_receive(agent, query, BALANCER, 10.0)
+    assert len(recorder.delivered) == (not search)
+    denial = BALANCER, ConnectionNotHeld(KEY, SEGMENT.acknowledgement)
+    assert recorder.sent == ([denial] if search else [])
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_planned_restarts_break_no_connection_of_a_reused_address(seed):
     """Balancers that knew former homes reset the present connections."""
