Drop a home that denied a segment of another connection

Cause: a segment without the acknowledgement flag goes to any known home. Its denial was taken to concern another connection than the home's, by the number that it acknowledges, and the home stayed, so that each copy went there again.

Why this works: without a search under way, such a denial drops the home and resets nothing, and the next copy starts a search. During a search the home may be that of the present connection, and the denial that of a late segment, so that it stays.

The new test failed before and passes.

--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -351,19 +351,16 @@
     connection = balancer.connections_by_key.get(message.key)
     if connection is None:
         return
-    # The segment that the target returned may be of a former connection, or
-    # the known home may be that of one.
-    known = [
-        home
-        for home in connection.homes
-        if home.agent == source and is_acknowledged(home, message.acknowledgement)
-    ]
-    if known:
+    known = [home for home in connection.homes if home.agent == source]
+    # Otherwise the segment that the target returned is of another connection
+    # of the address than the home.
+    is_of_home = known and is_acknowledged(known[0], message.acknowledgement)
+    if known and (is_of_home or connection.search is None):
         connection.homes.remove(known[0])
         # If the target never confirmed the connection as open, the caller may
         # have accepted the answer of another target. If the home's sequence
         # number is unknown, it may be that of a former connection.
-        is_certain = known[0].is_open and known[0].sequence >= 0
+        is_certain = is_of_home and known[0].is_open and known[0].sequence >= 0
         if is_certain and not connection.homes:
             cause = "target-lost-connection"
             balancer.actions.log(
--- a/tests/test_former_connections.py
+++ b/tests/test_former_connections.py
@@ -64,6 +64,22 @@
     assert recorder.resets == []
 
 
+@pytest.mark.parametrize("is_open", [False, True])
+def test_denied_segment_without_acknowledgement_is_searched(recorder, is_open):
+    """All its copies went to the same home, which denied each of them."""
+    balancer = recorder.make_heard()
+    found = HomeFound(KEY, FORMER_SEQUENCE, is_open=is_open)
+    receive_message(balancer, found, AGENTS[0], 0.0)
+    segment = replace(SEGMENT, acknowledges=False)
+    receive_segment(balancer, segment, 10.0)
+    denial = ConnectionNotHeld(KEY, SEGMENT.acknowledgement)
+    receive_message(balancer, denial, AGENTS[0], 10.01)
+    recorder.pop_forwarded_segments()
+    receive_segment(balancer, segment, 10.2)
+    assert len(forwarded_to(recorder)) == len(AGENTS)
+    assert recorder.resets == []
+
+
 def test_denial_by_a_home_that_has_restarted_does_not_reset_at_once(recorder):
     """Its agent cannot tell which connection of the address it has found."""
     balancer = recorder.make_heard()
