--- a/tests/test_connection_balancer.py
+++ b/tests/test_connection_balancer.py
@@ -169,6 +169,19 @@
     assert recorder.resets == []
 
 
+def test_report_that_an_announced_exit_has_overtaken_is_ignored(balancer, recorder):
+    """The agent counted as crashed, and its connections were reset."""
+    receive_message(balancer, HomeFound(KEY, 1000), AGENTS[0], 0.0)
+    receive_message(balancer, make_report(leaving=True), AGENTS[0], 0.1)
+    receive_message(balancer, make_report(), AGENTS[0], 0.12)
+    for step in range(1, 30):
+        tick(balancer, 0.1 + step / 10)
+        receive_segment(balancer, data(), 0.1 + step / 10)
+    assert recorder.resets == []
+    receive_message(balancer, make_report(incarnation=2), AGENTS[0], 4.0)
+    assert not balancer.loads_by_agent[AGENTS[0]].leaving
+
+
 def test_agent_that_announced_its_end_and_stays_away_is_given_up(balancer, recorder):
     """Its target has left too and no longer holds any connection."""
     receive_message(balancer, HomeFound(KEY, 1000), AGENTS[0], 0.0)
