Ignore reports that an agent's announced exit has overtaken

Callers saw (simulated only): during a planned restart of an agent, its open connections are reset (agent-lost) 1.2 s after its exit, though 5 s hold for an announced one.

Cause: a load report that was sent before the announcement and arrived after it, over links that reorder datagrams, took the announcement back.

Why this works: a process that has announced its exit never reports otherwise, and its successor has another incarnation.

--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -394,6 +394,9 @@
     if load.previous_incarnation and load.previous_incarnation == report.incarnation:
         # The report was delayed and overtaken by those of the present process.
         return
+    if load.leaving and load.incarnation == report.incarnation and not report.leaving:
+        # The report was overtaken by the announcement of the process's exit.
+        return
     if load.incarnation != report.incarnation or load.silent != report.silent:
         balancer.actions.log(
             "agent",
