--- a/tests/connection_fleet.py
+++ b/tests/connection_fleet.py
@@ -645,6 +645,11 @@
         self.disturb(address, down)
         self._stop_agent(address, down)
 
+    def crash_balancer(self, address, down):
+        self.note("crash balancer", address.ip, down)
+        self.disturb(address, down)
+        self._stop_balancer(address, down)
+
     def crash_target(self, address, down):
         """End a target without notice; it starts again and knows nothing."""
         if address not in self.targets:
@@ -707,3 +712,29 @@
             fleet.random.choice(list(fleet.targets)), fleet.random.uniform(0.1, 1.0)
         )
         fleet.run(fleet.random.uniform(1.5, 2.5))
+
+
+def disturb_at_random(fleet: Fleet, seconds: float) -> None:
+    """Crash, pause and disconnect machines, as unplanned."""
+    generator = fleet.random
+    end = fleet.now + seconds
+    while fleet.now < end:
+        agent = generator.choice(list(fleet.targets_by_agent))
+        balancer = generator.choice(fleet.addresses)
+        machine = generator.choice([agent, balancer])
+        match generator.randrange(6):
+            case 0:
+                fleet.crash_agent(agent, generator.uniform(0.1, 4.0))
+            case 1:
+                fleet.crash_target(agent, generator.uniform(0.05, 4.0))
+            case 2:
+                fleet.crash_balancer(balancer, generator.uniform(0.1, 2.0))
+            case 3:
+                fleet.freeze(machine, generator.uniform(0.3, 4.0))
+            case 4:
+                loss = generator.uniform(0.1, 0.9)
+                fleet.disturb_link(machine, loss, 0.0, generator.uniform(0.2, 3.0))
+            case 5:
+                delay = generator.uniform(0.01, 1.5)
+                fleet.disturb_link(machine, 0.0, delay, generator.uniform(0.2, 3.0))
+        fleet.run(generator.uniform(0.2, 3.0))
--- a/tests/test_former_connections.py
+++ b/tests/test_former_connections.py
@@ -13,7 +13,7 @@
 )
 from lycheeglade.relay_message import ConnectionNotHeld, HomeFound
 from lycheeglade.target_load import CRASH_TIMEOUT_S
-from tests.connection_fleet import Fleet, roll
+from tests.connection_fleet import Fleet, disturb_at_random, roll
 from tests.connections import (
     AGENTS,
     BALANCER,
@@ -246,3 +246,11 @@
     fleet = Fleet(seed, reuse_share=0.5, slow_share=0.3)
     roll(fleet, 60.0)
     assert fleet.violations == []
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_disturbances_elsewhere_break_no_connection_of_a_reused_address(seed):
+    """A former home was taken for the present one after a crash or a pause."""
+    fleet = Fleet(seed, reuse_share=0.5, slow_share=0.3)
+    disturb_at_random(fleet, 60.0)
+    assert fleet.violations == []
