--- a/tests/test_former_connections.py
+++ b/tests/test_former_connections.py
@@ -13,7 +13,7 @@
 )
 from lycheeglade.relay_message import ConnectionNotHeld, HomeFound
 from lycheeglade.target_load import CRASH_TIMEOUT_S
-from tests.connection_fleet import Fleet, disturb_at_random, roll
+from tests.caller_fleet import Fleet, disturb_at_random, roll
 from tests.connections import (
     AGENTS,
     BALANCER,
