--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -6,6 +6,8 @@
 the connection opened.
 """
 
+from dataclasses import replace
+
 from lycheeglade.address import Address
 from lycheeglade.agent_probe import (
     has_crashed,
@@ -37,6 +39,8 @@
     MAX_CALLER_SILENCE_S,
     conclude_search,
     detect_mass_restart,
+    is_acknowledged,
+    matches_home,
     pick_home,
     queue_segment,
     record_former_services,
@@ -358,8 +362,19 @@
         sequence = next(
             (home.sequence for home in connection.homes if home.agent == source), -1
         )
-    homes.append(Home(source, sequence, message.is_open))
-    connection.homes = homes
+    home = Home(source, sequence, message.is_open)
+    queued = connection.queued_segments
+    is_other = bool(queued) and not any(matches_home(home, each) for each in queued)
+    acknowledged = [each.acknowledgement for each in queued if each.acknowledges]
+    if home.is_open and acknowledged and (is_other or home.sequence < 0):
+        # The agent has found the connection of these segments. It does not
+        # know the number, or it is that of a former connection, or the target
+        # has sent very much.
+        home = replace(home, sequence=acknowledged[-1])
+    connection.homes = [*homes, home]
+    if is_other and not home.is_open:
+        record_accepted_opening(balancer, message.key, connection, now)
+        return
     if connection.search is not None:
         balancer.actions.log(
             "found",
@@ -370,9 +385,10 @@
         )
     connection.search = None
     record_accepted_opening(balancer, message.key, connection, now)
-    queued, connection.queued_segments = connection.queued_segments, []
+    connection.queued_segments = []
     for segment in queued:
-        forward_segment(balancer, pick_home(connection, segment), segment, now)
+        agent = pick_home(connection, segment) or source
+        forward_segment(balancer, agent, segment, now)
 
 
 def _log_contradicted_reset(
@@ -396,11 +412,16 @@
     if connection is None:
         return
     known = [home for home in connection.homes if home.agent == source]
-    if known:
+    # Otherwise the segment that the target returned is of another connection
+    # of the address than the home.
+    is_of_home = known and is_acknowledged(known[0], message.acknowledgement)
+    if known and (is_of_home or connection.search is None):
         connection.homes.remove(known[0])
         # If the target never confirmed the connection as open, the caller may
-        # have accepted the answer of another target: no reset.
-        if known[0].is_open and not connection.homes:
+        # have accepted the answer of another target. If the home's sequence
+        # number is unknown, it may be that of a former connection.
+        is_certain = is_of_home and known[0].is_open and known[0].sequence >= 0
+        if is_certain and not connection.homes:
             cause = "target-lost-connection"
             balancer.actions.log(
                 "reset", connection=message.key, cause=cause, agent=source
@@ -433,6 +454,9 @@
     if load.previous_incarnation and load.previous_incarnation == report.incarnation:
         # The report was delayed and overtaken by those of the present process.
         return
+    if load.leaving and load.incarnation == report.incarnation and not report.leaving:
+        # The report was overtaken by the announcement of the process's exit.
+        return
     record_answer_time(balancer, load, report, now)
     if load.incarnation != report.incarnation or load.silent != report.silent:
         balancer.actions.log(
--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -13,9 +13,9 @@
 """
 
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-from msgspec.structs import replace
+from msgspec.structs import replace as replace_message
 
 from lycheeglade.address import Address
 from lycheeglade.agent_probe import has_crashed
@@ -75,6 +75,10 @@
 # search ends in a reset until MIN_VIEW_AGE_S seconds after it.
 MIN_VIEW_AGE_S = 0.5
 MAX_QUEUED_SEGMENTS = 16
+# A segment whose acknowledgement is further than this from the sequence number
+# known of a home belongs to another connection of the address, or to one whose
+# segments came by another balancer meanwhile.
+MAX_SEQUENCE_DISTANCE = 1 << 18
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,18 +101,40 @@
     """Return the agent whose target's segments the caller acknowledges.
 
     Homes that hold the connection go before those that may only accept it.
+    None of them is returned if the caller acknowledges another target's
+    segments: they belong to a former connection of its address, or the caller
+    chose another answer to its opening. The sequence number of the one that is
+    returned follows the caller's acknowledgements.
     """
-    homes = [home for home in connection.homes if home.is_open] or connection.homes
+    matching = [home for home in connection.homes if matches_home(home, segment)]
+    homes = [home for home in matching if home.is_open] or matching
     if not homes:
         return None
-    if len(homes) == 1:
-        return homes[0].agent
 
     def gap(home: Home) -> int:
+        if home.sequence < 0:
+            return SEQUENCE_SPACE
         ahead = sequence_distance(home.sequence, segment.acknowledgement)
         return ahead if ahead >= 0 else SEQUENCE_SPACE
 
-    return min(homes, key=gap).agent
+    home = min(homes, key=gap)
+    if segment.acknowledges and home.sequence >= 0:
+        distance = sequence_distance(home.sequence, segment.acknowledgement)
+        if abs(distance) > MAX_SEQUENCE_DISTANCE // 2:
+            following = replace(home, sequence=segment.acknowledgement)
+            connection.homes[connection.homes.index(home)] = following
+    return home.agent
+
+
+def matches_home(home: Home, segment: Segment) -> bool:
+    """Return whether a caller's segment may concern the home's connection."""
+    return not segment.acknowledges or is_acknowledged(home, segment.acknowledgement)
+
+
+def is_acknowledged(home: Home, acknowledgement: int) -> bool:
+    """Return whether a caller may have got the home's sequence number."""
+    distance = sequence_distance(home.sequence, acknowledgement)
+    return home.sequence < 0 or abs(distance) <= MAX_SEQUENCE_DISTANCE
 
 
 def queue_segment(connection: Connection, segment: Segment) -> None:
@@ -249,7 +275,8 @@
     passing_on = [a for a in usable if not _is_of_earlier_build(balancer, a)]
     relay = balancer.generator.choice(passing_on or usable or agents)
     candidates = tuple(agent for agent in agents if agent != relay)
-    send_message(balancer, relay, replace(query, candidates=candidates), now)
+    query = replace_message(query, candidates=candidates)
+    send_message(balancer, relay, query, now)
 
 
 def _searched_agents(
@@ -323,6 +350,14 @@
         given_up[limit.cause] += 1
     if _query_new_agents(balancer, key, connection, now):
         return
+    if connection.homes:
+        # The segment was a late one of a former connection, or the home is
+        # that of a former connection. In the second case, the next segment
+        # starts a search that may end in a reset.
+        connection.homes = []
+        connection.search = None
+        connection.queued_segments = []
+        return
     balancer.actions.log(
         "reset",
         connection=key,
--- a/tests/test_connection_balancer.py
+++ b/tests/test_connection_balancer.py
@@ -107,6 +107,38 @@
     assert [agent for agent, _ in recorder.pop_forwarded_segments()] == [AGENTS[2]]
 
 
+def test_copy_that_was_delayed_by_a_pause_goes_to_the_home(balancer, recorder):
+    """Another target must not get it while the connection is open."""
+    receive_segment(balancer, opening(), 0.0)
+    recorder.pop_forwarded_segments()
+    receive_message(balancer, HomeFound(KEY, 1000), AGENTS[2], 0.01)
+    receive_segment(balancer, opening(copies=1), 5.0)
+    receive_segment(balancer, data(), 5.0)
+    assert [agent for agent, _ in recorder.pop_forwarded_segments()] == [AGENTS[2]] * 2
+
+
+def test_first_copy_after_a_search_goes_to_the_home(balancer, recorder):
+    """It may be the delayed opening of the connection that was found."""
+    receive_message(balancer, HomeFound(KEY, 1000), AGENTS[2], 0.0)
+    receive_segment(balancer, opening(), 1.0)
+    receive_segment(balancer, opening(copies=1), 1.2)
+    receive_segment(balancer, data(), 1.3)
+    assert [agent for agent, _ in recorder.pop_forwarded_segments()] == [AGENTS[2]] * 3
+
+
+@pytest.mark.parametrize("copies", [0, 1])
+def test_opening_with_another_sequence_number_is_placed_anew(
+    balancer, recorder, copies
+):
+    """It went to the home of the former connection, whose agent dropped it."""
+    receive_segment(balancer, opening(), 0.0)
+    recorder.pop_forwarded_segments()
+    receive_message(balancer, HomeFound(KEY, 1000), AGENTS[2], 0.01)
+    receive_segment(balancer, replace(opening(copies=copies), sequence=8), 1.0)
+    [(_, forwarded)] = recorder.pop_forwarded_segments()
+    assert forwarded.service == "booth-sync"
+
+
 def test_caller_chooses_between_two_halves(balancer, recorder):
     receive_message(balancer, HomeFound(KEY, 1000), AGENTS[0], 0.0)
     receive_message(balancer, HomeFound(KEY, 700_000), AGENTS[1], 0.0)
@@ -137,6 +169,19 @@
     assert recorder.resets == []
 
 
+def test_report_that_an_announced_exit_has_overtaken_is_ignored(balancer, recorder):
+    """The agent counted as crashed, and its connections were reset."""
+    receive_message(balancer, HomeFound(KEY, 1000), AGENTS[0], 0.0)
+    receive_message(balancer, make_report(leaving=True), AGENTS[0], 0.1)
+    receive_message(balancer, make_report(), AGENTS[0], 0.12)
+    for step in range(1, 30):
+        tick(balancer, 0.1 + step / 10)
+        receive_segment(balancer, data(), 0.1 + step / 10)
+    assert recorder.resets == []
+    receive_message(balancer, make_report(incarnation=2), AGENTS[0], 4.0)
+    assert not balancer.loads_by_agent[AGENTS[0]].leaving
+
+
 def test_agent_that_announced_its_end_and_stays_away_is_given_up(balancer, recorder):
     """Its target has left too and no longer holds any connection."""
     receive_message(balancer, HomeFound(KEY, 1000), AGENTS[0], 0.0)
