Don't take a draining target that left the view for ended

Callers saw an open connection reset (target-ended, or nowhere-found with given_up=ended) by a target that still drained after its entry was removed.

Cause: since an agent checks the port of a silent target, it may report it as ended while the agent goes on. Whether the target may only have closed its port was looked up in the view, which no longer has it. The rule was also written twice, and one copy did not ask.

Change: the state that the entry had when it was removed counts. Such a target has ended only once its agent exits, too. One function serves the search and the known home.

--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -39,6 +39,7 @@
     MAX_CALLER_SILENCE_S,
     conclude_search,
     detect_mass_restart,
+    has_target_ended,
     is_acknowledged,
     matches_home,
     pick_home,
@@ -302,7 +303,7 @@
         search_home(balancer, key, connection, route, segment, now)
         return
     load = balancer.loads_by_agent.get(home)
-    if load is not None and load.target_ended and home not in balancer.targets_by_agent:
+    if has_target_ended(balancer, home):
         balancer.actions.log("reset", connection=key, cause="target-ended", agent=home)
         abandon_connection(balancer, key, segment.acknowledgement, now)
         return
--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -378,11 +378,28 @@
 
 
 def _is_draining(balancer: ConnectionBalancer, agent: Address) -> bool:
-    """Return whether the agent's target may have closed its port only."""
+    """Return whether the agent's target may have closed its port only.
+
+    It may still end its last connections after its entry was removed.
+    """
     targets = balancer.targets_by_agent.get(agent, ())
+    if not targets and agent in balancer.removed_by_agent:
+        targets = (balancer.removed_by_agent[agent][0],)
     return any(target.state is not State.LIVE for target in targets)
 
 
+def has_target_ended(balancer: ConnectionBalancer, agent: Address) -> bool:
+    """Return whether the agent's target has ended and has left the view.
+
+    A target that drains may close its port before its last connections. Its
+    agent stops after it, so that a closed port shows its end only then.
+    """
+    load = balancer.loads_by_agent.get(agent)
+    if load is None or not load.target_ended or agent in balancer.targets_by_agent:
+        return False
+    return load.leaving or not _is_draining(balancer, agent)
+
+
 def _query_new_agents(
     balancer: ConnectionBalancer,
     key: ConnectionKey,
@@ -439,8 +456,7 @@
         return AnswerLimit(0.0, "forgotten")
     if has_crashed(balancer, agent, now):
         return AnswerLimit(ROUND_TRIP_TIMEOUT_S, "crashed")
-    # A target that drains may close its port before its last connections.
-    if load.target_ended and agent not in balancer.targets_by_agent:
+    if has_target_ended(balancer, agent):
         return AnswerLimit(ROUND_TRIP_TIMEOUT_S, "ended")
     is_other_service = load.service not in search.services
     if (
--- a/tests/test_connection_search.py
+++ b/tests/test_connection_search.py
@@ -20,6 +20,7 @@
     ConnectionNotHeld,
     HomeFound,
 )
+from lycheeglade.view import State
 from tests.connections import (
     AGENTS,
     CALLER,
@@ -244,6 +245,32 @@
     assert recorder.resets == []
 
 
+@pytest.mark.parametrize("is_known", [False, True])
+def test_draining_target_that_left_the_view_may_have_closed_its_port_only(
+    recorder, is_known
+):
+    """Its agent had restarted, and took long requests for its silence."""
+    draining = replace(TARGETS[0], state=State.LEAVING)
+    balancer = recorder.make(make_view([draining, *TARGETS[1:]]))
+    for agent in AGENTS:
+        receive_message(balancer, make_report(), agent, 0.0)
+    if is_known:
+        receive_message(balancer, HomeFound(KEY, 1000), AGENTS[0], 0.5)
+    update_routing(balancer, make_view(TARGETS[1:], revision=6), 0.6)
+    report = make_report(silent=True, target_ended=True)
+    receive_message(balancer, report, AGENTS[0], 1.0)
+    receive_segment(balancer, data(acknowledgement=1001), 1.1)
+    for agent in AGENTS[1:]:
+        receive_message(balancer, ConnectionNotHeld(KEY, 1001), agent, 1.11)
+    tick(balancer, 1.12 + SEARCH_TIMEOUT_S)
+    assert recorder.resets == []
+    report = make_report(silent=True, leaving=True, target_ended=True)
+    receive_message(balancer, report, AGENTS[0], 1.6)
+    receive_segment(balancer, data(sequence=108, acknowledgement=1001), 1.61)
+    tick(balancer, 1.62)
+    assert recorder.resets == [(KEY, 1001)]
+
+
 def test_search_waits_for_the_next_target_of_a_host(balancer, recorder):
     """The end of the target before it was reported, its own start not yet."""
     report = make_report(leaving=True, target_ended=True)
