Don't deny a delayed segment of a long answer's connection

Callers saw an open connection reset (nowhere-found, or target-lost-connection by a balancer that knew its home) though its target still held it.

Cause: an agent takes a segment for one of another connection of the address if its acknowledgement is further than 2^16 behind what the target has sent. A balancer repeats a search by the segment that started it, up to 1.2 s later, and a target sends more than 64 KiB in that time. Once the target has closed its side, the agent denies such a segment itself. A balancer that knows the home takes denials up to 2^18 away for ones of its connection.

Change: where the agent has seen the target's first number, each acknowledgement from there on belongs to the connection. The segment of another connection falls there by chance in 1 of 3,300 cases after 1.3 MB; it was 1 of 32,768 for any length (both computed).

Result: the two cases of the new test failed before with a denial, and pass with HomeFound.

--- a/lycheeglade/connection_agent.py
+++ b/lycheeglade/connection_agent.py
@@ -58,7 +58,8 @@
 # While the target is silent, its port is checked at this interval.
 PORT_CHECK_INTERVAL_S = 0.5
 # A caller's segment belongs to another connection of its address if its
-# acknowledgement is further than this from what the target has sent.
+# acknowledgement is further than this from what the target has sent, as far as
+# the agent knows it.
 MAX_UNACKNOWLEDGED_BYTES = 1 << 16
 # A request without an answer after ANSWER_TIMEOUT_S seconds counts as failed.
 ANSWER_TIMEOUT_S = 1.0
@@ -137,12 +138,14 @@
     """Return whether a segment belongs to another connection of its address.
 
     Targets start at random sequence numbers, and the agent sees all that its
-    target sends.
+    target sends. A delayed segment may acknowledge any part of it.
     """
     if connection.sent_end is None or not segment.acknowledges:
         return False
     distance = sequence_distance(connection.sent_end, segment.acknowledgement)
-    return abs(distance) > MAX_UNACKNOWLEDGED_BYTES
+    if connection.sequence < 0 or distance > 0:
+        return abs(distance) > MAX_UNACKNOWLEDGED_BYTES
+    return sequence_distance(connection.sequence, segment.acknowledgement) < 0
 
 
 def knows_all_connections(agent: ConnectionAgent, now: float) -> bool:
--- a/tests/test_former_connections.py
+++ b/tests/test_former_connections.py
@@ -178,6 +178,30 @@
     ]
 
 
+@pytest.mark.parametrize("acknowledgement", [1, 20_000])
+def test_agent_does_not_deny_a_delayed_segment_of_a_long_answer(acknowledgement):
+    """A balancer repeats a search by an old segment if its answer was lost.
+
+    It reset the connection for the denial, while the target still held it.
+    """
+    recorder = AgentRecorder()
+    agent = recorder.make()
+    message = recorder.make_forward_segment(opening())
+    agent_receive(agent, message, BALANCER, 0.0)
+    receive_from_target(agent, from_target(opens=True, sequence=FORMER_SEQUENCE), 0.0)
+    sequence = FORMER_SEQUENCE + 1
+    for _ in range(100):
+        segment = from_target(sequence=sequence, data_bytes=1200)
+        receive_from_target(agent, segment, 0.1)
+        sequence += 1200
+    receive_from_target(agent, from_target(sequence=sequence, finishes=True), 0.2)
+    recorder.sent.clear()
+    delayed = data(acknowledgement=FORMER_SEQUENCE + acknowledgement)
+    query = recorder.make_forward_segment(delayed, search=True)
+    agent_receive(agent, query, BALANCER, 0.3)
+    assert recorder.sent == [(BALANCER, HomeFound(KEY, FORMER_SEQUENCE))]
+
+
 def test_agent_does_not_report_a_half_open_connection_as_open():
     """Its balancers preferred it to the target that the caller had chosen.
 
