Don't reset a searched connection for a refused opening

Callers saw an open connection reset (refused, no-turn) on a route without an aim.

Cause: the report of the target that accepted the connection was lost, so that its opening also went to another agent, which held it and then refused it. The balancer told the caller, although a segment of the caller had shown meanwhile that a target has accepted the connection, and the search for it was running. With an aim, the number of open tries prevents that.

Change: no caller is told of a refusal while its connection is searched.

Result: the new test failed before with a reset, and passes; then the first agent's answer to the search brings the segments there.

--- a/lycheeglade/connection_opening.py
+++ b/lycheeglade/connection_opening.py
@@ -255,7 +255,8 @@
 
     Its caller is told only if all copies of the opening segment that it may
     have sent came by this balancer. Otherwise another balancer may have
-    opened the connection, which a reset would break. On routes with an aim,
+    opened the connection, which a reset would break. A search shows that the
+    caller has accepted a target's answer. On routes with an aim,
     agents refuse while another agent may still accept an earlier try, so that
     the caller is told only if no other try is open, and if no earlier copy was
     missed.
@@ -265,7 +266,7 @@
         return
     age = now - connection.opening_received_at
     due = sum(age > delay - COPY_MARGIN_S for delay in COPY_DELAYS_S)
-    is_told = connection.opening_copies >= due
+    is_told = connection.opening_copies >= due and connection.search is None
     connection.unresolved_tries -= 1
     route = balancer.view.routes_by_address.get(message.key.service)
     if route is not None and route.aim > 0.0:
--- a/tests/test_connection_balancer.py
+++ b/tests/test_connection_balancer.py
@@ -470,6 +470,23 @@
     assert recorder.resets == []
 
 
+def test_refusal_breaks_no_connection_that_is_searched(balancer, recorder):
+    """The first target opened it, but its agent's answer was lost."""
+    receive_segment(balancer, opening(), 1.0)
+    [(first, _)] = recorder.pop_forwarded_segments()
+    tick(balancer, 1.0 + MIN_OPENING_TIMEOUT_S)
+    [(second, _)] = recorder.pop_forwarded_segments()
+    assert second != first
+    receive_message(balancer, OpeningHeld(KEY), second, 1.04)
+    receive_segment(balancer, data(), 1.05)
+    receive_message(balancer, OpeningRefused(KEY), second, 1.06)
+    assert recorder.resets == []
+    receive_message(balancer, HomeFound(KEY, 1000), first, 1.07)
+    receive_segment(balancer, data(sequence=108), 1.08)
+    agents = [agent for agent, _ in recorder.pop_forwarded_segments()]
+    assert agents[-2:] == [first] * 2
+
+
 def test_refusal_of_an_agent_that_is_not_waited_for_is_ignored(balancer, recorder):
     agent = hold_opening(balancer, recorder, 1.0)
     receive_message(balancer, HomeFound(KEY, 1000), agent, 1.01)
