Tell balancers that have just started which restarts were planned

Callers got resets on open connections whose targets lived, from balancers that had started while agents restarted in turn. All resets are of balancers with a view of less than 2 s of age, with cause=nowhere-found and given_up=mass-restart:2 to 4 after 0.15 to 0.9 s; for one of them the home contradicted the reset. Such a balancer knows no process before the present ones, so that planned starts counted as a loss of power for it.

A balancer that got the announcement of an agent's exit now tells the next process of that agent, at once and in each load request (planned_incarnation), and the agent says so in its reports to all balancers (is_planned_start). The fields are the last ones of their messages and have defaults, so that processes of the build before ignore them or leave them out. One datagram more for each planned restart and balancer.

The new test of balancers fails if the balancer ignores what the agent reports; the existing ones of searches after a loss of power pass unchanged.

What remains: if all balancers that got the announcement end before the agent has started, nobody can tell it.

--- a/lycheeglade/connection_agent.py
+++ b/lycheeglade/connection_agent.py
@@ -71,6 +71,8 @@
         agent.slots = max(1, message.slots)
         # A balancer of an earlier build names no start of the target.
         agent.target_lifetime = message.lifetime or agent.target_lifetime
+        if message.planned_incarnation == agent.incarnation:
+            agent.is_planned_start = True
         _learn_warmup(agent, message, now)
         if message.is_near:
             agent.far_reported_at_by_balancer.pop(source, None)
--- a/lycheeglade/connection_agent_state.py
+++ b/lycheeglade/connection_agent_state.py
@@ -105,6 +105,9 @@
     target_lifetime : int
         Start of the target's process in Unix milliseconds, 0 if no balancer
         has named it.
+    is_planned_start : bool
+        Whether a balancer has said that the agent's process before this one
+        announced its exit.
     discarded_at : float
         Time at which the full table last discarded a connection.
     held_openings_by_key : dict
@@ -123,6 +126,7 @@
     limits: ConnectionLimits = DEFAULT_LIMITS
     started_unix_ms: float = 0.0
     target_lifetime: int = 0
+    is_planned_start: bool = False
     discarded_at: float = float("-inf")
     slots: int = 1
     connections_by_key: OrderedDict[ConnectionKey, LocalConnection] = field(
--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -382,10 +382,12 @@
             leaving=report.leaving,
             target_ended=report.target_ended,
         )
+    is_news = False
     if load.incarnation not in (0, report.incarnation):
         load.previous_incarnation = load.incarnation
         load.is_planned_start = load.leaving
         release_held_openings(balancer, source)
+        is_news = load.is_planned_start
     load.incarnation = report.incarnation
     load.reported_at = now
     load.recent_placements = 0
@@ -399,6 +401,10 @@
     load.target_ended = report.target_ended
     load.service = report.service
     load.started_at = now - report.age if report.age >= 0.0 else float("-inf")
+    load.is_planned_start |= report.is_planned_start
+    if is_news:
+        # Balancers that start later learn it from the agent.
+        _send_load_request(balancer, source, now)
 
 
 def _send_load_request(
@@ -411,6 +417,7 @@
         warmup_left(load, now),
         load.warmup_rate,
         max(load.lifetime, 0),
+        load.incarnation if load.is_planned_start else 0,
     )
     send_message(balancer, agent, request, now)
 
--- a/lycheeglade/connection_load.py
+++ b/lycheeglade/connection_load.py
@@ -79,6 +79,7 @@
         failing=agent.failures.share(now),
         target_ended=agent.has_target_ended,
         age=now - agent.started_at,
+        is_planned_start=agent.is_planned_start,
     )
 
 
--- a/lycheeglade/relay_message.py
+++ b/lycheeglade/relay_message.py
@@ -111,6 +111,9 @@
         is published.
     lifetime : int
         Start of the target's process in Unix milliseconds, 0 if unknown.
+    planned_incarnation : int
+        Incarnation of the agent's process if the one before it announced its
+        exit, 0 if that is unknown.
     """
 
     slots: int
@@ -118,6 +121,7 @@
     warmup_left: float = 0.0
     warmup_rate: float = 0.0
     lifetime: int = 0
+    planned_incarnation: int = 0
 
 
 class LoadReport(Struct, frozen=True, array_like=True, tag=5):
@@ -149,6 +153,8 @@
         does not return.
     age : float
         Seconds since the agent's process started, -1 if not reported.
+    is_planned_start : bool
+        Whether the process before it announced its exit, as balancers know.
     """
 
     incarnation: int
@@ -162,6 +168,7 @@
     failing: float = 0.0
     target_ended: bool = False
     age: float = -1.0
+    is_planned_start: bool = False
 
 
 class Peers(Versioned, Struct, frozen=True, array_like=True, tag=6):
--- a/tests/test_connection_agent.py
+++ b/tests/test_connection_agent.py
@@ -261,6 +261,16 @@
     assert recorder.sent == []
 
 
+def test_agent_reports_whether_its_own_start_was_planned(agent, recorder):
+    for named, is_planned in (
+        (agent.incarnation + 1, False),
+        (agent.incarnation, True),
+    ):
+        request = LoadRequest(1, planned_incarnation=named)
+        receive_message(agent, request, BALANCER, 0.0)
+        assert recorder.sent[-1][1].is_planned_start is is_planned
+
+
 def test_target_that_answers_nothing_is_reported_silent(agent, recorder):
     receive_message(agent, LoadRequest(1), BALANCER, 0.0)
     for port in (1, 2, 3):
--- a/tests/test_connection_search.py
+++ b/tests/test_connection_search.py
@@ -356,6 +356,34 @@
     assert recorder.resets == []
 
 
+@pytest.mark.parametrize("is_planned", [False, True])
+def test_planned_restarts_that_only_agents_know_of_are_no_mass_restart(
+    balancer, recorder, is_planned
+):
+    """A balancer that started meanwhile took them for a loss of power."""
+    for agent in AGENTS:
+        is_leaving = agent == AGENTS[2]
+        report = make_report(age=2.0, leaving=is_leaving, is_planned_start=is_planned)
+        receive_message(balancer, report, agent, 0.9)
+    tick(balancer, 0.95)
+    receive_segment(balancer, data(acknowledgement=77), 1.0)
+    for agent in AGENTS[:2]:
+        receive_message(balancer, ConnectionNotHeld(KEY, 77), agent, 1.01)
+    tick(balancer, 1.01 + ROUND_TRIP_TIMEOUT_S)
+    assert recorder.resets == ([] if is_planned else [(KEY, 77)])
+
+
+def test_agent_is_told_at_once_that_its_start_was_planned(balancer, recorder):
+    left = make_report(incarnation=1, leaving=True)
+    receive_message(balancer, left, AGENTS[0], 1.0)
+    recorder.sent.clear()
+    receive_message(balancer, make_report(incarnation=2), AGENTS[0], 1.5)
+    ((address, request),) = recorder.sent
+    assert (address, request.planned_incarnation) == (AGENTS[0], 2)
+    receive_message(balancer, make_report(incarnation=3), AGENTS[0], 2.0)
+    assert recorder.sent == [(address, request)]
+
+
 def test_search_does_not_reset_the_next_connection_of_its_address(balancer, recorder):
     """Its target has answered the caller; the home's message is on its way."""
     receive_segment(balancer, data(acknowledgement=77), 1.0)
