Keep the known number of a home when its agent repeats its answer

Callers waited for a search of the whole fleet before nearly each segment of a long download, where agents answer a search after more than 0.15 s.

Cause: the number of a home follows the caller's acknowledgements. A search that is repeated gets an answer for each query, and each answer after the first one set the number back to the target's initial one. From 256 KiB on, the next segment did not match and started another search.

Change: a home also keeps the initial number by which its agent names it, and an answer with the same one changes the number no more.

Result: the new test (three queries, answers after 0.4 s, 1 MB received) started another search before and forwards the segment now. Not measured in a fleet.

--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -357,13 +357,12 @@
         _log_contradicted_reset(balancer, message.key, source, now)
     connection = _get_or_add_connection(balancer, message.key, now)
     homes = [home for home in connection.homes if home.agent != source]
-    sequence = message.sequence
-    if sequence < 0:
-        # The agent has restarted since it saw the connection open.
-        sequence = next(
-            (home.sequence for home in connection.homes if home.agent == source), -1
-        )
-    home = Home(source, sequence, message.is_open)
+    home = Home(source, message.sequence, message.is_open, message.sequence)
+    known = next((each for each in connection.homes if each.agent == source), None)
+    if known is not None and message.sequence in (-1, known.initial_sequence):
+        # The agent repeats its answer, which several queries may have caused,
+        # or it has restarted since it saw the connection open.
+        home = replace(known, is_open=message.is_open)
     queued = connection.queued_segments
     is_other = bool(queued) and not any(matches_home(home, each) for each in queued)
     acknowledged = [each.acknowledgement for each in queued if each.acknowledges]
--- a/lycheeglade/connection_balancer_state.py
+++ b/lycheeglade/connection_balancer_state.py
@@ -70,11 +70,14 @@
         has acknowledged, -1 if unknown.
     is_open : bool
         Whether the target holds the connection.
+    initial_sequence : int
+        Initial sequence number of the target, -1 if unknown.
     """
 
     agent: Address
     sequence: int
     is_open: bool
+    initial_sequence: int = -1
 
 
 @dataclass(slots=True)
--- a/tests/test_former_connections.py
+++ b/tests/test_former_connections.py
@@ -121,6 +121,23 @@
     assert forwarded_to(recorder) == [AGENTS[0]]
 
 
+def test_repeated_answer_starts_no_further_search_of_a_long_download(recorder):
+    """Each query of a search is answered; the second answer came last."""
+    balancer = recorder.make_heard()
+    acknowledgement = FORMER_SEQUENCE + 1_000_000
+    for step in range(3):
+        now = 10.0 + 0.16 * step
+        segment = data(sequence=8 + step, acknowledgement=acknowledgement)
+        receive_segment(balancer, segment, now)
+    for now in (10.4, 10.56, 10.72):
+        receive_message(balancer, HomeFound(KEY, FORMER_SEQUENCE), AGENTS[0], now)
+    recorder.pop_forwarded_segments()
+    segment = data(sequence=100, acknowledgement=acknowledgement + 1200)
+    receive_segment(balancer, segment, 10.8)
+    [(agent, forwarded)] = recorder.pop_forwarded_segments()
+    assert (agent, forwarded.search) == (AGENTS[0], False)
+
+
 def test_download_of_any_length_stays_with_its_home(balancer, recorder):
     """The acknowledgements get far from the target's initial number."""
     for step in range(1, 200):
