Find copies of held segments by their datagram

Each run of the periodic work compared each held segment with all others. No decision changes, so that no test failed before.

--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -240,10 +240,9 @@
     balancer: ConnectionBalancer, segment: Segment, received_at: float
 ) -> None:
     """Hold a segment until the view is confirmed; discard copies."""
-    held = balancer.held_segments
-    is_copy = any(each.segment.datagram == segment.datagram for each in held)
-    if not is_copy and len(held) < MAX_HELD_SEGMENTS:
-        held.append(HeldSegment(segment, received_at))
+    held = balancer.held_segments_by_datagram
+    if len(held) < MAX_HELD_SEGMENTS:
+        held.setdefault(segment.datagram, HeldSegment(segment, received_at))
 
 
 def _release_held_segments(balancer: ConnectionBalancer, now: float) -> None:
@@ -251,8 +250,8 @@
 
     Those whose callers may have given up are discarded.
     """
-    held, balancer.held_segments = balancer.held_segments, []
-    for each in held:
+    held, balancer.held_segments_by_datagram = balancer.held_segments_by_datagram, {}
+    for each in held.values():
         if now - each.received_at <= MAX_CALLER_SILENCE_S:
             _route_segment(balancer, each.segment, each.received_at, now)
 
--- a/lycheeglade/connection_balancer_daemon.py
+++ b/lycheeglade/connection_balancer_daemon.py
@@ -169,7 +169,7 @@
         if balancer.current_as_of == NEVER < follower.current_as_of:
             log("view-current", view_age_s=now - balancer.view_at)
         balancer.current_as_of = follower.current_as_of
-        if balancer.searching_keys or balancer.held_segments:
+        if balancer.searching_keys or balancer.held_segments_by_datagram:
             balancer.is_view_awaited = follower.is_awaiting_view()
         tick_balancer(balancer, now)
 
--- a/lycheeglade/connection_balancer_state.py
+++ b/lycheeglade/connection_balancer_state.py
@@ -169,7 +169,7 @@
         each was removed from it.
     is_mass_restart : bool
         Whether most agents have started a short time ago.
-    held_segments : list of HeldSegment
+    held_segments_by_datagram : dict
         Segments that wait until it is known whether they have a route.
     unrouted_by_source : dict
         Refused segments to addresses without a route, by the caller's IP.
@@ -211,7 +211,7 @@
     opening_keys: set[ConnectionKey] = field(default_factory=set)
     accept_delay: float = 0.0
     queued_openings: list[Segment] = field(default_factory=list)
-    held_segments: list[HeldSegment] = field(default_factory=list)
+    held_segments_by_datagram: dict[bytes, HeldSegment] = field(default_factory=dict)
     unrouted_by_source: dict[str, UnroutedSegments] = field(default_factory=dict)
     reset_at_by_key: OrderedDict[ConnectionKey, float] = field(
         default_factory=OrderedDict
