--- a/tests/test_former_connections.py
+++ b/tests/test_former_connections.py
@@ -90,6 +90,19 @@
     assert recorder.resets == []
 
 
+def test_denied_segment_that_acknowledges_nothing_is_searched(recorder):
+    """Each copy went to a target that its caller had not chosen."""
+    balancer = recorder.make_heard()
+    receive_message(balancer, HomeFound(KEY, SEQUENCE, is_open=False), AGENTS[0], 1.0)
+    segment = replace(data(acknowledgement=0), acknowledges=False)
+    receive_segment(balancer, segment, 1.1)
+    receive_message(balancer, ConnectionNotHeld(KEY, 0), AGENTS[0], 1.11)
+    recorder.pop_forwarded_segments()
+    receive_segment(balancer, segment, 1.3)
+    assert set(forwarded_to(recorder)) == set(AGENTS)
+    assert recorder.resets == []
+
+
 def test_late_segment_of_a_former_connection_resets_nothing(recorder):
     """No target holds its connection, but one holds the present one."""
     balancer = recorder.make_heard()
