--- a/lycheeglade/connection_admission.py
+++ b/lycheeglade/connection_admission.py
@@ -158,7 +158,6 @@
 
 def admit_held(agent: ConnectionAgent, now: float) -> None:
     """Deliver connections that wait as far as the target has room."""
-    # An opening whose caller gives up is never delivered.
     # An opening that has waited as long as it may is never delivered.
     for key in agent.opening_queue.expire(now):
         refuse_held(agent, key, WAITED_TOO_LONG, now)
--- a/lycheeglade/view_exchange.py
+++ b/lycheeglade/view_exchange.py
@@ -220,10 +220,9 @@
         return any(version.is_behind(peer.version) for peer in peers)
 
     def is_awaiting_view(self, version: ViewVersion) -> bool:
-        """Return whether others have or should bring a newer view.
+        """Return whether a newer view is known, or would be reported soon.
 
-        That is so if one is known to have it, or if the zone has a watcher,
-        which reports often.
+        The zone's watcher reports several times a second.
         """
         return self._is_behind(version) or any(
             peer.duty is Duty.WATCHER and peer.zone == self._zone
--- a/lycheeglade/view_follower.py
+++ b/lycheeglade/view_follower.py
@@ -106,7 +106,7 @@
         return self._exchange.current_as_of
 
     def is_awaiting_view(self) -> bool:
-        """Return whether other balancers have or should bring a newer view."""
+        """Return whether a newer view is known, or would be reported soon."""
         return self._exchange.is_awaiting_view(self._known.view.version)
 
     def receive(self, message: Peers | ViewStatus, source: Address, now: float) -> None:
