--- a/review/stand_ins/case.py
+++ b/review/stand_ins/case.py
@@ -11,6 +11,7 @@
 
 from review.stand_ins.client import Client, Router
 from review.stand_ins.machines import (
+    REGION,
     ROOT,
     STORE_PORT,
     CannotRunError,
@@ -97,10 +98,9 @@
 
     def _settings(self, seeds: list[str]) -> dict[str, object]:
         return {
-            **{f"zones.{zone}": "sul-br" for zone in self.zones},
+            **{f"zones.{zone}": REGION for zone in self.zones},
             **{f"bounds.{name}": value for name, value in self.bounds.items()},
             "seeds": ",".join(f"{ip}:8166" for ip in seeds),
-            "region": "sul-br",
         }
 
     async def add_edge(self, zone: str, seeds: list[int]) -> Machine:
@@ -239,6 +239,26 @@
                 return
 
 
+def count_worst_second(case: Case, target: Target) -> tuple[int, float]:
+    """Return the most openings that were sent and arrived in a second."""
+    flows = {
+        flow.key: flow
+        for client in case.clients
+        for flow in client.flows_by_key.values()
+    }
+    times = [
+        (flows[key].opened_at_by_copy[copies], arrived_at)
+        for arrived_at, key, copies in target.taken
+    ]
+    return max(
+        (
+            (sum(sent >= first and at < first + 1.0 for sent, at in times), first)
+            for first, _ in times
+        ),
+        default=(0, 0.0),
+    )
+
+
 def run_case(
     file: str,
     zones: tuple[str, ...],
--- a/review/stand_ins/machines.py
+++ b/review/stand_ins/machines.py
@@ -12,7 +12,7 @@
 from review.stand_ins.record import Record
 
 ROOT = Path(__file__).parent.parent.parent
-REGION = "sul-br"
+REGION = "region-a"
 DATAGRAM_PORT, READY_PORT, CONTROL_PORT = 8172, 8167, 8166
 OUTBOUND_PORT, APP_PORT, STORE_PORT = 8162, 8165, 8169
 INTERNAL_PORTS = (7720, 7735)
