--- a/review/stand_ins/case.py
+++ b/review/stand_ins/case.py
@@ -188,9 +188,9 @@
         return task
 
     async def start_machines(self) -> None:
-        """Start all machines and wait until the nodes are ready."""
+        """Start all machines that don't run, and wait until all are ready."""
         machines = self.edges + self.sides
-        await gather(*(machine.start() for machine in machines))
+        await gather(*(m.start() for m in machines if not m.is_running))
         await gather(*(machine.wait_ready() for machine in machines))
         for machine in machines:
             self.run_task(machine.supervise())
