--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,10 +11,10 @@
 EDGE_ZONES = ("mu-ebene", "mu-ebene", "mu-curepipe")
 FORMER, LATTER = "assets", "play"
 ADDRESS = ("198.18.0.1", 443)
-BEFORE = Route("board-feed", ADDRESS, FORMER, "safe", 3160, 253, 2)
-AFTER = Route("board-feed", ADDRESS, LATTER, "safe", 3160, 253, 2)
+BEFORE = Route("piece-move", ADDRESS, FORMER, "unsafe", 3774, 252, 1)
+AFTER = Route("piece-move", ADDRESS, LATTER, "unsafe", 3774, 252, 1)
 SIDES_EACH = 2
-BUDGET_S = 3.0
+BUDGET_S = 3.7
 # A machine that was stopped is started after this pause.
 DOWN_S = 0.5
 CALM_S, CHANGE_S = 3.0, 3.0
@@ -35,8 +35,8 @@
     return held is not None and held.is_open
 
 
-async def open_feed(case: Case, client: Client, target: Target) -> ClientFlow:
-    """Open a standing feed to a target by the first edge node."""
+async def open_session(case: Case, client: Client, target: Target) -> ClientFlow:
+    """Open a session to a target by the first edge node."""
     for number in range(MAX_FLOWS):
         flow = client.new_flow(ADDRESS)
         if case.router.choose(client.zone, flow.key) is not case.edges[0]:
@@ -48,7 +48,7 @@
         if is_served and is_open(target, flow):
             return flow
         client.finish(flow)
-    raise CannotRunError("no feed to the new target was opened")
+    raise CannotRunError("no session at the new target was opened")
 
 
 async def play(case: Case) -> str:
@@ -69,8 +69,8 @@
     side = case.add_side(ZONES[0], FORMER)
     await side.start()
     target = await case.add_target(side, FORMER)
-    feed = await open_feed(case, client, target)
-    case.record(f"feed {feed.key[0]} is open at target {target.target_id}")
+    session = await open_session(case, client, target)
+    case.record(f"session {session.key[0]} is open at target {target.target_id}")
     if case.has_trouble:
         await restart(side)
         case.write_configuration(5, (AFTER, other))
@@ -80,11 +80,11 @@
     await sleep(1.0)
     while not case.router.is_in_rotation(case.edges[0]):
         await sleep(0.02)
-    await client.request(feed, "second", BUDGET_S)
+    await client.request(session, "second", BUDGET_S)
     case.copy_logs(LOGGED)
-    if feed.resets and is_open(target, feed):
-        sender = feed.resets[0][1]
-        return f"FLOW: {feed.key[0]} was reset by {sender} under planned work"
+    if session.resets and is_open(target, session):
+        sender = session.resets[0][1]
+        return f"FLOW: {session.key[0]} was reset by {sender} under planned work"
     return ""
 
 
