Give each test process loopback addresses of its own

Two work trees that ran test_connection_daemon or test_soak under the same xdist worker met at the same addresses and failed with EADDRINUSE.

--- a/tests/test_connection_daemon.py
+++ b/tests/test_connection_daemon.py
@@ -12,7 +12,7 @@
 from contextlib import suppress
 from dataclasses import dataclass
 from json import loads
-from os import close, environ, pipe, read, set_blocking, write
+from os import close, pipe, read, set_blocking, write
 from pathlib import Path
 from select import select
 from signal import SIGHUP, SIGTERM
@@ -21,6 +21,7 @@
 import pytest
 
 from catalog import CONFIGURATION_KEY
+from demo.cluster import reserve_network_for_process
 from lycheeglade.address import Address
 from lycheeglade.segment import ConnectionKey
 from soak.packets import ACK, SYN, decode_segment, mark_returned, pack_segment
@@ -36,10 +37,10 @@
 from tests.store_stand_in import StoreStandIn
 
 ROOT = Path(__file__).parent.parent
-# Each pytest-xdist worker uses its own addresses.
-WORKER = int(environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+# Each test process on this machine uses its own addresses.
+NETWORK = reserve_network_for_process()
 STORE_IP, BALANCER_IP, AGENT_IP, CALLER_IP, ADDED_IP = (
-    f"127.8.{WORKER}.{n}" for n in (1, 2, 3, 4, 5)
+    f"127.{NETWORK}.8.{n}" for n in (1, 2, 3, 4, 5)
 )
 METRICS_PORT = 9464
 FULL_PIPE_S = 5.0
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -25,7 +25,7 @@
 )
 from soak.round import run_round
 from tests.faults import long_only
-from tests.test_connection_daemon import WORKER
+from tests.test_connection_daemon import NETWORK
 
 STORE_DOWN_STATUSES = (429, 503)
 FAULTS_S = 8.0
@@ -43,7 +43,7 @@
 
 
 async def check_round(seed, seconds, folder):
-    report = await run_round(seed, seconds, folder, FIRST_SLOT + WORKER)
+    report = await run_round(seed, seconds, folder, FIRST_SLOT + NETWORK)
     assert report.breaches == ()
     assert report.counts["answered"] > 0
 
@@ -60,7 +60,7 @@
 
 async def test_address_in_use_at_the_start_is_reported(tmp_path):
     """`stop` failed with AttributeError for what had not been started."""
-    slot = FIRST_SLOT + WORKER
+    slot = FIRST_SLOT + NETWORK
     occupied = create_server((f"127.9.{slot}.11", STORE_PORT))
     with occupied, pytest.raises(OSError, match="in use"):
         await run_round(1, 0.0, tmp_path, slot)
