--- a/lycheeglade/connection_agent_daemon.py
+++ b/lycheeglade/connection_agent_daemon.py
@@ -3,7 +3,7 @@
 from asyncio import create_task, get_running_loop, open_connection, sleep, timeout
 from collections.abc import Awaitable, Callable
 from random import SystemRandom
-from time import monotonic, time
+from time import monotonic, process_time, time
 
 from lycheeglade.address import Address
 from lycheeglade.connection_agent import (
@@ -116,7 +116,13 @@
         time() * MS_PER_S,
         warmup_bounds=settings.warmup_bounds,
     )
-    log("started", host=settings.host_id, role="agent", service=settings.service)
+    log(
+        "started",
+        host=settings.host_id,
+        role="agent",
+        service=settings.service,
+        cpu_s=process_time(),
+    )
     readiness = create_task(serve_readiness(lambda: not stop.is_set()))
     port_check = None
 
--- a/lycheeglade/connection_balancer_daemon.py
+++ b/lycheeglade/connection_balancer_daemon.py
@@ -3,7 +3,7 @@
 from asyncio import create_task, get_running_loop, sleep
 from collections.abc import Awaitable, Callable
 from random import Random, SystemRandom
-from time import monotonic
+from time import monotonic, process_time
 
 from lycheeglade.address import Address
 from lycheeglade.cold_targets import ServedView
@@ -151,7 +151,7 @@
         monotonic(),
         inherit,
     )
-    log("started", host=settings.host_id, role="balancer")
+    log("started", host=settings.host_id, role="balancer", cpu_s=process_time())
 
     def get_view() -> RoutingView:
         now = monotonic()
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -54,7 +54,8 @@
     ]
     events = {"log-bounded"}
     for path in paths:
-        events.update(CONNECTION_EVENT.findall(path.read_text()))
+        text = path.read_text()
+        events.update(CONNECTION_EVENT.findall(text), EVENT.findall(text))
     section = OPERATIONS[OPERATIONS.index(CONNECTION_HEADING) :]
     rows = [line for line in section.splitlines() if line.startswith("| `")]
     documented = {name for row in rows for name in row.split("|")[1].split("`")[1::2]}
