--- a/lycheeglade/connection_daemon.py
+++ b/lycheeglade/connection_daemon.py
@@ -5,12 +5,12 @@
 packets come from and how the view is published.
 """
 
-from asyncio import Event, Task, get_running_loop, sleep
+from asyncio import Event, Task, sleep
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from logging import INFO, WARNING, getLogger
-from signal import SIGHUP, SIGINT, SIGTERM
+from signal import SIG_IGN, SIGHUP, SIGINT, SIGTERM, signal
 from time import monotonic
 from typing import TypeVar
 
@@ -194,13 +194,16 @@
 
 
 def install_stop_handlers() -> Event:
-    """Return an event that SIGTERM and SIGINT set."""
+    """Return an event that SIGTERM and SIGINT set; poll it.
+
+    The handlers stay until the process has ended. Those of an event loop are
+    removed before, and a further signal would then have its default action.
+    """
     stop = Event()
-    loop = get_running_loop()
     for number in (SIGTERM, SIGINT):
-        loop.add_signal_handler(number, stop.set)
+        signal(number, lambda number, frame: stop.set())
     # SIGHUP needs no reload: settings that may change are read at each use.
-    loop.add_signal_handler(SIGHUP, lambda: None)
+    signal(SIGHUP, SIG_IGN)
     return stop
 
 
