Wait for an address that is held, instead of ending the process

A process that started while another one held one of its addresses ended at once, and so did the next start: three or four ends within 1.5 s, until the predecessor had stopped. Metrics and readiness were tasks whose first error the main loop raised; a metrics address alone ended a process that could have served.

Each part now opens its address when the host permits it, and logs part-failed once meanwhile. Both sockets for datagrams are opened together, or neither, so that no packet is taken that could not be passed on. SIGTERM ends the wait.

--- a/lycheeglade/connection_agent_daemon.py
+++ b/lycheeglade/connection_agent_daemon.py
@@ -2,6 +2,7 @@
 
 from asyncio import create_task, get_running_loop, open_connection, sleep, timeout
 from collections.abc import Awaitable, Callable
+from functools import partial
 from random import SystemRandom
 from time import monotonic, process_time, time
 
@@ -22,14 +23,14 @@
     SegmentCodec,
     decode_or_log,
     install_stop_handlers,
-    raise_task_failures,
+    open_sockets,
     run_until,
 )
 from lycheeglade.connection_load import MS_PER_S, announce_exit
 from lycheeglade.errors import PacketError
 from lycheeglade.relay_message import decode_message, encode_message
 from lycheeglade.segment import ConnectionKey, Segment
-from lycheeglade.transport import DatagramSocket
+from lycheeglade.supervision import contain, open_when_free
 
 TICK_S = 0.02
 # Running requests have STOP_TIMEOUT_S seconds to finish before the process
@@ -92,12 +93,17 @@
         datagram = codec.encode_reset(key, acknowledgement)
         internal.send(datagram, (key.caller.ip, settings.caller_port))
 
-    internal = DatagramSocket(
-        get_running_loop(), handle_message, local=settings.internal
-    )
-    external = DatagramSocket(
-        get_running_loop(), handle_datagram, local=settings.external
+    sockets = await open_when_free(
+        partial(
+            open_sockets, get_running_loop(), settings, handle_message, handle_datagram
+        ),
+        "sockets",
+        stop,
+        log,
     )
+    if sockets is None:
+        return
+    internal, external = sockets
     actions = ConnectionAgentActions(
         send=lambda address, message: internal.send(encode_message(message), address),
         deliver=deliver,
@@ -125,16 +131,21 @@
     )
     readiness = create_task(serve_readiness(lambda: not stop.is_set()))
     port_check = None
+    tick_connections = contain(partial(tick_agent, agent), "connections", log)
 
     async def check_port() -> None:
         agent.is_port_closed = not await accepts_connections(settings.upstream)
 
-    def tick(now: float) -> None:
+    def start_port_check(now: float) -> None:
         nonlocal port_check
-        raise_task_failures([readiness])
         if is_port_check_due(agent, now):
             port_check = create_task(check_port())
-        tick_agent(agent, now)
+
+    tick_port_check = contain(start_port_check, "port-check", log)
+
+    def tick(now: float) -> None:
+        tick_port_check(now)
+        tick_connections(now)
 
     await run_until(stop, tick, TICK_S)
     log("stopping", host=settings.host_id)
@@ -145,10 +156,10 @@
         announce_exit(agent, reported_at)
         while monotonic() - reported_at < pause:
             await sleep(TICK_S)
-            tick_agent(agent, monotonic())
+            tick_connections(monotonic())
     while agent.running_by_key and monotonic() - stopped_at < STOP_TIMEOUT_S:
         await sleep(TICK_S)
-        tick_agent(agent, monotonic())
+        tick_connections(monotonic())
     log("stopped", host=settings.host_id)
     readiness.cancel()
     if port_check is not None:
--- a/lycheeglade/connection_balancer_daemon.py
+++ b/lycheeglade/connection_balancer_daemon.py
@@ -2,6 +2,7 @@
 
 from asyncio import create_task, get_running_loop, sleep
 from collections.abc import Awaitable, Callable
+from functools import partial
 from random import Random, SystemRandom
 from time import monotonic, process_time
 
@@ -23,7 +24,7 @@
     SegmentCodec,
     decode_or_log,
     install_stop_handlers,
-    raise_task_failures,
+    open_sockets,
     run_until,
 )
 from lycheeglade.errors import PacketError
@@ -36,7 +37,7 @@
 )
 from lycheeglade.route import RoutingView
 from lycheeglade.segment import ConnectionKey
-from lycheeglade.transport import DatagramSocket
+from lycheeglade.supervision import contain, keep_running, open_when_free
 from lycheeglade.view_currency import NEVER
 from lycheeglade.view_follower import FollowStore, ReadStore, ViewFollower
 from lycheeglade.view_history import ServedHistory, inherit_history
@@ -105,12 +106,17 @@
         datagram = codec.encode_reset(key, acknowledgement)
         external.send(datagram, (key.caller.ip, settings.caller_port))
 
-    internal = DatagramSocket(
-        get_running_loop(), handle_message, local=settings.internal
-    )
-    external = DatagramSocket(
-        get_running_loop(), handle_datagram, local=settings.external
+    sockets = await open_when_free(
+        partial(
+            open_sockets, get_running_loop(), settings, handle_message, handle_datagram
+        ),
+        "sockets",
+        stop,
+        log,
     )
+    if sockets is None:
+        return
+    internal, external = sockets
     balancer = ConnectionBalancer(
         settings.zone,
         settings.internal,
@@ -158,18 +164,21 @@
         view = served_view.get(follower.get_view(), balancer.loads_by_agent, now)
         return served_history.get(view, balancer, now)
 
-    server = await serve_view(settings.internal, get_view)
+    async def serve_views() -> None:
+        server = await serve_view(settings.internal, get_view)
+        await server.serve_forever()
+
     tasks = [
         create_task(
             serve_readiness(
                 lambda: bool(balancer.view.configuration) and not stop.is_set()
             )
         ),
+        create_task(keep_running(serve_views, "views", log)),
     ]
+    tick_follower = contain(follower.tick, "follower", log)
 
-    def tick(now: float) -> None:
-        raise_task_failures(tasks)
-        follower.tick(now)
+    def advance_balancer(now: float) -> None:
         if balancer.current_as_of == NEVER < follower.current_as_of:
             log("view-current", view_age_s=now - balancer.view_at)
         balancer.current_as_of = follower.current_as_of
@@ -177,6 +186,12 @@
             balancer.is_view_awaited = follower.is_awaiting_view()
         tick_balancer(balancer, now)
 
+    tick_connections = contain(advance_balancer, "connections", log)
+
+    def tick(now: float) -> None:
+        tick_follower(now)
+        tick_connections(now)
+
     await run_until(stop, tick, TICK_S)
     stopped_at = monotonic()
     log("stopping", host=settings.host_id)
@@ -187,7 +202,6 @@
         tick(monotonic())
         await sleep(TICK_S)
     log("stopped", host=settings.host_id)
-    server.close()
     follower.close()
     for task in tasks:
         task.cancel()
--- a/lycheeglade/connection_daemon.py
+++ b/lycheeglade/connection_daemon.py
@@ -5,7 +5,7 @@
 packets come from and how the view is published.
 """
 
-from asyncio import Event, Task, sleep
+from asyncio import AbstractEventLoop, Event, Task, sleep
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -19,6 +19,7 @@
 from lycheeglade.errors import PacketError
 from lycheeglade.logs import log_event
 from lycheeglade.segment import ConnectionKey, Segment
+from lycheeglade.transport import DatagramSocket, Receiver
 from lycheeglade.warmup import WarmupBounds
 
 logger = getLogger(__name__)
@@ -207,6 +208,28 @@
     return stop
 
 
+def open_sockets(
+    loop: AbstractEventLoop,
+    settings: ProcessSettings,
+    on_message: Receiver,
+    on_segment: Receiver,
+) -> tuple[DatagramSocket, DatagramSocket]:
+    """Open the internal and the external socket of a process, or neither.
+
+    Raises
+    ------
+    OSError
+        If one of the addresses can't be bound.
+    """
+    internal = DatagramSocket(loop, on_message, local=settings.internal)
+    try:
+        external = DatagramSocket(loop, on_segment, local=settings.external)
+    except OSError:
+        internal.close()
+        raise
+    return internal, external
+
+
 async def run_until(stop: Event, tick: Callable[[float], None], period: float) -> None:
     """Call `tick` with the current time every `period` seconds."""
     while not stop.is_set():
--- /dev/null
+++ b/lycheeglade/supervision.py
@@ -0,0 +1,92 @@
+"""Keeps a failure in one part of a process from ending the whole process.
+
+A part that fails is logged and tried again. The state of the process outlives
+the error: connections and views would be lost with it.
+"""
+
+from asyncio import Event, sleep
+from collections.abc import Awaitable, Callable
+from time import monotonic
+from traceback import extract_tb
+from typing import TypeVar
+
+Resource = TypeVar("Resource")
+Log = Callable[..., None]
+
+# Pauses between attempts of a part that fails again and again.
+MIN_PAUSE_S = 0.05
+MAX_PAUSE_S = 0.5
+
+
+def log_failure(name: str, error: Exception, log: Log) -> None:
+    """Log why and where a part of the process has failed."""
+    frames = extract_tb(error.__traceback__)
+    where = f"{frames[-1].name}:{frames[-1].lineno}" if frames else ""
+    log("part-failed", cause=name, reason=repr(error), where=where)
+
+
+def contain(
+    step: Callable[[float], None], name: str, log: Log
+) -> Callable[[float], None]:
+    """Return `step` with its errors logged as those of the part `name`."""
+
+    def run_step(now: float) -> None:
+        try:
+            step(now)
+        except Exception as error:
+            log_failure(name, error, log)
+
+    return run_step
+
+
+async def keep_running(
+    work: Callable[[], Awaitable[None]], name: str, log: Log
+) -> None:
+    """Run `work` until cancelled, and again after each of its failures.
+
+    Equal failures in a row are logged once. The pauses between them grow up to
+    `MAX_PAUSE_S`.
+    """
+    pause, previous = MIN_PAUSE_S, ""
+    while True:
+        started_at = monotonic()
+        try:
+            await work()
+        except Exception as error:
+            if monotonic() - started_at > MAX_PAUSE_S:
+                pause, previous = MIN_PAUSE_S, ""
+            if repr(error) != previous:
+                log_failure(name, error, log)
+            previous = repr(error)
+        await sleep(pause)
+        pause = min(2 * pause, MAX_PAUSE_S)
+
+
+async def open_when_free(
+    open_resource: Callable[[], Resource], name: str, stop: Event, log: Log
+) -> Resource | None:
+    """Open a resource of the host as soon as the host permits it.
+
+    Its address may still be held by a process that is stopping, or the
+    descriptors may be used up.
+
+    Returns
+    -------
+    Resource or None
+        None if `stop` was set before.
+    """
+    started_at = monotonic()
+    previous = ""
+    while not stop.is_set():
+        try:
+            resource = open_resource()
+        except OSError as error:
+            if repr(error) != previous:
+                log_failure(name, error, log)
+            previous = repr(error)
+            await sleep(MIN_PAUSE_S)
+            continue
+        if previous:
+            log("part-recovered", cause=name, after_s=monotonic() - started_at)
+        return resource
+    return None
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -50,7 +50,7 @@
     paths = [*filter(is_connection_module, SOURCES), *(ROOT / "platform").glob("*.py")]
     paths += [
         ROOT / "lycheeglade" / f"{name}.py"
-        for name in ("view_follower", "view_transfer")
+        for name in ("supervision", "view_follower", "view_transfer")
     ]
     events = {"log-bounded"}
     for path in paths:
--- /dev/null
+++ b/tests/test_supervision.py
@@ -0,0 +1,83 @@
+from asyncio import CancelledError, Event, create_task, sleep
+from asyncio import timeout as time_limit
+
+import pytest
+
+from lycheeglade import supervision
+from lycheeglade.supervision import contain, keep_running, open_when_free
+
+
+class LogProbe(list):
+    def __call__(self, event, **fields):
+        self.append((event, fields.get("cause"), fields.get("reason")))
+
+
+@pytest.mark.parametrize("error", [ValueError("odd"), MemoryError(), RecursionError()])
+def test_step_that_fails_is_logged_and_run_again(error):
+    log = LogProbe()
+    calls = []
+
+    def step(now):
+        calls.append(now)
+        raise error
+
+    contained = contain(step, "connections", log)
+    contained(1.0)
+    contained(2.0)
+    assert calls == [1.0, 2.0]
+    assert log == [("part-failed", "connections", repr(error))] * 2
+
+
+async def test_work_that_fails_runs_again_and_is_logged_once():
+    log = LogProbe()
+    runs = []
+    done = Event()
+
+    async def work():
+        runs.append(len(runs))
+        if len(runs) == 3:
+            done.set()
+            await sleep(60)
+        raise OSError("in use")
+
+    task = create_task(keep_running(work, "metrics", log))
+    async with time_limit(5):
+        await done.wait()
+    task.cancel()
+    with pytest.raises(CancelledError):
+        await task
+    assert log == [("part-failed", "metrics", "OSError('in use')")]
+
+
+async def test_pauses_of_work_that_fails_grow_up_to_a_limit(monkeypatch):
+    pauses = []
+
+    async def record_pause(seconds):
+        pauses.append(seconds)
+        if len(pauses) == 8:
+            raise CancelledError
+
+    async def work():
+        raise OSError
+
+    monkeypatch.setattr(supervision, "sleep", record_pause)
+    with pytest.raises(CancelledError):
+        await keep_running(work, "views", LogProbe())
+    assert pauses == [0.05, 0.1, 0.2, 0.4, 0.5, 0.5, 0.5, 0.5]
+
+
+async def test_stop_ends_the_wait_for_a_resource():
+    stop = Event()
+    attempts = []
+
+    def fail():
+        attempts.append(stop.is_set())
+        if len(attempts) == 2:
+            stop.set()
+        raise OSError("in use")
+
+    log = LogProbe()
+    async with time_limit(5):
+        assert await open_when_free(fail, "sockets", stop, log) is None
+    assert attempts == [False, False]
+    assert log == [("part-failed", "sockets", "OSError('in use')")]
