End no balancer because of an unexpected error in one of its tasks

The main loop raised the first exception of the tasks that read the store, follow it or fetch a view.

These tasks log part-failed with the reason and the place. The store is followed again after a growing pause, from the view in force, and the failure counts as one of the store, so that another balancer of the zone tries. A view that can't be used is fetched again after the pause of a failed fetch.

Red before: both new tests of test_view_follower ended with the planted error.

--- a/lycheeglade/connection_daemon.py
+++ b/lycheeglade/connection_daemon.py
@@ -5,7 +5,7 @@
 packets come from and how the view is published.
 """
 
-from asyncio import AbstractEventLoop, Event, Task, sleep
+from asyncio import AbstractEventLoop, Event, sleep
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -235,10 +235,3 @@
     while not stop.is_set():
         tick(monotonic())
         await sleep(period)
-
-
-def raise_task_failures(tasks: list[Task]) -> None:
-    """Raise the exception of a background task that has failed."""
-    for task in tasks:
-        if task.done() and not task.cancelled():
-            task.result()
--- a/lycheeglade/view_follower.py
+++ b/lycheeglade/view_follower.py
@@ -7,11 +7,11 @@
 from time import monotonic
 
 from lycheeglade.address import Address, Zone
-from lycheeglade.connection_daemon import raise_task_failures
 from lycheeglade.known_view import KnownView
 from lycheeglade.relay_message import Duty, Message, Peers, ViewStatus
 from lycheeglade.route import RoutingView
 from lycheeglade.store_revision import StoreRevision
+from lycheeglade.supervision import keep_running, log_failure
 from lycheeglade.view_exchange import ViewExchange
 from lycheeglade.view_history import clear_history
 from lycheeglade.view_transfer import fetch_view
@@ -115,17 +115,9 @@
             self._send(address, reply)
 
     def tick(self, now: float) -> None:
-        """Run the periodic work; call it about 50 times a second.
-
-        Raises
-        ------
-        Exception
-            That of a background task which has failed.
-        """
+        """Run the periodic work; call it about 50 times a second."""
         if self._reading is None:
             self._reading = create_task(self._read())
-        tasks = (self._reading, self._following, self._fetching)
-        raise_task_failures([task for task in tasks if task is not None])
         previous = self._exchange.duty
         duty = self._exchange.tick(self._find_seeds, self._known.view, self._send, now)
         if duty is not previous:
@@ -134,12 +126,7 @@
             self._stop_following()
         elif self._following is None:
             self._following = create_task(
-                self._follow_store(
-                    self._known.view,
-                    self._exchange.checked,
-                    partial(self._publish, source=STORE),
-                    self._observe,
-                )
+                keep_running(self._follow, "store-follower", self._log)
             )
         if self._fetching is None or self._fetching.done():
             source = self._exchange.choose_source(self._known.view.version, now)
@@ -209,19 +196,38 @@
         )
 
     async def _read(self) -> None:
-        answer = await self._read_store()
-        if answer is not None:
-            view, checked = answer
-            self._publish(view, STORE)
-            if view.store == self._known.view.store:
-                self._exchange.record_copy(checked)
+        try:
+            answer = await self._read_store()
+            if answer is not None:
+                view, checked = answer
+                self._publish(view, STORE)
+                if view.store == self._known.view.store:
+                    self._exchange.record_copy(checked)
+        except Exception as error:
+            log_failure("store-reader", error, self._log)
+
+    async def _follow(self) -> None:
+        try:
+            await self._follow_store(
+                self._known.view,
+                self._exchange.checked,
+                partial(self._publish, source=STORE),
+                self._observe,
+            )
+        except Exception:
+            # Another balancer of the zone may be able to read the store.
+            self._observe(None)
+            raise
 
     async def _fetch(self, source: Address) -> None:
-        view = await fetch_view(source, self._log)
-        if view is None:
-            self._exchange.record_failed_fetch(monotonic())
-        else:
-            self._exchange.record_fetch(source, view.version)
-            self._publish(clear_history(view), str(source))
-            self._inherit(view)
-            self._exchange.update_currency(self._known.view.version)
+        try:
+            view = await fetch_view(source, self._log)
+            if view is not None:
+                self._exchange.record_fetch(source, view.version)
+                self._publish(clear_history(view), str(source))
+                self._inherit(view)
+                self._exchange.update_currency(self._known.view.version)
+                return
+        except Exception as error:
+            log_failure("view-fetcher", error, self._log)
+        self._exchange.record_failed_fetch(monotonic())
--- a/tests/test_view_follower.py
+++ b/tests/test_view_follower.py
@@ -1,12 +1,18 @@
+from asyncio import get_running_loop, sleep
 from dataclasses import replace
 from random import Random
+from time import monotonic
 
+from lycheeglade import view_follower
 from lycheeglade.address import Address, Zone
+from lycheeglade.relay_message import Duty, ViewStatus
 from lycheeglade.store_revision import StoreRevision
+from lycheeglade.view_exchange import FETCH_RETRY_S
 from lycheeglade.view_follower import ViewFollower
 from tests.connections import make_target, make_view
 
 OWN = Address("127.0.0.1", 7720)
+FAILURES_S = 1.2
 
 
 class FollowerProbe:
@@ -50,3 +56,62 @@
             "known": StoreRevision(0, 9),
         },
     )
+
+
+async def run_ticks(follower, seconds):
+    loop = get_running_loop()
+    end = loop.time() + seconds
+    while loop.time() < end:
+        follower.tick(monotonic())
+        await sleep(0.02)
+
+
+class FailingStore(FollowerProbe):
+    """The first call of each kind to the store fails unexpectedly."""
+
+    def __init__(self, view):
+        self.view = view
+        self.reads = 0
+        self.follows = []
+        super().__init__()
+
+    async def _read_store(self):
+        self.reads += 1
+        raise RecursionError("first read")
+
+    async def _follow_store(self, view, checked, publish, observe):
+        self.follows.append(view)
+        if len(self.follows) == 1:
+            raise RecursionError("first watch")
+        publish(self.view)
+        observe(self.view.store)
+        await sleep(60)
+
+
+async def test_unexpected_error_of_the_store_is_logged_and_the_store_followed():
+    view = make_view([make_target(1)], revision=9)
+    probe = FailingStore(view)
+    await run_ticks(probe.follower, FAILURES_S)
+    probe.follower.close()
+    assert [applied for applied, _ in probe.applied] == [view]
+    failures = [fields["cause"] for event, fields in probe.events if "failed" in event]
+    assert failures == ["store-reader", "store-follower"]
+
+
+async def test_unexpected_error_of_a_fetched_view_is_logged(monkeypatch):
+    """It is fetched again after a pause, as after a failed fetch."""
+    calls = []
+
+    async def fetch(address, log):
+        calls.append(address)
+        raise MemoryError
+
+    monkeypatch.setattr(view_follower, "fetch_view", fetch)
+    probe = FollowerProbe()
+    status = ViewStatus("viti-west/nadi-a", 9, 9, Duty.WATCHER, configuration=1)
+    probe.follower.receive(status, Address("127.0.0.2", 7720), monotonic())
+    await run_ticks(probe.follower, FAILURES_S)
+    probe.follower.close()
+    failures = [fields["cause"] for event, fields in probe.events if "failed" in event]
+    assert failures.count("view-fetcher") == len(calls)
+    assert 1 <= len(calls) <= 1 + FAILURES_S / FETCH_RETRY_S
