Count log lines that can't be formatted instead of raising

A field with a lone surrogate, or whose text can't be made, raised in the code that logged it, with the effect of an error there. Such lines are escaped, or counted as lost. Red before: the new test of test_event_log (UnicodeEncodeError).

--- a/lycheeglade/logs.py
+++ b/lycheeglade/logs.py
@@ -84,13 +84,14 @@
 
     def emit(self, record: LogRecord) -> None:
         """Write the line for `record`, or count it as lost."""
-        line = self.format(record).encode()[: PIPE_BUF - 1] + b"\n"
         try:
+            text = self.format(record).encode(errors="backslashreplace")
             events = self._poll.poll(0)
             if not events or not events[0][1] & POLLOUT:
                 raise BlockingIOError
-            write(self._descriptor, line)
-        except OSError:
+            write(self._descriptor, text[: PIPE_BUF - 1] + b"\n")
+        except Exception:
+            # A line that can't be formatted must not fail what it tells of.
             self.lost_by_event[record.getMessage()] += 1
 
 
--- a/tests/test_event_log.py
+++ b/tests/test_event_log.py
@@ -87,3 +87,23 @@
     handler.emit(make_record("reset"))
     assert handler.lost_by_event["reset"] == 1
     close(write_end)
+
+
+def test_line_that_cannot_be_encoded_or_formatted_fails_no_event():
+    """It names what another writer wrote, such as the key of an entry."""
+
+    class Unprintable:
+        def __str__(self):
+            raise RecursionError
+
+    read_end, write_end = pipe()
+    handler = PipeHandler(write_end)
+    handler.setFormatter(EventFormatter())
+    for value in ("servers/\ud800", Unprintable()):
+        record = make_record("unreadable")
+        record.event_fields = {"key": value}
+        handler.emit(record)
+    assert b"key=servers/\\ud800\n" in read(read_end, 1 << 16)
+    assert handler.lost_by_event == {"unreadable": 1}
+    close(read_end)
+    close(write_end)
