--- a/tests/test_process_life.py
+++ b/tests/test_process_life.py
@@ -6,7 +6,7 @@
 from asyncio import timeout as time_limit
 from asyncio.subprocess import DEVNULL, PIPE
 from pathlib import Path
-from resource import RLIMIT_NOFILE, prlimit
+from resource import RLIMIT_AS, RLIMIT_NOFILE, prlimit
 from signal import SIGHUP, SIGTERM
 from socket import AF_INET, SO_REUSEADDR, SOCK_DGRAM, SOCK_STREAM, SOL_SOCKET, socket
 
@@ -60,18 +60,25 @@
 HELD_S = 1.5
 STARTED_S = 20.0
 MAX_FILES = 40
+ROOM_BYTES = 1 << 20
+MANY_ROUTES = 5000
 # A stopping process has this time; the platform then kills it.
 GRACE_S = 6.0
 HANGUP_PAUSE_S = 0.005
 
 
+def put_routes(store, version, count):
+    route = {"host": "198.18.0.1", "type": "safe", "service": "s1"}
+    routes = [{**route, "prefix": f"/{443 + number}/"} for number in range(count)]
+    store.put(CONFIGURATION_KEY, {"version": version, "routes": routes})
+
+
 @pytest.fixture
 async def start(tmp_path):
     """Return a function that starts a process beside a store."""
     store = StoreStandIn()
     address = Address(*await store.start(STORE_IP))
-    route = {"host": "198.18.0.1", "prefix": "/443/", "type": "safe", "service": "s1"}
-    store.put(CONFIGURATION_KEY, {"version": 1, "routes": [route]})
+    put_routes(store, 1, 1)
     started = []
 
     async def start_process(role, *options, **streams):
@@ -88,6 +95,7 @@
         started.append(process)
         return process
 
+    start_process.store = store
     yield start_process
     for process in started:
         if process.returncode is None:
@@ -114,11 +122,6 @@
     raise AssertionError(f"{module} was not imported")
 
 
-async def drain(stream):
-    while await stream.read(1 << 16):
-        pass
-
-
 async def stop(process):
     process.send_signal(SIGTERM)
     async with time_limit(GRACE_S):
@@ -229,3 +232,20 @@
         writer.close()
     await wait_ready(process)
     assert await stop(process) == 0
+
+
+async def test_used_up_memory_ends_no_balancer(start):
+    """A configuration that doesn't fit in is read once there is room."""
+    process = await start("balancer", stdout=PIPE)
+    await wait_ready(process)
+    status = Path(f"/proc/{process.pid}/status").read_text()
+    size = int(status.partition("VmSize:")[2].split()[0]) * 1024
+    _, hard = prlimit(process.pid, RLIMIT_AS)
+    prlimit(process.pid, RLIMIT_AS, (size + ROOM_BYTES, hard))
+    put_routes(start.store, 2, MANY_ROUTES)
+    await sleep(HELD_S)
+    assert process.returncode is None
+    prlimit(process.pid, RLIMIT_AS, (hard, hard))
+    async with time_limit(STARTED_S):
+        while f"routes={MANY_ROUTES}".encode() not in await process.stdout.readline():
+            pass
