Read the exit code of a process in one place

test_hangup_during_the_stop failed in a run of the whole suite with exit code 255: Popen.send_signal polls a process that has ended, and asyncio then finds no exit code. The signals are sent without it.

--- a/tests/test_process_life.py
+++ b/tests/test_process_life.py
@@ -5,6 +5,7 @@
 from asyncio import create_subprocess_exec, open_connection, sleep
 from asyncio import timeout as time_limit
 from asyncio.subprocess import DEVNULL, PIPE
+from contextlib import suppress
 from pathlib import Path
 from resource import RLIMIT_AS, RLIMIT_NOFILE, prlimit
 from signal import SIGHUP, SIGTERM
@@ -164,7 +165,9 @@
     process.send_signal(SIGTERM)
     async with time_limit(GRACE_S):
         while process.returncode is None:
-            process.send_signal(SIGHUP)
+            # `send_signal` would take the exit code of a process that ended.
+            with suppress(ProcessLookupError):
+                os.kill(process.pid, SIGHUP)
             await sleep(HANGUP_PAUSE_S)
     assert process.returncode == 0
 
