Take a build for complete only if it finished for this machine

Cause: the build took target/deps for complete if the folder was newer than the requirements. So a folder of another kind of machine or another Python, or of an installation that was interrupted, was used, and each process failed at its first import of a compiled package. A damaged compiled module of the project itself was never written again, and a folder in which compiled modules can't be written failed the build.

A folder is reused only if its stamp fits and the import succeeds. Modules are always compiled anew.

--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -1,10 +1,16 @@
-"""The deployed requirements match the imports of the processes."""
+"""The build makes what the processes import, and only that is required."""
 
 import subprocess
 import sys
+from importlib.util import cache_from_source
+from os import environ, utime
 from pathlib import Path
+from shutil import copytree, ignore_patterns
+from sysconfig import get_config_var, get_path
 from tomllib import loads
 
+import pytest
+
 ROOT = Path(__file__).parent.parent
 IMPORT_SCRIPT = """
 import sys
@@ -22,6 +28,29 @@
 OWN_MODULES = {path.stem for path in (ROOT / "platform").glob("*.py")}
 # The packages hdrh and pyhdrh belong to hdrhistogram.
 OWN_MODULES |= {"lycheeglade", "hdrh", "pyhdrh"}
+# Exit code of a role whose imports succeed and that has no settings.
+USAGE = 2
+WITHOUT_CACHES = ignore_patterns("__pycache__")
+FAKE_PIP = """
+import sys
+from os import environ, getppid, kill
+from pathlib import Path
+from signal import SIGKILL
+
+target = Path(sys.argv[sys.argv.index("--target") + 1])
+target.mkdir(parents=True, exist_ok=True)
+with open(environ["PIP_LOG"], "a") as log:
+    log.write("install\\n")
+patterns = ("h11", "hdrh", "pyhdrh*", "msgspec", "xxhash")
+for number, pattern in enumerate(patterns):
+    if environ.get("PIP_INTERRUPTED") and number == 2:
+        kill(getppid(), SIGKILL)
+        kill(0, SIGKILL)
+    for source in Path(environ["PIP_SOURCE"]).glob(pattern):
+        link = target / source.name
+        link.unlink(missing_ok=True)
+        link.symlink_to(source)
+"""
 
 
 def read_requirements():
@@ -58,3 +87,182 @@
         port, _, path = role["metrics"].partition("/")
         assert f"METRICS_PORT = {port}" in main
         assert path == "metrics"
+
+
+class Checkout:
+    """Copy of the repository that is built with a pip without a network.
+
+    The pip links the packages of the tests' interpreter.
+    """
+
+    def __init__(self, folder):
+        self.root = folder / "checkout"
+        for name in ("deploy", "lycheeglade", "platform"):
+            copytree(ROOT / name, self.root / name, ignore=WITHOUT_CACHES)
+        self._log = folder / "pip.log"
+        self._log.touch()
+        commands = folder / "bin"
+        commands.mkdir()
+        python = commands / "python3"
+        python.write_text(f'#!/bin/sh\nexec {sys.executable} "$@"\n')
+        python.chmod(0o755)
+        modules = folder / "modules"
+        modules.mkdir()
+        (modules / "pip.py").write_text(FAKE_PIP)
+        self._variables = {
+            "PATH": f"{commands}:{environ['PATH']}",
+            "PYTHONPATH": str(modules),
+            "PIP_LOG": str(self._log),
+            "PIP_SOURCE": get_path("platlib"),
+        }
+
+    @property
+    def packages(self):
+        return self.root / "target" / "deps"
+
+    @property
+    def stamp(self):
+        return self.packages / "installed-for.txt"
+
+    def build(self, **variables):
+        """Run the build command; return its exit code."""
+        command = loads((self.root / "deploy" / "system.toml").read_text())["build"]
+        return subprocess.run(
+            ["/bin/sh", "-c", command],
+            cwd=self.root,
+            env=self._variables | variables,
+            start_new_session=True,
+        ).returncode
+
+    def count_installations(self):
+        return len(self._log.read_text().splitlines())
+
+    def run_role(self):
+        """Return the exit code of a role without settings: 2 if it runs."""
+        return subprocess.run(
+            [sys.executable, "-S", "platform/main.py", "balancer"],
+            cwd=self.root,
+            env={"PYTHONPATH": str(self.packages)},
+            capture_output=True,
+        ).returncode
+
+
+@pytest.fixture
+def checkout(tmp_path):
+    return Checkout(tmp_path)
+
+
+@pytest.fixture
+def built(checkout):
+    """A checkout that was built once."""
+    assert checkout.build() == 0
+    assert checkout.count_installations() == 1
+    assert checkout.run_role() == USAGE
+    return checkout
+
+
+def replace_library(built):
+    """Replace a compiled module by one of another machine."""
+    library = built.packages / "msgspec"
+    source = library.resolve()
+    library.unlink()
+    copytree(source, library)
+    for path in library.glob("*.so"):
+        path.write_bytes(b"\x7fELF of another machine")
+
+
+def test_build_is_reused_without_another_installation(built):
+    before = sorted(built.root.rglob("*"))
+    assert built.build() == 0
+    assert built.count_installations() == 1
+    assert sorted(built.root.rglob("*")) == before
+
+
+def test_build_writes_only_below_target(built):
+    original = {path.name for path in (ROOT / "deploy").iterdir()}
+    assert {path.name for path in (built.root / "deploy").iterdir()} == original
+    top = {path.name for path in built.root.iterdir()}
+    assert top == {"deploy", "lycheeglade", "platform", "target"}
+    assert [path.name for path in (built.root / "target").iterdir()] == ["deps"]
+
+
+def test_compiled_module_of_another_machine_is_installed_again(built):
+    replace_library(built)
+    assert built.run_role() != USAGE
+    assert built.build() == 0
+    assert built.count_installations() == 2
+    assert built.run_role() == USAGE
+
+
+@pytest.mark.parametrize("other", ["cpython-311-sparc64-linux-gnu", "cpython-27m"])
+def test_folder_for_another_machine_or_python_is_installed_again(built, other):
+    stamp = built.stamp.read_text()
+    own, _, requirements = stamp.partition("\n")
+    assert own == get_config_var("SOABI")
+    built.stamp.write_text(f"{other}\n{requirements}")
+    assert built.build() == 0
+    assert built.count_installations() == 2
+    assert built.stamp.read_text() == stamp
+
+
+def test_interrupted_installation_is_not_taken_for_complete(checkout):
+    assert checkout.build(PIP_INTERRUPTED="1") != 0
+    assert checkout.run_role() != USAGE
+    assert checkout.build() == 0
+    assert checkout.count_installations() == 2
+    assert checkout.run_role() == USAGE
+
+
+def test_interrupted_installation_keeps_the_folder_in_use(built):
+    replace_requirements(built, "h11==0.1.0")
+    assert built.build(PIP_INTERRUPTED="1") != 0
+    assert built.run_role() == USAGE
+
+
+def replace_requirements(built, line):
+    """Change the requirements and make their file older than the packages."""
+    path = built.root / "deploy" / "requirements.txt"
+    path.write_text(f"{path.read_text()}{line}\n")
+    utime(path, (0, 0))
+
+
+def test_changed_requirements_are_installed_whatever_the_times_of_files(built):
+    replace_requirements(built, "h11==0.1.0")
+    assert built.build() == 0
+    assert built.count_installations() == 2
+    assert "h11==0.1.0" in built.stamp.read_text()
+
+
+def test_newer_file_of_the_same_requirements_needs_no_installation(built):
+    (built.root / "deploy" / "requirements.txt").touch()
+    assert built.build() == 0
+    assert built.count_installations() == 1
+
+
+def test_packages_that_cannot_be_imported_fail_the_build(checkout, tmp_path):
+    empty = tmp_path / "empty"
+    empty.mkdir()
+    assert checkout.build(PIP_SOURCE=str(empty)) == 1
+    assert not checkout.packages.exists()
+
+
+def test_failed_installation_fails_the_build(checkout):
+    assert checkout.build(PIP_LOG="/nonexistent/log") != 0
+    assert not checkout.packages.exists()
+
+
+def test_damaged_compiled_module_is_compiled_again(built):
+    # A module with a valid header and no code, as after a loss of power.
+    source = built.root / "lycheeglade" / "connection_daemon.py"
+    compiled = Path(cache_from_source(str(source)))
+    compiled.write_bytes(compiled.read_bytes()[:20])
+    assert built.run_role() != USAGE
+    assert built.build() == 0
+    assert built.run_role() == USAGE
+    assert built.count_installations() == 1
+
+
+def test_modules_that_cannot_be_compiled_into_files_do_not_fail_the_build(checkout):
+    (checkout.root / "platform" / "__pycache__").write_text("not a folder")
+    assert checkout.build() == 0
+    assert checkout.run_role() == USAGE
