Take a set up environment for complete only if it was for this machine

Cause: make took .venv for complete if .venv/.ready was newer than the requirements. An environment of another machine, another Python or another folder was used; one whose creation was interrupted had an interpreter and no pip, and was never made again.

Change: .venv/.ready holds Python, processor and C library, the folder, and a checksum of the requirements, and is written last. If it differs, or the environment's interpreter doesn't run, the environment is made anew.

--- a/Makefile
+++ b/Makefile
@@ -7,14 +7,22 @@
     ticket_machine.py overload.py membership.py spread.py \
     connection_machine.py restore_machine.py)
 READY := $(VENV)/.ready
+# What the environment depends on: Python, processor and C library, the folder,
+# and the requirements. Written to READY when the setup is complete.
+STAMP := $(shell \
+    $(PYTHON) -c 'import sysconfig; print(sysconfig.get_config_var("SOABI"))'; \
+    pwd; cat requirements.lock pyproject.toml | cksum)
 
 .PHONY: setup test check demo capacity faults machines soak
-
-$(READY): requirements.lock pyproject.toml
-	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet --requirement requirements.lock
-	$(BIN)/pip install --quiet --no-deps --editable .
-	touch $(READY)
+ifneq ($(STAMP),$(shell $(BIN)/python -c '' 2>&1 && cat $(READY) 2>&1))
+.PHONY: $(READY)
+endif
+
+$(READY):
+	$(PYTHON) -m venv --clear $(VENV)
+	$(BIN)/python -m pip install --quiet --requirement requirements.lock
+	$(BIN)/python -m pip install --quiet --no-deps --editable .
+	echo '$(STAMP)' >$(READY)
 
 setup: $(READY)
 
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -5,7 +5,7 @@
 from importlib.util import cache_from_source
 from os import environ, utime
 from pathlib import Path
-from shutil import copytree, ignore_patterns
+from shutil import copy, copytree, ignore_patterns
 from sysconfig import get_config_var, get_path
 from tomllib import loads
 
@@ -266,3 +266,105 @@
     (checkout.root / "platform" / "__pycache__").write_text("not a folder")
     assert checkout.build() == 0
     assert checkout.run_role() == USAGE
+
+
+FAKE_PYTHON = """#!/bin/sh
+if [ "$1 $2" = "-m venv" ]; then
+    for folder; do :; done
+    echo venv >>"$SETUP_LOG"
+    rm -rf "$folder"
+    mkdir -p "$folder/bin"
+    cp "$0" "$folder/bin/python"
+    [ "$INTERRUPTED" = venv ] && kill -KILL $PPID && exit
+    printf '#!/bin/sh\\nexec "%s" -m pip "$@"\\n' "$PWD/$folder/bin/python" \\
+        >"$folder/bin/pip"
+    chmod +x "$folder/bin/pip"
+elif [ "$1 $2" = "-m pip" ]; then
+    echo pip >>"$SETUP_LOG"
+    [ "$INTERRUPTED" = pip ] && kill -KILL $PPID && exit
+    exit 0
+else
+    exec INTERPRETER "$@"
+fi
+"""
+SETUP_STEPS = ["venv", "pip", "pip"]
+
+
+class Setup:
+    """Copy of the Makefile that is run with a Python that only logs."""
+
+    def __init__(self, folder):
+        self._folder = folder
+        self.root = folder / "checkout"
+        self.root.mkdir()
+        for name in ("Makefile", "requirements.lock", "pyproject.toml"):
+            copy(ROOT / name, self.root / name)
+        self.ready = self.root / ".venv" / ".ready"
+        (folder / "bin").mkdir()
+        python = folder / "bin" / "python3"
+        python.write_text(FAKE_PYTHON.replace("INTERPRETER", sys.executable))
+        python.chmod(0o755)
+
+    def make(self, interrupted=""):
+        """Run ``make setup``; return the steps that it took."""
+        log = self._folder / "setup.log"
+        log.write_text("")
+        run = subprocess.run(
+            ["make", "--silent", "setup"],
+            cwd=self.root,
+            env={
+                "PATH": f"{self._folder / 'bin'}:{environ['PATH']}",
+                "SETUP_LOG": str(log),
+                "INTERRUPTED": interrupted,
+            },
+        )
+        assert (run.returncode != 0) is bool(interrupted)
+        return log.read_text().split()
+
+
+@pytest.fixture
+def setup(tmp_path):
+    return Setup(tmp_path)
+
+
+@pytest.fixture
+def complete(setup):
+    """A copy whose setup is complete."""
+    assert setup.make() == SETUP_STEPS
+    return setup
+
+
+def test_complete_setup_is_reused(complete):
+    assert complete.make() == []
+
+
+@pytest.mark.parametrize("step", ["venv", "pip"])
+def test_interrupted_setup_is_not_taken_for_complete(setup, step):
+    setup.make(interrupted=step)
+    assert setup.make() == SETUP_STEPS
+
+
+def test_environment_of_another_machine_or_python_is_made_anew(complete):
+    own = get_config_var("SOABI")
+    complete.ready.write_text(complete.ready.read_text().replace(own, "cpython-27m"))
+    assert complete.make() == SETUP_STEPS
+    assert own in complete.ready.read_text()
+
+
+def test_environment_whose_interpreter_does_not_run_is_made_anew(complete):
+    interpreter = complete.root / ".venv" / "bin" / "python"
+    interpreter.write_bytes(b"\x7fELF of another machine")
+    assert complete.make() == SETUP_STEPS
+
+
+def test_environment_that_was_moved_is_made_anew(complete):
+    complete.root = complete.root.rename(complete.root.with_name("moved"))
+    assert complete.make() == SETUP_STEPS
+
+
+@pytest.mark.parametrize("name", ["requirements.lock", "pyproject.toml"])
+def test_changed_requirements_are_set_up_whatever_the_times_of_files(complete, name):
+    path = complete.root / name
+    path.write_text(path.read_text() + "\n# Changed\n")
+    utime(path, (0, 0))
+    assert complete.make() == SETUP_STEPS
