Handle signals from the start of a process of the command line on

Cause: SIGHUP was not handled at all and ended the process at any moment. A stop signal before the main loop ran ended it with the signal or, for SIGINT, with code 1 and a traceback.

Change: the first module of the program ignores SIGHUP, and exits with 0 on a stop signal until the main loop replaces the handlers. After the main loop, stop signals are ignored, since the closed loop restores the default handlers. Before the program's first module, while the interpreter itself starts, signals still have their default action.

--- a/lycheeglade/__init__.py
+++ b/lycheeglade/__init__.py
@@ -193,8 +193,15 @@
     import uvloop
 
     from lycheeglade.logs import configure_logging
+    from lycheeglade.process_start import handle_start_signals, ignore_stop_signals
     from lycheeglade.settings import load_settings
 
+    handle_start_signals()
     settings = load_settings(path)
     configure_logging(log_level or settings.log_level)
-    return uvloop.run(run(settings, trace))
+    try:
+        return uvloop.run(run(settings, trace))
+    finally:
+        # The closed event loop has restored the default handlers, which
+        # replace the exit code.
+        ignore_stop_signals()
--- a/lycheeglade/__main__.py
+++ b/lycheeglade/__main__.py
@@ -1,6 +1,20 @@
 """Runs the command-line interface as ``python -m lycheeglade``."""
 
-from lycheeglade.cmdline import main
+import sys
+
+from lycheeglade.process_start import handle_start_signals
+
+DAEMONS = ("balancer", "agent")
+
+
+def main() -> int:
+    """Run the command line of this process and return its exit code."""
+    if sys.argv[1:] and sys.argv[1] in DAEMONS:
+        handle_start_signals()
+    from lycheeglade.cmdline import main as run_command
+
+    return run_command()
+
 
 if __name__ == "__main__":
     raise SystemExit(main())
