Start without open standard streams

Cause: with a closed standard stream, the streams of the interpreter are missing and the command line failed with them. A socket got the descriptor of the stream.

--- a/tests/test_daemon_failures.py
+++ b/tests/test_daemon_failures.py
@@ -96,3 +96,13 @@
     _, log = process.communicate(timeout=TIMEOUT_S)
     assert process.returncode == EXIT_OK
     assert " event=started " not in log
+
+
+@pytest.mark.parametrize("redirections", ["<&- >&- 2>&-", ">&-", "2>&-"])
+def test_closed_standard_streams_do_not_end_the_process(start, redirections):
+    process = start(*ROLES[0], redirections=redirections)
+    wait_for_start(process)
+    links = Path(f"/proc/{process.pid}/fd")
+    standard = {str((links / str(number)).readlink()) for number in range(3)}
+    assert not any(link.startswith(("socket:", "anon_inode:")) for link in standard)
+    stop(process)
