Keep a process running if a background task or a tick fails

Cause: one unforeseen exception in a tick, in the begin of a shutdown, or in one of the five tasks that follow the configuration cancelled all of them and ended the process.

Change: failures.py contains the failure in its part, logs it as part-failed with its reason and place, at most once in 5 s for each part, and counts it. Exceptions of callbacks of the event loop are recorded in the same way, so that their rate in the log is bounded. Only an address that can't be bound at the start still ends the process.

--- a/lycheeglade/agent_daemon.py
+++ b/lycheeglade/agent_daemon.py
@@ -16,6 +16,7 @@
 )
 from lycheeglade.blackboard import Blackboard
 from lycheeglade.daemon import ProcessParts, run_process
+from lycheeglade.failures import FailureLog
 from lycheeglade.flow import FlowKey
 from lycheeglade.histograms import Metrics
 from lycheeglade.packet import encode_packet
@@ -127,6 +128,7 @@
     recorder: Recorder | None,
 ) -> int:
     blackboard = Blackboard()
+    failures = FailureLog(metrics)
     upstreams = UpstreamSockets(metrics)
     peers = DatagramSocket(
         get_running_loop(),
@@ -170,7 +172,7 @@
         is_idle=lambda: is_idle(agent),
     )
     try:
-        return await run_process(settings, blackboard, metrics, parts, logger)
+        return await run_process(settings, blackboard, metrics, failures, parts, logger)
     finally:
         peers.close()
 
--- a/lycheeglade/balancer_daemon.py
+++ b/lycheeglade/balancer_daemon.py
@@ -16,6 +16,7 @@
 )
 from lycheeglade.blackboard import Blackboard
 from lycheeglade.daemon import ProcessParts, run_process
+from lycheeglade.failures import FailureLog
 from lycheeglade.histograms import Metrics, Stage, Work
 from lycheeglade.logs import log_event
 from lycheeglade.recorder import (
@@ -141,6 +142,7 @@
     settings: Settings, seed: int, metrics: Metrics, recorder: Recorder | None
 ) -> int:
     blackboard = Blackboard()
+    failures = FailureLog(metrics)
     services = ServiceSockets(settings, metrics)
     peers = DatagramSocket(
         get_running_loop(),
@@ -178,7 +180,7 @@
         is_idle=lambda: monotonic() - services.heard_at >= IDLE_AFTER_S,
     )
     try:
-        return await run_process(settings, blackboard, metrics, parts, logger)
+        return await run_process(settings, blackboard, metrics, failures, parts, logger)
     finally:
         peers.close()
 
--- a/lycheeglade/daemon.py
+++ b/lycheeglade/daemon.py
@@ -1,6 +1,13 @@
 """Main loop and graceful shutdown, common to balancers and agents."""
 
-from asyncio import CancelledError, Event, create_task, get_running_loop, sleep
+from asyncio import (
+    AbstractEventLoop,
+    CancelledError,
+    Event,
+    create_task,
+    get_running_loop,
+    sleep,
+)
 from asyncio import wait_for as wait_for_async
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -11,6 +18,7 @@
 from time import monotonic
 
 from lycheeglade.blackboard import Blackboard
+from lycheeglade.failures import FailureLog, contain
 from lycheeglade.gossip import follow_configuration
 from lycheeglade.histograms import Metrics
 from lycheeglade.logs import log_event
@@ -55,11 +63,15 @@
     settings: Settings,
     blackboard: Blackboard,
     metrics: Metrics,
+    failures: FailureLog,
     parts: ProcessParts,
     logger: Logger,
 ) -> int:
     """Run the process until a signal stops it.
 
+    A failure of one part is recorded in `failures` and doesn't end the
+    process, unless the part can't bind its address at the start.
+
     Returns
     -------
     int
@@ -67,15 +79,20 @@
     """
     stop_requests = _install_signal_handlers()
     generator = Random(SystemRandom().getrandbits(64))
-    follower = create_task(follow_configuration(settings, blackboard, generator))
-    ticker = create_task(_tick_forever(parts))
+    _record_callback_failures(failures)
+    follower = create_task(
+        follow_configuration(settings, blackboard, generator, failures)
+    )
+    ticker = create_task(_tick_forever(parts, failures))
     log_event(logger, INFO, "started", host=settings.host_id, zone=settings.zone)
     try:
         describe = partial(_describe, blackboard, parts)
         async with serve_operations(settings.operators, metrics, describe):
             await _wait_for_stop(stop_requests[0], follower, ticker)
             blackboard.stopping.write(True)
-            return await stop_process(settings, parts, stop_requests[1], logger)
+            return await stop_process(
+                settings, parts, stop_requests[1], failures, logger
+            )
     finally:
         for task in (follower, ticker):
             task.cancel()
@@ -110,18 +127,33 @@
             continue
 
 
-async def _tick_forever(parts: ProcessParts) -> None:
+def _record_callback_failures(failures: FailureLog) -> None:
+    """Record exceptions of callbacks, such as those that receive datagrams."""
+
+    def handle_exception(loop: AbstractEventLoop, context: dict) -> None:
+        error = context.get("exception") or RuntimeError(context["message"])
+        failures.record("callback", error, monotonic())
+
+    get_running_loop().set_exception_handler(handle_exception)
+
+
+async def _tick_forever(parts: ProcessParts, failures: FailureLog) -> None:
+    tick = contain("tick", parts.tick, failures)
     while True:
         await sleep(IDLE_TICK_S if parts.is_idle() else TICK_S)
-        parts.tick(monotonic())
+        tick(monotonic())
 
 
 async def stop_process(
-    settings: Settings, parts: ProcessParts, stop_at_once: Event, logger: Logger
+    settings: Settings,
+    parts: ProcessParts,
+    stop_at_once: Event,
+    failures: FailureLog,
+    logger: Logger,
 ) -> int:
     """Finish pending work within the grace period; return the exit code."""
     started_at = monotonic()
-    parts.begin_stop(started_at)
+    contain("stop", parts.begin_stop, failures)(started_at)
     log_event(logger, INFO, "stopping", grace_s=settings.grace)
     while not stop_at_once.is_set() and monotonic() - started_at < settings.grace:
         if not parts.count_pending_work(monotonic()):
--- a/lycheeglade/gossip.py
+++ b/lycheeglade/gossip.py
@@ -23,6 +23,7 @@
 from lycheeglade.address import Address
 from lycheeglade.blackboard import Blackboard
 from lycheeglade.errors import OptionError, PacketError
+from lycheeglade.failures import FailureLog, run_restarted
 from lycheeglade.gossip_message import (
     MAX_MESSAGE_BYTES,
     Compare,
@@ -72,11 +73,15 @@
 
 
 async def follow_configuration(
-    settings: Settings, blackboard: Blackboard, generator: Random
+    settings: Settings,
+    blackboard: Blackboard,
+    generator: Random,
+    failures: FailureLog,
 ) -> None:
     """Keep the blackboard's view current until cancelled.
 
-    Writes ``view``, ``checked_at`` and ``contact_at``.
+    Writes ``view``, ``checked_at`` and ``contact_at``. A task that fails is
+    restarted, and the other tasks continue meanwhile.
 
     Raises
     ------
@@ -86,16 +91,20 @@
     async with ClientSession() as session:
         platform = PlatformClient(settings.platform_url, session)
         follower = ConfigurationFollower(settings, blackboard, generator, platform)
+        run_by_part = {
+            "gossip-serve": lambda: follower.serve(listener),
+            "gossip-round": follower.exchange_in_rounds,
+            "gossip-pull": follower.pull_when_behind,
+            "gossip-push": follower.push_announcements,
+            "platform": follower.watch_platform,
+        }
         with Rep0(
             recv_max_size=MAX_MESSAGE_BYTES, send_timeout=SEND_TIMEOUT_MS
         ) as listener:
             _listen(listener, settings.control)
             async with TaskGroup() as tasks:
-                tasks.create_task(follower.serve(listener))
-                tasks.create_task(follower.exchange_in_rounds())
-                tasks.create_task(follower.pull_when_behind())
-                tasks.create_task(follower.push_announcements())
-                tasks.create_task(follower.watch_platform())
+                for part, run in run_by_part.items():
+                    tasks.create_task(run_restarted(part, run, failures, generator))
 
 
 def _listen(listener: Rep0, address: Address) -> None:
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -11,6 +11,7 @@
 
 from lycheeglade.blackboard import Blackboard
 from lycheeglade.daemon import ProcessParts, run_process
+from lycheeglade.failures import FailureLog
 from lycheeglade.generator import generate_files
 from lycheeglade.histograms import Metrics
 from lycheeglade.recording import parse_recording
@@ -151,8 +152,16 @@
         count_pending_work=lambda now: work[0],
         describe=lambda: {"role": "balancer"},
     )
+    metrics = Metrics()
     process = create_task(
-        run_process(settings, Blackboard(), Metrics(), parts, getLogger("lycheeglade"))
+        run_process(
+            settings,
+            Blackboard(),
+            metrics,
+            FailureLog(metrics),
+            parts,
+            getLogger("lycheeglade"),
+        )
     )
     await sleep(0.5)
     before = await fetch_status(settings.operators)
--- a/tests/test_daemon_failures.py
+++ b/tests/test_daemon_failures.py
@@ -13,6 +13,30 @@
 
 ROLES = [("balancer", "nadi-a-balancer-1"), ("agent", "nadi-a-booth-sync-1")]
 EXIT_OK = 0
+SABOTAGE = """
+import sys
+from asyncio import CancelledError
+from importlib import import_module
+from lycheeglade.__main__ import main
+
+def fail(module, path, error, calls):
+    owner = import_module(module)
+    *outer, name = path.split(".")
+    for each in outer:
+        owner = getattr(owner, each)
+    original = getattr(owner, name)
+    made = 0
+
+    def sabotaged(*arguments, **options):
+        nonlocal made
+        made += 1
+        if made in calls:
+            raise error("sabotage")
+        return original(*arguments, **options)
+
+    setattr(owner, name, sabotaged)
+
+"""
 
 
 @pytest.fixture
@@ -29,10 +53,12 @@
     """Return a function that starts a process without a platform."""
     processes = []
 
-    def start_process(role, host, *options, redirections="", **arguments):
+    def start_process(role, host, *options, redirections="", sabotage="", **arguments):
         settings = settings_folder / f"{host}.ini"
-        command = [executable, "-m", "lycheeglade", role, "-c", str(settings)]
-        command += options
+        program = ["-m", "lycheeglade"]
+        if sabotage:
+            program = ["-c", f"{SABOTAGE}{sabotage}\nsys.exit(main())"]
+        command = [executable, *program, role, "-c", str(settings), *options]
         if redirections:
             command = ["/bin/sh", "-c", f'exec "$0" "$@" {redirections}', *command]
         arguments = {"stderr": PIPE, "text": True} | arguments
@@ -106,3 +132,53 @@
     standard = {str((links / str(number)).readlink()) for number in range(3)}
     assert not any(link.startswith(("socket:", "anon_inode:")) for link in standard)
     stop(process)
+
+
+def fail(module, path, error="ValueError", calls="range(1, 4)"):
+    """Return a statement that makes calls of a function raise an error."""
+    return f"fail('lycheeglade.{module}', {path!r}, {error}, {calls})"
+
+
+GOSSIP_FAILURES = [
+    ("gossip-serve", "serve", "ValueError"),
+    ("gossip-round", "exchange_in_rounds", "CancelledError"),
+    ("gossip-round", "_exchange_once", "ValueError"),
+    ("gossip-round", "_exchange_once", "MemoryError"),
+    ("gossip-pull", "pull_when_behind", "ValueError"),
+    ("gossip-push", "push_announcements", "ValueError"),
+    ("platform", "watch_platform", "ValueError"),
+    ("platform", "_read_changes", "MemoryError"),
+]
+
+
+@pytest.mark.parametrize(("part", "method", "error"), GOSSIP_FAILURES)
+def test_failure_of_a_background_task_does_not_end_the_process(
+    start, part, method, error
+):
+    sabotage = fail("gossip", f"ConfigurationFollower.{method}", error, "(1, 2)")
+    process = start(*ROLES[0], sabotage=sabotage)
+    log = read_until(process, f" event=part-failed part={part} ")
+    sleep(1.0)
+    log += stop(process)
+    assert f' reason="{error}(' in log
+    assert " event=stopped cut=0" in log
+
+
+@pytest.mark.parametrize(("role", "host"), ROLES)
+@pytest.mark.parametrize("error", ["ValueError", "MemoryError"])
+def test_failure_of_ticks_does_not_end_the_process(start, role, host, error):
+    sabotage = fail(role, "tick", error, "range(1, 30)")
+    process = start(role, host, sabotage=sabotage)
+    log = read_until(process, " event=nobody-heard ")
+    sleep(1.0)
+    log += stop(process)
+    assert log.count(" event=part-failed part=tick ") == 1
+    assert " event=stopped cut=0" in log
+
+
+def test_failure_of_the_drain_does_not_end_the_process_early(start):
+    process = start(*ROLES[1], sabotage=fail("agent", "begin_stop"))
+    read_until(process, " event=nobody-heard ")
+    log = stop(process)
+    assert " event=part-failed part=stop " in log
+    assert " event=stopped cut=0" in log
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -10,7 +10,9 @@
 from lycheeglade.address import Address, Zone
 from lycheeglade.blackboard import Blackboard
 from lycheeglade.configuration import format_hosts, format_service
+from lycheeglade.failures import FailureLog
 from lycheeglade.gossip import follow_configuration
+from lycheeglade.histograms import Metrics
 from lycheeglade.settings import Settings
 from lycheeglade.view import Host, Protocol, Role, Service, Target
 from lycheeglade.watch import is_view_fresh
@@ -56,10 +58,13 @@
     def __init__(self, settings, seed):
         self.settings = settings
         self.blackboard = Blackboard()
+        self.metrics = Metrics()
         self.revisions = []
         self.blackboard.view.subscribe(lambda v: self.revisions.append(v.revision))
         self.task = create_task(
-            follow_configuration(settings, self.blackboard, Random(seed))
+            follow_configuration(
+                settings, self.blackboard, Random(seed), FailureLog(self.metrics)
+            )
         )
 
     @property
