Refuse a value whose parser fails, and apply the others

Cause: an exception that the parser of values doesn't declare left the merge. The value was read again forever, and no value after it was ever applied.

Change: such an exception refuses this value, like an invalid one. Only a MemoryError is raised, since the value itself may be valid.

Measured: before, the new test ends with "RuntimeError: undeclared"; with the change the other value is applied.

--- a/lycheeglade/spread.py
+++ b/lycheeglade/spread.py
@@ -105,6 +105,14 @@
         except ConfigurationError as error:
             refused[value.name] = max(value.revision, refused.get(value.name, 0))
             errors.extend(error.exceptions)
+        except MemoryError:
+            # The value is valid once there is memory again.
+            raise
+        except Exception as error:
+            # An error of the parser concerns this value only. Otherwise the
+            # values after it would never be applied.
+            refused[value.name] = max(value.revision, refused.get(value.name, 0))
+            errors.append(OptionError(value.name, "-", "value", repr(error)))
     merged = _merge(snapshot, accepted, refused)
     merged = replace(merged, revision=max(revision, merged.revision))
     return MergeResult(_discard_deletions(merged), tuple(errors))
--- a/tests/test_daemon_failures.py
+++ b/tests/test_daemon_failures.py
@@ -8,7 +8,10 @@
 
 import pytest
 
+from lycheeglade.configuration import parse_hosts
 from lycheeglade.generator import generate_files
+from lycheeglade.spread import Snapshot, merge_values
+from lycheeglade.value import Value
 from tests.test_daemon import EXAMPLE, NETWORK, TIMEOUT_S, read_until
 
 ROLES = [("balancer", "nadi-a-balancer-1"), ("agent", "nadi-a-booth-sync-1")]
@@ -182,3 +185,29 @@
     log = stop(process)
     assert " event=part-failed part=stop " in log
     assert " event=stopped cut=0" in log
+
+
+def test_value_whose_parser_fails_does_not_keep_back_the_others(monkeypatch):
+    def parse(text, source):
+        if "poison" in text:
+            raise RuntimeError("undeclared")
+        return parse_hosts(text, source)
+
+    monkeypatch.setattr("lycheeglade.value.parse_hosts", parse)
+    poisoned = Value("hosts/fiji/a", 1, "poison")
+    valid = Value("hosts/fiji/b", 2, "")
+    merged = merge_values(Snapshot(), [poisoned, valid], 2)
+    assert merged.snapshot.values_by_name == {valid.name: valid}
+    assert merged.snapshot.refused_by_name == {poisoned.name: 1}
+    assert [str(error) for error in merged.errors] == [
+        "hosts/fiji/a: [-] value: RuntimeError('undeclared')"
+    ]
+
+
+def test_value_is_not_refused_because_memory_is_used_up(monkeypatch):
+    def parse(text, source):
+        raise MemoryError
+
+    monkeypatch.setattr("lycheeglade.value.parse_hosts", parse)
+    with pytest.raises(MemoryError):
+        merge_values(Snapshot(), [Value("hosts/fiji/a", 1, "")], 1)
