Keep the timers that are due after one that fails

Cause: an exception of a timer's callback discarded all callbacks that were due after it in the same tick.

Change: they stay due and are called at the next tick.

Measured: before, the new test fails with ['first', 'failed'] instead of ['first', 'failed', 'last'].

--- a/lycheeglade/timer.py
+++ b/lycheeglade/timer.py
@@ -33,10 +33,17 @@
     def run_due(self, now: float) -> None:
         """Call all callbacks that are due by `now`.
 
-        Timers that the callbacks add are not run, even if they are due.
+        Timers that the callbacks add are not run, even if they are due. If a
+        callback raises an exception, the callbacks after it stay due.
         """
         due = []
         while self._entries and self._entries[0][0] <= now:
-            due.append(heappop(self._entries)[2])
-        for callback in due:
-            callback(now)
+            due.append(heappop(self._entries))
+        called = 0
+        try:
+            for _, _, callback in due:
+                called += 1
+                callback(now)
+        finally:
+            for entry in due[called:]:
+                heappush(self._entries, entry)
--- a/tests/test_daemon_failures.py
+++ b/tests/test_daemon_failures.py
@@ -11,6 +11,7 @@
 from lycheeglade.configuration import parse_hosts
 from lycheeglade.generator import generate_files
 from lycheeglade.spread import Snapshot, merge_values
+from lycheeglade.timer import TimerQueue
 from lycheeglade.value import Value
 from tests.test_daemon import EXAMPLE, NETWORK, TIMEOUT_S, read_until
 
@@ -211,3 +212,21 @@
     monkeypatch.setattr("lycheeglade.value.parse_hosts", parse)
     with pytest.raises(MemoryError):
         merge_values(Snapshot(), [Value("hosts/fiji/a", 1, "")], 1)
+
+
+def test_failing_timer_does_not_discard_the_timers_after_it():
+    called = []
+
+    def fail_once(now):
+        called.append("failed")
+        raise ValueError("sabotage")
+
+    timers = TimerQueue()
+    timers.call_at(1.0, lambda now: called.append("first"))
+    timers.call_at(2.0, fail_once)
+    timers.call_at(3.0, lambda now: called.append("last"))
+    with pytest.raises(ValueError, match="sabotage"):
+        timers.run_due(5.0)
+    timers.run_due(5.0)
+    assert called == ["first", "failed", "last"]
+    assert not timers
