Check all targets in a tick if the check of one fails

Cause: an exception in the check of one target left the tick, at each tick again, and the targets after it were never checked.

Change: all targets are checked and the errors are raised together afterwards.

Measured: before, the new test ends with "ValueError: sabotage" at the first target; with the change the second one is checked too.

--- a/lycheeglade/agent.py
+++ b/lycheeglade/agent.py
@@ -334,7 +334,13 @@
 def tick(agent: Agent, now: float) -> None:
     """Run the due timers and periodic checks.
 
-    The function must be called several times a second.
+    The function must be called several times a second. All targets are
+    checked, also if a check fails.
+
+    Raises
+    ------
+    ExceptionGroup
+        Errors of the checks of the targets.
     """
     if agent.is_view_stale:
         return
@@ -345,14 +351,24 @@
     agent.suspects = agent.membership.suspects(now)
     agent.confirmed = agent.membership.confirmed_suspects(now)
     _check_isolation(agent, now)
+    errors = []
     for served in agent.served_by_key.values():
-        if served.requests_by_id:
-            expire_queued_requests(agent, served, now)
-            start_queued(agent, served, now)
-            reoffer_oldest_queued(agent, served, now)
-            fail_stuck_requests(agent, served, now)
-        if check_upstream(agent, served, now):
-            _handle_upstream_down(agent, served, now)
+        try:
+            _tick_target(agent, served, now)
+        except Exception as error:
+            errors.append(error)
+    if errors:
+        raise ExceptionGroup("checks of targets failed", errors)
+
+
+def _tick_target(agent: Agent, served: ServedTarget, now: float) -> None:
+    if served.requests_by_id:
+        expire_queued_requests(agent, served, now)
+        start_queued(agent, served, now)
+        reoffer_oldest_queued(agent, served, now)
+        fail_stuck_requests(agent, served, now)
+    if check_upstream(agent, served, now):
+        _handle_upstream_down(agent, served, now)
 
 
 def _check_isolation(agent: Agent, now: float) -> None:
--- a/tests/test_daemon_failures.py
+++ b/tests/test_daemon_failures.py
@@ -1,5 +1,6 @@
 """A disturbance of one part, at any moment, doesn't end the process."""
 
+from copy import copy
 from pathlib import Path
 from signal import SIGHUP, SIGINT, SIGTERM
 from subprocess import PIPE, Popen
@@ -8,8 +9,10 @@
 
 import pytest
 
+from lycheeglade.agent import tick
 from lycheeglade.configuration import parse_hosts
 from lycheeglade.generator import generate_files
+from lycheeglade.served_target import TargetKey
 from lycheeglade.spread import Snapshot, merge_values
 from lycheeglade.timer import TimerQueue
 from lycheeglade.value import Value
@@ -230,3 +233,21 @@
     timers.run_due(5.0)
     assert called == ["first", "failed", "last"]
     assert not timers
+
+
+def test_check_of_a_target_that_fails_does_not_prevent_the_others(agent, monkeypatch):
+    served = agent.served_by_key[TargetKey("booth-sync", "t1")]
+    agent.served_by_key[TargetKey("booth-sync", "t2")] = copy(served)
+    checked = []
+
+    def check(agent, target, now):
+        checked.append(target)
+        if len(checked) == 1:
+            raise ValueError("sabotage")
+        return False
+
+    monkeypatch.setattr("lycheeglade.agent.check_upstream", check)
+    with pytest.raises(ExceptionGroup) as raised:
+        tick(agent, 1.0)
+    assert str(raised.value.exceptions[0]) == "sabotage"
+    assert len(checked) == 2
