Apply a view again if that failed

Cause: an exception while a view was applied ended the process. The view was taken for published, so that it would not have been applied again.

Change: the core keeps its previous view if it can't apply one. The process applies the core's view and its sockets in separate steps, and repeats a step that failed after 0.5 to 8 s.

Measured: before, both roles ended with "ValueError: sabotage" if the first two views failed, and the agent's second attempt at the same view served no target ([]).

--- a/lycheeglade/agent.py
+++ b/lycheeglade/agent.py
@@ -110,9 +110,22 @@
 
 
 def update_view(agent: Agent, view: View, now: float) -> None:
-    """Apply a newer view."""
+    """Apply a newer view.
+
+    If that fails, the previous view stays, so that the same view can be
+    applied again.
+    """
     update_known_addresses(agent, view)
     previous, agent.view = agent.view, view
+    try:
+        _update_targets(agent, previous, now)
+    except Exception:
+        agent.view = previous
+        raise
+
+
+def _update_targets(agent: Agent, previous: View, now: float) -> None:
+    view = agent.view
     own_names = {key.service for key in agent.served_by_key}
     peers = set()
     wanted = {}
--- a/lycheeglade/agent_daemon.py
+++ b/lycheeglade/agent_daemon.py
@@ -15,7 +15,7 @@
     is_idle,
 )
 from lycheeglade.blackboard import Blackboard
-from lycheeglade.daemon import ProcessParts, run_process
+from lycheeglade.daemon import ProcessParts, ViewApplier, run_process
 from lycheeglade.failures import FailureLog
 from lycheeglade.flow import FlowKey
 from lycheeglade.histograms import Metrics
@@ -158,11 +158,17 @@
         actions,
         recorder,
     )
-    blackboard.view.subscribe(lambda view: inputs.update_view(view, monotonic()))
+    views = ViewApplier(
+        {"view": lambda view: inputs.update_view(view, monotonic())}, failures
+    )
+
+    def tick(now: float) -> None:
+        views.retry(now)
+        inputs.tick(is_view_fresh(blackboard.checked_at.value, now), now)
+
+    blackboard.view.subscribe(lambda view: views.apply(view, monotonic()))
     parts = ProcessParts(
-        tick=lambda now: inputs.tick(
-            is_view_fresh(blackboard.checked_at.value, now), now
-        ),
+        tick=tick,
         begin_stop=inputs.begin_stop,
         count_pending_work=lambda now: count_pending_work(agent),
         describe=lambda: {
--- a/lycheeglade/balancer.py
+++ b/lycheeglade/balancer.py
@@ -98,9 +98,22 @@
 
 
 def update_view(balancer: Balancer, view: View) -> None:
-    """Apply a newer view."""
-    previous, balancer.view = balancer.view, view
-    before = balancer.agents_by_service
+    """Apply a newer view.
+
+    If that fails, the previous view stays, so that the same view can be
+    applied again.
+    """
+    previous, before = balancer.view, balancer.agents_by_service
+    balancer.view = view
+    try:
+        _update_agents(balancer, previous)
+    except Exception:
+        balancer.view, balancer.agents_by_service = previous, before
+        raise
+
+
+def _update_agents(balancer: Balancer, previous: View) -> None:
+    view, before = balancer.view, balancer.agents_by_service
     after = find_agents(view, previous, before)
     balancer.agents_by_service = after
     agents_differ = before.keys() != after.keys() or any(
--- a/lycheeglade/balancer_daemon.py
+++ b/lycheeglade/balancer_daemon.py
@@ -15,7 +15,7 @@
     may_carry,
 )
 from lycheeglade.blackboard import Blackboard
-from lycheeglade.daemon import ProcessParts, run_process
+from lycheeglade.daemon import ProcessParts, ViewApplier, run_process
 from lycheeglade.failures import FailureLog
 from lycheeglade.histograms import Metrics, Stage, Work
 from lycheeglade.logs import log_event
@@ -164,13 +164,21 @@
         recorder,
     )
 
-    def on_view(view: View) -> None:
-        inputs.update_view(view, monotonic())
-        services.update(balancer, inputs, view)
+    views = ViewApplier(
+        {
+            "view": lambda view: inputs.update_view(view, monotonic()),
+            "sockets": lambda view: services.update(balancer, inputs, view),
+        },
+        failures,
+    )
+
+    def tick(now: float) -> None:
+        views.retry(now)
+        inputs.tick(now)
 
-    blackboard.view.subscribe(on_view)
+    blackboard.view.subscribe(lambda view: views.apply(view, monotonic()))
     parts = ProcessParts(
-        tick=inputs.tick,
+        tick=tick,
         begin_stop=lambda now: None,
         count_pending_work=lambda now: int(now - services.heard_at < IDLE_AFTER_S),
         describe=lambda: {
--- a/lycheeglade/daemon.py
+++ b/lycheeglade/daemon.py
@@ -24,10 +24,13 @@
 from lycheeglade.logs import log_event
 from lycheeglade.operations import serve_operations
 from lycheeglade.settings import Settings
+from lycheeglade.view import View
 
 TICK_S = 0.02
 IDLE_TICK_S = 0.1
 STOP_POLL_S = 0.05
+MIN_RETRY_VIEW_S = 0.5
+MAX_RETRY_VIEW_S = 8.0
 EXIT_OK = 0
 EXIT_WORK_INTERRUPTED = 1
 
@@ -59,6 +62,46 @@
     is_idle: Callable[[], bool] = lambda: False
 
 
+class ViewApplier:
+    """Applies each view in steps, and repeats the steps that fail.
+
+    Parameters
+    ----------
+    step_by_part : Mapping
+        Functions that take the view, by the names of the failing parts.
+    """
+
+    def __init__(
+        self,
+        step_by_part: Mapping[str, Callable[[View], None]],
+        failures: FailureLog,
+    ):
+        self._steps = [
+            contain(part, step, failures) for part, step in step_by_part.items()
+        ]
+        self._view = View()
+        self._pending: list[Callable[[View], bool]] = []
+        self._delay = MIN_RETRY_VIEW_S
+        self._retry_at = 0.0
+
+    def apply(self, view: View, now: float) -> None:
+        """Apply `view` in place of the one before."""
+        self._view = view
+        self._pending = self._steps
+        self._delay = MIN_RETRY_VIEW_S
+        self._run(now)
+
+    def retry(self, now: float) -> None:
+        """Repeat the steps that have failed, if their delay is over."""
+        if self._pending and now >= self._retry_at:
+            self._delay = min(2 * self._delay, MAX_RETRY_VIEW_S)
+            self._run(now)
+
+    def _run(self, now: float) -> None:
+        self._pending = [step for step in self._pending if not step(self._view)]
+        self._retry_at = now + self._delay
+
+
 async def run_process(
     settings: Settings,
     blackboard: Blackboard,
--- a/tests/test_daemon_failures.py
+++ b/tests/test_daemon_failures.py
@@ -1,7 +1,9 @@
 """A disturbance of one part, at any moment, doesn't end the process."""
 
 from copy import copy
+from dataclasses import replace
 from pathlib import Path
+from random import Random
 from signal import SIGHUP, SIGINT, SIGTERM
 from subprocess import PIPE, Popen
 from sys import executable
@@ -9,13 +11,18 @@
 
 import pytest
 
-from lycheeglade.agent import tick
+from lycheeglade.agent import make_agent, tick, update_view
 from lycheeglade.configuration import parse_hosts
+from lycheeglade.daemon import MAX_RETRY_VIEW_S, MIN_RETRY_VIEW_S, ViewApplier
+from lycheeglade.failures import FailureLog
 from lycheeglade.generator import generate_files
+from lycheeglade.histograms import Metrics
 from lycheeglade.served_target import TargetKey
 from lycheeglade.spread import Snapshot, merge_values
 from lycheeglade.timer import TimerQueue
 from lycheeglade.value import Value
+from lycheeglade.view import View
+from tests.agents import LOCAL_ZONE, make_view
 from tests.test_daemon import EXAMPLE, NETWORK, TIMEOUT_S, read_until
 
 ROLES = [("balancer", "nadi-a-balancer-1"), ("agent", "nadi-a-booth-sync-1")]
@@ -251,3 +258,49 @@
         tick(agent, 1.0)
     assert str(raised.value.exceptions[0]) == "sabotage"
     assert len(checked) == 2
+
+
+def test_view_that_could_not_be_applied_is_applied_at_the_next_attempt(recorder):
+    agent = make_agent("h1", LOCAL_ZONE, recorder.actions(), Random(1), 100, 0.0)
+    count, agent.actions = agent.actions.count, replace(agent.actions, count=fail_call)
+    view = make_view()
+    with pytest.raises(ValueError, match="sabotage"):
+        update_view(agent, view, 0.0)
+    agent.served_by_key.clear()
+    agent.actions = replace(agent.actions, count=count)
+    update_view(agent, view, 1.0)
+    assert list(agent.served_by_key) == [TargetKey("booth-sync", "t1")]
+
+
+def fail_call(*arguments):
+    raise ValueError("sabotage")
+
+
+def test_failed_step_of_a_view_is_repeated_and_the_others_are_not():
+    calls = []
+
+    def apply(view):
+        calls.append(("core", view.revision))
+        if len(calls) < 4:
+            raise ValueError("sabotage")
+
+    steps = {"view": apply, "sockets": lambda view: calls.append(("sockets", 1))}
+    metrics = Metrics()
+    applier = ViewApplier(steps, FailureLog(metrics))
+    applier.apply(View(revision=1), 10.0)
+    assert calls == [("core", 1), ("sockets", 1)]
+    applier.retry(10.0 + MIN_RETRY_VIEW_S / 2)
+    assert len(calls) == 2
+    for attempt in range(1, 100):
+        applier.retry(10.0 + attempt * MAX_RETRY_VIEW_S)
+    assert calls[2:] == [("core", 1)] * 2
+    assert metrics.counter("failure", "", "view") == 2
+
+
+@pytest.mark.parametrize(("role", "host"), ROLES)
+def test_view_that_fails_once_is_applied_again_by_the_process(start, role, host):
+    process = start(role, host, sabotage=fail(role, "update_view", calls="(1, 2)"))
+    log = read_until(process, " event=part-failed part=view ")
+    sleep(1.5)
+    log += stop(process)
+    assert " event=stopped cut=0" in log
