Never wait for the reader of the log

Cause: the log was written to standard error with blocking writes. A reader that doesn't read held up the whole process, which then answered nothing and didn't stop on SIGTERM.

Change: the log uses the handler of the connection processes, which drops and counts lines that can't be written at once. The count is lost_log_lines in /status.

Measured: before, a process with a full pipe as standard error doesn't answer within 20 s; with the change it answers, and ends with 0. Without a reader it ran before, too. The tests of closed streams wait for an answer instead of 2 s.

--- a/lycheeglade/daemon.py
+++ b/lycheeglade/daemon.py
@@ -21,7 +21,7 @@
 from lycheeglade.failures import FailureLog, contain
 from lycheeglade.gossip import follow_configuration
 from lycheeglade.histograms import Metrics
-from lycheeglade.logs import log_event
+from lycheeglade.logs import count_lost_lines, log_event
 from lycheeglade.operations import serve_operations
 from lycheeglade.settings import Settings
 from lycheeglade.view import View
@@ -142,7 +142,11 @@
 
 
 def _describe(blackboard: Blackboard, parts: ProcessParts) -> dict[str, object]:
-    return {**parts.describe(), "stopping": blackboard.stopping.value}
+    return {
+        **parts.describe(),
+        "stopping": blackboard.stopping.value,
+        "lost_log_lines": count_lost_lines(),
+    }
 
 
 def _install_signal_handlers() -> tuple[Event, Event]:
--- a/lycheeglade/logs.py
+++ b/lycheeglade/logs.py
@@ -3,13 +3,14 @@
 from collections import Counter
 from datetime import UTC, datetime
 from json import dumps
-from logging import Formatter, Handler, Logger, LogRecord, StreamHandler, getLogger
+from logging import Formatter, Handler, Logger, LogRecord, getLogger
 from os import write
 from re import compile as compile_pattern
 from reprlib import Repr
 from select import PIPE_BUF, POLLOUT, poll
 
 ROOT_LOGGER = "lycheeglade"
+STANDARD_ERROR = 2
 LEVELS_BY_NAME = {"debug": 10, "info": 20, "warning": 30, "error": 40}
 _UNQUOTED_TEXT = compile_pattern(r"[^\s\"'=\x00-\x1f\x7f]+")
 MAX_QUOTED_CHARS = 80
@@ -112,6 +113,13 @@
         logger.log(level, "%s", event, extra={"event_fields": fields})
 
 
+def count_lost_lines() -> int:
+    """Return the number of lines that could not be written."""
+    handlers = getLogger().handlers
+    pipe_handlers = [each for each in handlers if isinstance(each, PipeHandler)]
+    return sum(each.lost_by_event.total() for each in pipe_handlers)
+
+
 def configure_logging(level: str | int, handler: Handler | None = None) -> None:
     """Configure logging of this process.
 
@@ -134,7 +142,7 @@
             known = ", ".join(LEVELS_BY_NAME)
             raise ValueError(f"log level {level!r} is not one of {known}")
         level = LEVELS_BY_NAME[level.lower()]
-    handler = handler or StreamHandler()
+    handler = handler or PipeHandler(STANDARD_ERROR)
     handler.setFormatter(EventFormatter())
     root = getLogger()
     root.handlers[:] = [handler]
--- a/tests/test_daemon_failures.py
+++ b/tests/test_daemon_failures.py
@@ -1,7 +1,10 @@
 """A disturbance of one part, at any moment, doesn't end the process."""
 
+from asyncio import run
+from contextlib import suppress
 from copy import copy
 from dataclasses import replace
+from os import close, pipe, set_blocking, write
 from pathlib import Path
 from random import Random
 from signal import SIGHUP, SIGINT, SIGTERM
@@ -18,7 +21,9 @@
 from lycheeglade.generator import generate_files
 from lycheeglade.histograms import Metrics
 from lycheeglade.served_target import TargetKey
+from lycheeglade.settings import load_settings
 from lycheeglade.spread import Snapshot, merge_values
+from lycheeglade.status import StatusError, fetch_status
 from lycheeglade.timer import TimerQueue
 from lycheeglade.value import Value
 from lycheeglade.view import View
@@ -98,10 +103,16 @@
     raise AssertionError(f"{field} never holds signal {number}")
 
 
-def wait_for_start(process):
-    """Wait until the process has replaced the handlers of its start."""
-    sleep(2.0)
-    assert process.poll() is None
+def wait_for_status(settings_folder):
+    """Return the status of the balancer once it answers."""
+    settings = load_settings(settings_folder / f"{ROLES[0][1]}.ini")
+    deadline = monotonic() + TIMEOUT_S
+    while True:
+        try:
+            return run(fetch_status(settings.operators))
+        except StatusError:
+            assert monotonic() < deadline
+            sleep(0.1)
 
 
 def stop(process):
@@ -139,9 +150,11 @@
 
 
 @pytest.mark.parametrize("redirections", ["<&- >&- 2>&-", ">&-", "2>&-"])
-def test_closed_standard_streams_do_not_end_the_process(start, redirections):
+def test_closed_standard_streams_do_not_end_the_process(
+    start, settings_folder, redirections
+):
     process = start(*ROLES[0], redirections=redirections)
-    wait_for_start(process)
+    wait_for_status(settings_folder)
     links = Path(f"/proc/{process.pid}/fd")
     standard = {str((links / str(number)).readlink()) for number in range(3)}
     assert not any(link.startswith(("socket:", "anon_inode:")) for link in standard)
@@ -304,3 +317,30 @@
     sleep(1.5)
     log += stop(process)
     assert " event=stopped cut=0" in log
+
+
+def test_full_standard_error_does_not_stop_the_process(start, settings_folder):
+    read_end, write_end = pipe()
+    set_blocking(write_end, False)
+    with suppress(BlockingIOError):
+        while True:
+            write(write_end, b"x" * 4096)
+    set_blocking(write_end, True)
+    process = start(*ROLES[0], stderr=write_end)
+    assert wait_for_status(settings_folder)["lost_log_lines"] > 0
+    process.send_signal(SIGTERM)
+    assert process.wait(TIMEOUT_S) == EXIT_OK
+    close(read_end)
+    close(write_end)
+
+
+def test_standard_error_without_a_reader_does_not_end_the_process(
+    start, settings_folder
+):
+    read_end, write_end = pipe()
+    close(read_end)
+    process = start(*ROLES[0], stderr=write_end)
+    close(write_end)
+    wait_for_status(settings_folder)
+    process.send_signal(SIGTERM)
+    assert process.wait(TIMEOUT_S) == EXIT_OK
