Test that used up descriptors don't end a process

All descriptors of a running balancer are used up for 4 s, with callers of the operators' address meanwhile.

--- a/tests/test_daemon_failures.py
+++ b/tests/test_daemon_failures.py
@@ -7,7 +7,9 @@
 from os import close, pipe, set_blocking, write
 from pathlib import Path
 from random import Random
+from resource import RLIMIT_NOFILE, prlimit
 from signal import SIGHUP, SIGINT, SIGTERM
+from socket import create_connection
 from subprocess import PIPE, Popen
 from sys import executable
 from time import monotonic, sleep
@@ -344,3 +346,20 @@
     wait_for_status(settings_folder)
     process.send_signal(SIGTERM)
     assert process.wait(TIMEOUT_S) == EXIT_OK
+
+
+def test_used_up_descriptors_do_not_end_the_process(start, settings_folder):
+    process = start(*ROLES[0])
+    wait_for_status(settings_folder)
+    limits = prlimit(process.pid, RLIMIT_NOFILE)
+    used = {int(each.name) for each in Path(f"/proc/{process.pid}/fd").iterdir()}
+    prlimit(process.pid, RLIMIT_NOFILE, (min(used), limits[1]))
+    settings = load_settings(settings_folder / f"{ROLES[0][1]}.ini")
+    for _ in range(3):
+        with suppress(OSError), create_connection(settings.operators, 1.0) as client:
+            client.sendall(b"GET /status HTTP/1.0\r\n\r\n")
+            client.recv(1)
+    sleep(4.0)
+    prlimit(process.pid, RLIMIT_NOFILE, limits)
+    wait_for_status(settings_folder)
+    assert " event=stopped cut=0" in stop(process)
