Continue a trace after any error of its stream

Cause: an error other than OSError, such as a MemoryError while a chunk is sent, ended the task that sends the trace, without a line in the log. The lines then filled the buffer until they were dropped.

Measured: before, the new test ends with "MemoryError: sabotage"; with the change the header and the line are sent.

--- a/lycheeglade/trace_writer.py
+++ b/lycheeglade/trace_writer.py
@@ -106,15 +106,19 @@
         self._bytes += len(line)
 
     async def run(self) -> None:
-        """Send lines until `finish` is called and the buffer is empty."""
+        """Send lines until `finish` is called and the buffer is empty.
+
+        The stream is opened again after any error, so that tracing continues
+        even if memory was used up.
+        """
         failures = 0
         is_resumed = False
         while True:
             try:
                 stream = await self._open_stream()
-            except OSError as error:
+            except Exception as error:
                 level = DEBUG if failures else WARNING
-                log_event(logger, level, "trace-unopened", cause=error)
+                log_event(logger, level, "trace-unopened", cause=repr(error))
                 failures += 1
                 await self._pause(RETRY_DELAY_S)
                 continue
@@ -123,8 +127,8 @@
             try:
                 await self._send_all(stream, is_resumed)
                 return
-            except OSError as error:
-                log_event(logger, WARNING, "trace-lost", cause=error)
+            except Exception as error:
+                log_event(logger, WARNING, "trace-lost", cause=repr(error))
             finally:
                 stream.close()
             is_resumed = True
@@ -146,7 +150,7 @@
             if count:
                 try:
                     await stream.send(chunk)
-                except OSError:
+                except Exception:
                     self._record_dropped(count)
                     raise
             elif self._dropped_lines:
@@ -261,7 +265,7 @@
         error = None
         try:
             _write_all(STANDARD_OUTPUT, data)
-        except OSError as raised:
+        except Exception as raised:
             error = raised
         # The event loop is closed if the process has ended.
         with suppress(RuntimeError):
@@ -277,7 +281,7 @@
             select([], [descriptor], [])
 
 
-def _complete_future(future: Future, error: OSError | None) -> None:
+def _complete_future(future: Future, error: Exception | None) -> None:
     if future.done():
         return
     if error is None:
--- a/tests/test_daemon_failures.py
+++ b/tests/test_daemon_failures.py
@@ -27,6 +27,7 @@
 from lycheeglade.spread import Snapshot, merge_values
 from lycheeglade.status import StatusError, fetch_status
 from lycheeglade.timer import TimerQueue
+from lycheeglade.trace_writer import Stream, TraceWriter
 from lycheeglade.value import Value
 from lycheeglade.view import View
 from tests.agents import LOCAL_ZONE, make_view
@@ -363,3 +364,25 @@
     prlimit(process.pid, RLIMIT_NOFILE, limits)
     wait_for_status(settings_folder)
     assert " event=stopped cut=0" in stop(process)
+
+
+async def test_trace_continues_after_an_undeclared_error():
+    sent = []
+    errors = [ValueError("sabotage"), MemoryError("sabotage")]
+
+    async def open_stream():
+        if errors:
+            raise errors.pop()
+        return Stream(send, lambda: None)
+
+    async def send(data):
+        sent.append(data)
+
+    async def pause(seconds):
+        writer.finish()
+
+    writer = TraceWriter(open_stream, lambda lines: None, pause=pause)
+    writer.start(b"header\n")
+    writer.write(b"line\n", 1.0)
+    await writer.run()
+    assert sent == [b"header\n", b"line\n"]
