Don't fail an input because its line of the trace can't be made

Cause: an exception while a line of the trace was described or buffered came out of the call that it records, as if the core had failed.

Change: in a process the failure is recorded as part-failed of the trace, the line is counted as dropped and leaves a gap. Recorders without a handler of failures still raise it.

Measured: before, the new tests fail, since there was no such handler; now they pass, with the tests of the recorder. Not run to the end: the tests of replays.

--- a/lycheeglade/recorder.py
+++ b/lycheeglade/recorder.py
@@ -20,6 +20,7 @@
 from lycheeglade.agent_state import Agent, AgentActions
 from lycheeglade.balancer import Balancer, BalancerActions
 from lycheeglade.errors import PacketError
+from lycheeglade.failures import FailureLog
 from lycheeglade.flow import FlowKey
 from lycheeglade.histograms import Metrics
 from lycheeglade.packet import (
@@ -67,6 +68,11 @@
 _INVALID_MESSAGEPACK = b"\xc1"
 
 
+def raise_failure(error: Exception, now: float) -> None:
+    """Raise `error`, for callers that must not lose a line."""
+    raise error
+
+
 @dataclass(frozen=True, slots=True)
 class BalancerInputs:
     """Callables through which a daemon calls a balancer's core."""
@@ -133,10 +139,20 @@
         Receives each line except the header, and the line's time.
     is_whole : bool
         Whether payloads are written unredacted.
+    on_failure : callable
+        Called with the error and its time if a line can't be written. What
+        the line records is not affected.
     """
 
-    def __init__(self, write: Callable[[bytes, float], None], *, is_whole: bool):
+    def __init__(
+        self,
+        write: Callable[[bytes, float], None],
+        *,
+        is_whole: bool,
+        on_failure: Callable[[Exception, float], None] = raise_failure,
+    ):
         self._write = write
+        self._on_failure = on_failure
         self._actions: list[Action] = []
         self._view = View()
         self._protocols_by_service: dict[str, Protocol] = {}
@@ -269,11 +285,20 @@
                 raised = type(error).__name__
                 raise
             finally:
-                line = describe(*arguments, did=tuple(self._actions), raised=raised)
-                self._write(encode_line(line), arguments[-1])
+                self._write_call(describe, arguments, raised)
 
         return call
 
+    def _write_call(
+        self, describe: Callable[..., Line], arguments: tuple, raised: str
+    ) -> None:
+        now = arguments[-1]
+        try:
+            line = describe(*arguments, did=tuple(self._actions), raised=raised)
+            self._write(encode_line(line), now)
+        except Exception as error:
+            self._on_failure(error, now)
+
     def _record_count(self, count: Callable[[str, str, str], None]) -> Callable:
         def record_count(name: str, service: str, cause: str) -> None:
             self._actions.append(Counted(name, service, str(cause)))
@@ -385,8 +410,16 @@
     )
     writer.start(encode_line(header))
     task = create_task(writer.run())
+    failures = FailureLog(metrics)
+
+    def handle_failure(error: Exception, now: float) -> None:
+        failures.record("trace", error, now)
+        writer.drop(now)
+
     try:
-        yield Recorder(writer.write, is_whole=options.is_whole)
+        yield Recorder(
+            writer.write, is_whole=options.is_whole, on_failure=handle_failure
+        )
     finally:
         writer.finish()
         await wait([task], timeout=CLOSE_TIMEOUT_S)
--- a/lycheeglade/trace_writer.py
+++ b/lycheeglade/trace_writer.py
@@ -105,6 +105,11 @@
         self._lines.append(line)
         self._bytes += len(line)
 
+    def drop(self, now: float) -> None:
+        """Count a line that can't be written, which leaves a gap."""
+        self._last_line_at = now
+        self._record_dropped(1)
+
     async def run(self) -> None:
         """Send lines until `finish` is called and the buffer is empty.
 
--- a/tests/test_daemon_failures.py
+++ b/tests/test_daemon_failures.py
@@ -22,6 +22,8 @@
 from lycheeglade.failures import FailureLog
 from lycheeglade.generator import generate_files
 from lycheeglade.histograms import Metrics
+from lycheeglade.recorder import Recorder
+from lycheeglade.recording import Tick
 from lycheeglade.served_target import TargetKey
 from lycheeglade.settings import load_settings
 from lycheeglade.spread import Snapshot, merge_values
@@ -386,3 +388,22 @@
     writer.write(b"line\n", 1.0)
     await writer.run()
     assert sent == [b"header\n", b"line\n"]
+
+
+@pytest.mark.parametrize("failing", ["describe", "write"])
+def test_failure_of_the_recorder_does_not_fail_what_it_records(failing):
+    called, failed = [], []
+
+    def describe(*arguments, **result):
+        raise ValueError("sabotage")
+
+    def write_line(line, now):
+        raise MemoryError("sabotage")
+
+    recorder = Recorder(
+        write_line, is_whole=True, on_failure=lambda error, now: failed.append(now)
+    )
+    describers = {"describe": describe, "write": lambda *_, **__: Tick(at=1.0)}
+    record = recorder._record_call(called.append, describers[failing])
+    record(1.0)
+    assert (called, failed) == ([1.0], [1.0])
