--- a/lycheeglade/agent_daemon.py
+++ b/lycheeglade/agent_daemon.py
@@ -15,7 +15,8 @@
     is_idle,
 )
 from lycheeglade.blackboard import Blackboard
-from lycheeglade.daemon import ProcessParts, run_process
+from lycheeglade.daemon import ProcessParts, ViewApplier, run_process
+from lycheeglade.failures import FailureLog
 from lycheeglade.flow import FlowKey
 from lycheeglade.histograms import Metrics
 from lycheeglade.packet import encode_packet
@@ -127,6 +128,7 @@
     recorder: Recorder | None,
 ) -> int:
     blackboard = Blackboard()
+    failures = FailureLog(metrics)
     upstreams = UpstreamSockets(metrics)
     peers = DatagramSocket(
         get_running_loop(),
@@ -156,11 +158,17 @@
         actions,
         recorder,
     )
-    blackboard.view.subscribe(lambda view: inputs.update_view(view, monotonic()))
+    views = ViewApplier(
+        {"view": lambda view: inputs.update_view(view, monotonic())}, failures
+    )
+
+    def tick(now: float) -> None:
+        views.retry(now)
+        inputs.tick(is_view_fresh(blackboard.checked_at.value, now), now)
+
+    blackboard.view.subscribe(lambda view: views.apply(view, monotonic()))
     parts = ProcessParts(
-        tick=lambda now: inputs.tick(
-            is_view_fresh(blackboard.checked_at.value, now), now
-        ),
+        tick=tick,
         begin_stop=inputs.begin_stop,
         count_pending_work=lambda now: count_pending_work(agent),
         describe=lambda: {
@@ -170,7 +178,7 @@
         is_idle=lambda: is_idle(agent),
     )
     try:
-        return await run_process(settings, blackboard, metrics, parts, logger)
+        return await run_process(settings, blackboard, metrics, failures, parts, logger)
     finally:
         peers.close()
 
--- a/lycheeglade/balancer_daemon.py
+++ b/lycheeglade/balancer_daemon.py
@@ -15,7 +15,8 @@
     may_carry,
 )
 from lycheeglade.blackboard import Blackboard
-from lycheeglade.daemon import ProcessParts, run_process
+from lycheeglade.daemon import ProcessParts, ViewApplier, run_process
+from lycheeglade.failures import FailureLog
 from lycheeglade.histograms import Metrics, Stage, Work
 from lycheeglade.logs import log_event
 from lycheeglade.recorder import (
@@ -141,6 +142,7 @@
     settings: Settings, seed: int, metrics: Metrics, recorder: Recorder | None
 ) -> int:
     blackboard = Blackboard()
+    failures = FailureLog(metrics)
     services = ServiceSockets(settings, metrics)
     peers = DatagramSocket(
         get_running_loop(),
@@ -162,13 +164,21 @@
         recorder,
     )
 
-    def on_view(view: View) -> None:
-        inputs.update_view(view, monotonic())
-        services.update(balancer, inputs, view)
+    views = ViewApplier(
+        {
+            "view": lambda view: inputs.update_view(view, monotonic()),
+            "sockets": lambda view: services.update(balancer, inputs, view),
+        },
+        failures,
+    )
+
+    def tick(now: float) -> None:
+        views.retry(now)
+        inputs.tick(now)
 
-    blackboard.view.subscribe(on_view)
+    blackboard.view.subscribe(lambda view: views.apply(view, monotonic()))
     parts = ProcessParts(
-        tick=inputs.tick,
+        tick=tick,
         begin_stop=lambda now: None,
         count_pending_work=lambda now: int(now - services.heard_at < IDLE_AFTER_S),
         describe=lambda: {
@@ -178,7 +188,7 @@
         is_idle=lambda: monotonic() - services.heard_at >= IDLE_AFTER_S,
     )
     try:
-        return await run_process(settings, blackboard, metrics, parts, logger)
+        return await run_process(settings, blackboard, metrics, failures, parts, logger)
     finally:
         peers.close()
 
