--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -15,7 +15,12 @@
 import store_reader
 from catalog import CONFIGURATION_KEY, MAX_MESSAGE_INT, Catalog, WireItem
 from lycheeglade.address import Address
-from lycheeglade.connection_balancer import receive_message, receive_segment
+from lycheeglade.connection_balancer import (
+    receive_message,
+    receive_segment,
+    update_routing,
+)
+from lycheeglade.known_view import KnownView
 from lycheeglade.logs import format_field
 from lycheeglade.store_revision import StoreRevision
 from lycheeglade.view import State
@@ -349,3 +354,35 @@
         agent for address, message in sent for agent in (address, *message.candidates)
     }
     assert named == {target.agent for target in TARGETS}
+
+
+@pytest.mark.parametrize("born", [2**53, 4_102_444_800_001])
+def test_start_in_the_far_future_leaves_no_target_draining(born):
+    """All later entries counted as older than the odd one."""
+    catalog, known = make_catalog(), KnownView()
+
+    def publish(revision):
+        known.receive(view_of(catalog, revision), float(revision))
+        return find_targets(known.correct(float(revision))).get("own")
+
+    publish(1)
+    odd = {**GOOD, "state": "draining", "born": born}
+    catalog.apply(item("servers/own", odd))
+    publish(2)
+    catalog.apply(item("servers/own", {**GOOD, "born": GOOD["born"] + 1}))
+    assert publish(3).state is State.LIVE
+
+
+def test_start_in_the_far_future_hides_no_warmup():
+    """A cold target was not limited while the odd entry named its address."""
+    catalog = make_catalog()
+    services = [{"name": "s1", "warmup-per-s": 2}]
+    catalog.apply(
+        item(CONFIGURATION_KEY, {"version": 2, "routes": [ROUTE], "services": services})
+    )
+    catalog.apply(item("servers/odd", {**GOOD, "born": 2**53}))
+    balancer = BalancerRecorder().make(view_of(catalog, 1))
+    cold = {**GOOD, "born": GOOD["born"] + 1, "warmup-left-ms": 30_000}
+    catalog.apply(item("servers/own", cold))
+    update_routing(balancer, view_of(catalog, 2), 5.0)
+    assert balancer.loads_by_agent[Address("127.0.0.8", 7720)].is_cold(6.0)
