--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -22,6 +22,12 @@
 )
 from lycheeglade.known_view import KnownView
 from lycheeglade.logs import format_field
+from lycheeglade.relay_message import (
+    Duty,
+    ViewStatus,
+    decode_message,
+    encode_message,
+)
 from lycheeglade.store_revision import StoreRevision
 from lycheeglade.view import State
 from lycheeglade.view_transfer import fetch_view, serve_view
@@ -206,6 +212,16 @@
     stand_in.stop()
 
 
+async def read_once(store):
+    """Read the store as a balancer does at its start."""
+    client = StoreClient(store.address, EraReader(ignore_event))
+    try:
+        catalog = Catalog(REGIONS, 7720, log_formatted)
+        return await read_store(client, catalog, log_formatted)
+    finally:
+        client.close()
+
+
 @asynccontextmanager
 async def follow(store):
     """Follow the store as a balancer does, and yield the published views."""
@@ -307,10 +323,7 @@
         store.put(f"servers/zz{number}", GOOD)
     keys = sorted(store.items_by_key)
     assert (keys.index(key) + 1) % PAGE_SIZE == 0
-    client = StoreClient(store.address, EraReader(ignore_event))
-    catalog = Catalog(REGIONS, 7720, log_formatted)
-    view, _ = await read_store(client, catalog, log_formatted)
-    client.close()
+    view, _ = await read_once(store)
     assert len(find_targets(view)) == 1 + PAGE_SIZE * (pages - 1)
     assert store.calls.count("/kv-range") == -(-len(keys) // PAGE_SIZE)
     async with follow(store) as views:
@@ -386,3 +399,30 @@
     catalog.apply(item("servers/own", cold))
     update_routing(balancer, view_of(catalog, 2), 5.0)
     assert balancer.loads_by_agent[Address("127.0.0.8", 7720)].is_cold(6.0)
+
+
+@pytest.mark.parametrize(
+    "revision",
+    [-1, 2**53 + 1, 2**63, 2**64, 10**400],
+    ids=lambda each: str(each)[:20],
+)
+async def test_odd_revision_of_the_store_is_an_error_of_the_store(store, revision):
+    """Messages to other balancers could not be encoded with it."""
+    sound, store.revision = store.revision, revision
+    assert await read_once(store) is None
+    store.revision = sound
+    view, checked = await read_once(store)
+    status = ViewStatus("nadi-a", view.revision, checked.revision, Duty.WATCHER)
+    assert decode_message(encode_message(status)) == status
+
+
+async def test_watch_goes_on_after_an_odd_revision_of_the_store(store):
+    async with follow(store) as views:
+        await wait_until(lambda: store.calls[-1:] == ["/kv-watch"])
+        store.revision = 10**400
+        store.put("servers/new", {**GOOD, "address": "127.0.0.7:8165"})
+        await wait_until(lambda: len(store.calls) > 5)
+        assert all(view.revision < 2**53 for view in views)
+        store.revision = 20
+        store.put("servers/new", {**GOOD, "address": "127.0.0.7:8165"})
+        await wait_until(lambda: "new" in find_targets(views[-1]))
