--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -55,8 +55,11 @@
 )
 from tests.store_stand_in import PAGE_SIZE, StoreStandIn
 from tests.test_catalog import ROUTE
+from tests.test_foreign_input import respond
 from tests.test_store import wait_until
 
+__all__ = ["respond"]
+
 REGIONS = {"nadi-a": "viti-west", "suva-a": "viti-east"}
 GOOD = {**ENTRY, "address": "127.0.0.8:8165"}
 IDS = {
@@ -426,3 +429,20 @@
         store.revision = 20
         store.put("servers/new", {**GOOD, "address": "127.0.0.7:8165"})
         await wait_until(lambda: "new" in find_targets(views[-1]))
+
+
+@pytest.mark.parametrize(
+    "revision", [*NUMBERS.values(), '"x"', "null", "[]"], ids=lambda each: each[:20]
+)
+async def test_odd_revision_of_an_item_leaves_its_page_readable(respond, revision):
+    """The whole answer was malformed, in each call, though nobody reads it."""
+    own = f'{{"key":"servers/own","value":"{encode(dumps(GOOD))}","revision":3}}'
+    odd = f'{{"key":"servers/odd","value":"e30=","revision":{revision}}}'
+    body = f'{{"items":[{own},{odd}],"has-more":false,"current-rev":5}}'.encode()
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+    client = StoreClient(await respond(head + body), EraReader(ignore_event))
+    catalog = Catalog(REGIONS, 7720, log_formatted)
+    answer = await read_store(client, catalog, log_formatted)
+    client.close()
+    assert answer is not None
+    assert set(find_targets(answer[0])) == {"own"}
