--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -446,3 +446,27 @@
     client.close()
     assert answer is not None
     assert set(find_targets(answer[0])) == {"own"}
+
+
+@pytest.mark.parametrize(
+    "ip",
+    [
+        "0.0.0.0",
+        "255.255.255.255",
+        "224.0.0.1",
+        "239.255.255.250",
+        "[::1]",
+        "[::]",
+        "[fe80::1%eth0]",
+        "[::ffff:10.128.0.9]",
+    ],
+)
+def test_address_at_which_no_target_can_be_reached_names_none(ip):
+    """Searches for connections waited for such targets."""
+    catalog = make_catalog()
+    odd = {**GOOD, "address": f"{ip}:8165"}
+    catalog.apply(item("servers/odd", odd))
+    catalog.apply(item("servers/own", odd))
+    assert set(find_targets(view_of(catalog, 1))) == set()
+    catalog.apply(item("servers/own", GOOD))
+    assert set(find_targets(view_of(catalog, 2))) == {"own"}
