Count a value that is not standard base64 as unreadable

Cause: the decoder drops characters outside the alphabet by default and reads what remains, so an invalid value could name a target, a configuration or an evacuation.

An unreadable configuration or evacuation leaves the one before in force, as for other errors.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -470,3 +470,18 @@
     assert set(find_targets(view_of(catalog, 1))) == set()
     catalog.apply(item("servers/own", GOOD))
     assert set(find_targets(view_of(catalog, 2))) == {"own"}
+
+
+@pytest.mark.parametrize("mark", ["!", "%", " ", "\n", "-", "\x00", "\N{SNOWMAN}"])
+@pytest.mark.parametrize(
+    "key", ["servers/odd", CONFIGURATION_KEY, "op/evacuate/nadi-a"]
+)
+def test_value_with_a_character_outside_base64_is_unreadable(key, mark):
+    """The decoder dropped the characters and read what remained."""
+    catalog = make_catalog()
+    value = {"version": 7} if key == CONFIGURATION_KEY else GOOD
+    encoded = encode(dumps(value))
+    catalog.apply(WireItem(key, encoded[:4] + mark + encoded[4:]))
+    view = view_of(catalog, 1)
+    assert set(find_targets(view)) == {"own"}
+    assert (view.configuration, view.evacuated_zones) == (1, ())
