--- a/tests/store_stand_in.py
+++ b/tests/store_stand_in.py
@@ -176,11 +176,11 @@
         source = self
         if self.stale is not None and query.get("allow-stale") == "1":
             source = self.stale
-        after = query.get("after", "")
+        after = query.get("after")
         keys = [
             key
             for key in sorted(source.items_by_key)
-            if key.startswith(query["prefix"]) and key > after
+            if key.startswith(query["prefix"]) and (after is None or key > after)
         ]
         items = [source.items_by_key[key] for key in keys[:PAGE_SIZE]]
         more = len(keys) > PAGE_SIZE
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -4,7 +4,7 @@
 a reader stops following the store costs as much: no later change takes effect.
 """
 
-from asyncio import create_task
+from asyncio import create_task, timeout
 from contextlib import asynccontextmanager
 from dataclasses import replace
 from json import dumps
@@ -34,6 +34,7 @@
 from store import StoreClient
 from store_era import EraReader
 from store_reader import follow_store, read_store
+from tests import store_stand_in
 from tests.connections import (
     TARGETS,
     BalancerRecorder,
@@ -485,3 +486,28 @@
     view = view_of(catalog, 1)
     assert set(find_targets(view)) == {"own"}
     assert (view.configuration, view.evacuated_zones) == (1, ())
+
+
+@pytest.mark.parametrize("page_size", [1, 2])
+async def test_page_that_ends_with_an_empty_key_is_read_once(
+    store, monkeypatch, page_size
+):
+    """The first page was read again and again, without a pause."""
+    monkeypatch.setattr(store_stand_in, "PAGE_SIZE", page_size)
+    store.put("", ODD_CONTENTS["no-json"].encode())
+    async with timeout(2):
+        view, _ = await read_once(store)
+    assert set(find_targets(view)) == {"own"}
+
+
+async def test_page_that_ends_with_the_key_before_it_is_an_error(store, monkeypatch):
+    """A store that does not continue after an odd key was read forever."""
+    page = store._range
+    monkeypatch.setattr(
+        store,
+        "_range",
+        lambda query: {**page({"prefix": query["prefix"]}), "has-more": True},
+    )
+    async with timeout(2):
+        assert await read_once(store) is None
+    assert store.calls.count("/kv-range") == 2
