Read the other items of the store beside a key that is no UTF-8

Cause: the decoder rejects a whole answer if one key has a lone surrogate or bytes that are no UTF-8. Each call failed again, and no change of the store was in force any more until the key was gone. A key may be any text of up to 200 bytes.

The catalog leaves their items out, and logs them as unreadable, since the view could not be encoded for other balancers. The next page begins after such a key.

--- a/tests/store_stand_in.py
+++ b/tests/store_stand_in.py
@@ -156,7 +156,9 @@
 
     async def _answer(self, target):
         parts = urlsplit(target)
-        values_by_name = parse_qs(parts.query, keep_blank_values=True)
+        values_by_name = parse_qs(
+            parts.query, keep_blank_values=True, errors="surrogatepass"
+        )
         query = {name: values[0] for name, values in values_by_name.items()}
         self.calls.append(parts.path)
         self.targets.append(target)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -11,6 +11,7 @@
 from random import Random
 
 import pytest
+from msgspec.msgpack import encode as encode_messagepack
 
 import store_reader
 from catalog import CONFIGURATION_KEY, MAX_MESSAGE_INT, Catalog, WireItem
@@ -31,7 +32,7 @@
 from lycheeglade.store_revision import StoreRevision
 from lycheeglade.view import State
 from lycheeglade.view_transfer import fetch_view, serve_view
-from store import StoreClient
+from store import StoreClient, WireEvents, WireRange
 from store_era import EraReader
 from store_reader import follow_store, read_store
 from tests import store_stand_in
@@ -511,3 +512,51 @@
     async with timeout(2):
         assert await read_once(store) is None
     assert store.calls.count("/kv-range") == 2
+
+
+KEYS_OUTSIDE_UTF_8 = {
+    "surrogate": b"servers/\\ud800",
+    "surrogate-of-own": b"servers/own\\udfff",
+    "byte": b"servers/\xff",
+    "truncated": b"servers/\xe2\x98",
+    "raw-control": b"servers/\x01\n",
+    "own-zone": b"op/evacuate/\\ud800",
+}
+
+
+@pytest.mark.parametrize("odd", KEYS_OUTSIDE_UTF_8.values(), ids=KEYS_OUTSIDE_UTF_8)
+@pytest.mark.parametrize("path", ["/kv-range", "/kv-watch"])
+async def test_key_outside_utf_8_leaves_the_other_items_readable(respond, odd, path):
+    """The whole answer was malformed, in each call until the key was gone."""
+    value = encode(dumps(GOOD)).encode()
+    items = b'{"key":"servers/own","value":"%b"},{"key":"%b","value":"%b"}'
+    name = b"items" if path == "/kv-range" else b"events"
+    body = b'{"%b":[%b],"current-rev":5}' % (name, items % (value, odd, value))
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+    client = StoreClient(await respond(head + body), EraReader(ignore_event))
+    kind = WireRange if path == "/kv-range" else WireEvents
+    answer = await client.get(path, kind, 1.0)
+    client.close()
+    lines = []
+
+    def log(event, **fields):
+        lines.append(" ".join(map(format_field, fields.values())).encode())
+
+    catalog = Catalog(REGIONS, 7720, log)
+    for each in answer.items if path == "/kv-range" else answer.events:
+        catalog.apply(each)
+    targets = find_targets(view_of(catalog, 1))
+    assert "own" in targets
+    # The view can be sent to the other balancers.
+    assert len(encode_messagepack(view_of(catalog, 1))) > 0
+    assert len(targets) + len(lines) == 2
+
+
+async def test_next_page_begins_after_a_key_outside_utf_8(store):
+    """The first page was malformed, in each call until the key was gone."""
+    store.put("servers/a\ud800", ODD_CONTENTS["no-json"].encode())
+    store.put("servers/z", GOOD)
+    assert sorted(store.items_by_key)[1] == "servers/a\ud800"
+    view, _ = await read_once(store)
+    assert set(find_targets(view)) == {"own", "z"}
+    assert any("after=servers/a%ED%A0%80" in target for target in store.targets)
