Test odd keys beside real processes

An agent and two balancers run beside keys with spaces, quotes, slashes, control and non-ASCII characters and a lone surrogate.

--- a/tests/odd_entries.py
+++ b/tests/odd_entries.py
@@ -48,6 +48,17 @@
     "warmup-left-ms": 0,
     "sequence": 4,
 }
+IDS = {
+    "empty": "",
+    "200-bytes": "x" * 192,
+    "spaces": " a b ",
+    "quotes": "\"a\"='b'",
+    "slashes": "a//b/../c",
+    "query": "a&after=z?#%2F+",
+    "control": "a\x00\n\r\x1b[2J\x7f",
+    "non-ascii": "nad\N{LATIN SMALL LETTER I WITH ACUTE}\N{GRINNING FACE}",
+    "like-another": "own ",
+}
 KINDS = ("nested", "numbers", "ports")
 
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -47,6 +47,7 @@
 from tests.odd_entries import (
     DEPTHS,
     ENTRY,
+    IDS,
     KINDS,
     NUMBERS,
     PORTS,
@@ -64,17 +65,6 @@
 
 REGIONS = {"nadi-a": "viti-west", "suva-a": "viti-east"}
 GOOD = {**ENTRY, "address": "127.0.0.8:8165"}
-IDS = {
-    "empty": "",
-    "200-bytes": "x" * 192,
-    "spaces": " a b ",
-    "quotes": "\"a\"='b'",
-    "slashes": "a//b/../c",
-    "query": "a&after=z?#%2F+",
-    "control": "a\x00\n\r\x1b[2J\x7f",
-    "non-ascii": "nad\N{LATIN SMALL LETTER I WITH ACUTE}\N{GRINNING FACE}",
-    "like-another": "own ",
-}
 # Forms of which one each is read in every way that a balancer reads the store.
 ODD_CONTENTS = {
     "nested-lists": nest(100_000)["lists"],
--- a/tests/test_odd_entries_daemons.py
+++ b/tests/test_odd_entries_daemons.py
@@ -14,7 +14,7 @@
 import pytest
 
 from soak.packets import SYN
-from tests.odd_entries import KINDS, TEXTS_BY_KIND
+from tests.odd_entries import IDS, KINDS, TEXTS_BY_KIND
 from tests.platform_process import is_ready
 from tests.test_connection_daemon import (
     ADDED_IP,
@@ -148,19 +148,34 @@
     await trial.expect("configuration after the deletion", 445)
 
 
-@pytest.mark.parametrize("kind", KINDS)
-async def test_odd_entries_end_no_process_and_leave_the_list_followed(trial, kind):
-    """Balancers ended at nested entries, again after each restart."""
-    texts = TEXTS_BY_KIND[kind]
-    for name, text in texts.items():
-        trial.deployment.store.put(f"servers/odd-{name}", text.encode())
+async def run_beside(trial, contents_by_key, odd_key):
+    """Start and restart the processes beside odd entries, and make changes."""
+    for key, content in contents_by_key.items():
+        trial.deployment.store.put(key, content)
     await sleep(ENTRY_SPREAD_S)
     trial.check("the entries")
     await trial.start("added", ADDED_IP, "its start", seeds=(BALANCER_IP,))
     await trial.expect("openings beside the entries")
     await trial.restart("balancer", BALANCER_IP)
     await trial.restart("agent", AGENT_IP)
-    name = ODD_NAMES_BY_KIND[kind]
     async with time_limit(60):
-        await follow_changes(trial, f"servers/odd-{name}", texts[name].encode())
+        await follow_changes(trial, odd_key, contents_by_key[odd_key])
+
+
+@pytest.mark.parametrize("kind", KINDS)
+async def test_odd_entries_end_no_process_and_leave_the_list_followed(trial, kind):
+    """Balancers ended at nested entries, again after each restart."""
+    contents_by_key = {
+        f"servers/odd-{name}": text.encode()
+        for name, text in TEXTS_BY_KIND[kind].items()
+    }
+    await run_beside(trial, contents_by_key, f"servers/odd-{ODD_NAMES_BY_KIND[kind]}")
+    assert (trial.ended, trial.missed) == ([], [])
+
+
+async def test_odd_keys_end_no_process_and_leave_the_list_followed(trial):
+    """Balancers read no item beside a key that is no valid UTF-8."""
+    odd = TEXTS_BY_KIND["ports"][ODD_NAMES_BY_KIND["ports"]].encode()
+    contents_by_key = {f"servers/{id_}": odd for id_ in (*IDS.values(), "a\ud800")}
+    await run_beside(trial, contents_by_key, "servers/a\ud800")
     assert (trial.ended, trial.missed) == ([], [])
