--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -29,6 +29,7 @@
     decode_message,
     encode_message,
 )
+from lycheeglade.route import pick_service
 from lycheeglade.store_revision import StoreRevision
 from lycheeglade.view import State
 from lycheeglade.view_transfer import fetch_view, serve_view
@@ -550,3 +551,15 @@
     view, _ = await read_once(store)
     assert set(find_targets(view)) == {"own", "z"}
     assert any("after=servers/a%ED%A0%80" in target for target in store.targets)
+
+
+@pytest.mark.parametrize("weight", [1e308, 1.7e308])
+def test_largest_weights_leave_the_services_in_use(weight):
+    """Their sum is infinite, and no service was chosen for any opening."""
+    backends = [{"service": name, "weight": weight} for name in ("s1", "s2")]
+    route = {**ROUTE, "service": "", "backends": backends}
+    catalog = make_catalog()
+    catalog.apply(item(CONFIGURATION_KEY, {"version": 2, "routes": [route]}))
+    (route,) = view_of(catalog, 1).routes_by_address.values()
+    picked = [pick_service(route, number << 24) for number in range(256)]
+    assert picked.count("s1") == picked.count("s2") == 128
