--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -19,12 +19,16 @@
 from lycheeglade.connection_balancer import (
     receive_message,
     receive_segment,
+    tick,
     update_routing,
 )
 from lycheeglade.known_view import KnownView
 from lycheeglade.logs import format_field
 from lycheeglade.relay_message import (
+    ConnectionNotHeld,
     Duty,
+    ForwardSegment,
+    LoadRequest,
     ViewStatus,
     decode_message,
     encode_message,
@@ -38,8 +42,11 @@
 from store_reader import follow_store, read_store
 from tests import store_stand_in
 from tests.connections import (
+    AGENTS,
     TARGETS,
     BalancerRecorder,
+    data,
+    from_caller,
     make_report,
     make_target,
     make_view,
@@ -65,6 +72,9 @@
 __all__ = ["respond"]
 
 REGIONS = {"nadi-a": "viti-west", "suva-a": "viti-east"}
+# Time after which a balancer has given up agents that it never heard.
+UNHEARD_S = 8.0
+TICK_S = 0.02
 # Ends a read that would go on forever; others take milliseconds.
 ENDLESS_S = 10.0
 GOOD = {**ENTRY, "address": "127.0.0.8:8165"}
@@ -565,3 +575,28 @@
     (route,) = view_of(catalog, 1).routes_by_address.values()
     picked = [pick_service(route, number << 24) for number in range(256)]
     assert picked.count("s1") == picked.count("s2") == 128
+
+
+@pytest.mark.parametrize("count", [1, 50])
+def test_search_ends_beside_targets_that_nobody_has_heard(count):
+    """It asks their agents too, and must not wait for them."""
+    odd = [make_target(100 + number, slots=2**53) for number in range(count)]
+    recorder = BalancerRecorder()
+    balancer = recorder.make(make_view([*TARGETS, *odd]))
+    key = from_caller().key_from_caller
+    now = 0.0
+    while not recorder.resets and now < UNHEARD_S + 1.0:
+        now += TICK_S
+        if now > UNHEARD_S:
+            receive_segment(balancer, data(), now)
+        tick(balancer, now)
+        sent, recorder.sent[:] = list(recorder.sent), []
+        for agent, message in sent:
+            if agent not in AGENTS:
+                continue
+            if isinstance(message, LoadRequest):
+                receive_message(balancer, make_report(), agent, now)
+            elif isinstance(message, ForwardSegment):
+                receive_message(balancer, ConnectionNotHeld(key, 1), agent, now)
+    assert [reset for reset, _ in recorder.resets] == [key]
+    assert now < UNHEARD_S + 0.4
