--- a/lycheeglade/connection_daemon.py
+++ b/lycheeglade/connection_daemon.py
@@ -62,6 +62,8 @@
         Address for packets of callers (balancer) or of the target (agent).
     caller_port : int
         Port at which callers receive packets.
+    zone : Zone, optional
+        Zone of a balancer.
     upstream : Address, optional
         Address at which an agent's target receives packets.
     service : str
@@ -73,10 +75,10 @@
     """
 
     host_id: str
-    zone: Zone
     internal: Address
     external: Address
     caller_port: int
+    zone: Zone | None = None
     upstream: Address | None = None
     service: str = ""
     limits: ConnectionLimits = DEFAULT_LIMITS
