--- a/tests/test_deployed_settings.py
+++ b/tests/test_deployed_settings.py
@@ -80,3 +80,27 @@
     text = TEXT + "\nbounds.warmup-overage=0\nbounds.warmup-slack=0\n"
     settings = parse_settings(text, "boot.conf")
     assert (settings.warmup_overage, settings.warmup_slack) == (None, 0.0)
+
+
+@pytest.mark.parametrize(
+    "seed",
+    [
+        "edge-a:8166",
+        "10.2.0.40:\N{SUPERSCRIPT TWO}",
+        "10.2.0.40:99999",
+        "10.2.0.40:" + "9" * 5000,
+        "10.2.0.40",
+        "10.2.0.400:8166",
+        "10.2.0.40\0:8166",
+        "10.2.0.40:8166:8166",
+        "x" * 100_000,
+    ],
+    ids=lambda seed: seed[:20],
+)
+def test_seed_that_cannot_be_used_is_named_and_the_others_are_used(seed):
+    """It ended the process, or made it forget the other seeds."""
+    text = without("seeds") + f"\nseeds=10.1.0.10:8166,{seed},,10.1.0.11:8166\n"
+    settings = parse_settings(text, "boot.conf")
+    assert settings.seeds == (Address("10.1.0.10", 7720), Address("10.1.0.11", 7720))
+    assert list(settings.reasons_by_seed) == [seed]
+    assert settings.reasons_by_seed[seed]
