Wait at the start for settings that can be used

Cause: a settings file that is empty, cut off, missing, a folder or not UTF-8, as for a moment while it is being rewritten, ended both roles with exit code 2, and so did the next start.

The reason is logged as `settings-unreadable` when it changes, its end as `settings-regained`. SIGTERM ends the wait at once. A missing LYCHEEGLADE_CONFIG, a wrong command line and wrong limits stay usage errors with exit code 2. The events of the wait and of the process go to one EventLog, so that its counts are complete; its label of an agent's latencies is set once the settings are known.

--- a/lycheeglade/connection_daemon.py
+++ b/lycheeglade/connection_daemon.py
@@ -100,17 +100,20 @@
     beyond the bound are only counted. The histogram module is imported with
     the first latency, to keep the start of the process short.
 
-    Parameters
+    Attributes
     ----------
     service : str
         Label of the latencies.
+
+    Parameters
+    ----------
     lost_by_event : Counter
         Lines that the log's handler could not write, by event. They are
         reported and removed.
     """
 
     def __init__(self, service: str = "", lost_by_event: Counter[str] | None = None):
-        self._service = service
+        self.service = service
         self._second = 0
         self._lines_by_event: Counter[str] = Counter()
         self._left_out_by_event: Counter[str] = Counter()
@@ -156,7 +159,7 @@
             from lycheeglade.histograms import Metrics
 
             self._metrics = Metrics()
-        self._metrics.record(self._service, ANY_KIND, stage, seconds)
+        self._metrics.record(self.service, ANY_KIND, stage, seconds)
 
     def set_gauge(self, name: str, value: float) -> None:
         """Set a metric that may rise and fall."""
--- a/tests/test_settings_at_start.py
+++ b/tests/test_settings_at_start.py
@@ -1,23 +1,58 @@
 """Processes whose settings can't be used, or change at any moment."""
 
+import sys
+from asyncio import create_subprocess_exec, sleep
 from asyncio.subprocess import PIPE
+from signal import SIGTERM
+from time import monotonic
 
 import pytest
 
+from tests.platform_process import PATH_VARIABLE, format_settings, is_ready
 from tests.test_connection_daemon import (
     BALANCER_IP,
     IP_BY_ROLE,
+    ROOT,
     wait_ready,
 )
 from tests.test_connection_daemon import deployment as start_deployment
 
+# A process is ready within this time if nothing keeps it.
+START_S = 1.5
+STOP_S = 0.5
+
 deployment = start_deployment
 
 
+async def start(role, *arguments, path=None):
+    """Start a process whose settings are at `path`, whatever they are."""
+    return await create_subprocess_exec(
+        sys.executable,
+        str(ROOT / "platform" / "main.py"),
+        role,
+        *arguments,
+        env={} if path is None else {PATH_VARIABLE: str(path)},
+        stdout=PIPE,
+        stderr=PIPE,
+    )
+
+
+def make_settings(deployment, role, **fields):
+    ip = IP_BY_ROLE[role]
+    return format_settings(role, role, ip, deployment.address, "s1", **fields)
+
+
+def find_events(output, event):
+    key = f" event={event} "
+    return [line for line in output.decode().splitlines() if key in line]
+
+
 async def end(process):
+    """End the process, and return what it has written to standard output."""
     if process.returncode is None:
         process.kill()
-    await process.wait()
+    output, _ = await process.communicate()
+    return output
 
 
 @pytest.mark.parametrize(
@@ -50,7 +85,85 @@
     try:
         await wait_ready(BALANCER_IP)
     finally:
-        process.terminate()
-        output, _ = await process.communicate()
-    (line,) = [line for line in output.splitlines() if b"event=seed-ignored" in line]
-    assert b"seed=edge-a:8166 reason=\"'edge-a' does not" in line
+        output = await end(process)
+    (line,) = find_events(output, "seed-ignored")
+    assert "seed=edge-a:8166 reason=\"'edge-a' does not" in line
+
+
+def cut_off(path, text):
+    path.write_text(text[: len(text) // 2])
+
+
+SPOIL_BY_NAME = {
+    "empty": lambda path, text: path.write_text(""),
+    "cut-off": cut_off,
+    "not-utf-8": lambda path, text: path.write_bytes(text.encode() + b"a=\xff\n"),
+    "missing": lambda path, text: None,
+    "folder": lambda path, text: path.mkdir(),
+    "below-a-file": lambda path, text: path.parent.write_text(text),
+    "wrong-value": lambda path, text: path.write_text(f"{text}ip=nowhere\n"),
+}
+
+
+def remove(path):
+    if path.parent.is_file():
+        path.parent.unlink()
+    elif path.is_dir():
+        path.rmdir()
+    path.parent.mkdir(exist_ok=True)
+
+
+@pytest.mark.parametrize("spoil", SPOIL_BY_NAME.values(), ids=SPOIL_BY_NAME)
+@pytest.mark.parametrize("role", IP_BY_ROLE)
+async def test_process_waits_for_settings_that_it_can_use(deployment, role, spoil):
+    """It ended with exit code 2, and again at each restart."""
+    path = deployment.folder / role / "boot.conf"
+    text = make_settings(deployment, role)
+    if spoil is not SPOIL_BY_NAME["below-a-file"]:
+        path.parent.mkdir()
+    spoil(path, text)
+    process = await start(role, path=path)
+    try:
+        await sleep(START_S)
+        assert process.returncode is None
+        assert not await is_ready(IP_BY_ROLE[role])
+        remove(path)
+        path.write_text(text)
+        await wait_ready(IP_BY_ROLE[role])
+    finally:
+        output = await end(process)
+    (line,) = find_events(output, "settings-unreadable")
+    assert f" path={path} reason=" in line
+    assert len(find_events(output, "settings-regained")) == 1
+
+
+@pytest.mark.parametrize("role", IP_BY_ROLE)
+async def test_stop_ends_a_process_that_waits_for_its_settings(deployment, role):
+    process = await start(role, path=deployment.folder / "missing.conf")
+    try:
+        line = await process.stdout.readline()
+        assert b" event=settings-unreadable " in line
+        process.send_signal(SIGTERM)
+        stopped_at = monotonic()
+        assert await process.wait() in (0, -SIGTERM)
+        assert monotonic() - stopped_at < STOP_S
+    finally:
+        await end(process)
+
+
+@pytest.mark.parametrize("role", IP_BY_ROLE)
+async def test_missing_variable_and_bad_command_lines_are_usage_errors(tmp_path, role):
+    """Time doesn't mend them, so the process must not wait."""
+    path = tmp_path / "missing.conf"
+    limits = tmp_path / "limits.ini"
+    limits.write_text("[limits]\nbalancer_connections = many\n")
+    for process in (
+        await start(role),
+        await start(role, "a", "b", path=path),
+        await start(role + "s", path=path),
+        await start(role, str(limits), path=path),
+        await start(role, str(path), path=path),
+    ):
+        _, errors = await process.communicate()
+        assert process.returncode == 2
+        assert errors
--- /dev/null
+++ b/tests/test_settings_file.py
@@ -0,0 +1,72 @@
+"""Reading of a settings file that may change at any moment."""
+
+import pytest
+
+from deployed_settings import AGENT, BALANCER
+from settings_file import RETRY_S, SettingsFile
+from tests.test_deployed_settings import TEXT
+
+
+@pytest.fixture
+def path(tmp_path):
+    return tmp_path / "boot.conf"
+
+
+@pytest.fixture
+def events():
+    return []
+
+
+@pytest.fixture
+def log(events):
+    return lambda event, **fields: events.append((event, fields))
+
+
+def test_error_is_logged_when_it_changes_and_not_each_time(path, events, log):
+    pauses = []
+
+    def pause(seconds):
+        pauses.append(seconds)
+        if len(pauses) == 10:
+            path.write_text("")
+        if len(pauses) == 20:
+            path.write_text(TEXT)
+
+    settings = SettingsFile(str(path), AGENT, log).wait(pause)
+    assert settings.host_id == "side-a-1"
+    assert pauses == [RETRY_S] * 20
+    assert events == [
+        (
+            "settings-unreadable",
+            {"path": str(path), "reason": "No such file or directory"},
+        ),
+        (
+            "settings-unreadable",
+            {"path": str(path), "reason": "ip: is missing or empty"},
+        ),
+        ("settings-regained", {"path": str(path)}),
+    ]
+
+
+def test_usable_settings_are_read_at_once_and_without_a_line(path, events, log):
+    path.write_text(TEXT)
+    assert SettingsFile(str(path), BALANCER, log).wait(pytest.fail).seeds
+    assert events == []
+
+
+def test_file_without_read_permission_is_read_again(path, events, log, monkeypatch):
+    """Tests may run as a user to whom permissions don't apply."""
+    path.write_text(TEXT)
+
+    def deny(path):
+        raise PermissionError(13, "Permission denied", path)
+
+    monkeypatch.setattr("settings_file.read_text", deny)
+    settings = SettingsFile(str(path), BALANCER, log).wait(
+        lambda seconds: monkeypatch.undo()
+    )
+    assert settings.host_id == "side-a-1"
+    assert events[0] == (
+        "settings-unreadable",
+        {"path": str(path), "reason": "Permission denied"},
+    )
