Go on with the latest seeds that could be read

Cause: a balancer that runs read its seeds through all of its settings. One bad value anywhere in the file made it fall back to the seeds of its start, of which none may be left.

Change: SettingsFile reads only the seeds again, and keeps the latest ones that it could read. Each seed that can't be used is logged once when it appears. read_settings has no caller left; the test of settings that are not UTF-8 demands the same error of read_text, which raises it.

--- a/tests/test_foreign_input.py
+++ b/tests/test_foreign_input.py
@@ -18,7 +18,7 @@
 from msgspec.msgpack import decode as decode_msgpack
 
 from catalog import CONFIGURATION_KEY, Catalog, WireItem
-from deployed_settings import parse_settings, read_settings
+from deployed_settings import parse_settings, read_text
 from lycheeglade import connection_agent, connection_balancer
 from lycheeglade.address import Address
 from lycheeglade.agent import receive_datagram
@@ -243,7 +243,7 @@
     path = tmp_path / "boot.conf"
     path.write_bytes(TEXT.encode() + b"seeds=\xff\xfe\n")
     with pytest.raises(OptionError, match=r"boot.conf: \[settings\] text"):
-        read_settings(str(path))
+        read_text(str(path))
 
 
 def make_segment(generator):
--- a/tests/test_settings_at_start.py
+++ b/tests/test_settings_at_start.py
@@ -1,19 +1,32 @@
 """Processes whose settings can't be used, or change at any moment."""
 
 import sys
-from asyncio import create_subprocess_exec, sleep
+from asyncio import (
+    DatagramProtocol,
+    create_subprocess_exec,
+    get_running_loop,
+    sleep,
+)
 from asyncio.subprocess import PIPE
 from signal import SIGTERM
 from time import monotonic
 
 import pytest
 
-from tests.platform_process import PATH_VARIABLE, format_settings, is_ready
+from tests.platform_process import (
+    INTERNAL_PORT,
+    PATH_VARIABLE,
+    format_settings,
+    is_ready,
+)
 from tests.test_connection_daemon import (
+    ADDED_IP,
     BALANCER_IP,
     IP_BY_ROLE,
     ROOT,
+    SEEDS_PERIOD_S,
     wait_ready,
+    wait_until,
 )
 from tests.test_connection_daemon import deployment as start_deployment
 
@@ -167,3 +180,68 @@
         _, errors = await process.communicate()
         assert process.returncode == 2
         assert errors
+
+
+class Seed(DatagramProtocol):
+    """Counts the datagrams of a balancer to one of its seeds."""
+
+    def __init__(self):
+        self.received = 0
+
+    def datagram_received(self, data, addr):
+        self.received += 1
+
+
+@pytest.fixture
+async def seed():
+    transport, protocol = await get_running_loop().create_datagram_endpoint(
+        Seed, local_addr=(ADDED_IP, INTERNAL_PORT)
+    )
+    yield protocol
+    transport.close()
+    await sleep(0)
+
+
+async def test_balancer_that_runs_keeps_the_latest_seeds_that_it_could_read(
+    deployment, seed
+):
+    """It fell back to the seeds of its start, of which none may be left."""
+    path = deployment.folder / "boot.conf"
+    path.write_text(make_settings(deployment, "balancer"))
+    process = await start("balancer", path=path)
+    try:
+        await wait_ready(BALANCER_IP)
+        assert not seed.received
+        text = make_settings(deployment, "balancer", seeds=(ADDED_IP,))
+        path.write_text(text)
+        await wait_until(lambda: seed.received)
+        for spoil in (cut_off, SPOIL_BY_NAME["empty"], SPOIL_BY_NAME["not-utf-8"]):
+            spoil(path, text)
+            await sleep(SEEDS_PERIOD_S)
+            received = seed.received
+            await wait_until(lambda: seed.received > received)  # noqa: B023
+        path.unlink()
+        await sleep(SEEDS_PERIOD_S)
+        received = seed.received
+        await wait_until(lambda: seed.received > received)
+        assert process.returncode is None
+    finally:
+        await end(process)
+
+
+async def test_seeds_are_read_again_beside_a_value_that_cannot_be_used(
+    deployment, seed
+):
+    """Any wrong value made a balancer go on with the seeds of its start."""
+    path = deployment.folder / "boot.conf"
+    path.write_text(make_settings(deployment, "balancer"))
+    process = await start("balancer", path=path)
+    try:
+        await wait_ready(BALANCER_IP)
+        text = make_settings(deployment, "balancer", seeds=("edge-a", ADDED_IP))
+        path.write_text(text + "listen.ready-addr=nowhere\n")
+        await wait_until(lambda: seed.received)
+        await sleep(SEEDS_PERIOD_S)
+    finally:
+        output = await end(process)
+    assert len(find_events(output, "seed-ignored")) == 1
--- a/tests/test_settings_file.py
+++ b/tests/test_settings_file.py
@@ -1,8 +1,11 @@
 """Reading of a settings file that may change at any moment."""
 
+from os import utime
+
 import pytest
 
 from deployed_settings import AGENT, BALANCER
+from lycheeglade.address import Address
 from settings_file import RETRY_S, SettingsFile
 from tests.test_deployed_settings import TEXT
 
@@ -70,3 +73,44 @@
         "settings-unreadable",
         {"path": str(path), "reason": "Permission denied"},
     )
+
+
+def test_seeds_stay_until_others_can_be_used(path, events, log):
+    file = SettingsFile(str(path), BALANCER, log)
+    path.write_text(TEXT)
+    seeds = file.wait(pytest.fail).seeds
+    for text in (
+        "",
+        TEXT.replace("seeds=", "seed="),
+        TEXT + "seeds=edge-a:8166\n",
+        TEXT + "seeds=edge-a:8166,edge-b:8166\n",
+    ):
+        path.write_text(text)
+        assert file.find_seeds() == file.find_seeds() == seeds
+    path.unlink()
+    assert file.find_seeds() == seeds
+    path.write_text(TEXT + "seeds=10.1.0.11:8166,edge-b:8166\nip=nowhere\n")
+    assert file.find_seeds() == file.find_seeds() == (Address("10.1.0.11", 7720),)
+    path.write_text(TEXT + "seeds=\n")
+    assert file.find_seeds() == ()
+    path.write_text("")
+    assert file.find_seeds() == ()
+    assert [event for event, _ in events] == [
+        "settings-unreadable",
+        "settings-regained",
+        "seed-ignored",
+        "seed-ignored",
+        "settings-unreadable",
+        "settings-regained",
+    ]
+
+
+def test_two_changes_in_quick_succession_are_both_followed(path, log):
+    """The second one must not be missed for having the time of the first."""
+    file = SettingsFile(str(path), BALANCER, log)
+    path.write_text(TEXT)
+    file.wait(pytest.fail)
+    for number in (11, 12):
+        path.write_text(f"{TEXT}seeds=10.1.0.{number}:8166\n")
+        utime(path, (1, 1))
+        assert file.find_seeds() == (Address(f"10.1.0.{number}", 7720),)
