Follow a store whose address changes in the settings

Cause: the address was read only at the start, so a balancer that runs asked the former address until it was restarted.

Change: StoreClient asks for the address before each call, and opens a new connection if it has changed. Reading it only with a new connection would not do: a store that refuses keeps its connections open. SettingsFile reads it again as it does the seeds, independently of them, with the latest good one as fallback, and logs `store-moved`. The tests of StoreClient and StoreReader pass in a function, and demand what they did. The events of test_seeds_stay_until_others_can_be_used now name that the address is missing, too.

--- a/tests/test_foreign_input.py
+++ b/tests/test_foreign_input.py
@@ -177,7 +177,8 @@
 async def test_nested_response_of_the_store_is_an_error_of_the_store(respond):
     body = f'{{"items":[],"x":{nest(2000)}}}'.encode()
     head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode()
-    client = StoreClient(await respond(head + body), EraReader(ignore_event))
+    address = await respond(head + body)
+    client = StoreClient(lambda: address, EraReader(ignore_event))
     with pytest.raises(StoreError):
         await client.get("/kv-range?prefix=", WireRange, 1.0)
     client.close()
--- a/tests/test_settings_at_start.py
+++ b/tests/test_settings_at_start.py
@@ -8,23 +8,31 @@
     sleep,
 )
 from asyncio.subprocess import PIPE
+from dataclasses import replace
 from signal import SIGTERM
 from time import monotonic
 
 import pytest
 
+from lycheeglade.address import Address
 from tests.platform_process import (
     INTERNAL_PORT,
     PATH_VARIABLE,
     format_settings,
     is_ready,
 )
+from tests.store_stand_in import StoreStandIn
 from tests.test_connection_daemon import (
     ADDED_IP,
+    AGENT_IP,
     BALANCER_IP,
     IP_BY_ROLE,
     ROOT,
     SEEDS_PERIOD_S,
+    STORE_IP,
+    make_key,
+    put_routes,
+    wait_for_route,
     wait_ready,
     wait_until,
 )
@@ -245,3 +253,49 @@
     finally:
         output = await end(process)
     assert len(find_events(output, "seed-ignored")) == 1
+
+
+def refuse(store):
+    store.status = 503
+
+
+def fall_silent(store):
+    store.status = None
+
+
+LEAVE_BY_NAME = {
+    "serves": lambda store: None,
+    "refuses": refuse,
+    "silent": fall_silent,
+    "gone": lambda store: store.stop(),
+}
+
+
+@pytest.mark.parametrize("leave", LEAVE_BY_NAME.values(), ids=LEAVE_BY_NAME)
+async def test_balancer_that_runs_follows_a_store_that_moves(deployment, leave):
+    """It asked the address of its start until it was restarted."""
+    path = deployment.folder / "boot.conf"
+    path.write_text(make_settings(deployment, "balancer"))
+    processes = [await start("balancer", path=path)]
+    moved = StoreStandIn()
+    moved.restore(deployment.store.copy())
+    moved.era = deployment.store.era
+    try:
+        processes.append(await deployment.start("agent", AGENT_IP))
+        await wait_ready(BALANCER_IP)
+        await wait_ready(AGENT_IP)
+        address = Address(*await moved.start(STORE_IP))
+        there = replace(deployment, store=moved, address=address)
+        leave(deployment.store)
+        path.write_text("platform.address=nowhere\n")
+        await sleep(SEEDS_PERIOD_S)
+        assert not moved.calls
+        path.write_text(make_settings(there, "balancer"))
+        await wait_until(lambda: "/kv-watch" in moved.calls)
+        put_routes(there, 2, 443, 444)
+        await wait_for_route(there, make_key(40021, service_port=444))
+    finally:
+        output, *_ = [await end(process) for process in processes]
+        moved.stop()
+    (line,) = find_events(output, "store-moved")
+    assert f" address={address} known={deployment.address}" in line
--- a/tests/test_settings_file.py
+++ b/tests/test_settings_file.py
@@ -96,12 +96,14 @@
     path.write_text("")
     assert file.find_seeds() == ()
     assert [event for event, _ in events] == [
+        "settings-unreadable",
         "settings-unreadable",
         "settings-regained",
         "seed-ignored",
         "seed-ignored",
         "settings-unreadable",
         "settings-regained",
+        "settings-unreadable",
     ]
 
 
@@ -114,3 +116,21 @@
         path.write_text(f"{TEXT}seeds=10.1.0.{number}:8166\n")
         utime(path, (1, 1))
         assert file.find_seeds() == (Address(f"10.1.0.{number}", 7720),)
+
+
+def test_store_and_seeds_change_independently(path, events, log):
+    """A value that can't be used must not keep the other one from changing."""
+    file = SettingsFile(str(path), BALANCER, log)
+    path.write_text(TEXT)
+    store = file.wait(pytest.fail).store
+    path.write_text(TEXT + "platform.address=\nseeds=10.1.0.11:8166\n")
+    assert file.find_store() == store
+    assert file.find_seeds() == (Address("10.1.0.11", 7720),)
+    path.write_text(TEXT.replace("seeds=", "seed=") + "platform.address=10.2.0.1:1\n")
+    assert file.find_store() == Address("10.2.0.1", 1)
+    assert file.find_seeds() == (Address("10.1.0.11", 7720),)
+    assert [fields.get("reason", event) for event, fields in events] == [
+        "platform.address: is missing or empty",
+        "seeds: is missing or empty",
+        "store-moved",
+    ]
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -36,7 +36,7 @@
 async def follower(store):
     views = []
     catalog = Catalog({"nadi-a": "viti-west"}, 7720, ignore_event)
-    client = StoreClient(store.address, EraReader(ignore_event))
+    client = StoreClient(lambda: store.address, EraReader(ignore_event))
     task = create_task(
         follow_store(client, catalog, views.append, Random(1), ignore_event)
     )
@@ -98,7 +98,7 @@
 
 
 async def test_store_that_is_down_is_an_error(store):
-    client = StoreClient(store.address, EraReader(ignore_event))
+    client = StoreClient(lambda: store.address, EraReader(ignore_event))
     store.status = 410
     with pytest.raises(HistoryGoneError):
         await client.get("/kv-watch?after=1&wait-ms=1&prefix=", WireEvents, 1.0)
@@ -112,7 +112,7 @@
 
 
 async def test_answer_that_does_not_come_is_an_error(store):
-    client = StoreClient(store.address, EraReader(ignore_event))
+    client = StoreClient(lambda: store.address, EraReader(ignore_event))
     path = f"/kv-watch?after={store.revision}&wait-ms=5000&prefix="
     with pytest.raises(StoreError):
         await client.get(path, WireEvents, 0.1)
@@ -122,7 +122,7 @@
     """A balancer stops by cancelling its tasks, wherever they wait."""
     for steps in range(MAX_LOOP_STEPS):
         log = []
-        client = StoreClient(store.address, EraReader(ignore_event))
+        client = StoreClient(lambda: store.address, EraReader(ignore_event))
         catalog = Catalog({"nadi-a": "viti-west"}, 7720, ignore_event)
         task = create_task(
             follow_store(
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -42,7 +42,7 @@
 
 def make_reader(store, log=lambda event, **fields: None):
     make_catalog = partial(Catalog, {"nadi-a": "viti-west"}, 7720, log)
-    return StoreReader(store.address, make_catalog, Random(1), log)
+    return StoreReader(lambda: store.address, make_catalog, Random(1), log)
 
 
 class FollowingBalancer:
