Wait for the values that an agent can't do without

Cause: listen.outbound, app and service were optional for both roles. An agent without the first ended with exit code 1, one without app or service reported ready, though it then has no target to deliver to, or takes the connections of its service for those of another (read in the code).

Change: for an agent they are required, so that it waits until it has them and names what is missing.

--- a/tests/test_settings_at_start.py
+++ b/tests/test_settings_at_start.py
@@ -190,6 +190,25 @@
         assert errors
 
 
+@pytest.mark.parametrize("line", ["listen.outbound=", "app=", "service="])
+async def test_agent_waits_for_each_value_that_it_needs(deployment, line):
+    """It ended with a traceback, or dropped or denied all packets forever."""
+    path = deployment.folder / "boot.conf"
+    text = make_settings(deployment, "agent")
+    path.write_text(f"{text}{line}\n")
+    process = await start("agent", path=path)
+    try:
+        await sleep(START_S)
+        assert process.returncode is None
+        assert not await is_ready(AGENT_IP)
+        path.write_text(text)
+        await wait_ready(AGENT_IP)
+    finally:
+        output = await end(process)
+    (line_logged,) = find_events(output, "settings-unreadable")
+    assert f'reason="{line[:-1]}: is missing or empty"' in line_logged
+
+
 class Seed(DatagramProtocol):
     """Counts the datagrams of a balancer to one of its seeds."""
 
