Don't use a settings file whose last line is cut off

Cause: a file that is read while it is being written may end within a value. `platform.address=10.200.1.7:81` was used as port 81, at a start until the next one.

--- a/tests/test_settings_file.py
+++ b/tests/test_settings_file.py
@@ -134,3 +134,39 @@
         "seeds: is missing or empty",
         "store-moved",
     ]
+
+
+def test_value_that_is_cut_off_is_not_used_for_a_shorter_one(path, events, log):
+    """Its process would use a wrong port until its next restart."""
+    path.write_text(TEXT[:-3])
+    settings = SettingsFile(str(path), BALANCER, log).wait(
+        lambda seconds: path.write_text(TEXT)
+    )
+    assert settings.store == Address("10.200.1.7", 8169)
+    assert events == [
+        (
+            "settings-unreadable",
+            {"path": str(path), "reason": "text: the last line has no end"},
+        ),
+        ("settings-regained", {"path": str(path)}),
+    ]
+
+
+def test_file_whose_last_line_has_no_end_is_used_once_it_stays(path, log):
+    """A platform that writes it so must not keep the process from starting."""
+    pauses = []
+    path.write_text(TEXT.strip())
+    settings = SettingsFile(str(path), BALANCER, log).wait(pauses.append)
+    assert settings.store == Address("10.200.1.7", 8169)
+    assert pauses == [RETRY_S]
+
+
+def test_change_that_is_cut_off_is_followed_once_it_stays(path, log):
+    path.write_text(TEXT)
+    file = SettingsFile(str(path), BALANCER, log)
+    store = file.wait(pytest.fail).store
+    path.write_text(TEXT + "platform.address=10.200.1.8:81")
+    assert file.find_store() == store
+    path.write_text(TEXT + "platform.address=10.200.1.8:8169")
+    assert file.find_store() == store
+    assert file.find_store() == Address("10.200.1.8", 8169)
