--- a/tests/test_deployed_settings.py
+++ b/tests/test_deployed_settings.py
@@ -104,3 +104,18 @@
     assert settings.seeds == (Address("10.1.0.10", 7720), Address("10.1.0.11", 7720))
     assert list(settings.reasons_by_seed) == [seed]
     assert settings.reasons_by_seed[seed]
+
+
+def test_own_zone_has_a_region_if_the_list_of_zones_lacks_it():
+    """All targets of the own zone were left out as unreadable."""
+    text = "\n".join(
+        line for line in TEXT.splitlines() if not line.startswith("zones.")
+    )
+    settings = parse_settings(f"{text}\nzones.nadi-b=viti-west\n", "boot.conf")
+    assert settings.region_by_zone == {"nadi-a": "viti-west", "nadi-b": "viti-west"}
+    assert parse_settings(text, "boot.conf").region_by_zone == {"nadi-a": "viti-west"}
+
+
+def test_own_zone_has_a_region_if_the_list_of_zones_names_none():
+    settings = parse_settings(f"{TEXT}\nzones.nadi-a=\n", "boot.conf")
+    assert settings.region_by_zone == {"nadi-a": "viti-west", "nadi-b": "viti-west"}
--- a/tests/test_settings_at_start.py
+++ b/tests/test_settings_at_start.py
@@ -209,6 +209,24 @@
     assert f'reason="{line[:-1]}: is missing or empty"' in line_logged
 
 
+async def test_balancer_uses_targets_of_its_zone_if_the_list_of_zones_lacks_it(
+    deployment,
+):
+    """It left them all out as unreadable, and refused all openings."""
+    path = deployment.folder / "boot.conf"
+    text = make_settings(deployment, "balancer")
+    path.write_text(text.replace("zones.nadi-a=", "zones.elsewhere="))
+    processes = [await start("balancer", path=path)]
+    try:
+        processes.append(await deployment.start("agent", AGENT_IP))
+        await wait_ready(BALANCER_IP)
+        await wait_ready(AGENT_IP)
+        await wait_for_route(deployment, make_key(40031))
+    finally:
+        for process in processes:
+            await end(process)
+
+
 class Seed(DatagramProtocol):
     """Counts the datagrams of a balancer to one of its seeds."""
 
