--- a/tests/test_deployed_settings.py
+++ b/tests/test_deployed_settings.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from deployed_settings import parse_settings
+from deployed_settings import AGENT, BALANCER, parse_settings
 from lycheeglade.address import Address, Zone
 from lycheeglade.errors import OptionError
 
@@ -119,3 +119,43 @@
 def test_own_zone_has_a_region_if_the_list_of_zones_names_none():
     settings = parse_settings(f"{TEXT}\nzones.nadi-a=\n", "boot.conf")
     assert settings.region_by_zone == {"nadi-a": "viti-west", "nadi-b": "viti-west"}
+
+
+def test_ipv6_seed_is_named():
+    """A socket of the balancer's IPv4 address drops all messages to it."""
+    text = f"{TEXT}\nseeds=[fd00::1]:8166,10.1.0.11:8166\n"
+    settings = parse_settings(text, "boot.conf")
+    assert settings.seeds == (Address("10.1.0.11", 7720),)
+    reason = "expected an address of the family of 10.1.0.13"
+    assert settings.reasons_by_seed == {"[fd00::1]:8166": reason}
+
+
+def test_repeated_seeds_are_one():
+    text = f"{TEXT}\nseeds=10.1.0.11:8166,10.1.0.11:8166,10.1.0.11:1\n"
+    settings = parse_settings(text, "boot.conf")
+    assert set(settings.seeds) == {Address("10.1.0.11", 7720)}
+
+
+def test_ipv6_address_of_the_store_is_used():
+    text = f"{TEXT}\nplatform.address=[fd00::1]:8169\n"
+    settings = parse_settings(text, "boot.conf")
+    assert settings.store == Address("fd00::1", 8169)
+
+
+@pytest.mark.parametrize("role", [BALANCER, AGENT])
+@pytest.mark.parametrize("junk", ["\0", "\0" * 5000, "=" * 5000, "x" * 1_000_000])
+def test_unknown_lines_change_nothing(junk, role):
+    """New fields may come, whatever they hold."""
+    usual = parse_settings(TEXT, "boot.conf", role)
+    text = f"{junk}\na={junk}\n{junk}=\n{TEXT}\n{junk}"
+    assert parse_settings(text, "boot.conf", role) == usual
+
+
+@pytest.mark.parametrize("name", ["ip", "platform.address", "app", "seeds"])
+def test_nul_bytes_make_an_address_unusable(name):
+    text = f"{TEXT}\n{name}=10.1.0.13\0:8165\n"
+    if name == "seeds":
+        assert parse_settings(text, "boot.conf").seeds == ()
+    else:
+        with pytest.raises(OptionError, match=name):
+            parse_settings(text, "boot.conf")
