Shorten long values of the settings in the log

Cause: of a long value that can't be used, the log line held only the beginning of the value, and not what is wrong with it.

Change: the middle of a long seed or reason is left out.

--- a/tests/test_settings_file.py
+++ b/tests/test_settings_file.py
@@ -170,3 +170,13 @@
     path.write_text(TEXT + "platform.address=10.200.1.8:8169")
     assert file.find_store() == store
     assert file.find_store() == Address("10.200.1.8", 8169)
+
+
+@pytest.mark.parametrize("line", ["ip={}", "seeds={}:8166", "platform.address={}:1"])
+def test_long_values_are_shortened_in_the_log(path, events, log, line):
+    """The rest of the line, with what is wrong, was cut off."""
+    path.write_text(TEXT + line.format("x" * 1_000_000) + "\n")
+    SettingsFile(str(path), BALANCER, log).wait(lambda seconds: path.write_text(TEXT))
+    fields = events[0][1]
+    assert all(len(value) < 1000 for value in fields.values())
+    assert "does not appear to be an IP" in fields["reason"]
