Log a settings path that is not UTF-8, or very long

Cause: the log's handler encoded its lines strictly. A path whose bytes are not UTF-8 ended the process with exit code 1 (UnicodeEncodeError) as it was logged; a very long one left no room for the reason.

--- a/lycheeglade/logs.py
+++ b/lycheeglade/logs.py
@@ -84,7 +84,9 @@
 
     def emit(self, record: LogRecord) -> None:
         """Write the line for `record`, or count it as lost."""
-        line = self.format(record).encode()[: PIPE_BUF - 1] + b"\n"
+        # Text of the environment may hold bytes that are not UTF-8 (PEP 383).
+        text = self.format(record).encode(errors="backslashreplace")
+        line = text[: PIPE_BUF - 1] + b"\n"
         try:
             events = self._poll.poll(0)
             if not events or not events[0][1] & POLLOUT:
--- a/tests/test_settings_at_start.py
+++ b/tests/test_settings_at_start.py
@@ -9,6 +9,7 @@
 )
 from asyncio.subprocess import PIPE
 from dataclasses import replace
+from os import fsdecode
 from signal import SIGTERM
 from time import monotonic
 
@@ -158,6 +159,19 @@
     assert len(find_events(output, "settings-regained")) == 1
 
 
+@pytest.mark.parametrize("name", [b"\xff\xfe", b"x" * 5000], ids=["bytes", "long"])
+async def test_process_waits_where_its_path_is_no_usual_text(tmp_path, name):
+    """It ended as it logged a path that is not UTF-8."""
+    process = await start("agent", path=fsdecode(bytes(tmp_path) + b"/" + name))
+    try:
+        await sleep(START_S)
+        assert process.returncode is None
+    finally:
+        output = await end(process)
+    (line,) = find_events(output, "settings-unreadable")
+    assert " reason=" in line
+
+
 @pytest.mark.parametrize("role", IP_BY_ROLE)
 async def test_stop_ends_a_process_that_waits_for_its_settings(deployment, role):
     process = await start(role, path=deployment.folder / "missing.conf")
