--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -222,7 +222,7 @@
 
 async def read_once(store):
     """Read the store as a balancer does at its start."""
-    client = StoreClient(store.address, EraReader(ignore_event))
+    client = StoreClient(lambda: store.address, EraReader(ignore_event))
     try:
         catalog = Catalog(REGIONS, 7720, log_formatted)
         return await read_store(client, catalog, log_formatted)
@@ -234,7 +234,7 @@
 async def follow(store):
     """Follow the store as a balancer does, and yield the published views."""
     views = []
-    client = StoreClient(store.address, EraReader(ignore_event))
+    client = StoreClient(lambda: store.address, EraReader(ignore_event))
     catalog = Catalog(REGIONS, 7720, log_formatted)
     task = create_task(
         follow_store(client, catalog, views.append, Random(1), log_formatted)
@@ -445,7 +445,8 @@
     odd = f'{{"key":"servers/odd","value":"e30=","revision":{revision}}}'
     body = f'{{"items":[{own},{odd}],"has-more":false,"current-rev":5}}'.encode()
     head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode()
-    client = StoreClient(await respond(head + body), EraReader(ignore_event))
+    address = await respond(head + body)
+    client = StoreClient(lambda: address, EraReader(ignore_event))
     catalog = Catalog(REGIONS, 7720, log_formatted)
     answer = await read_store(client, catalog, log_formatted)
     client.close()
@@ -536,7 +537,8 @@
     name = b"items" if path == "/kv-range" else b"events"
     body = b'{"%b":[%b],"current-rev":5}' % (name, items % (value, odd, value))
     head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode()
-    client = StoreClient(await respond(head + body), EraReader(ignore_event))
+    address = await respond(head + body)
+    client = StoreClient(lambda: address, EraReader(ignore_event))
     kind = WireRange if path == "/kv-range" else WireEvents
     answer = await client.get(path, kind, 1.0)
     client.close()
