Judge whether a target is older than its agent by its latest start

What callers saw: after a loss of power, searches waited for agents that stayed away or that could not deny, until their callers gave up.

Cause: the loss was not detected. For the first half second the store, and balancers that read it then, name the former starts of the targets.

Change: agents go by the latest start that a balancer has named, and balancers by the agent's latest report. Balancers whose views differ name both in turn; an earlier start changes nothing.

Measured: before, test_loss_of_power_is_told_once_the_store_names_the_targets_new_starts failed with "assert False: is_reset()"; no reset was logged. test_agents_that_restart_in_turn_have_not_lost_power held before as well.

--- a/lycheeglade/connection_agent.py
+++ b/lycheeglade/connection_agent.py
@@ -122,7 +122,11 @@
         return
     agent.target_lifetime = lifetime
     before_agent_s = _target_lead(agent)
-    agent.is_target_older |= before_agent_s > MAX_START_DELAY_S
+    if lifetime > agent.latest_lifetime:
+        # After a loss of power the store names the former process of the
+        # target until the present one has registered.
+        agent.latest_lifetime = lifetime
+        agent.has_target_run_before = before_agent_s > MAX_START_DELAY_S
     agent.actions.log(
         "target-started", lifetime=lifetime, before_agent_s=before_agent_s
     )
@@ -389,7 +393,7 @@
     if not connection.is_open:
         connection.is_open = True
         if connection.sequence < 0:
-            agent.is_target_older = True
+            agent.has_older_connection = True
         connection.balancers |= agent.searching_balancers_by_key.pop(key, set())
         notify_balancers(agent, key, connection)
 
--- a/lycheeglade/connection_agent_state.py
+++ b/lycheeglade/connection_agent_state.py
@@ -126,9 +126,14 @@
     is_port_closed : bool
         Whether no process listened at the target's port since the target has
         become silent.
-    is_target_older : bool
-        Whether the target has outlived an earlier process: it started long
-        before this one, or holds connections that opened before.
+    latest_lifetime : int
+        Latest `target_lifetime`, since balancers' views may differ.
+    has_target_run_before : bool
+        Whether the target of `latest_lifetime` started so long before this
+        process that it has outlived an earlier one.
+    has_older_connection : bool
+        Whether the target holds connections that opened before this process
+        started.
     has_reported_full_window : bool
         Whether the latest load report said that a cold target can take no
         opening at present.
@@ -175,7 +180,9 @@
     is_leaving: bool = False
     has_target_ended: bool = False
     is_port_closed: bool = False
-    is_target_older: bool = False
+    latest_lifetime: int = 0
+    has_target_run_before: bool = False
+    has_older_connection: bool = False
     port_checked_at: float = float("-inf")
     searches: SearchRelay | None = None
     warmup_bounds: WarmupBounds | None = None
--- a/lycheeglade/connection_load.py
+++ b/lycheeglade/connection_load.py
@@ -80,7 +80,7 @@
         failing=agent.failures.share(now),
         target_ended=agent.has_target_ended or (silent and agent.is_port_closed),
         age=now - agent.started_at,
-        is_target_older=agent.is_target_older,
+        is_target_older=agent.has_target_run_before or agent.has_older_connection,
     )
 
 
--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -439,7 +439,9 @@
         if load.last_heard_at > float("-inf")
     ]
     young = sum(
-        _has_just_started(load, now) and not load.is_restart_planned for load in heard
+        _has_just_started(load, now)
+        and not (load.is_restart_planned or load.is_target_older)
+        for load in heard
     )
     balancer.is_mass_restart = young > MASS_RESTART_SHARE * len(heard)
 
--- a/lycheeglade/target_load.py
+++ b/lycheeglade/target_load.py
@@ -103,8 +103,10 @@
     started_at : float
         Start of the agent's process, -inf if it is not reported.
     is_restart_planned : bool
-        Whether the agent's process before the present one announced its exit,
-        or its target has outlived that process.
+        Whether the agent's process before the present one announced its exit.
+    is_target_older : bool
+        Whether the agent has reported that its target has outlived an earlier
+        process.
     """
 
     last_heard_at: float = float("-inf")
@@ -136,6 +138,7 @@
     service: str = ""
     started_at: float = float("-inf")
     is_restart_planned: bool = False
+    is_target_older: bool = False
 
     def is_cold(self, now: float) -> bool:
         """Return whether the target is cold and its openings are limited."""
--- a/tests/connection_fleet.py
+++ b/tests/connection_fleet.py
@@ -150,6 +150,7 @@
 
     def __init__(self, agents=12, seed=1):
         self.now = 0.0
+        self.revision = 4
         self.events = []
         self.order = count()
         self.generator = Random(seed)
@@ -166,8 +167,14 @@
         self.at(0.0, self._tick)
         self.at(0.0, self._request_by_others)
 
-    def start_balancer(self):
-        """Start another process of the balancer."""
+    def start_balancer(self, targets=None):
+        """Start another process of the balancer.
+
+        Parameters
+        ----------
+        targets : list of Target, optional
+            Targets as the store names them, by default as they are.
+        """
         actions = ConnectionBalancerActions(
             send=lambda to, message: self.transmit(self.balancer.address, to, message),
             reset=lambda key, ack: self.resets.append((key, self.now)),
@@ -176,7 +183,14 @@
         self.balancer = ConnectionBalancer(
             OWN_ZONE, Address("10.1.0.10", 7720), actions, self.generator
         )
-        view = make_view([agent.target for agent in self.agents])
+        self.apply_view(
+            [agent.target for agent in self.agents] if targets is None else targets
+        )
+
+    def apply_view(self, targets):
+        """Let the balancer follow the store, which names `targets`."""
+        self.revision += 1
+        view = make_view(targets, revision=self.revision)
         update_routing(self.balancer, view, self.now or 1e-6)
 
     def at(self, time, act):
--- a/tests/test_false_resets.py
+++ b/tests/test_false_resets.py
@@ -218,6 +218,55 @@
     assert fleet.is_reset()
 
 
+def test_loss_of_power_is_told_once_the_store_names_the_targets_new_starts():
+    """Until then, all targets seemed to have outlived their agents.
+
+    The agents kept to this, so that the loss of power was never detected and
+    searches waited for the agents that stayed away.
+    """
+    fleet = Fleet()
+    fleet.run(3.0)
+    named = [agent.target for agent in fleet.agents]
+    for agent in fleet.agents[:-2]:
+        agent.start_with_target(3.0)
+    for agent in fleet.agents[-2:]:
+        agent.stop()
+    fleet.start_balancer(named)
+    for number in range(12):
+        fleet.call(3.1 + number * 0.2)
+    fleet.run(3.8)
+    fleet.apply_view([agent.target for agent in fleet.agents])
+    fleet.run(4.6)
+    assert fleet.is_reset()
+
+
+@pytest.mark.parametrize("agents", [8, 48])
+@pytest.mark.parametrize("seed", range(4))
+def test_agents_that_restart_in_turn_have_not_lost_power(agents, seed):
+    """Balancers that have started meanwhile heard no announcement."""
+    generator = Random(seed)
+    fleet = Fleet(agents)
+    fleet.others = fleet.others[:2]
+    detected = []
+
+    def check():
+        if fleet.balancer.is_mass_restart:
+            detected.append(fleet.now)
+        fleet.at(fleet.now + 0.05, check)
+
+    for number, agent in enumerate(fleet.agents):
+        at = 1.0 + number // 3 * 0.5
+        # The agents are away for so long that as many as possible return at
+        # once, or for any time.
+        seconds = 2.5 - at % 2.5 if seed % 2 else generator.uniform(0.2, 2.5)
+        agent.restart(at, max(0.4, seconds))
+    for second in range(2, 10):
+        fleet.at(second + generator.random(), fleet.start_balancer)
+    fleet.at(0.5, check)
+    fleet.run(11.0)
+    assert detected == []
+
+
 def test_connection_of_a_target_that_has_ended_is_reset():
     """Its agent lives, and its entry is still in the store."""
     fleet = Fleet()
