Start the soak's processes as the platform does

The soak's processes imported runpy, the event loop and the transport before the first line of platform/main.py, so a signal in the first tenth of a second met the soak's own imports. They now run that program with -S as their first step, and its sockets are replaced when it imports their module.

--- a/soak/network.py
+++ b/soak/network.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from lycheeglade.address import Address
-from soak.process import unwrap_datagram, wrap_datagram
+from soak.proxied_socket import unwrap_datagram, wrap_datagram
 
 Receiver = Callable[[bytes, Address], None]
 
--- a/soak/process.py
+++ b/soak/process.py
@@ -1,59 +1,47 @@
 """Run a balancer or agent whose datagrams pass through the soak's proxy.
 
-Usage: ``python -m soak.process ROLE``. Each datagram is prefixed with the
-address of its original source or final destination, since the proxy can't send
-from an address to which a process is bound.
+Usage: ``python -S soak/process.py ROLE``, as the platform runs
+``platform/main.py``. Only `sys` and `os` are imported before the first line of
+that program, so that its start takes as long as on the platform. Its sockets
+are replaced when it imports their module.
 """
 
 import sys
 from os import environ
-from pathlib import Path
-from runpy import run_path
-from socket import inet_aton, inet_ntoa
-from struct import Struct
-
-from lycheeglade import transport
-from lycheeglade.address import Address, parse_address
+from os.path import dirname, join, realpath
 
 PROXY_VARIABLE = "SOAK_PROXY"
-MAIN = Path(__file__).parent.parent / "platform" / "main.py"
-ADDRESS_PREFIX = Struct("!4sH")
-
-
-def wrap_datagram(address: Address, datagram: bytes) -> bytes:
-    """Prefix a datagram with the address of its source or destination."""
-    return ADDRESS_PREFIX.pack(inet_aton(address[0]), address[1]) + datagram
-
-
-def unwrap_datagram(datagram: bytes) -> tuple[Address, bytes]:
-    """Return the address in the prefix of a datagram and its content."""
-    ip, port = ADDRESS_PREFIX.unpack_from(datagram)
-    return Address(inet_ntoa(ip), port), datagram[ADDRESS_PREFIX.size :]
-
+TRANSPORT = "lycheeglade.transport"
 
-def make_proxied_socket(proxy: Address) -> type:
-    """Return a socket class that sends and receives through `proxy`."""
 
-    class ProxiedSocket(transport.DatagramSocket):
-        __slots__ = ()
+class TransportFinder:
+    """Finds the module of sockets and lets it use the soak's proxy."""
 
-        def __init__(self, loop, on_datagram, **options):
-            def unwrap(datagram, source):
-                address, content = unwrap_datagram(datagram)
-                on_datagram(content, address)
+    @staticmethod
+    def find_spec(name, path=None, target=None):
+        """Return the spec of the module of sockets, None for others."""
+        if name != TRANSPORT:
+            return None
+        path_finder = sys.meta_path[-1]
+        spec = path_finder.find_spec(name, path, target)
+        execute = spec.loader.exec_module
 
-            super().__init__(loop, unwrap, **options)
+        def execute_and_replace(module):
+            execute(module)
+            from lycheeglade.address import parse_address
+            from soak.proxied_socket import make_proxied_socket
 
-        def send(self, datagram, address=None):
-            super().send(wrap_datagram(address, datagram), proxy)
+            proxy = parse_address(environ[PROXY_VARIABLE])
+            module.DatagramSocket = make_proxied_socket(module.DatagramSocket, proxy)
 
-    return ProxiedSocket
+        spec.loader.exec_module = execute_and_replace
+        return spec
 
 
 if __name__ == "__main__":
-    transport.DatagramSocket = make_proxied_socket(
-        parse_address(environ[PROXY_VARIABLE])
-    )
-    sys.path.insert(0, str(MAIN.parent))
-    sys.argv = [str(MAIN), *sys.argv[1:]]
-    run_path(str(MAIN), run_name="__main__")
+    sys.meta_path.insert(0, TransportFinder)
+    sys.path[0] = join(dirname(dirname(realpath(__file__))), "platform")
+    __file__ = sys.argv[0] = join(sys.path[0], "main.py")
+    with open(__file__, "rb") as source:
+        program = compile(source.read(), __file__, "exec")
+    exec(program)
