Let the soak find processes that end by themselves

Hosts whose process started or stopped got no SIGHUP, their ends were not recorded, a process that had ended counted as started, addresses were always free and settings always whole.

Change: each end that the soak didn't ask for is a breach of ENDED, counted by host, and the process starts again 0.25 s later. SIGHUP reaches all processes, from 0.05 s after their start until they have stopped. A start may find one of its addresses held, damaged settings, a malformed seed, no usable standard output, a slow processor, SIGTERM, or two of these; afterwards the process must be ready within the stability window, or it is a breach of READY.

Result: a planted breach of each kind is found (test_soak.py).

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -3,11 +3,15 @@
 import sys
 from argparse import ArgumentParser
 from asyncio import gather, run
+from collections import Counter
 from pathlib import Path
 from tempfile import mkdtemp
 
 from soak.round import Report, run_round
 
+# Breaches of each rule by one process or connection that are printed.
+MAX_PRINTED = 4
+
 
 def parse_arguments(arguments: list[str]):
     """Parse the command-line arguments."""
@@ -35,12 +39,20 @@
 
 
 def print_report(report: Report) -> None:
-    """Print the result of one round and at most 20 of its breaches."""
+    """Print the result of one round and the first breaches of each subject."""
     counts = " ".join(f"{name}={n}" for name, n in sorted(report.counts.items()))
     state = f"BROKEN {len(report.breaches)}" if report.breaches else "held"
     print(f"seed {report.seed}: {state}; {counts}", flush=True)
-    for breach in report.breaches[:20]:
-        print(f"  {breach}; logs in {report.folder}", flush=True)
+    path = report.folder / "breaches.txt"
+    path.write_text("".join(f"{breach}\n" for breach in report.breaches))
+    printed_by_subject = Counter()
+    for breach in report.breaches:
+        subject = " ".join(breach.split(maxsplit=3)[1:3])
+        printed_by_subject[subject] += 1
+        if printed_by_subject[subject] <= MAX_PRINTED:
+            print(f"  {breach}", flush=True)
+    if report.breaches:
+        print(f"  all breaches: {path}, beside the logs", flush=True)
 
 
 async def run_rounds(options) -> int:
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -2,6 +2,7 @@
 
 import sys
 from asyncio import (
+    Lock,
     create_subprocess_exec,
     create_task,
     gather,
@@ -11,14 +12,15 @@
 from asyncio import timeout as time_limit
 from asyncio.subprocess import Process
 from collections import deque
-from collections.abc import Iterator
-from contextlib import ExitStack, contextmanager
-from dataclasses import dataclass
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager, suppress
+from dataclasses import dataclass, field
 from math import inf
-from os import environ
+from os import environ, kill
 from pathlib import Path
 from random import Random
-from signal import SIGTERM
+from signal import SIGHUP, SIGKILL, SIGTERM
+from sysconfig import get_path
 from typing import IO
 
 from xxhash import xxh3_64_intdigest
@@ -28,7 +30,7 @@
 from soak.caller import Caller
 from soak.network import Network
 from soak.process import PROXY_VARIABLE
-from soak.promises import ALL_HOSTS, PromiseChecker
+from soak.promises import ALL_HOSTS, STABILITY_S, PromiseChecker
 from soak.store_link import StoreLink
 from soak.target import Target
 from tests.platform_process import (
@@ -36,9 +38,7 @@
     DATAGRAM_PORT,
     OUTBOUND_PORT,
     PATH_VARIABLE,
-    READY_PORT,
     ZONES,
-    fetch,
     format_settings,
     is_ready,
 )
@@ -69,6 +69,20 @@
 READY_TIMEOUT_S = 0.4
 START_S = 20.0
 GRACE_S = 6.0
+# The platform starts a process again after this time.
+RESTART_DELAY_S = 0.25
+# No signal is sent to a process that has run for less than this time: until
+# the interpreter runs the first line of the program, which takes some tens of
+# milliseconds, a signal has its default action whatever the program does.
+MIN_SIGNAL_DELAY_S = 0.05
+# Most handlers are installed, and most imports are done, before the first.
+EARLY_SIGNAL_S, LATE_SIGNAL_S = 0.3, 1.0
+# Numbers of SIGHUPs after a start, one of which is chosen.
+HANGUPS = (0, 1, 1, 3)
+# Between two SIGHUPs to a process that stops.
+MAX_STOP_HANGUP_S = 0.1
+STOP_HANGUP_SHARE = 0.5  # Share of the stops with SIGHUPs.
+PROGRAM = (sys.executable, "-S", str(ROOT / "soak" / "process.py"))
 # A sleep that ends later than this counts as a stall of the soak's event loop.
 # The processes that it started may have stalled too.
 STALL_S = 0.3
@@ -89,6 +103,28 @@
     log: IO | None = None
     misses: int = MISSES_UNTIL_UNREADY
     is_busy: bool = False
+    # Whether a process that ends by itself is started again.
+    is_wanted: bool = False
+    # Held while a process of the host is being created.
+    creating: Lock = field(default_factory=Lock)
+    # The process that the soak itself has stopped or killed.
+    stopped: Process | None = None
+    started_at: float = 0.0
+    hangup_at: float = -inf
+    # Disturbances of the current start, see `soak.starts`.
+    disturbances: list[str] = field(default_factory=list)
+    # Factor by which the process is slowed down.
+    slowdown: float = 1.0
+    # Changes the settings before they are written; None leaves no file.
+    damage: Callable[[str], str | None] = str
+    extra_seeds: tuple[str, ...] = ()
+    output: IO | int | None = None
+    has_output: bool = True
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process of the host runs."""
+        return self.process is not None and self.process.returncode is None
 
     @property
     def is_ready(self) -> bool:
@@ -114,6 +150,7 @@
         self.store = StoreStandIn()
         self.targets_by_ip: dict[str, Target] = {}
         self.routes: dict[Address, str] = {}
+        self.program = PROGRAM
         # Addresses of agents whose target is being removed or replaced.
         self.unavailable_target_ips: set[str] = set()
         self.evacuated_zone = ""
@@ -166,9 +203,7 @@
         self._tasks.append(create_task(self._poll_readiness()))
         self._tasks.append(create_task(self._watch_stalls()))
         self._tasks.append(create_task(self._age_copies()))
-        async with time_limit(START_S):
-            await self._wait_ready()
-            await gather(*map(self.wait_started, self.agents))
+        await gather(*(self.check_serving(host, START_S) for host in self.hosts))
         for number in range(CALLERS):
             caller = Caller(
                 Address(self._ip(100 + number), DATAGRAM_PORT),
@@ -187,8 +222,8 @@
             task.cancel()
         await gather(*self._tasks, return_exceptions=True)
         for host in self.hosts:
-            if host.process is not None and host.process.returncode is None:
-                host.process.kill()
+            if host.is_running:
+                self.send_signal(host, SIGKILL)
                 await host.process.wait()
             if host.log is not None:
                 host.log.close()
@@ -198,21 +233,16 @@
         await sleep(0)
 
     def check_tasks(self) -> None:
-        """Raise the error of a failed task and record unexpected exits."""
+        """Raise the error of a failed task."""
         for task in self._tasks:
             if task.done():
                 task.result()
-        for host in self.hosts:
-            if not host.is_busy and host.process.returncode is not None:
-                code = host.process.returncode
-                self.promises.record_breach("ENDED", host.name, f"exit code {code}")
-                host.is_busy = True
+        self._tasks = [task for task in self._tasks if not task.done()]
 
-    async def start_process(self, host: Host) -> None:
-        """Write the settings of a host and start its process."""
+    def write_settings(self, host: Host) -> None:
+        """Write the settings file of a host, or remove it, as damaged."""
         seeds = tuple(b.ip for b in self.balancers if b is not host)
-        path = self._folder / f"{host.name}.conf"
-        path.write_text(
+        text = host.damage(
             format_settings(
                 host.name,
                 host.role,
@@ -220,42 +250,141 @@
                 Address(host.ip, STORE_PORT),
                 host.service,
                 host.zone,
-                seeds,
+                host.extra_seeds + seeds,
             )
             + f"bounds.warmup-overage={WARMUP_OVERAGE}\n"
             + f"bounds.warmup-slack={WARMUP_SLACK}\n"
         )
+        path = self._settings_path(host)
+        if text is None:
+            path.unlink(missing_ok=True)
+        else:
+            path.write_text(text)
+
+    def _settings_path(self, host: Host) -> Path:
+        return self._folder / f"{host.name}.conf"
+
+    async def start_process(self, host: Host) -> None:
+        """Write the settings of a host and start its process.
+
+        SIGHUP may follow at any moment of the start.
+        """
+        self.write_settings(host)
+        host.is_wanted = True
+        async with host.creating:
+            await self._spawn(host)
+        for _ in range(self.generator.choice(HANGUPS)):
+            delay = self.draw_signal_delay(host)
+            self._tasks.append(create_task(self._hang_up_later(host, delay)))
+
+    async def _spawn(self, host: Host) -> None:
+        """Start the process of a host, which is started again when it ends."""
         if host.log is None:
             host.log = (self._folder / f"{host.name}.log").open("ab")
+        program = (*self.program, host.role)
+        if not host.has_output:
+            program = ("/bin/sh", "-c", 'exec "$0" "$@" >&-', *program)
+        host.started_at = self.now()
         host.process = await create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "soak.process",
-            host.role,
+            *program,
             cwd=ROOT,
             env={
                 **environ,
-                PATH_VARIABLE: str(path),
+                "PYTHONPATH": get_path("purelib"),
+                PATH_VARIABLE: str(self._settings_path(host)),
                 PROXY_VARIABLE: f"{self._proxy.ip}:{self._proxy.port}",
             },
-            stdout=host.log,
+            stdout=host.log if host.output is None else host.output,
             stderr=host.log,
         )
+        self._tasks.append(create_task(self._watch_process(host, host.process)))
 
-    async def wait_started(self, host: Host) -> None:
-        """Wait until a process handles signals, or has exited."""
-        async with time_limit(START_S):
-            while host.process.returncode is None and not await fetch(
-                host.ip, READY_PORT, "/ready"
-            ):
-                await sleep(STALL_POLL_S)
+    async def _watch_process(self, host: Host, process: Process) -> None:
+        """Record the end of a process that nobody stopped, and restart it.
+
+        The platform does so too, with the settings file as it is.
+        """
+        code = await process.wait()
+        if process is host.stopped:
+            return
+        self._record_end(host, code)
+        await sleep(RESTART_DELAY_S)
+        async with host.creating:
+            if host.is_wanted and host.process is process:
+                await self._spawn(host)
+
+    def _record_end(self, host: Host, code: int) -> None:
+        now = self.now()
+        detail = f"exit code {code}, {now - host.started_at:.3f} s after its start"
+        if host.hangup_at >= host.started_at:
+            detail += f", {now - host.hangup_at:.3f} s after SIGHUP"
+        if host.process is host.stopped:
+            detail += ", stopping"
+        if host.disturbances:
+            detail += f", {' and '.join(host.disturbances)}"
+        self.promises.record_breach("ENDED", host.name, detail)
+        self.promises.counts[f"ended-{host.name}"] += 1
+
+    def draw_signal_delay(self, host: Host) -> float:
+        """Return when a signal is sent, in seconds after the start."""
+        latest = self.generator.choice((EARLY_SIGNAL_S, LATE_SIGNAL_S))
+        return host.slowdown * self.generator.uniform(MIN_SIGNAL_DELAY_S, latest)
+
+    async def _hang_up_later(self, host: Host, delay: float) -> None:
+        await sleep(delay)
+        self.hang_up(host)
+
+    def hang_up(self, host: Host) -> None:
+        """Send SIGHUP to the process of a host, unless it just started."""
+        elapsed = self.now() - host.started_at
+        if host.is_running and elapsed >= MIN_SIGNAL_DELAY_S * host.slowdown:
+            host.hangup_at = self.now()
+            self.send_signal(host, SIGHUP)
+
+    def send_signal(self, host: Host, number: int) -> None:
+        """Send a signal to the process of a host, if it runs."""
+        if host.is_running:
+            # `Process.send_signal` may take the exit code from its watcher.
+            with suppress(ProcessLookupError):
+                kill(host.process.pid, number)
+
+    async def check_serving(self, host: Host, limit: float = STABILITY_S) -> None:
+        """Check that a process gets ready within `limit` seconds.
+
+        Faults of the host or of its store extend the time, to at most START_S
+        seconds.
+        """
+        began_at = self.now()
+        while not await self._is_ready(host):
+            elapsed = self.now() - began_at
+            is_late = elapsed > limit and self.promises.is_stable(host.ip)
+            if is_late or elapsed > START_S:
+                reasons = " and ".join(host.disturbances) or "no disturbance"
+                self.promises.record_breach(
+                    "READY", host.name, f"not ready in {elapsed:.3f} s, {reasons}"
+                )
+                break
+            await sleep(STALL_POLL_S)
+        host.disturbances.clear()
+
+    async def _end_restarts(self, host: Host) -> None:
+        """Let a process that is being created be the last one."""
+        host.is_wanted = False
+        async with host.creating:
+            pass
 
     async def stop_process(self, host: Host) -> None:
         """Stop a process with SIGTERM and check its exit.
 
-        The process has to exit within GRACE_S seconds and with code 0.
+        The process has to exit within GRACE_S seconds and with code 0, also if
+        it gets SIGHUP meanwhile.
         """
-        host.process.send_signal(SIGTERM)
+        await self._end_restarts(host)
+        if not host.is_running:
+            return
+        host.stopped = host.process
+        self.send_signal(host, SIGTERM)
+        hangups = create_task(self._hang_up_while_stopping(host))
         try:
             async with time_limit(GRACE_S):
                 code = await host.process.wait()
@@ -263,10 +392,27 @@
             self.promises.record_breach(
                 "GRACE", host.name, "still running at the end of the grace time"
             )
-            host.process.kill()
-            code = await host.process.wait()
+            self.send_signal(host, SIGKILL)
+            await host.process.wait()
+            return
+        finally:
+            hangups.cancel()
         if code:
-            self.promises.record_breach("ENDED", host.name, f"exit code {code}")
+            self._record_end(host, code)
+
+    async def _hang_up_while_stopping(self, host: Host) -> None:
+        if self.generator.random() < STOP_HANGUP_SHARE:
+            while True:
+                await sleep(self.generator.uniform(0.0, MAX_STOP_HANGUP_S))
+                self.hang_up(host)
+
+    async def kill_process(self, host: Host) -> None:
+        """Kill the process of a host, which is not started again."""
+        await self._end_restarts(host)
+        if host.is_running:
+            host.stopped = host.process
+            self.send_signal(host, SIGKILL)
+            await host.process.wait()
 
     def publish_routes(self, routes: dict[Address, str]) -> None:
         """Publish a configuration with `routes` and record its changes."""
@@ -430,27 +576,20 @@
     def _choose_route(self) -> tuple[Address, str]:
         return self.generator.choice(sorted(self.routes.items()))
 
-    async def _wait_ready(self) -> None:
-        while not all(balancer.is_ready for balancer in self.balancers):
-            for host in self.hosts:
-                if host.process.returncode is not None:
-                    raise RuntimeError(
-                        f"{host.name}: exited during the start, see {host.log.name}"
-                    )
-            await sleep(STALL_POLL_S)
-
     async def _poll_readiness(self) -> None:
         while True:
             await gather(*map(self._poll, self.balancers))
             await sleep(READY_POLL_S)
 
     async def _poll(self, host: Host) -> None:
+        host.misses = 0 if await self._is_ready(host) else host.misses + 1
+
+    async def _is_ready(self, host: Host) -> bool:
         try:
             async with time_limit(READY_TIMEOUT_S):
-                ready = await is_ready(host.ip)
+                return await is_ready(host.ip)
         except (OSError, TimeoutError):
-            ready = False
-        host.misses = 0 if ready else host.misses + 1
+            return False
 
     async def _watch_stalls(self) -> None:
         """Record stalls of this process as a fault of all hosts.
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,12 +4,13 @@
 from collections.abc import Awaitable, Callable, Iterator, Sequence
 from contextlib import contextmanager
 from random import Random
-from signal import SIGCONT, SIGHUP, SIGKILL, SIGSTOP
+from signal import SIGCONT, SIGSTOP
 
 from lycheeglade.address import Address
 from soak.deployment import MAX_LAG_S, SERVICES, WARMUP_S, Deployment, Host
 from soak.network import LinkFault
 from soak.promises import ALL_HOSTS
+from soak.starts import damage_settings, start_disturbed
 from soak.store_link import LinkState
 from tests.platform_process import ZONES
 
@@ -69,12 +70,11 @@
         if host is None:
             return
         with deployment.promises.unplanned_fault(host.ip):
-            host.process.send_signal(SIGKILL)
-            await host.process.wait()
+            await deployment.kill_process(host)
             await sleep(_draw_duration(generator))
-            await deployment.start_process(host)
+            await start_disturbed(deployment, host, generator)
             await sleep(READINESS_DELAY_S)
-        await deployment.wait_started(host)
+        await deployment.check_serving(host)
 
 
 async def pause_process(deployment: Deployment, generator: Random) -> None:
@@ -83,9 +83,9 @@
         if host is None:
             return
         with deployment.promises.unplanned_fault(host.ip):
-            host.process.send_signal(SIGSTOP)
+            deployment.send_signal(host, SIGSTOP)
             await sleep(_draw_duration(generator))
-            host.process.send_signal(SIGCONT)
+            deployment.send_signal(host, SIGCONT)
 
 
 async def restart_process(deployment: Deployment, generator: Random) -> None:
@@ -106,9 +106,17 @@
         await deployment.stop_process(host)
         if meanwhile is not None:
             await meanwhile(deployment, generator)
-        await deployment.start_process(host)
+        await start_disturbed(deployment, host, generator)
         await sleep(READINESS_DELAY_S)
-        await deployment.wait_started(host)
+        await deployment.check_serving(host)
+
+
+async def rewrite_settings(deployment: Deployment, generator: Random) -> None:
+    """Write the settings of a process again, in steps and without SIGHUP."""
+    with _reserve_idle_host(deployment.hosts, generator) as host:
+        if host is not None:
+            await damage_settings(deployment, host, generator)
+            await deployment.check_serving(host)
 
 
 async def restart_in_turn(deployment: Deployment, generator: Random) -> None:
@@ -127,10 +135,9 @@
 
 
 async def send_hangup(deployment: Deployment, generator: Random) -> None:
-    """Send SIGHUP to all idle hosts, whose processes reload their settings."""
+    """Send SIGHUP to all processes, also to those that start or stop."""
     for host in deployment.hosts:
-        if not host.is_busy:
-            host.process.send_signal(SIGHUP)
+        deployment.hang_up(host)
 
 
 async def harm_link(deployment: Deployment, generator: Random) -> None:
@@ -307,7 +314,7 @@
     await deployment.start_process(agent)
     await change_services(deployment, generator)
     await sleep(READINESS_DELAY_S)
-    await deployment.wait_started(agent)
+    await deployment.check_serving(agent)
     agent.is_busy = False
 
 
@@ -337,7 +344,7 @@
     await deployment.start_process(agent)
     deployment.add_target(agent, WARMUP_S)
     await deployment.load_cold_target(agent)
-    await deployment.wait_started(agent)
+    await deployment.check_serving(agent)
     agent.is_busy = False
     deployment.unavailable_target_ips.discard(agent.ip)
 
@@ -374,6 +381,8 @@
     restart_in_turn,
     restart_in_turn,
     send_hangup,
+    send_hangup,
+    rewrite_settings,
     harm_link,
     harm_link,
     harm_store_link,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,16 +1,28 @@
 """Short rounds of the soak, some with seeds that failed before."""
 
-from asyncio import create_task, get_running_loop, sleep
+import sys
+from asyncio import create_subprocess_exec, create_task, get_running_loop, sleep
+from asyncio import timeout as time_limit
 from collections import Counter
-from contextlib import ExitStack
+from contextlib import ExitStack, asynccontextmanager
+from errno import EBADF, ENOSPC, EPIPE
+from pathlib import Path
 from random import Random
-from socket import create_server
+from socket import SO_REUSEADDR, SOL_SOCKET, create_server, socket
 
 import pytest
 
-from lycheeglade.address import Address
+from deployed_settings import parse_settings
+from lycheeglade.address import Address, parse_address
 from lycheeglade.segment import ConnectionKey
-from soak.deployment import COPY_PERIOD_S, MAX_LAG_S, STORE_PORT, Deployment
+from soak.deployment import (
+    COPY_PERIOD_S,
+    MAX_LAG_S,
+    MIN_SIGNAL_DELAY_S,
+    RESTART_DELAY_S,
+    STORE_PORT,
+    Deployment,
+)
 from soak.network import LinkFault, Network
 from soak.packets import ACK, SYN, mark_returned, pack_segment
 from soak.promises import (
@@ -24,6 +36,16 @@
     PromiseChecker,
 )
 from soak.round import run_round
+from soak.starts import (
+    MALFORMED_SEEDS,
+    OUTPUTS,
+    SOCKETS_BY_ROLE,
+    broken_output,
+    damage_text,
+    holding_address,
+    slow_down,
+    start_disturbed,
+)
 from tests.faults import long_only
 from tests.test_connection_daemon import NETWORK
 
@@ -276,3 +298,259 @@
     while len(got) < 2:
         await sleep(0.01)
     assert get_running_loop().time() - began_at >= 0.05
+
+
+PRINT_AND_WAIT = "print('up', flush=True); time.sleep(60)"
+SLEEPER = f"import time; {PRINT_AND_WAIT}"
+EXITS_WITH_3 = "raise SystemExit(3)"
+
+
+def on_stop(action):
+    """Return a program that runs `action` when it gets SIGTERM."""
+    return f"""
+import signal, sys, time
+def stop(*arguments):
+    {action}
+signal.signal(signal.SIGTERM, stop)
+{PRINT_AND_WAIT}
+"""
+
+
+@asynccontextmanager
+async def planted(folder, program, monkeypatch, **constants):
+    """Provide a deployment and a busy host whose process is `program`."""
+    constants = {"HANGUPS": (0,), "STOP_HANGUP_SHARE": 0.0} | constants
+    for name, value in constants.items():
+        monkeypatch.setattr(f"soak.deployment.{name}", value)
+    deployment = Deployment(FIRST_SLOT + NETWORK, folder, Random(1))
+    deployment.program = (sys.executable, "-c", program)
+    host = deployment.balancers[0]
+    host.is_busy = True
+    try:
+        yield deployment, host
+        deployment.check_tasks()
+    finally:
+        host.is_wanted = False
+        await deployment.kill_process(host)
+        for task in deployment._tasks:
+            task.cancel()
+        host.log.close()
+
+
+async def wait_for_output(host):
+    """Wait until the planted program has printed that it is up."""
+    async with time_limit(10.0):
+        while b"up" not in Path(host.log.name).read_bytes():
+            await sleep(0.01)
+
+
+async def wait_for_breaches(deployment, number):
+    """Return the first `number` breaches without their times."""
+    async with time_limit(10.0):
+        while len(deployment.promises.breaches) < number:
+            await sleep(0.01)
+    breaches = deployment.promises.breaches[:number]
+    return [breach.partition(" ")[2] for breach in breaches]
+
+
+async def test_each_end_of_a_process_on_a_busy_host_is_found(tmp_path, monkeypatch):
+    """Ends on busy hosts, and thus all ends at the start, were not seen."""
+    async with planted(tmp_path, EXITS_WITH_3, monkeypatch) as (deployment, host):
+        began_at = deployment.now()
+        await deployment.start_process(host)
+        for breach in await wait_for_breaches(deployment, 3):
+            assert breach.startswith("ENDED balancer-0: exit code 3, ")
+        assert deployment.now() - began_at >= 2 * RESTART_DELAY_S
+        assert deployment.promises.counts["ended-balancer-0"] == 3
+
+
+async def test_killed_process_is_no_breach_and_not_restarted(tmp_path, monkeypatch):
+    async with planted(tmp_path, SLEEPER, monkeypatch) as (deployment, host):
+        await deployment.start_process(host)
+        await deployment.kill_process(host)
+        await sleep(2 * RESTART_DELAY_S)
+        assert deployment.promises.breaches == []
+        assert not host.is_running
+
+
+async def test_stop_includes_a_process_that_is_being_created(tmp_path, monkeypatch):
+    """Two processes of a host ran after a stop during a restart."""
+    processes = []
+
+    async def create_slowly(*arguments, **options):
+        await sleep(0.2)
+        processes.append(await create_subprocess_exec(*arguments, **options))
+        return processes[-1]
+
+    monkeypatch.setattr("soak.deployment.create_subprocess_exec", create_slowly)
+    async with planted(tmp_path, SLEEPER, monkeypatch) as (deployment, host):
+        await deployment.start_process(host)
+        processes[0].kill()
+        await wait_for_breaches(deployment, 1)
+        await sleep(RESTART_DELAY_S + 0.1)
+        await deployment.stop_process(host)
+        await sleep(RESTART_DELAY_S + 0.3)
+        assert len(processes) == 2
+        assert all(process.returncode is not None for process in processes)
+
+
+async def test_end_by_hangup_at_the_start_is_found(tmp_path, monkeypatch):
+    async with planted(tmp_path, SLEEPER, monkeypatch, HANGUPS=(1,)) as (
+        deployment,
+        host,
+    ):
+        await deployment.start_process(host)
+        (breach,) = await wait_for_breaches(deployment, 1)
+        assert breach.startswith("ENDED balancer-0: exit code -1, ")
+        assert "after SIGHUP" in breach
+
+
+async def test_hangup_spares_a_process_only_at_its_very_start(tmp_path, monkeypatch):
+    async with planted(tmp_path, SLEEPER, monkeypatch) as (deployment, host):
+        await deployment.start_process(host)
+        host.started_at = deployment.now()
+        deployment.hang_up(host)
+        await sleep(MIN_SIGNAL_DELAY_S)
+        assert host.is_running
+        deployment.hang_up(host)
+        assert len(await wait_for_breaches(deployment, 1)) == 1
+
+
+@pytest.mark.parametrize(
+    ("action", "expected"),
+    [
+        ("sys.exit(4)", "ENDED balancer-0: exit code 4, "),
+        ("time.sleep(9)", "GRACE balancer-0: "),
+    ],
+)
+async def test_failed_stop_is_found(action, expected, tmp_path, monkeypatch):
+    async with planted(tmp_path, on_stop(action), monkeypatch, GRACE_S=1.0) as (
+        deployment,
+        host,
+    ):
+        await deployment.start_process(host)
+        await wait_for_output(host)
+        await deployment.stop_process(host)
+        assert len(deployment.promises.breaches) == 1
+        assert expected in deployment.promises.breaches[0]
+
+
+async def test_end_by_hangup_while_stopping_is_found(tmp_path, monkeypatch):
+    program = on_stop("time.sleep(4); sys.exit(0)")
+    async with planted(tmp_path, program, monkeypatch, STOP_HANGUP_SHARE=1.0) as (
+        deployment,
+        host,
+    ):
+        await deployment.start_process(host)
+        await wait_for_output(host)
+        await deployment.stop_process(host)
+        (breach,) = await wait_for_breaches(deployment, 1)
+        assert "exit code -1" in breach
+        assert "stopping" in breach
+
+
+async def test_stop_soon_after_the_start_is_checked(tmp_path, monkeypatch):
+    monkeypatch.setattr("soak.starts.EARLY_STOP_SHARE", 1.0)
+    monkeypatch.setattr("soak.starts.DISTURBANCES_AT_ONCE", (0,))
+    async with planted(tmp_path, SLEEPER, monkeypatch) as (deployment, host):
+        await start_disturbed(deployment, host, Random(1))
+        (breach,) = await wait_for_breaches(deployment, 1)
+        assert breach.startswith("ENDED balancer-0: exit code -15, ")
+
+
+async def test_process_that_does_not_get_ready_is_found(tmp_path, monkeypatch):
+    async with planted(tmp_path, SLEEPER, monkeypatch, START_S=1.0) as (
+        deployment,
+        host,
+    ):
+        await deployment.start_process(host)
+        with deployment.promises.store_fault(host.ip):
+            began_at = deployment.now()
+            await deployment.check_serving(host, 0.2)
+            assert deployment.now() - began_at >= 1.0
+        await sleep(0.0)
+        monkeypatch.setattr("soak.promises.STABILITY_S", 0.1)
+        await deployment.check_serving(host, 0.2)
+        rules = [breach.split()[1] for breach in deployment.promises.breaches]
+        assert rules == ["READY", "READY"]
+
+
+@pytest.mark.parametrize("role", SOCKETS_BY_ROLE)
+async def test_held_address_can_not_be_bound(role, tmp_path):
+    deployment = Deployment(FIRST_SLOT + NETWORK, tmp_path, Random(1))
+    host = next(host for host in deployment.hosts if host.role == role)
+    for kind, port in SOCKETS_BY_ROLE[role]:
+        with socket(type=kind) as other:
+            other.setsockopt(SOL_SOCKET, SO_REUSEADDR, kind.name == "SOCK_STREAM")
+            with (
+                holding_address(host, kind, port),
+                pytest.raises(OSError, match="in use"),
+            ):
+                other.bind((host.ip, port))
+            other.bind((host.ip, port))
+
+
+async def test_settings_of_a_start_are_damaged_and_whole_again(tmp_path):
+    deployment = Deployment(FIRST_SLOT + NETWORK, tmp_path, Random(1))
+    host = deployment.balancers[0]
+    path = tmp_path / f"{host.name}.conf"
+    deployment.write_settings(host)
+    whole = path.read_text()
+    assert parse_settings(whole, "test").ip == host.ip
+    for name, left in (("absent", None), ("empty", ""), ("cut off", whole[:9])):
+        assert damage_text(name, 9.5 / len(whole), whole) == left
+    host.damage = lambda text: None
+    deployment.write_settings(host)
+    assert not path.exists()
+    host.damage = str
+    for seed in MALFORMED_SEEDS:
+        host.extra_seeds = (seed,)
+        deployment.write_settings(host)
+        (line,) = (x for x in path.read_text().splitlines() if x.startswith("seeds="))
+        first, *others = line.removeprefix("seeds=").split(",")
+        assert len(others) == len(deployment.balancers) - 1
+        with pytest.raises(ValueError, match=r"."):
+            parse_address(first)
+
+
+WRITER = """
+import os, select, sys
+poll = select.poll()
+poll.register(1, select.POLLOUT)
+events = dict(poll.poll(0))
+if not events:
+    sys.exit("blocked")
+try:
+    os.write(1, b"x")
+except OSError as error:
+    sys.exit(f"errno {error.errno}")
+"""
+
+
+async def test_standard_output_is_broken(tmp_path, monkeypatch):
+    async with planted(tmp_path, WRITER, monkeypatch) as (deployment, host):
+        for name in OUTPUTS:
+            with broken_output(host, name):
+                await deployment.start_process(host)
+                await host.process.wait()
+                host.is_wanted = False
+        lines = Path(host.log.name).read_text().split("\n")
+        expected = [f"errno {EBADF}", f"errno {EPIPE}", "blocked", f"errno {ENOSPC}"]
+        assert lines == [*expected, ""]
+
+
+async def test_slow_start_is_stopped_most_of_the_time(tmp_path, monkeypatch):
+    monkeypatch.setattr("soak.starts.MIN_SLOW_S", 1.0)
+    monkeypatch.setattr("soak.starts.MAX_SLOW_S", 1.0)
+    async with planted(tmp_path, SLEEPER, monkeypatch) as (deployment, host):
+        await deployment.start_process(host)
+        slow = create_task(slow_down(deployment, host, Random(1)))
+        states = Counter()
+        while not slow.done():
+            await sleep(0.005)
+            stat = Path(f"/proc/{host.process.pid}/stat").read_text()
+            states[stat.rpartition(")")[2].split()[0]] += 1
+        slow.result()
+        assert states["T"] > states.total() / 2
+        assert states["S"] > 0
+        assert host.slowdown == 1.0
