Measure in processor time when a program may get a signal

On a busy machine (load 21 on 8 cores) the interpreter ran the first line of an empty program 0.019 to 0.050 s after its start, so that 0.05 s alone could blame the program for a signal that no program can handle. In processor time it took 0.0154 to 0.0220 s in 60 starts at a load of 17. Signals now wait for 0.05 s and for 0.03 s of processor time.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -71,10 +71,15 @@
 GRACE_S = 6.0
 # The platform starts a process again after this time.
 RESTART_DELAY_S = 0.25
-# No signal is sent to a process that has run for less than this time: until
-# the interpreter runs the first line of the program, which takes some tens of
-# milliseconds, a signal has its default action whatever the program does.
+# No signal is sent to a process within this time after its start, nor before
+# it has used MIN_SIGNAL_CPU_S of processor time: until the interpreter runs
+# the first line of the program, a signal has its default action whatever the
+# program does. That takes up to 0.022 s of processor time, and longer on a
+# machine that is busy.
 MIN_SIGNAL_DELAY_S = 0.05
+MIN_SIGNAL_CPU_S = 0.03
+SIGNAL_POLL_S = 0.005
+NS_PER_S = 1e9
 # Most handlers are installed, and most imports are done, before the first.
 EARLY_SIGNAL_S, LATE_SIGNAL_S = 0.3, 1.0
 # Numbers of SIGHUPs after a start, one of which is chosen.
@@ -332,12 +337,27 @@
 
     async def _hang_up_later(self, host: Host, delay: float) -> None:
         await sleep(delay)
+        await self._wait_for_program(host)
         self.hang_up(host)
 
+    async def _wait_for_program(self, host: Host) -> None:
+        """Wait until the process of a host runs its program, or has ended."""
+        while host.is_running and not self._has_begun(host):
+            await sleep(SIGNAL_POLL_S)
+
+    def _has_begun(self, host: Host) -> bool:
+        try:
+            text = Path(f"/proc/{host.process.pid}/schedstat").read_text()
+        except OSError:
+            # The process has just ended.
+            return False
+        used_s = int(text.split()[0]) / NS_PER_S
+        elapsed = self.now() - host.started_at
+        return used_s >= MIN_SIGNAL_CPU_S and elapsed >= MIN_SIGNAL_DELAY_S
+
     def hang_up(self, host: Host) -> None:
         """Send SIGHUP to the process of a host, unless it just started."""
-        elapsed = self.now() - host.started_at
-        if host.is_running and elapsed >= MIN_SIGNAL_DELAY_S * host.slowdown:
+        if host.is_running and self._has_begun(host):
             host.hangup_at = self.now()
             self.send_signal(host, SIGHUP)
 
@@ -363,7 +383,7 @@
                 self.promises.record_breach(
                     "READY", host.name, f"not ready in {elapsed:.3f} s, {reasons}"
                 )
-                break
+                return
             await sleep(STALL_POLL_S)
         host.disturbances.clear()
 
@@ -380,6 +400,7 @@
         it gets SIGHUP meanwhile.
         """
         await self._end_restarts(host)
+        await self._wait_for_program(host)
         if not host.is_running:
             return
         host.stopped = host.process
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -319,6 +319,8 @@
 @asynccontextmanager
 async def planted(folder, program, monkeypatch, **constants):
     """Provide a deployment and a busy host whose process is `program`."""
+    # The planted programs use little processor time.
+    constants = {"MIN_SIGNAL_CPU_S": 0.01} | constants
     constants = {"HANGUPS": (0,), "STOP_HANGUP_SHARE": 0.0} | constants
     for name, value in constants.items():
         monkeypatch.setattr(f"soak.deployment.{name}", value)
@@ -408,10 +410,16 @@
 async def test_hangup_spares_a_process_only_at_its_very_start(tmp_path, monkeypatch):
     async with planted(tmp_path, SLEEPER, monkeypatch) as (deployment, host):
         await deployment.start_process(host)
+        await wait_for_output(host)
         host.started_at = deployment.now()
         deployment.hang_up(host)
+        await sleep(2 * MIN_SIGNAL_DELAY_S)
+        assert host.is_running
+        monkeypatch.setattr("soak.deployment.MIN_SIGNAL_CPU_S", 10.0)
+        deployment.hang_up(host)
         await sleep(MIN_SIGNAL_DELAY_S)
         assert host.is_running
+        monkeypatch.setattr("soak.deployment.MIN_SIGNAL_CPU_S", 0.0)
         deployment.hang_up(host)
         assert len(await wait_for_breaches(deployment, 1)) == 1
 
