Report errors in the soak that a process logs and outlives

An error of one of its parts no longer ends a process, so the soak would no longer see it. At the end of a round, each line of an error in the logs is a breach of LOGGED, except that of an address that the soak holds itself. A planted error is found (test_soak.py).

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager, suppress
 from dataclasses import dataclass, field
+from errno import EADDRINUSE
 from math import inf
 from os import environ, kill
 from pathlib import Path
@@ -87,6 +88,10 @@
 # Between two SIGHUPs to a process that stops.
 MAX_STOP_HANGUP_S = 0.1
 STOP_HANGUP_SHARE = 0.5  # Share of the stops with SIGHUPs.
+# Parts of log lines that tell of an error in the program.
+ERROR_MARKS = ("Traceback", "never retrieved", "event=part-failed", "level=error")
+# The soak holds addresses, and records each end itself.
+EXPECTED_ERRORS = (f"OSError({EADDRINUSE}, ", "event=ended")
 PROGRAM = (sys.executable, "-S", str(ROOT / "soak" / "process.py"))
 # A sleep that ends later than this counts as a stall of the soak's event loop.
 # The processes that it started may have stalled too.
@@ -435,6 +440,15 @@
             self.send_signal(host, SIGKILL)
             await host.process.wait()
 
+    def check_logs(self) -> None:
+        """Record the errors that processes have logged, also if they go on."""
+        for host in self.hosts:
+            text = Path(host.log.name).read_text(errors="replace")
+            for line in text.splitlines():
+                is_error = any(mark in line for mark in ERROR_MARKS)
+                if is_error and not any(mark in line for mark in EXPECTED_ERRORS):
+                    self.promises.record_breach("LOGGED", host.name, line)
+
     def publish_routes(self, routes: dict[Address, str]) -> None:
         """Publish a configuration with `routes` and record its changes."""
         now = self.now()
--- a/soak/round.py
+++ b/soak/round.py
@@ -57,6 +57,7 @@
     finally:
         await deployment.stop()
         watchdog.cancel()
+    deployment.check_logs()
     answered = promises.counts["answered"] - before["answered"]
     failed = sum(
         promises.counts[name] - before[name] for name in ("not-opened", "unanswered")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -366,6 +366,23 @@
         assert deployment.promises.counts["ended-balancer-0"] == 3
 
 
+async def test_error_that_a_process_outlives_is_found(tmp_path, monkeypatch):
+    """A process logs an error of one of its parts and goes on."""
+    lines = ("event=part-failed cause=store", "Traceback (most recent call last):")
+    allowed = ("event=load", "event=part-failed reason='OSError(98, ...)'")
+    allowed += ("level=error event=ended",)
+    program = f"print(*{(*lines, *allowed)}, 'up', sep='\\n')"
+    async with planted(tmp_path, program, monkeypatch) as (deployment, host):
+        await deployment.start_process(host)
+        await wait_for_output(host)
+        host.is_wanted = False
+        deployment.balancers, deployment.agents = [host], []
+        deployment.promises.breaches.clear()
+        deployment.check_logs()
+        found = [each.partition(" ")[2] for each in deployment.promises.breaches]
+        assert found == [f"LOGGED balancer-0: {line}" for line in lines]
+
+
 async def test_killed_process_is_no_breach_and_not_restarted(tmp_path, monkeypatch):
     async with planted(tmp_path, SLEEPER, monkeypatch) as (deployment, host):
         await deployment.start_process(host)
