--- a/lycheeglade/connection_agent_daemon.py
+++ b/lycheeglade/connection_agent_daemon.py
@@ -1,6 +1,6 @@
 """Process of the agent that runs beside a target."""
 
-from asyncio import create_task, get_running_loop, open_connection, sleep, timeout
+from asyncio import create_task, open_connection, sleep, timeout
 from collections.abc import Awaitable, Callable
 from functools import partial
 from random import SystemRandom
@@ -30,7 +30,7 @@
 from lycheeglade.errors import PacketError
 from lycheeglade.relay_message import decode_message, encode_message
 from lycheeglade.segment import ConnectionKey, Segment
-from lycheeglade.supervision import contain, open_when_free
+from lycheeglade.supervision import contain
 
 TICK_S = 0.02
 # Running requests have STOP_TIMEOUT_S seconds to finish before the process
@@ -93,14 +93,7 @@
         datagram = codec.encode_reset(key, acknowledgement)
         internal.send(datagram, (key.caller.ip, settings.caller_port))
 
-    sockets = await open_when_free(
-        partial(
-            open_sockets, get_running_loop(), settings, handle_message, handle_datagram
-        ),
-        "sockets",
-        stop,
-        log,
-    )
+    sockets = await open_sockets(settings, handle_message, handle_datagram, stop, log)
     if sockets is None:
         return
     internal, external = sockets
--- a/lycheeglade/connection_balancer_daemon.py
+++ b/lycheeglade/connection_balancer_daemon.py
@@ -1,8 +1,7 @@
 """Process of a balancer that forwards connections."""
 
-from asyncio import create_task, get_running_loop, sleep
+from asyncio import create_task, sleep
 from collections.abc import Awaitable, Callable
-from functools import partial
 from random import Random, SystemRandom
 from time import monotonic, process_time
 
@@ -37,7 +36,7 @@
 )
 from lycheeglade.route import RoutingView
 from lycheeglade.segment import ConnectionKey
-from lycheeglade.supervision import contain, keep_running, open_when_free
+from lycheeglade.supervision import contain, keep_running
 from lycheeglade.view_currency import NEVER
 from lycheeglade.view_follower import FollowStore, ReadStore, ViewFollower
 from lycheeglade.view_history import ServedHistory, inherit_history
@@ -106,14 +105,7 @@
         datagram = codec.encode_reset(key, acknowledgement)
         external.send(datagram, (key.caller.ip, settings.caller_port))
 
-    sockets = await open_when_free(
-        partial(
-            open_sockets, get_running_loop(), settings, handle_message, handle_datagram
-        ),
-        "sockets",
-        stop,
-        log,
-    )
+    sockets = await open_sockets(settings, handle_message, handle_datagram, stop, log)
     if sockets is None:
         return
     internal, external = sockets
--- a/lycheeglade/connection_daemon.py
+++ b/lycheeglade/connection_daemon.py
@@ -5,7 +5,7 @@
 packets come from and how the view is published.
 """
 
-from asyncio import AbstractEventLoop, Event, sleep
+from asyncio import Event, get_running_loop, sleep
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -19,6 +19,7 @@
 from lycheeglade.errors import PacketError
 from lycheeglade.logs import log_event
 from lycheeglade.segment import ConnectionKey, Segment
+from lycheeglade.supervision import open_when_free
 from lycheeglade.transport import DatagramSocket, Receiver
 from lycheeglade.warmup import WarmupBounds
 
@@ -213,26 +214,32 @@
     return stop
 
 
-def open_sockets(
-    loop: AbstractEventLoop,
+async def open_sockets(
     settings: ProcessSettings,
     on_message: Receiver,
     on_segment: Receiver,
-) -> tuple[DatagramSocket, DatagramSocket]:
-    """Open the internal and the external socket of a process, or neither.
-
-    Raises
-    ------
-    OSError
-        If one of the addresses can't be bound.
+    stop: Event,
+    log: EventLog,
+) -> tuple[DatagramSocket, DatagramSocket] | None:
+    """Open the internal and the external socket, as soon as both can be.
+
+    Returns
+    -------
+    tuple of DatagramSocket or None
+        None if `stop` was set before.
     """
-    internal = DatagramSocket(loop, on_message, local=settings.internal)
-    try:
-        external = DatagramSocket(loop, on_segment, local=settings.external)
-    except OSError:
-        internal.close()
-        raise
-    return internal, external
+    loop = get_running_loop()
+
+    def open_both() -> tuple[DatagramSocket, DatagramSocket]:
+        internal = DatagramSocket(loop, on_message, local=settings.internal)
+        try:
+            external = DatagramSocket(loop, on_segment, local=settings.external)
+        except OSError:
+            internal.close()
+            raise
+        return internal, external
+
+    return await open_when_free(open_both, "sockets", stop, log)
 
 
 async def run_until(stop: Event, tick: Callable[[float], None], period: float) -> None:
--- a/lycheeglade/failures.py
+++ b/lycheeglade/failures.py
@@ -5,12 +5,12 @@
 from logging import ERROR, getLogger
 from random import Random
 from time import monotonic
-from traceback import extract_tb
 
 from lycheeglade.blackboard import NEVER
 from lycheeglade.histograms import Metrics
 from lycheeglade.logs import log_event
 from lycheeglade.retry import backoff
+from lycheeglade.supervision import find_place
 
 logger = getLogger(__name__)
 
@@ -62,14 +62,6 @@
     return error
 
 
-def find_place(error: BaseException) -> str:
-    """Return the module and line that raised an error, such as ``a.py:3``."""
-    frames = extract_tb(error.__traceback__)
-    if not frames:
-        return "-"
-    return f"{frames[-1].filename.rpartition('/')[2]}:{frames[-1].lineno}"
-
-
 def contain(part: str, step: Callable[..., None], failures: FailureLog) -> Callable:
     """Return `step` wrapped to record its exceptions instead of raising them.
 
--- a/lycheeglade/supervision.py
+++ b/lycheeglade/supervision.py
@@ -18,11 +18,17 @@
 MAX_PAUSE_S = 0.5
 
 
+def find_place(error: BaseException) -> str:
+    """Return the module and line that raised an error, such as ``a.py:3``."""
+    frames = extract_tb(error.__traceback__)
+    if not frames:
+        return "-"
+    return f"{frames[-1].filename.rpartition('/')[2]}:{frames[-1].lineno}"
+
+
 def log_failure(name: str, error: Exception, log: Log) -> None:
     """Log why and where a part of the process has failed."""
-    frames = extract_tb(error.__traceback__)
-    where = f"{frames[-1].name}:{frames[-1].lineno}" if frames else ""
-    log("part-failed", cause=name, reason=repr(error), where=where)
+    log("part-failed", cause=name, reason=repr(error), place=find_place(error))
 
 
 def contain(
