Adapt two tests to the starting line and to the log of failures

The tests of settings read the first line of the log, which is now starting; they expect both. stop_process takes the log of failures. No assertion is weaker.

--- a/tests/test_settings_at_start.py
+++ b/tests/test_settings_at_start.py
@@ -71,9 +71,11 @@
 
 
 async def read_reason(process):
-    """Return the first line of a process whose settings can't be used."""
+    """Return the line of a process that it begins to wait for settings."""
     async with time_limit(10):
+        starting = (await process.stdout.readline()).decode()
         line = (await process.stdout.readline()).decode()
+    assert " event=starting " in starting
     assert " event=settings-unreadable " in line
     return line
 
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -10,6 +10,8 @@
     ProcessParts,
     stop_process,
 )
+from lycheeglade.failures import FailureLog
+from lycheeglade.histograms import Metrics
 
 GRACE_S = 1.0
 
@@ -32,6 +34,7 @@
         SimpleNamespace(grace=GRACE_S),
         make_parts(count_pending_work),
         stop_at_once,
+        FailureLog(Metrics()),
         getLogger("lycheeglade.stop"),
     )
     return code, caplog.records[-1].event_fields
