Apply the view of the store or of a peer again if that failed

Cause: ViewFollower stored a newer view before it applied it. If that failed, neither the store nor a peer had anything newer that would bring it again, so a balancer went on with its previous view, and took it for current once the store answered: it could reset connections whose targets only the newer view has. Likewise for a view that ends a withheld state.

Change: the follower repeats an application that fails after 0.1 s, and until it succeeds the view does not count as current.

Measured: before, test_view_that_could_not_be_applied_is_applied_again failed with "assert [] == [RoutingView(...)]", and test_view_that_could_not_be_applied_does_not_count_as_current with "assert 3589.117942186 == -inf".

--- a/lycheeglade/view_follower.py
+++ b/lycheeglade/view_follower.py
@@ -12,6 +12,7 @@
 from lycheeglade.route import RoutingView
 from lycheeglade.store_revision import StoreRevision
 from lycheeglade.supervision import keep_running, log_failure
+from lycheeglade.view_currency import NEVER
 from lycheeglade.view_exchange import ViewExchange
 from lycheeglade.view_history import clear_history
 from lycheeglade.view_transfer import fetch_view
@@ -21,6 +22,8 @@
 # Source of a view that changes because a target is no longer withheld, or an
 # evacuation is no longer kept.
 HISTORY = "history"
+# Pause before a view that could not be applied is applied again.
+APPLY_RETRY_S = 0.1
 
 # Follows the store: gets a view to start from, the revision up to which that
 # view is complete, and callbacks for newer views and for answers and failures.
@@ -58,7 +61,8 @@
     find_seeds : callable
         Returns the internal addresses of some balancers.
     apply_view : callable
-        Called with each newer view and its source: a peer, or `STORE`.
+        Called with each newer view and its source: a peer, or `STORE`. If it
+        fails it is called again, since nobody may have a newer view.
     send : callable
         Sends a message to another balancer.
     now : float
@@ -91,6 +95,9 @@
         self._log = log
         self._inherit = inherit
         self._known = KnownView()
+        self._unapplied_source: str | None = None
+        self._apply_due_at = NEVER
+        self._applied_as_of = NEVER
         self._reading: Task | None = None
         self._following: Task | None = None
         self._fetching: Task | None = None
@@ -101,12 +108,16 @@
 
     @property
     def current_as_of(self) -> float:
-        """Time as of which the view is known to lack no change."""
+        """Time as of which the applied view is known to lack no change."""
+        if self._unapplied_source is not None:
+            return self._applied_as_of
         return self._exchange.current_as_of
 
     def is_awaiting_view(self) -> bool:
         """Return whether a newer view is known, or would be reported soon."""
-        return self._exchange.is_awaiting_view(self._known.view.version)
+        is_unapplied = self._unapplied_source is not None
+        version = self._known.view.version
+        return is_unapplied or self._exchange.is_awaiting_view(version)
 
     def receive(self, message: Peers | ViewStatus, source: Address, now: float) -> None:
         """Process a message of another balancer."""
@@ -133,7 +144,9 @@
             if source is not None:
                 self._fetching = create_task(self._fetch(source))
         if self._known.is_due(now):
-            self._apply_view(self._known.correct(now), HISTORY)
+            self._apply(self._known.correct(now), HISTORY, now)
+        elif self._unapplied_source is not None and now >= self._apply_due_at:
+            self._apply(self._known.correct(now), self._unapplied_source, now)
 
     def resign(self) -> None:
         """Leave the store to the others, since this process is stopping."""
@@ -175,9 +188,17 @@
         corrected = self._known.correct(now)
         if previous.configuration and corrected.era != previous.era:
             self._log_era(previous, view, corrected)
-        self._apply_view(corrected, source)
+        self._apply(corrected, source, now)
         self._exchange.announce(self._known.view.version, self._send, now)
 
+    def _apply(self, view: RoutingView, source: str, now: float) -> None:
+        if self._unapplied_source is None:
+            self._applied_as_of = self._exchange.current_as_of
+        self._unapplied_source = source
+        self._apply_due_at = now + APPLY_RETRY_S
+        self._apply_view(view, source)
+        self._unapplied_source = None
+
     def _log_era(
         self, previous: RoutingView, restored: RoutingView, corrected: RoutingView
     ) -> None:
--- a/tests/test_view_follower.py
+++ b/tests/test_view_follower.py
@@ -3,10 +3,13 @@
 from random import Random
 from time import monotonic
 
+import pytest
+
 from lycheeglade import view_follower
 from lycheeglade.address import Address, Zone
 from lycheeglade.relay_message import Duty, ViewStatus
 from lycheeglade.store_revision import StoreRevision
+from lycheeglade.view_currency import NEVER
 from lycheeglade.view_exchange import FETCH_RETRY_S
 from lycheeglade.view_follower import ViewFollower
 from tests.connections import make_target, make_view
@@ -115,3 +118,48 @@
     failures = [fields["cause"] for event, fields in probe.events if "failed" in event]
     assert failures.count("view-fetcher") == len(calls)
     assert 1 <= len(calls) <= 1 + FAILURES_S / FETCH_RETRY_S
+
+
+class FailingApplication(FollowerProbe):
+    """The first application of a view fails, as if memory was used up."""
+
+    def __init__(self, view):
+        self.view = view
+        self.attempts = 0
+        self.starts = []
+        super().__init__()
+        self.follower._apply_view = self._apply
+
+    def _apply(self, view, source):
+        self.attempts += 1
+        if self.attempts == 1:
+            raise MemoryError
+        self.applied.append((view, source))
+
+    async def _follow_store(self, view, checked, publish, observe):
+        self.starts.append(view.store)
+        if view.store < self.view.store:
+            publish(self.view)
+        observe(self.view.store)
+        await sleep(60)
+
+
+async def test_view_that_could_not_be_applied_is_applied_again():
+    """The store and the peers have nothing newer that would bring it again."""
+    view = make_view([make_target(1)], revision=9)
+    probe = FailingApplication(view)
+    await run_ticks(probe.follower, FAILURES_S)
+    probe.follower.close()
+    assert probe.starts == [StoreRevision(), StoreRevision(0, 9)]
+    assert [applied for applied, _ in probe.applied] == [view]
+
+
+def test_view_that_could_not_be_applied_does_not_count_as_current():
+    """Connections whose targets only the newer view has would be reset."""
+    view = make_view([make_target(1)], revision=9)
+    probe = FailingApplication(view)
+    with pytest.raises(MemoryError):
+        probe.follower._publish(view, "store")
+    probe.follower._observe(view.store)
+    assert probe.follower.current_as_of == NEVER
+    assert probe.follower.is_awaiting_view()
