Keep the previous view of a balancer if the next one cannot be applied

Cause: the view was replaced first and its effects followed. If one of them failed, the balancer knew only some of the targets, was ready with them, and the same view applied again recorded no removals, since it was already the balancer's view.

Change: the view and the targets of the agents stay those of the previous view if the update fails.

Measured: before, test_view_that_could_not_be_applied_leaves_the_previous_one failed with "assert RoutingView(revision=6, ...) is RoutingView(revision=5, ...)", and test_balancer_whose_first_view_could_not_be_applied_has_none with "assert not 1".

--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -87,11 +87,33 @@
 
 
 def update_routing(balancer: ConnectionBalancer, view: RoutingView, now: float) -> None:
-    """Apply a view, unless it is older than the current one."""
+    """Apply a view, unless it is older than the current one.
+
+    If that fails, the previous view stays, so that the same view can be
+    applied again.
+    """
     if view.store < balancer.view.store:
         return
-    previous, balancer.view = balancer.view, view
+    previous, previous_targets = balancer.view, balancer.targets_by_agent
+    balancer.view = view
+    try:
+        _update_targets(balancer, previous, now)
+    except Exception:
+        balancer.view, balancer.targets_by_agent = previous, previous_targets
+        raise
     balancer.view_at = balancer.view_at or now
+    if view.configuration and balancer.queued_openings:
+        queued, balancer.queued_openings = balancer.queued_openings, []
+        for segment in queued:
+            receive_segment(balancer, segment, now)
+    _release_held_segments(balancer, now)
+
+
+def _update_targets(
+    balancer: ConnectionBalancer, previous: RoutingView, now: float
+) -> None:
+    """Update what is known of the targets from the view after `previous`."""
+    view = balancer.view
     record_former_services(balancer, previous, now)
     _log_evacuations(balancer, previous)
     current = {
@@ -122,11 +144,6 @@
                 load.target_ended = False
             load.slots = target.slots
             send_load_request(balancer, target.agent, now)
-    if view.configuration and balancer.queued_openings:
-        queued, balancer.queued_openings = balancer.queued_openings, []
-        for segment in queued:
-            receive_segment(balancer, segment, now)
-    _release_held_segments(balancer, now)
 
 
 def _log_evacuations(balancer: ConnectionBalancer, previous: RoutingView) -> None:
--- a/tests/test_connection_balancer.py
+++ b/tests/test_connection_balancer.py
@@ -531,3 +531,39 @@
     assert named_processes(recorder, balancer, 0.7) == [0]
     receive_message(balancer, make_report(incarnation=2), AGENTS[0], 0.8)
     assert named_processes(recorder, balancer, 0.9) == [2]
+
+
+def test_view_that_could_not_be_applied_leaves_the_previous_one(balancer, recorder):
+    """The same view is applied again, and must then have its full effect."""
+    failing = balancer.actions
+    log = failing.log
+
+    def fail(event, **fields):
+        raise MemoryError
+
+    previous = balancer.view
+    view = make_view(TARGETS[2:], revision=6)
+    balancer.actions = replace(failing, log=fail)
+    with pytest.raises(MemoryError):
+        update_routing(balancer, view, 1.0)
+    assert balancer.view is previous
+    balancer.actions = replace(failing, log=log)
+    update_routing(balancer, view, 1.1)
+    gone = [
+        fields["target"] for event, fields in recorder.events if event == "target-gone"
+    ]
+    assert len(gone) == 2
+    assert len(balancer.removed_by_agent) == 2
+
+
+def test_balancer_whose_first_view_could_not_be_applied_has_none(recorder):
+    """It would count as ready, with targets that it doesn't know."""
+
+    def fail(address, message):
+        raise MemoryError
+
+    balancer = recorder.make()
+    balancer.actions = replace(balancer.actions, send=fail)
+    with pytest.raises(MemoryError):
+        update_routing(balancer, make_view(TARGETS), 1.0)
+    assert not balancer.view.configuration
