--- a/tests/test_process_life.py
+++ b/tests/test_process_life.py
@@ -66,6 +66,9 @@
 # A stopping process has this time; the platform then kills it.
 GRACE_S = 6.0
 HANGUP_PAUSE_S = 0.005
+STOP_PAUSE_S = 0.0005
+# Not every repetition hits the end of the interpreter.
+STOPS = 4
 
 
 def put_routes(store, version, count):
@@ -172,6 +175,20 @@
     assert process.returncode == 0
 
 
+@pytest.mark.parametrize("role", ROLES)
+async def test_repeated_stop_signals_are_no_failure(start, role):
+    """The last ones arrive while the interpreter ends."""
+    for _ in range(STOPS):
+        process = await start(role)
+        await wait_ready(process)
+        async with time_limit(GRACE_S):
+            while process.returncode is None:
+                with suppress(ProcessLookupError):
+                    os.kill(process.pid, SIGTERM)
+                await sleep(STOP_PAUSE_S)
+        assert process.returncode == 0
+
+
 @pytest.mark.parametrize(("role", "part", "kind", "port"), HELD)
 async def test_held_address_ends_no_process(start, role, part, kind, port):
     """As at a restart beside a predecessor that has not ended yet."""
