--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -131,6 +131,25 @@
     await wait_until(lambda: len(balancer.find_targets(State.LIVE)) == 4)
 
 
+async def test_changes_that_could_not_be_published_are_read_again(
+    store, balancer, monkeypatch
+):
+    """They were counted as known, and the watch went on after them."""
+    read_view = Catalog.view
+    failures = []
+
+    def fail_once(catalog, revision):
+        if not failures:
+            failures.append(revision)
+            raise MemoryError
+        return read_view(catalog, revision)
+
+    monkeypatch.setattr(Catalog, "view", fail_once)
+    put_target(store, 2, "draining")
+    await wait_until(lambda: failures)
+    await wait_until(lambda: balancer.find_targets(State.LEAVING) == {"i-2"})
+
+
 async def test_changes_whose_revisions_were_given_out_again_are_seen(store, balancer):
     copy = store.copy()
     for number in range(5, 9):
