Keep a part running whose failure can not be logged

Cause: the handlers of unexpected errors read the source files of the traceback and made a log line. If memory was used up, these failed as well: a tick then ended the process, and a background task such as the readiness server ended for good without a log line.

Change: the place of an error is taken from its traceback alone, and an error while it is logged is ignored.

Measured: before, 3 cases of tests/test_supervision.py failed, two of test_failure_that_cannot_be_logged_ends_no_process with MemoryError, and test_work_whose_failure_cannot_be_logged_runs_again with "assert not True".

--- a/lycheeglade/supervision.py
+++ b/lycheeglade/supervision.py
@@ -7,7 +7,6 @@
 from asyncio import Event, sleep
 from collections.abc import Awaitable, Callable
 from time import monotonic
-from traceback import extract_tb
 from typing import TypeVar
 
 Resource = TypeVar("Resource")
@@ -20,9 +19,25 @@
 
 def log_failure(name: str, error: Exception, log: Log) -> None:
     """Log why and where a part of the process has failed."""
-    frames = extract_tb(error.__traceback__)
-    where = f"{frames[-1].name}:{frames[-1].lineno}" if frames else ""
-    log("part-failed", cause=name, reason=repr(error), where=where)
+    try:
+        where = _find_place(error)
+        log("part-failed", cause=name, reason=repr(error), where=where)
+    except Exception:
+        # Memory may be used up. The part is tried again without a log line.
+        pass
+
+
+def _find_place(error: Exception) -> str:
+    """Return the function and line that raised an error.
+
+    `traceback.extract_tb` would also read the source files.
+    """
+    place = error.__traceback__
+    if place is None:
+        return ""
+    while place.tb_next is not None:
+        place = place.tb_next
+    return f"{place.tb_frame.f_code.co_name}:{place.tb_lineno}"
 
 
 def contain(
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -1,4 +1,4 @@
-from asyncio import CancelledError, Event, create_task, sleep
+from asyncio import FIRST_COMPLETED, CancelledError, Event, create_task, sleep, wait
 from asyncio import timeout as time_limit
 
 import pytest
@@ -28,6 +28,41 @@
     assert log == [("part-failed", "connections", repr(error))] * 2
 
 
+@pytest.mark.parametrize("failing", ["log", "linecache"])
+def test_failure_that_cannot_be_logged_ends_no_process(monkeypatch, failing):
+    """If memory is used up, its log line needs more than there is."""
+
+    def fail(*arguments, **fields):
+        raise MemoryError
+
+    log = fail if failing == "log" else LogProbe()
+    with monkeypatch.context() as patches:
+        if failing == "linecache":
+            patches.setattr("linecache.checkcache", fail)
+        contain(lambda now: fail(), "connections", log)(1.0)
+
+
+async def test_work_whose_failure_cannot_be_logged_runs_again():
+    runs = []
+    done = Event()
+
+    def fail(event, **fields):
+        raise MemoryError
+
+    async def work():
+        runs.append(len(runs))
+        if len(runs) == 3:
+            done.set()
+            await sleep(60)
+        raise OSError("in use")
+
+    task = create_task(keep_running(work, "metrics", fail))
+    async with time_limit(5):
+        await wait([task, create_task(done.wait())], return_when=FIRST_COMPLETED)
+    assert not task.done()
+    task.cancel()
+
+
 async def test_work_that_fails_runs_again_and_is_logged_once():
     log = LogProbe()
     runs = []
