Fetch the view of a peer again if its history could not be taken

Cause: a fetch counted as done before its view and its history were taken. If one of them failed, the history was not fetched again, and a balancer that had just started took its view for complete without it.

Change: the fetch is recorded once the view and the history are taken.

Measured: before, test_history_that_could_not_be_taken_is_fetched_again failed: the history was taken once only, and that attempt had failed.

--- a/lycheeglade/view_follower.py
+++ b/lycheeglade/view_follower.py
@@ -244,9 +244,10 @@
         try:
             view = await fetch_view(source, self._log)
             if view is not None:
-                self._exchange.record_fetch(source, view.version)
                 self._publish(clear_history(view), str(source))
                 self._inherit(view)
+                # Only now, since a failed fetch is repeated.
+                self._exchange.record_fetch(source, view.version)
                 self._exchange.update_currency(self._known.view.version)
                 return
         except Exception as error:
--- a/tests/test_view_follower.py
+++ b/tests/test_view_follower.py
@@ -21,7 +21,7 @@
 class FollowerProbe:
     """A follower whose calls to the store are made by the test."""
 
-    def __init__(self):
+    def __init__(self, now=0.0):
         self.applied = []
         self.events = []
         self.follower = ViewFollower(
@@ -34,7 +34,7 @@
             lambda view, source: self.applied.append((view, source)),
             lambda address, message: None,
             lambda event, **fields: self.events.append((event, fields)),
-            0.0,
+            now,
         )
 
     async def _read_store(self):
@@ -163,3 +163,28 @@
     probe.follower._observe(view.store)
     assert probe.follower.current_as_of == NEVER
     assert probe.follower.is_awaiting_view()
+
+
+async def test_history_that_could_not_be_taken_is_fetched_again(monkeypatch):
+    """Without it, a target that has left the view would count as unknown."""
+    view = make_view([make_target(1)], revision=9)
+    inherited = []
+
+    async def fetch(address, log):
+        return view
+
+    def inherit(received):
+        inherited.append(received)
+        if len(inherited) == 1:
+            raise MemoryError
+
+    monkeypatch.setattr(view_follower, "fetch_view", fetch)
+    probe = FollowerProbe(monotonic())
+    probe.follower._inherit = inherit
+    status = ViewStatus(
+        "viti-west/nadi-a", 9, 9, Duty.WATCHER, configuration=1, age=60.0
+    )
+    probe.follower.receive(status, Address("127.0.0.2", 7720), monotonic())
+    await run_ticks(probe.follower, 3 * FETCH_RETRY_S)
+    probe.follower.close()
+    assert inherited == [view, view]
