--- a/lycheeglade/supervision.py
+++ b/lycheeglade/supervision.py
@@ -6,8 +6,8 @@
 
 from asyncio import Event, sleep
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from time import monotonic
-from traceback import extract_tb
 from typing import TypeVar
 
 Resource = TypeVar("Resource")
@@ -19,16 +19,24 @@
 
 
 def find_place(error: BaseException) -> str:
-    """Return the module and line that raised an error, such as ``a.py:3``."""
-    frames = extract_tb(error.__traceback__)
-    if not frames:
+    """Return the module and line that raised an error, such as ``a.py:3``.
+
+    The module `traceback` would read the source files for it.
+    """
+    place = error.__traceback__
+    if place is None:
         return "-"
-    return f"{frames[-1].filename.rpartition('/')[2]}:{frames[-1].lineno}"
+    while place.tb_next is not None:
+        place = place.tb_next
+    module = place.tb_frame.f_code.co_filename.rpartition("/")[2]
+    return f"{module}:{place.tb_lineno}"
 
 
 def log_failure(name: str, error: Exception, log: Log) -> None:
     """Log why and where a part of the process has failed."""
-    log("part-failed", cause=name, reason=repr(error), place=find_place(error))
+    # Memory may be used up. The part is then tried again without a log line.
+    with suppress(Exception):
+        log("part-failed", cause=name, reason=repr(error), place=find_place(error))
 
 
 def contain(
--- a/tests/test_view_follower.py
+++ b/tests/test_view_follower.py
@@ -3,10 +3,13 @@
 from random import Random
 from time import monotonic
 
+import pytest
+
 from lycheeglade import view_follower
 from lycheeglade.address import Address, Zone
 from lycheeglade.relay_message import Duty, ViewStatus
 from lycheeglade.store_revision import StoreRevision
+from lycheeglade.view_currency import NEVER
 from lycheeglade.view_exchange import FETCH_RETRY_S
 from lycheeglade.view_follower import ViewFollower
 from tests.connections import make_target, make_view
@@ -18,7 +21,7 @@
 class FollowerProbe:
     """A follower whose calls to the store are made by the test."""
 
-    def __init__(self):
+    def __init__(self, now=0.0):
         self.applied = []
         self.events = []
         self.follower = ViewFollower(
@@ -31,7 +34,7 @@
             lambda view, source: self.applied.append((view, source)),
             lambda address, message: None,
             lambda event, **fields: self.events.append((event, fields)),
-            0.0,
+            now,
         )
 
     async def _read_store(self):
@@ -115,3 +118,73 @@
     failures = [fields["cause"] for event, fields in probe.events if "failed" in event]
     assert failures.count("view-fetcher") == len(calls)
     assert 1 <= len(calls) <= 1 + FAILURES_S / FETCH_RETRY_S
+
+
+class FailingApplication(FollowerProbe):
+    """The first application of a view fails, as if memory was used up."""
+
+    def __init__(self, view):
+        self.view = view
+        self.attempts = 0
+        self.starts = []
+        super().__init__()
+        self.follower._apply_view = self._apply
+
+    def _apply(self, view, source):
+        self.attempts += 1
+        if self.attempts == 1:
+            raise MemoryError
+        self.applied.append((view, source))
+
+    async def _follow_store(self, view, checked, publish, observe):
+        self.starts.append(view.store)
+        if view.store < self.view.store:
+            publish(self.view)
+        observe(self.view.store)
+        await sleep(60)
+
+
+async def test_view_that_could_not_be_applied_is_applied_again():
+    """The store and the peers have nothing newer that would bring it again."""
+    view = make_view([make_target(1)], revision=9)
+    probe = FailingApplication(view)
+    await run_ticks(probe.follower, FAILURES_S)
+    probe.follower.close()
+    assert probe.starts == [StoreRevision(), StoreRevision(0, 9)]
+    assert [applied for applied, _ in probe.applied] == [view]
+
+
+def test_view_that_could_not_be_applied_does_not_count_as_current():
+    """Connections whose targets only the newer view has would be reset."""
+    view = make_view([make_target(1)], revision=9)
+    probe = FailingApplication(view)
+    with pytest.raises(MemoryError):
+        probe.follower._publish(view, "store")
+    probe.follower._observe(view.store)
+    assert probe.follower.current_as_of == NEVER
+    assert probe.follower.is_awaiting_view()
+
+
+async def test_history_that_could_not_be_taken_is_fetched_again(monkeypatch):
+    """Without it, a target that has left the view would count as unknown."""
+    view = make_view([make_target(1)], revision=9)
+    inherited = []
+
+    async def fetch(address, log):
+        return view
+
+    def inherit(received):
+        inherited.append(received)
+        if len(inherited) == 1:
+            raise MemoryError
+
+    monkeypatch.setattr(view_follower, "fetch_view", fetch)
+    probe = FollowerProbe(monotonic())
+    probe.follower._inherit = inherit
+    status = ViewStatus(
+        "viti-west/nadi-a", 9, 9, Duty.WATCHER, configuration=1, age=60.0
+    )
+    probe.follower.receive(status, Address("127.0.0.2", 7720), monotonic())
+    await run_ticks(probe.follower, 3 * FETCH_RETRY_S)
+    probe.follower.close()
+    assert inherited == [view, view]
