--- a/tests/test_settings_file.py
+++ b/tests/test_settings_file.py
@@ -6,10 +6,21 @@
 
 from deployed_settings import AGENT, BALANCER
 from lycheeglade.address import Address
-from settings_file import RETRY_S, SettingsFile
+from settings_file import RETRY_S, SETTLED_S, SettingsFile
 from tests.test_deployed_settings import TEXT
 
 
+class Clock:
+    def __init__(self):
+        self.now = 0.0
+
+    def __call__(self):
+        return self.now
+
+    def advance(self, seconds):
+        self.now += seconds
+
+
 @pytest.fixture
 def path(tmp_path):
     return tmp_path / "boot.conf"
@@ -154,21 +165,38 @@
 
 def test_file_whose_last_line_has_no_end_is_used_once_it_stays(path, log):
     """A platform that writes it so must not keep the process from starting."""
-    pauses = []
+    clock = Clock()
     path.write_text(TEXT.strip())
-    settings = SettingsFile(str(path), BALANCER, log).wait(pauses.append)
+    settings = SettingsFile(str(path), BALANCER, log, clock).wait(clock.advance)
+    assert settings.store == Address("10.200.1.7", 8169)
+    assert clock.now == pytest.approx(SETTLED_S, abs=RETRY_S)
+
+
+def test_file_that_is_written_slowly_is_not_used_before_its_end(path, log):
+    """It was used if it was the same at two reads in quick succession."""
+    clock = Clock()
+    path.write_text(TEXT[:-3])
+
+    def pause(seconds):
+        clock.advance(seconds)
+        if clock.now > SETTLED_S / 2:
+            path.write_text(TEXT)
+
+    settings = SettingsFile(str(path), BALANCER, log, clock).wait(pause)
     assert settings.store == Address("10.200.1.7", 8169)
-    assert pauses == [RETRY_S]
 
 
 def test_change_that_is_cut_off_is_followed_once_it_stays(path, log):
     path.write_text(TEXT)
-    file = SettingsFile(str(path), BALANCER, log)
+    clock = Clock()
+    file = SettingsFile(str(path), BALANCER, log, clock)
     store = file.wait(pytest.fail).store
     path.write_text(TEXT + "platform.address=10.200.1.8:81")
     assert file.find_store() == store
+    assert file.find_store() == store
     path.write_text(TEXT + "platform.address=10.200.1.8:8169")
     assert file.find_store() == store
+    clock.advance(SETTLED_S)
     assert file.find_store() == Address("10.200.1.8", 8169)
 
 
