Follow the store after a cancellation that nobody asked for

A library may raise CancelledError by itself. The task of the follower then was done, and no other one was started: the balancer never read the store again. Red before: the new test of test_view_follower (no view applied).

--- a/lycheeglade/view_follower.py
+++ b/lycheeglade/view_follower.py
@@ -135,7 +135,7 @@
             self._log("view-duty", duty=duty, checked=self._exchange.checked)
         if duty is Duty.FOLLOWER:
             self._stop_following()
-        elif self._following is None:
+        elif self._following is None or self._following.done():
             self._following = create_task(
                 keep_running(self._follow, "store-follower", self._log)
             )
--- a/tests/test_view_follower.py
+++ b/tests/test_view_follower.py
@@ -1,4 +1,4 @@
-from asyncio import get_running_loop, sleep
+from asyncio import CancelledError, get_running_loop, sleep
 from dataclasses import replace
 from random import Random
 from time import monotonic
@@ -72,7 +72,8 @@
 class FailingStore(FollowerProbe):
     """The first call of each kind to the store fails unexpectedly."""
 
-    def __init__(self, view):
+    def __init__(self, view, error=None):
+        self.error = error or RecursionError("first watch")
         self.view = view
         self.reads = 0
         self.follows = []
@@ -85,7 +86,7 @@
     async def _follow_store(self, view, checked, publish, observe):
         self.follows.append(view)
         if len(self.follows) == 1:
-            raise RecursionError("first watch")
+            raise self.error
         publish(self.view)
         observe(self.view.store)
         await sleep(60)
@@ -101,6 +102,15 @@
     assert failures == ["store-reader", "store-follower"]
 
 
+async def test_store_is_followed_after_a_cancellation_that_nobody_asked_for():
+    """A library may raise it; the store was never followed again."""
+    view = make_view([make_target(1)], revision=9)
+    probe = FailingStore(view, CancelledError())
+    await run_ticks(probe.follower, FAILURES_S)
+    probe.follower.close()
+    assert [applied for applied, _ in probe.applied] == [view]
+
+
 async def test_unexpected_error_of_a_fetched_view_is_logged(monkeypatch):
     """It is fetched again after a pause, as after a failed fetch."""
     calls = []
