Count errors of callbacks, and contain the report of an exit

An error for each datagram wrote a traceback for each, uncounted and unbounded. It is now a part-failed event, whose lines are bounded. An error while an agent reports its exit ended it with code 1; it is logged like other periodic work. Red before: the new test of test_supervision (no such handler). The report of the exit has no test of its own.

--- a/lycheeglade/connection_agent_daemon.py
+++ b/lycheeglade/connection_agent_daemon.py
@@ -23,6 +23,7 @@
     SegmentCodec,
     decode_or_log,
     install_stop_handlers,
+    log_callback_failures,
     open_sockets,
     run_until,
 )
@@ -67,6 +68,7 @@
 ) -> None:
     """Run an agent until the process receives SIGTERM or SIGINT."""
     stop = install_stop_handlers()
+    log_callback_failures(log)
 
     def handle_datagram(datagram: bytes, source: tuple) -> None:
         segment = decode_or_log(codec.decode, datagram, source, log)
@@ -125,6 +127,7 @@
     readiness = create_task(serve_readiness(lambda: not stop.is_set()))
     port_check = None
     tick_connections = contain(partial(tick_agent, agent), "connections", log)
+    report_exit = contain(partial(announce_exit, agent), "exit-report", log)
 
     async def check_port() -> None:
         agent.is_port_closed = not await accepts_connections(settings.upstream)
@@ -146,7 +149,7 @@
     agent.has_target_ended = not await accepts_connections(settings.upstream)
     for pause in EXIT_REPORT_PAUSES_S:
         reported_at = monotonic()
-        announce_exit(agent, reported_at)
+        report_exit(reported_at)
         while monotonic() - reported_at < pause:
             await sleep(TICK_S)
             tick_connections(monotonic())
--- a/lycheeglade/connection_balancer_daemon.py
+++ b/lycheeglade/connection_balancer_daemon.py
@@ -23,6 +23,7 @@
     SegmentCodec,
     decode_or_log,
     install_stop_handlers,
+    log_callback_failures,
     open_sockets,
     run_until,
 )
@@ -75,6 +76,7 @@
         Logs and counts the events of the process.
     """
     stop = install_stop_handlers()
+    log_callback_failures(log)
     generator = Random(SystemRandom().getrandbits(64))
     last_datagram_at = 0.0
 
--- a/lycheeglade/connection_daemon.py
+++ b/lycheeglade/connection_daemon.py
@@ -5,21 +5,21 @@
 packets come from and how the view is published.
 """
 
-from asyncio import Event, get_running_loop, sleep
+from asyncio import AbstractEventLoop, Event, get_running_loop, sleep
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from logging import INFO, WARNING, getLogger
 from signal import SIG_IGN, SIGHUP, SIGINT, SIGTERM, signal
 from time import monotonic
-from typing import TypeVar
+from typing import Any, TypeVar
 
 from lycheeglade.address import Address, Zone
 from lycheeglade.connection_limits import DEFAULT_LIMITS, ConnectionLimits
 from lycheeglade.errors import PacketError
 from lycheeglade.logs import log_event
 from lycheeglade.segment import ConnectionKey, Segment
-from lycheeglade.supervision import open_when_free
+from lycheeglade.supervision import log_failure, open_when_free
 from lycheeglade.transport import DatagramSocket, Receiver
 from lycheeglade.warmup import WarmupBounds
 
@@ -214,6 +214,19 @@
     return stop
 
 
+def log_callback_failures(log: EventLog) -> None:
+    """Log errors of callbacks and forgotten tasks of the running event loop.
+
+    Its default handler writes a traceback for each, such as one a datagram.
+    """
+
+    def handle(loop: AbstractEventLoop, context: Mapping[str, Any]) -> None:
+        error = context.get("exception") or RuntimeError(context["message"])
+        log_failure("callback", error, log)
+
+    get_running_loop().set_exception_handler(handle)
+
+
 async def open_sockets(
     settings: ProcessSettings,
     on_message: Receiver,
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -1,9 +1,22 @@
-from asyncio import FIRST_COMPLETED, CancelledError, Event, create_task, sleep, wait
+from asyncio import (
+    FIRST_COMPLETED,
+    CancelledError,
+    Event,
+    create_task,
+    get_running_loop,
+    sleep,
+    wait,
+)
 from asyncio import timeout as time_limit
 
 import pytest
 
 from lycheeglade import supervision
+from lycheeglade.connection_daemon import (
+    LOG_LINES_PER_S,
+    EventLog,
+    log_callback_failures,
+)
 from lycheeglade.supervision import contain, keep_running, open_when_free
 
 
@@ -116,3 +129,22 @@
         assert await open_when_free(fail, "sockets", stop, log) is None
     assert attempts == [False, False]
     assert log == [("part-failed", "sockets", "OSError('in use')")]
+
+
+async def test_error_of_a_callback_is_counted_and_bounded(caplog):
+    """Each datagram could cause a traceback that nobody counted."""
+    caplog.set_level("INFO", logger="lycheeglade")
+    log = EventLog()
+    loop = get_running_loop()
+    log_callback_failures(log)
+
+    def fail():
+        raise ValueError("odd")
+
+    for _ in range(2 * LOG_LINES_PER_S):
+        loop.call_soon(fail)
+    await sleep(0.05)
+    total = 2 * LOG_LINES_PER_S
+    assert f'event="part-failed",cause="callback"}} {total}' in log.format()
+    assert len(caplog.records) <= 2 * LOG_LINES_PER_S
+    assert caplog.records[0].event_fields["reason"] == "ValueError('odd')"
