Start the interpreter without a script before it

The script has the default action of SIGHUP for 0.05 s of processor time, which is 0.2 s on a host with 0.236 cores.

The build links the interpreter that runs it as target/bin/python3, and the roles start that.

The new tests of the build failed before; its folders below target are now two. The roles of all tests of the build start as the deploy file says.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -1,14 +1,15 @@
 """Installs the required packages in target/deps and compiles the modules.
 
-Run as ``python3 deploy/build.py``, with the Python of the processes. Packages
-are kept, without use of the network, if their installation finished for this
-kind of machine, this version of Python and these requirements, and if the
-processes can import them.
+Run as ``python3 deploy/build.py``, with the Python of the processes, which
+they start through a link, target/bin/python3. Packages are kept, without use
+of the network, if their installation finished for this kind of machine, this
+version of Python and these requirements, and if the processes can import them.
 """
 
 import sys
 from compileall import compile_dir
 from os import environ, pathsep
+from os.path import realpath
 from pathlib import Path
 from shutil import rmtree
 from subprocess import PIPE, STDOUT, run
@@ -16,6 +17,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 REQUIREMENTS = ROOT / "deploy" / "requirements.txt"
+INTERPRETER = ROOT / "target" / "bin" / "python3"
 PACKAGES = ROOT / "target" / "deps"
 # Renamed to PACKAGES when the installation is complete.
 UNFINISHED = ROOT / "target" / "deps-unfinished"
@@ -26,6 +28,17 @@
 """
 
 
+def link_interpreter() -> None:
+    """Link the interpreter itself under the name that the processes use.
+
+    The ``python3`` in the search path may be a script. A signal would end the
+    process while the script runs, before the program can handle it.
+    """
+    INTERPRETER.parent.mkdir(parents=True, exist_ok=True)
+    INTERPRETER.unlink(missing_ok=True)
+    INTERPRETER.symlink_to(realpath(sys.executable))
+
+
 def describe_installation() -> str:
     """Return what the installed files depend on.
 
@@ -50,7 +63,7 @@
     """Return the error of importing the modules of all roles, if any."""
     path = pathsep.join(map(str, (packages, ROOT / "platform", ROOT)))
     imported = run(
-        [sys.executable, "-S", "-c", IMPORT_SCRIPT],
+        [INTERPRETER, "-S", "-c", IMPORT_SCRIPT],
         env=environ | {"PYTHONPATH": path},
         stdout=PIPE,
         stderr=STDOUT,
@@ -74,6 +87,7 @@
 
 def build() -> int:
     """Make what the processes need; return the exit code."""
+    link_interpreter()
     # All files are written again, since a damaged one prevents the import. If
     # they can't be written, the processes start without them, but slower.
     for folder in ("lycheeglade", "platform"):
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -6,6 +6,7 @@
 from os import environ, utime
 from pathlib import Path
 from shutil import copy, copytree, ignore_patterns
+from signal import SIGHUP, SIGTERM
 from sysconfig import get_config_var, get_path
 from tomllib import loads
 
@@ -104,7 +105,10 @@
         commands = folder / "bin"
         commands.mkdir()
         python = commands / "python3"
-        python.write_text(f'#!/bin/sh\nexec {sys.executable} "$@"\n')
+        self.script_log = folder / "script.log"
+        python.write_text(
+            f'#!/bin/sh\necho >>{self.script_log}\nexec {sys.executable} "$@"\n'
+        )
         python.chmod(0o755)
         modules = folder / "modules"
         modules.mkdir()
@@ -124,9 +128,13 @@
     def stamp(self):
         return self.packages / "installed-for.txt"
 
+    @property
+    def deploy_file(self):
+        return loads((self.root / "deploy" / "system.toml").read_text())
+
     def build(self, **variables):
         """Run the build command; return its exit code."""
-        command = loads((self.root / "deploy" / "system.toml").read_text())["build"]
+        command = self.deploy_file["build"]
         return subprocess.run(
             ["/bin/sh", "-c", command],
             cwd=self.root,
@@ -139,12 +147,23 @@
 
     def run_role(self):
         """Return the exit code of a role without settings: 2 if it runs."""
-        return subprocess.run(
-            [sys.executable, "-S", "platform/main.py", "balancer"],
+        with self.start_role("balancer") as process:
+            process.communicate()
+        return process.returncode
+
+    def start_role(self, role, **variables):
+        """Start a role as the platform does, with a pipe for its output."""
+        return subprocess.Popen(
+            self.deploy_file["roles"][role]["run"].split(),
             cwd=self.root,
-            env={"PYTHONPATH": str(self.packages)},
-            capture_output=True,
-        ).returncode
+            env={
+                "PATH": self._variables["PATH"],
+                "PYTHONPATH": "target/deps",
+                **variables,
+            },
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+        )
 
 
 @pytest.fixture
@@ -183,7 +202,30 @@
     assert {path.name for path in (built.root / "deploy").iterdir()} == original
     top = {path.name for path in built.root.iterdir()}
     assert top == {"deploy", "lycheeglade", "platform", "target"}
-    assert [path.name for path in (built.root / "target").iterdir()] == ["deps"]
+    assert {path.name for path in (built.root / "target").iterdir()} == {"bin", "deps"}
+
+
+@pytest.mark.parametrize("role", ["balancer", "agent"])
+def test_no_script_runs_before_a_role_handles_signals(role, built, tmp_path):
+    # A script has the default action of SIGHUP and ends.
+    built.script_log.unlink()
+    absent = str(tmp_path / "absent.conf")
+    with built.start_role(role, LYCHEEGLADE_CONFIG=absent) as process:
+        assert b"event=starting" in process.stdout.readline()
+        assert not built.script_log.exists()
+        process.send_signal(SIGHUP)
+        assert b"event=settings-unreadable" in process.stdout.readline()
+        process.send_signal(SIGTERM)
+        assert process.wait() == 0
+
+
+def test_interpreter_of_a_removed_version_is_linked_again(built):
+    link = built.root / "target" / "bin" / "python3"
+    link.unlink()
+    link.symlink_to("/nonexistent/python3")
+    assert built.build() == 0
+    assert built.count_installations() == 1
+    assert built.run_role() == USAGE
 
 
 def test_compiled_module_of_another_machine_is_installed_again(built):
