Give processes of tests and the soak the default action of SIGHUP

Under nohup three tests of the soak failed (they wait for ends by SIGHUP that don't come), and the soak itself and the tests of a process's life proved nothing about SIGHUP: an ignored signal is inherited by every process that is started. tests/conftest.py and the soak now replace an ignored SIGHUP by a handler, which isn't inherited. The new test failed without the handler.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -8,6 +8,7 @@
 from tempfile import mkdtemp
 
 from soak.round import Report, run_round
+from tests.platform_process import restore_hangup_of_children
 
 # Breaches of each rule by one process or connection that are printed.
 MAX_PRINTED = 4
@@ -76,4 +77,5 @@
 
 
 if __name__ == "__main__":
+    restore_hangup_of_children()
     sys.exit(bool(run(run_rounds(parse_arguments(sys.argv[1:])))))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,10 +8,12 @@
 
 from lycheeglade.agent import make_agent, tick, update_view
 from tests.agents import LOCAL_ZONE, ActionRecorder, make_view
+from tests.platform_process import restore_hangup_of_children
 
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 SLOW = [HealthCheck.too_slow, HealthCheck.data_too_large]
 
+restore_hangup_of_children()
 settings.register_profile(
     "ci", derandomize=True, deadline=None, suppress_health_check=SLOW
 )
--- a/tests/platform_process.py
+++ b/tests/platform_process.py
@@ -1,6 +1,7 @@
 """Settings files and readiness checks of the platform, on loopback."""
 
 from asyncio import open_connection
+from signal import SIG_IGN, SIGHUP, getsignal, signal
 
 from lycheeglade.address import Address
 
@@ -11,6 +12,16 @@
 ZONES = ("nadi-a", "nadi-b")
 
 
+def restore_hangup_of_children() -> None:
+    """Let processes that are started have the default action of SIGHUP.
+
+    They inherit an ignored signal, such as that of ``nohup``, and would then
+    outlive each SIGHUP whatever they do. A handler is not inherited.
+    """
+    if getsignal(SIGHUP) is SIG_IGN:
+        signal(SIGHUP, lambda number, frame: None)
+
+
 def format_settings(
     name: str,
     role: str,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,6 +3,7 @@
 import sys
 from asyncio import create_subprocess_exec, create_task, get_running_loop, sleep
 from asyncio import timeout as time_limit
+from asyncio.subprocess import PIPE
 from collections import Counter
 from contextlib import ExitStack, asynccontextmanager
 from errno import EBADF, ENOSPC, EPIPE
@@ -460,6 +461,32 @@
         assert expected in deployment.promises.breaches[0]
 
 
+HANGUP_ACTION = """
+from signal import SIG_IGN, SIGHUP, signal
+from subprocess import run
+import sys
+from tests.platform_process import restore_hangup_of_children
+
+signal(SIGHUP, SIG_IGN)
+restore_hangup_of_children()
+program = "from signal import SIGHUP, getsignal; print(getsignal(SIGHUP).name)"
+run([sys.executable, "-c", program], check=True)
+"""
+
+
+async def test_started_processes_do_not_inherit_an_ignored_hangup():
+    # Under nohup, each start would outlive SIGHUP without a handler.
+    process = await create_subprocess_exec(
+        sys.executable,
+        "-c",
+        HANGUP_ACTION,
+        cwd=Path(__file__).parent.parent,
+        stdout=PIPE,
+    )
+    output, _ = await process.communicate()
+    assert output == b"SIG_DFL\n"
+
+
 async def test_end_by_hangup_while_stopping_is_found(tmp_path, monkeypatch):
     program = on_stop("time.sleep(4); sys.exit(0)")
     async with planted(tmp_path, program, monkeypatch, STOP_HANGUP_SHARE=1.0) as (
