Keep repeated calls and searches from overflowing their pause

It overflows while a caller sends for longer than about 200 s and an agent that is heard does not answer. Each tick then failed there: the searches after that one were neither repeated nor concluded as long as the caller sent.

Below it the pauses are the same as before.

--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -29,6 +29,7 @@
 )
 from lycheeglade.connection_limits import CONNECTION_LIFETIME_S
 from lycheeglade.relay_message import ForwardSegment
+from lycheeglade.retry import compute_ceiling
 from lycheeglade.route import Route, RoutingView
 from lycheeglade.segment import (
     SEQUENCE_SPACE,
@@ -213,7 +214,7 @@
     route = balancer.view.routes_by_address.get(key.service)
     if search is None or route is None or not connection.queued_segments:
         return
-    pause = min(MAX_SEARCH_RETRY_S, SEARCH_RETRY_S * 2**search.queries)
+    pause = compute_ceiling(search.queries, SEARCH_RETRY_S, MAX_SEARCH_RETRY_S)
     if now - search.queried_at >= pause:
         segment = connection.queued_segments[-1]
         search_home(balancer, key, connection, route, segment, now)
--- a/lycheeglade/retry.py
+++ b/lycheeglade/retry.py
@@ -4,6 +4,8 @@
 
 DEFAULT_RATIO = 0.1
 DEFAULT_BURST = 10.0
+# Any maximum is reached before. A float overflows after 1024 doublings.
+MAX_DOUBLINGS = 32
 
 
 class RetryBudget:
@@ -40,6 +42,14 @@
         return True
 
 
+def compute_ceiling(attempt: int, base: float, maximum: float) -> float:
+    """Return `base`, doubled `attempt` times, but `maximum` at most.
+
+    Attempts may go on for as long as what fails is out of reach.
+    """
+    return min(maximum, base * 2.0 ** min(attempt, MAX_DOUBLINGS))
+
+
 def backoff(attempt: int, base: float, maximum: float, generator: Random) -> float:
     """Return the seconds to wait before a retry.
 
@@ -53,5 +63,4 @@
     base, maximum : float
         First and highest ceiling in seconds.
     """
-    ceiling = min(maximum, base * 2.0 ** min(attempt, 32))
-    return generator.uniform(0.0, ceiling)
+    return generator.uniform(0.0, compute_ceiling(attempt, base, maximum))
--- a/tests/test_connection_search.py
+++ b/tests/test_connection_search.py
@@ -35,6 +35,9 @@
     opening,
 )
 
+# Queries until a delay that doubles with each is too large for a float.
+MANY_QUERIES = 1100
+
 
 @pytest.fixture
 def recorder():
@@ -427,3 +430,20 @@
     receive_segment(balancer, data(), 5.1)
     agents = [agent for agent, _ in recorder.pop_forwarded_segments()]
     assert agents == AGENTS
+
+
+def test_search_goes_on_while_its_caller_sends_and_an_agent_keeps_silent(
+    balancer, recorder
+):
+    """The delay overflowed, and then the periodic work failed at each tick."""
+    now = 1.0
+    for step in range(MANY_QUERIES):
+        now += 2 * SEARCH_RETRY_S
+        receive_segment(balancer, data(sequence=100 + step), now)
+        for agent in AGENTS:
+            receive_message(balancer, make_report(), agent, now)
+        tick(balancer, now)
+    assert balancer.connections_by_key[KEY].search.queries >= MANY_QUERIES
+    recorder.sent.clear()
+    receive_segment(balancer, data(), now + 2 * SEARCH_RETRY_S)
+    assert {agent for agent, _ in recorder.pop_forwarded_segments()} == set(AGENTS)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -19,6 +19,8 @@
 # Covers the whole start, up to the wait for the first watch, on loopback.
 MAX_LOOP_STEPS = 120
 STOP_GRACE_S = 0.5
+# Failures until a pause that doubles with each is too large for a float.
+MANY_FAILURES = 1100
 
 
 @pytest.fixture
@@ -97,6 +99,24 @@
     await wait_until(lambda: target_count(follower[-1]) == 7)
 
 
+async def test_store_that_is_down_for_long_is_followed_again(
+    store, follower, monkeypatch
+):
+    """The pause overflowed after 1024 failures, in 3 minutes of the start."""
+
+    async def skip_pause(seconds):
+        await sleep(0)
+
+    await wait_until(lambda: store.calls[-1:] == ["/kv-watch"])
+    monkeypatch.setattr("store_reader.sleep", skip_pause)
+    store.status = 503
+    store.put("servers/i-7", TARGET)
+    await wait_until(lambda: store.calls.count("/kv-watch") > MANY_FAILURES)
+    monkeypatch.undo()
+    store.status = 200
+    await wait_until(lambda: target_count(follower[-1]) == 6)
+
+
 async def test_store_that_is_down_is_an_error(store):
     client = StoreClient(lambda: store.address, EraReader(ignore_event))
     store.status = 410
