--- /dev/null
+++ b/tests/test_odd_answers.py
@@ -0,0 +1,137 @@
+"""Answers of the store that are odd as a whole, to a balancer's process."""
+
+import sys
+from asyncio import create_subprocess_exec, sleep, start_server
+from asyncio import timeout as time_limit
+from asyncio.subprocess import DEVNULL
+from base64 import b64encode
+from json import dumps
+from pathlib import Path
+from signal import SIGTERM
+
+import pytest
+
+from catalog import CONFIGURATION_KEY
+from demo.cluster import reserve_network_for_process
+from lycheeglade.address import Address
+from tests.platform_process import PATH_VARIABLE, format_settings, is_ready
+from tests.test_catalog import ROUTE
+
+MAIN = Path(__file__).parent.parent / "platform" / "main.py"
+NETWORK = reserve_network_for_process()
+STORE_IP, BALANCER_IP = f"127.{NETWORK}.10.1", f"127.{NETWORK}.10.2"
+STARTED_S = 20.0
+ODD_S = 4.0
+# A balancer needs about 22 MB without any connections.
+MAX_MEMORY_KB = 100_000
+CHUNK = b"%x\r\n%s\r\n" % (1 << 20, b" " * (1 << 20))
+
+
+def format_answer(body, status=200):
+    content = dumps(body).encode()
+    head = f"HTTP/1.1 {status} X\r\nStore-Era: 1\r\n"
+    head += f"Content-Length: {len(content)}\r\n\r\n"
+    return head.encode() + content
+
+
+def format_item(key, value, revision):
+    content = b64encode(dumps(value).encode()).decode()
+    return {"key": key, "value": content, "revision": revision}
+
+
+class OddStore:
+    """Store with a configuration, whose answers a test may replace.
+
+    Attributes
+    ----------
+    version : int
+        Version of the configuration, and its revision.
+    answer : callable or None
+        Coroutine function that writes the answer to a call, given its target
+        and the stream; None for the usual answers.
+    """
+
+    def __init__(self):
+        self.version = 1
+        self.answer = None
+        self.calls = 0
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.calls += 1
+                target = head.split()[1].decode()
+                await (self.answer or self.answer_usually)(target, writer)
+                await writer.drain()
+        except (OSError, EOFError):
+            pass
+        finally:
+            writer.close()
+
+    async def answer_usually(self, target, writer):
+        value = {"version": self.version, "routes": [ROUTE]}
+        item = format_item(CONFIGURATION_KEY, value, self.version)
+        if target.startswith("/kv-range"):
+            body = {"items": [item], "has-more": False}
+        else:
+            after = int(target.partition("&after=")[2].partition("&")[0])
+            wait_s = int(target.rpartition("=")[2]) / 1000
+            while self.version <= after and wait_s > 0:
+                await sleep(0.02)
+                wait_s -= 0.02
+            body = {"events": [item] if self.version > after else []}
+        writer.write(format_answer({**body, "current-rev": self.version}))
+
+
+@pytest.fixture
+async def store():
+    odd_store = OddStore()
+    server = await start_server(odd_store.serve, STORE_IP, 0)
+    odd_store.address = Address(*server.sockets[0].getsockname()[:2])
+    yield odd_store
+    server.close()
+    # The event loop closes the sockets in its next iteration.
+    await sleep(0)
+
+
+@pytest.fixture
+async def balancer(store, tmp_path):
+    path = tmp_path / "balancer.conf"
+    path.write_text(format_settings("b", "balancer", BALANCER_IP, store.address, "s1"))
+    process = await create_subprocess_exec(
+        sys.executable,
+        str(MAIN),
+        "balancer",
+        env={PATH_VARIABLE: str(path)},
+        stdout=DEVNULL,
+    )
+    yield process
+    assert process.returncode is None
+    process.send_signal(SIGTERM)
+    assert await process.wait() == 0
+
+
+async def wait_ready():
+    async with time_limit(STARTED_S):
+        while not await is_ready(BALANCER_IP):
+            await sleep(0.02)
+
+
+async def write_endlessly(target, writer):
+    head = "HTTP/1.1 200 X\r\nStore-Era: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    writer.write(head.encode())
+    while True:
+        writer.write(CHUNK)
+        await writer.drain()
+
+
+async def test_answer_without_an_end_uses_up_no_memory(store, balancer):
+    """It was read whole until its time-out, up to 1.6 GB."""
+    await wait_ready()
+    store.answer = write_endlessly
+    await sleep(ODD_S)
+    status = Path(f"/proc/{balancer.pid}/status").read_text()
+    peak_kb = int(status.partition("VmHWM:")[2].split()[0])
+    assert peak_kb < MAX_MEMORY_KB
+    assert await is_ready(BALANCER_IP)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -89,6 +89,18 @@
         await watch
 
 
+async def test_changes_that_are_too_large_for_an_answer_are_read_in_pages(
+    store, follower, monkeypatch
+):
+    await wait_until(lambda: store.calls[-1:] == ["/kv-watch"])
+    monkeypatch.setattr("store.MAX_BODY_BYTES", 1500)
+    store.put("servers/i-7", TARGET)
+    for _ in range(20):
+        store.put("servers/i-8", TARGET)
+    await wait_until(lambda: target_count(follower[-1]) == 7)
+    assert follower[-1].revision == store.revision
+
+
 async def test_store_that_refuses_is_asked_again(store, follower):
     await wait_until(lambda: store.calls[-1:] == ["/kv-watch"])
     store.status = 503
