--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -3,8 +3,9 @@
 import sys
 from asyncio import create_subprocess_exec, sleep, start_server
 from asyncio import timeout as time_limit
-from asyncio.subprocess import DEVNULL
+from asyncio.subprocess import PIPE
 from base64 import b64encode
+from functools import partial
 from json import dumps
 from pathlib import Path
 from signal import SIGTERM
@@ -23,13 +24,15 @@
 STARTED_S = 20.0
 ODD_S = 4.0
 # A balancer needs about 22 MB without any connections.
+# Calls in ODD_S seconds, about as many as beside a store that refuses them.
+MAX_CALLS = 40
 MAX_MEMORY_KB = 100_000
 CHUNK = b"%x\r\n%s\r\n" % (1 << 20, b" " * (1 << 20))
 
 
-def format_answer(body, status=200):
+def format_answer(body, status=200, era=1):
     content = dumps(body).encode()
-    head = f"HTTP/1.1 {status} X\r\nStore-Era: 1\r\n"
+    head = f"HTTP/1.1 {status} X\r\nStore-Era: {era}\r\n"
     head += f"Content-Length: {len(content)}\r\n\r\n"
     return head.encode() + content
 
@@ -46,6 +49,8 @@
     ----------
     version : int
         Version of the configuration, and its revision.
+    era : int
+        Era that the answers name.
     answer : callable or None
         Coroutine function that writes the answer to a call, given its target
         and the stream; None for the usual answers.
@@ -53,6 +58,7 @@
 
     def __init__(self):
         self.version = 1
+        self.era = 1
         self.answer = None
         self.calls = 0
 
@@ -81,7 +87,8 @@
                 await sleep(0.02)
                 wait_s -= 0.02
             body = {"events": [item] if self.version > after else []}
-        writer.write(format_answer({**body, "current-rev": self.version}))
+        body["current-rev"] = self.version
+        writer.write(format_answer(body, era=self.era))
 
 
 @pytest.fixture
@@ -104,7 +111,7 @@
         str(MAIN),
         "balancer",
         env={PATH_VARIABLE: str(path)},
-        stdout=DEVNULL,
+        stdout=PIPE,
     )
     yield process
     assert process.returncode is None
@@ -135,3 +142,44 @@
     peak_kb = int(status.partition("VmHWM:")[2].split()[0])
     assert peak_kb < MAX_MEMORY_KB
     assert await is_ready(BALANCER_IP)
+
+
+async def answer_without_a_wait(store, target, writer):
+    target = target.partition("&wait-ms=")[0]
+    await store.answer_usually(f"{target}&wait-ms=0", writer)
+
+
+async def lack_history(store, target, writer):
+    if target.startswith("/kv-range"):
+        await store.answer_usually(target, writer)
+    else:
+        writer.write(format_answer({}, 410))
+
+
+async def lack_everything(store, target, writer):
+    writer.write(format_answer({}, 410))
+
+
+async def begin_an_era(store, target, writer):
+    store.era += 1
+    body = {"items": [], "events": [], "current-rev": store.version}
+    writer.write(format_answer(body, era=store.era))
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [answer_without_a_wait, lack_history, lack_everything, begin_an_era],
+)
+async def test_store_is_not_called_without_a_pause(store, balancer, answer):
+    """Over 1,000 calls a second took the processor from the connections."""
+    await wait_ready()
+    store.answer = partial(answer, store)
+    await sleep(1.0)
+    before = store.calls
+    await sleep(ODD_S)
+    assert store.calls - before <= MAX_CALLS
+    store.answer = None
+    store.version = 2
+    async with time_limit(STARTED_S):
+        while b"configuration=2" not in await balancer.stdout.readline():
+            pass
