--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -183,3 +183,19 @@
     async with time_limit(STARTED_S):
         while b"configuration=2" not in await balancer.stdout.readline():
             pass
+
+
+async def answer_after_hints(store, target, writer):
+    writer.write(b"HTTP/1.1 103 Early Hints\r\nLink: <x>\r\n\r\n")
+    writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+    await store.answer_usually(target, writer)
+
+
+async def test_answers_that_are_not_final_precede_the_final_one(store, balancer):
+    """Each call failed, and the balancer never got routes."""
+    store.answer = partial(answer_after_hints, store)
+    await wait_ready()
+    store.version = 2
+    async with time_limit(STARTED_S):
+        while b"configuration=2" not in await balancer.stdout.readline():
+            pass
