--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -26,6 +26,8 @@
 # A balancer needs about 22 MB without any connections.
 # Calls in ODD_S seconds, about as many as beside a store that refuses them.
 MAX_CALLS = 40
+# The same while a process without a view tries again sooner, 3 pages a time.
+MAX_PAGED_CALLS = 120
 MAX_MEMORY_KB = 100_000
 CHUNK = b"%x\r\n%s\r\n" % (1 << 20, b" " * (1 << 20))
 
@@ -103,20 +105,28 @@
 
 
 @pytest.fixture
-async def balancer(store, tmp_path):
+async def start(store, tmp_path):
+    """Return a function that starts the balancer, which must not end."""
     path = tmp_path / "balancer.conf"
     path.write_text(format_settings("b", "balancer", BALANCER_IP, store.address, "s1"))
-    process = await create_subprocess_exec(
-        sys.executable,
-        str(MAIN),
-        "balancer",
-        env={PATH_VARIABLE: str(path)},
-        stdout=PIPE,
-    )
-    yield process
-    assert process.returncode is None
-    process.send_signal(SIGTERM)
-    assert await process.wait() == 0
+    started = []
+
+    async def start_balancer():
+        process = await create_subprocess_exec(
+            sys.executable,
+            str(MAIN),
+            "balancer",
+            env={PATH_VARIABLE: str(path)},
+            stdout=PIPE,
+        )
+        started.append(process)
+        return process
+
+    yield start_balancer
+    for process in started:
+        assert process.returncode is None
+        process.send_signal(SIGTERM)
+        assert await process.wait() == 0
 
 
 async def wait_ready():
@@ -133,8 +143,9 @@
         await writer.drain()
 
 
-async def test_answer_without_an_end_uses_up_no_memory(store, balancer):
+async def test_answer_without_an_end_uses_up_no_memory(store, start):
     """It was read whole until its time-out, up to 1.6 GB."""
+    balancer = await start()
     await wait_ready()
     store.answer = write_endlessly
     await sleep(ODD_S)
@@ -170,8 +181,9 @@
     "answer",
     [answer_without_a_wait, lack_history, lack_everything, begin_an_era],
 )
-async def test_store_is_not_called_without_a_pause(store, balancer, answer):
+async def test_store_is_not_called_without_a_pause(store, start, answer):
     """Over 1,000 calls a second took the processor from the connections."""
+    balancer = await start()
     await wait_ready()
     store.answer = partial(answer, store)
     await sleep(1.0)
@@ -191,11 +203,34 @@
     await store.answer_usually(target, writer)
 
 
-async def test_answers_that_are_not_final_precede_the_final_one(store, balancer):
+async def test_answers_that_are_not_final_precede_the_final_one(store, start):
     """Each call failed, and the balancer never got routes."""
     store.answer = partial(answer_after_hints, store)
+    balancer = await start()
     await wait_ready()
     store.version = 2
     async with time_limit(STARTED_S):
         while b"configuration=2" not in await balancer.stdout.readline():
             pass
+
+
+async def return_to_the_first_page(store, target, writer):
+    """Answer with the last items of two pages in turn."""
+    key = "op/a" if target.endswith("op/b") else "op/b"
+    item = format_item(key, {}, store.version)
+    body = {"items": [item], "has-more": True, "current-rev": store.version}
+    writer.write(format_answer(body))
+
+
+async def test_pages_without_an_end_are_a_failure_of_the_store(store, start):
+    """They were read forever, and the store was never taken for lost."""
+    store.answer = partial(return_to_the_first_page, store)
+    balancer = await start()
+    async with time_limit(STARTED_S):
+        while b"event=store-lost" not in await balancer.stdout.readline():
+            pass
+    before = store.calls
+    await sleep(ODD_S)
+    assert store.calls - before <= MAX_PAGED_CALLS
+    store.answer = None
+    await wait_ready()
