Count a target's start in the far future as unknown

An entry of another writer could claim any start up to 2100. It outranked all entries that the target wrote later: after one draining entry the target counted as draining for as long as its own entry was there, and got no openings; its later starts counted as earlier, so that a cold target was not limited; and its agent, told of a start after its own, counted its table as complete and denied connections that the target holds.

The cause is the bound of 2100, which only guards the messages.

--- a/tests/test_odd_entries_daemons.py
+++ b/tests/test_odd_entries_daemons.py
@@ -13,14 +13,16 @@
 
 import pytest
 
+from catalog import MAX_BORN_MS
 from soak.packets import SYN
-from tests.odd_entries import IDS, KINDS, TEXTS_BY_KIND
-from tests.platform_process import is_ready
+from tests.odd_entries import ENTRY, IDS, KINDS, TEXTS_BY_KIND
+from tests.platform_process import fetch, is_ready
 from tests.test_connection_daemon import (
     ADDED_IP,
     AGENT_IP,
     BALANCER_IP,
     ENTRY_SPREAD_S,
+    METRICS_PORT,
     deployment,
     make_key,
     processes,
@@ -179,3 +181,22 @@
     contents_by_key = {f"servers/{id_}": odd for id_ in (*IDS.values(), "a\ud800")}
     await run_beside(trial, contents_by_key, "servers/a\ud800")
     assert (trial.ended, trial.missed) == ([], [])
+
+
+async def test_start_in_the_far_future_leaves_the_target_in_use(trial):
+    """A balancer compares it with the clock of its own host."""
+    store = trial.deployment.store
+    own = loads(b64decode(store.items_by_key[OWN_KEY]["value"]))
+    own["born"] = ENTRY["born"]
+    store.put(OWN_KEY, {**own, "state": "draining", "born": MAX_BORN_MS})
+    await sleep(ENTRY_SPREAD_S)
+    metrics = await fetch(BALANCER_IP, METRICS_PORT, "/metrics")
+    assert b'event="target-field-ignored"' in metrics
+    await trial.start("added", ADDED_IP, "its start", seeds=(BALANCER_IP,))
+    store.put(OWN_KEY, own)
+    await trial.expect("own entry again")
+    store.delete(OWN_KEY)
+    await trial.expect("removed target", is_open=False)
+    store.put(NEW_KEY, own)
+    await trial.expect("new target")
+    assert (trial.ended, trial.missed) == ([], [])
