Leave out targets of an absurd capacity

An entry could claim a capacity of up to 2^53. The balancers divide the load of a target by its capacity, so that such a target counted as free at any load: of 200 openings between two load reports 198 went to it, and one each to two others of capacity 1 (a trial with balancer and recorder).

The bound was that of the messages only.

A capacity of 100 among targets of capacity 1 still draws as much; it can't be told from a large target by its entry.

--- a/tests/test_absurd_numbers.py
+++ b/tests/test_absurd_numbers.py
@@ -1,9 +1,11 @@
 """Well-formed but absurd numbers in an entry do no harm beyond the entry.
 
 No reader raises at them. They did harm by what they claim: an entry that names
-a start in the far future outranked all later entries of the target.
+a start in the far future outranked all later entries of the target, and one of
+an immense capacity drew all openings.
 """
 
+from collections import Counter
 from dataclasses import replace
 
 import pytest
@@ -12,13 +14,18 @@
     CONFIGURATION_KEY,
     MAX_BORN_AHEAD_MS,
     MAX_BORN_MS,
+    MAX_CAPACITY,
     Catalog,
 )
 from lycheeglade.address import Address
-from lycheeglade.connection_balancer import receive_message, update_routing
+from lycheeglade.connection_balancer import (
+    receive_message,
+    receive_segment,
+    update_routing,
+)
 from lycheeglade.known_view import KnownView
 from lycheeglade.view import State
-from tests.connections import BalancerRecorder, make_report
+from tests.connections import BalancerRecorder, make_report, opening
 from tests.test_catalog import ROUTE
 from tests.test_odd_entries import (
     GOOD,
@@ -36,6 +43,7 @@
     "ten-years": NOW_MS + 10 * 365 * 24 * HOUR_MS,
     "latest": MAX_BORN_MS,
 }
+OPENINGS = 200
 AGENT = Address("127.0.0.8", 7720)
 
 
@@ -127,3 +135,43 @@
     assert fields["key"] == "servers/own"
     assert fields["field"] == "born"
     assert fields["got"] == FUTURES["two-days"]
+
+
+@pytest.mark.parametrize("odd_id", ["own", "odd"])
+@pytest.mark.parametrize("capacity", [MAX_CAPACITY + 1, 2**31, 2**53])
+def test_entry_of_an_absurd_capacity_draws_no_openings(capacity, odd_id):
+    """Such a target counted as free at any load, and got all openings."""
+    catalog = make_catalog()
+    ids = ("own", "odd", "b", "c")
+    for number, target_id in enumerate(ids):
+        address = f"127.0.0.{number + 8}:8165"
+        catalog.apply(item(f"servers/{target_id}", {**GOOD, "address": address}))
+    agents = {t.agent for t in find_targets(view_of(catalog, 1)).values()}
+    odd_agent = find_targets(view_of(catalog, 1))[odd_id].agent
+    odd = {**GOOD, "address": f"{odd_agent.ip}:8165", "capacity": capacity}
+    catalog.apply(item(f"servers/{odd_id}", odd))
+    openings_by_agent = count_openings(view_of(catalog, 2), agents)
+    assert openings_by_agent.keys() == agents - {odd_agent}
+    assert max(openings_by_agent.values()) < OPENINGS / 2
+    catalog.apply(item(f"servers/{odd_id}", {**odd, "capacity": 1}))
+    assert count_openings(view_of(catalog, 3), agents).keys() == agents
+
+
+def count_openings(view, agents):
+    """Return the agents that a burst of openings is forwarded to, by agent."""
+    recorder = BalancerRecorder()
+    balancer = recorder.make(view)
+    for agent in agents:
+        receive_message(balancer, make_report(service="s1"), agent, 0.0)
+    recorder.sent.clear()
+    (destination,) = view.routes_by_address
+    for port in range(40_001, 40_001 + OPENINGS):
+        segment = replace(opening(port), destination=destination)
+        receive_segment(balancer, segment, 0.1)
+    return Counter(agent for agent, _ in recorder.pop_forwarded_segments())
+
+
+def test_largest_capacity_names_a_target():
+    catalog = make_catalog()
+    catalog.apply(item("servers/own", {**GOOD, "capacity": MAX_CAPACITY}))
+    assert find_targets(view_of(catalog, 1))["own"].slots == MAX_CAPACITY
