Refuse a view that names a target of no slots

A balancer that fetched such a view from another one divided by zero for each opening: of 40 openings in the test the first raised ZeroDivisionError. The catalog counts a capacity of 0 as 1, so that only a balancer of another build could send it; none is known.

The decoder of views did not bound the number of slots, as it does ports. It now requires one, so that such a view is not fetched and another balancer or the store is asked. A table of odd numbers and ports in views (204 tests) shows that all others are refused or used without an error, and that a later view takes effect.

Evidence: without the bound 3 of the 204 tests in tests/test_odd_views.py fail, with it all pass.

--- a/lycheeglade/view.py
+++ b/lycheeglade/view.py
@@ -3,6 +3,9 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
+from typing import Annotated
+
+from msgspec import Meta
 
 from lycheeglade.address import Address, Zone
 
@@ -45,7 +48,8 @@
     weight : float
         Relative share of the load, above zero.
     slots : int
-        Number of requests that the upstream runs concurrently.
+        Number of requests that the upstream runs concurrently. A target
+        without any is not decoded: loads are divided by it.
     connections : int
         Number of flows that the upstream holds at the same time.
     lifetime : int
@@ -61,7 +65,7 @@
     agent: Address
     upstream: Address
     weight: float = 1.0
-    slots: int = 1
+    slots: Annotated[int, Meta(ge=1)] = 1
     connections: int = 2000
     state: State = State.LIVE
     lifetime: int = 0
