Leave out targets of a service with an immense name

The name of a service in a target's entry had no bound but the store's on a value. 20 entries with names of a million characters made the view larger than the 8 MiB that balancers accept from each other: only the balancers that read the store themselves had a view, the others fetched none and followed nothing.

--- a/tests/test_odd_entry_places.py
+++ b/tests/test_odd_entry_places.py
@@ -11,9 +11,11 @@
 
 import pytest
 
+from catalog import MAX_SERVICE_CHARS
 from lycheeglade.address import Address
 from lycheeglade.known_view import KnownView
 from lycheeglade.view import State
+from lycheeglade.view_transfer import fetch_view, serve_view
 from store import StoreClient, WireEvents
 from store_era import EraReader
 from tests import store_stand_in
@@ -23,6 +25,7 @@
     find_targets,
     follow,
     ignore_event,
+    item,
     make_catalog,
     read_once,
     store,
@@ -162,6 +165,23 @@
             assert others - {"d"} <= find_targets(view).keys()
 
 
+@pytest.mark.parametrize("count", [1, 20])
+@pytest.mark.parametrize("chars", [MAX_SERVICE_CHARS, 1_000_000])
+async def test_peers_fetch_the_view_beside_long_names(chars, count):
+    """The view was larger than balancers accept, and none followed it."""
+    catalog = make_catalog()
+    for number in range(count):
+        odd = {**GOOD, "service": f"{number:02}".rjust(chars, "x")}
+        catalog.apply(item(f"servers/odd-{number}", odd))
+    view = view_of(catalog, 1)
+    server = await serve_view(Address("127.0.0.1", 0), lambda: view)
+    address = Address(*server.sockets[0].getsockname()[:2])
+    fetched = await fetch_view(address, ignore_event)
+    server.close()
+    assert fetched == view
+    assert set(find_targets(fetched)) == {"own"}
+
+
 @pytest.mark.parametrize("page_size", [1, 2, 3, 500])
 @pytest.mark.parametrize("place", ["first", "middle", "last"])
 async def test_pages_are_read_beside_all_odd_entries(
