--- a/tests/test_process_life.py
+++ b/tests/test_process_life.py
@@ -16,6 +16,7 @@
 from catalog import CONFIGURATION_KEY
 from demo.cluster import reserve_network_for_process
 from lycheeglade.address import Address
+from lycheeglade.connection_agent_daemon import EXIT_REPORT_PAUSES_S
 from tests.platform_process import (
     DATAGRAM_PORT,
     INTERNAL_PORT,
@@ -69,6 +70,20 @@
 STOP_PAUSE_S = 0.0005
 # Not every repetition hits the end of the interpreter.
 STOPS = 4
+# Runs the program in its arguments with a report of the exit that fails.
+FAILING_EXIT_REPORT = """
+import runpy, sys
+from os.path import dirname
+from lycheeglade import connection_load
+
+def fail(agent, now):
+    raise ValueError("sabotage")
+
+connection_load.announce_exit = fail
+del sys.argv[0]
+sys.path.insert(0, dirname(sys.argv[0]))
+runpy.run_path(sys.argv[0], run_name="__main__")
+"""
 
 
 def put_routes(store, version, count):
@@ -269,3 +284,19 @@
     async with time_limit(STARTED_S):
         while f"routes={MANY_ROUTES}".encode() not in await process.stdout.readline():
             pass
+
+
+async def test_failing_report_of_the_exit_ends_no_agent_early(start):
+    """The agent ended with exit code 1, and cut the requests that ran."""
+    process = await start("agent", "-c", FAILING_EXIT_REPORT, stdout=PIPE)
+    await wait_ready(process)
+    process.send_signal(SIGTERM)
+    async with time_limit(GRACE_S):
+        output, _ = await process.communicate()
+    log = output.decode()
+    assert process.returncode == 0
+    assert log.count(" event=part-failed cause=exit-report ") == len(
+        EXIT_REPORT_PAUSES_S
+    )
+    assert log.count(" event=stopped ") == 1
+    assert " event=ended " not in log
