Bound the size of the store's answers

Operators of hosts with 300 MB saw balancers end by themselves; the platform kills a process that exceeds its memory. An answer of the store was collected without a bound until the call timed out after seconds, and decoded whole.

An answer is now given up beyond 4 MB, a page being about 1.4 MB at most, and its connection closed. Effect at the bound: the call fails and is repeated with backoff. Changes that exceed an answer would exceed it again at each repetition, so that all is read again instead, in pages.

--- /dev/null
+++ b/tests/test_process_resources.py
@@ -0,0 +1,138 @@
+"""Memory and descriptors of a process that carries connections."""
+
+import sys
+from asyncio import create_subprocess_exec, sleep, start_server
+from asyncio import timeout as time_limit
+from asyncio.subprocess import DEVNULL
+from contextlib import suppress
+from pathlib import Path
+
+import pytest
+
+from catalog import CONFIGURATION_KEY
+from demo.cluster import reserve_network_for_process
+from lycheeglade.address import Address
+from tests.platform_process import PATH_VARIABLE, format_settings, is_ready
+from tests.store_stand_in import StoreStandIn
+
+MAIN = Path(__file__).parent.parent / "platform" / "main.py"
+NETWORK = reserve_network_for_process()
+STORE_IP, PROCESS_IP = f"127.{NETWORK}.9.1", f"127.{NETWORK}.9.2"
+# The smallest limit of a deployment. A process that exceeds it is killed.
+MEMORY_KB = 114 * 1024
+STARTED_S = 20.0
+DISTURBED_S = 4.0
+CHUNK = bytes(1 << 16)
+HEAD = b"HTTP/1.1 200 X\r\n"
+
+
+def put_routes(store, version):
+    route = {"host": "198.18.0.1", "prefix": "/443/", "type": "safe", "service": "s1"}
+    store.put(CONFIGURATION_KEY, {"version": version, "routes": [route]})
+
+
+def read_peak_kb(process):
+    """Return the largest resident memory that the process has had."""
+    status = Path(f"/proc/{process.pid}/status").read_text()
+    fields = dict(line.split(":", 1) for line in status.splitlines())
+    return int(fields["VmHWM"].split()[0])
+
+
+async def wait_until(condition):
+    async with time_limit(STARTED_S):
+        while not await condition():
+            await sleep(0.05)
+
+
+async def is_ready_here():
+    return await is_ready(PROCESS_IP)
+
+
+@pytest.fixture
+async def store():
+    stand_in = StoreStandIn()
+    stand_in.address = Address(*await stand_in.start(STORE_IP))
+    put_routes(stand_in, 1)
+    yield stand_in
+    stand_in.stop()
+    await sleep(0)
+
+
+@pytest.fixture
+async def start(store, tmp_path):
+    """Return a function that starts a process and waits until it is ready."""
+    started = []
+
+    async def start_process(role, **options):
+        path = tmp_path / f"{role}.conf"
+        path.write_text(format_settings(role, role, PROCESS_IP, store.address, "s1"))
+        process = await create_subprocess_exec(
+            sys.executable,
+            str(MAIN),
+            role,
+            env={PATH_VARIABLE: str(path)},
+            stdout=DEVNULL,
+            **options,
+        )
+        started.append(process)
+        await wait_until(is_ready_here)
+        return process
+
+    yield start_process
+    for process in started:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+
+async def send_without_end(writer):
+    writer.write(HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
+    while True:
+        writer.write(b"10000\r\n" + CHUNK + b"\r\n")
+        await writer.drain()
+
+
+async def send_huge(writer):
+    writer.write(HEAD + b"Content-Length: 1000000000\r\n\r\n")
+    while True:
+        writer.write(CHUNK)
+        await writer.drain()
+
+
+async def send_many_items(writer):
+    # The key is no valid UTF-8, so the items are decoded one by one.
+    items = b",".join([b'{"key":"\xff"}'] * 10**6)
+    body = b'{"events":[' + items + b'],"items":[],"current-rev":1}'
+    writer.write(HEAD + b"Content-Length: %d\r\n\r\n" % len(body) + body)
+    await writer.drain()
+
+
+@pytest.mark.parametrize("send", [send_without_end, send_huge, send_many_items])
+async def test_large_answers_of_the_store_do_not_use_up_the_memory(store, start, send):
+    """The balancers were killed for it, and again after each restart."""
+
+    async def answer(reader, writer):
+        with suppress(OSError, EOFError):
+            await reader.readuntil(b"\r\n\r\n")
+            await send(writer)
+        writer.close()
+
+    process = await start("balancer")
+    store.stop()
+    # The next call opens a new connection.
+    store.compact_history()
+    server = await start_server(answer, *store.address)
+    await sleep(DISTURBED_S)
+    assert process.returncode is None
+    assert read_peak_kb(process) < MEMORY_KB
+    server.close()
+    await store.start(*store.address)
+    calls = len(store.calls)
+    put_routes(store, 2)
+    await wait_until(lambda: has_followed(store, calls))
+
+
+async def has_followed(store, calls):
+    """Return whether a watch after the latest change waits."""
+    after = f"after={store.revision}&"
+    return any(after in target for target in store.targets[calls:])
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -1,11 +1,19 @@
-from asyncio import CancelledError, create_task, sleep, timeout, wait
+from asyncio import CancelledError, create_task, sleep, start_server, timeout, wait
+from contextlib import suppress
 from random import Random
 
 import pytest
 
 from catalog import CONFIGURATION_KEY, Catalog
 from lycheeglade.address import Address
-from store import HistoryGoneError, StoreClient, StoreError, WireEvents
+from store import (
+    MAX_ANSWER_BYTES,
+    AnswerTooLargeError,
+    HistoryGoneError,
+    StoreClient,
+    StoreError,
+    WireEvents,
+)
 from store_era import EraReader
 from store_reader import follow_store
 from tests.store_stand_in import StoreStandIn
@@ -118,6 +126,43 @@
         await client.get(path, WireEvents, 0.1)
 
 
+async def test_answer_without_an_end_is_given_up(store):
+    """The process would exceed its memory before the call times out."""
+    chunk = b"10000\r\n" + bytes(1 << 16) + b"\r\n"
+    sent = 0
+
+    async def send_endlessly(reader, writer):
+        nonlocal sent
+        writer.write(b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n")
+        with suppress(OSError):
+            while True:
+                writer.write(chunk)
+                await writer.drain()
+                sent += len(chunk)
+
+    server = await start_server(send_endlessly, "127.0.0.1", 0)
+    address = Address(*server.sockets[0].getsockname()[:2])
+    client = StoreClient(lambda: address, EraReader(ignore_event))
+    with pytest.raises(AnswerTooLargeError):
+        await client.get("/kv-range?prefix=", WireEvents, 1.0)
+    server.close()
+    # The buffers of the kernel are full as well.
+    assert sent < 4 * MAX_ANSWER_BYTES
+
+
+async def test_changes_that_exceed_an_answer_are_read_as_a_whole(store, follower):
+    """The answer to the watch would exceed the bound at each repetition."""
+    await wait_until(lambda: store.calls[-1:] == ["/kv-watch"])
+    store.status = 503
+    largest = {"routes": [ROUTE], "note": "x" * (MAX_ANSWER_BYTES // 4)}
+    for version in range(4, 9):
+        store.put(CONFIGURATION_KEY, {"version": version, **largest})
+    store.put("servers/i-9", TARGET)
+    store.status = 200
+    await wait_until(lambda: follower[-1].configuration == 8)
+    assert "i-9" in follower[-1].targets_by_service["s1"]
+
+
 async def test_follower_that_is_cancelled_at_any_await_ends_in_the_grace_time(store):
     """A balancer stops by cancelling its tasks, wherever they wait."""
     for steps in range(MAX_LOOP_STEPS):
