--- a/tests/test_process_resources.py
+++ b/tests/test_process_resources.py
@@ -1,18 +1,27 @@
 """Memory and descriptors of a process that carries connections."""
 
+import os
 import sys
 from asyncio import create_subprocess_exec, sleep, start_server
 from asyncio import timeout as time_limit
 from asyncio.subprocess import DEVNULL
 from contextlib import suppress
 from pathlib import Path
+from resource import RLIMIT_NOFILE, prlimit
+from socket import AF_INET, SOCK_STREAM, socket
+from time import monotonic
 
 import pytest
 
 from catalog import CONFIGURATION_KEY
 from demo.cluster import reserve_network_for_process
 from lycheeglade.address import Address
-from tests.platform_process import PATH_VARIABLE, format_settings, is_ready
+from tests.platform_process import (
+    PATH_VARIABLE,
+    READY_PORT,
+    format_settings,
+    is_ready,
+)
 from tests.store_stand_in import StoreStandIn
 
 MAIN = Path(__file__).parent.parent / "platform" / "main.py"
@@ -21,6 +30,10 @@
 # The smallest limit of a deployment. A process that exceeds it is killed.
 MEMORY_KB = 114 * 1024
 STARTED_S = 20.0
+ANSWER_S = 4.0
+METRICS_PORT = 9464
+MAX_FILES = 600
+CONNECTIONS = 1000
 DISTURBED_S = 4.0
 CHUNK = bytes(1 << 16)
 HEAD = b"HTTP/1.1 200 X\r\n"
@@ -132,6 +145,66 @@
     await wait_until(lambda: has_followed(store, calls))
 
 
+async def connect_to(port):
+    """Open more connections than the process has descriptors."""
+    sockets = []
+    for _ in range(CONNECTIONS):
+        client = socket(AF_INET, SOCK_STREAM)
+        client.setblocking(False)
+        client.connect_ex((PROCESS_IP, port))
+        sockets.append(client)
+        if len(sockets) % 50 == 0:
+            await sleep(0.01)
+    return sockets
+
+
+@pytest.mark.parametrize("role", ["balancer", "agent"])
+@pytest.mark.parametrize("port", [READY_PORT, METRICS_PORT])
+async def test_silent_clients_do_not_take_all_descriptors(start, role, port):
+    """The readiness was not answered until their connections timed out."""
+    process = await start(role)
+    prlimit(process.pid, RLIMIT_NOFILE, (MAX_FILES, MAX_FILES))
+    clients = await connect_to(port)
+    await sleep(1)
+    async with time_limit(ANSWER_S):
+        assert await is_ready_here()
+    assert len(os.listdir(f"/proc/{process.pid}/fd")) < MAX_FILES
+    for client in clients:
+        client.close()
+    await wait_until(is_ready_here)
+
+
+@pytest.mark.parametrize("role", ["balancer", "agent"])
+@pytest.mark.parametrize(
+    "request_head",
+    [
+        b"POST /ready HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999999\r\n\r\n",
+        b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n" * 1000,
+        b"GET /ready HTTP/1.1\r\n" + b"a: b\r\n" * 1000,
+    ],
+    ids=["body", "pipelined", "headers"],
+)
+async def test_clients_that_only_send_do_not_use_up_the_memory(
+    start, role, request_head
+):
+    """Each connection held what its client had sent and had not read."""
+    process = await start(role)
+    clients = await connect_to(READY_PORT)
+    ends_at = monotonic() + DISTURBED_S
+    data = request_head
+    while monotonic() < ends_at:
+        for client in clients:
+            with suppress(OSError):
+                client.send(data)
+        data = CHUNK
+        await sleep(0.05)
+    assert process.returncode is None
+    assert read_peak_kb(process) < MEMORY_KB
+    for client in clients:
+        client.close()
+    await wait_until(is_ready_here)
+
+
 async def has_followed(store, calls):
     """Return whether a watch after the latest change waits."""
     after = f"after={store.revision}&"
