Receive packets into a smaller buffer

A balancer under a flood of segments of unknown connections grew without an end: 326 MB after 35 s (peak resident memory, real process, flows of an opening and 11 data packets that no agent answers), where hosts have 300 MB and kill a process beyond. So does one that starts into the traffic of many callers whose agents are slow. Its tables were within their bounds and took about 50 MB.

Each datagram was received into a buffer of 64 KB that is then cut to its size. An opening is kept for a minute, the data behind it for two seconds at most. The space that the data leaves between two openings was too small for the next 64 KB, so that nearly all that was received took new memory.

Packets are now received into 2 KB, which fits into the space of two data packets. Effect at the bound: a larger datagram is cut off and then malformed. Packets have 1,234 bytes at most. Messages between processes still get 64 KB. There is no further work for each packet.

Red: the test grows by 95 MB with the buffer of 64 KB.

--- a/lycheeglade/connection_daemon.py
+++ b/lycheeglade/connection_daemon.py
@@ -31,6 +31,9 @@
 # are counted.
 LOG_LINES_PER_S = 50
 ANY_KIND = "any"
+# A packet has up to 1,200 bytes of data. A larger datagram is cut off and then
+# malformed, since its length field does not match.
+MAX_PACKET_BYTES = 2048
 
 
 @dataclass(frozen=True, slots=True)
@@ -246,7 +249,12 @@
     def open_both() -> tuple[DatagramSocket, DatagramSocket]:
         internal = DatagramSocket(loop, on_message, local=settings.internal)
         try:
-            external = DatagramSocket(loop, on_segment, local=settings.external)
+            external = DatagramSocket(
+                loop,
+                on_segment,
+                local=settings.external,
+                max_bytes=MAX_PACKET_BYTES,
+            )
         except OSError:
             internal.close()
             raise
--- a/lycheeglade/transport.py
+++ b/lycheeglade/transport.py
@@ -27,10 +27,15 @@
         more were waiting.
     on_refused : callable
         Called if the peer of a connected socket reports a closed port.
+    max_bytes : int
+        Size at which datagrams are cut off. A buffer of this size is allocated
+        for each one, so that kept datagrams lie this far apart in memory
+        unless the space between them is used for smaller objects.
     """
 
     __slots__ = (
         "_loop",
+        "_max_bytes",
         "_on_batch",
         "_on_datagram",
         "_on_refused",
@@ -48,6 +53,7 @@
         on_refused: Callable[[], None] | None = None,
         on_batch: Callable[[int, bool], None] | None = None,
         buffer_bytes: int = SOCKET_BUFFER_BYTES,
+        max_bytes: int = MAX_DATAGRAM_BYTES,
     ):
         ip = (local or remote).ip
         family = AF_INET6 if ":" in ip else AF_INET
@@ -55,6 +61,7 @@
         self._on_datagram = on_datagram
         self._on_refused = on_refused
         self._on_batch = on_batch
+        self._max_bytes = max_bytes
         self._socket = Socket(family, SOCK_DGRAM)
         self.dropped = 0
         try:
@@ -104,10 +111,10 @@
 
     def _read_datagrams(self) -> int:
         """Read up to `BATCH_PACKETS` datagrams; return how many were read."""
-        receive = self._socket.recvfrom
+        receive, max_bytes = self._socket.recvfrom, self._max_bytes
         for read in range(BATCH_PACKETS):
             try:
-                datagram, source = receive(MAX_DATAGRAM_BYTES)
+                datagram, source = receive(max_bytes)
             except (BlockingIOError, InterruptedError):
                 return read
             except ConnectionRefusedError:
--- a/tests/test_process_resources.py
+++ b/tests/test_process_resources.py
@@ -2,13 +2,14 @@
 
 import os
 import sys
-from asyncio import create_subprocess_exec, sleep, start_server
+from asyncio import Event, create_subprocess_exec, sleep, start_server
 from asyncio import timeout as time_limit
 from asyncio.subprocess import DEVNULL
+from collections import deque
 from contextlib import suppress
 from pathlib import Path
 from resource import RLIMIT_NOFILE, prlimit
-from socket import AF_INET, SOCK_STREAM, socket
+from socket import AF_INET, SOCK_DGRAM, SOCK_STREAM, socket
 from time import monotonic
 
 import pytest
@@ -16,6 +17,7 @@
 from catalog import CONFIGURATION_KEY
 from demo.cluster import reserve_network_for_process
 from lycheeglade.address import Address
+from lycheeglade.connection_daemon import EventLog, ProcessSettings, open_sockets
 from tests.platform_process import (
     PATH_VARIABLE,
     READY_PORT,
@@ -36,6 +38,10 @@
 CONNECTIONS = 1000
 DISTURBED_S = 4.0
 CHUNK = bytes(1 << 16)
+INTERNAL, EXTERNAL = Address(PROCESS_IP, 7720), Address(PROCESS_IP, 8172)
+OPENING, DATA = bytes(34), bytes(1234)
+OPENINGS, DATA_PACKETS, MAX_RECENT = 15_000, 5, 6000
+MAX_GROWTH_KB = 40 * 1024
 HEAD = b"HTTP/1.1 200 X\r\n"
 
 
@@ -205,6 +211,48 @@
     await wait_until(is_ready_here)
 
 
+def read_memory_kb():
+    """Return the resident memory of this process."""
+    status = Path("/proc/self/status").read_text()
+    fields = dict(line.split(":", 1) for line in status.splitlines())
+    return int(fields["VmRSS"].split()[0])
+
+
+async def test_kept_packets_do_not_keep_the_memory_around_them():
+    """An opening is kept for a minute, the data of a search for seconds.
+
+    The space of the data between two openings was too small for the buffer of
+    another packet, so that a balancer grew by all data that it had got.
+    """
+    kept, recent = [], deque(maxlen=MAX_RECENT)
+
+    def receive(datagram, source):
+        (kept if len(datagram) == len(OPENING) else recent).append(datagram)
+
+    sockets = await open_sockets(
+        ProcessSettings("x", INTERNAL, EXTERNAL, EXTERNAL.port),
+        receive,
+        receive,
+        Event(),
+        EventLog(),
+    )
+    client = socket(AF_INET, SOCK_DGRAM)
+    before_kb = read_memory_kb()
+    for number in range(OPENINGS):
+        client.sendto(OPENING, EXTERNAL)
+        for _ in range(DATA_PACKETS):
+            client.sendto(DATA, EXTERNAL)
+        if number % 8 == 0:
+            await sleep(0)
+    grown_kb = read_memory_kb() - before_kb
+    # Few are lost on the way.
+    assert len(kept) > 0.9 * OPENINGS
+    assert grown_kb < MAX_GROWTH_KB
+    for each in sockets:
+        each.close()
+    client.close()
+
+
 async def has_followed(store, calls):
     """Return whether a watch after the latest change waits."""
     after = f"after={store.revision}&"
