--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -101,7 +101,7 @@
     store, follower, monkeypatch
 ):
     await wait_until(lambda: store.calls[-1:] == ["/kv-watch"])
-    monkeypatch.setattr("store.MAX_BODY_BYTES", 1500)
+    monkeypatch.setattr("store.MAX_ANSWER_BYTES", 1500)
     store.put("servers/i-7", TARGET)
     for _ in range(20):
         store.put("servers/i-8", TARGET)
