Share the code that contains errors between the two kinds of processes

Both modules had their own wrapper of a step that records its errors, and both daemons their own handler for errors of callbacks. Each pair was the same but for where errors are recorded; contain_errors and report_callback_errors in supervision now serve both.

keep_running and run_restarted stay apart: they differ in what happens after a normal return and after a cancellation that nobody asked for, in the pauses and their jitter, and in which failures are logged.

--- a/lycheeglade/connection_daemon.py
+++ b/lycheeglade/connection_daemon.py
@@ -5,21 +5,26 @@
 packets come from and how the view is published.
 """
 
-from asyncio import AbstractEventLoop, Event, get_running_loop, sleep
+from asyncio import Event, get_running_loop, sleep
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from logging import INFO, WARNING, getLogger
 from signal import SIG_IGN, SIGHUP, SIGINT, SIGTERM, signal
 from time import monotonic
-from typing import Any, TypeVar
+from typing import TypeVar
 
 from lycheeglade.address import Address, Zone
 from lycheeglade.connection_limits import DEFAULT_LIMITS, ConnectionLimits
 from lycheeglade.errors import PacketError
 from lycheeglade.logs import log_event
 from lycheeglade.segment import ConnectionKey, Segment
-from lycheeglade.supervision import log_failure, open_when_free
+from lycheeglade.supervision import (
+    log_failure,
+    open_when_free,
+    report_callback_errors,
+)
 from lycheeglade.transport import DatagramSocket, Receiver
 from lycheeglade.warmup import WarmupBounds
 
@@ -218,16 +223,8 @@
 
 
 def log_callback_failures(log: EventLog) -> None:
-    """Log errors of callbacks and forgotten tasks of the running event loop.
-
-    Its default handler writes a traceback for each, such as one a datagram.
-    """
-
-    def handle(loop: AbstractEventLoop, context: Mapping[str, Any]) -> None:
-        error = context.get("exception") or RuntimeError(context["message"])
-        log_failure("callback", error, log)
-
-    get_running_loop().set_exception_handler(handle)
+    """Log errors of callbacks and forgotten tasks of the event loop."""
+    report_callback_errors(partial(log_failure, "callback", log=log))
 
 
 async def open_sockets(
--- a/lycheeglade/daemon.py
+++ b/lycheeglade/daemon.py
@@ -1,7 +1,6 @@
 """Main loop and graceful shutdown, common to balancers and agents."""
 
 from asyncio import (
-    AbstractEventLoop,
     CancelledError,
     Event,
     create_task,
@@ -24,6 +23,7 @@
 from lycheeglade.logs import count_lost_lines, log_event
 from lycheeglade.operations import serve_operations
 from lycheeglade.settings import Settings
+from lycheeglade.supervision import report_callback_errors
 from lycheeglade.view import View
 
 TICK_S = 0.02
@@ -176,12 +176,9 @@
 
 def _record_callback_failures(failures: FailureLog) -> None:
     """Record exceptions of callbacks, such as those that receive datagrams."""
-
-    def handle_exception(loop: AbstractEventLoop, context: dict) -> None:
-        error = context.get("exception") or RuntimeError(context["message"])
-        failures.record("callback", error, monotonic())
-
-    get_running_loop().set_exception_handler(handle_exception)
+    report_callback_errors(
+        lambda error: failures.record("callback", error, monotonic())
+    )
 
 
 async def _tick_forever(parts: ProcessParts, failures: FailureLog) -> None:
--- a/lycheeglade/failures.py
+++ b/lycheeglade/failures.py
@@ -10,7 +10,7 @@
 from lycheeglade.histograms import Metrics
 from lycheeglade.logs import log_event
 from lycheeglade.retry import backoff
-from lycheeglade.supervision import find_place
+from lycheeglade.supervision import contain_errors, find_place
 
 logger = getLogger(__name__)
 
@@ -67,16 +67,7 @@
 
     The wrapped function returns whether the step succeeded.
     """
-
-    def call(*arguments) -> bool:
-        try:
-            step(*arguments)
-        except Exception as error:
-            failures.record(part, error, monotonic())
-            return False
-        return True
-
-    return call
+    return contain_errors(step, lambda error: failures.record(part, error, monotonic()))
 
 
 async def run_restarted(
--- a/lycheeglade/supervision.py
+++ b/lycheeglade/supervision.py
@@ -4,11 +4,12 @@
 the error: connections and views would be lost with it.
 """
 
-from asyncio import Event, sleep
-from collections.abc import Awaitable, Callable
+from asyncio import AbstractEventLoop, Event, get_running_loop, sleep
+from collections.abc import Awaitable, Callable, Mapping
 from contextlib import suppress
+from functools import partial
 from time import monotonic
-from typing import TypeVar
+from typing import Any, TypeVar
 
 Resource = TypeVar("Resource")
 Log = Callable[..., None]
@@ -39,20 +40,44 @@
         log("part-failed", cause=name, reason=repr(error), place=find_place(error))
 
 
-def contain(
-    step: Callable[[float], None], name: str, log: Log
-) -> Callable[[float], None]:
-    """Return `step` with its errors logged as those of the part `name`."""
+def contain_errors(
+    step: Callable[..., None], report: Callable[[Exception], None]
+) -> Callable[..., bool]:
+    """Return `step` with its errors passed to `report` instead of raised.
+
+    The returned function returns whether the step succeeded.
+    """
 
-    def run_step(now: float) -> None:
+    def run_step(*arguments) -> bool:
         try:
-            step(now)
+            step(*arguments)
         except Exception as error:
-            log_failure(name, error, log)
+            report(error)
+            return False
+        return True
 
     return run_step
 
 
+def contain(
+    step: Callable[[float], None], name: str, log: Log
+) -> Callable[[float], bool]:
+    """Return `step` with its errors logged as those of the part `name`."""
+    return contain_errors(step, partial(log_failure, name, log=log))
+
+
+def report_callback_errors(report: Callable[[Exception], None]) -> None:
+    """Report errors of callbacks and forgotten tasks of the event loop.
+
+    Its default handler writes a traceback for each, such as one a datagram.
+    """
+
+    def handle(loop: AbstractEventLoop, context: Mapping[str, Any]) -> None:
+        report(context.get("exception") or RuntimeError(context["message"]))
+
+    get_running_loop().set_exception_handler(handle)
+
+
 async def keep_running(
     work: Callable[[], Awaitable[None]], name: str, log: Log
 ) -> None:
