Bound the time that an answer with nested values takes

Removing what is nested too deeply from an answer takes time in which a balancer forwards nothing: 27 ms of processor time for an answer with 99,990 nested lists, 516 ms for a million, more on a small host.

--- a/tests/test_store_envelope.py
+++ b/tests/test_store_envelope.py
@@ -14,7 +14,7 @@
 
 from catalog import CONFIGURATION_KEY, Catalog
 from lycheeglade.address import Address
-from store import StoreClient
+from store import MAX_NESTED, StoreClient
 from store_era import EraReader
 from store_reader import follow_store
 from tests import store_stand_in
@@ -364,3 +364,18 @@
         assert any(fields.get("event") == "store-lost" for fields in log)
         store.spoil = lambda path, body: dumps(body)
         await assert_followed(store, views)
+
+
+@pytest.mark.parametrize("form", ["[]", "{}"])
+@pytest.mark.parametrize("path", LIST_BY_PATH)
+async def test_answer_with_too_much_nesting_is_refused(store, path, form):
+    """The process forwards nothing while the nested values are removed."""
+    begin, end = ("[", "]") if form == "[]" else ('{"a":', "}")
+    text = begin * MAX_NESTED + "1" + end * MAX_NESTED
+    store.spoil = only(path, lambda body: replace_field("x", text, body))
+    async with follow(store) as (views, log):
+        await wait_until(lambda: store.calls[-1:] == [path])
+        await sleep(REFUSED_S)
+        assert any(fields.get("event") == "store-lost" for fields in log)
+        store.spoil = lambda path, body: dumps(body)
+        await assert_followed(store, views)
