Pause the process of a test while its settings are replaced

The test waits beside a folder in place of the settings file and then puts the file there. Beside load it failed once, and its log shows why: the process read the path after the folder was removed and before the file was written, and logged "No such file or directory" as it should. The process now stands still meanwhile; what the test expects is unchanged.

--- a/tests/test_settings_at_start.py
+++ b/tests/test_settings_at_start.py
@@ -11,7 +11,8 @@
 from asyncio.subprocess import PIPE
 from dataclasses import replace
 from os import fsdecode
-from signal import SIGTERM
+from pathlib import Path
+from signal import SIGCONT, SIGSTOP, SIGTERM
 from time import monotonic
 
 import pytest
@@ -146,6 +147,14 @@
     path.parent.mkdir(exist_ok=True)
 
 
+async def pause(process):
+    """Stop a process until it gets SIGCONT."""
+    process.send_signal(SIGSTOP)
+    async with time_limit(STARTED_S):
+        while "State:\tT" not in Path(f"/proc/{process.pid}/status").read_text():
+            await sleep(0.01)
+
+
 @pytest.mark.parametrize("spoil", SPOIL_BY_NAME.values(), ids=SPOIL_BY_NAME)
 @pytest.mark.parametrize("role", IP_BY_ROLE)
 async def test_process_waits_for_settings_that_it_can_use(deployment, role, spoil):
@@ -161,8 +170,12 @@
         await sleep(WAIT_S)
         assert process.returncode is None
         assert not await is_ready(IP_BY_ROLE[role])
+        # A folder can't be replaced by a file at once: the process might read
+        # the path while it is absent, and rightly log that as well.
+        await pause(process)
         remove(path)
         path.write_text(text)
+        process.send_signal(SIGCONT)
         await wait_ready(IP_BY_ROLE[role])
     finally:
         output = await end(process)
