Give up peers that do not read a view

A balancer closed the connection of a peer that did not read the view within 0.6 s. A transport that is closed waits until its peer has read everything, so that the descriptor and a copy of the rest of the view stayed until the peer was gone. The number of connections had no bound either. On platforms with small windows a peer that doesn't read holds up all but the first few KB; here the kernel's buffers took a whole view of 5,000 routes, and the real process showed nothing (28 MB, 13 descriptors).

Views are now served like the readiness: 256 connections, the oldest makes place for a further one (`client-evicted`, cause `views`), and what is unread after the time limit is discarded. The view is written in parts of 16 KB, so that the connections share it. Peers that read get the same bytes.

Red: descriptors of 20 peers that do not read were still open after 5 s, and 306 of 306 connections stayed open.

--- a/lycheeglade/connection_balancer_daemon.py
+++ b/lycheeglade/connection_balancer_daemon.py
@@ -159,7 +159,11 @@
         return served_history.get(view, balancer, now)
 
     async def serve_views() -> None:
-        server = await serve_view(settings.internal, get_view)
+        server = await serve_view(
+            settings.internal,
+            get_view,
+            lambda: log("client-evicted", cause="views"),
+        )
         await server.serve_forever()
 
     tasks = [
--- a/lycheeglade/view_transfer.py
+++ b/lycheeglade/view_transfer.py
@@ -6,7 +6,6 @@
     StreamWriter,
     open_connection,
     sleep,
-    start_server,
     timeout,
 )
 from collections.abc import Callable
@@ -16,16 +15,31 @@
 from msgspec.msgpack import decode, encode
 
 from lycheeglade.address import Address
+from lycheeglade.bounded_server import start_bounded_server
 from lycheeglade.errors import DECODE_ERRORS
 from lycheeglade.route import RoutingView
 
 FETCH_TIMEOUT_S = 0.6
 MAX_VIEW_BYTES = 8 << 20
 COMPRESSION_LEVEL = 1
+# The peers that fetch a view share its content, but for one such part each.
+CHUNK_BYTES = 16_384
 
 
-async def serve_view(address: Address, get_view: Callable[[], RoutingView]) -> Server:
-    """Start a server that sends the compressed view on each connection."""
+async def serve_view(
+    address: Address,
+    get_view: Callable[[], RoutingView],
+    on_eviction: Callable[[], None] = lambda: None,
+) -> Server:
+    """Start a server that sends the compressed view on each connection.
+
+    A peer has `FETCH_TIMEOUT_S` seconds to read it.
+
+    Parameters
+    ----------
+    on_eviction : callable
+        Called after the oldest of too many connections was closed.
+    """
     encoded_view = RoutingView()
     content = compress(encode(encoded_view), COMPRESSION_LEVEL)
 
@@ -36,17 +50,14 @@
             # Many balancers of a zone fetch each change at once.
             encoded_view = view
             content = compress(encode(view), COMPRESSION_LEVEL)
-        try:
-            writer.write(content)
-            async with timeout(FETCH_TIMEOUT_S):
+        # The peer retries with another balancer if this fails.
+        chosen = content
+        async with timeout(FETCH_TIMEOUT_S):
+            for start in range(0, len(chosen), CHUNK_BYTES):
+                writer.write(chosen[start : start + CHUNK_BYTES])
                 await writer.drain()
-        except (OSError, TimeoutError):
-            # The peer retries with another balancer.
-            pass
-        finally:
-            writer.close()
 
-    return await start_server(send_view, address.ip, address.port)
+    return await start_bounded_server(address, send_view, on_eviction)
 
 
 async def fetch_view(address: Address, log: Callable[..., None]) -> RoutingView | None:
--- a/tests/test_view_transfer.py
+++ b/tests/test_view_transfer.py
@@ -1,5 +1,18 @@
-from asyncio import CancelledError, Event, create_task, sleep, start_server, wait
+from asyncio import (
+    CancelledError,
+    Event,
+    create_task,
+    get_running_loop,
+    sleep,
+    start_server,
+    timeout,
+    wait,
+)
+from base64 import b64encode
 from dataclasses import replace
+from os import listdir
+from random import Random
+from socket import AF_INET, SO_RCVBUF, SOCK_STREAM, SOL_SOCKET, socket
 from zlib import compress
 
 import pytest
@@ -8,6 +21,7 @@
 
 from lycheeglade import view_transfer
 from lycheeglade.address import Address
+from lycheeglade.bounded_server import MAX_CONNECTIONS
 from lycheeglade.route import RoutingView
 from lycheeglade.view_transfer import fetch_view, serve_view
 from tests.connections import ROUTE, make_target, make_view
@@ -18,6 +32,13 @@
 STOP_GRACE_S = 0.5
 
 
+def make_large_view():
+    """Return a view that exceeds the buffers of the kernel if compressed."""
+    generator = Random(1)
+    service = b64encode(generator.randbytes(11 << 19)).decode()
+    return replace(make_view([]), warmup_rates_by_service={service: 1.0})
+
+
 async def test_whole_view_passes_between_processes():
     view = make_view([make_target(number) for number in range(50)])
     server = await serve_view(Address("127.0.0.1", 0), lambda: view)
@@ -30,6 +51,52 @@
     assert events == ["view-not-fetched"]
 
 
+async def connect_without_reading(address):
+    client = socket(AF_INET, SOCK_STREAM)
+    client.setsockopt(SOL_SOCKET, SO_RCVBUF, 4096)
+    client.setblocking(False)
+    await get_running_loop().sock_connect(client, address)
+    return client
+
+
+async def test_peers_that_do_not_read_are_given_up():
+    """Each kept a descriptor and a copy of the view until it was gone."""
+    view = make_large_view()
+    server = await serve_view(Address("127.0.0.1", 0), lambda: view)
+    address = Address(*server.sockets[0].getsockname()[:2])
+    before = len(listdir("/proc/self/fd"))
+    clients = [await connect_without_reading(address) for _ in range(20)]
+    assert await fetch_view(address, lambda event, **fields: None) == view
+    async with timeout(5):
+        while len(listdir("/proc/self/fd")) > before + len(clients):
+            await sleep(0.05)
+    for client in clients:
+        client.close()
+    server.close()
+
+
+async def test_peers_that_do_not_read_do_not_keep_others_out():
+    """Thousands of connections would take all descriptors and the memory."""
+    view = make_large_view()
+    evictions = []
+    server = await serve_view(
+        Address("127.0.0.1", 0), lambda: view, lambda: evictions.append(None)
+    )
+    address = Address(*server.sockets[0].getsockname()[:2])
+    before = len(listdir("/proc/self/fd"))
+    clients = [
+        await connect_without_reading(address) for _ in range(MAX_CONNECTIONS + 50)
+    ]
+    await sleep(0.1)
+    opened = len(listdir("/proc/self/fd")) - before
+    assert opened <= len(clients) + MAX_CONNECTIONS
+    assert len(evictions) >= 50
+    assert await fetch_view(address, lambda event, **fields: None) == view
+    for client in clients:
+        client.close()
+    server.close()
+
+
 async def fetch_from(content):
     """Return the view that a balancer which sends `content` gives."""
 
