Bound the size of a fetched view

A balancer that fetched the view of a peer collected what the peer sent for 0.6 s, without a bound; only the size after decompression had one. What is beyond 8 MB, the bound of a decompressed view, now ends the fetch: it is logged as view-not-fetched and repeated, with any peer that is ahead. Found by reading; nobody has reported a process that ended from it.

Red: the fetch from a peer that sends without an end stopped by its time limit only. Green: it stops at the bound, and test_view_transfer, test_view_follower and test_docs passed.

--- a/lycheeglade/view_transfer.py
+++ b/lycheeglade/view_transfer.py
@@ -16,7 +16,7 @@
 
 from lycheeglade.address import Address
 from lycheeglade.bounded_server import start_bounded_server
-from lycheeglade.errors import DECODE_ERRORS
+from lycheeglade.errors import DECODE_ERRORS, LycheegladeError
 from lycheeglade.route import RoutingView
 
 FETCH_TIMEOUT_S = 0.6
@@ -26,6 +26,10 @@
 CHUNK_BYTES = 16_384
 
 
+class ViewTooLargeError(LycheegladeError):
+    """A peer sent more than `MAX_VIEW_BYTES`."""
+
+
 async def serve_view(
     address: Address,
     get_view: Callable[[], RoutingView],
@@ -78,6 +82,7 @@
         OSError,
         TimeoutError,
         CompressionError,
+        ViewTooLargeError,
         *DECODE_ERRORS,
     ) as error:
         log("view-not-fetched", peer=address, reason=repr(error))
@@ -88,9 +93,14 @@
 async def _fetch(address: Address) -> RoutingView:
     reader, writer = await open_connection(address.ip, address.port)
     try:
-        chunks = []
+        chunks, size = [], 0
         while chunk := await reader.read(MAX_VIEW_BYTES):
             chunks.append(chunk)
+            size += len(chunk)
+            if size > MAX_VIEW_BYTES:
+                raise ViewTooLargeError(
+                    f"{address}: view is larger than {MAX_VIEW_BYTES} bytes"
+                )
         content = decompressobj().decompress(b"".join(chunks), MAX_VIEW_BYTES)
         return decode(content, type=RoutingView)
     finally:
--- a/tests/test_view_transfer.py
+++ b/tests/test_view_transfer.py
@@ -9,6 +9,7 @@
     wait,
 )
 from base64 import b64encode
+from contextlib import suppress
 from dataclasses import replace
 from os import listdir
 from random import Random
@@ -23,13 +24,14 @@
 from lycheeglade.address import Address
 from lycheeglade.bounded_server import MAX_CONNECTIONS
 from lycheeglade.route import RoutingView
-from lycheeglade.view_transfer import fetch_view, serve_view
+from lycheeglade.view_transfer import MAX_VIEW_BYTES, fetch_view, serve_view
 from tests.connections import ROUTE, make_target, make_view
 
 PEER = Address("10.1.0.2", 7720)
 # Covers a whole fetch on loopback.
 MAX_LOOP_STEPS = 200
 STOP_GRACE_S = 0.5
+CHUNK = bytes(1 << 16)
 
 
 def make_large_view():
@@ -100,6 +102,32 @@
     server.close()
 
 
+async def test_view_without_an_end_is_not_read():
+    """The process would exceed its memory before the fetch times out."""
+    sent = 0
+
+    async def send_endlessly(reader, writer):
+        nonlocal sent
+        with suppress(OSError):
+            while True:
+                writer.write(CHUNK)
+                await writer.drain()
+                sent += len(CHUNK)
+
+    server = await start_server(send_endlessly, "127.0.0.1", 0)
+    address = Address(*server.sockets[0].getsockname()[:2])
+    reasons = []
+
+    def log(event, peer, reason):
+        reasons.append(reason)
+
+    assert await fetch_view(address, log) is None
+    server.close()
+    assert "larger than" in reasons[0]
+    # The buffers of the kernel are full as well.
+    assert sent < 4 * MAX_VIEW_BYTES
+
+
 async def fetch_from(content):
     """Return the view that a balancer which sends `content` gives."""
 
