Bound the balancers that a balancer knows

Each sender of a message between balancers, and each address that a message names, entered a table for five seconds. Under a flood of messages with random names, 1,600 a second on the internal port, the process grew to 146 MB, 30 MB of it beyond what stayed afterwards, and 2 of 45 readiness checks were missed. A status that names thousands of neighbours in one datagram made the balancer send as many messages.

The tables now hold 4,096 balancers each. Effect at the bound: further ones are ignored until some have been silent for five seconds; those that are known stay, and their messages count. Of the neighbours in a status 64 are answered, which is what a balancer names at most.

Red: 16 MB for a flood of 8,000 senders with 80,000 names, where 8 MB are allowed (43 MB for 20,000 senders), and 3,001 replies to one status. Green: 14 of 14 of test_view_exchange.

--- a/lycheeglade/view_exchange.py
+++ b/lycheeglade/view_exchange.py
@@ -26,6 +26,9 @@
 MAX_REPORTED_PEERS = 8
 MAX_NEIGHBOURS = 64
 PEER_TIMEOUT_S = 5.0
+# Further balancers are ignored until some of these were silent for
+# PEER_TIMEOUT_S. There are some hundred in the largest deployments.
+MAX_KNOWN_BALANCERS = 4096
 GOSSIP_PEERS = 2
 GOSSIP_PERIOD_S = 0.5
 # Shorter period of a process that has no view yet.
@@ -137,9 +140,13 @@
         """Process a message of another balancer; return what to send to whom.
 
         A balancer that is new here, or whose view is behind `version`, gets
-        the own status. So do balancers that `source` has named.
+        the own status. So do balancers that `source` has named. A balancer
+        beyond `MAX_KNOWN_BALANCERS` is ignored.
         """
         replies: list[tuple[Address, Message]] = []
+        peers = self._peers_by_address
+        if source not in peers and len(peers) >= MAX_KNOWN_BALANCERS:
+            return replies
         if isinstance(message, ViewStatus):
             is_new = self.receive_status(message, source, version, now)
             strangers = self.find_strangers(message)
@@ -165,9 +172,11 @@
         """
         is_new = source not in self._peers_by_address
         self._record_version(source, message.version, now)
+        reported = self._reported_at_by_address
         for address in message.addresses:
-            if address != self._address:
-                self._reported_at_by_address[address] = now
+            is_full = len(reported) >= MAX_KNOWN_BALANCERS
+            if address != self._address and (address in reported or not is_full):
+                reported[address] = now
         return is_new
 
     def receive_status(
@@ -332,7 +341,7 @@
         """Return the balancers named in a status that are not known yet."""
         return [
             address
-            for address in status.neighbours
+            for address in status.neighbours[:MAX_NEIGHBOURS]
             if address != self._address and address not in self._peers_by_address
         ]
 
--- a/tests/test_view_exchange.py
+++ b/tests/test_view_exchange.py
@@ -1,4 +1,5 @@
 from random import Random
+from tracemalloc import get_traced_memory, start, stop
 
 import pytest
 from msgspec.msgpack import Encoder
@@ -16,6 +17,7 @@
 from lycheeglade.store_revision import StoreRevision, ViewVersion
 from lycheeglade.view_exchange import (
     FETCH_DELAY_S,
+    MAX_NEIGHBOURS,
     PEER_TIMEOUT_S,
     ViewExchange,
 )
@@ -23,6 +25,7 @@
 OWN = Address("10.1.0.1", 7720)
 PEER = Address("10.1.0.2", 7720)
 THIRD = Address("10.1.0.3", 7720)
+MAX_USED_BYTES = 8 << 20
 
 
 def make_version(revision):
@@ -65,6 +68,52 @@
     assert exchange.choose_source(make_version(1), 1.1 + PEER_TIMEOUT_S) is None
 
 
+def flood(exchange):
+    """Receive messages of many senders, and with many names, in a second."""
+    version = make_version(9)
+    for number in range(8_000):
+        source = Address(f"10.2.{number >> 8}.{number & 255}", 7720)
+        names = [Address(f"10.{4 + n}.{source.ip[5:]}", 7720) for n in range(10)]
+        exchange.receive(Peers(9, tuple(names)), source, version, 1.0)
+        status = ViewStatus("nadi-a", 9, 9, Duty.FOLLOWER, ())
+        exchange.receive(status, source, version, 1.0)
+
+
+def test_floods_of_senders_and_names_do_not_use_up_the_memory(exchange):
+    """The tables grew by each of them for five seconds."""
+    exchange.receive(Peers(9, ()), PEER, make_version(8), 1.0)
+    start()
+    flood(exchange)
+    used, _ = get_traced_memory()
+    stop()
+    assert used < MAX_USED_BYTES
+    # Those that were known before still count.
+    exchange.receive(Peers(10, ()), PEER, make_version(9), 2.0)
+    assert exchange.choose_source(make_version(9), 3.0) == PEER
+
+
+def test_balancers_are_learned_again_after_a_flood(exchange):
+    """The names and senders of the flood expire."""
+    flood(exchange)
+    now = 1.1 + PEER_TIMEOUT_S
+    exchange.gossip((), make_version(9), lambda address, message: None, now)
+    exchange.receive(Peers(10, (THIRD,)), PEER, make_version(9), now)
+    assert exchange.choose_source(make_version(9), now + 1.0) == PEER
+    sent = []
+    exchange.gossip(
+        (), make_version(9), lambda address, message: sent.append(address), now
+    )
+    assert sorted(sent) == [PEER, THIRD]
+
+
+def test_status_with_too_many_neighbours_causes_few_messages(exchange):
+    """One datagram may name thousands of addresses."""
+    names = tuple(Address(f"10.2.{n >> 8}.{n & 255}", 7720) for n in range(3000))
+    status = ViewStatus("nadi-a", 9, 9, Duty.FOLLOWER, names)
+    replies = exchange.receive(status, PEER, make_version(9), 1.0)
+    assert len(replies) <= MAX_NEIGHBOURS + 1
+
+
 def test_seeds_are_asked_and_never_oneself(exchange):
     sent = []
     exchange.gossip(
