Bound the balancers that an agent reports to

An agent reports its load the more rarely, the more balancers it has heard, and forgot those that were silent only with its next report. Each sender of a load request and each balancer that a forwarded segment names counted as one.

An agent now knows 1,024 balancers. There is no work for a segment, the tables are limited in the periodic work.

Red: 20,000 balancers in 10 s take 3.1 MB where 2 MB are allowed, and no report comes in the 12 s after them. Green, and the reports return without a restart.

--- a/lycheeglade/connection_load.py
+++ b/lycheeglade/connection_load.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 
+from lycheeglade.address import Address
 from lycheeglade.connection_agent_state import ConnectionAgent, LocalConnection
 from lycheeglade.relay_message import LoadReport
 from lycheeglade.target_load import (
@@ -13,6 +14,8 @@
 
 # Balancers that sent nothing for BALANCER_TIMEOUT_S seconds get no reports.
 BALANCER_TIMEOUT_S = 3.0
+# Reports to more balancers than this would be too rare to be of use.
+MAX_BALANCERS = 1024
 # Interval between reports of an unchanged load.
 MAX_REPORT_INTERVAL_S = 0.4
 LOG_INTERVAL_S = 1.0
@@ -84,8 +87,29 @@
     )
 
 
+def _limit_balancers(agent: ConnectionAgent, now: float) -> None:
+    """Forget balancers beyond `MAX_BALANCERS`.
+
+    Those that have been silent go first, then those that came last.
+    """
+    heard = agent.last_heard_by_balancer
+    if len(heard) <= MAX_BALANCERS:
+        return
+    for balancer, heard_at in list(heard.items()):
+        if now - heard_at > BALANCER_TIMEOUT_S:
+            _forget_balancer(agent, balancer)
+    while len(heard) > MAX_BALANCERS:
+        _forget_balancer(agent, next(reversed(heard)))
+
+
+def _forget_balancer(agent: ConnectionAgent, balancer: Address) -> None:
+    del agent.last_heard_by_balancer[balancer]
+    agent.far_reported_at_by_balancer.pop(balancer, None)
+
+
 def report_load(agent: ConnectionAgent, now: float) -> None:
     """Report the load to balancers if a report is due."""
+    _limit_balancers(agent, now)
     limits = agent.limits
     far = len(agent.far_reported_at_by_balancer)
     near = len(agent.last_heard_by_balancer) - far
@@ -163,8 +187,7 @@
     far_reported_at = agent.far_reported_at_by_balancer
     for balancer, heard_at in list(agent.last_heard_by_balancer.items()):
         if now - heard_at > BALANCER_TIMEOUT_S:
-            del agent.last_heard_by_balancer[balancer]
-            far_reported_at.pop(balancer, None)
+            _forget_balancer(agent, balancer)
             continue
         if balancer in far_reported_at:
             if now - far_reported_at[balancer] < far_interval:
--- a/tests/test_connection_agent.py
+++ b/tests/test_connection_agent.py
@@ -1,7 +1,9 @@
 from dataclasses import replace
+from tracemalloc import get_traced_memory, start, stop
 
 import pytest
 
+from lycheeglade.address import Address
 from lycheeglade.connection_agent import (
     ANSWER_TIMEOUT_S,
     MAX_CLOCK_STEP_S,
@@ -39,6 +41,7 @@
 
 KEY = ConnectionKey(CALLER, SERVICE)
 OTHER = make_target(9).agent
+MAX_USED_BYTES = 2 << 20
 SYN_ACK = {"opens": True, "acknowledges": True, "sequence": 1000}
 
 
@@ -80,6 +83,37 @@
     assert len(recorder.answers) == 1
 
 
+def test_flood_of_balancers_does_not_end_the_reports(agent, recorder):
+    """The more balancers were named, the later all of them were forgotten."""
+    request = LoadRequest(slots=4)
+    start()
+    for step in range(500):
+        now = step * 0.02
+        if step % 25 == 0:
+            receive_message(agent, request, BALANCER, now)
+        for number in range(40):
+            name = Address(f"10.{step >> 8}.{step & 255}.{number}", 7720)
+            receive_message(agent, request, name, now)
+        recorder.sent.clear()
+        tick(agent, now)
+    used, _ = get_traced_memory()
+    stop()
+    assert used < MAX_USED_BYTES
+    # Reports come again soon after the flood, also without a request.
+    receive_message(agent, request, BALANCER, now)
+    recorder.sent.clear()
+    for step in range(600):
+        tick(agent, now + step * 0.02)
+        if step % 100 == 0:
+            receive_message(agent, request, BALANCER, now + step * 0.02)
+            recorder.sent.clear()
+    reports = [
+        address for address, sent in recorder.sent if isinstance(sent, LoadReport)
+    ]
+    assert reports.count(BALANCER) >= 3
+    assert set(reports) == {BALANCER}
+
+
 def test_opening_of_another_service_is_not_delivered(agent, recorder):
     """The address of a removed target may be assigned to another service."""
     receive(agent, recorder, opening(), 0.0, service="reel-depot")
