Bound the balancers of one connection

An agent keeps, for each connection and for each unknown one that it searches, the balancers that have forwarded segments of it, as long as the connection is known. The number had no bound. Found by reading and in the test of a flood; nobody has reported it.

There are now 32 of them. Effect at the bound: another one makes place for the latest. A balancer that is left out learns of the home with its next search, as one that was never named. Nothing changes for a segment from a known balancer.

Red: 20,000 balancers of one connection take 4.6 MB where 2 MB are allowed, whether it is open or not. Green, and the latest one is told of the home. test_connection_agent, test_connection_agent_daemon, test_search_relay, test_former_connections, test_connection_machine: 89 passed.

--- a/lycheeglade/connection_agent.py
+++ b/lycheeglade/connection_agent.py
@@ -28,6 +28,7 @@
 )
 from lycheeglade.connection_delivery import (
     MAX_PENDING,
+    add_balancer,
     deliver,
     deliver_pending,
     notify_balancers,
@@ -240,7 +241,7 @@
             return
     else:
         balancers = agent.searching_balancers_by_key.setdefault(key, set())
-        balancers.add(message.balancer)
+        add_balancer(balancers, message.balancer)
         if len(agent.searching_balancers_by_key) > MAX_PENDING:
             agent.searching_balancers_by_key.popitem(last=False)
     deliver_pending(agent, pending, segment, now)
--- a/lycheeglade/connection_agent_state.py
+++ b/lycheeglade/connection_agent_state.py
@@ -16,6 +16,9 @@
 from lycheeglade.warmup import WarmupBounds, WarmupWindow
 
 BUSY_WINDOW_S = 2.0
+# Balancers that are told of a connection. More than these forward segments of
+# one connection only if most of a zone restarts while it is open.
+MAX_CONNECTION_BALANCERS = 32
 
 
 @dataclass(frozen=True, slots=True)
--- a/lycheeglade/connection_delivery.py
+++ b/lycheeglade/connection_delivery.py
@@ -2,6 +2,7 @@
 
 from lycheeglade.address import Address
 from lycheeglade.connection_agent_state import (
+    MAX_CONNECTION_BALANCERS,
     ConnectionAgent,
     LocalConnection,
     PendingSegment,
@@ -45,11 +46,18 @@
     connection.last_at = now
     agent.connections_by_key.move_to_end(key)
     if message.balancer not in connection.balancers or message.search:
-        connection.balancers.add(message.balancer)
+        add_balancer(connection.balancers, message.balancer)
         if connection.is_open:
             _send_home_found(agent, message.balancer, key, connection)
 
 
+def add_balancer(balancers: set[Address], balancer: Address) -> None:
+    """Add a balancer of a connection, in place of another one if too many."""
+    if len(balancers) >= MAX_CONNECTION_BALANCERS:
+        balancers.pop()
+    balancers.add(balancer)
+
+
 def _send_home_found(
     agent: ConnectionAgent,
     balancer: Address,
--- a/tests/test_connection_agent.py
+++ b/tests/test_connection_agent.py
@@ -114,6 +114,32 @@
     assert set(reports) == {BALANCER}
 
 
+@pytest.mark.parametrize("is_open", [True, False])
+def test_balancers_of_one_connection_are_bounded(agent, recorder, is_open):
+    """Each one that a segment named stayed for as long as its connection."""
+    segment = data()
+    if is_open:
+        open_connection(agent, recorder)
+    start()
+    for number in range(20_000):
+        name = Address(f"10.2.{number >> 8}.{number & 255}", 7720)
+        message = recorder.make_forward_segment(segment, balancer=name)
+        receive_message(agent, message, BALANCER, 1.0)
+        recorder.sent.clear()
+        recorder.delivered.clear()
+        agent.last_heard_by_balancer.clear()
+        agent.pending_by_tag.clear()
+    used, _ = get_traced_memory()
+    stop()
+    assert used < MAX_USED_BYTES
+    # The latest one is told of the home.
+    receive_from_target(agent, from_target(**SYN_ACK | {"sequence": 5000}), 1.1)
+    receive_from_target(agent, from_target(acknowledges=True, sequence=5001), 1.1)
+    assert name in [
+        address for address, sent in recorder.sent if isinstance(sent, HomeFound)
+    ]
+
+
 def test_opening_of_another_service_is_not_delivered(agent, recorder):
     """The address of a removed target may be assigned to another service."""
     receive(agent, recorder, opening(), 0.0, service="reel-depot")
