--- a/tests/test_settings_at_start.py
+++ b/tests/test_settings_at_start.py
@@ -44,6 +44,7 @@
 # The settings are read again several times within this time.
 WAIT_S = 0.5
 STOP_S = 0.5
+PAUSED_S = 5.0
 
 deployment = start_deployment
 
@@ -150,7 +151,7 @@
 async def pause(process):
     """Stop a process until it gets SIGCONT."""
     process.send_signal(SIGSTOP)
-    async with time_limit(STARTED_S):
+    async with time_limit(PAUSED_S):
         while "State:\tT" not in Path(f"/proc/{process.pid}/status").read_text():
             await sleep(0.01)
 
