--- a/tests/test_process_life.py
+++ b/tests/test_process_life.py
@@ -8,7 +8,7 @@
 from contextlib import suppress
 from pathlib import Path
 from resource import RLIMIT_AS, RLIMIT_NOFILE, prlimit
-from signal import SIGHUP, SIGTERM
+from signal import SIGHUP, SIGINT, SIGTERM, SIGUSR1, SIGUSR2
 from socket import AF_INET, SO_REUSEADDR, SOCK_DGRAM, SOCK_STREAM, SOL_SOCKET, socket
 
 import pytest
@@ -160,6 +160,29 @@
     assert await stop(process) == 0
 
 
+@pytest.mark.parametrize(("role", "module"), MOMENTS)
+async def test_interrupt_during_the_start_is_no_failure(start, role, module):
+    """As in a process that runs; it ended with the signal and a traceback."""
+    process = await start(role, "-X", "importtime", stderr=PIPE)
+    await wait_imported(process, module)
+    process.send_signal(SIGINT)
+    process.stderr.feed_eof()
+    async with time_limit(GRACE_S):
+        assert await process.wait() == 0
+
+
+@pytest.mark.parametrize("number", [SIGUSR1, SIGUSR2])
+@pytest.mark.parametrize("role", ROLES)
+async def test_signals_without_a_meaning_end_no_process(start, role, number):
+    process = await start(role, "-X", "importtime", stderr=PIPE)
+    await wait_imported(process, "gc")
+    process.send_signal(number)
+    process.stderr.feed_eof()
+    await wait_ready(process)
+    process.send_signal(number)
+    assert await stop(process) == 0
+
+
 @pytest.mark.parametrize("role", ROLES)
 async def test_hangup_during_the_stop_is_no_failure(start, role):
     """The last ones arrive after the event loop has been closed."""
