--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -34,7 +34,9 @@
 
 def format_answer(body, status=200, era=1):
     content = dumps(body).encode()
-    head = f"HTTP/1.1 {status} X\r\nStore-Era: {era}\r\n"
+    head = f"HTTP/1.1 {status} X\r\n"
+    if era is not None:
+        head += f"Store-Era: {era}\r\n"
     head += f"Content-Length: {len(content)}\r\n\r\n"
     return head.encode() + content
 
@@ -52,7 +54,7 @@
     version : int
         Version of the configuration, and its revision.
     era : int
-        Era that the answers name.
+        Era that the answers name, None for no era.
     answer : callable or None
         Coroutine function that writes the answer to a call, given its target
         and the stream; None for the usual answers.
@@ -177,6 +179,16 @@
     writer.write(format_answer(body, era=store.era))
 
 
+async def omit_all_fields(store, target, writer):
+    writer.write(format_answer({}, era=store.era))
+
+
+async def count_from_zero(store, target, writer):
+    item = format_item(CONFIGURATION_KEY, {"version": 1, "routes": [ROUTE]}, 0)
+    body = {"items": [item], "events": [], "current-rev": 0}
+    writer.write(format_answer(body, era=store.era))
+
+
 @pytest.mark.parametrize(
     "answer",
     [answer_without_a_wait, lack_history, lack_everything, begin_an_era],
@@ -234,3 +246,21 @@
     assert store.calls - before <= MAX_PAGED_CALLS
     store.answer = None
     await wait_ready()
+
+
+@pytest.mark.parametrize("answer", [omit_all_fields, count_from_zero])
+async def test_answer_without_a_revision_is_a_failure_of_the_store(
+    store, start, answer
+):
+    """It counted as a store that was not read yet, which was read at once."""
+    store.answer = partial(answer, store)
+    store.era = None
+    balancer = await start()
+    async with time_limit(STARTED_S):
+        while b"event=store-lost" not in await balancer.stdout.readline():
+            pass
+    before = store.calls
+    await sleep(ODD_S)
+    assert store.calls - before <= MAX_CALLS
+    store.answer, store.era = None, 1
+    await wait_ready()
