Bound the memory that a fetched view uses

Whatever listens at the address of a former balancer and sends without an end could use up a small host's memory.

Reading now ends at 8 MiB of compressed bytes. A view that large was refused before too, as its decoded form exceeds the same bound.

--- a/lycheeglade/view_transfer.py
+++ b/lycheeglade/view_transfer.py
@@ -77,9 +77,14 @@
 async def _fetch(address: Address) -> RoutingView:
     reader, writer = await open_connection(address.ip, address.port)
     try:
-        chunks = []
-        while chunk := await reader.read(MAX_VIEW_BYTES):
+        chunks, size = [], 0
+        # The timeout alone would not bound the memory.
+        while size < MAX_VIEW_BYTES:
+            chunk = await reader.read(MAX_VIEW_BYTES)
+            if not chunk:
+                break
             chunks.append(chunk)
+            size += len(chunk)
         content = decompressobj().decompress(b"".join(chunks), MAX_VIEW_BYTES)
         return decode(content, type=RoutingView)
     finally:
--- a/tests/test_view_transfer.py
+++ b/tests/test_view_transfer.py
@@ -1,4 +1,5 @@
 from asyncio import CancelledError, Event, create_task, sleep, start_server, wait
+from contextlib import suppress
 from dataclasses import replace
 from zlib import compress
 
@@ -16,6 +17,9 @@
 # Covers a whole fetch on loopback.
 MAX_LOOP_STEPS = 200
 STOP_GRACE_S = 0.5
+BLOCK_BYTES = 1 << 20
+# What a sender may have handed over before its receiver reads it.
+SOCKET_BUFFERS_BYTES = 16 << 20
 
 
 async def test_whole_view_passes_between_processes():
@@ -119,3 +123,23 @@
         ended_by_itself += not is_cancelled
     server.close()
     assert 0 < ended_by_itself < MAX_LOOP_STEPS
+
+
+async def test_answer_without_an_end_uses_up_no_memory():
+    """Another service may listen at the address of a former balancer."""
+    sent_bytes = 0
+    block = bytes(BLOCK_BYTES)
+
+    async def send_endlessly(reader, writer):
+        nonlocal sent_bytes
+        with suppress(OSError):
+            while True:
+                writer.write(block)
+                await writer.drain()
+                sent_bytes += BLOCK_BYTES
+
+    server = await start_server(send_endlessly, "127.0.0.1", 0)
+    address = Address(*server.sockets[0].getsockname()[:2])
+    assert await fetch_view(address, lambda event, **fields: None) is None
+    server.close()
+    assert sent_bytes <= view_transfer.MAX_VIEW_BYTES + SOCKET_BUFFERS_BYTES
