--- a/tests/test_settings_at_start.py
+++ b/tests/test_settings_at_start.py
@@ -10,7 +10,7 @@
 from asyncio import timeout as time_limit
 from asyncio.subprocess import PIPE
 from dataclasses import replace
-from os import fsdecode
+from os import fsdecode, mkfifo
 from signal import SIGTERM
 from time import monotonic
 
@@ -43,6 +43,8 @@
 # The settings are read again several times within this time.
 WAIT_S = 0.5
 STOP_S = 0.5
+# Lines that use up memory and processor time at each read.
+MANY_LINES = 1 << 20
 
 deployment = start_deployment
 
@@ -134,6 +136,8 @@
     "missing": lambda path, text: None,
     "folder": lambda path, text: path.mkdir(),
     "below-a-file": lambda path, text: path.parent.write_text(text),
+    "too-long": lambda path, text: path.write_text(text + "a=b\n" * MANY_LINES),
+    "pipe": lambda path, text: mkfifo(path),
     "wrong-value": lambda path, text: path.write_text(f"{text}ip=nowhere\n"),
 }
 
@@ -143,6 +147,8 @@
         path.parent.unlink()
     elif path.is_dir():
         path.rmdir()
+    elif path.is_fifo():
+        path.unlink()
     path.parent.mkdir(exist_ok=True)
 
 
@@ -296,6 +302,10 @@
         await sleep(SEEDS_PERIOD_S)
         received = seed.received
         await wait_until(lambda: seed.received > received)
+        mkfifo(path)
+        await sleep(SEEDS_PERIOD_S)
+        received = seed.received
+        await wait_until(lambda: seed.received > received)
         assert process.returncode is None
     finally:
         await end(process)
