Let the soak find processes that use too much memory

The platform kills a process beyond its limit, which counts as an end by itself; on the soak's machine nothing limits it, so that a balancer of 326 MB held. A peak above 104 MiB, the smallest limit of a deployment, is now a breach. The new test failed before, as there was no check. The tests of memory share its reading.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -42,6 +42,7 @@
     ZONES,
     format_settings,
     is_ready,
+    read_peak_kb,
 )
 from tests.store_stand_in import StoreCopy, StoreStandIn
 
@@ -68,6 +69,8 @@
 READY_POLL_S = 0.5
 MISSES_UNTIL_UNREADY = 2
 READY_TIMEOUT_S = 0.4
+# The smallest limit of a deployment. The platform kills a process beyond it.
+MAX_MEMORY_KB = 104 * 1024
 START_S = 20.0
 GRACE_S = 6.0
 # The platform starts a process again after this time.
@@ -614,8 +617,17 @@
     async def _poll_readiness(self) -> None:
         while True:
             await gather(*map(self._poll, self.balancers))
+            self.check_memory()
             await sleep(READY_POLL_S)
 
+    def check_memory(self) -> None:
+        """Record the processes that have used too much memory."""
+        for host in self.hosts:
+            peak_kb = read_peak_kb(host.process.pid) if host.is_running else 0
+            if peak_kb > MAX_MEMORY_KB:
+                detail = f"{peak_kb} KiB resident, limit {MAX_MEMORY_KB}"
+                self.promises.record_breach("MEMORY", host.name, detail)
+
     async def _poll(self, host: Host) -> None:
         host.misses = 0 if await self._is_ready(host) else host.misses + 1
 
--- a/tests/platform_process.py
+++ b/tests/platform_process.py
@@ -1,6 +1,8 @@
 """Settings files and readiness checks of the platform, on loopback."""
 
 from asyncio import open_connection
+from contextlib import suppress
+from pathlib import Path
 from signal import SIG_IGN, SIGHUP, getsignal, signal
 
 from lycheeglade.address import Address
@@ -22,6 +24,15 @@
         signal(SIGHUP, lambda number, frame: None)
 
 
+def read_peak_kb(pid: int) -> int:
+    """Return the peak resident memory in KiB, 0 if the process has ended."""
+    with suppress(OSError):
+        for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+            if line.startswith("VmHWM:"):
+                return int(line.split()[1])
+    return 0
+
+
 def format_settings(
     name: str,
     role: str,
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -15,7 +15,12 @@
 from catalog import CONFIGURATION_KEY
 from demo.cluster import reserve_network_for_process
 from lycheeglade.address import Address
-from tests.platform_process import PATH_VARIABLE, format_settings, is_ready
+from tests.platform_process import (
+    PATH_VARIABLE,
+    format_settings,
+    is_ready,
+    read_peak_kb,
+)
 from tests.test_catalog import ROUTE
 
 MAIN = Path(__file__).parent.parent / "platform" / "main.py"
@@ -151,9 +156,7 @@
     await wait_ready()
     store.answer = write_endlessly
     await sleep(ODD_S)
-    status = Path(f"/proc/{balancer.pid}/status").read_text()
-    peak_kb = int(status.partition("VmHWM:")[2].split()[0])
-    assert peak_kb < MAX_MEMORY_KB
+    assert 0 < read_peak_kb(balancer.pid) < MAX_MEMORY_KB
     assert await is_ready(BALANCER_IP)
 
 
--- a/tests/test_process_resources.py
+++ b/tests/test_process_resources.py
@@ -23,6 +23,7 @@
     READY_PORT,
     format_settings,
     is_ready,
+    read_peak_kb,
 )
 from tests.store_stand_in import StoreStandIn
 
@@ -50,13 +51,6 @@
     store.put(CONFIGURATION_KEY, {"version": version, "routes": [route]})
 
 
-def read_peak_kb(process):
-    """Return the largest resident memory that the process has had."""
-    status = Path(f"/proc/{process.pid}/status").read_text()
-    fields = dict(line.split(":", 1) for line in status.splitlines())
-    return int(fields["VmHWM"].split()[0])
-
-
 async def wait_until(condition):
     async with time_limit(STARTED_S):
         while not await condition():
@@ -143,7 +137,7 @@
     server = await start_server(answer, *store.address)
     await sleep(DISTURBED_S)
     assert process.returncode is None
-    assert read_peak_kb(process) < MEMORY_KB
+    assert read_peak_kb(process.pid) < MEMORY_KB
     server.close()
     await store.start(*store.address)
     calls = len(store.calls)
@@ -205,7 +199,7 @@
         data = CHUNK
         await sleep(0.05)
     assert process.returncode is None
-    assert read_peak_kb(process) < MEMORY_KB
+    assert read_peak_kb(process.pid) < MEMORY_KB
     for client in clients:
         client.close()
     await wait_until(is_ready_here)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -425,6 +425,18 @@
         assert "after SIGHUP" in breach
 
 
+async def test_process_that_uses_too_much_memory_is_found(tmp_path, monkeypatch):
+    """The platform kills it, but nothing limits it on the soak's machine."""
+    program = f"import time; data = b'x' * (120 << 20); {PRINT_AND_WAIT}"
+    async with planted(tmp_path, program, monkeypatch) as (deployment, host):
+        deployment.check_memory()
+        await deployment.start_process(host)
+        await wait_for_output(host)
+        deployment.check_memory()
+        (breach,) = await wait_for_breaches(deployment, 1)
+        assert breach.startswith("MEMORY balancer-0: ")
+
+
 async def test_hangup_spares_a_process_only_at_its_very_start(tmp_path, monkeypatch):
     async with planted(tmp_path, SLEEPER, monkeypatch) as (deployment, host):
         await deployment.start_process(host)
