--- a/lycheeglade/bounded_server.py
+++ b/lycheeglade/bounded_server.py
@@ -1,6 +1,14 @@
 """TCP server with a bound on its connections and on what each may hold."""
 
-from asyncio import Server, StreamReader, StreamWriter, start_server, timeout
+from asyncio import (
+    Server,
+    StreamReader,
+    StreamWriter,
+    Task,
+    create_task,
+    start_server,
+    timeout,
+)
 from collections.abc import Awaitable, Callable
 from socket import SO_RCVBUF, SOL_SOCKET
 
@@ -36,6 +44,7 @@
     OSError
         If the address cannot be bound.
     """
+    tasks: set[Task[None]] = set()
     # In order of arrival.
     open_writers: dict[StreamWriter, None] = {}
 
@@ -63,8 +72,15 @@
             # A transport that is only closed waits for its peer to read.
             writer.transport.abort()
 
+    def start_task(reader: StreamReader, writer: StreamWriter) -> None:
+        # The task that asyncio starts for a coroutine function fails in a
+        # callback if it is cancelled, as at the end of the process.
+        task = create_task(handle_connection(reader, writer))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+
     server = await start_server(
-        handle_connection, address.ip, address.port, limit=BUFFER_BYTES
+        start_task, address.ip, address.port, limit=BUFFER_BYTES
     )
     # The sockets of the connections inherit it.
     server.sockets[0].setsockopt(SOL_SOCKET, SO_RCVBUF, BUFFER_BYTES)
