Ask the exit code whether a process has outlived its grace time

The soak then kills the process, and its exit code now tells whether it still ran. A process that outlives its grace time is a breach as before (the existing test).

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -418,12 +418,14 @@
             async with time_limit(GRACE_S):
                 code = await host.process.wait()
         except TimeoutError:
-            self.promises.record_breach(
-                "GRACE", host.name, "still running at the end of the grace time"
-            )
+            # The news of an end comes late if this event loop stalls.
             self.send_signal(host, SIGKILL)
-            await host.process.wait()
-            return
+            code = await host.process.wait()
+            if code == -SIGKILL:
+                self.promises.record_breach(
+                    "GRACE", host.name, "still running at the end of the grace time"
+                )
+                return
         finally:
             hangups.cancel()
         if code:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -499,6 +499,26 @@
     assert output == b"SIG_DFL\n"
 
 
+async def test_end_that_the_soak_hears_of_late_is_in_time(tmp_path, monkeypatch):
+    """On a machine that stalls, the time limit passed before the news came."""
+    program = on_stop("sys.exit(0)")
+    async with planted(tmp_path, program, monkeypatch, GRACE_S=1.0) as (
+        deployment,
+        host,
+    ):
+        await deployment.start_process(host)
+        await wait_for_output(host)
+        wait = host.process.wait
+
+        async def wait_late():
+            await sleep(1.5)
+            return await wait()
+
+        monkeypatch.setattr(host.process, "wait", wait_late)
+        await deployment.stop_process(host)
+        assert deployment.promises.breaches == []
+
+
 async def test_end_by_hangup_while_stopping_is_found(tmp_path, monkeypatch):
     program = on_stop("time.sleep(4); sys.exit(0)")
     async with planted(tmp_path, program, monkeypatch, STOP_HANGUP_SHARE=1.0) as (
