Compute each growing pause in one place

feed.py and watch.py had their own form of the pause that doubles up to a ceiling. They call compute_ceiling now.

--- a/lycheeglade/feed.py
+++ b/lycheeglade/feed.py
@@ -9,6 +9,7 @@
 from lycheeglade.exchange import allocate_upstream_token, reply_to
 from lycheeglade.message import CallerMessage, ReplyTo, UpstreamMessage
 from lycheeglade.notice import announce_home
+from lycheeglade.retry import compute_ceiling
 from lycheeglade.routing import MAX_CANDIDATES
 from lycheeglade.served_target import (
     MESSAGE_ID_MODULUS,
@@ -313,7 +314,7 @@
     notification.tried_balancers.add(balancer)
     packet = make_answer(served, feed.flow, notification.datagram)
     agent.actions.send(balancer, packet)
-    backoff = min(MAX_RETRY_S, RETRY_BASE_S * 2**notification.attempts)
+    backoff = compute_ceiling(notification.attempts, RETRY_BASE_S, MAX_RETRY_S)
     notification.attempts += 1
     notification.retry_at = now + backoff * (
         1 + RETRY_JITTER * agent.generator.random()
--- a/lycheeglade/watch.py
+++ b/lycheeglade/watch.py
@@ -7,6 +7,7 @@
 from xxhash import xxh3_64_intdigest
 
 from lycheeglade.address import Address, Zone
+from lycheeglade.retry import compute_ceiling
 from lycheeglade.settings import Settings
 from lycheeglade.view import Host, Role, State, View
 
@@ -140,7 +141,7 @@
     failures : int
         Number of consecutive failed reads.
     """
-    ceiling = min(MAX_RETRY_DELAY_S, BASE_RETRY_DELAY_S * 2 ** min(failures, 10))
+    ceiling = compute_ceiling(failures, BASE_RETRY_DELAY_S, MAX_RETRY_DELAY_S)
     if not is_watcher(rank, 0.0):
         ceiling = max(MAX_RETRY_DELAY_S, 2 * rank.hosts / RETRIES_PER_S)
     return random.uniform(0.1 * ceiling, ceiling)
