--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -1,6 +1,5 @@
 from asyncio import create_task, sleep
 from logging import getLogger
-from os import getpid
 from pathlib import Path
 from signal import SIGTERM, raise_signal
 from socket import AF_INET, SOCK_DGRAM, SOCK_STREAM, socket
@@ -9,6 +8,7 @@
 
 import pytest
 
+from demo.cluster import reserve_network_for_process
 from lycheeglade.blackboard import Blackboard
 from lycheeglade.daemon import ProcessParts, run_process
 from lycheeglade.failures import FailureLog
@@ -20,7 +20,7 @@
 from lycheeglade.status import fetch_status
 
 EXAMPLE = Path(__file__).parent.parent / "examples" / "reelbure.ini"
-NETWORK = 100 + getpid() % 100
+NETWORK = reserve_network_for_process()
 BALANCER_IP = f"127.{NETWORK}.1.1"
 TIMEOUT_S = 20
 
--- a/tests/test_daemon_failures.py
+++ b/tests/test_daemon_failures.py
@@ -20,7 +20,6 @@
 from lycheeglade.configuration import parse_hosts
 from lycheeglade.daemon import MAX_RETRY_VIEW_S, MIN_RETRY_VIEW_S, ViewApplier
 from lycheeglade.failures import FailureLog
-from lycheeglade.generator import generate_files
 from lycheeglade.histograms import Metrics
 from lycheeglade.recorder import Recorder
 from lycheeglade.recording import Tick
@@ -33,7 +32,9 @@
 from lycheeglade.value import Value
 from lycheeglade.view import View
 from tests.agents import LOCAL_ZONE, make_view
-from tests.test_daemon import EXAMPLE, NETWORK, TIMEOUT_S, read_until
+from tests.test_daemon import TIMEOUT_S, read_until, settings_folder
+
+__all__ = ["settings_folder"]
 
 ROLES = [("balancer", "nadi-a-balancer-1"), ("agent", "nadi-a-booth-sync-1")]
 EXIT_OK = 0
@@ -63,15 +64,6 @@
 """
 
 
-@pytest.fixture
-def settings_folder(tmp_path):
-    """Generate the example's settings; return their folder."""
-    answers = tmp_path / "answers.ini"
-    answers.write_text(EXAMPLE.read_text().replace("127.20.", f"127.{NETWORK}."))
-    generate_files(answers, tmp_path)
-    return tmp_path / "settings"
-
-
 @pytest.fixture
 def start(settings_folder):
     """Return a function that starts a process without a platform."""
