--- a/tests/test_warmup.py
+++ b/tests/test_warmup.py
@@ -523,7 +523,7 @@
     cold.warmup_rate, cold.cold_until, cold.busy = RATE, 10.0, FULL_BUSY
     assert [p.target for p in rank(loads, targets)] == [targets[1]]
     assert len(rank(loads, targets, now=WINDOW_S)) == 2
-    # It is better than nothing.
+    # A cold target is better than none.
     assert len(rank(loads, targets[:1])) == 1
     cold.warmup_rate = 0.0
     assert len(rank(loads, targets)) == 2
