--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -607,7 +607,7 @@
                 stdout=log,
                 stderr=log,
             )
-        self.deployment.record.add(f"process of {self} starts")
+        self.disturbed_at = self.deployment.record.add(f"process of {self} starts")
         watcher = asyncio.create_task(self._watch(self.process))
         self.deployment.tasks.append(watcher)
 
