--- a/review/6/run.py
+++ b/review/6/run.py
@@ -7,7 +7,7 @@
 
 FOLDER = Path(__file__).resolve().parent
 DRAIN_TIMEOUT_S = 3.0
-DOWN_S, DRAIN_AFTER_S = 0.2, 0.6
+DOWN_S, DRAIN_AFTER_S = 0.2, 0.4
 SERVE_ON_S = 5.0
 FLOWS_PER_S = 60.0
 BUDGET_S = 1.5
@@ -42,7 +42,6 @@
     for number in range(4):
         name, zone = f"side-{number}", zones[number % 2]
         deployment.add_node(name, "agent", zone, 20 + number, "feeds")
-    await deployment.start_store()
     route = deployment.address(100, 443)
     deployment.write_configuration(3, [deployment.make_route("r1", route, "feeds")])
     targets = [
--- a/review/7/run.py
+++ b/review/7/run.py
@@ -38,7 +38,6 @@
         service = "feeds" if number < 2 else "reels"
         name, zone = f"side-{number}", zones[number % 2]
         deployment.add_node(name, "agent", zone, 20 + number, service)
-    await deployment.start_store()
     route = deployment.address(100, 443)
     deployment.write_configuration(
         3, [deployment.make_route("r1", route, "feeds", "unsafe")]
