Review case 6: flows of a changed route are lost after a kill of all processes

Cause: no balancer remembers the route's former service after the kill, and agents that have restarted neither deny such flows nor hand them to their targets. Change: a script. Nothing fixed.

--- a/review/6/run.py
+++ b/review/6/run.py
@@ -1,81 +1,112 @@
-"""A target that has restarted drains while its former entry is still there."""
+"""All processes are killed after a route has got another service."""
 
 import asyncio
 from pathlib import Path
+from signal import SIGKILL, SIGTERM
 
-from stand_ins_2.deployment import Deployment, exit_with, run_case
+from stand_ins_2.deployment import STABILITY_S, Deployment, exit_with, run_case
 
 FOLDER = Path(__file__).resolve().parent
-DRAIN_TIMEOUT_S = 3.0
-DOWN_S, DRAIN_AFTER_S = 0.2, 0.4
-SERVE_ON_S = 5.0
-FLOWS_PER_S = 60.0
-BUDGET_S = 1.5
+FEEDS = 24
+BUDGET_S = 8.0
+CALM_S = STABILITY_S + 1.5
+ROLL_PAUSE_S = 2.0
+FLOW_TIMEOUT_S, FLOW_PACKETS = 2.0, 3
 
 
-async def make_calls(deployment, client, route) -> None:
-    """Open a flow for each request, at a steady rate."""
-    number = 0
+def count_elsewhere(deployment, flow, home, since: float) -> tuple[int, float]:
+    """Return how many of a flow's packets reached other targets only.
+
+    A packet is what the client sent at one moment, however many targets got
+    it. The second value is the time from the first to the last of them.
+    """
+    if any(at >= since for at in home.arrivals.get(flow.key, ())):
+        return 0, 0.0
+    arrivals = sorted(
+        at
+        for target in deployment.targets
+        if target is not home
+        for at in target.arrivals.get(flow.key, ())
+        if at >= since
+    )
+    sent = [at for at in flow.sent if at >= since]
+    ends = [*sent[1:], float("inf")]
+    reached = [
+        next(at for at in arrivals if begin <= at < end)
+        for begin, end in zip(sent, ends, strict=True)
+        if any(begin <= at < end for at in arrivals)
+    ]
+    return len(reached), reached[-1] - reached[0] if reached else 0.0
 
-    async def call(name: str) -> None:
-        flow = client.make_flow(route)
-        if await flow.open():
-            answer = await flow.request(name, BUDGET_S)
-            deployment.record.add(f"{name} answered {answer[:15]!r}")
-            flow.close()
 
-    calls = set()
-    while True:
-        number += 1
-        task = asyncio.create_task(call(f"r{number}"))
-        calls.add(task)
-        task.add_done_callback(calls.discard)
-        await asyncio.sleep(1.0 / FLOWS_PER_S)
+async def roll(deployment: Deployment) -> None:
+    """Stop the balancers in turn; each is started again."""
+    for node in deployment.balancers:
+        node.signal(SIGTERM)
+        await asyncio.sleep(ROLL_PAUSE_S)
 
 
 async def play(deployment: Deployment, is_on: bool) -> None:
-    """Crash a target, and drain its next lifetime."""
+    """Change a route, kill all processes, and roll the balancers later."""
     zones = deployment.zones
-    for number in range(3):
+    for number in range(4):
         name, zone = f"edge-{number}", zones[number % 2]
         deployment.add_node(name, "balancer", zone, 10 + number)
-    for number in range(4):
+    for number in range(6):
+        service = "feeds" if number < 3 else "reels"
         name, zone = f"side-{number}", zones[number % 2]
-        deployment.add_node(name, "agent", zone, 20 + number, "feeds")
+        deployment.add_node(name, "agent", zone, 20 + number, service)
     route = deployment.address(100, 443)
-    deployment.write_configuration(3, [deployment.make_route("r1", route, "feeds")])
-    targets = [
-        deployment.make_target(f"i-{number}", "feeds", zones[number % 2], 20 + number)
-        for number in range(4)
-    ]
-    for target in targets:
+    routes = {
+        service: [deployment.make_route("r1", route, service, "download")]
+        for service in ("feeds", "reels")
+    }
+    deployment.write_configuration(3, routes["feeds"])
+    for number in range(6):
+        service = "feeds" if number < 3 else "reels"
+        target = deployment.make_target(
+            f"i-{number}", service, zones[number % 2], 20 + number, capacity=4
+        )
         await target.start()
     await deployment.start_nodes()
     client = deployment.make_client(200)
     await client.start()
-    deployment.tasks.append(asyncio.create_task(make_calls(deployment, client, route)))
     await asyncio.sleep(6.0)
-    leaving = targets[0]
+    flows = [client.make_flow(route) for _ in range(FEEDS)]
+    await asyncio.gather(*(flow.open() for flow in flows))
+    answers = await asyncio.gather(
+        *(flow.request(f"first-{n}", BUDGET_S) for n, flow in enumerate(flows))
+    )
+    deployment.record.add(f"{sum(map(bool, answers))} first requests answered")
+    deployment.write_configuration(7, routes["reels"])
+    await asyncio.sleep(0.5)
     if is_on:
-        leaving.crash()
-        await asyncio.sleep(DOWN_S)
-        leaving = deployment.make_target("i-9", "feeds", zones[0], 20)
-        await leaving.start()
-        await asyncio.sleep(DRAIN_AFTER_S - DOWN_S)
-    acknowledged_at = leaving.drain()
-    await asyncio.sleep(SERVE_ON_S)
-    leaving.leave()
-    late = [
-        (at, packet)
-        for at, target, packet in deployment.accepted
-        if target is leaving and at - acknowledged_at > DRAIN_TIMEOUT_S
-    ]
-    for at, packet in late:
-        after_ms = 1000 * (at - acknowledged_at)
-        deployment.break_rule(
-            f"DRAIN: opening {packet.src[1]} reached {leaving} {after_ms:.0f} ms"
-            " after the store had acknowledged that it is draining"
-        )
+        for node in deployment.nodes:
+            node.signal(SIGKILL)
+    await asyncio.sleep(2.0)
+    for node in deployment.nodes:
+        while not await node.fetch_ready():
+            await asyncio.sleep(0.05)
+    deployment.record.add("all processes are ready")
+    await asyncio.sleep(CALM_S)
+    since = deployment.record.add("the sessions go on")
+    rolling = asyncio.create_task(roll(deployment))
+    names = [f"second-{number}" for number in range(FEEDS)]
+    answers = await asyncio.gather(
+        *(flow.request(n, BUDGET_S) for n, flow in zip(names, flows, strict=True))
+    )
+    await rolling
+    deployment.record.add(f"{sum(map(bool, answers))} second requests answered")
+    for name, flow in zip(names, flows, strict=True):
+        home, _ = deployment.open_at[flow.key]
+        packets, span = count_elsewhere(deployment, flow, home, since)
+        text = f"{packets} packets at other targets only, in {span:.3f} s"
+        deployment.record.add(f"{name}: {text}; open at {home}")
+        if packets >= FLOW_PACKETS and span >= FLOW_TIMEOUT_S and home.is_alive:
+            deployment.break_rule(
+                f"FLOW: {packets} packets of {name} reached other targets in"
+                f" {span:.3f} s, and none {home}, which holds the flow"
+            )
 
 
 if __name__ == "__main__":
--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -426,6 +426,8 @@
         self.changed = asyncio.Event()
         # When each opening packet was sent, and to which balancer.
         self.openings: list[tuple[float, Node]] = []
+        # When each packet with data was sent.
+        self.sent: list[float] = []
 
     def __str__(self):
         return f"{self.key[0][1]}>{self.key[1][0]}:{self.key[1][1]}"
@@ -451,6 +453,8 @@
             return
         if flags & SYN:
             self.openings.append((self.client.deployment.record.now(), node))
+        if data:
+            self.sent.append(self.client.deployment.record.now())
         datagram = pack(flags, *self.key, seq, ack, data)
         self.client.endpoint.send(datagram, (node.ip, DATAGRAM_PORT))
 
