--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -44,7 +44,6 @@
     matches_home,
     pick_home,
     queue_segment,
-    record_former_services,
     repeat_search,
     search_home,
 )
@@ -59,6 +58,7 @@
     OpeningRefused,
 )
 from lycheeglade.route import Route, RoutingView
+from lycheeglade.search_scope import record_former_services
 from lycheeglade.segment import ConnectionKey, Segment
 from lycheeglade.target_load import UNKNOWN_SERVICE_TIME_S, AgentLoad
 from lycheeglade.view import State
