Ask targets of other services for connections that no named one holds

Cause: a balancer that has just started takes the services of its first view for all that may hold a connection. It asked the agents of other services as well, but these answered from their tables only. Beside an older target a new agent can't deny from an empty table, and it gave no segment of a route that doesn't name its service to the target, the one process that knew.

Evidence: no reset and no home for the sessions in the balancers' logs.

Why this works: a target returns each segment of a connection that it does not hold. So once all targets of the named services have returned it, those of other services are asked, in regions that the route permits, with a segment without data first. Agents that know all connections of their targets still answer from their tables.

Tests changed: the state machine asserted that a target gets no segment of a service that its route never named, and excused requests that this cost. It now asserts that such a segment opens nothing and that no target of the route's services holds the connection, and excuses nothing. The wait for agents of other services after a mass restart starts when they are asked; its test checks both sides of the bound.

--- a/lycheeglade/connection_agent.py
+++ b/lycheeglade/connection_agent.py
@@ -166,10 +166,7 @@
         and message.services
         and agent.service not in message.services
     ):
-        # The target must not receive a segment of another service.
-        if knows_all_connections(agent, now):
-            not_held = ConnectionNotHeld(key, segment.acknowledgement)
-            agent.actions.send(pending.requester, not_held)
+        _receive_of_other_service(agent, key, pending, segment, now)
     elif connection is not None and _is_of_other_connection(connection, segment):
         _receive_other(agent, key, connection, pending, segment, now)
     elif connection is None or not connection.is_open:
@@ -179,6 +176,27 @@
         _receive_established(agent, key, connection, segment, now)
 
 
+def _receive_of_other_service(
+    agent: ConnectionAgent,
+    key: ConnectionKey,
+    pending: PendingSegment,
+    segment: Segment,
+    now: float,
+) -> None:
+    """Answer a search for a connection whose route names other services.
+
+    The route may have named this service when the connection opened. Only the
+    target knows whether it holds a connection that is older than the agent's
+    table. It gets the segment once all targets of the named services have
+    returned it; until then, the agent does not answer.
+    """
+    if knows_all_connections(agent, now):
+        not_held = ConnectionNotHeld(key, segment.acknowledgement)
+        agent.actions.send(pending.requester, not_held)
+    elif pending.message.any_service:
+        _receive_unknown(agent, key, None, pending, segment, now)
+
+
 def _is_of_other_connection(connection: LocalConnection, segment: Segment) -> bool:
     """Return whether a segment belongs to another connection of its address.
 
--- a/lycheeglade/connection_balancer_state.py
+++ b/lycheeglade/connection_balancer_state.py
@@ -37,6 +37,35 @@
     log: Callable[..., None]
 
 
+@dataclass(frozen=True, slots=True)
+class SearchScope:
+    """Agents whose targets may hold a connection.
+
+    Attributes
+    ----------
+    services : tuple of str
+        Services that the connection's route is known to have named.
+    named : frozenset of Address
+        Agents of these services.
+    others : frozenset of Address
+        Agents of other services, which the route may have named before this
+        process followed it.
+    permitted_others : frozenset of Address
+        Those of them in regions that the route permits. Only their targets
+        may receive a segment.
+    """
+
+    services: tuple[str, ...] = ()
+    named: frozenset[Address] = frozenset()
+    others: frozenset[Address] = frozenset()
+    permitted_others: frozenset[Address] = frozenset()
+
+    @property
+    def agents(self) -> frozenset[Address]:
+        """All agents that are asked."""
+        return self.named | self.others
+
+
 @dataclass(slots=True)
 class Search:
     """Search for the home of a connection.
@@ -47,14 +76,18 @@
         Time of the latest query.
     queries : int
         Number of queries, each to all agents that had not answered.
-    services : tuple of str
-        Services that the route is known to have named.
+    scope : SearchScope
+        Agents whose targets may hold the connection.
+    widened_at : float, optional
+        Time at which the targets of other services were first asked, None
+        before.
     """
 
     queried_at: float
     started_at: float
     queries: int = 0
-    services: tuple[str, ...] = ()
+    scope: SearchScope = SearchScope()
+    widened_at: float | None = None
     queried_agents: set[Address] = field(default_factory=set)
     denying_agents: set[Address] = field(default_factory=set)
 
--- a/lycheeglade/connection_search.py
+++ b/lycheeglade/connection_search.py
@@ -26,11 +26,7 @@
 from lycheeglade.relay_message import ForwardSegment
 from lycheeglade.retry import compute_ceiling
 from lycheeglade.route import Route
-from lycheeglade.search_scope import (
-    find_searched_agents,
-    find_searched_services,
-    is_of_earlier_build,
-)
+from lycheeglade.search_scope import find_scope, is_of_earlier_build
 from lycheeglade.segment import (
     SEQUENCE_SPACE,
     ConnectionKey,
@@ -177,14 +173,27 @@
     """Send the query to all agents that have not denied the connection."""
     search.queried_at = now
     search.queries += 1
-    services = find_searched_services(balancer, route, now)
-    search.services = services
-    agents = find_searched_agents(balancer, services, now)
-    search.queried_agents |= agents
-    queried = sorted(agents - search.denying_agents)
+    scope = search.scope = find_scope(balancer, route, now)
+    search.queried_agents |= scope.agents
     query = ForwardSegment(
-        balancer.address, segment.datagram, search=True, services=services
+        balancer.address, segment.datagram, search=True, services=scope.services
     )
+    queried = scope.agents - search.denying_agents
+    if search.widened_at is not None:
+        widened = queried & scope.permitted_others
+        widened_query = replace_message(query, any_service=True)
+        _send_query(balancer, sorted(widened), widened_query, now)
+        queried -= widened
+    _send_query(balancer, sorted(queried), query, now)
+
+
+def _send_query(
+    balancer: ConnectionBalancer,
+    queried: list[Address],
+    query: ForwardSegment,
+    now: float,
+) -> None:
+    """Send a query to agents, through some of them if there are many."""
     if len(queried) <= MAX_DIRECT_QUERIES:
         for agent in queried:
             send_message(balancer, agent, query, now)
@@ -250,7 +259,8 @@
     """Reset the connection if no agent can be expected to find it.
 
     That is the case once each queried agent has denied the connection or has
-    been given up.
+    been given up. If only agents of services that the route is not known to
+    have named have not answered, their targets are asked first.
     """
     search = connection.search
     if search is None or now - balancer.view_at < MIN_VIEW_AGE_S:
@@ -258,13 +268,23 @@
     if not is_view_current(balancer, search.started_at, now):
         return
     given_up: Counter[str] = Counter()
+    awaits_others = can_widen = False
     for agent in search.queried_agents - search.denying_agents:
         limit = _answer_limit(balancer, search, agent, now)
-        if now - search.started_at < limit.seconds:
+        if now - search.started_at >= limit.seconds:
+            given_up[limit.cause] += 1
+        elif search.widened_at is not None or agent not in search.scope.others:
             return
-        given_up[limit.cause] += 1
+        else:
+            awaits_others = True
+            can_widen |= agent in search.scope.permitted_others
+    if awaits_others and not can_widen:
+        return
     if _query_new_agents(balancer, key, connection, now):
         return
+    if awaits_others:
+        _widen_search(balancer, key, connection, now)
+        return
     if connection.homes:
         # The segment was a late one of a former connection, or the home is
         # that of a former connection. In the second case, the next segment
@@ -335,13 +355,43 @@
     route = balancer.view.routes_by_address.get(key.service)
     if route is None or not connection.queued_segments:
         return False
-    services = find_searched_services(balancer, route, now)
-    if find_searched_agents(balancer, services, now) <= search.queried_agents:
+    if find_scope(balancer, route, now).agents <= search.queried_agents:
         return False
     _query_agents(balancer, search, route, connection.queued_segments[-1], now)
     return True
 
 
+def _widen_search(
+    balancer: ConnectionBalancer,
+    key: ConnectionKey,
+    connection: Connection,
+    now: float,
+) -> None:
+    """Let the targets of other services answer for themselves.
+
+    No target of the services that the route is known to have named holds the
+    connection. The agents of others that have not answered do not know all
+    connections of their targets. A target that does not hold the connection
+    returns the segment; one without data discloses less to it.
+    """
+    search = connection.search
+    route = balancer.view.routes_by_address.get(key.service)
+    if route is None or not connection.queued_segments:
+        return
+    search.widened_at = now
+    # The pauses between queries start anew.
+    search.queries = 0
+    balancer.actions.log(
+        "search-widened",
+        connection=key,
+        services=",".join(search.scope.services),
+        asked=len(search.scope.permitted_others - search.denying_agents),
+        after_s=now - search.started_at,
+    )
+    segment = min(connection.queued_segments, key=lambda each: each.data_bytes)
+    _query_agents(balancer, search, route, segment, now)
+
+
 def detect_mass_restart(balancer: ConnectionBalancer, now: float) -> None:
     """Update whether most agents have started a short time ago."""
     if now - balancer.mass_restart_checked_at < MASS_RESTART_INTERVAL_S:
@@ -375,13 +425,11 @@
         return AnswerLimit(ROUND_TRIP_TIMEOUT_S, "crashed")
     if has_target_ended(balancer, agent):
         return AnswerLimit(ROUND_TRIP_TIMEOUT_S, "ended")
-    is_other_service = load.service not in search.services
-    if (
-        balancer.is_mass_restart
-        and _has_just_started(load, now)
-        and (load.leaving or is_other_service)
-    ):
-        return AnswerLimit(ROUND_TRIP_TIMEOUT_S, "mass-restart")
+    if balancer.is_mass_restart and _has_just_started(load, now):
+        if load.leaving:
+            return AnswerLimit(ROUND_TRIP_TIMEOUT_S, "mass-restart")
+        if agent in search.scope.others:
+            return _other_service_limit(search, agent)
     was_heard = load.last_heard_at > float("-inf")
     if balancer.is_mass_restart and not was_heard and load.is_unresponsive(now):
         return AnswerLimit(SEARCH_TIMEOUT_S, "unresponsive")
@@ -390,3 +438,17 @@
     if load.silent and load.target_ended and not _is_draining(balancer, agent):
         return AnswerLimit(SEARCH_TIMEOUT_S, "silent")
     return AnswerLimit(float("inf"))
+
+
+def _other_service_limit(search: Search, agent: Address) -> AnswerLimit:
+    """Return how long a search waits for an agent of another service.
+
+    After a loss of power, the agent does not know the connections of its
+    target. The time starts when the target may answer.
+    """
+    if agent not in search.scope.permitted_others:
+        return AnswerLimit(ROUND_TRIP_TIMEOUT_S, "mass-restart")
+    if search.widened_at is None:
+        return AnswerLimit(float("inf"))
+    asked_after = search.widened_at - search.started_at
+    return AnswerLimit(asked_after + ROUND_TRIP_TIMEOUT_S, "mass-restart")
--- a/lycheeglade/eligibility.py
+++ b/lycheeglade/eligibility.py
@@ -79,7 +79,7 @@
         return Eligibility(cause=Cause.NO_TARGET)
     if route.regions is None and not view.evacuated_zones:
         return Eligibility(tuple(live))
-    permitted = [target for target in live if _is_region_permitted(route, target)]
+    permitted = [target for target in live if is_region_permitted(route, target)]
     if not permitted:
         return Eligibility(cause=Cause.REGION)
     targets = tuple(target for target in permitted if not is_evacuated(view, target))
@@ -93,8 +93,9 @@
 
 def is_excluded(view: RoutingView, route: Route, target: Target) -> bool:
     """Return whether the target's zone or region rules out new connections."""
-    return is_evacuated(view, target) or not _is_region_permitted(route, target)
+    return is_evacuated(view, target) or not is_region_permitted(route, target)
 
 
-def _is_region_permitted(route: Route, target: Target) -> bool:
+def is_region_permitted(route: Route, target: Target) -> bool:
+    """Return whether the route permits the target's region."""
     return route.regions is None or target.zone.region in route.regions
--- a/lycheeglade/relay_message.py
+++ b/lycheeglade/relay_message.py
@@ -60,6 +60,9 @@
         Seconds left until the caller gives up, 0 if both times are unknown.
     held : float
         Seconds for which other agents have held a new connection.
+    any_service : bool
+        Whether targets of other services than `services` may receive the
+        segment too, since no target of these holds the connection.
     """
 
     balancer: Address
@@ -74,6 +77,7 @@
     aim_left: AimSeconds = 0.0
     time_left: float = 0.0
     held: float = 0.0
+    any_service: bool = False
 
 
 class HomeFound(Struct, frozen=True, array_like=True, tag=2):
--- a/lycheeglade/search_relay.py
+++ b/lycheeglade/search_relay.py
@@ -73,6 +73,7 @@
             search=True,
             is_relayed=True,
             services=message.services,
+            any_service=message.any_service,
         )
         for agent in message.candidates:
             self._send(agent, query)
--- a/lycheeglade/search_scope.py
+++ b/lycheeglade/search_scope.py
@@ -3,14 +3,19 @@
 A connection stays with its target when its route changes its services. So the
 search covers the services that the route named within the longest life of a
 connection. A balancer that has not followed the routes for that time asks the
-agents of all services; those of a service that it cannot name answer from
-their tables only, since a segment must not reach a target of another service.
+agents of all services. A segment reaches targets of a service that the route
+is not known to have named last: in regions that the route permits, and only
+once no target of the named services holds the connection.
 """
 
+from collections.abc import Iterator
+
 from lycheeglade.address import Address
-from lycheeglade.connection_balancer_state import ConnectionBalancer
+from lycheeglade.connection_balancer_state import ConnectionBalancer, SearchScope
 from lycheeglade.connection_limits import CONNECTION_LIFETIME_S
+from lycheeglade.eligibility import is_region_permitted
 from lycheeglade.route import Route, RoutingView
+from lycheeglade.view import Target
 
 
 def record_former_services(
@@ -40,7 +45,33 @@
             del balancer.former_services_by_address[address]
 
 
-def find_searched_services(
+def find_scope(balancer: ConnectionBalancer, route: Route, now: float) -> SearchScope:
+    """Return the agents whose targets may hold a connection of `route`.
+
+    Those of services that the route is not known to have named are left out if
+    this balancer has followed the routes for `CONNECTION_LIFETIME_S`, without
+    missing a version.
+    """
+    services = _find_services(balancer, route, now)
+    knows_all_services = now - balancer.routes_known_at > CONNECTION_LIFETIME_S
+    named, others, permitted_others = set(), set(), set()
+    for target, service in _list_targets(balancer, now):
+        agent = target.agent
+        if service in services:
+            named.add(agent)
+        elif not (knows_all_services or is_of_earlier_build(balancer, agent)):
+            others.add(agent)
+            if is_region_permitted(route, target):
+                permitted_others.add(agent)
+    return SearchScope(
+        services,
+        frozenset(named),
+        frozenset(others - named),
+        frozenset(permitted_others - named),
+    )
+
+
+def _find_services(
     balancer: ConnectionBalancer, route: Route, now: float
 ) -> tuple[str, ...]:
     """Return the services that the route names or is known to have named."""
@@ -53,37 +84,16 @@
     return tuple(sorted(recent | route.weights_by_service.keys()))
 
 
-def find_searched_agents(
-    balancer: ConnectionBalancer, services: tuple[str, ...], now: float
-) -> set[Address]:
-    """Return the agents whose targets may hold a connection.
-
-    Parameters
-    ----------
-    services : tuple of str
-        Services that the connection's route is known to have named. They are
-        all of them if this balancer has followed the routes for
-        `CONNECTION_LIFETIME_S`, without missing a version.
-    """
-    knows_all_services = now - balancer.routes_known_at > CONNECTION_LIFETIME_S
-    agents = set()
+def _list_targets(
+    balancer: ConnectionBalancer, now: float
+) -> Iterator[tuple[Target, str]]:
+    """Return the targets that may hold connections, with their services."""
     for service, targets in balancer.view.targets_by_service.items():
-        if service in services:
-            agents.update(target.agent for target in targets.values())
-        elif not knows_all_services:
-            agents.update(
-                target.agent
-                for target in targets.values()
-                if not is_of_earlier_build(balancer, target.agent)
-            )
-    for agent, (_, service, gone_at) in list(balancer.removed_by_agent.items()):
-        if now - gone_at > CONNECTION_LIFETIME_S:
-            del balancer.removed_by_agent[agent]
-        elif service in services or not (
-            knows_all_services or is_of_earlier_build(balancer, agent)
-        ):
-            agents.add(agent)
-    return agents
+        for target in targets.values():
+            yield target, service
+    for target, service, gone_at in balancer.removed_by_agent.values():
+        if now - gone_at <= CONNECTION_LIFETIME_S:
+            yield target, service
 
 
 def is_of_earlier_build(balancer: ConnectionBalancer, agent: Address) -> bool:
--- a/tests/test_connection_agent.py
+++ b/tests/test_connection_agent.py
@@ -200,6 +200,20 @@
     assert search_other_service(agent, recorder, 1.0) == [ConnectionNotHeld(KEY, 1001)]
 
 
+def test_target_is_asked_for_a_connection_that_opened_before_its_agent_started(
+    agent, recorder
+):
+    """The agent neither denied the connection nor asked, for up to 60 s."""
+    services = ("reel-depot",)
+    fields = {"search": True, "services": services, "any_service": True}
+    receive(agent, recorder, data(), 1.0, **fields)
+    assert len(recorder.delivered) == 1
+    receive_from_target(agent, returned(recorder), 1.01)
+    assert recorder.sent == [(BALANCER, ConnectionNotHeld(KEY, 1001))]
+    receive(agent, recorder, data(port=5), CONNECTION_LIFETIME_S, **fields)
+    assert len(recorder.delivered) == 1
+
+
 def test_home_answers_a_search_that_does_not_name_its_service(agent, recorder):
     open_connection(agent, recorder)
     receive(agent, recorder, data(), 1.0, search=True, services=("reel-depot",))
--- a/tests/test_connection_machine.py
+++ b/tests/test_connection_machine.py
@@ -3,9 +3,10 @@
 The faults are lost packets, restarts and crashes; a target that has crashed
 starts again, and its agent may restart soon after it. The machine checks that
 an open connection is reset only if its target lost it, that repeated requests
-of a caller reach the connection's home, and that a target gets no connection
-of another service. The route changes its services, and is removed and returns,
-while connections are open.
+of a caller reach the connection's home, and that a target gets no opening of
+another service, and no other segment of one while a target of the route's
+services holds the connection. The route changes its services, and is removed
+and returns, while connections are open.
 """
 
 from collections import deque
@@ -204,10 +205,20 @@
             self.to_agent(to, message, source)
 
     def deliver(self, address, segment, tag):
-        assert SERVICE_BY_AGENT[address] in self.named_services
+        if SERVICE_BY_AGENT[address] not in self.named_services:
+            self.check_other_service(segment)
         for sent in self.targets[address].receive(replace(segment, tag=tag)):
             self.queue.append((self.from_target, address, sent))
 
+    def check_other_service(self, segment):
+        """Check a segment to a target whose service the route never named."""
+        key = segment.key_from_caller
+        assert not segment.opens
+        assert not any(
+            key in target.open and SERVICE_BY_AGENT[address] in self.services
+            for address, target in self.targets.items()
+        )
+
     def from_target(self, address, segment):
         receive_from_target(self.agents[address], segment, self.now)
 
@@ -278,25 +289,10 @@
             if key in self.answered:
                 return
             self.advance()
-        if self.is_unknown_to_its_agent(key):
-            return
         raise AssertionError(
             f"{key} got no answer to 6 copies although a target holds it"
         )
 
-    def is_unknown_to_its_agent(self, key):
-        """Return whether neither its agent nor its route names its target.
-
-        The agent started after the connection opened, and must not deliver a
-        segment of a route that does not name its service.
-        """
-        return any(
-            key in target.open
-            and SERVICE_BY_AGENT[address] not in self.services
-            and key not in self.agents[address].connections_by_key
-            for address, target in self.targets.items()
-        )
-
     @rule(count=st.integers(1, 4))
     def lose(self, count):
         self.drops = count
@@ -315,6 +311,15 @@
         for _ in range(3):
             self.advance()
 
+    @rule()
+    def kill_all_processes(self):
+        """Start all balancers and agents anew; the targets live on."""
+        for address in self.agents:
+            self.agents[address] = self.make_agent(address, self.now)
+        for address in BALANCERS:
+            self.balancers[address] = self.make_balancer(address)
+        self.run()
+
     def count_young_agents(self):
         return sum(
             self.now - agent.started_at <= MASS_RESTART_AGE_S
@@ -383,5 +388,21 @@
     assert run.targets[home.agent].open
 
 
+def test_connection_of_a_former_service_is_served_after_a_kill_of_all_processes():
+    """Only the targets of the new service got its segments (review/6).
+
+    No process knew the former service, and agents gave no segment of a route
+    that did not name their service to the target that held the connection.
+    """
+    run = Connections()
+    run.open(1, 0, False)
+    run.ask(1, 0)
+    run.change_configuration(["reel-depot"])
+    run.kill_all_processes()
+    run.advance()
+    run.ask(1, 0)
+    assert run.key_of(1) in run.answered
+
+
 TestConnections = Connections.TestCase
 TestConnections.settings = make_machine_settings(150, 40)
--- a/tests/test_connection_search.py
+++ b/tests/test_connection_search.py
@@ -69,9 +69,10 @@
     assert {agent for agent, _ in recorder.pop_forwarded_segments()} == set(AGENTS)
 
 
-def change_services(balancer, services, now, configuration=2):
+def change_services(balancer, services, now, configuration=2, regions=None):
     """Let the route name other services; `reel-depot` has one target."""
-    view = make_view(TARGETS, (replace(ROUTE, weights_by_service=services),))
+    route = replace(ROUTE, weights_by_service=services, regions=regions)
+    view = make_view(TARGETS, (route,))
     depot = make_target(4)
     update_routing(
         balancer,
@@ -102,10 +103,62 @@
     receive_message(restarted, ConnectionNotHeld(KEY, 77), depot, 1.01)
     tick(restarted, 1.02)
     assert recorder.resets == []
+    recorder.pop_forwarded_segments()
     receive_message(restarted, HomeFound(KEY, -1), AGENTS[1], 1.03)
     assert [agent for agent, _ in recorder.pop_forwarded_segments()] == [AGENTS[1]]
 
 
+def search_former_service(recorder, regions=None):
+    """Search after a restart; return the agent of the route's new service."""
+    restarted = recorder.make()
+    depot = change_services(restarted, {"reel-depot": 1.0}, 0.0, regions=regions)
+    recorder.sent.clear()
+    receive_segment(restarted, data(), 1.0)
+    assert not any(sent.any_service for _, sent in recorder.pop_forwarded_segments())
+    return restarted, depot
+
+
+def test_targets_of_other_services_are_asked_once_those_of_the_route_deny(recorder):
+    """After a kill of all processes, nobody asked the connection's target."""
+    restarted, depot = search_former_service(recorder)
+    receive_message(restarted, ConnectionNotHeld(KEY, 77), AGENTS[0], 1.01)
+    tick(restarted, 1.02)
+    assert recorder.pop_forwarded_segments() == []
+    receive_message(restarted, ConnectionNotHeld(KEY, 77), depot, 1.03)
+    asked = recorder.pop_forwarded_segments()
+    assert [agent for agent, _ in asked] == AGENTS[1:]
+    assert all(sent.any_service for _, sent in asked)
+    for agent in AGENTS[1:]:
+        assert recorder.resets == []
+        receive_message(restarted, ConnectionNotHeld(KEY, 77), agent, 1.04)
+    assert recorder.resets == [(KEY, 1001)]
+
+
+def test_targets_of_regions_that_the_route_excludes_get_no_segment(recorder):
+    """Its callers wait, since only these targets could deny the connection."""
+    restarted, depot = search_former_service(recorder, regions=("viti-east",))
+    receive_message(restarted, ConnectionNotHeld(KEY, 77), depot, 1.03)
+    for now in (1.1, 1.3, 2.0, 2.9):
+        tick(restarted, now)
+    asked = recorder.pop_forwarded_segments()
+    assert {agent for agent, _ in asked} == set(AGENTS)
+    assert not any(sent.any_service for _, sent in asked)
+    assert recorder.resets == []
+
+
+def test_targets_of_other_services_get_a_segment_without_data_first(recorder):
+    restarted, depot = search_former_service(recorder)
+    bare = data(data_bytes=0)
+    receive_segment(restarted, bare, 1.01)
+    receive_segment(restarted, data(sequence=108), 1.02)
+    receive_message(restarted, ConnectionNotHeld(KEY, 77), depot, 1.03)
+    asked = recorder.pop_forwarded_segments()
+    assert {sent.datagram for _, sent in asked} == {bare.datagram}
+    tick(restarted, 1.04 + 2.0 * SEARCH_RETRY_S)
+    asked = recorder.pop_forwarded_segments()
+    assert {sent.datagram for _, sent in asked} == {data(sequence=108).datagram}
+
+
 def test_targets_of_a_former_service_get_segments_for_a_lifetime(balancer, recorder):
     depot = change_services(balancer, {"reel-depot": 1.0}, 1.0)
     recorder.sent.clear()
@@ -349,7 +402,9 @@
         receive_message(balancer, ConnectionNotHeld(KEY, 77), agent, 1.01)
     receive_message(balancer, make_report(service="reel-depot", age=2.5), depot, 1.05)
     assert recorder.resets == []
-    tick(balancer, 1.01 + ROUND_TRIP_TIMEOUT_S)
+    tick(balancer, 1.0 + ROUND_TRIP_TIMEOUT_S)
+    assert recorder.resets == []
+    tick(balancer, 1.02 + ROUND_TRIP_TIMEOUT_S)
     assert recorder.resets == ([(KEY, 77)] if is_reset else [])
 
 
