Deny connections only from tables that are complete

Callers saw: all balancers and one agent were killed within 3 s of its target's start, and the route got another service.

Cause: an agent that started up to 3 s after its target took its table for complete unless a balancer named a former process beside the target within 2.5 s. The balancers had started as late as the agent, and their silence counted as knowledge. The same rule compared the clock's readings at two starts, and the clock is set while processes run.

Evidence: all five agents denied the session (asked=5 denied=5), one of them with target-started before_agent_s=2.2 and no former-process.

Why this works: only a process that has kept its table for as long as a connection may be open knows all of them (completeness). Younger agents leave the answer to the target, which the search now asks. Who has heard whom, and since when, no longer matters.

Balancers always name another process to agents of earlier builds, so that those do not deny on their silence either.

--- a/lycheeglade/agent_probe.py
+++ b/lycheeglade/agent_probe.py
@@ -75,7 +75,6 @@
         warmup_left(load, now),
         load.warmup_rate,
         max(load.lifetime, 0),
-        load.first_incarnation,
     )
     send_message(balancer, agent, request, now)
     if load.unanswered_requests and balancer.agent_heard_at >= load.last_request_at:
--- a/lycheeglade/cold_targets.py
+++ b/lycheeglade/cold_targets.py
@@ -42,7 +42,6 @@
     is_new = target.lifetime > load.lifetime
     if is_new:
         load.lifetime = target.lifetime
-        load.first_incarnation = 0
         load.warmup_known = 0.0
         load.cold_until = float("-inf")
     if target.warmup_left > load.warmup_known:
--- a/lycheeglade/connection_agent.py
+++ b/lycheeglade/connection_agent.py
@@ -8,6 +8,7 @@
 """
 
 from lycheeglade.address import Address
+from lycheeglade.completeness import is_table_complete
 from lycheeglade.connection_admission import (
     WAITED_TOO_LONG,
     add_connection,
@@ -34,7 +35,6 @@
     notify_balancers,
     record_segment,
 )
-from lycheeglade.connection_limits import CONNECTION_LIFETIME_S
 from lycheeglade.connection_load import (
     MS_PER_S,
     log_load,
@@ -53,15 +53,9 @@
 # Connections without segments for CONNECTION_IDLE_TIMEOUT_S seconds are
 # evicted.
 CONNECTION_IDLE_TIMEOUT_S = 60.0
-# The time of day may be set by up to this between the starts of the target and
-# of this process.
-MAX_CLOCK_STEP_S = 5.0
 # On a host that has just got power, the target starts up to this time before
 # its agent. One that has run longer has outlived an earlier process.
 MAX_START_DELAY_S = 3.0
-# Balancers request load reports at least once a second: two requests of each
-# reach a process within this time.
-WITNESS_TIME_S = 2.5
 # While the target is silent, its port is checked at this interval.
 PORT_CHECK_INTERVAL_S = 0.5
 # A caller's segment belongs to another connection of its address if its
@@ -83,7 +77,6 @@
         agent.last_heard_by_balancer[source] = now
         agent.slots = max(1, message.slots)
         _learn_target_start(agent, message.lifetime)
-        _learn_former_process(agent, message, source)
         _learn_warmup(agent, message, now)
         if message.is_near:
             agent.far_reported_at_by_balancer.pop(source, None)
@@ -100,23 +93,6 @@
         agent.searches.handle_not_held(message, source)
 
 
-def _learn_former_process(
-    agent: ConnectionAgent, message: LoadRequest, balancer: Address
-) -> None:
-    """Record beside which process of the target another agent has run."""
-    if message.incarnation in (0, agent.incarnation):
-        return
-    if message.lifetime <= agent.former_beside:
-        return
-    agent.former_beside = message.lifetime
-    agent.actions.log(
-        "former-process",
-        incarnation=message.incarnation,
-        lifetime=message.lifetime,
-        balancer=balancer,
-    )
-
-
 def _learn_target_start(agent: ConnectionAgent, lifetime: int) -> None:
     """Record when the target started, which earlier builds do not name."""
     if lifetime in (0, agent.target_lifetime):
@@ -190,7 +166,7 @@
     table. It gets the segment once all targets of the named services have
     returned it; until then, the agent does not answer.
     """
-    if knows_all_connections(agent, now):
+    if is_table_complete(agent, now):
         not_held = ConnectionNotHeld(key, segment.acknowledgement)
         agent.actions.send(pending.requester, not_held)
     elif pending.message.any_service:
@@ -211,31 +187,6 @@
     return sequence_distance(connection.sequence, segment.acknowledgement) < 0
 
 
-def knows_all_connections(agent: ConnectionAgent, now: float) -> bool:
-    """Return whether the table has all open connections of the target.
-
-    That is the case if this process has run for as long as a connection may
-    be open, or since before the target started. If the target started first,
-    connections may have opened by an earlier process beside it, however short
-    the time between the two starts. Balancers tell whether they have heard
-    one, and all that live have told after `WITNESS_TIME_S`. A table that was
-    full lacks connections for as long as these may be open.
-    """
-    if now - agent.discarded_at < CONNECTION_LIFETIME_S:
-        return False
-    age = now - agent.started_at
-    if age >= CONNECTION_LIFETIME_S:
-        return True
-    lead = _target_lead(agent)
-    if lead <= -MAX_CLOCK_STEP_S:
-        return True
-    return (
-        lead <= MAX_START_DELAY_S
-        and agent.former_beside < agent.target_lifetime
-        and age >= WITNESS_TIME_S
-    )
-
-
 def _receive_unknown(
     agent: ConnectionAgent,
     key: ConnectionKey,
--- a/lycheeglade/connection_agent_state.py
+++ b/lycheeglade/connection_agent_state.py
@@ -117,9 +117,6 @@
     target_lifetime : int
         Start of the target's process in Unix milliseconds, 0 if no balancer
         has named it.
-    former_beside : int
-        Start of the target's process beside which a balancer has heard another
-        process of this agent, 0 if none has.
     discarded_at : float
         Time at which the full table last discarded a connection.
     held_openings_by_key : dict
@@ -149,7 +146,6 @@
     limits: ConnectionLimits = DEFAULT_LIMITS
     started_unix_ms: float = 0.0
     target_lifetime: int = 0
-    former_beside: int = 0
     discarded_at: float = float("-inf")
     slots: int = 1
     connections_by_key: OrderedDict[ConnectionKey, LocalConnection] = field(
--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -489,7 +489,6 @@
         load.is_restart_planned = load.leaving
         release_held_openings(balancer, source)
     load.incarnation = report.incarnation
-    load.first_incarnation = load.first_incarnation or report.incarnation
     load.is_target_older = report.is_target_older
     load.reported_at = now
     load.recent_placements = 0
--- a/lycheeglade/relay_message.py
+++ b/lycheeglade/relay_message.py
@@ -14,6 +14,8 @@
 # Also excludes infinity and NaN, which have no integer value.
 MAX_AIM_S = 1e6
 AimSeconds = Annotated[float, Meta(ge=-MAX_AIM_S, le=MAX_AIM_S)]
+# No process has a negative number.
+OTHER_PROCESS = -1
 SequenceNumber = Annotated[int, Meta(ge=0, lt=SEQUENCE_SPACE)]
 
 
@@ -122,8 +124,8 @@
     lifetime : int
         Start of the target's process in Unix milliseconds, 0 if unknown.
     incarnation : int
-        Process of the agent that the balancer has heard first beside this
-        process of the target, 0 if none.
+        Not used by this build. Agents of an earlier one deny connections from
+        incomplete tables unless it names a process other than theirs.
     """
 
     slots: int
@@ -131,7 +133,7 @@
     warmup_left: float = 0.0
     warmup_rate: float = 0.0
     lifetime: int = 0
-    incarnation: int = 0
+    incarnation: int = OTHER_PROCESS
 
 
 class LoadReport(Struct, frozen=True, array_like=True, tag=5):
--- a/lycheeglade/search_scope.py
+++ b/lycheeglade/search_scope.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterator
 
 from lycheeglade.address import Address
+from lycheeglade.completeness import knows_all_services
 from lycheeglade.connection_balancer_state import ConnectionBalancer, SearchScope
 from lycheeglade.connection_limits import CONNECTION_LIFETIME_S
 from lycheeglade.eligibility import is_region_permitted
@@ -53,13 +54,13 @@
     missing a version.
     """
     services = _find_services(balancer, route, now)
-    knows_all_services = now - balancer.routes_known_at > CONNECTION_LIFETIME_S
+    is_complete = knows_all_services(balancer, now)
     named, others, permitted_others = set(), set(), set()
     for target, service in _list_targets(balancer, now):
         agent = target.agent
         if service in services:
             named.add(agent)
-        elif not (knows_all_services or is_of_earlier_build(balancer, agent)):
+        elif not (is_complete or is_of_earlier_build(balancer, agent)):
             others.add(agent)
             if is_region_permitted(route, target):
                 permitted_others.add(agent)
--- a/lycheeglade/target_load.py
+++ b/lycheeglade/target_load.py
@@ -83,9 +83,6 @@
         Connections that this balancer has placed since the last report.
     previous_incarnation : int
         Identifies the agent's process before the present one, 0 if unknown.
-    first_incarnation : int
-        Identifies the agent's process that was heard first since the target's
-        present process is known, 0 if none was.
     lifetime : int
         Start of the target's process in Unix milliseconds, 0 if it is not
         published, -1 before any is known.
@@ -128,7 +125,6 @@
     failing: float = 0.0
     incarnation: int = 0
     previous_incarnation: int = 0
-    first_incarnation: int = 0
     slots: int = 0
     lifetime: int = -1
     warmup_known: float = 0.0
