Let the latest entry at an address decide alone

Callers saw: a target crashed, started again at its address under a new id and reported draining.

Cause: balancers took the entries of two lifetimes at one address for two targets. The former entry made the address eligible while it was there, and for 2 s after its removal, since the agent there was heard.

Why this works: an address has one target at a time, and one that has ended writes nothing. So the entry that changed last, by the store's revision, is that of the present lifetime, whatever the clocks of the targets say. Views are corrected in one place, before anything reads them (AddressHistory), and a target that leaves the view is kept for searches and for the time of grace only while no other is at its address. If the last entry disappears first, those before it stay out for 5 s, after which one still there is of a living target. Entries of services that no route names displace nothing.

Tests changed: one on odd deletions had three targets at one address and now has three addresses.

--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -127,13 +127,16 @@
                 continue
             balancer.removed_by_agent[target.agent] = (target, service, now)
             if target.state is State.LIVE:
-                balancer.unannounced_removals_by_id[target_id] = (target, service, now)
+                removal = (target, service, now)
+                balancer.unannounced_removals_by_agent[target.agent] = removal
             balancer.actions.log("target-gone", target=target_id, service=service)
     is_restored = view.era > previous.era
     balancer.targets_by_agent = {}
-    for target_id, (target, service) in current.items():
+    for target, service in current.values():
         balancer.targets_by_agent.setdefault(target.agent, []).append(target)
-        balancer.unannounced_removals_by_id.pop(target_id, None)
+        # A target that was at the address before has ended.
+        balancer.removed_by_agent.pop(target.agent, None)
+        balancer.unannounced_removals_by_agent.pop(target.agent, None)
         load = balancer.loads_by_agent.setdefault(target.agent, AgentLoad())
         load.is_near = target.zone == balancer.zone
         rate = view.warmup_rates_by_service.get(service, 0.0)
@@ -543,9 +546,10 @@
 
 def _forget_removals(balancer: ConnectionBalancer, now: float) -> None:
     """Forget targets that were removed from the view long enough ago."""
-    for target_id, (_, _, gone_at) in list(balancer.unannounced_removals_by_id.items()):
+    removals_by_agent = balancer.unannounced_removals_by_agent
+    for agent, (_, _, gone_at) in list(removals_by_agent.items()):
         if now - gone_at >= REMOVAL_GRACE_S:
-            del balancer.unannounced_removals_by_id[target_id]
+            del removals_by_agent[agent]
     for agent, (_, _, gone_at) in list(balancer.removed_by_agent.items()):
         if now - gone_at > CONNECTION_LIFETIME_S:
             del balancer.removed_by_agent[agent]
--- a/lycheeglade/connection_balancer_state.py
+++ b/lycheeglade/connection_balancer_state.py
@@ -230,7 +230,7 @@
     removed_by_agent: dict[Address, tuple[Target, str, float]] = field(
         default_factory=dict
     )
-    unannounced_removals_by_id: dict[str, tuple[Target, str, float]] = field(
+    unannounced_removals_by_agent: dict[Address, tuple[Target, str, float]] = field(
         default_factory=dict
     )
     former_services_by_address: dict[Address, dict[str, float]] = field(
--- a/lycheeglade/connection_opening.py
+++ b/lycheeglade/connection_opening.py
@@ -185,7 +185,7 @@
         balancer.view,
         route,
         service,
-        balancer.unannounced_removals_by_id.values(),
+        balancer.unannounced_removals_by_agent.values(),
         balancer.loads_by_agent,
         now,
     )
--- a/lycheeglade/known_view.py
+++ b/lycheeglade/known_view.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from lycheeglade.address_history import AddressHistory
 from lycheeglade.evacuation_history import EvacuationHistory
 from lycheeglade.route import RoutingView, merge_views
 from lycheeglade.target_history import TargetHistory
@@ -20,11 +21,14 @@
         Targets that were observed to drain or to end.
     evacuations : EvacuationHistory
         Evacuations that a restored store lacks.
+    addresses : AddressHistory
+        Latest registrations at the addresses of the targets.
     """
 
     view: RoutingView = field(default_factory=RoutingView)
     history: TargetHistory = field(default_factory=TargetHistory)
     evacuations: EvacuationHistory = field(default_factory=EvacuationHistory)
+    addresses: AddressHistory = field(default_factory=AddressHistory)
 
     def receive(self, view: RoutingView, now: float) -> bool:
         """Take what is newer in `view`; return whether anything was.
@@ -39,14 +43,17 @@
             return False
         self.history.record(self.view, merged, now)
         self.evacuations.record(self.view, merged, now)
+        self.addresses.record(merged, now)
         self.view = merged
         return True
 
     def is_due(self, now: float) -> bool:
         """Return whether `correct` would return another view than before."""
-        return self.history.is_due(now) or self.evacuations.is_due(now)
+        histories = (self.history, self.evacuations, self.addresses)
+        return any(history.is_due(now) for history in histories)
 
     def correct(self, now: float) -> RoutingView:
         """Return the view by which connections are placed."""
-        view = self.history.correct(self.view, now)
+        view = self.addresses.correct(self.view, now)
+        view = self.history.correct(view, now)
         return self.evacuations.correct(view, now)
--- a/lycheeglade/view.py
+++ b/lycheeglade/view.py
@@ -57,6 +57,10 @@
         not reported. A restart under the same ID starts a new lifetime.
     warmup_left : float
         Seconds for which the target stays slow, as last reported.
+    registration : int
+        Revision of the store at which the other fields last changed, 0 if it
+        is not known. It rises from one lifetime at an address to the next,
+        since targets that have ended write nothing.
     """
 
     target_id: str
@@ -70,6 +74,7 @@
     state: State = State.LIVE
     lifetime: int = 0
     warmup_left: float = 0.0
+    registration: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/lycheeglade/view_history.py
+++ b/lycheeglade/view_history.py
@@ -96,7 +96,7 @@
     balancer: ConnectionBalancer, removed: RemovedTarget, now: float
 ) -> None:
     agent = removed.target.agent
-    if agent in balancer.removed_by_agent:
+    if agent in balancer.removed_by_agent or agent in balancer.targets_by_agent:
         return
     gone_at = now - removed.gone_for
     balancer.removed_by_agent[agent] = (removed.target, removed.service, gone_at)
--- a/tests/test_connection_balancer.py
+++ b/tests/test_connection_balancer.py
@@ -292,7 +292,7 @@
     """Each opening went through all targets that had ever vanished."""
     update_routing(balancer, make_view([], revision=6), 1.0)
     tick(balancer, 1.0 + REMOVAL_GRACE_S)
-    assert balancer.unannounced_removals_by_id == {}
+    assert balancer.unannounced_removals_by_agent == {}
     assert balancer.removed_by_agent.keys() == set(AGENTS)
     tick(balancer, 1.1 + CONNECTION_LIFETIME_S)
     assert balancer.removed_by_agent == {}
--- a/tests/test_odd_entry_places.py
+++ b/tests/test_odd_entry_places.py
@@ -240,8 +240,14 @@
 
 @pytest.mark.parametrize("deletion", ODD_DELETIONS.values(), ids=ODD_DELETIONS)
 async def test_odd_deletion_leaves_the_events_beside_it_in_force(answer_call, deletion):
-    good = '{"key":"servers/%s","value":"' + encode(dumps(GOOD)) + '","revision":7}'
-    events = ",".join((good % "new", "{" + deletion + "}", good % "later"))
+    new, later = (
+        f'{{"key":"servers/{name}","value":"{encode(dumps(content))}","revision":7}}'
+        for name, content in (
+            ("new", GOOD | {"address": "10.1.1.8:80"}),
+            ("later", GOOD | {"address": "10.1.1.9:80"}),
+        )
+    )
+    events = ",".join((new, "{" + deletion + "}", later))
     body = f'{{"events":[{events}],"current-rev":9}}'.encode()
     address = await answer_call(body)
     client = StoreClient(lambda: address, EraReader(ignore_event))
