Order the lifetimes of a target by the store's revisions

Callers saw (tests; no case or report shows it): the clock of a target's host is set back, the target starts again, and its entry's start is before that of its last lifetime. Under the same id it counted as draining for good if the last lifetime had drained, so that it got no connections; under any id it kept the last lifetime's warm-up, so that a cold target got the openings of a warm one, or the other way round, and its agent was told the former start.

Why this works: within one era of the store its revisions order what was written (lifetime.is_later). Across eras, and for views of earlier builds, which name no revision, the starts decide as before.

--- a/lycheeglade/cold_targets.py
+++ b/lycheeglade/cold_targets.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field, replace
 
 from lycheeglade.address import Address
+from lycheeglade.lifetime import Lifetime, is_later
 from lycheeglade.route import RoutingView
 from lycheeglade.target_load import AgentLoad
 from lycheeglade.view import Target
@@ -22,7 +23,12 @@
 
 
 def learn_warmup(
-    load: AgentLoad, target: Target, rate: float, now: float, is_restored: bool
+    load: AgentLoad,
+    target: Target,
+    rate: float,
+    now: float,
+    is_restored: bool,
+    era: int,
 ) -> bool:
     """Update the record of an agent; return whether the agent must be told.
 
@@ -34,12 +40,16 @@
     is_restored : bool
         Whether the view is the first one of a store that was restored from an
         older copy. The copy's times of known lifetimes have passed.
+    era : int
+        Era of the store that has the target's entry.
     """
     is_changed = load.warmup_rate != rate
     load.warmup_rate = rate
-    if 0 < target.lifetime < load.lifetime:
+    known = Lifetime(load.lifetime, load.era, load.registration)
+    is_new = is_later(Lifetime(target.lifetime, era, target.registration), known)
+    if not is_new and target.lifetime not in (0, load.lifetime):
         return is_changed
-    is_new = target.lifetime > load.lifetime
+    load.era, load.registration = era, target.registration
     if is_new:
         load.lifetime = target.lifetime
         load.warmup_known = 0.0
--- a/lycheeglade/connection_balancer.py
+++ b/lycheeglade/connection_balancer.py
@@ -141,9 +141,9 @@
         load.is_near = target.zone == balancer.zone
         rate = view.warmup_rates_by_service.get(service, 0.0)
         known = load.slots, load.lifetime
-        is_warmup_new = learn_warmup(load, target, rate, now, is_restored)
+        is_warmup_new = learn_warmup(load, target, rate, now, is_restored, view.era)
         if known != (target.slots, load.lifetime) or is_warmup_new:
-            if load.lifetime > known[1]:
+            if load.lifetime != known[1]:
                 load.target_ended = False
             load.slots = target.slots
             send_load_request(balancer, target.agent, now)
--- a/lycheeglade/target_history.py
+++ b/lycheeglade/target_history.py
@@ -9,6 +9,7 @@
 
 from dataclasses import dataclass, field, replace
 
+from lycheeglade.lifetime import Lifetime, is_later
 from lycheeglade.route import RoutingView
 from lycheeglade.view import State, Target
 
@@ -29,7 +30,7 @@
         Monotonic seconds.
     """
 
-    lifetime: int
+    lifetime: Lifetime
     at: float
 
 
@@ -60,22 +61,40 @@
         self.removals_by_id = _drop_old(self.removals_by_id, now)
         if is_restored:
             for target_id, target in after.items():
-                if _is_covered(target, self.removals_by_id):
+                if _is_covered(target, self.removals_by_id, view.era):
                     self.withheld_until_by_id[target_id] = now + WITHHOLD_S
         else:
-            self._record_removals(before, after, now)
-        for target_id, target in after.items():
-            if self._correct_target(target).state is State.LEAVING:
-                seen = self.leaving_by_id.get(target_id)
-                lifetime = max(target.lifetime, seen.lifetime if seen else 0)
-                self.leaving_by_id[target_id] = Sighting(lifetime, now)
+            self._record_removals(before, after, previous.era, now)
+        for target in after.values():
+            self._record_leaving(target, view.era, now)
         self.leaving_by_id = _drop_old(self.leaving_by_id, now)
 
+    def _record_leaving(self, target: Target, era: int, now: float) -> None:
+        if self._correct_target(target, era).state is not State.LEAVING:
+            return
+        lifetime = _lifetime_of(target, era)
+        seen = self.leaving_by_id.get(target.target_id)
+        if seen is not None and (
+            target.state is State.LIVE
+            or not (
+                lifetime.started_ms == seen.lifetime.started_ms
+                or is_later(lifetime, seen.lifetime)
+            )
+        ):
+            # The store was restored from a copy of an earlier state.
+            lifetime = seen.lifetime
+        self.leaving_by_id[target.target_id] = Sighting(lifetime, now)
+
     def _record_removals(
-        self, before: dict[str, Target], after: dict[str, Target], now: float
+        self,
+        before: dict[str, Target],
+        after: dict[str, Target],
+        era: int,
+        now: float,
     ) -> None:
         for target_id in before.keys() - after.keys():
-            self.removals_by_id[target_id] = Sighting(before[target_id].lifetime, now)
+            lifetime = _lifetime_of(before[target_id], era)
+            self.removals_by_id[target_id] = Sighting(lifetime, now)
             self.withheld_until_by_id.pop(target_id, None)
             if not before[target_id].lifetime:
                 # A later entry may be of a new process.
@@ -102,9 +121,9 @@
         is_changed = False
         for service, targets in view.targets_by_service.items():
             corrected = {
-                target_id: self._correct_target(target)
+                target_id: self._correct_target(target, view.era)
                 for target_id, target in targets.items()
-                if not self._is_withheld(target)
+                if not self._is_withheld(target, view.era)
             }
             is_changed = is_changed or corrected != targets
             targets_by_service[service] = corrected
@@ -117,23 +136,28 @@
         return sorted(
             target_id
             for target_id, target in _index_targets(view).items()
-            if self._correct_target(target) is not target
+            if self._correct_target(target, view.era) is not target
         )
 
-    def _is_withheld(self, target: Target) -> bool:
+    def _is_withheld(self, target: Target, era: int) -> bool:
         is_restored = target.target_id in self.withheld_until_by_id
-        return is_restored and _is_covered(target, self.removals_by_id)
+        return is_restored and _is_covered(target, self.removals_by_id, era)
 
-    def _correct_target(self, target: Target) -> Target:
-        if target.state is State.LIVE and _is_covered(target, self.leaving_by_id):
+    def _correct_target(self, target: Target, era: int) -> Target:
+        is_live = target.state is State.LIVE
+        if is_live and _is_covered(target, self.leaving_by_id, era):
             return replace(target, state=State.LEAVING)
         return target
 
 
-def _is_covered(target: Target, seen_by_id: dict[str, Sighting]) -> bool:
+def _lifetime_of(target: Target, era: int) -> Lifetime:
+    return Lifetime(target.lifetime, era, target.registration)
+
+
+def _is_covered(target: Target, seen_by_id: dict[str, Sighting], era: int) -> bool:
     """Return whether this or a later lifetime of the target was observed."""
     seen = seen_by_id.get(target.target_id)
-    return seen is not None and target.lifetime <= seen.lifetime
+    return seen is not None and not is_later(_lifetime_of(target, era), seen.lifetime)
 
 
 def _drop_old(seen_by_id: dict[str, Sighting], now: float) -> dict[str, Sighting]:
--- a/lycheeglade/target_load.py
+++ b/lycheeglade/target_load.py
@@ -86,6 +86,8 @@
     lifetime : int
         Start of the target's process in Unix milliseconds, 0 if it is not
         published, -1 before any is known.
+    era, registration : int
+        Order of this lifetime, see `Lifetime`.
     warmup_known : float
         Largest `warmup_left` that the view had in this lifetime, in seconds.
     cold_until : float
@@ -127,6 +129,8 @@
     previous_incarnation: int = 0
     slots: int = 0
     lifetime: int = -1
+    era: int = 0
+    registration: int = 0
     warmup_known: float = 0.0
     cold_until: float = float("-inf")
     warmup_rate: float = 0.0
--- a/tests/test_successive_lifetimes.py
+++ b/tests/test_successive_lifetimes.py
@@ -182,6 +182,44 @@
     assert followed.find() == ["third"]
 
 
+def test_target_whose_clock_was_set_back_is_not_draining_for_good(followed):
+    """Its next lifetime under the same ID got no connection."""
+    followed.put("former", state="draining")
+    followed.put("former", born=500_000)
+    assert followed.find() == ["former"]
+    followed.put("former", born=500_000, state="draining")
+    assert followed.find() == []
+
+
+@pytest.mark.parametrize("target_id", ["former", "next"])
+def test_target_whose_clock_was_set_back_is_cold_after_its_start(target_id):
+    """It got the openings of a warm target."""
+    followed = Followed()
+    rated = {"name": "booth-sync", "warmup-s": 30, "warmup-per-s": 4}
+    routes = make_routes("booth-sync")
+    configuration = {"version": 2, "routes": routes, "services": [rated]}
+    followed.write(CONFIGURATION_KEY, configuration)
+    followed.put("former", **{"warmup-left-ms": 0})
+    assert not followed.balancer.loads_by_agent[AGENT].is_cold(followed.now)
+    followed.put(target_id, born=500_000, **{"warmup-left-ms": 30_000})
+    load = followed.balancer.loads_by_agent[AGENT]
+    assert load.is_cold(followed.now)
+    assert load.lifetime == 500_000
+    requests = [m for _, m in followed.recorder.sent if isinstance(m, LoadRequest)]
+    assert (requests[-1].lifetime, requests[-1].warmup_left) == (500_000, 30.0)
+
+
+def test_next_lifetime_does_not_inherit_the_warmup_of_the_former_one(followed):
+    rated = {"name": "booth-sync", "warmup-s": 30, "warmup-per-s": 4}
+    routes = make_routes("booth-sync")
+    configuration = {"version": 2, "routes": routes, "services": [rated]}
+    followed.write(CONFIGURATION_KEY, configuration)
+    followed.put("former", born=1_500_000, **{"warmup-left-ms": 30_000})
+    assert followed.balancer.loads_by_agent[AGENT].is_cold(followed.now)
+    followed.put("next", born=1_200_000, **{"warmup-left-ms": 0})
+    assert not followed.balancer.loads_by_agent[AGENT].is_cold(followed.now)
+
+
 def test_target_that_crashes_twice_is_used_by_its_latest_entry(followed):
     followed.put("next", born=2_000_000, capacity=2)
     followed.put("third", born=3_000_000, capacity=3)
