Compare registrations of different lifetimes only

Callers would have seen (found by reading, before any landing): a balancer that had read a target's entry after its latest heartbeat, and then fetched the view of one that had read it before, took the target for one that a later registration had followed, and placed nothing there for 5 s.

Why this works: the revisions of one lifetime lie between its first and its last write, and those of two lifetimes at an address do not overlap. So any two of different lifetimes compare rightly, and those of one need not.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
     lying_upstreams.py wayfarer_faults.py rest.py soak.py)
 MACHINE_TESTS := $(addprefix tests/test_,homes_machine.py homes_under_faults.py \
     ticket_machine.py overload.py membership.py spread.py \
-    connection_machine.py restore_machine.py)
+    connection_machine.py restore_machine.py lifetimes_machine.py)
 READY := $(VENV)/.ready
 # What the environment depends on: Python, processor and C library, the folder,
 # and the requirements. Written to READY when the setup is complete.
--- a/lycheeglade/address_history.py
+++ b/lycheeglade/address_history.py
@@ -8,7 +8,7 @@
 others name no target, not even when the last one disappears before them.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 from math import inf
 
@@ -28,6 +28,8 @@
 
     Attributes
     ----------
+    target_id, lifetime
+        The registered lifetime of a target.
     revision : int
         Revision of the store, see `Target.registration`.
     until : float
@@ -35,9 +37,15 @@
         store has the entry.
     """
 
+    target_id: str
+    lifetime: int
     revision: int
     until: float = inf
 
+    def is_of(self, target: Target) -> bool:
+        """Return whether this is a registration of the target's lifetime."""
+        return (self.target_id, self.lifetime) == (target.target_id, target.lifetime)
+
 
 @dataclass(slots=True)
 class AddressHistory:
@@ -58,19 +66,27 @@
     due_at: float = inf
 
     def record(self, view: RoutingView, now: float) -> None:
-        """Record the registrations in a view of the store."""
-        if view.era != self.era:
-            self.era = view.era
-            self.latest_by_agent = {}
-        latest_by_agent = {
-            agent: replace(latest, until=min(latest.until, now + KEEP_S))
-            for agent, latest in self.latest_by_agent.items()
-            if latest.until > now
+        """Record the registrations in a view of the store.
+
+        Balancers may have read different revisions of one lifetime, so that
+        only those of different lifetimes are compared.
+        """
+        known_by_agent = self.latest_by_agent if view.era == self.era else {}
+        targets = _list_routed_targets(view)
+        latest_by_agent = _find_latest(targets)
+        present = {
+            target.agent
+            for target in targets
+            if target.agent in known_by_agent
+            and known_by_agent[target.agent].is_of(target)
         }
-        for target in _list_routed_targets(view):
-            latest = latest_by_agent.get(target.agent)
-            if latest is None or latest.revision <= target.registration:
-                latest_by_agent[target.agent] = Registration(target.registration)
+        for agent in known_by_agent.keys() - present:
+            known, latest = known_by_agent[agent], latest_by_agent.get(agent)
+            is_later = latest is None or latest.revision < known.revision
+            if is_later and known.until > now:
+                until = min(known.until, now + KEEP_S)
+                latest_by_agent[agent] = replace(known, until=until)
+        self.era = view.era
         self.latest_by_agent = latest_by_agent
         self.due_at = min(
             (each.until for each in latest_by_agent.values()), default=inf
@@ -101,7 +117,19 @@
         return latest is not None and target.registration < latest.revision
 
 
-def _list_routed_targets(view: RoutingView) -> Iterator[Target]:
+def _find_latest(targets: Iterable[Target]) -> dict[Address, Registration]:
+    """Return the latest registrations by address."""
+    latest_by_agent: dict[Address, Registration] = {}
+    for target in targets:
+        latest = latest_by_agent.get(target.agent)
+        if latest is None or latest.revision <= target.registration:
+            latest_by_agent[target.agent] = Registration(
+                target.target_id, target.lifetime, target.registration
+            )
+    return latest_by_agent
+
+
+def _list_routed_targets(view: RoutingView) -> list[Target]:
     """Return the targets of the services that routes name.
 
     An entry of another writer may name a service that does not exist, and the
@@ -112,5 +140,8 @@
         for route in view.routes_by_address.values()
         for service in route.weights_by_service
     }
-    for service in services & view.targets_by_service.keys():
-        yield from view.targets_by_service[service].values()
+    return [
+        target
+        for service in services & view.targets_by_service.keys()
+        for target in view.targets_by_service[service].values()
+    ]
--- a/tests/test_successive_lifetimes.py
+++ b/tests/test_successive_lifetimes.py
@@ -327,6 +327,22 @@
     assert followed.known.view is view
 
 
+def test_balancers_that_read_different_revisions_of_an_entry_keep_it(followed):
+    """One that fetched the view of another hid all targets for 5 s.
+
+    The other had read the entries before their latest heartbeats.
+    """
+    followed.put("former", sequence=5)
+    added = followed.start_anew()
+    assert added.find() == ["former"]
+    followed.put("second", address="10.1.1.2:8080")
+    added.now = followed.now
+    assert added.known.receive(followed.known.view, added.now)
+    update_routing(added.balancer, added.known.correct(added.now), added.now)
+    receive_message(added.balancer, make_report(), OTHER_AGENT, added.now)
+    assert sorted(added.find()) == ["former", "second"]
+
+
 @pytest.mark.parametrize("service", ["unknown", ""])
 def test_entry_of_an_unknown_service_displaces_no_target(followed, service):
     """It is of another writer, and names no target."""
