--- a/tests/test_connection_machine.py
+++ b/tests/test_connection_machine.py
@@ -365,48 +365,51 @@
             assert sum(key in t.open for t in self.targets.values()) <= 1
 
 
-def test_connection_of_an_agent_that_restarted_soon_after_its_target_lives_on():
-    """The restarted agent denied it as one of a former service (review/2).
-
-    It took its table for complete, since its target had not started long
-    before it.
-    """
+def open_at_young_target():
+    """Return a machine, and the home of its connection, which has just started."""
     run = Connections()
     for target in TARGETS_BY_SERVICE["booth-sync"]:
         run.crash_target(target)
     run.open(1, 0, False)
     run.ask(1, 0)
     (home,) = (t for t in TARGETS if run.targets[t.agent].open)
-    run.advance()
-    run.restart_agent(home)
-    run.change_services(["reel-depot"], False, BALANCERS, 1)
-    assert run.targets[home.agent].open
+    return run, home
+
+
+def ask_late(run, home):
+    """Send a request when the home's agent would once have denied it."""
     while run.now < run.agents[home.agent].started_at + FORMER_WITNESS_TIMES_S:
         run.advance()
     run.ask(1, 0)
     assert run.targets[home.agent].open
 
 
+def test_connection_of_an_agent_that_restarted_soon_after_its_target_lives_on():
+    """The restarted agent denied it as one of a former service (review/2).
+
+    It took its table for complete, since its target had not started long
+    before it.
+    """
+    run, home = open_at_young_target()
+    run.advance()
+    run.restart_agent(home)
+    run.change_services(["reel-depot"], False, BALANCERS, 1)
+    assert run.targets[home.agent].open
+    ask_late(run, home)
+
+
 def test_connection_of_an_agent_killed_with_all_balancers_lives_on():
     """The restarted agent denied it, and its caller got a reset (review/7).
 
     It took its table for complete, since no balancer had heard the process
     before it. The balancers had started as late as the agent.
     """
-    run = Connections()
-    for target in TARGETS_BY_SERVICE["booth-sync"]:
-        run.crash_target(target)
-    run.open(1, 0, False)
-    run.ask(1, 0)
-    (home,) = (t for t in TARGETS if run.targets[t.agent].open)
+    run, home = open_at_young_target()
     run.change_configuration(["reel-depot"])
     run.agents[home.agent] = run.make_agent(home.agent, run.now)
     for address in BALANCERS:
         run.balancers[address] = run.make_balancer(address)
-    while run.now < run.agents[home.agent].started_at + FORMER_WITNESS_TIMES_S:
-        run.advance()
-    run.ask(1, 0)
-    assert run.targets[home.agent].open
+    ask_late(run, home)
 
 
 def test_connection_of_a_former_service_is_served_after_a_kill_of_all_processes():
--- a/tests/test_successive_lifetimes.py
+++ b/tests/test_successive_lifetimes.py
@@ -69,6 +69,13 @@
         self.items[key] = WireItem(key, value, revision=self.revision)
         self.apply(self.items[key])
 
+    def limit_cold_targets(self):
+        """Publish how many openings a cold target can take."""
+        rated = {"name": "booth-sync", "warmup-s": 30, "warmup-per-s": 4}
+        routes = make_routes("booth-sync")
+        configuration = {"version": 2, "routes": routes, "services": [rated]}
+        self.write(CONFIGURATION_KEY, configuration)
+
     def put(self, target_id, **fields):
         """Write the entry of a target."""
         self.write(f"servers/{target_id}", ENTRY | fields)
@@ -195,10 +202,7 @@
 def test_target_whose_clock_was_set_back_is_cold_after_its_start(target_id):
     """It got the openings of a warm target."""
     followed = Followed()
-    rated = {"name": "booth-sync", "warmup-s": 30, "warmup-per-s": 4}
-    routes = make_routes("booth-sync")
-    configuration = {"version": 2, "routes": routes, "services": [rated]}
-    followed.write(CONFIGURATION_KEY, configuration)
+    followed.limit_cold_targets()
     followed.put("former", **{"warmup-left-ms": 0})
     assert not followed.balancer.loads_by_agent[AGENT].is_cold(followed.now)
     followed.put(target_id, born=500_000, **{"warmup-left-ms": 30_000})
@@ -210,10 +214,7 @@
 
 
 def test_next_lifetime_does_not_inherit_the_warmup_of_the_former_one(followed):
-    rated = {"name": "booth-sync", "warmup-s": 30, "warmup-per-s": 4}
-    routes = make_routes("booth-sync")
-    configuration = {"version": 2, "routes": routes, "services": [rated]}
-    followed.write(CONFIGURATION_KEY, configuration)
+    followed.limit_cold_targets()
     followed.put("former", born=1_500_000, **{"warmup-left-ms": 30_000})
     assert followed.balancer.loads_by_agent[AGENT].is_cold(followed.now)
     followed.put("next", born=1_200_000, **{"warmup-left-ms": 0})
