--- a/tests/test_connection_machine.py
+++ b/tests/test_connection_machine.py
@@ -366,7 +366,7 @@
 
 
 def open_at_young_target():
-    """Return a machine, and the home of its connection, which has just started."""
+    """Return a machine with a connection, and its home, which started last."""
     run = Connections()
     for target in TARGETS_BY_SERVICE["booth-sync"]:
         run.crash_target(target)
