--- a/review/stand_ins_3/deployment.py
+++ b/review/stand_ins_3/deployment.py
@@ -391,6 +391,8 @@
 
     def receive(self, p):
         """Process a packet of the other end, or a reset of the system."""
+        if self.is_reset:
+            return
         if p.flags & RST:
             self.is_reset = True
             self.reset_at = self.deployment.clock()
@@ -543,14 +545,15 @@
         if client is None:
             return
         if p.flags & RST and p.sum == 0:
-            self._judge_reset(client, p)
+            if not client.is_reset:
+                self._judge_reset(client)
         elif not p.is_whole:
             self.record(f"{client.name} takes a packet that its sender didn't write so")
             self.foreign_answers += 1
             return
         client.receive(p)
 
-    def _judge_reset(self, client, p):
+    def _judge_reset(self, client):
         """Judge a reset of the system's own by rule FLOW (a)."""
         held = self.open_flows.get(client.key)
         if held is None:
